The thin whole path in separate processes

Cause: nothing can be proved before a request runs end to end. Built: router -> drpc -> sidecar -> backend server over separate processes, with pure decision cores (coordination/dispatch, coordination/share), the platform adapter, and stand-ins for platform, engine and plain service. Ruled out: one multiplexed drpc stream per router and sidecar for answers; a slow caller would hold up the others, so each attempt has a pooled connection and only control messages share one stream.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Commands for users and developers of goldcrestport. Go and make suffice.
+
+GO          ?= go
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+MODULES     := . standin bench
+
+.PHONY: build demo run test vet fmt lint
+
+build:
+	$(GO) build -o bin/ ./cmd/... ./standin/cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+run: build
+	./scripts/run.sh
+
+test:
+	@set -e; for m in $(MODULES); do \
+	  if [ -n "$$(cd $$m && $(GO) list ./... 2>/dev/null)" ]; then (cd $$m && $(GO) test ./...); fi; \
+	done
+
+fmt:
+	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+
+vet:
+	@set -e; for m in $(MODULES); do \
+	  if [ -n "$$(cd $$m && $(GO) list ./... 2>/dev/null)" ]; then (cd $$m && $(GO) vet ./...); fi; \
+	done
+
+lint: fmt vet
+	@set -e; for m in $(MODULES); do \
+	  if [ -n "$$(cd $$m && $(GO) list ./... 2>/dev/null)" ]; then (cd $$m && $(GO) run $(STATICCHECK) ./...); fi; \
+	done
--- /dev/null
+++ b/protocol/outcome/outcome.go
@@ -0,0 +1,119 @@
+// Package outcome names the ways in which a request can end and writes them
+// as HTTP problem details (RFC 9457).
+//
+// It is used by the routers towards callers and by the sidecars towards
+// routers. Every request ends in exactly one outcome.
+package outcome
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind is the final outcome of a request.
+type Kind string
+
+const (
+	// Completed means that the caller got the whole answer.
+	Completed Kind = "completed"
+	// NotRun means that the request was proven not to have run.
+	NotRun Kind = "not-run"
+	// Failed means that the request ran and failed.
+	Failed Kind = "failed"
+	// Unknown means that the request may have run.
+	Unknown Kind = "unknown"
+)
+
+// Header names the response header that carries the Kind.
+const Header = "Goldcrest-Outcome"
+
+// ContentType is the media type of a problem document.
+const ContentType = "application/problem+json"
+
+// Reason is a stable word that says why a request ended as it did.
+type Reason string
+
+// Reasons of refusals and failures.
+const (
+	ReasonUnauthorized   Reason = "unauthorized"
+	ReasonForbidden      Reason = "service-not-allowed"
+	ReasonUnknownService Reason = "unknown-service"
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonTooLarge       Reason = "body-too-large"
+	ReasonBodyTimeout    Reason = "body-timeout"
+	ReasonQueueFull      Reason = "queue-full"
+	ReasonDeadline       Reason = "deadline"
+	ReasonNoBackend      Reason = "no-backend-server"
+	ReasonNoConfig       Reason = "no-configuration"
+	ReasonLeaving        Reason = "leaving"
+	ReasonLinkLost       Reason = "link-lost"
+	ReasonBackend        Reason = "backend-server"
+	ReasonPlatform       Reason = "platform-unavailable"
+	ReasonDuplicate      Reason = "duplicate"
+	ReasonKeyReused      Reason = "key-reused"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonInternal       Reason = "internal"
+)
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Kind   Kind
+	Reason Reason
+	// Status is the HTTP status towards the caller.
+	Status int
+	// RetryAfter is when the caller may come back; 0 for no hint.
+	RetryAfter time.Duration
+	// Detail is a sentence for a person.
+	Detail string
+}
+
+// Problem is the problem document of an Outcome.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Outcome Kind   `json:"outcome"`
+	Reason  Reason `json:"reason"`
+	// RequestID names the request in logs and traces.
+	RequestID string `json:"request_id,omitempty"`
+	// RetryAfterMS is when to come back, in milliseconds.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Refuse returns a not-run outcome.
+func Refuse(reason Reason, status int, after time.Duration, detail string) Outcome {
+	return Outcome{Kind: NotRun, Reason: reason, Status: status, RetryAfter: after, Detail: detail}
+}
+
+// Write writes the outcome as the whole response. It must be called before
+// any other part of the response was written.
+func Write(w http.ResponseWriter, requestID string, o Outcome) {
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	h.Set(Header, string(o.Kind))
+	if o.RetryAfter > 0 {
+		h.Set("Retry-After", RetryAfterSeconds(o.RetryAfter))
+	}
+	w.WriteHeader(o.Status)
+	p := Problem{
+		Type:         "urn:goldcrestport:problem:" + string(o.Reason),
+		Title:        http.StatusText(o.Status),
+		Status:       o.Status,
+		Detail:       o.Detail,
+		Outcome:      o.Kind,
+		Reason:       o.Reason,
+		RequestID:    requestID,
+		RetryAfterMS: o.RetryAfter.Milliseconds(),
+	}
+	// The caller may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// RetryAfterSeconds rounds a delay up to the whole seconds of Retry-After.
+func RetryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,123 @@
+# Functions that start and stop a small fleet on loopback. Sourced by demo.sh
+# and run.sh. Only the shell starts processes.
+
+BASE_PORT=${BASE_PORT:-17400}
+OUT=${OUT:-out/fleet}
+PIDS=()
+NAMES=()
+
+port() { echo $((BASE_PORT + $1)); }
+
+PLATFORM=127.0.0.1:$(port 0)
+
+# start NAME COMMAND... runs a process in the background, its log in OUT.
+start() {
+  local name=$1
+  shift
+  "$@" >"$OUT/$name.log" 2>&1 &
+  PIDS+=("$!")
+  NAMES+=("$name")
+}
+
+# pid_of NAME prints the process id of a started process.
+pid_of() {
+  local i
+  for i in "${!NAMES[@]}"; do
+    [ "${NAMES[$i]}" = "$1" ] && echo "${PIDS[$i]}" && return
+  done
+}
+
+# wait_for URL waits until the URL answers with success.
+wait_for() {
+  local i
+  for i in $(seq 1 100); do
+    curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  return 1
+}
+
+register() {
+  curl -fsS -o /dev/null -X PUT "http://$PLATFORM/v1/instances/$1" -d "$2"
+}
+
+start_router() {
+  local n=$1 base=$((10 + $1 * 3))
+  cat >"$OUT/router-$n.json" <<J
+{
+  "id": "router-$n",
+  "data_centre": "hall-pamp",
+  "listen": {
+    "callers": "127.0.0.1:$(port $base)",
+    "operators": "127.0.0.1:$(port $((base + 1)))",
+    "peers": "127.0.0.1:$(port $((base + 2)))"
+  },
+  "platform": {"url": "http://$PLATFORM"}
+}
+J
+  register "router-$n" "{\"id\":\"router-$n\",\"role\":\"router\",\"address\":\"127.0.0.1:$(port $((base + 2)))\",\"data_centre\":\"hall-pamp\",\"state\":\"live\"}"
+  start "router-$n" bin/goldcrestd router --settings "$OUT/router-$n.json"
+}
+
+# start_sidecar N SERVICE BACKEND_ADDRESS SLOTS
+start_sidecar() {
+  local n=$1 service=$2 backend=$3 slots=$4 base=$((40 + $1 * 2))
+  cat >"$OUT/sidecar-$n.json" <<J
+{
+  "id": "sidecar-$n",
+  "data_centre": "hall-pamp",
+  "service": "$service",
+  "listen": {
+    "peers": "127.0.0.1:$(port $base)",
+    "operators": "127.0.0.1:$(port $((base + 1)))"
+  },
+  "platform": {"url": "http://$PLATFORM"},
+  "backend": {"url": "http://$backend", "slots": $slots}
+}
+J
+  register "sidecar-$n" "{\"id\":\"sidecar-$n\",\"role\":\"sidecar\",\"address\":\"127.0.0.1:$(port $base)\",\"data_centre\":\"hall-pamp\",\"service\":\"$service\",\"state\":\"live\"}"
+  start "sidecar-$n" bin/goldcrestd sidecar --settings "$OUT/sidecar-$n.json"
+}
+
+# digest TOKEN prints the digest under which a token is configured.
+digest() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+# fleet_up starts the platform, the backend servers, the sidecars and routers.
+fleet_up() {
+  mkdir -p "$OUT"
+  start platform bin/standin platform --listen "$PLATFORM" --list-lag 200ms
+  wait_for "http://$PLATFORM/admin/counters"
+  start engine-1 bin/standin engine --listen "127.0.0.1:$(port 1)" --slots 4 --step 5ms
+  start engine-2 bin/standin engine --listen "127.0.0.1:$(port 2)" --slots 4 --step 5ms
+  start ledger-1 bin/standin service --listen "127.0.0.1:$(port 3)"
+  start ledger-2 bin/standin service --listen "127.0.0.1:$(port 4)"
+  start_sidecar 1 counsel-llm "127.0.0.1:$(port 1)" 4
+  start_sidecar 2 counsel-llm "127.0.0.1:$(port 2)" 4
+  start_sidecar 3 ledger-app "127.0.0.1:$(port 3)" 4
+  start_sidecar 4 ledger-app "127.0.0.1:$(port 4)" 4
+  start_router 1
+  start_router 2
+}
+
+# fleet_wait waits until both routers take work.
+fleet_wait() {
+  wait_for "http://127.0.0.1:$(port 14)/readyz"
+  wait_for "http://127.0.0.1:$(port 17)/readyz"
+}
+
+# stop NAME sends SIGTERM and waits until the process has ended.
+stop() {
+  local pid
+  pid=$(pid_of "$1")
+  kill -TERM "$pid" 2>/dev/null || true
+  wait "$pid" 2>/dev/null || true
+}
+
+# fleet_down stops everything that still runs, routers first.
+fleet_down() {
+  local i
+  for ((i = ${#NAMES[@]} - 1; i >= 0; i--)); do
+    stop "${NAMES[$i]}"
+  done
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,106 @@
+// Command standin runs a stand-in for the platform, a model engine or a plain service on a loopback address.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"goldcrestport/standin/engine"
+	"goldcrestport/standin/platform"
+	"goldcrestport/standin/service"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cobra.Command{Use: "standin", Short: "Stand-ins for what the fleet runs on", SilenceUsage: true}
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand())
+	if root.ExecuteContext(ctx) != nil {
+		os.Exit(1)
+	}
+}
+
+func platformCommand() *cobra.Command {
+	config := platform.DefaultConfig()
+	cmd := command("platform", "Key-value service and list of instances", func() http.Handler { return platform.New(config) })
+	f := cmd.Flags()
+	f.Float64Var(&config.WritesPerSecond, "writes-per-second", config.WritesPerSecond, "greatest rate of writes")
+	f.Float64Var(&config.ReadsPerSecond, "reads-per-second", config.ReadsPerSecond, "greatest rate of reads")
+	f.DurationVar(&config.ListLag, "list-lag", config.ListLag, "how late the list of instances is")
+	return cmd
+}
+
+func engineCommand() *cobra.Command {
+	config := engine.DefaultConfig()
+	cmd := command("engine", "Model engine", func() http.Handler { return engine.New(config) })
+	f := cmd.Flags()
+	f.Float64Var(&config.PrefillRate, "prefill-rate", config.PrefillRate, "prompt tokens a second")
+	f.DurationVar(&config.Step, "step", config.Step, "time of a step with nothing else running")
+	f.Float64Var(&config.BatchSlowdown, "batch-slowdown", config.BatchSlowdown, "part of a step added by each running request")
+	f.IntVar(&config.Slots, "slots", config.Slots, "requests that run at once")
+	f.IntVar(&config.CacheBlocks, "cache-blocks", config.CacheBlocks, "blocks in the prefix cache")
+	f.DurationVar(&config.LoadLag, "load-lag", config.LoadLag, "how late the report of load is")
+	f.DurationVar(&config.CacheEventLag, "cache-event-lag", config.CacheEventLag, "how late cache events are")
+	f.BoolVar(&config.CheckFence, "check-fence", config.CheckFence, "refuse orders with an old fence")
+	f.DurationVar(&config.LoadTime, "load-time", config.LoadTime, "time to load a model or an adapter")
+	f.IntVar(&config.KeepRuns, "keep-runs", config.KeepRuns, "runs kept in the record")
+	return cmd
+}
+
+func serviceCommand() *cobra.Command {
+	config := service.DefaultConfig()
+	cmd := command("service", "Plain service", func() http.Handler { return service.New(config) })
+	f := cmd.Flags()
+	f.IntVar(&config.Slots, "slots", config.Slots, "requests that run at once")
+	f.DurationVar(&config.Time, "time", config.Time, "fixed part of the service time")
+	f.DurationVar(&config.Jitter, "jitter", config.Jitter, "mean of the exponential part of the service time")
+	f.DurationVar(&config.LoadLag, "load-lag", config.LoadLag, "how late the report of load is")
+	f.IntVar(&config.KeepRuns, "keep-runs", config.KeepRuns, "runs kept in the record")
+	return cmd
+}
+
+func command(name, short string, handler func() http.Handler) *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		return serve(cmd.Context(), listen, handler())
+	}}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "loopback address and port; port 0 takes a free one")
+	return cmd
+}
+
+// serve answers calls until ctx ends. It prints the address once it listens.
+func serve(ctx context.Context, listen string, handler http.Handler) error {
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return errors.New("the address must be a loopback IP number")
+	}
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening on", listener.Addr())
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: 10 * time.Second,
+		BaseContext: func(net.Listener) context.Context { return ctx }, // waiting calls end with the process
+	}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/reply/reply.go
@@ -0,0 +1,61 @@
+// Package reply holds what the stand-ins share in answering HTTP calls.
+package reply
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// JSON answers with a status and a value as one line of JSON.
+func JSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	body = append(body, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// Error answers with a status and a reason.
+func Error(w http.ResponseWriter, status int, reason string) {
+	JSON(w, status, map[string]string{"error": reason})
+}
+
+// Abort closes the caller's connection without ending the answer.
+func Abort(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the way net/http gives for a connection that can't be hijacked
+	}
+	_ = conn.Close()
+}
+
+// Body reads a request's body of at most limit bytes; on failure it returns the status to answer with.
+func Body(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// Uint reads a whole number from the query; present is false when it is absent.
+func Uint(r *http.Request, name string) (n uint64, present bool, err error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, false, nil
+	}
+	n, err = strconv.ParseUint(text, 10, 63)
+	return n, true, err
+}
--- /dev/null
+++ b/transport/observe/ops.go
@@ -0,0 +1,29 @@
+package observe
+
+import (
+	"expvar"
+	"net/http"
+)
+
+// Health tells whether a process lives and whether it takes new work.
+type Health struct {
+	// Ready returns nil, or why no new work is taken.
+	Ready func() error
+}
+
+// Mount adds /healthz, /readyz and /debug/vars to the mux.
+func (h Health) Mount(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", h.serveReady)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+}
+
+func (h Health) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := h.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
--- /dev/null
+++ b/transport/router/dispatcher.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"goldcrestport/coordination/dispatch"
+	"goldcrestport/protocol/wire"
+)
+
+// Bounds of the rings between duties.
+const (
+	eventRing   = 4096
+	controlRing = 1024
+)
+
+// tickEvery is the period in which deadlines are looked at.
+const tickEvery = 20 * time.Millisecond
+
+// decision is what the dispatcher tells a request's handler: to send an
+// attempt, or that the request is refused.
+type decision struct {
+	send   *dispatch.Send
+	addr   string
+	refuse *dispatch.Refuse
+}
+
+// message is what other duties hand to the dispatcher.
+type message struct {
+	event dispatch.Event
+	call  *call
+	link  *sidecarLink
+}
+
+// dispatcher is the duty that owns the dispatch core.
+type dispatcher struct {
+	core     *dispatch.State
+	messages chan message
+	calls    map[string]*call
+	links    map[string]*sidecarLink
+}
+
+func newDispatcher(core *dispatch.State) *dispatcher {
+	return &dispatcher{
+		core:     core,
+		messages: make(chan message, eventRing),
+		calls:    map[string]*call{},
+		links:    map[string]*sidecarLink{},
+	}
+}
+
+// post hands a message to the duty, waiting while its ring is full.
+func (d *dispatcher) post(ctx context.Context, m message) {
+	select {
+	case d.messages <- m:
+	case <-ctx.Done():
+	}
+}
+
+// run is the duty's loop.
+func (d *dispatcher) run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-d.messages:
+			d.handle(m)
+		case <-ticker.C:
+			d.step(dispatch.Ticked{})
+		}
+	}
+}
+
+func (d *dispatcher) handle(m message) {
+	switch ev := m.event.(type) {
+	case dispatch.Arrived:
+		d.calls[ev.Request.ID] = m.call
+	case dispatch.Ended:
+		delete(d.calls, ev.ID)
+	case dispatch.Withdrawn:
+		delete(d.calls, ev.ID)
+	case dispatch.SidecarUp:
+		d.links[ev.Sidecar] = m.link
+	case dispatch.SidecarDown:
+		if d.links[ev.Sidecar] != m.link {
+			return
+		}
+		delete(d.links, ev.Sidecar)
+	}
+	d.step(m.event)
+}
+
+func (d *dispatcher) step(ev dispatch.Event) {
+	for _, a := range d.core.Step(time.Now(), ev) {
+		switch a := a.(type) {
+		case dispatch.Send:
+			d.send(a)
+		case dispatch.Refuse:
+			d.refuse(a)
+		case dispatch.Register:
+			d.control(a.Sidecar, &wire.ControlUp{Interests: []*wire.Interest{{
+				Team:     a.Team,
+				Count:    uint32(a.Count),
+				OldestMs: a.Oldest.Milliseconds(),
+				Spread:   uint32(a.Spread),
+			}}})
+		case dispatch.Empty:
+			d.control(a.Sidecar, &wire.ControlUp{Empties: []*wire.PullEmpty{{Pull: a.Pull}}})
+		}
+	}
+}
+
+func (d *dispatcher) send(a dispatch.Send) {
+	c, l := d.calls[a.ID], d.links[a.Sidecar]
+	if c == nil || l == nil {
+		return
+	}
+	c.decisions <- decision{send: &a, addr: l.addr}
+}
+
+func (d *dispatcher) refuse(a dispatch.Refuse) {
+	if c := d.calls[a.ID]; c != nil {
+		delete(d.calls, a.ID)
+		c.decisions <- decision{refuse: &a}
+	}
+}
+
+func (d *dispatcher) control(sidecar string, m *wire.ControlUp) {
+	if l := d.links[sidecar]; l != nil {
+		l.send(m)
+	}
+}
--- /dev/null
+++ b/transport/router/link.go
@@ -0,0 +1,163 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"goldcrestport/coordination/dispatch"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/platform"
+)
+
+// reconnectAfter is the pause before a lost control stream is opened again.
+const reconnectAfter = 200 * time.Millisecond
+
+// sidecarLink is the control stream to one sidecar.
+type sidecarLink struct {
+	id     string
+	addr   string
+	out    chan *wire.ControlUp
+	full   chan struct{}
+	closed bool
+}
+
+// send queues a message or, when the ring is full, gives the stream up. It is
+// called by the dispatcher only.
+func (l *sidecarLink) send(m *wire.ControlUp) {
+	select {
+	case l.out <- m:
+		return
+	default:
+	}
+	if !l.closed {
+		l.closed = true
+		close(l.full)
+	}
+}
+
+// links is the duty that keeps a control stream to every sidecar of the
+// platform's list.
+type links struct {
+	r    *Router
+	open map[string]context.CancelFunc
+}
+
+// run follows the instance list until ctx ends.
+func (l *links) run(ctx context.Context) {
+	ticker := time.NewTicker(l.r.set.Platform.InstancesEvery.D())
+	defer ticker.Stop()
+	for {
+		if list, err := l.r.directory.Instances(ctx); err == nil {
+			l.apply(ctx, list)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *links) apply(ctx context.Context, list []platform.Instance) {
+	seen := map[string]bool{}
+	for _, i := range list {
+		if i.Role != platform.RoleSidecar || i.State != platform.StateLive {
+			continue
+		}
+		key := i.ID + "@" + i.Address
+		seen[key] = true
+		if l.open[key] == nil {
+			sub, cancel := context.WithCancel(ctx)
+			l.open[key] = cancel
+			go l.r.keepLink(sub, i)
+		}
+	}
+	for key, cancel := range l.open {
+		if !seen[key] {
+			cancel()
+			delete(l.open, key)
+		}
+	}
+}
+
+// keepLink opens the control stream again and again until ctx ends.
+func (r *Router) keepLink(ctx context.Context, i platform.Instance) {
+	for ctx.Err() == nil {
+		if err := r.holdLink(ctx, i); err != nil && ctx.Err() == nil {
+			_ = r.log.Log("event", "link_lost", "sidecar", i.ID, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectAfter):
+		}
+	}
+}
+
+// holdLink opens one control stream and serves it until it ends.
+func (r *Router) holdLink(ctx context.Context, i platform.Instance) error {
+	conn, err := r.pool.Dial(ctx, i.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stream, err := wire.NewDRPCSidecarClient(conn).Control(ctx)
+	if err != nil {
+		return err
+	}
+	hello := &wire.Hello{Router: r.set.ID, DataCentre: r.set.DataCentre, Revision: r.revision()}
+	if err := stream.Send(&wire.ControlUp{Hello: hello}); err != nil {
+		return err
+	}
+	down, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	l := &sidecarLink{
+		id:   i.ID,
+		addr: i.Address,
+		out:  make(chan *wire.ControlUp, controlRing),
+		full: make(chan struct{}),
+	}
+	r.dispatcher.post(ctx, message{link: l, event: dispatch.SidecarUp{Sidecar: l.id, Service: down.GetWelcome().GetService()}})
+	defer r.dispatcher.post(r.ctx, message{link: l, event: dispatch.SidecarDown{Sidecar: l.id}})
+	go sendLink(stream, l)
+	return r.receiveLink(ctx, stream, l)
+}
+
+// sendLink writes the link's ring to its stream.
+func sendLink(stream wire.DRPCSidecar_ControlClient, l *sidecarLink) {
+	for {
+		select {
+		case <-stream.Context().Done():
+			return
+		case <-l.full:
+			_ = stream.Close()
+			return
+		case m := <-l.out:
+			if stream.Send(m) != nil {
+				return
+			}
+		}
+	}
+}
+
+// receiveLink turns the sidecar's messages into events.
+func (r *Router) receiveLink(ctx context.Context, stream wire.DRPCSidecar_ControlClient, l *sidecarLink) error {
+	for {
+		down, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if load := down.Load; load != nil {
+			r.dispatcher.post(ctx, message{event: dispatch.LoadReported{
+				Sidecar: l.id,
+				Slots:   int(load.Slots),
+				Free:    int(load.Free),
+				Leaving: load.Leaving,
+			}})
+		}
+		for _, p := range down.Pulls {
+			r.dispatcher.post(ctx, message{event: dispatch.Pulled{Sidecar: l.id, Pull: p.Pull, Team: p.Team}})
+		}
+	}
+}
--- /dev/null
+++ b/transport/router/router.go
@@ -0,0 +1,167 @@
+// Package router runs an entry process: it accepts callers and operators,
+// holds each request and its caller's connection, and hands the request to a
+// sidecar.
+//
+// cmd/goldcrestd calls it. It reaches sidecars over drpc.
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"goldcrestport/coordination/dispatch"
+	"goldcrestport/protocol/settings"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/link"
+	"goldcrestport/transport/observe"
+	"goldcrestport/transport/platform"
+)
+
+// ConfigKey is the platform key of the live configuration.
+const ConfigKey = "goldcrest/config"
+
+// Bounds of the pool of idle connections to sidecars.
+const (
+	idleConns        = 4096
+	idleConnsPerPeer = 64
+	idleConnTime     = time.Minute
+)
+
+// Router is the process.
+type Router struct {
+	wire.DRPCRouterUnimplementedServer
+
+	set        settings.Router
+	log        log.Logger
+	store      platform.Store
+	directory  platform.Directory
+	pool       *link.Pool
+	dispatcher *dispatcher
+	metrics    *metrics
+	doc        atomic.Pointer[config.Document]
+	leaving    atomic.Bool
+	ctx        context.Context
+}
+
+// New returns a router that has not bound anything yet.
+func New(set settings.Router, store platform.Store, dir platform.Directory, logger log.Logger) *Router {
+	cfg := dispatch.DefaultConfig()
+	cfg.MaxQueued = set.Queues.PerTeam
+	cfg.MaxQueuedBytes = set.Queues.PerTeamBytes
+	cfg.TotalQueued = set.Queues.Total
+	cfg.TotalQueuedBytes = set.Queues.TotalBytes
+	return &Router{
+		set:        set,
+		log:        logger,
+		store:      store,
+		directory:  dir,
+		pool:       link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
+		dispatcher: newDispatcher(dispatch.New(cfg)),
+		metrics:    newMetrics(),
+	}
+}
+
+func (r *Router) revision() uint64 {
+	if d := r.doc.Load(); d != nil {
+		return d.Revision
+	}
+	return 0
+}
+
+// Serve binds the listeners and serves until stop is closed; it returns when
+// what it holds has ended or the stop bound has passed.
+func (r *Router) Serve(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.ctx = ctx
+	callers, err := net.Listen("tcp", r.set.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen.callers")
+	}
+	ops, err := net.Listen("tcp", r.set.Listen.Operators)
+	if err != nil {
+		return errors.Wrap(err, "listen.operators")
+	}
+	peers, err := net.Listen("tcp", r.set.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen.peers")
+	}
+	srv := r.callerServer()
+	mux := http.NewServeMux()
+	observe.Health{Ready: r.ready}.Mount(mux)
+	go r.dispatcher.run(ctx)
+	go r.followConfig(ctx)
+	go (&links{r: r, open: map[string]context.CancelFunc{}}).run(ctx)
+	go func() { _ = http.Serve(ops, mux) }()
+	go func() { _ = link.ServeRouter(ctx, peers, r) }()
+	go func() { _ = srv.Serve(callers) }()
+	_ = r.log.Log("event", "serving", "callers", r.set.Listen.Callers, "operators", r.set.Listen.Operators)
+	<-stop
+	return r.leave(srv)
+}
+
+func (r *Router) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           r.callerHandler(),
+		ReadHeaderTimeout: r.set.Limits.HeaderTimeout.D(),
+		MaxHeaderBytes:    r.set.Limits.Headers,
+		IdleTimeout:       time.Minute,
+	}
+}
+
+func (r *Router) ready() error {
+	if r.leaving.Load() {
+		return errors.New("leaving")
+	}
+	if r.doc.Load() == nil {
+		return errors.New("no configuration")
+	}
+	return nil
+}
+
+// leave refuses new work and waits for what is held.
+func (r *Router) leave(srv *http.Server) error {
+	_ = r.log.Log("event", "leaving")
+	r.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), r.set.Stop.Bound.D())
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		_ = r.log.Log("event", "stop_bound_passed", "err", err)
+		return srv.Close()
+	}
+	_ = r.log.Log("event", "stopped")
+	return nil
+}
+
+// followConfig reads the configuration until ctx ends.
+func (r *Router) followConfig(ctx context.Context) {
+	const every = 200 * time.Millisecond
+	for ctx.Err() == nil {
+		r.readConfig(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(every):
+		}
+	}
+}
+
+func (r *Router) readConfig(ctx context.Context) {
+	e, err := r.store.Get(ctx, ConfigKey)
+	if err != nil {
+		return
+	}
+	var doc config.Document
+	if json.Unmarshal(e.Value, &doc) != nil || doc.Revision <= r.revision() {
+		return
+	}
+	r.doc.Store(&doc)
+	_ = r.log.Log("event", "config_in_force", "revision", doc.Revision)
+}
--- /dev/null
+++ b/transport/sidecar/chooser.go
@@ -0,0 +1,199 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"goldcrestport/coordination/share"
+	"goldcrestport/protocol/wire"
+)
+
+// Bounds of the rings between duties.
+const (
+	eventRing   = 1024
+	controlRing = 256
+)
+
+// tickEvery is the period in which running costs are charged.
+const tickEvery = 20 * time.Millisecond
+
+// beatEvery is the period of the room report to all routers.
+const beatEvery = time.Second
+
+// verdict is the answer to an offered attempt.
+type verdict int
+
+const (
+	verdictStart verdict = iota + 1
+	verdictDecline
+)
+
+// message is what other duties hand to the chooser: an event of the core, or
+// a change of the chooser's own tables.
+type message struct {
+	event   share.Event
+	attempt *attempt
+	joined  *router
+	parted  *router
+}
+
+// chooser is the duty that owns the share core.
+type chooser struct {
+	core     *share.State
+	messages chan message
+	attempts map[uint64]*attempt
+	routers  map[string]*router
+	revision func() uint64
+	lastBeat time.Time
+}
+
+func newChooser(core *share.State, revision func() uint64) *chooser {
+	return &chooser{
+		core:     core,
+		messages: make(chan message, eventRing),
+		attempts: map[uint64]*attempt{},
+		routers:  map[string]*router{},
+		revision: revision,
+	}
+}
+
+// post hands a message to the duty, waiting while its ring is full.
+func (c *chooser) post(ctx context.Context, m message) {
+	select {
+	case c.messages <- m:
+	case <-ctx.Done():
+	}
+}
+
+// run is the duty's loop.
+func (c *chooser) run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.messages:
+			c.handle(m)
+		case <-ticker.C:
+			c.tick()
+		}
+	}
+}
+
+func (c *chooser) handle(m message) {
+	switch {
+	case m.attempt != nil:
+		c.attempts[m.attempt.key] = m.attempt
+	case m.joined != nil:
+		c.routers[m.joined.id] = m.joined
+		m.joined.send(&wire.ControlDown{Load: c.load(c.core.Room())})
+		return
+	case m.parted != nil:
+		if c.routers[m.parted.id] != m.parted {
+			return
+		}
+		delete(c.routers, m.parted.id)
+	}
+	c.step(m.event)
+	if e, ok := m.event.(share.Ended); ok {
+		delete(c.attempts, e.Attempt)
+	}
+}
+
+func (c *chooser) tick() {
+	for key, a := range c.attempts {
+		if cost := a.meter.cost(); cost > 0 {
+			c.step(share.Progressed{Attempt: key, Cost: cost})
+		}
+	}
+	c.step(share.Ticked{})
+	if now := time.Now(); now.Sub(c.lastBeat) >= beatEvery {
+		c.lastBeat = now
+		c.broadcast(c.core.Room())
+	}
+}
+
+func (c *chooser) step(ev share.Event) {
+	var failed []uint64
+	for _, a := range c.core.Step(time.Now(), ev) {
+		switch a := a.(type) {
+		case share.Start:
+			c.tell(a.Attempt, verdictStart)
+		case share.Decline:
+			c.tell(a.Attempt, verdictDecline)
+			delete(c.attempts, a.Attempt)
+		case share.Pull:
+			if !c.pull(a) {
+				failed = append(failed, a.ID)
+			}
+		case share.Report:
+			c.broadcast(a)
+		}
+	}
+	for _, id := range failed {
+		c.step(share.PullEmpty{Pull: id})
+	}
+}
+
+func (c *chooser) tell(key uint64, v verdict) {
+	if a := c.attempts[key]; a != nil {
+		a.verdict <- v
+	}
+}
+
+func (c *chooser) pull(p share.Pull) bool {
+	r := c.routers[p.Router]
+	if r == nil {
+		return false
+	}
+	return r.send(&wire.ControlDown{Pulls: []*wire.Pull{{Pull: p.ID, Team: p.Team}}})
+}
+
+func (c *chooser) broadcast(room share.Report) {
+	m := &wire.ControlDown{Load: c.load(room)}
+	for _, r := range c.routers {
+		r.send(m)
+	}
+}
+
+func (c *chooser) load(room share.Report) *wire.Load {
+	return &wire.Load{
+		Slots:    int32(room.Slots),
+		Free:     int32(room.Free),
+		Leaving:  room.Leaving,
+		Revision: c.revision(),
+	}
+}
+
+// router is one connected router as the chooser sees it.
+type router struct {
+	id  string
+	out chan *wire.ControlDown
+	// full is closed when the ring overflowed: the stream must end.
+	full   chan struct{}
+	closed bool
+}
+
+func newRouter(id string) *router {
+	return &router{
+		id:   id,
+		out:  make(chan *wire.ControlDown, controlRing),
+		full: make(chan struct{}),
+	}
+}
+
+// send queues a message or, when the ring is full, gives the stream up. It is
+// called by the chooser only.
+func (r *router) send(m *wire.ControlDown) bool {
+	select {
+	case r.out <- m:
+		return true
+	default:
+	}
+	if !r.closed {
+		r.closed = true
+		close(r.full)
+	}
+	return false
+}
--- /dev/null
+++ b/transport/sidecar/control.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/share"
+	"goldcrestport/protocol/wire"
+)
+
+// Control implements wire.DRPCSidecarServer.
+func (s *Sidecar) Control(stream wire.DRPCSidecar_ControlStream) error {
+	up, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if up.Hello == nil {
+		return errors.New("control: first message has no hello")
+	}
+	welcome := &wire.Welcome{
+		Sidecar:     s.set.ID,
+		Incarnation: s.incarnation,
+		Service:     s.set.Service,
+		DataCentre:  s.set.DataCentre,
+	}
+	if err := stream.Send(&wire.ControlDown{Welcome: welcome}); err != nil {
+		return err
+	}
+	r := newRouter(up.Hello.Router)
+	s.chooser.post(s.ctx, message{joined: r})
+	defer s.chooser.post(s.ctx, message{parted: r, event: share.RouterDown{Router: r.id}})
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go s.sendControl(ctx, cancel, stream, r)
+	s.receiveControl(ctx, stream, r)
+	return nil
+}
+
+// sendControl writes the router's ring to its stream.
+func (s *Sidecar) sendControl(ctx context.Context, cancel context.CancelFunc, stream wire.DRPCSidecar_ControlStream, r *router) {
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.full:
+			_ = stream.Close()
+			return
+		case m := <-r.out:
+			if stream.Send(m) != nil {
+				return
+			}
+		}
+	}
+}
+
+// receiveControl turns the router's messages into events.
+func (s *Sidecar) receiveControl(ctx context.Context, stream wire.DRPCSidecar_ControlStream, r *router) {
+	for ctx.Err() == nil {
+		up, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		for _, i := range up.Interests {
+			s.chooser.post(ctx, message{event: share.Interest{
+				Router: r.id,
+				Team:   i.Team,
+				Count:  int(i.Count),
+				Oldest: time.Duration(i.OldestMs) * time.Millisecond,
+				Spread: int(i.Spread),
+			}})
+		}
+		for _, e := range up.Empties {
+			s.chooser.post(ctx, message{event: share.PullEmpty{Pull: e.Pull}})
+		}
+	}
+}
--- /dev/null
+++ b/transport/sidecar/sidecar.go
@@ -0,0 +1,168 @@
+// Package sidecar runs the process beside one backend server. It is the only
+// way to that server: it owns the concurrency limit, the fair choice between
+// teams and the runs themselves.
+//
+// cmd/goldcrestd calls it. Routers reach it over drpc.
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+
+	"goldcrestport/coordination/share"
+	"goldcrestport/protocol/settings"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/link"
+	"goldcrestport/transport/observe"
+	"goldcrestport/transport/platform"
+)
+
+// ConfigKey is the platform key of the live configuration.
+const ConfigKey = "goldcrest/config"
+
+// Sidecar is the process.
+type Sidecar struct {
+	wire.DRPCSidecarUnimplementedServer
+
+	set         settings.Sidecar
+	log         log.Logger
+	store       platform.Store
+	incarnation string
+	chooser     *chooser
+	backend     *backend
+	doc         atomic.Pointer[config.Document]
+	running     sync.WaitGroup
+	starts      atomic.Int64
+	leaving     atomic.Bool
+	ctx         context.Context
+}
+
+// New returns a sidecar that has not bound anything yet.
+func New(set settings.Sidecar, store platform.Store, logger log.Logger) *Sidecar {
+	s := &Sidecar{
+		set:         set,
+		log:         logger,
+		store:       store,
+		incarnation: uuid.NewString(),
+		backend:     newBackend(set.Backend.URL),
+	}
+	cfg := share.DefaultConfig()
+	cfg.Slots = set.Backend.Slots
+	cfg.LookAhead = *set.Backend.LookAhead
+	s.chooser = newChooser(share.New(cfg), s.revision)
+	return s
+}
+
+func (s *Sidecar) revision() uint64 {
+	if d := s.doc.Load(); d != nil {
+		return d.Revision
+	}
+	return 0
+}
+
+func (s *Sidecar) serviceKind() config.ServiceKind {
+	d := s.doc.Load()
+	if d == nil {
+		return config.KindPlain
+	}
+	return d.Services[s.set.Service].Kind
+}
+
+// Serve binds the listeners and serves until stop is closed; it returns when
+// what runs has ended or the stop bound has passed.
+func (s *Sidecar) Serve(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.ctx = ctx
+	peers, err := net.Listen("tcp", s.set.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen.peers")
+	}
+	ops, err := net.Listen("tcp", s.set.Listen.Operators)
+	if err != nil {
+		return errors.Wrap(err, "listen.operators")
+	}
+	mux := http.NewServeMux()
+	observe.Health{Ready: s.ready}.Mount(mux)
+	go s.chooser.run(ctx)
+	go s.followConfig(ctx)
+	go func() { _ = http.Serve(ops, mux) }()
+	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
+	_ = s.log.Log("event", "serving", "incarnation", s.incarnation, "service", s.set.Service, "peers", s.set.Listen.Peers)
+	<-stop
+	s.leave()
+	return nil
+}
+
+func (s *Sidecar) ready() error {
+	if s.leaving.Load() {
+		return errors.New("leaving")
+	}
+	if s.doc.Load() == nil {
+		return errors.New("no configuration")
+	}
+	return nil
+}
+
+// leave stops new work and waits for what runs.
+func (s *Sidecar) leave() {
+	_ = s.log.Log("event", "leaving")
+	s.leaving.Store(true)
+	s.chooser.post(s.ctx, message{event: share.Left{}})
+	done := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		_ = s.log.Log("event", "stopped", "starts", s.starts.Load())
+	case <-time.After(s.set.Stop.Bound.D()):
+		_ = s.log.Log("event", "stop_bound_passed")
+	}
+}
+
+// followConfig reads the configuration until ctx ends.
+func (s *Sidecar) followConfig(ctx context.Context) {
+	const every = 200 * time.Millisecond
+	for ctx.Err() == nil {
+		s.readConfig(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(every):
+		}
+	}
+}
+
+func (s *Sidecar) readConfig(ctx context.Context) {
+	e, err := s.store.Get(ctx, ConfigKey)
+	if err != nil {
+		return
+	}
+	var doc config.Document
+	if json.Unmarshal(e.Value, &doc) != nil || doc.Revision <= s.revision() {
+		return
+	}
+	s.doc.Store(&doc)
+	shares := map[string]float64{}
+	for name, t := range doc.Teams {
+		shares[name] = t.Share
+	}
+	drain := false
+	for _, id := range doc.Drain {
+		drain = drain || id == s.set.ID
+	}
+	s.chooser.post(ctx, message{event: share.SharesSet{Shares: shares}})
+	s.chooser.post(ctx, message{event: share.Drained{On: drain}})
+	_ = s.log.Log("event", "config_in_force", "revision", doc.Revision)
+}
