A target that regenerates the wire code

Cause: several parts will add messages and need the same command. Ruled out: generating at build time; a fresh machine has Go and make only. Conclusion: generated files stay committed.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,10 @@
 	@set -e; for m in $(MODULES); do \
 	  if [ -n "$$(cd $$m && $(GO) list ./... 2>/dev/null)" ]; then (cd $$m && $(GO) run $(STATICCHECK) ./...); fi; \
 	done
+
+# generate needs protoc, protoc-gen-go and protoc-gen-go-drpc; its output is
+# committed, so that no other target does.
+.PHONY: generate
+generate:
+	cd protocol/wire && protoc --go_out=. --go_opt=paths=source_relative \
+	  --go-drpc_out=. --go-drpc_opt=paths=source_relative *.proto
