--- /dev/null
+++ b/bench/relay/relay.go
@@ -0,0 +1,220 @@
+// Package relay is a TCP relay between two processes whose connections can be
+// reset, held and healed. The proving tool uses it to make partitions and lost
+// links.
+package relay
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// mode is what the relay does with connections.
+type mode int
+
+const (
+	// passing lets bytes through.
+	passing mode = iota
+	// held keeps connections and lets no bytes through.
+	held
+	// cut resets every connection, also new ones.
+	cut
+)
+
+// Relay passes connections on to a target.
+type Relay struct {
+	target   string
+	listener net.Listener
+
+	mu      sync.Mutex
+	mode    mode
+	changed chan struct{} // closed and replaced at each change of mode
+	pairs   map[*pair]bool
+	closed  bool
+}
+
+// pair is one connection with its continuation to the target.
+type pair struct {
+	near, far net.Conn
+}
+
+// Listen starts a relay at an address towards a target.
+func Listen(addr, target string) (*Relay, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay")
+	}
+	r := &Relay{target: target, listener: lis, changed: make(chan struct{}), pairs: map[*pair]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+// Addr returns the address that the relay listens on.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Reset resets the connections there are; new ones pass.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resetAll()
+}
+
+// Cut resets the connections and every new one until Heal.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resetAll()
+	r.set(cut)
+}
+
+// Hold stops all bytes until Heal. Connections stay, new ones are taken.
+func (r *Relay) Hold() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set(held)
+}
+
+// Heal lets connections and bytes through again.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set(passing)
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.resetAll()
+	r.set(cut)
+}
+
+func (r *Relay) set(m mode) {
+	r.mode = m
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Relay) resetAll() {
+	for p := range r.pairs {
+		p.reset()
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(conn)
+	}
+}
+
+func (r *Relay) serve(near net.Conn) {
+	if r.wait() != nil {
+		reset(near)
+		return
+	}
+	far, err := net.Dial("tcp", r.target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	p := &pair{near: near, far: far}
+	if !r.add(p) {
+		p.reset()
+		return
+	}
+	defer r.remove(p)
+	ended := make(chan struct{})
+	go func() {
+		r.copy(far, near)
+		close(ended)
+	}()
+	r.copy(near, far)
+	<-ended
+}
+
+func (r *Relay) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mode == cut || r.closed {
+		return false
+	}
+	r.pairs[p] = true
+	return true
+}
+
+func (r *Relay) remove(p *pair) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pairs, p)
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
+
+var errCut = errors.New("relay: cut")
+
+// wait returns once bytes may pass, or an error when the relay is cut.
+func (r *Relay) wait() error {
+	for {
+		r.mu.Lock()
+		m, changed := r.mode, r.changed
+		r.mu.Unlock()
+		switch m {
+		case passing:
+			return nil
+		case cut:
+			return errCut
+		}
+		<-changed
+	}
+}
+
+// copyBuffer is the size of the buffer of one direction, in bytes.
+const copyBuffer = 16 << 10
+
+// copy passes one direction on until it ends, then ends that direction only.
+func (r *Relay) copy(to, from net.Conn) {
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buf)
+		if r.wait() != nil {
+			reset(to)
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				reset(from)
+				return
+			}
+		}
+		if err != nil {
+			closeWrite(to)
+			return
+		}
+	}
+}
+
+func closeWrite(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+func (p *pair) reset() {
+	reset(p.near)
+	reset(p.far)
+}
+
+// reset closes a connection so that the other end sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/bench/relay/relay_test.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// echo starts a server that sends back what it gets.
+func echo(c *qt.C) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func start(c *qt.C) *Relay {
+	r, err := Listen("127.0.0.1:0", echo(c))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(r.Close)
+	return r
+}
+
+func dial(c *qt.C, r *Relay) net.Conn {
+	conn, err := net.Dial("tcp", r.Addr())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchange sends a byte and waits for it to come back.
+func exchange(conn net.Conn, bound time.Duration) error {
+	_ = conn.SetDeadline(time.Now().Add(bound))
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+func TestPassesAndEnds(t *testing.T) {
+	c := qt.New(t)
+	conn := dial(c, start(c))
+	c.Assert(exchange(conn, time.Second), qt.IsNil)
+	c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	rest, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(rest, qt.HasLen, 0)
+}
+
+func TestHoldKeepsConnectionsAndBytes(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	conn := dial(c, r)
+	c.Assert(exchange(conn, time.Second), qt.IsNil)
+	r.Hold()
+	c.Assert(exchange(conn, 100*time.Millisecond), qt.ErrorMatches, ".*timeout")
+	r.Heal()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+}
+
+func TestCutResetsOldAndNew(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	conn := dial(c, r)
+	c.Assert(exchange(conn, time.Second), qt.IsNil)
+	r.Cut()
+	c.Assert(exchange(conn, time.Second), qt.IsNotNil)
+	c.Assert(exchange(dial(c, r), time.Second), qt.IsNotNil)
+	r.Heal()
+	c.Assert(exchange(dial(c, r), time.Second), qt.IsNil)
+}
+
+func TestResetLetsNewOnesPass(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	conn := dial(c, r)
+	c.Assert(exchange(conn, time.Second), qt.IsNil)
+	r.Reset()
+	c.Assert(exchange(conn, time.Second), qt.IsNotNil)
+	c.Assert(exchange(dial(c, r), time.Second), qt.IsNil)
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -31,7 +32,7 @@
 
 func platformCommand() *cobra.Command {
 	config := platform.DefaultConfig()
-	cmd := command("platform", "Key-value service and list of instances", func() http.Handler { return platform.New(config) })
+	cmd := command("platform", "Key-value service and list of instances", func() (http.Handler, error) { return platform.New(config), nil })
 	f := cmd.Flags()
 	f.Float64Var(&config.WritesPerSecond, "writes-per-second", config.WritesPerSecond, "greatest rate of writes")
 	f.Float64Var(&config.ReadsPerSecond, "reads-per-second", config.ReadsPerSecond, "greatest rate of reads")
@@ -40,8 +41,12 @@
 }
 
 func engineCommand() *cobra.Command {
-	config := engine.DefaultConfig()
-	cmd := command("engine", "Model engine", func() http.Handler { return engine.New(config) })
+	config, journal := engine.DefaultConfig(), ""
+	cmd := command("engine", "Model engine", func() (http.Handler, error) {
+		file, err := openJournal(journal)
+		config.Journal = file
+		return engine.New(config), err
+	})
 	f := cmd.Flags()
 	f.Float64Var(&config.PrefillRate, "prefill-rate", config.PrefillRate, "prompt tokens a second")
 	f.DurationVar(&config.Step, "step", config.Step, "time of a step with nothing else running")
@@ -53,25 +58,47 @@
 	f.BoolVar(&config.CheckFence, "check-fence", config.CheckFence, "refuse orders with an old fence")
 	f.DurationVar(&config.LoadTime, "load-time", config.LoadTime, "time to load a model or an adapter")
 	f.IntVar(&config.KeepRuns, "keep-runs", config.KeepRuns, "runs kept in the record")
+	f.StringVar(&journal, "journal", "", "file that gets a line for each start and end of a run")
 	return cmd
 }
 
 func serviceCommand() *cobra.Command {
-	config := service.DefaultConfig()
-	cmd := command("service", "Plain service", func() http.Handler { return service.New(config) })
+	config, journal := service.DefaultConfig(), ""
+	cmd := command("service", "Plain service", func() (http.Handler, error) {
+		file, err := openJournal(journal)
+		config.Journal = file
+		return service.New(config), err
+	})
 	f := cmd.Flags()
 	f.IntVar(&config.Slots, "slots", config.Slots, "requests that run at once")
 	f.DurationVar(&config.Time, "time", config.Time, "fixed part of the service time")
 	f.DurationVar(&config.Jitter, "jitter", config.Jitter, "mean of the exponential part of the service time")
 	f.DurationVar(&config.LoadLag, "load-lag", config.LoadLag, "how late the report of load is")
 	f.IntVar(&config.KeepRuns, "keep-runs", config.KeepRuns, "runs kept in the record")
+	f.StringVar(&journal, "journal", "", "file that gets a line for each start and end of a run")
 	return cmd
 }
 
-func command(name, short string, handler func() http.Handler) *cobra.Command {
+// openJournal opens a file to append to; no name gives no journal.
+func openJournal(name string) (io.Writer, error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return file, nil
+}
+
+func command(name, short string, handler func() (http.Handler, error)) *cobra.Command {
 	var listen string
 	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
-		return serve(cmd.Context(), listen, handler())
+		h, err := handler()
+		if err != nil {
+			return err
+		}
+		return serve(cmd.Context(), listen, h)
 	}}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "loopback address and port; port 0 takes a free one")
 	return cmd
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +28,7 @@
 	CheckFence    bool
 	LoadTime      time.Duration
 	KeepRuns      int
+	Journal       io.Writer // gets a line for each start and end of a run; may be nil
 }
 
 // DefaultConfig returns the usual settings.
@@ -61,6 +63,7 @@
 		orders: newOrders(config.CheckFence, config.LoadTime), log: runs.NewLog(config.KeepRuns),
 		faults: faults.NewBox[faults.Backend](),
 	}
+	s.log.Journal(config.Journal)
 	s.routes()
 	return s
 }
--- a/standin/runs/runs.go
+++ b/standin/runs/runs.go
@@ -4,7 +4,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"hash"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -22,8 +24,10 @@
 
 // Run is the record of one run.
 type Run struct {
-	Number         int64  `json:"number"`
-	RequestID      string `json:"request_id"`
+	Number    int64  `json:"number"`
+	RequestID string `json:"request_id"`
+	// CallID is a name that the caller gave to its call, if any.
+	CallID         string `json:"call_id,omitempty"`
 	IdempotencyKey string `json:"idempotency_key"`
 	Team           string `json:"team"`
 	StartedMS      int64  `json:"started_ms"`
@@ -52,6 +56,15 @@
 	origin time.Time
 	busy   time.Duration // of ended runs
 	starts time.Duration // sum of the running runs' starts since origin
+
+	journal *json.Encoder // nil: none
+}
+
+// Line is one line of a journal: a run at its start or at its end.
+type Line struct {
+	// Born tells the processes of one journal apart.
+	Born int64 `json:"born"`
+	Run
 }
 
 // Handle is a run that is being recorded.
@@ -65,13 +78,27 @@
 // NewLog returns a log of at most keep runs (at least one).
 func NewLog(keep int) *Log { return &Log{keep: max(keep, 1), origin: time.Now()} }
 
+// Journal makes the log write each start and end to w as well, so that the
+// record outlives the process. It is called before the first run.
+func (l *Log) Journal(w io.Writer) {
+	if w != nil {
+		l.journal = json.NewEncoder(w)
+	}
+}
+
+func (l *Log) write(run Run) {
+	if l.journal != nil {
+		_ = l.journal.Encode(Line{Born: l.origin.UnixNano(), Run: run})
+	}
+}
+
 // Start records the start of a run of a request.
 func (l *Log) Start(r *http.Request) *Handle {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := &Handle{log: l, start: time.Since(l.origin), sum: sha256.New()}
 	h.run = Run{
-		Number: l.stats.Started, RequestID: r.Header.Get("X-Request-Id"),
+		Number: l.stats.Started, RequestID: r.Header.Get("X-Request-Id"), CallID: r.Header.Get("X-Call-Id"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"), Team: r.Header.Get("X-Team"),
 		StartedMS: time.Now().UnixMilli(), State: Running,
 	}
@@ -83,6 +110,7 @@
 	l.stats.Started++
 	l.stats.Running++
 	l.starts += h.start
+	l.write(h.run)
 	return h
 }
 
@@ -122,6 +150,7 @@
 	l.stats.Ended++
 	l.starts -= h.start
 	l.busy += time.Since(l.origin) - h.start
+	l.write(h.run)
 }
 
 // Runs returns the kept runs with a number of at least from, in the order of their start.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -24,6 +24,7 @@
 	Jitter   time.Duration // mean of the exponential part
 	LoadLag  time.Duration
 	KeepRuns int
+	Journal  io.Writer // gets a line for each start and end of a run; may be nil
 }
 
 // DefaultConfig returns the usual settings.
@@ -46,6 +47,7 @@
 		config: config, mux: http.NewServeMux(), pool: slots.New(config.Slots, config.LoadLag),
 		log: runs.NewLog(config.KeepRuns), faults: faults.NewBox[faults.Backend](),
 	}
+	s.log.Journal(config.Journal)
 	s.mux.Handle("GET /load", s.pool)
 	s.mux.HandleFunc("GET /admin/runs", s.log.ServeRuns)
 	s.mux.HandleFunc("GET /admin/stats", s.log.ServeStats)
