Intent schema, canonical documents and their size

Cause: operators need one document that states what they want and is checked whole before anything is planned. The stored document must stay within one platform value.

The schema library reports a bad property name at the place of a sibling; the place is taken from the schema's location instead.

Conclusion: documents are stored compressed and read in either form. The patch between two documents is a typed difference; a property test leads there and back through JSON.

--- /dev/null
+++ b/protocol/intent/intent_test.go
@@ -0,0 +1,89 @@
+package intent_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/protocol/intent"
+	"goldcrestport/state/config"
+)
+
+var (
+	digestA = config.TokenDigest("a")
+	digestB = config.TokenDigest("b")
+	digestO = config.TokenDigest("o")
+)
+
+const good = `{
+  "teams": {"bequests": {"share": 3, "tokens": ["A"], "services": ["counsel-llm"]}},
+  "services": {"counsel-llm": {"kind": "model", "models": [{"name": "counsel", "version": "7"}]}},
+  "operators": {"ops": "O"}
+}`
+
+// text fills in the digests.
+func text(s string) []byte {
+	return []byte(strings.NewReplacer(`"A"`, `"`+digestA+`"`, `"B"`, `"`+digestB+`"`, `"O"`, `"`+digestO+`"`).Replace(s))
+}
+
+func TestParseGood(t *testing.T) {
+	c := qt.New(t)
+	in, err := intent.Parse(text(good))
+	c.Assert(err, qt.IsNil)
+	c.Assert(in.Teams["bequests"].Share, qt.Equals, 3.0)
+	again, err := json.Marshal(intent.FromDocument(in.Document()))
+	c.Assert(err, qt.IsNil)
+	back, err := intent.Parse(again)
+	c.Assert(err, qt.IsNil)
+	c.Assert(config.Equal(back.Document(), in.Document()), qt.IsTrue)
+}
+
+func TestParseReportsEveryErrorWithItsPlace(t *testing.T) {
+	tests := []struct {
+		name, in string
+		paths    []string
+	}{
+		{"not JSON", `{`, []string{"/"}},
+		{"two values", good + good, []string{"/"}},
+		{"empty", `{}`, []string{"/"}},
+		{"shape", `{"teams": {"x y": {"share": -1, "tokens": ["zz"], "services": []}, "b": {"share": "1", "tokens": [], "services": [], "colour": 1}},
+			"services": {"s": {"kind": "gpu"}}, "operators": {}, "extra": 1}`,
+			[]string{"/extra", "/operators", "/services/s/kind", "/teams/b/colour", "/teams/b/share", "/teams/x y", "/teams/x y/share", "/teams/x y/tokens/0"}},
+		{"repeated key", `{"teams": {"x": {"share": 1, "share": 2, "tokens": ["A"], "services": []}, "x": {"share": 1, "tokens": [], "services": []}}, "services": {}, "operators": {"o": "O"}}`,
+			[]string{"/teams/x/share", "/teams/x"}},
+		{"repeated key with a slash", `{"a/b": 1, "a/b": 2}`, []string{"/a~1b", "/", "/a~1b"}},
+		{"meaning", `{"teams": {"x": {"share": 1, "tokens": ["A"], "services": ["none"]}, "y": {"share": 1, "tokens": ["A"], "services": []}},
+			"services": {"p": {"kind": "plain", "models": [{"name": "m", "version": "1"}], "role": "decode", "checks_fence": true},
+			"m": {"kind": "model", "models": [{"name": "m", "version": "1"}, {"name": "m", "version": "2"}]}},
+			"operators": {"o": "A"}}`,
+			[]string{"/teams/x/services/0", "/teams/y/tokens/0", "/services/m/models/1", "/services/p/models", "/services/p/role", "/services/p/checks_fence", "/operators/o"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := intent.Parse(text(test.in))
+			var found intent.Errors
+			c.Assert(errors.As(err, &found), qt.IsTrue, qt.Commentf("%v", err))
+			var paths []string
+			for _, e := range found {
+				paths = append(paths, e.Path)
+				c.Check(e.Message, qt.Not(qt.Equals), "")
+			}
+			c.Assert(paths, qt.DeepEquals, test.paths, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(text(good))
+	f.Add([]byte(`{"a":{"a":[1,{"a":1,"a":2}]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in, err := intent.Parse(data)
+		if (in == nil) == (err == nil) {
+			t.Fatalf("parsed %v, error %v", in, err)
+		}
+	})
+}
--- /dev/null
+++ b/state/config/canonical.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+)
+
+// digestDomain keeps digests of plans apart from other digests.
+const digestDomain = "goldcrest-plan/1"
+
+// Content returns the document's part that operators state, in canonical
+// form: lists are sorted and without repeats, empty ones are nil. Two
+// documents that state the same have equal content.
+func (d *Document) Content() *Document {
+	c := &Document{
+		Teams:     make(map[string]Team, len(d.Teams)),
+		Services:  make(map[string]Service, len(d.Services)),
+		Drain:     sortedSet(d.Drain),
+		Operators: maps.Clone(d.Operators),
+	}
+	for name, t := range d.Teams {
+		t.Tokens, t.Services = sortedSet(t.Tokens), sortedSet(t.Services)
+		c.Teams[name] = t
+	}
+	for name, s := range d.Services {
+		s.NonIdempotent = sortedSet(s.NonIdempotent)
+		s.Models = sortedModels(s.Models)
+		c.Services[name] = s
+	}
+	if len(c.Operators) == 0 {
+		c.Operators = nil
+	}
+	return c
+}
+
+func sortedSet(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.Compact(slices.Sorted(slices.Values(list)))
+}
+
+func sortedModels(list []Model) []Model {
+	if len(list) == 0 {
+		return nil
+	}
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(a, b Model) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
+	})
+	return slices.Compact(out)
+}
+
+// PlanDigest returns the digest of the plan that leads from the base revision
+// to the content of next. It depends on nothing else, so that every router
+// computes the same.
+func PlanDigest(base uint64, next *Document) (string, error) {
+	// encoding/json writes map keys in sorted order.
+	data, err := json.Marshal(next.Content())
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.New()
+	sum.Write([]byte(digestDomain + "\n" + strconv.FormatUint(base, 10) + "\n"))
+	sum.Write(data)
+	return hex.EncodeToString(sum.Sum(nil)), nil
+}
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"time"
 )
 
 // ServiceKind says how a service is called and how its cost is counted.
@@ -34,6 +35,20 @@
 	Operators map[string]string `json:"operators,omitempty"`
 	// Digest of the plan that made this revision.
 	PlanDigest string `json:"plan_digest,omitempty"`
+	// Accepted says who confirmed this revision and when.
+	Accepted *Acceptance `json:"accepted,omitempty"`
+	// Back leads from this revision to the one before it.
+	Back *Patch `json:"back,omitempty"`
+}
+
+// Acceptance is the record of a confirmed plan.
+type Acceptance struct {
+	// By is the operator's name.
+	By string `json:"by"`
+	// At is the time of the confirmation by the clock of the router asked.
+	At time.Time `json:"at"`
+	// Summary of the changes in one line.
+	Summary string `json:"summary"`
 }
 
 // Team is one team's part of the configuration.
@@ -93,3 +108,13 @@
 	}
 	return "", Team{}, false
 }
+
+// OperatorOf returns the operator whose token has this digest.
+func (d *Document) OperatorOf(digest string) (string, bool) {
+	for name, own := range d.Operators {
+		if own == digest {
+			return name, true
+		}
+	}
+	return "", false
+}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -158,10 +157,25 @@
 	if err != nil {
 		return
 	}
-	var doc config.Document
-	if json.Unmarshal(e.Value, &doc) != nil || doc.Revision <= r.revision() {
+	doc, err := config.Decode(e.Value)
+	if err != nil {
+		_ = r.log.Log("event", "config_unreadable", "err", err)
 		return
 	}
-	r.doc.Store(&doc)
-	_ = r.log.Log("event", "config_in_force", "revision", doc.Revision)
+	r.adopt(doc)
+}
+
+// adopt puts the document in force if it is newer than what is in force:
+// revisions only rise in a process.
+func (r *Router) adopt(doc *config.Document) {
+	for {
+		old := r.doc.Load()
+		if old != nil && doc.Revision <= old.Revision {
+			return
+		}
+		if r.doc.CompareAndSwap(old, doc) {
+			_ = r.log.Log("event", "config_in_force", "revision", doc.Revision)
+			return
+		}
+	}
 }
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -149,11 +148,11 @@
 	if err != nil {
 		return
 	}
-	var doc config.Document
-	if json.Unmarshal(e.Value, &doc) != nil || doc.Revision <= s.revision() {
+	doc, err := config.Decode(e.Value)
+	if err != nil || doc.Revision <= s.revision() {
 		return
 	}
-	s.doc.Store(&doc)
+	s.doc.Store(doc)
 	shares := map[string]float64{}
 	for name, t := range doc.Teams {
 		shares[name] = t.Share
