Attempts that can be settled and resumed, and phases of leaving

Cause: a Run stream that broke off ended the request as unknown and the run with it, whatever had really happened; a stop counted on closed listeners.

A sidecar now keeps a bounded table of attempts (state/attempts) and runs an attempt apart from its stream, so that a router can ask what became of it, attach again from the delivered offset, or be told that it was not run and never will be. The backend client sends a request once: no transparent repeats, no followed redirects, and a proof when nothing was written. Leaving has phases (coordination/leave): not ready, refusing, ending.

Ruled out: keeping every ended attempt's identity for ever (memory), and forgetting it silently (a second run could be called the first); the table keeps a horizon instead, before which it says that it cannot tell.

--- a/cmd/goldcrestd/commands.go
+++ b/cmd/goldcrestd/commands.go
@@ -37,7 +37,8 @@
 			}
 			logger := observe.NewLogger("router", set.ID)
 			client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
-			return router.New(set, client, client, logger).Serve(stopSignal())
+			r := router.New(set, client, client, logger)
+			return r.Serve(stopSignal(r.Abort))
 		},
 	}
 	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (JSON)")
@@ -57,7 +58,8 @@
 			}
 			logger := observe.NewLogger("sidecar", set.ID)
 			client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
-			return sidecar.New(set, client, logger).Serve(stopSignal())
+			s := sidecar.New(set, client, logger)
+			return s.Serve(stopSignal(s.Abort))
 		},
 	}
 	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (JSON)")
@@ -65,14 +67,17 @@
 	return cmd
 }
 
-// stopSignal is closed by the first SIGTERM or SIGINT.
-func stopSignal() <-chan struct{} {
-	signals := make(chan os.Signal, 1)
+// stopSignal is closed by the first SIGTERM or SIGINT; the second one calls
+// again.
+func stopSignal(again func()) <-chan struct{} {
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	stop := make(chan struct{})
 	go func() {
 		<-signals
 		close(stop)
+		<-signals
+		again()
 	}()
 	return stop
 }
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -50,6 +50,7 @@
 	ReasonNoConfig       Reason = "no-configuration"
 	ReasonLeaving        Reason = "leaving"
 	ReasonLinkLost       Reason = "link-lost"
+	ReasonAnswerLost     Reason = "answer-lost"
 	ReasonBackend        Reason = "backend-server"
 	ReasonPlatform       Reason = "platform-unavailable"
 	ReasonDuplicate      Reason = "duplicate"
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -48,6 +48,9 @@
 type Stop struct {
 	// Bound after which what still runs is ended. Default 30s.
 	Bound Duration `json:"bound"`
+	// Linger is the time in which the process says that it is not ready and
+	// still takes new work. Default 0s.
+	Linger Duration `json:"linger"`
 }
 
 // RouterListen holds the addresses that a router binds.
@@ -117,6 +120,9 @@
 	// PromptWeight is the cost of one uncached prompt token, in generated
 	// tokens. Default 0.01.
 	PromptWeight float64 `json:"prompt_weight"`
+	// ResumeGrace is how long a run goes on after its link to the router was
+	// lost, so that the router may resume its answer. Default 5s.
+	ResumeGrace Duration `json:"resume_grace"`
 }
 
 // Sidecar holds the settings of a sidecar.
@@ -151,7 +157,7 @@
 	ahead := 1
 	return Sidecar{
 		Platform: defaultPlatform(),
-		Backend:  Backend{Slots: 8, LookAhead: &ahead, PromptWeight: 0.01},
+		Backend:  Backend{Slots: 8, LookAhead: &ahead, PromptWeight: 0.01, ResumeGrace: Duration(5 * time.Second)},
 		Stop:     Stop{Bound: Duration(30 * time.Second)},
 	}
 }
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -20,9 +20,11 @@
 // decision is what the dispatcher tells a request's handler: to send an
 // attempt, or that the request is refused.
 type decision struct {
-	send   *dispatch.Send
-	addr   string
-	refuse *dispatch.Refuse
+	send *dispatch.Send
+	addr string
+	// incarnation of the sidecar that the attempt is meant for.
+	incarnation string
+	refuse      *dispatch.Refuse
 }
 
 // message is what other duties hand to the dispatcher.
@@ -117,7 +119,7 @@
 	if c == nil || l == nil {
 		return
 	}
-	c.decisions <- decision{send: &a, addr: l.addr}
+	c.decisions <- decision{send: &a, addr: l.addr, incarnation: l.incarnation}
 }
 
 func (d *dispatcher) refuse(a dispatch.Refuse) {
--- /dev/null
+++ b/transport/router/leave.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/leave"
+)
+
+// leaveEvery is the period in which a leaving process looks at what it holds.
+const leaveEvery = 10 * time.Millisecond
+
+// shutdownTimeout bounds the closing of the callers' connections once nothing
+// is held.
+const shutdownTimeout = time.Second
+
+// errLeaving is the cause with which a held request is ended when the stop
+// bound has passed.
+var errLeaving = errors.New("the router stops")
+
+// Abort ends a graceful shutdown early: what is still held ends with a typed
+// outcome. It may be called at any time and more than once.
+func (r *Router) Abort() { r.abortOnce.Do(func() { close(r.abort) }) }
+
+// holding counts the requests that are held and ends them with errLeaving
+// when the router is told to end.
+func (r *Router) holding(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.held.Add(1)
+		defer r.held.Add(-1)
+		ctx, cancel := context.WithCancelCause(req.Context())
+		defer cancel(nil)
+		stop := context.AfterFunc(r.ending, func() { cancel(errLeaving) })
+		defer stop()
+		h.ServeHTTP(w, req.WithContext(ctx))
+	})
+}
+
+// leave refuses new work, waits for what is held and returns when the process
+// may end.
+func (r *Router) leave(srv *http.Server) {
+	cfg := leave.DefaultConfig()
+	cfg.Linger, cfg.Bound = r.set.Stop.Linger.D(), r.set.Stop.Bound.D()
+	core := leave.New(cfg)
+	ticker := time.NewTicker(leaveEvery)
+	defer ticker.Stop()
+	_ = r.log.Log("event", "leaving", "held", r.held.Load())
+	r.unready.Store(true)
+	phase := core.Step(time.Now(), leave.Asked{})
+	r.enter(phase, srv)
+	abort := r.abort
+	for phase != leave.Stopped {
+		var ev leave.Event
+		select {
+		case <-ticker.C:
+			ev = leave.Ticked{Held: int(r.held.Load())}
+		case <-abort:
+			abort, ev = nil, leave.AskedAgain{}
+		}
+		if next := core.Step(time.Now(), ev); next != phase {
+			phase = next
+			r.enter(phase, srv)
+		}
+	}
+}
+
+// enter begins a phase of leaving.
+func (r *Router) enter(p leave.Phase, srv *http.Server) {
+	switch p {
+	case leave.Lingering:
+		srv.SetKeepAlivesEnabled(false)
+	case leave.Refusing:
+		// The listener stays open: who comes is told that nothing was run.
+		srv.SetKeepAlivesEnabled(false)
+		r.leaving.Store(true)
+	case leave.Ending:
+		_ = r.log.Log("event", "stop_bound_passed", "held", r.held.Load())
+		r.leaving.Store(true)
+		r.end()
+	case leave.Stopped:
+		_ = r.log.Log("event", "stopped", "held", r.held.Load())
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if srv.Shutdown(ctx) != nil {
+			_ = srv.Close()
+		}
+	}
+}
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -14,11 +14,13 @@
 
 // sidecarLink is the control stream to one sidecar.
 type sidecarLink struct {
-	id     string
-	addr   string
-	out    chan *wire.ControlUp
-	full   chan struct{}
-	closed bool
+	id   string
+	addr string
+	// incarnation of the sidecar that this stream reached.
+	incarnation string
+	out         chan *wire.ControlUp
+	full        chan struct{}
+	closed      bool
 }
 
 // send queues a message or, when the ring is full, gives the stream up. It is
@@ -113,10 +115,11 @@
 		return err
 	}
 	l := &sidecarLink{
-		id:   i.ID,
-		addr: i.Address,
-		out:  make(chan *wire.ControlUp, controlRing),
-		full: make(chan struct{}),
+		id:          i.ID,
+		addr:        i.Address,
+		incarnation: down.GetWelcome().GetIncarnation(),
+		out:         make(chan *wire.ControlUp, controlRing),
+		full:        make(chan struct{}),
 	}
 	r.dispatcher.post(ctx, message{link: l, event: dispatch.SidecarUp{Sidecar: l.id, Service: down.GetWelcome().GetService()}})
 	defer r.dispatcher.post(r.ctx, message{link: l, event: dispatch.SidecarDown{Sidecar: l.id}})
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,8 +47,18 @@
 	dispatcher *dispatcher
 	metrics    *metrics
 	doc        atomic.Pointer[config.Document]
-	leaving    atomic.Bool
 	ctx        context.Context
+
+	// unready tells that the process says so; leaving that it refuses.
+	unready atomic.Bool
+	leaving atomic.Bool
+	// held counts the callers' requests that have not ended.
+	held atomic.Int64
+	// ending is done when held requests must end at once.
+	ending    context.Context
+	end       context.CancelFunc
+	abort     chan struct{}
+	abortOnce sync.Once
 }
 
 // New returns a router that has not bound anything yet.
@@ -57,7 +68,11 @@
 	cfg.MaxQueuedBytes = set.Queues.PerTeamBytes
 	cfg.TotalQueued = set.Queues.Total
 	cfg.TotalQueuedBytes = set.Queues.TotalBytes
+	ending, end := context.WithCancel(context.Background())
 	return &Router{
+		ending:     ending,
+		end:        end,
+		abort:      make(chan struct{}),
 		set:        set,
 		log:        logger,
 		store:      store,
@@ -104,12 +119,13 @@
 	go func() { _ = srv.Serve(callers) }()
 	_ = r.log.Log("event", "serving", "callers", r.set.Listen.Callers, "operators", r.set.Listen.Operators)
 	<-stop
-	return r.leave(srv)
+	r.leave(srv)
+	return nil
 }
 
 func (r *Router) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           r.callerHandler(),
+		Handler:           r.holding(r.callerHandler()),
 		ReadHeaderTimeout: r.set.Limits.HeaderTimeout.D(),
 		MaxHeaderBytes:    r.set.Limits.Headers,
 		IdleTimeout:       time.Minute,
@@ -117,7 +133,7 @@
 }
 
 func (r *Router) ready() error {
-	if r.leaving.Load() {
+	if r.unready.Load() {
 		return errors.New("leaving")
 	}
 	if r.doc.Load() == nil {
@@ -126,20 +142,6 @@
 	return nil
 }
 
-// leave refuses new work and waits for what is held.
-func (r *Router) leave(srv *http.Server) error {
-	_ = r.log.Log("event", "leaving")
-	r.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), r.set.Stop.Bound.D())
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
-		_ = r.log.Log("event", "stop_bound_passed", "err", err)
-		return srv.Close()
-	}
-	_ = r.log.Log("event", "stopped")
-	return nil
-}
-
 // followConfig reads the configuration until ctx ends.
 func (r *Router) followConfig(ctx context.Context) {
 	const every = 200 * time.Millisecond
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -3,138 +3,195 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestport/protocol/wire"
-	"goldcrestport/state/config"
 )
 
-// eventSeparator ends a server-sent event.
-var eventSeparator = []byte("\n\n")
-
-// meter counts the cost of one attempt while it runs.
-type meter struct {
-	kind         config.ServiceKind
-	promptWeight float64
-	started      atomic.Int64
-	tokens       atomic.Int64
-	final        atomic.Pointer[float64]
+// hopHeaders are not passed on to routers. Content-Length is: it lets the
+// caller see that an answer was cut short.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Authorization": true,
 }
 
-// start marks the begin of the run.
-func (m *meter) start(now time.Time) { m.started.Store(now.UnixNano()) }
+// errNotWritten marks a call of which no byte went to the backend server, so
+// that it is proven not to have run.
+var errNotWritten = errors.New("nothing was written to the backend server")
 
-// cost returns the cost so far: tokens of a model, slot milliseconds of a
-// plain service.
-func (m *meter) cost() float64 {
-	if f := m.final.Load(); f != nil {
-		return *f
-	}
-	started := m.started.Load()
-	if started == 0 {
-		return 0
-	}
-	if m.kind == config.KindModel {
-		return float64(m.tokens.Load())
+// Bounds of the connections to the backend server.
+const (
+	backendIdleConns   = 256
+	backendIdleTime    = time.Minute
+	backendDialTimeout = 5 * time.Second
+)
+
+// backend calls the backend server over HTTP.
+//
+// Invariant: one call of do sends the request at most once. The transport
+// repeats a request on its own only if its connection was used before and the
+// request has no body (or one that can be read again). So every body here can
+// be read once only, and a request for which that isn't enough goes out on a
+// connection of its own. Redirects are not followed.
+type backend struct {
+	base string
+	// kept keeps connections open; once opens one for each call.
+	kept *http.Client
+	once *http.Client
+}
+
+func newBackend(base string) *backend {
+	return &backend{
+		base: strings.TrimRight(base, "/"),
+		kept: newBackendClient(false),
+		once: newBackendClient(true),
 	}
-	return float64(time.Now().UnixNano()-started) / float64(time.Millisecond)
 }
 
-// read counts a part of a streamed answer.
-func (m *meter) read(part []byte) {
-	if m.kind == config.KindModel {
-		m.tokens.Add(int64(bytes.Count(part, eventSeparator)))
+func newBackendClient(once bool) *http.Client {
+	d := &net.Dialer{Timeout: backendDialTimeout}
+	tr := &http.Transport{
+		MaxIdleConnsPerHost: backendIdleConns,
+		IdleConnTimeout:     backendIdleTime,
+		DisableCompression:  true,
+		DisableKeepAlives:   once,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			raw, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: raw}, nil
+		},
+	}
+	return &http.Client{
+		Transport:     tr,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-// usage is the part of a chat completion that tells its cost.
-type usage struct {
-	Usage *struct {
-		PromptTokens     int `json:"prompt_tokens"`
-		CompletionTokens int `json:"completion_tokens"`
-		Details          struct {
-			CachedTokens int `json:"cached_tokens"`
-		} `json:"prompt_tokens_details"`
-	} `json:"usage"`
+// countedConn counts what was written, and can be sealed against writes.
+type countedConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	written int64
+	sealed  bool
 }
 
-// settle fixes the final cost from the answer's tail, if it tells.
-func (m *meter) settle(tail []byte) {
-	cost := m.cost()
-	if u, ok := lastUsage(tail); m.kind == config.KindModel && ok {
-		fresh := u.Usage.PromptTokens - u.Usage.Details.CachedTokens
-		cost = float64(u.Usage.CompletionTokens) + m.promptWeight*float64(fresh)
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, net.ErrClosed
 	}
-	m.final.Store(&cost)
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
 }
 
-// lastUsage finds the usage object in a whole answer or in the last events of
-// a stream.
-func lastUsage(tail []byte) (usage, bool) {
-	var u usage
-	if json.Unmarshal(tail, &u) == nil && u.Usage != nil {
-		return u, true
-	}
-	events := bytes.Split(tail, eventSeparator)
-	for i := len(events) - 1; i >= 0; i-- {
-		data, found := bytes.CutPrefix(bytes.TrimSpace(events[i]), []byte("data:"))
-		if found && json.Unmarshal(data, &u) == nil && u.Usage != nil {
-			return u, true
-		}
-	}
-	return u, false
+func (c *countedConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
 }
 
-// tailSize is how much of an answer's end is kept to read the usage, in bytes.
-const tailSize = 64 << 10
+// seal reports whether nothing was written since the count was before, and if
+// so makes sure that nothing will be.
+func (c *countedConn) seal(before int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.written != before {
+		return false
+	}
+	c.sealed = true
+	return true
+}
 
-// tail keeps the last bytes of an answer.
-type tail struct{ buf []byte }
+// usedConn is the connection that a call was given.
+type usedConn struct {
+	mu     sync.Mutex
+	conn   *countedConn
+	before int64
+}
 
-func (t *tail) write(p []byte) {
-	t.buf = append(t.buf, p...)
-	if over := len(t.buf) - tailSize; over > 0 {
-		t.buf = append(t.buf[:0], t.buf[over:]...)
+func (u *usedConn) got(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*countedConn)
+	if !ok {
+		return
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conn, u.before = c, c.count()
 }
 
-// hopHeaders are not passed on in either direction.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-	"Authorization": true,
+// unwritten reports whether no byte of the call went out or will go out. It
+// is asked when the call has failed, after which it gets no connection.
+func (u *usedConn) unwritten() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conn == nil || u.conn.seal(u.before)
 }
 
-// backend calls the backend server over HTTP.
-type backend struct {
-	base string
-	http *http.Client
-}
+// onceBody is a request body that can't be read a second time.
+type onceBody struct{ io.Reader }
 
-func newBackend(base string) *backend {
-	tr := &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// do sends the request once and returns the open answer. The error is marked
+// with errNotWritten if the request certainly did not run.
+func (b *backend) do(ctx context.Context, st *wire.RunStart, body []byte) (*http.Response, error) {
+	var used usedConn
+	trace := &httptrace.ClientTrace{GotConn: used.got}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), st.Method, b.base+st.Path, nil)
+	if err != nil {
+		return nil, errors.Mark(err, errNotWritten)
+	}
+	setHeaders(req, st)
+	client := b.kept
+	switch {
+	case len(body) > 0:
+		req.Body = onceBody{bytes.NewReader(body)}
+		req.ContentLength = int64(len(body))
+	case usuallyWithoutBody(st.Method):
+		// The transport finds that it is empty and sends none.
+		req.Body = onceBody{bytes.NewReader(nil)}
+	default:
+		client = b.once
 	}
-	return &backend{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: tr}}
+	if !st.Idempotent {
+		// A kept connection may be closed by the backend server just now,
+		// and then it can't be known whether the request ran.
+		client = b.once
+	}
+	resp, err := client.Do(req)
+	if err != nil && used.unwritten() {
+		return nil, errors.Mark(err, errNotWritten)
+	}
+	return resp, err
 }
 
-// do sends the request and returns the open answer.
-func (b *backend) do(ctx context.Context, st *wire.RunStart, body io.Reader, length int64) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, st.Method, b.base+st.Path, body)
-	if err != nil {
-		return nil, err
+// usuallyWithoutBody are the methods for which the transport looks whether a
+// body of unknown length is empty.
+func usuallyWithoutBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
+		return true
 	}
-	req.ContentLength = length
-	// The transport must never run a request twice on its own.
-	req.GetBody = nil
+	return false
+}
+
+func setHeaders(req *http.Request, st *wire.RunStart) {
 	for _, h := range st.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
@@ -146,7 +203,6 @@
 	if st.Traceparent != "" {
 		req.Header.Set("Traceparent", st.Traceparent)
 	}
-	return b.http.Do(req)
 }
 
 func headOf(resp *http.Response, incarnation string) *wire.Head {
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -1,46 +1,62 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/share"
-	"goldcrestport/protocol/outcome"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/state/attempts"
 )
 
-// readSize is the size of one answer chunk at most, in bytes.
-const readSize = 32 << 10
-
 // maxBody bounds a request body, in bytes.
 const maxBody = 64 << 20
 
+// Reasons of a Declined.
+const (
+	reasonNoSlot      = "no free slot"
+	reasonIncarnation = "another incarnation"
+	reasonBlocked     = "settled before"
+	reasonWithdrawn   = "withdrawn"
+)
+
 // attempt is one attempt that this sidecar was offered.
 type attempt struct {
 	key     uint64
+	id      attempts.ID
 	start   *wire.RunStart
 	verdict chan verdict
 	meter   meter
+	answer  *answer
+	// ctx of the run, which outlives the stream that started it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 }
 
 // lastKey numbers the attempts of this process.
 var lastKey atomic.Uint64
 
 func (s *Sidecar) newAttempt(st *wire.RunStart) *attempt {
-	a := &attempt{key: lastKey.Add(1), start: st, verdict: make(chan verdict, 1)}
+	a := &attempt{
+		key:     lastKey.Add(1),
+		id:      idOf(st.Attempt),
+		start:   st,
+		verdict: make(chan verdict, 1),
+		answer:  newAnswer(answerWindow),
+	}
 	a.meter.kind = s.serviceKind()
 	a.meter.promptWeight = s.set.Backend.PromptWeight
+	a.ctx, a.cancel = context.WithCancelCause(s.ctx)
 	return a
 }
 
 // Run implements wire.DRPCSidecarServer.
 func (s *Sidecar) Run(stream wire.DRPCSidecar_RunStream) error {
+	s.held.Add(1)
+	defer s.held.Add(-1)
 	up, err := stream.Recv()
 	if err != nil {
 		return err
@@ -49,15 +65,30 @@
 	if st == nil || st.Attempt == nil {
 		return errors.New("run: first message has no start")
 	}
+	if st.Resume {
+		return s.resume(stream, st)
+	}
 	body, err := readBody(stream, st)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(stream.Context())
-	defer cancel()
+	if in := st.Attempt.Incarnation; in != "" && in != s.incarnation {
+		return s.decline(stream, reasonIncarnation)
+	}
+	switch s.runs.offer(idOf(st.Attempt)) {
+	case attempts.Unseen:
+		return s.offered(stream, st, body)
+	case attempts.Blocked, attempts.Declined:
+		return s.decline(stream, reasonBlocked)
+	default:
+		return errors.New("run: the attempt is known")
+	}
+}
+
+// offered brings a new attempt to its verdict, and runs it.
+func (s *Sidecar) offered(stream wire.DRPCSidecar_RunStream, st *wire.RunStart, body []byte) error {
 	a := s.newAttempt(st)
-	s.running.Add(1)
-	defer s.running.Done()
+	up := readUp(stream, a)
 	s.chooser.post(s.ctx, message{attempt: a, event: share.Offered{
 		Attempt:  a.key,
 		Pull:     st.Pull,
@@ -65,28 +96,40 @@
 		Team:     st.Team,
 		Estimate: st.Estimate,
 	}})
-	go watchCancel(stream, cancel)
 	select {
 	case v := <-a.verdict:
 		if v == verdictDecline {
-			return s.decline(stream)
+			s.runs.decline(a.id)
+			return s.decline(stream, reasonNoSlot)
 		}
-	case <-ctx.Done():
-		s.end(a)
-		return ctx.Err()
+	case <-up.done:
+		s.withdraw(a)
+		return errors.New("run: the stream ended before the start")
+	}
+	if !s.runs.start(a) {
+		s.free(a)
+		return s.decline(stream, reasonWithdrawn)
 	}
-	defer s.end(a)
-	s.starts.Add(1)
-	return s.serve(ctx, stream, a, body)
+	s.started()
+	s.held.Add(1)
+	go s.execute(a, body)
+	return s.deliver(stream, up, a, 0)
 }
 
-func (s *Sidecar) end(a *attempt) {
+// withdraw gives up an attempt that was not started.
+func (s *Sidecar) withdraw(a *attempt) {
+	s.runs.decline(a.id)
+	s.free(a)
+}
+
+// free gives the attempt's slot back.
+func (s *Sidecar) free(a *attempt) {
 	s.chooser.post(s.ctx, message{event: share.Ended{Attempt: a.key, Cost: a.meter.cost()}})
 }
 
-func (s *Sidecar) decline(stream wire.DRPCSidecar_RunStream) error {
+func (s *Sidecar) decline(stream wire.DRPCSidecar_RunStream, reason string) error {
 	return stream.Send(&wire.RunDown{Kind: &wire.RunDown_Declined{Declined: &wire.Declined{
-		Reason:   "no free slot",
+		Reason:   reason,
 		Revision: s.revision(),
 	}}})
 }
@@ -94,7 +137,7 @@
 // readBody collects the request body, which is bounded.
 func readBody(stream wire.DRPCSidecar_RunStream, st *wire.RunStart) ([]byte, error) {
 	body := st.Body
-	if int64(len(body))+st.BodyRest > maxBody {
+	if st.BodyRest < 0 || int64(len(body))+st.BodyRest > maxBody {
 		return nil, errors.New("run: body too large")
 	}
 	for rest := st.BodyRest; rest > 0; {
@@ -103,8 +146,8 @@
 			return nil, err
 		}
 		part := up.GetBody().GetData()
-		if len(part) == 0 {
-			return nil, errors.New("run: empty body part")
+		if len(part) == 0 || int64(len(part)) > rest {
+			return nil, errors.New("run: a body part has the wrong size")
 		}
 		body = append(body, part...)
 		rest -= int64(len(part))
@@ -112,88 +155,83 @@
 	return body, nil
 }
 
-// watchCancel ends the run when the router says so or its link is lost.
-func watchCancel(stream wire.DRPCSidecar_RunStream, cancel context.CancelFunc) {
-	for {
-		up, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return
-		}
-		if err != nil || up.GetCancel() != nil {
-			cancel()
-			return
-		}
+// resume attaches a new stream to a known attempt.
+func (s *Sidecar) resume(stream wire.DRPCSidecar_RunStream, st *wire.RunStart) error {
+	if st.Attempt.Incarnation != s.incarnation {
+		return errors.New("resume: another incarnation")
+	}
+	a := s.runs.find(idOf(st.Attempt))
+	if a == nil {
+		return errors.New("resume: the answer is not kept")
 	}
+	a.answer.ack(st.FromOffset)
+	return s.deliver(stream, readUp(stream, a), a, st.FromOffset)
 }
 
-// serve calls the backend server and streams its answer back.
-func (s *Sidecar) serve(ctx context.Context, stream wire.DRPCSidecar_RunStream, a *attempt, body []byte) error {
-	began := time.Now()
-	a.meter.start(began)
-	resp, err := s.backend.do(ctx, a.start, bytes.NewReader(body), int64(len(body)))
-	if err != nil {
-		return sendEnd(stream, &wire.End{
-			Attempt: a.start.Attempt.Number,
-			Outcome: string(outcome.Unknown),
-			Reason:  string(outcome.ReasonBackend),
-		})
-	}
-	defer resp.Body.Close()
-	down := &wire.RunDown{Kind: &wire.RunDown_Head{Head: headOf(resp, s.incarnation)}}
-	if err := stream.Send(down); err != nil {
-		return err
+// deliver sends the answer from the offset on. If the stream is lost, the run
+// goes on for the grace time, in which the router may resume it.
+func (s *Sidecar) deliver(stream wire.DRPCSidecar_RunStream, up *upstream, a *attempt, offset int64) error {
+	reader := a.answer.attach()
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	stop := context.AfterFunc(up.ctx, cancel)
+	defer stop()
+	err := sendAnswer(ctx, stream, a, reader, offset)
+	if err == nil {
+		// The router closes the stream when it has the end.
+		select {
+		case <-up.done:
+		case <-time.After(closeWait):
+		}
 	}
-	end, err := s.copyAnswer(stream, a, resp.Body)
-	if err != nil {
-		return err
+	switch how := up.how(); {
+	case how == upCancelled:
+		a.cancel(errCancelled)
+	case err == nil && how == upClosed:
+		s.runs.release(a.id)
+	case a.answer.detach(reader):
+		time.AfterFunc(s.set.Backend.ResumeGrace.D(), func() {
+			if a.answer.abandoned(reader) {
+				a.cancel(errAbandoned)
+			}
+		})
 	}
-	a.meter.settle(end.tail.buf)
-	end.message.Cost = a.meter.cost()
-	end.message.BackendUs = time.Since(began).Microseconds()
-	return sendEnd(stream, end.message)
+	return err
 }
 
-// answerEnd is the end of an answer that was read as far as it went.
-type answerEnd struct {
-	message *wire.End
-	tail    tail
-}
+// closeWait is how long a stream is held open after the end was sent.
+const closeWait = time.Second
 
-// copyAnswer sends the body in chunks. An answer that the backend server cut
-// short ends as failed, never as completed.
-func (s *Sidecar) copyAnswer(stream wire.DRPCSidecar_RunStream, a *attempt, body io.Reader) (answerEnd, error) {
+// sendAnswer sends what the answer has from the offset on, until the end.
+func sendAnswer(ctx context.Context, stream wire.DRPCSidecar_RunStream, a *attempt, reader uint64, offset int64) error {
 	number := a.start.Attempt.Number
-	end := answerEnd{message: &wire.End{Attempt: number, Outcome: string(outcome.Completed)}}
-	sum := xxhash.New()
-	buf := make([]byte, readSize)
-	var offset int64
+	into := make([]byte, readSize)
+	wantHead := true
 	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			part := buf[:n]
-			a.meter.read(part)
-			end.tail.write(part)
-			_, _ = sum.Write(part)
-			chunk := &wire.Chunk{Attempt: number, Offset: offset, Data: part}
-			if err := stream.Send(&wire.RunDown{Kind: &wire.RunDown_Chunk{Chunk: chunk}}); err != nil {
-				return end, err
-			}
-			offset += int64(n)
+		p, err := a.answer.next(ctx, reader, offset, wantHead, into)
+		if err != nil {
+			return err
 		}
-		if errors.Is(err, io.EOF) {
-			break
+		down := &wire.RunDown{}
+		var chunk *wire.Chunk
+		if len(p.data) > 0 {
+			chunk = &wire.Chunk{Attempt: number, Offset: offset, Data: p.data}
 		}
-		if err != nil {
-			end.message.Outcome = string(outcome.Failed)
-			end.message.Reason = string(outcome.ReasonBackend)
-			break
+		switch {
+		case p.head != nil:
+			down.Kind, down.First, down.Last = &wire.RunDown_Head{Head: p.head}, chunk, p.end
+		case chunk != nil:
+			down.Kind, down.Last = &wire.RunDown_Chunk{Chunk: chunk}, p.end
+		default:
+			down.Kind = &wire.RunDown_End{End: p.end}
 		}
+		if err := stream.Send(down); err != nil {
+			return err
+		}
+		if p.end != nil {
+			return nil
+		}
+		wantHead = wantHead && p.head == nil
+		offset += int64(len(p.data))
 	}
-	end.message.Length = offset
-	end.message.Checksum = sum.Sum64()
-	return end, nil
-}
-
-func sendEnd(stream wire.DRPCSidecar_RunStream, end *wire.End) error {
-	return stream.Send(&wire.RunDown{Kind: &wire.RunDown_End{End: end}})
 }
--- /dev/null
+++ b/transport/sidecar/settle.go
@@ -0,0 +1,36 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/protocol/wire"
+	"goldcrestport/state/attempts"
+)
+
+// fates are the wire's words for the phases. Everything else is unspecified.
+var fates = map[attempts.Phase]wire.Fate{
+	attempts.Offered:  wire.Fate_FATE_WAITING,
+	attempts.Declined: wire.Fate_FATE_DECLINED,
+	attempts.Blocked:  wire.Fate_FATE_BLOCKED,
+	attempts.Running:  wire.Fate_FATE_RUNNING,
+	attempts.Ended:    wire.Fate_FATE_ENDED,
+}
+
+// Settle implements wire.DRPCSidecarServer.
+func (s *Sidecar) Settle(_ context.Context, req *wire.SettleRequest) (*wire.SettleResponse, error) {
+	if req.Attempt == nil {
+		return nil, errors.New("settle: no attempt")
+	}
+	out := &wire.SettleResponse{Incarnation: s.incarnation}
+	if req.Attempt.Incarnation != s.incarnation {
+		// What another incarnation ran is not known here, and it can't be
+		// blocked for it.
+		out.Fate = wire.Fate_FATE_OTHER_INCARNATION
+		return out, nil
+	}
+	fate := s.runs.settle(req)
+	out.Fate, out.AnswerKept = fates[fate.Phase], fate.AnswerKept
+	return out, nil
+}
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"goldcrestport/coordination/share"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/state/attempts"
 	"goldcrestport/state/config"
 	"goldcrestport/transport/link"
 	"goldcrestport/transport/observe"
@@ -39,21 +40,30 @@
 	incarnation string
 	chooser     *chooser
 	backend     *backend
+	runs        *runs
 	doc         atomic.Pointer[config.Document]
-	running     sync.WaitGroup
-	starts      atomic.Int64
 	leaving     atomic.Bool
 	ctx         context.Context
+
+	// held counts the streams and runs that have not ended.
+	held   atomic.Int64
+	starts atomic.Int64
+	// startedAt is when the last run started, in Unix nanoseconds.
+	startedAt atomic.Int64
+	abort     chan struct{}
+	abortOnce sync.Once
 }
 
 // New returns a sidecar that has not bound anything yet.
 func New(set settings.Sidecar, store platform.Store, logger log.Logger) *Sidecar {
 	s := &Sidecar{
 		set:         set,
+		abort:       make(chan struct{}),
 		log:         logger,
 		store:       store,
 		incarnation: uuid.NewString(),
 		backend:     newBackend(set.Backend.URL),
+		runs:        newRuns(attempts.DefaultConfig()),
 	}
 	cfg := share.DefaultConfig()
 	cfg.Slots = set.Backend.Slots
@@ -94,6 +104,7 @@
 	mux := http.NewServeMux()
 	observe.Health{Ready: s.ready}.Mount(mux)
 	go s.chooser.run(ctx)
+	go s.expireAnswers(ctx)
 	go s.followConfig(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
 	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
@@ -103,6 +114,32 @@
 	return nil
 }
 
+// expireEvery is the period in which old answers are dropped.
+const expireEvery = time.Second
+
+// expireAnswers drops old answers until ctx ends.
+func (s *Sidecar) expireAnswers(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.runs.expire()
+		}
+	}
+}
+
+// started counts the start of a run.
+func (s *Sidecar) started() {
+	s.starts.Add(1)
+	s.startedAt.Store(time.Now().UnixNano())
+}
+
+// lastStart returns when the last run started.
+func (s *Sidecar) lastStart() time.Time { return time.Unix(0, s.startedAt.Load()).UTC() }
+
 func (s *Sidecar) ready() error {
 	if s.leaving.Load() {
 		return errors.New("leaving")
@@ -113,24 +150,6 @@
 	return nil
 }
 
-// leave stops new work and waits for what runs.
-func (s *Sidecar) leave() {
-	_ = s.log.Log("event", "leaving")
-	s.leaving.Store(true)
-	s.chooser.post(s.ctx, message{event: share.Left{}})
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		_ = s.log.Log("event", "stopped", "starts", s.starts.Load())
-	case <-time.After(s.set.Stop.Bound.D()):
-		_ = s.log.Log("event", "stop_bound_passed")
-	}
-}
-
 // followConfig reads the configuration until ctx ends.
 func (s *Sidecar) followConfig(ctx context.Context) {
 	const every = 200 * time.Millisecond
