The codec of the configuration moves to protocol/document

Cause: state/config imported io and gzip; the layer is meant to be pure, and the check of the layers that follows reports it. Ruled out: taking io off the list of what the pure layers may not import. Conclusion: state holds values, protocol writes and reads them.

--- a/state/config/codec.go
+++ b/protocol/document/codec.go
@@ -1,4 +1,6 @@
-package config
+// Package document writes and reads the live configuration as it is stored on
+// the platform and passed between processes.
+package document
 
 import (
 	"bytes"
@@ -7,6 +9,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestport/state/config"
 )
 
 // MaxEncoded is the greatest size of an encoded document in bytes: the
@@ -29,7 +33,7 @@
 
 // Encode returns the document as it is stored on the platform: JSON,
 // compressed.
-func Encode(d *Document) ([]byte, error) {
+func Encode(d *config.Document) ([]byte, error) {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
 	if err := json.NewEncoder(w).Encode(d); err != nil {
@@ -45,7 +49,7 @@
 }
 
 // Decode reads a document that is compressed or plain JSON.
-func Decode(data []byte) (*Document, error) {
+func Decode(data []byte) (*config.Document, error) {
 	var in io.Reader = bytes.NewReader(data)
 	if bytes.HasPrefix(data, gzipMagic) {
 		unpacked, err := gzip.NewReader(in)
@@ -54,7 +58,7 @@
 		}
 		in = io.LimitReader(unpacked, maxDecoded)
 	}
-	var d Document
+	var d config.Document
 	if err := json.NewDecoder(in).Decode(&d); err != nil {
 		return nil, errors.Mark(err, ErrNotDocument)
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 
 	"goldcrestport/coordination/dispatch"
+	"goldcrestport/protocol/document"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
@@ -159,7 +160,7 @@
 	if err != nil {
 		return
 	}
-	doc, err := config.Decode(e.Value)
+	doc, err := document.Decode(e.Value)
 	if err != nil {
 		_ = r.log.Log("event", "config_unreadable", "err", err)
 		return
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	"goldcrestport/coordination/share"
+	"goldcrestport/protocol/document"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/attempts"
@@ -167,7 +168,7 @@
 	if err != nil {
 		return
 	}
-	doc, err := config.Decode(e.Value)
+	doc, err := document.Decode(e.Value)
 	if err != nil || doc.Revision <= s.revision() {
 		return
 	}
