The demonstration ends its processes also after a failure

Cause: a bare return inside an EXIT trap returns the status from before the trap, so the first look-up of a process id ended the clean-up. Ruled out: the waits and signals; a trace showed the return. Conclusion: explicit status.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -23,7 +23,7 @@
 pid_of() {
   local i
   for i in "${!NAMES[@]}"; do
-    [ "${NAMES[$i]}" = "$1" ] && echo "${PIDS[$i]}" && return
+    [ "${NAMES[$i]}" = "$1" ] && echo "${PIDS[$i]}" && return 0
   done
 }
 
