Configurations spread from peer to peer; few processes watch the platform

Cause: every process read the platform five times a second; 3,000 processes would have cost 15,000 reads a second of the 2,000 that it answers. Now coordination/spread decides: two routers per data centre, chosen by rendezvous hashing, wait at the platform; revisions ride on heartbeats and greetings; whoever is behind fetches differences from one of the peers that are ahead; the others read the platform rarely, within a budget for the whole fleet. The instance list goes the same way, by digest. A process that starts while the platform is down takes the newest of its peers, and says in status, logs and heartbeats how long ago it knew that it was up to date. Ruled out: a watch per process (3,000 waiting calls, and as many at once after each change); pushing the document on every link (315 copies per router). Also: a router with no linked sidecar is not ready, which the demonstration ran into; the demonstration looks for a free block of ports.

--- a/cmd/goldcrestd/commands.go
+++ b/cmd/goldcrestd/commands.go
@@ -58,7 +58,7 @@
 			}
 			logger := observe.NewLogger("sidecar", set.ID)
 			client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
-			s := sidecar.New(set, client, logger)
+			s := sidecar.New(set, client, client, logger)
 			return s.Serve(stopSignal(s.Abort))
 		},
 	}
--- /dev/null
+++ b/coordination/spread/config.go
@@ -0,0 +1,95 @@
+// Package spread decides, in each process, how it comes to the newest
+// configuration and instance list: whether to wait at the platform, to read it,
+// or to fetch from a peer that has announced a newer revision.
+//
+// The package is a pure state machine: State.Step takes an event and the time
+// and returns the actions to perform. It has no I/O, clock or goroutines. The
+// driver is transport/spread.
+package spread
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Config holds the parameters of the spread.
+type Config struct {
+	// Self is the id of this process.
+	Self string
+	// DataCentre of this process.
+	DataCentre string
+	// Watches tells whether this process may watch the platform; routers may.
+	Watches bool
+	// Watchers is the number of routers per data centre that wait at the
+	// platform for changes. Default 2.
+	Watchers int
+	// ReadBudget is what the slow reads of the whole fleet may cost the
+	// platform, in reads per second. Default 100.
+	ReadBudget float64
+	// MinReadEvery is the shortest time between two slow reads of one process.
+	// Default 2s.
+	MinReadEvery time.Duration
+	// FetchJitter is the longest random delay before a fetch from a peer, so
+	// that not all who hear of a revision ask at once. Default 30ms.
+	FetchJitter time.Duration
+	// FetchTimeout is when an unanswered fetch is given up. Default 1s.
+	FetchTimeout time.Duration
+	// StaleAfter is the age of the last confirmation from which the process
+	// says that it does not know how fresh it is. Default 10s.
+	StaleAfter time.Duration
+	// StartJitter is the longest random delay before the first read of the
+	// platform, in which a peer may answer instead. Default 200ms.
+	StartJitter time.Duration
+	// StartPeers is how many peers a starting process hears before it serves
+	// without the platform. Default 2.
+	StartPeers int
+	// StartWait is when fewer peers are enough, counted from the first failure
+	// of the platform. Default 2s.
+	StartWait time.Duration
+	// BackoffMin and BackoffMax bound the pause after a failed platform call.
+	// Defaults 200ms and 2s.
+	BackoffMin, BackoffMax time.Duration
+	// Seed of the random delays.
+	Seed uint64
+}
+
+// DefaultConfig returns the documented defaults.
+func DefaultConfig() Config {
+	return Config{
+		Watchers:     2,
+		ReadBudget:   100,
+		MinReadEvery: 2 * time.Second,
+		FetchJitter:  30 * time.Millisecond,
+		FetchTimeout: time.Second,
+		StaleAfter:   10 * time.Second,
+		StartJitter:  200 * time.Millisecond,
+		StartPeers:   2,
+		StartWait:    2 * time.Second,
+		BackoffMin:   200 * time.Millisecond,
+		BackoffMax:   2 * time.Second,
+	}
+}
+
+// Validate returns an error that names each field out of range.
+func (c Config) Validate() error {
+	var err error
+	positive := func(name string, v float64) {
+		if v <= 0 {
+			err = errors.CombineErrors(err, errors.Newf("%s must be positive", name))
+		}
+	}
+	positive("Watchers", float64(c.Watchers))
+	positive("ReadBudget", c.ReadBudget)
+	positive("MinReadEvery", float64(c.MinReadEvery))
+	positive("FetchTimeout", float64(c.FetchTimeout))
+	positive("StaleAfter", float64(c.StaleAfter))
+	positive("BackoffMin", float64(c.BackoffMin))
+	if c.BackoffMax < c.BackoffMin {
+		err = errors.CombineErrors(err, errors.New("BackoffMax must be at least BackoffMin"))
+	}
+	if c.FetchJitter < 0 {
+		err = errors.CombineErrors(err, errors.New("FetchJitter must not be negative"))
+	}
+	return err
+}
--- /dev/null
+++ b/coordination/spread/spread_test.go
@@ -0,0 +1,160 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newState(watches bool) *State {
+	cfg := DefaultConfig()
+	cfg.Self, cfg.DataCentre, cfg.Watches = "r1", "dc", watches
+	return New(cfg)
+}
+
+// has returns the first action of the type, if any.
+func has[A Action](actions []Action) (A, bool) {
+	for _, a := range actions {
+		if a, ok := a.(A); ok {
+			return a, true
+		}
+	}
+	var none A
+	return none, false
+}
+
+func TestDefaultsAreValid(t *testing.T) {
+	qt.New(t).Assert(DefaultConfig().Validate(), qt.IsNil)
+	qt.New(t).Assert(Config{}.Validate(), qt.IsNotNil)
+}
+
+func TestFetchesFromAPeerThatIsAhead(t *testing.T) {
+	c := qt.New(t)
+	s := newState(false)
+	s.Step(start, PlatformAnswered{Revision: 3})
+	s.Step(start, Heard{Peer: "p", Revision: 4})
+	f, ok := has[Fetch](s.Step(start.Add(time.Second), Ticked{}))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(f.Peer, qt.Equals, "p")
+	a, ok := has[Announce](s.Step(start.Add(time.Second), Fetched{Peer: "p", Revision: 4}))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(a.Revision, qt.Equals, uint64(4))
+}
+
+func TestAsksAnotherPeerAfterTimeout(t *testing.T) {
+	c := qt.New(t)
+	s := newState(false)
+	s.Step(start, PlatformAnswered{Revision: 1})
+	s.Step(start, Heard{Peer: "a", Revision: 2})
+	s.Step(start, Heard{Peer: "b", Revision: 2})
+	first, _ := has[Fetch](s.Step(start.Add(time.Second), Ticked{}))
+	second, ok := has[Fetch](s.Step(start.Add(3*time.Second), Ticked{}))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(second.Peer, qt.Not(qt.Equals), first.Peer)
+}
+
+func TestWatchersAreFewAndAgreed(t *testing.T) {
+	c := qt.New(t)
+	var members []Member
+	for i := range 50 {
+		members = append(members, Member{ID: fmt.Sprintf("r%d", i), DataCentre: "dc"})
+	}
+	watchers := 0
+	for _, m := range members {
+		cfg := DefaultConfig()
+		cfg.Self, cfg.DataCentre, cfg.Watches = m.ID, "dc", true
+		s := New(cfg)
+		s.Step(start, Listed{Routers: members, Processes: 50})
+		if s.Watcher() {
+			watchers++
+		}
+	}
+	c.Assert(watchers, qt.Equals, 2)
+}
+
+func TestReadyWithoutThePlatform(t *testing.T) {
+	c := qt.New(t)
+	s := newState(true)
+	s.Step(start, Ticked{})
+	s.Step(start, PlatformFailed{})
+	c.Assert(s.Ready(), qt.IsFalse)
+	s.Step(start, Heard{Peer: "a", Revision: 7})
+	s.Step(start, Heard{Peer: "b", Revision: 8})
+	c.Assert(s.Ready(), qt.IsFalse)
+	s.Step(start, Fetched{Peer: "a", Revision: 7})
+	c.Assert(s.Ready(), qt.IsFalse, qt.Commentf("b has a newer revision"))
+	s.Step(start, Fetched{Peer: "b", Revision: 8})
+	c.Assert(s.Ready(), qt.IsTrue)
+	c.Assert(s.Stale(), qt.IsFalse)
+}
+
+func TestSaysWhenItIsStale(t *testing.T) {
+	c := qt.New(t)
+	s := newState(true)
+	s.Step(start, PlatformAnswered{Revision: 1})
+	later := start.Add(DefaultConfig().StaleAfter + time.Second)
+	f, ok := has[Freshness](s.Step(later, PlatformFailed{}))
+	c.Assert(ok && f.Stale, qt.IsTrue)
+	f, ok = has[Freshness](s.Step(later, Heard{Peer: "p", Revision: 1, Age: time.Second}))
+	c.Assert(ok && !f.Stale, qt.IsTrue)
+}
+
+// The reads of a fleet at rest stay within the budget, and an outage does not
+// end in a storm.
+func TestReadBudget(t *testing.T) {
+	c := qt.New(t)
+	const processes, seconds, outage = 500, 120, 40
+	cfg := DefaultConfig()
+	cfg.ReadBudget = 50
+	reads := make([]int, seconds)
+	for i := range processes {
+		cfg.Self = fmt.Sprint(i)
+		s := New(cfg)
+		s.Step(start, Listed{Processes: processes})
+		for ms := 0; ms < seconds*1000; ms += 50 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if _, ok := has[Read](s.Step(now, Ticked{})); !ok {
+				continue
+			}
+			reads[ms/1000]++
+			var answer Event = PlatformAnswered{Revision: 1}
+			if ms < outage*1000 {
+				answer = PlatformFailed{}
+			}
+			s.Step(now, answer)
+		}
+	}
+	worst := 0
+	for _, n := range reads[1:] {
+		worst = max(worst, n)
+	}
+	c.Assert(worst < 3*50, qt.IsTrue, qt.Commentf("%d reads in one second", worst))
+}
+
+// Invariant: the held revision never falls, whatever order messages come in.
+func TestRevisionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newState(rapid.Bool().Draw(t, "watches"))
+		now, held := start, uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			peer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer")
+			rev := rapid.Uint64Range(0, 9).Draw(t, "revision")
+			ev := rapid.SampledFrom([]Event{
+				Heard{Peer: peer, Revision: rev}, Fetched{Peer: peer, Revision: rev},
+				FetchFailed{Peer: peer}, PlatformAnswered{Revision: rev},
+				PlatformFailed{}, Accepted{Revision: rev}, Ticked{},
+			}).Draw(t, "event")
+			s.Step(now, ev)
+			if s.Held() < held {
+				t.Fatalf("revision fell from %d to %d after %#v", held, s.Held(), ev)
+			}
+			held = s.Held()
+		}
+	})
+}
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -95,9 +95,12 @@
 	DataCentre string       `json:"data_centre"`
 	Listen     RouterListen `json:"listen"`
 	Platform   Platform     `json:"platform"`
-	Queues     Queues       `json:"queues"`
-	Limits     CallerLimits `json:"limits"`
-	Stop       Stop         `json:"stop"`
+	// Seeds are peers' addresses of some routers, IP:port, which a starting
+	// process asks when the platform does not answer.
+	Seeds  []string     `json:"seeds,omitempty"`
+	Queues Queues       `json:"queues"`
+	Limits CallerLimits `json:"limits"`
+	Stop   Stop         `json:"stop"`
 }
 
 // SidecarListen holds the addresses that a sidecar binds.
@@ -132,8 +135,11 @@
 	Service    string        `json:"service"`
 	Listen     SidecarListen `json:"listen"`
 	Platform   Platform      `json:"platform"`
-	Backend    Backend       `json:"backend"`
-	Stop       Stop          `json:"stop"`
+	// Seeds are peers' addresses of some routers, IP:port, which a starting
+	// process asks when the platform does not answer.
+	Seeds   []string `json:"seeds,omitempty"`
+	Backend Backend  `json:"backend"`
+	Stop    Stop     `json:"stop"`
 }
 
 // DefaultRouter returns a router's settings with every default filled in.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,17 @@
 # Functions that start and stop a small fleet on loopback. Sourced by demo.sh
 # and run.sh. Only the shell starts processes.
 
-BASE_PORT=${BASE_PORT:-17400}
+# free_base prints the first block of ports whose first one nobody listens on.
+free_base() {
+  local base
+  for base in $(seq 17400 100 19400); do
+    (exec 3<>"/dev/tcp/127.0.0.1/$base") 2>/dev/null || { echo "$base"; return 0; }
+  done
+  echo "no free block of ports" >&2
+  return 1
+}
+
+BASE_PORT=${BASE_PORT:-$(free_base)}
 OUT=${OUT:-out/fleet}
 PIDS=()
 NAMES=()
--- a/standin/runs/runs.go
+++ b/standin/runs/runs.go
@@ -35,10 +35,7 @@
 	State          string `json:"state"`
 	Bytes          int64  `json:"bytes"`
 	SHA256         string `json:"sha256"`
-	// CostTokens counts prompt tokens that were not cached and generated ones.
-	CostTokens int64 `json:"cost_tokens"`
-	// PromptTokens is the part of CostTokens that was not generated.
-	PromptTokens int64 `json:"prompt_tokens"`
+	CostTokens     int64  `json:"cost_tokens"`
 }
 
 // Stats sums up all runs, also those no longer kept.
@@ -131,15 +128,6 @@
 	return len(body), nil
 }
 
-// AddPrompt adds prompt tokens that were not cached to the run's cost.
-func (h *Handle) AddPrompt(n int64) {
-	h.log.mu.Lock()
-	defer h.log.mu.Unlock()
-	h.run.CostTokens += n
-	h.run.PromptTokens += n
-	h.log.stats.Tokens += n
-}
-
 // AddTokens adds to the run's cost.
 func (h *Handle) AddTokens(n int64) {
 	h.log.mu.Lock()
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -32,6 +32,8 @@
 	event dispatch.Event
 	call  *call
 	link  *sidecarLink
+	// beat goes to every linked sidecar.
+	beat *wire.RouterBeat
 }
 
 // dispatcher is the duty that owns the dispatch core.
@@ -76,6 +78,12 @@
 }
 
 func (d *dispatcher) handle(m message) {
+	if m.beat != nil {
+		for _, l := range d.links {
+			l.send(&wire.ControlUp{Beat: m.beat})
+		}
+		return
+	}
 	switch ev := m.event.(type) {
 	case dispatch.Arrived:
 		d.calls[ev.Request.ID] = m.call
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -12,6 +12,10 @@
 // reconnectAfter is the pause before a lost control stream is opened again.
 const reconnectAfter = 200 * time.Millisecond
 
+// lookEvery is the period in which the list in memory is compared with the
+// open links.
+const lookEvery = 200 * time.Millisecond
+
 // sidecarLink is the control stream to one sidecar.
 type sidecarLink struct {
 	id   string
@@ -46,10 +50,10 @@
 
 // run follows the instance list until ctx ends.
 func (l *links) run(ctx context.Context) {
-	ticker := time.NewTicker(l.r.set.Platform.InstancesEvery.D())
+	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for {
-		if list, err := l.r.directory.Instances(ctx); err == nil {
+		if list, err := l.r.spread.Instances(ctx); err == nil {
 			l.apply(ctx, list)
 		}
 		select {
@@ -106,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	hello := &wire.Hello{Router: r.set.ID, DataCentre: r.set.DataCentre, Revision: r.revision()}
+	hello := &wire.Hello{Router: r.set.ID, DataCentre: r.set.DataCentre, Revision: r.revision(), Address: r.set.Listen.Peers, ConfigAgeMs: r.spread.Age().Milliseconds()}
 	if err := stream.Send(&wire.ControlUp{Hello: hello}); err != nil {
 		return err
 	}
@@ -123,6 +127,8 @@
 	}
 	r.dispatcher.post(ctx, message{link: l, event: dispatch.SidecarUp{Sidecar: l.id, Service: down.GetWelcome().GetService()}})
 	defer r.dispatcher.post(r.ctx, message{link: l, event: dispatch.SidecarDown{Sidecar: l.id}})
+	r.linkCount.Add(1)
+	defer r.linkCount.Add(-1)
 	go sendLink(stream, l)
 	return r.receiveLink(ctx, stream, l)
 }
@@ -152,6 +158,7 @@
 			return err
 		}
 		if load := down.Load; load != nil {
+			r.heard(l, load)
 			r.dispatcher.post(ctx, message{event: dispatch.LoadReported{
 				Sidecar: l.id,
 				Slots:   int(load.Slots),
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -17,18 +17,15 @@
 	"github.com/go-kit/log"
 
 	"goldcrestport/coordination/dispatch"
-	"goldcrestport/protocol/document"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
 	"goldcrestport/transport/link"
 	"goldcrestport/transport/observe"
 	"goldcrestport/transport/platform"
+	"goldcrestport/transport/spread"
 )
 
-// ConfigKey is the platform key of the live configuration.
-const ConfigKey = "goldcrest/config"
-
 // Bounds of the pool of idle connections to sidecars.
 const (
 	idleConns        = 4096
@@ -47,7 +44,9 @@
 	pool       *link.Pool
 	dispatcher *dispatcher
 	metrics    *metrics
+	spread     *spread.Spreader
 	doc        atomic.Pointer[config.Document]
+	linkCount  atomic.Int64
 	ctx        context.Context
 
 	// unready tells that the process says so; leaving that it refuses.
@@ -70,7 +69,7 @@
 	cfg.TotalQueued = set.Queues.Total
 	cfg.TotalQueuedBytes = set.Queues.TotalBytes
 	ending, end := context.WithCancel(context.Background())
-	return &Router{
+	r := &Router{
 		ending:     ending,
 		end:        end,
 		abort:      make(chan struct{}),
@@ -82,6 +81,8 @@
 		dispatcher: newDispatcher(dispatch.New(cfg)),
 		metrics:    newMetrics(),
 	}
+	r.spread = r.newSpreader()
+	return r
 }
 
 func (r *Router) revision() uint64 {
@@ -113,7 +114,8 @@
 	mux := http.NewServeMux()
 	observe.Health{Ready: r.ready}.Mount(mux)
 	go r.dispatcher.run(ctx)
-	go r.followConfig(ctx)
+	go r.spread.Run(ctx)
+	go r.keepBeating(ctx)
 	go (&links{r: r, open: map[string]context.CancelFunc{}}).run(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
 	go func() { _ = link.ServeRouter(ctx, peers, r) }()
@@ -137,48 +139,11 @@
 	if r.unready.Load() {
 		return errors.New("leaving")
 	}
-	if r.doc.Load() == nil {
-		return errors.New("no configuration")
+	if r.linkCount.Load() == 0 {
+		return errors.New("no sidecar is linked")
 	}
-	return nil
+	return r.spread.Ready()
 }
 
-// followConfig reads the configuration until ctx ends.
-func (r *Router) followConfig(ctx context.Context) {
-	const every = 200 * time.Millisecond
-	for ctx.Err() == nil {
-		r.readConfig(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(every):
-		}
-	}
-}
-
-func (r *Router) readConfig(ctx context.Context) {
-	e, err := r.store.Get(ctx, ConfigKey)
-	if err != nil {
-		return
-	}
-	doc, err := document.Decode(e.Value)
-	if err != nil {
-		_ = r.log.Log("event", "config_unreadable", "err", err)
-		return
-	}
-	r.adopt(doc)
-}
-
-// adopt puts the document in force if it is newer than what is in force:
-// revisions only rise in a process.
-func (r *Router) adopt(doc *config.Document) {
-	for {
-		old := r.doc.Load()
-		if old != nil && doc.Revision <= old.Revision {
-			return
-		}
-		if r.doc.CompareAndSwap(old, doc) {
-			_ = r.log.Log("event", "config_in_force", "revision", doc.Revision)
-			return
-		}
-	}
-}
+// adopt puts a newer document in force.
+func (r *Router) adopt(doc *config.Document) { r.doc.Store(doc) }
--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -35,6 +35,8 @@
 	attempt *attempt
 	joined  *router
 	parted  *router
+	// announce tells every router the room and revision at once.
+	announce bool
 }
 
 // chooser is the duty that owns the share core.
@@ -43,17 +45,26 @@
 	messages chan message
 	attempts map[uint64]*attempt
 	routers  map[string]*router
-	revision func() uint64
+	revision revisionHolder
+	address  string
 	lastBeat time.Time
 }
 
-func newChooser(core *share.State, revision func() uint64) *chooser {
+// revisionHolder tells which configuration is in force, and how long ago it
+// was known to be the newest.
+type revisionHolder interface {
+	Revision() uint64
+	Age() time.Duration
+}
+
+func newChooser(core *share.State, revision revisionHolder, address string) *chooser {
 	return &chooser{
 		core:     core,
 		messages: make(chan message, eventRing),
 		attempts: map[uint64]*attempt{},
 		routers:  map[string]*router{},
 		revision: revision,
+		address:  address,
 	}
 }
 
@@ -83,6 +94,9 @@
 
 func (c *chooser) handle(m message) {
 	switch {
+	case m.announce:
+		c.broadcast(c.core.Room())
+		return
 	case m.attempt != nil:
 		c.attempts[m.attempt.key] = m.attempt
 	case m.joined != nil:
@@ -159,10 +173,12 @@
 
 func (c *chooser) load(room share.Report) *wire.Load {
 	return &wire.Load{
-		Slots:    int32(room.Slots),
-		Free:     int32(room.Free),
-		Leaving:  room.Leaving,
-		Revision: c.revision(),
+		Slots:       int32(room.Slots),
+		Free:        int32(room.Free),
+		Leaving:     room.Leaving,
+		Revision:    c.revision.Revision(),
+		Address:     c.address,
+		ConfigAgeMs: c.revision.Age().Milliseconds(),
 	}
 }
 
--- a/transport/sidecar/control.go
+++ b/transport/sidecar/control.go
@@ -28,13 +28,15 @@
 	if err := stream.Send(&wire.ControlDown{Welcome: welcome}); err != nil {
 		return err
 	}
+	address := up.Hello.Address
+	s.heard(address, up.Hello.Revision, up.Hello.ConfigAgeMs)
 	r := newRouter(up.Hello.Router)
 	s.chooser.post(s.ctx, message{joined: r})
 	defer s.chooser.post(s.ctx, message{parted: r, event: share.RouterDown{Router: r.id}})
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	go s.sendControl(ctx, cancel, stream, r)
-	s.receiveControl(ctx, stream, r)
+	s.receiveControl(ctx, stream, r, address)
 	return nil
 }
 
@@ -57,12 +59,15 @@
 }
 
 // receiveControl turns the router's messages into events.
-func (s *Sidecar) receiveControl(ctx context.Context, stream wire.DRPCSidecar_ControlStream, r *router) {
+func (s *Sidecar) receiveControl(ctx context.Context, stream wire.DRPCSidecar_ControlStream, r *router, address string) {
 	for ctx.Err() == nil {
 		up, err := stream.Recv()
 		if err != nil {
 			return
 		}
+		if b := up.Beat; b != nil {
+			s.heard(address, b.Revision, b.ConfigAgeMs)
+		}
 		for _, i := range up.Interests {
 			s.chooser.post(ctx, message{event: share.Interest{
 				Router: r.id,
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -18,7 +18,6 @@
 	"github.com/google/uuid"
 
 	"goldcrestport/coordination/share"
-	"goldcrestport/protocol/document"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/attempts"
@@ -26,10 +25,15 @@
 	"goldcrestport/transport/link"
 	"goldcrestport/transport/observe"
 	"goldcrestport/transport/platform"
+	"goldcrestport/transport/spread"
 )
 
-// ConfigKey is the platform key of the live configuration.
-const ConfigKey = "goldcrest/config"
+// Bounds of the pool of idle connections to peers.
+const (
+	idleConns        = 64
+	idleConnsPerPeer = 2
+	idleConnTime     = time.Minute
+)
 
 // Sidecar is the process.
 type Sidecar struct {
@@ -38,6 +42,9 @@
 	set         settings.Sidecar
 	log         log.Logger
 	store       platform.Store
+	directory   platform.Directory
+	pool        *link.Pool
+	spread      *spread.Spreader
 	incarnation string
 	chooser     *chooser
 	backend     *backend
@@ -56,12 +63,14 @@
 }
 
 // New returns a sidecar that has not bound anything yet.
-func New(set settings.Sidecar, store platform.Store, logger log.Logger) *Sidecar {
+func New(set settings.Sidecar, store platform.Store, dir platform.Directory, logger log.Logger) *Sidecar {
 	s := &Sidecar{
 		set:         set,
 		abort:       make(chan struct{}),
 		log:         logger,
 		store:       store,
+		directory:   dir,
+		pool:        link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
 		incarnation: uuid.NewString(),
 		backend:     newBackend(set.Backend.URL),
 		runs:        newRuns(attempts.DefaultConfig()),
@@ -69,7 +78,8 @@
 	cfg := share.DefaultConfig()
 	cfg.Slots = set.Backend.Slots
 	cfg.LookAhead = *set.Backend.LookAhead
-	s.chooser = newChooser(share.New(cfg), s.revision)
+	s.spread = s.newSpreader()
+	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
 	return s
 }
 
@@ -106,7 +116,7 @@
 	observe.Health{Ready: s.ready}.Mount(mux)
 	go s.chooser.run(ctx)
 	go s.expireAnswers(ctx)
-	go s.followConfig(ctx)
+	go s.spread.Run(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
 	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
 	_ = s.log.Log("event", "serving", "incarnation", s.incarnation, "service", s.set.Service, "peers", s.set.Listen.Peers)
@@ -145,43 +155,5 @@
 	if s.leaving.Load() {
 		return errors.New("leaving")
 	}
-	if s.doc.Load() == nil {
-		return errors.New("no configuration")
-	}
-	return nil
-}
-
-// followConfig reads the configuration until ctx ends.
-func (s *Sidecar) followConfig(ctx context.Context) {
-	const every = 200 * time.Millisecond
-	for ctx.Err() == nil {
-		s.readConfig(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(every):
-		}
-	}
-}
-
-func (s *Sidecar) readConfig(ctx context.Context) {
-	e, err := s.store.Get(ctx, ConfigKey)
-	if err != nil {
-		return
-	}
-	doc, err := document.Decode(e.Value)
-	if err != nil || doc.Revision <= s.revision() {
-		return
-	}
-	s.doc.Store(doc)
-	shares := map[string]float64{}
-	for name, t := range doc.Teams {
-		shares[name] = t.Share
-	}
-	drain := false
-	for _, id := range doc.Drain {
-		drain = drain || id == s.set.ID
-	}
-	s.chooser.post(ctx, message{event: share.SharesSet{Shares: shares}})
-	s.chooser.post(ctx, message{event: share.Drained{On: drain}})
-	_ = s.log.Log("event", "config_in_force", "revision", doc.Revision)
+	return s.spread.Ready()
 }
--- /dev/null
+++ b/transport/sidecar/spread.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"goldcrestport/coordination/share"
+	corespread "goldcrestport/coordination/spread"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/platform"
+	"goldcrestport/transport/spread"
+)
+
+// newSpreader returns the duty that keeps the configuration and the instance
+// list of this sidecar. Sidecars never wait at the platform.
+func (s *Sidecar) newSpreader() *spread.Spreader {
+	cfg := corespread.DefaultConfig()
+	cfg.Self, cfg.DataCentre = s.set.ID, s.set.DataCentre
+	cfg.Seed = uint64(time.Now().UnixNano())
+	sp := spread.New(spread.Options{
+		Self:           cfg,
+		Seeds:          seeds(s.set.Seeds),
+		InstancesEvery: s.set.Platform.InstancesEvery.D(),
+		Store:          s.store,
+		Directory:      s.directory,
+		Asker:          spread.PoolAsker{Pool: s.pool},
+		Log:            s.log,
+	})
+	sp.OnDocument(s.adopt)
+	sp.OnAnnounce(func(uint64) { s.chooser.post(s.ctx, message{announce: true}) })
+	return sp
+}
+
+// seeds turns the routers of the settings into peers.
+func seeds(addresses []string) []spread.Peer {
+	var out []spread.Peer
+	for _, a := range addresses {
+		out = append(out, spread.Peer{Role: platform.RoleRouter, Address: a})
+	}
+	return out
+}
+
+// adopt puts a newer document in force.
+func (s *Sidecar) adopt(doc *config.Document) {
+	s.doc.Store(doc)
+	shares := make(map[string]float64, len(doc.Teams))
+	for name, t := range doc.Teams {
+		shares[name] = t.Share
+	}
+	s.chooser.post(s.ctx, message{event: share.SharesSet{Shares: shares}})
+	s.chooser.post(s.ctx, message{event: share.Drained{On: slices.Contains(doc.Drain, s.set.ID)}})
+}
+
+// heard takes a router's word on its revision.
+func (s *Sidecar) heard(address string, revision uint64, ageMS int64) {
+	if address == "" {
+		return
+	}
+	age := time.Duration(ageMS) * time.Millisecond
+	s.spread.Heard(spread.Peer{Role: platform.RoleRouter, Address: address}, revision, age)
+}
+
+// Config implements wire.DRPCSidecarServer.
+func (s *Sidecar) Config(_ context.Context, req *wire.ConfigRequest) (*wire.ConfigResponse, error) {
+	return s.spread.Answer(req)
+}
--- /dev/null
+++ b/transport/spread/instances.go
@@ -0,0 +1,171 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestport/coordination/spread"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/platform"
+)
+
+// firstListEvery is the time between looks while no list is known.
+const firstListEvery = 200 * time.Millisecond
+
+// list is the instance list as this process knows it.
+type list struct {
+	instances []platform.Instance
+	encoded   []byte
+	digest    uint64
+	asOf      time.Time
+}
+
+func (l *list) empty() bool { return l.asOf.IsZero() }
+
+// Instances implements platform.Directory from memory. The list may lag.
+func (s *Spreader) Instances(context.Context) ([]platform.Instance, error) {
+	l := s.list.Load()
+	if l.empty() {
+		return nil, ErrNotReady
+	}
+	return l.instances, nil
+}
+
+// InstancesAge returns how old the list is.
+func (s *Spreader) InstancesAge() time.Duration { return time.Since(s.list.Load().asOf) }
+
+// followInstances refreshes the list until ctx ends. Watchers and processes
+// that know no router read the platform; the others ask a router, which
+// answers with a few bytes if nothing changed.
+func (s *Spreader) followInstances(ctx context.Context) {
+	every := s.opts.InstancesEvery
+	for ctx.Err() == nil {
+		if !s.askForInstances(ctx) {
+			s.readInstances(ctx)
+		}
+		if s.list.Load().empty() {
+			every = min(every, firstListEvery)
+		} else {
+			every = s.opts.InstancesEvery
+		}
+		pause := every*3/4 + time.Duration(rand.Int64N(int64(every/2)+1))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (s *Spreader) readInstances(ctx context.Context) {
+	s.use.lists.Add(1)
+	got, err := s.opts.Directory.Instances(ctx)
+	if err == nil {
+		s.setInstances(ctx, got, time.Now())
+	}
+}
+
+// askForInstances asks a router of the data centre, or any, for the list. It
+// reports whether the list is now as fresh as a peer could make it.
+func (s *Spreader) askForInstances(ctx context.Context) bool {
+	if s.view.Load().watcher {
+		return false
+	}
+	p, ok := s.someRouter()
+	if !ok {
+		return false
+	}
+	req := &wire.ConfigRequest{
+		Revision:        s.Revision(),
+		InstancesDigest: s.list.Load().digest,
+		WantInstances:   true,
+	}
+	s.use.fetches.Add(1)
+	resp, err := s.opts.Asker.Ask(ctx, p, req)
+	if err != nil {
+		return false
+	}
+	age := time.Duration(resp.ConfigAgeMs) * time.Millisecond
+	s.post(ctx, message{event: spread.Heard{Peer: key(p), Revision: resp.Revision, Age: age}})
+	return s.takeInstances(ctx, resp)
+}
+
+// someRouter returns a router to ask, one of the own data centre if possible.
+func (s *Spreader) someRouter() (Peer, bool) {
+	var near, far []Peer
+	for _, i := range s.list.Load().instances {
+		if i.Role != platform.RoleRouter || i.ID == s.opts.Self.Self || i.State != platform.StateLive {
+			continue
+		}
+		p := Peer{Role: i.Role, Address: i.Address}
+		if i.DataCentre == s.opts.Self.DataCentre {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	for _, from := range [][]Peer{near, far} {
+		if len(from) > 0 {
+			return from[rand.IntN(len(from))], true
+		}
+	}
+	return Peer{}, false
+}
+
+// takeInstances takes the peer's list up if it is newer than the own one.
+func (s *Spreader) takeInstances(ctx context.Context, resp *wire.ConfigResponse) bool {
+	if resp.InstancesDigest == 0 {
+		return false
+	}
+	asOf := time.Now().Add(-time.Duration(resp.InstancesAgeMs) * time.Millisecond)
+	own := s.list.Load()
+	if !asOf.After(own.asOf) {
+		return true
+	}
+	if resp.InstancesDigest == own.digest {
+		same := *own
+		same.asOf = asOf
+		s.list.Store(&same)
+		return true
+	}
+	var got []platform.Instance
+	if json.Unmarshal(resp.Instances, &got) != nil {
+		return false
+	}
+	s.setInstances(ctx, got, asOf)
+	return true
+}
+
+func (s *Spreader) setInstances(ctx context.Context, got []platform.Instance, asOf time.Time) {
+	data, err := json.Marshal(got)
+	if err != nil {
+		return
+	}
+	l := &list{instances: got, encoded: data, digest: xxhash.Sum64(data), asOf: asOf}
+	old := s.list.Swap(l)
+	if old.digest == l.digest {
+		return
+	}
+	ev := spread.Listed{Processes: len(got)}
+	for _, i := range got {
+		if i.Role == platform.RoleRouter && i.State == platform.StateLive {
+			ev.Routers = append(ev.Routers, spread.Member{ID: i.ID, DataCentre: i.DataCentre})
+		}
+	}
+	s.post(ctx, message{event: ev})
+}
+
+func (s *Spreader) answerInstances(req *wire.ConfigRequest, resp *wire.ConfigResponse) {
+	l := s.list.Load()
+	if !req.WantInstances || l.empty() {
+		return
+	}
+	resp.InstancesDigest = l.digest
+	resp.InstancesAgeMs = time.Since(l.asOf).Milliseconds()
+	if req.InstancesDigest != l.digest {
+		resp.Instances = l.encoded
+	}
+}
--- /dev/null
+++ b/transport/spread/spread_test.go
@@ -0,0 +1,146 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	corespread "goldcrestport/coordination/spread"
+	"goldcrestport/protocol/document"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/platform"
+)
+
+// fakeStore holds the configuration; down makes every call fail.
+type fakeStore struct {
+	platform.Store
+	value atomic.Pointer[platform.Entry]
+	down  atomic.Bool
+}
+
+func (f *fakeStore) Get(context.Context, string) (platform.Entry, error) {
+	if f.down.Load() {
+		return platform.Entry{}, platform.ErrUnknown
+	}
+	if e := f.value.Load(); e != nil {
+		return *e, nil
+	}
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+func (f *fakeStore) Instances(context.Context) ([]platform.Instance, error) {
+	return nil, platform.ErrUnknown
+}
+
+func (f *fakeStore) put(c *qt.C, d *config.Document) {
+	data, err := document.Encode(d)
+	c.Assert(err, qt.IsNil)
+	f.value.Store(&platform.Entry{Key: ConfigKey, Value: data, Version: d.Revision})
+}
+
+// fakePeers answers for Spreaders by address.
+type fakePeers struct{ at map[string]*Spreader }
+
+func (f fakePeers) Ask(_ context.Context, p Peer, req *wire.ConfigRequest) (*wire.ConfigResponse, error) {
+	s := f.at[p.Address]
+	if s == nil {
+		return nil, errors.New("unreachable")
+	}
+	return s.Answer(req)
+}
+
+func document1(revision uint64) *config.Document {
+	return &config.Document{
+		Revision: revision,
+		Teams:    map[string]config.Team{fmt.Sprint("team", revision): {Share: float64(revision)}},
+		Services: map[string]config.Service{"s": {Kind: config.KindModel}},
+	}
+}
+
+func started(c *qt.C, store *fakeStore, peers fakePeers, seeds ...Peer) *Spreader {
+	cfg := corespread.DefaultConfig()
+	cfg.Self, cfg.StartJitter = c.Name(), time.Millisecond
+	s := New(Options{
+		Self: cfg, Seeds: seeds, InstancesEvery: time.Second,
+		Store: store, Directory: store, Asker: peers, Log: log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	go s.Run(ctx)
+	return s
+}
+
+func eventually(c *qt.C, what string, cond func() bool) {
+	c.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	c.Fatalf("not in time: %s", what)
+}
+
+func TestStartsFromPeersWhileThePlatformIsDown(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put(c, document1(4))
+	peers := fakePeers{at: map[string]*Spreader{}}
+	old := started(c, store, peers)
+	eventually(c, "the first reads the platform", func() bool { return old.Revision() == 4 })
+	peers.at["a"] = old
+	store.down.Store(true)
+	fresh := started(c, store, peers, Peer{Role: platform.RoleRouter, Address: "a"})
+	eventually(c, "the second takes it from its peer", func() bool { return fresh.Ready() == nil })
+	c.Assert(config.Equal(fresh.Document(), old.Document()), qt.IsTrue)
+}
+
+func TestNotReadyWithNeitherPlatformNorPeer(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.down.Store(true)
+	s := started(c, store, fakePeers{}, Peer{Role: platform.RoleRouter, Address: "gone"})
+	eventually(c, "it has asked", func() bool { return s.Usage().Fetches > 0 && s.Usage().Reads > 0 })
+	c.Assert(s.Ready(), qt.Equals, ErrNotReady)
+	c.Assert(s.Stale(), qt.IsTrue)
+}
+
+// A peer that is behind gets differences, and the document that they make is
+// the one that was accepted.
+func TestDifferencesLeadToTheSameDocument(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put(c, document1(1))
+	peers := fakePeers{at: map[string]*Spreader{}}
+	source := started(c, store, peers)
+	behind := started(c, store, peers)
+	eventually(c, "both have the first", func() bool { return source.Revision() == 1 && behind.Revision() == 1 })
+	store.down.Store(true)
+	peers.at["a"] = source
+	for r := uint64(2); r <= 6; r++ {
+		source.Accept(context.Background(), document1(r))
+	}
+	resp, err := source.Answer(&wire.ConfigRequest{Revision: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Patches, qt.HasLen, 5)
+	c.Assert(resp.Document, qt.HasLen, 0)
+	behind.Heard(Peer{Role: platform.RoleRouter, Address: "a"}, 6, 0)
+	eventually(c, "the last is in force", func() bool { return behind.Revision() == 6 })
+	c.Assert(config.Equal(behind.Document(), source.Document()), qt.IsTrue)
+}
+
+func TestOlderDocumentsNeverComeBack(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put(c, document1(9))
+	s := started(c, store, fakePeers{})
+	eventually(c, "the newest", func() bool { return s.Revision() == 9 })
+	s.Accept(context.Background(), document1(3))
+	c.Assert(s.Revision(), qt.Equals, uint64(9))
+}
--- /dev/null
+++ b/transport/spread/steps.go
@@ -0,0 +1,82 @@
+package spread
+
+import (
+	"encoding/json"
+	"sync"
+
+	"goldcrestport/state/config"
+)
+
+// maxSteps is the number of differences kept for peers that are behind.
+const maxSteps = 64
+
+// step leads from one revision to a later one.
+type step struct {
+	From       uint64             `json:"from"`
+	To         uint64             `json:"to"`
+	Patch      config.Patch       `json:"patch"`
+	Back       *config.Patch      `json:"back,omitempty"`
+	PlanDigest string             `json:"plan_digest,omitempty"`
+	Accepted   *config.Acceptance `json:"accepted,omitempty"`
+}
+
+// apply returns the document that the step makes of its base.
+func (st step) apply(base *config.Document) *config.Document {
+	next := st.Patch.Apply(base)
+	next.Revision = st.To
+	next.PlanDigest = st.PlanDigest
+	next.Accepted = st.Accepted
+	next.Back = st.Back
+	return next
+}
+
+// steps keeps the last differences, encoded.
+type steps struct {
+	mu   sync.Mutex
+	kept []encodedStep
+}
+
+type encodedStep struct {
+	from, to uint64
+	data     []byte
+}
+
+// add keeps the difference between two documents that were in force in turn.
+func (s *steps) add(from, to *config.Document) {
+	st := step{
+		From:       from.Revision,
+		To:         to.Revision,
+		Patch:      config.Between(from, to),
+		Back:       to.Back,
+		PlanDigest: to.PlanDigest,
+		Accepted:   to.Accepted,
+	}
+	data, err := json.Marshal(st)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		// Without this step the chain is broken; peers get the whole document.
+		s.kept = nil
+		return
+	}
+	s.kept = append(s.kept, encodedStep{from: st.From, to: st.To, data: data})
+	if over := len(s.kept) - maxSteps; over > 0 {
+		s.kept = append(s.kept[:0:0], s.kept[over:]...)
+	}
+}
+
+// since returns the differences that lead from one revision to another, if
+// all are kept.
+func (s *steps) since(from, to uint64) ([][]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out [][]byte
+	at := from
+	for _, st := range s.kept {
+		if st.from == at && st.to <= to {
+			out = append(out, st.data)
+			at = st.to
+		}
+	}
+	return out, at == to && len(out) > 0
+}
