--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,11 @@
 generate:
 	cd protocol/wire && protoc --go_out=. --go_opt=paths=source_relative \
 	  --go-drpc_out=. --go-drpc_opt=paths=source_relative *.proto
+
+# measure prints the figures of each policy; its last line is a JSON object.
+# MEASURE takes further flags, see docs/MEASURE.md.
+DURATION ?= 30s
+.PHONY: measure
+measure: build
+	@cd bench && $(GO) build -o ../bin/ ./cmd/measure
+	@bin/measure --window $(DURATION) $(MEASURE)
--- /dev/null
+++ b/bench/report/gap.go
@@ -0,0 +1,86 @@
+package report
+
+import (
+	"math"
+	"time"
+
+	"goldcrestport/bench/load"
+)
+
+// Gap returns the largest difference of cost per share between two of the
+// teams from the first to the last sample, in cost units, with the cost per
+// share of each team.
+func Gap(teams []load.Team, samples []TeamSample) (float64, map[string]float64) {
+	per := map[string]float64{}
+	if len(samples) < 2 || len(teams) == 0 {
+		return 0, per
+	}
+	first, last := samples[0], samples[len(samples)-1]
+	least, most := math.Inf(1), math.Inf(-1)
+	for _, t := range teams {
+		v := (last.Cost[t.Name] - first.Cost[t.Name]) / t.Share
+		per[t.Name] = v
+		least, most = min(least, v), max(most, v)
+	}
+	return most - least, per
+}
+
+// Bound returns what the gap of the pull policy must stay below, in cost
+// units.
+//
+// Each sidecar sees every backlogged team and chooses the one with the least
+// cost per share that it gave itself. When it chooses a team, that team is not
+// ahead; until it is chosen again it can get ahead only by what was not yet
+// charged then: the requests in the slots and those pulled ahead, at most
+// (Slots + LookAhead) x MaxCost, divided by its share. So at any time two teams
+// are apart by at most that, with the least share, at one sidecar, and a window
+// can begin and end with opposite signs: twice that. The sum over the sidecars
+// bounds the pool.
+func Bound(p Pool, teams []load.Team) float64 {
+	least := math.Inf(1)
+	for _, t := range teams {
+		least = min(least, t.Share)
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	const bothEdges = 2
+	return bothEdges * float64(p.Sidecars*(p.Slots+p.LookAhead)) * p.MaxCost / least
+}
+
+// windowGaps returns the gap over each of the trial's windows.
+func (t *Trial) windowGaps(teams []load.Team, mean float64) []WindowGap {
+	var out []WindowGap
+	for _, w := range t.Windows {
+		gap, _ := Gap(teams, t.window(w))
+		out = append(out, WindowGap{Seconds: w.Seconds(), FairnessGap: ratio(gap, mean)})
+	}
+	return out
+}
+
+// silence returns the longest time without a completion of each team.
+func (t *Trial) silence(teams []load.Team) map[string]float64 {
+	out := map[string]float64{}
+	for _, team := range teams {
+		last, longest := t.From, time.Duration(0)
+		for _, r := range t.Results {
+			if r.Team != team.Name || r.Ending != load.Completed {
+				continue
+			}
+			longest = max(longest, r.End.Sub(last))
+			last = r.End
+		}
+		out[team.Name] = millis(max(longest, t.To.Sub(last)))
+	}
+	return out
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// ratio returns a/b, or 0 if b is 0.
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- a/standin/engine/generation.go
+++ b/standin/engine/generation.go
@@ -105,7 +105,7 @@
 	if !g.pause(at) {
 		return false
 	}
-	run.AddTokens(int64(fresh))
+	run.AddPrompt(int64(fresh))
 	s.pool.SetBlocks(s.cache.store(q.blocks))
 	emit := func(body []byte) {
 		_, _ = run.Write(body)
--- a/standin/runs/runs.go
+++ b/standin/runs/runs.go
@@ -35,7 +35,10 @@
 	State          string `json:"state"`
 	Bytes          int64  `json:"bytes"`
 	SHA256         string `json:"sha256"`
-	CostTokens     int64  `json:"cost_tokens"`
+	// CostTokens counts prompt tokens that were not cached and generated ones.
+	CostTokens int64 `json:"cost_tokens"`
+	// PromptTokens is the part of CostTokens that was not generated.
+	PromptTokens int64 `json:"prompt_tokens"`
 }
 
 // Stats sums up all runs, also those no longer kept.
@@ -128,6 +131,15 @@
 	return len(body), nil
 }
 
+// AddPrompt adds prompt tokens that were not cached to the run's cost.
+func (h *Handle) AddPrompt(n int64) {
+	h.log.mu.Lock()
+	defer h.log.mu.Unlock()
+	h.run.CostTokens += n
+	h.run.PromptTokens += n
+	h.log.stats.Tokens += n
+}
+
 // AddTokens adds to the run's cost.
 func (h *Handle) AddTokens(n int64) {
 	h.log.mu.Lock()
