make inforce: how soon an accepted configuration is in force everywhere

Cause: neither the time until a change is in force nor the platform calls of the fleet were measured. Changed: a peer's fresh confirmation replaces the read; watchers take turns to read the list, within 4 KiB/s each; a watch ends after 3 s, so that it confirms. Ruled out: asking the platform for the list's changes only; it has no such call.

--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,8 @@
 measure: build
 	@cd bench && $(GO) build -o ../bin/ ./cmd/measure
 	@bin/measure --window $(DURATION) $(MEASURE)
+
+# inforce measures the time until an accepted configuration is in force.
+.PHONY: inforce
+inforce: build
+	$(GO) run ./bench/cmd/inforce $(INFORCE_FLAGS)
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -218,6 +218,11 @@
 	if s.atStore || now.Before(s.nextRead) {
 		return
 	}
+	if !s.watcher && s.held > 0 && s.Age(now) < s.cfg.StaleAfter/2 {
+		// A peer that heard from the platform lately is as good as a read.
+		s.nextRead = now.Add(s.readEvery())
+		return
+	}
 	s.atStore = true
 	if s.watcher && s.started {
 		s.emit(Watch{})
--- a/transport/spread/instances.go
+++ b/transport/spread/instances.go
@@ -22,6 +22,8 @@
 	encoded   []byte
 	digest    uint64
 	asOf      time.Time
+	// watchers is the number of processes that may read the platform's list.
+	watchers int
 }
 
 func (l *list) empty() bool { return l.asOf.IsZero() }
@@ -38,28 +40,52 @@
 // InstancesAge returns how old the list is.
 func (s *Spreader) InstancesAge() time.Duration { return time.Since(s.list.Load().asOf) }
 
-// followInstances refreshes the list until ctx ends. Watchers and processes
-// that know no router read the platform; the others ask a router, which
-// answers with a few bytes if nothing changed.
+// listBytesPerSecond bounds what a watcher spends on reading the whole list
+// from the platform, which has no way to ask for changes only.
+const listBytesPerSecond = 4 << 10
+
+// readersAtOnce is how many watchers of the fleet read the list within one
+// InstancesEvery; the others have it from them.
+const readersAtOnce = 3
+
+// followInstances refreshes the list until ctx ends. Every process asks a
+// router, which answers with a few bytes if nothing changed. Watchers take
+// turns to read the platform; processes that reach no router read it too.
 func (s *Spreader) followInstances(ctx context.Context) {
 	every := s.opts.InstancesEvery
+	var nextRead time.Time
 	for ctx.Err() == nil {
-		if !s.askForInstances(ctx) {
+		asked := s.askForInstances(ctx)
+		turn := s.view.Load().watcher && time.Now().After(nextRead)
+		if !asked || turn {
 			s.readInstances(ctx)
+			nextRead = time.Now().Add(jittered(s.turnEvery()))
 		}
 		if s.list.Load().empty() {
 			every = min(every, firstListEvery)
 		} else {
 			every = s.opts.InstancesEvery
 		}
-		pause := every*3/4 + time.Duration(rand.Int64N(int64(every/2)+1))
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(jittered(every)):
 		}
 	}
 }
 
+// jittered returns a random time around d.
+func jittered(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
+
+// turnEvery is the time between two reads of the list by one watcher.
+func (s *Spreader) turnEvery() time.Duration {
+	l := s.list.Load()
+	turns := s.opts.InstancesEvery * time.Duration(l.watchers) / readersAtOnce
+	bytes := time.Duration(len(l.encoded)) * time.Second / listBytesPerSecond
+	return max(s.opts.InstancesEvery, turns, bytes)
+}
+
 func (s *Spreader) readInstances(ctx context.Context) {
 	s.use.lists.Add(1)
 	got, err := s.opts.Directory.Instances(ctx)
@@ -71,9 +97,6 @@
 // askForInstances asks a router of the data centre, or any, for the list. It
 // reports whether the list is now as fresh as a peer could make it.
 func (s *Spreader) askForInstances(ctx context.Context) bool {
-	if s.view.Load().watcher {
-		return false
-	}
 	p, ok := s.someRouter()
 	if !ok {
 		return false
@@ -145,6 +168,7 @@
 		return
 	}
 	l := &list{instances: got, encoded: data, digest: xxhash.Sum64(data), asOf: asOf}
+	l.watchers = s.countWatchers(got)
 	old := s.list.Swap(l)
 	if old.digest == l.digest {
 		return
@@ -158,6 +182,22 @@
 	s.post(ctx, message{event: ev})
 }
 
+// countWatchers returns how many routers watch the platform in all data
+// centres.
+func (s *Spreader) countWatchers(instances []platform.Instance) int {
+	routers := map[string]int{}
+	for _, i := range instances {
+		if i.Role == platform.RoleRouter && i.State == platform.StateLive {
+			routers[i.DataCentre]++
+		}
+	}
+	n := 0
+	for _, have := range routers {
+		n += min(have, s.opts.Self.Watchers)
+	}
+	return n
+}
+
 func (s *Spreader) answerInstances(req *wire.ConfigRequest, resp *wire.ConfigResponse) {
 	l := s.list.Load()
 	if !req.WantInstances || l.empty() {
--- a/transport/spread/spread.go
+++ b/transport/spread/spread.go
@@ -26,9 +26,11 @@
 
 // Periods and bounds of the driver.
 const (
-	tickEvery    = 20 * time.Millisecond
-	eventRing    = 256
-	watchTimeout = 30 * time.Second
+	tickEvery = 20 * time.Millisecond
+	eventRing = 256
+	// watchTimeout is how long a watcher waits at the platform; when it ends
+	// the platform has confirmed what is held.
+	watchTimeout = 3 * time.Second
 	seedAsks     = 3
 )
 
