Plan, confirm, history and rollback on the routers

Cause: operators race each other, the platform loses answers, and an accepted configuration must neither be lost nor revert.

What it does: POST /v1/plan, /v1/confirm, /v1/rollback/plan and GET /v1/settle, /v1/config, /v1/history, /v1/status on the operators' listener. The plan is a pure comparison; its digest covers the base revision and the content only, so that every router computes the same. The confirmation is a pure state machine: one compare-and-swap on goldcrest/config decides; before a revision is overwritten its history entry (who, when, digest, summary, the patch back) stands in a ring of 10,000 keys; a write without an answer is read back, and if that can't be done now the operator is told "unsettled" and how to ask. The first configuration needs the bootstrap token of the router's settings. A team whose share is zero is refused: the share core would have given it the default.

What was ruled out: history in the same value (each process of the fleet reads it); whole documents in the history (200 KB each at 2,100 teams, now the patch back); history written after the swap (a router that stops in between loses it); deleting old entries (a lost deletion leaks). Empty lists became null in the canonical form and a confirmation then failed its own schema: fixed.

--- /dev/null
+++ b/coordination/dispatch/snapshot.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Snapshot is what the router holds and knows at one time, for people.
+type Snapshot struct {
+	Queues []QueueState
+	Peers  []PeerState
+}
+
+// QueueState is the waiting work of one team for one service.
+type QueueState struct {
+	Service string
+	Team    string
+	Waiting int
+	Bytes   int64
+	Oldest  time.Duration
+}
+
+// PeerState is one sidecar with an open control stream.
+type PeerState struct {
+	Sidecar string
+	Service string
+	Slots   int
+	Free    int
+	Leaving bool
+}
+
+// Snapshot returns the non-empty queues and the sidecars, sorted by name.
+func (s *State) Snapshot(now time.Time) Snapshot {
+	var out Snapshot
+	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
+		p := s.pools[service]
+		for _, team := range sortedTeams(p) {
+			q := p.teams[team]
+			if len(q.waiting) == 0 {
+				continue
+			}
+			out.Queues = append(out.Queues, QueueState{
+				Service: service,
+				Team:    team,
+				Waiting: len(q.waiting),
+				Bytes:   q.bytes,
+				Oldest:  now.Sub(q.waiting[0].arrived),
+			})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.peers)) {
+		c := s.peers[id]
+		out.Peers = append(out.Peers, PeerState{Sidecar: id, Service: c.service, Slots: c.slots, Free: c.free, Leaving: c.leaving})
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/plan/compare.go
@@ -0,0 +1,251 @@
+package plan
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"goldcrestport/state/config"
+)
+
+// comparison is the work of one Compare.
+type comparison struct {
+	base, next   *config.Document
+	patch        config.Patch
+	facts        Facts
+	totalsBefore map[string]float64
+	totalsAfter  map[string]float64
+	plan         *Plan
+}
+
+func newComparison(base, next *config.Document, facts Facts) *comparison {
+	a, b := base.Content(), next.Content()
+	return &comparison{
+		base:         a,
+		next:         b,
+		patch:        config.Between(a, b),
+		facts:        facts,
+		totalsBefore: totals(a),
+		totalsAfter:  totals(b),
+		plan:         &Plan{BaseRevision: base.Revision},
+	}
+}
+
+// totals returns the sum of the shares in each service's pool. Teams are added
+// in the order of their names, so that the rounding is the same everywhere.
+func totals(d *config.Document) map[string]float64 {
+	out := map[string]float64{}
+	for _, name := range slices.Sorted(maps.Keys(d.Teams)) {
+		for _, service := range d.Teams[name].Services {
+			out[service] += d.Teams[name].Share
+		}
+	}
+	return out
+}
+
+func fraction(team config.Team, service string, totals map[string]float64) float64 {
+	if !team.Reaches(service) || totals[service] <= 0 {
+		return 0
+	}
+	return team.Share / totals[service]
+}
+
+func actionOf(before, after bool) Action {
+	switch {
+	case !before:
+		return Added
+	case !after:
+		return Removed
+	default:
+		return Changed
+	}
+}
+
+func (c *comparison) teams() {
+	for _, name := range slices.Sorted(maps.Keys(c.patch.Teams)) {
+		c.team(name)
+	}
+}
+
+func (c *comparison) team(name string) {
+	old, before := c.base.Teams[name]
+	now, after := c.next.Teams[name]
+	t := TeamChange{
+		Team:          name,
+		Action:        actionOf(before, after),
+		ShareBefore:   old.Share,
+		ShareAfter:    now.Share,
+		Gained:        without(now.Services, old.Services),
+		Lost:          without(old.Services, now.Services),
+		TokensAdded:   len(without(now.Tokens, old.Tokens)),
+		TokensRemoved: len(without(old.Tokens, now.Tokens)),
+	}
+	for _, service := range union(old.Services, now.Services) {
+		t.Pools = append(t.Pools, Fraction{
+			Service: service,
+			Before:  fraction(old, service, c.totalsBefore),
+			After:   fraction(now, service, c.totalsAfter),
+		})
+	}
+	if t.Action != Removed {
+		t.Fields = append(t.Fields, numberField("requests that may wait", int64(old.MaxQueued), int64(now.MaxQueued))...)
+		t.Fields = append(t.Fields, numberField("bytes that may wait", old.MaxQueuedBytes, now.MaxQueuedBytes)...)
+	}
+	c.plan.Teams = append(c.plan.Teams, t)
+	c.teamNotes(t, old, now)
+}
+
+// pools tells how the change moves the teams that it doesn't name.
+func (c *comparison) pools() {
+	others := map[string]int{}
+	for name, team := range c.next.Teams {
+		if _, named := c.patch.Teams[name]; named || team.Share <= 0 {
+			continue
+		}
+		for _, service := range team.Services {
+			others[service]++
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(others)) {
+		before, after := c.totalsBefore[service], c.totalsAfter[service]
+		if before == after || before <= 0 || after <= 0 {
+			continue
+		}
+		p := PoolChange{Service: service, Others: others[service], Factor: before / after}
+		c.plan.Pools = append(c.plan.Pools, p)
+	}
+}
+
+func (c *comparison) services() {
+	for _, name := range slices.Sorted(maps.Keys(c.patch.Services)) {
+		old, before := c.base.Services[name]
+		now, after := c.next.Services[name]
+		s := ServiceChange{Service: name, Action: actionOf(before, after), Backends: c.backendsOf(name)}
+		if s.Action != Removed {
+			s.Fields = serviceFields(old, now)
+		}
+		c.plan.Services = append(c.plan.Services, s)
+		c.serviceNotes(s, old, now)
+	}
+}
+
+func serviceFields(old, now config.Service) []Field {
+	var out []Field
+	out = append(out, textField("kind", string(old.Kind), string(now.Kind))...)
+	out = append(out, textField("paths that run at most once", strings.Join(old.NonIdempotent, " "), strings.Join(now.NonIdempotent, " "))...)
+	out = append(out, numberField("greatest body in bytes", old.MaxBody, now.MaxBody)...)
+	out = append(out, textField("models", modelList(old.Models), modelList(now.Models))...)
+	out = append(out, textField("role", old.Role, now.Role)...)
+	out = append(out, textField("engines check the fencing token", yesNo(old.ChecksFence), yesNo(now.ChecksFence))...)
+	return out
+}
+
+func modelList(models []config.Model) string {
+	out := make([]string, len(models))
+	for i, m := range models {
+		out[i] = m.Name + "@" + m.Version
+		if m.Adapter {
+			out[i] += " (adapter)"
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func (c *comparison) backends() {
+	for _, id := range union(c.base.Drain, c.next.Drain) {
+		drained := slices.Contains(c.next.Drain, id)
+		if drained == slices.Contains(c.base.Drain, id) {
+			continue
+		}
+		c.plan.Backends = append(c.plan.Backends, BackendChange{Backend: id, Service: c.serviceOf(id), Drained: drained})
+	}
+	c.backendNotes()
+}
+
+func (c *comparison) operators() {
+	for _, name := range slices.Sorted(maps.Keys(c.patch.Operators)) {
+		_, before := c.base.Operators[name]
+		_, after := c.next.Operators[name]
+		c.plan.Operators = append(c.plan.Operators, OperatorChange{Operator: name, Action: actionOf(before, after)})
+	}
+}
+
+func (c *comparison) backendsOf(service string) []string {
+	var out []string
+	for _, b := range c.facts.Backends {
+		if b.Service == service {
+			out = append(out, b.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (c *comparison) serviceOf(id string) string {
+	for _, b := range c.facts.Backends {
+		if b.ID == id {
+			return b.Service
+		}
+	}
+	return ""
+}
+
+func (c *comparison) waiting(team, service string) int {
+	n := 0
+	for _, q := range c.facts.Queues {
+		if q.Team == team && (service == "" || q.Service == service) {
+			n += q.Waiting
+		}
+	}
+	return n
+}
+
+// without returns what stands in a and not in b; both are sorted.
+func without(a, b []string) []string {
+	var out []string
+	for _, x := range a {
+		if !slices.Contains(b, x) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// union returns what stands in a or b, sorted.
+func union(a, b []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+}
+
+func numberField(name string, before, after int64) []Field {
+	show := func(n int64) string {
+		if n == 0 {
+			return "default"
+		}
+		return strconv.FormatInt(n, 10)
+	}
+	return textField(name, show(before), show(after))
+}
+
+func textField(name, before, after string) []Field {
+	if before == after {
+		return nil
+	}
+	return []Field{{Name: name, Before: before, After: after}}
+}
+
+func (c *comparison) refused(code NoteCode, subject, format string, args ...any) {
+	c.plan.Refused = append(c.plan.Refused, Note{Code: code, Subject: subject, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *comparison) warn(code NoteCode, subject, format string, args ...any) {
+	c.plan.Warnings = append(c.plan.Warnings, Note{Code: code, Subject: subject, Text: fmt.Sprintf(format, args...)})
+}
--- a/protocol/intent/intent_test.go
+++ b/protocol/intent/intent_test.go
@@ -19,7 +19,7 @@
 )
 
 const good = `{
-  "teams": {"bequests": {"share": 3, "tokens": ["A"], "services": ["counsel-llm"]}},
+  "teams": {"idle": {"share": 0, "tokens": [], "services": []}, "bequests": {"share": 3, "tokens": ["A"], "services": ["counsel-llm"]}},
   "services": {"counsel-llm": {"kind": "model", "models": [{"name": "counsel", "version": "7"}]}},
   "operators": {"ops": "O"}
 }`
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -89,6 +89,13 @@
 	Deadline Duration `json:"deadline"`
 }
 
+// Operators holds the settings of the operators' interface.
+type Operators struct {
+	// BootstrapDigest is the hex SHA-256 of the bearer token that may confirm
+	// the first configuration. Empty allows none.
+	BootstrapDigest string `json:"bootstrap_digest"`
+}
+
 // Router holds the settings of a router.
 type Router struct {
 	ID         string       `json:"id"`
@@ -97,10 +104,11 @@
 	Platform   Platform     `json:"platform"`
 	// Seeds are peers' addresses of some routers, IP:port, which a starting
 	// process asks when the platform does not answer.
-	Seeds  []string     `json:"seeds,omitempty"`
-	Queues Queues       `json:"queues"`
-	Limits CallerLimits `json:"limits"`
-	Stop   Stop         `json:"stop"`
+	Seeds     []string     `json:"seeds,omitempty"`
+	Queues    Queues       `json:"queues"`
+	Limits    CallerLimits `json:"limits"`
+	Operators Operators    `json:"operators"`
+	Stop      Stop         `json:"stop"`
 }
 
 // SidecarListen holds the addresses that a sidecar binds.
--- a/state/config/canonical.go
+++ b/state/config/canonical.go
@@ -14,8 +14,8 @@
 const digestDomain = "goldcrest-plan/1"
 
 // Content returns the document's part that operators state, in canonical
-// form: lists are sorted and without repeats, empty ones are nil. Two
-// documents that state the same have equal content.
+// form: lists are sorted and without repeats. Two documents that state the
+// same have equal content.
 func (d *Document) Content() *Document {
 	c := &Document{
 		Teams:     make(map[string]Team, len(d.Teams)),
@@ -24,7 +24,8 @@
 		Operators: maps.Clone(d.Operators),
 	}
 	for name, t := range d.Teams {
-		t.Tokens, t.Services = sortedSet(t.Tokens), sortedSet(t.Services)
+		// These two are required in an intent, so they must not become null.
+		t.Tokens, t.Services = append([]string{}, sortedSet(t.Tokens)...), append([]string{}, sortedSet(t.Services)...)
 		c.Teams[name] = t
 	}
 	for name, s := range d.Services {
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -110,6 +110,10 @@
 		refuse(outcome.ReasonForbidden, http.StatusForbidden, 0, "the team may not use service "+to.service)
 		return
 	}
+	if team.Share <= 0 {
+		refuse(outcome.ReasonForbidden, http.StatusForbidden, 0, "the share of the team is zero")
+		return
+	}
 	c := r.newCall(id, name, team, service, to, req, body)
 	r.serve(req.Context(), w, c)
 }
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -34,6 +34,8 @@
 	link  *sidecarLink
 	// beat goes to every linked sidecar.
 	beat *wire.RouterBeat
+	// snapshot asks for the state; it has room for one.
+	snapshot chan<- dispatch.Snapshot
 }
 
 // dispatcher is the duty that owns the dispatch core.
@@ -84,6 +86,10 @@
 		}
 		return
 	}
+	if m.snapshot != nil {
+		m.snapshot <- d.core.Snapshot(time.Now())
+		return
+	}
 	switch ev := m.event.(type) {
 	case dispatch.Arrived:
 		d.calls[ev.Request.ID] = m.call
--- /dev/null
+++ b/transport/router/operators.go
@@ -0,0 +1,165 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"goldcrestport/coordination/dispatch"
+	"goldcrestport/coordination/plan"
+	"goldcrestport/protocol/operator"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/platform"
+)
+
+// operatorView is the router as the operators' interface sees it.
+type operatorView struct{ r *Router }
+
+// InForce implements operators.Router.
+func (v operatorView) InForce() *config.Document { return v.r.doc.Load() }
+
+// Adopt implements operators.Router.
+func (v operatorView) Adopt(d *config.Document) {
+	ctx, cancel := context.WithTimeout(v.r.ctx, adoptWait)
+	defer cancel()
+	v.r.spread.Accept(ctx, d)
+}
+
+// adoptWait bounds the wait until a document is in force here.
+const adoptWait = time.Second
+
+// snapshotWait bounds the wait for the dispatcher, which may be busy or gone.
+const snapshotWait = time.Second
+
+// snapshot asks the dispatcher for its state; it is empty if no answer comes.
+func (r *Router) snapshot() dispatch.Snapshot {
+	answer := make(chan dispatch.Snapshot, 1)
+	r.dispatcher.post(r.ctx, message{snapshot: answer})
+	select {
+	case s := <-answer:
+		return s
+	case <-time.After(snapshotWait):
+		return dispatch.Snapshot{}
+	}
+}
+
+// sidecars returns the sidecars of the platform's list by id, and whether the
+// list was ever read.
+func (r *Router) sidecars() (map[string]platform.Instance, bool) {
+	out := map[string]platform.Instance{}
+	list, err := r.spread.Instances(r.ctx)
+	if err != nil {
+		return out, false
+	}
+	for _, i := range list {
+		if i.Role == platform.RoleSidecar {
+			out[i.ID] = i
+		}
+	}
+	return out, true
+}
+
+// Facts implements operators.Router.
+func (v operatorView) Facts() plan.Facts {
+	sidecars, known := v.r.sidecars()
+	facts := plan.Facts{BackendsKnown: known}
+	for _, id := range slices.Sorted(maps.Keys(sidecars)) {
+		facts.Backends = append(facts.Backends, plan.Backend{ID: id, Service: sidecars[id].Service})
+	}
+	for _, q := range v.r.snapshot().Queues {
+		facts.Queues = append(facts.Queues, plan.Queue{Team: q.Team, Service: q.Service, Waiting: q.Waiting})
+	}
+	return facts
+}
+
+// Status implements operators.Router.
+func (v operatorView) Status() operator.Status {
+	r := v.r
+	out := operator.Status{Router: r.set.ID, DataCentre: r.set.DataCentre, State: "ready", Revision: r.revision()}
+	if err := r.ready(); err != nil {
+		out.State = err.Error()
+	}
+	snapshot := r.snapshot()
+	for _, q := range snapshot.Queues {
+		out.Queues = append(out.Queues, operator.Queue{
+			Service: q.Service, Team: q.Team, Waiting: q.Waiting, Bytes: q.Bytes, OldestMS: q.Oldest.Milliseconds(),
+		})
+	}
+	doc := r.doc.Load()
+	out.Backends = r.backendStatus(doc, snapshot.Peers)
+	if doc != nil {
+		out.Teams = len(doc.Teams)
+		out.Services = serviceStatus(doc, out.Backends, out.Queues)
+	}
+	out.Routers = r.routerStatus()
+	return out
+}
+
+// backendStatus joins the platform's list with the open control streams.
+func (r *Router) backendStatus(doc *config.Document, peers []dispatch.PeerState) []operator.Backend {
+	byID := map[string]operator.Backend{}
+	sidecars, _ := r.sidecars()
+	for id, i := range sidecars {
+		byID[id] = operator.Backend{ID: id, Service: i.Service, DataCentre: i.DataCentre, Leaving: i.State == platform.StateLeaving}
+	}
+	for _, p := range peers {
+		b := byID[p.Sidecar]
+		b.ID, b.Service, b.Linked = p.Sidecar, p.Service, true
+		b.Slots, b.Free, b.Leaving = p.Slots, p.Free, p.Leaving || b.Leaving
+		if revision, ok := r.sidecarRevisions.Load(p.Sidecar); ok {
+			b.Revision, _ = revision.(uint64)
+		}
+		byID[p.Sidecar] = b
+	}
+	var out []operator.Backend
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		b := byID[id]
+		b.Drained = doc != nil && slices.Contains(doc.Drain, id)
+		out = append(out, b)
+	}
+	return out
+}
+
+// serviceStatus sums up each configured service.
+func serviceStatus(doc *config.Document, backends []operator.Backend, queues []operator.Queue) []operator.Service {
+	var out []operator.Service
+	for _, name := range slices.Sorted(maps.Keys(doc.Services)) {
+		s := operator.Service{Service: name, Kind: string(doc.Services[name].Kind)}
+		for _, b := range backends {
+			if b.Service != name || !b.Linked {
+				continue
+			}
+			s.Linked++
+			if !b.Leaving && !b.Drained {
+				s.Ready++
+				s.Slots += b.Slots
+				s.Free += b.Free
+			}
+		}
+		for _, q := range queues {
+			if q.Service == name {
+				s.Waiting += q.Waiting
+				s.WaitingTeams++
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (r *Router) routerStatus() []operator.Peer {
+	list, err := r.spread.Instances(r.ctx)
+	if err != nil {
+		return nil
+	}
+	var out []operator.Peer
+	for _, i := range list {
+		if i.Role == platform.RoleRouter && i.ID != r.set.ID {
+			out = append(out, operator.Peer{ID: i.ID, DataCentre: i.DataCentre, State: string(i.State)})
+		}
+	}
+	slices.SortFunc(out, func(a, b operator.Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -22,6 +22,7 @@
 	"goldcrestport/state/config"
 	"goldcrestport/transport/link"
 	"goldcrestport/transport/observe"
+	"goldcrestport/transport/operators"
 	"goldcrestport/transport/platform"
 	"goldcrestport/transport/spread"
 )
@@ -59,6 +60,8 @@
 	end       context.CancelFunc
 	abort     chan struct{}
 	abortOnce sync.Once
+	// sidecarRevisions maps a linked sidecar to the revision that it reported.
+	sidecarRevisions sync.Map
 }
 
 // New returns a router that has not bound anything yet.
@@ -113,11 +116,12 @@
 	srv := r.callerServer()
 	mux := http.NewServeMux()
 	observe.Health{Ready: r.ready}.Mount(mux)
+	operators.New(r.store, operatorView{r}, r.set.Operators.BootstrapDigest, r.log).Mount(mux)
 	go r.dispatcher.run(ctx)
 	go r.spread.Run(ctx)
 	go r.keepBeating(ctx)
 	go (&links{r: r, open: map[string]context.CancelFunc{}}).run(ctx)
-	go func() { _ = http.Serve(ops, mux) }()
+	go func() { _ = r.operatorServer(mux).Serve(ops) }()
 	go func() { _ = link.ServeRouter(ctx, peers, r) }()
 	go func() { _ = srv.Serve(callers) }()
 	_ = r.log.Log("event", "serving", "callers", r.set.Listen.Callers, "operators", r.set.Listen.Operators)
@@ -135,6 +139,17 @@
 	}
 }
 
+// operatorServer bounds what an operators' connection may take.
+func (r *Router) operatorServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: r.set.Limits.HeaderTimeout.D(),
+		ReadTimeout:       r.set.Limits.BodyTimeout.D(),
+		MaxHeaderBytes:    r.set.Limits.Headers,
+		IdleTimeout:       time.Minute,
+	}
+}
+
 func (r *Router) ready() error {
 	if r.unready.Load() {
 		return errors.New("leaving")
