goldcrestctl: plan, confirm, settle, history, rollback, status, drain

Cause: operators and their scripts need one command that says what will change before it does, and exit codes that can be relied on.

TestExitCodes runs 21 command lines against canned answers.

--- /dev/null
+++ b/cmd/goldcrestctl/main_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/coordination/plan"
+	"goldcrestport/protocol/intent"
+	"goldcrestport/protocol/operator"
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/state/config"
+)
+
+// examples is where the example intents are.
+const examples = "../../docs/examples/"
+
+// answering returns a router that gives one answer to everything.
+func answering(t *testing.T, status int, body any) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+func problem(status int, reason outcome.Reason, kind outcome.Kind) operator.Problem {
+	return operator.Problem{Problem: outcome.Problem{Status: status, Reason: reason, Outcome: kind, Detail: "detail"}}
+}
+
+// ctl runs a command line.
+func ctl(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = run(args, strings.NewReader(""), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range []string{"pamplemousses.json", "lanna-glyph.json"} {
+		code, out, errs := ctl("validate", examples+name)
+		c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errs))
+		c.Assert(out, qt.Contains, "valid, 16 teams, 2 services")
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	qt.Assert(t, os.WriteFile(bad, []byte(`{"teams": {}}`), 0o600), qt.IsNil)
+	good := examples + "pamplemousses.json"
+	stale := answering(t, http.StatusConflict, problem(http.StatusConflict, operator.ReasonStalePlan, outcome.NotRun))
+	refused := answering(t, http.StatusUnauthorized, problem(http.StatusUnauthorized, outcome.ReasonUnauthorized, outcome.NotRun))
+	unsettled := answering(t, http.StatusServiceUnavailable, problem(http.StatusServiceUnavailable, operator.ReasonUnsettled, outcome.Unknown))
+	broken := answering(t, http.StatusInternalServerError, "what")
+	history := answering(t, http.StatusOK, operator.HistoryResponse{})
+	tests := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"ok", []string{"--router", history, "history"}, exitOK},
+		{"next router", []string{"--router", gone.URL + "," + history, "history"}, exitOK},
+		{"schema", []string{"schema"}, exitOK},
+		{"version", []string{"version"}, exitOK},
+		{"completion", []string{"completion", "bash"}, exitOK},
+		{"unknown command", []string{"plam"}, exitBadInput},
+		{"unknown flag", []string{"history", "--colour"}, exitBadInput},
+		{"missing argument", []string{"confirm"}, exitBadInput},
+		{"bad format", []string{"history", "-o", "xml"}, exitBadInput},
+		{"no such file", []string{"validate", "nowhere.json"}, exitBadInput},
+		{"bad intent", []string{"validate", bad}, exitBadInput},
+		{"not a plan file", []string{"confirm", bad}, exitBadInput},
+		{"bad settle", []string{"settle", "abc"}, exitBadInput},
+		{"stale", []string{"--router", stale, "plan", "-f", good}, exitStale},
+		{"unauthorised", []string{"--router", refused, "plan", "-f", good}, exitRefused},
+		{"unsettled", []string{"--router", unsettled, "plan", "-f", good}, exitUnsettled},
+		{"unsettled stays open", []string{"--router", unsettled + "," + gone.URL, "plan", "-f", good}, exitUnsettled},
+		{"unsettled, then stale", []string{"--router", unsettled + "," + stale, "plan", "-f", good}, exitStale},
+		{"no router", []string{"history"}, exitUnsettled},
+		{"unreachable", []string{"--router", gone.URL, "history"}, exitUnsettled},
+		{"failing router", []string{"--router", broken, "history"}, exitError},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			code, _, errs := ctl(test.args...)
+			qt.Assert(t, code, qt.Equals, test.code, qt.Commentf("%s", errs))
+		})
+	}
+}
+
+func TestPlanIsKeptAndConfirmed(t *testing.T) {
+	c := qt.New(t)
+	data, err := os.ReadFile(examples + "lanna-glyph.json")
+	c.Assert(err, qt.IsNil)
+	in, err := intent.Parse(data)
+	c.Assert(err, qt.IsNil)
+	kept := filepath.Join(t.TempDir(), "plan.json")
+	planned := operator.PlanResponse{Plan: &plan.Plan{BaseRevision: 3, Digest: "abc", Teams: []plan.TeamChange{{Team: "lao"}}}, Intent: in}
+	code, out, errs := ctl("--router", answering(t, http.StatusOK, planned), "plan", "-f", examples+"lanna-glyph.json", "--save", kept)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errs))
+	c.Assert(out, qt.Contains, "goldcrestctl confirm "+kept)
+	var asked operator.ConfirmRequest
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_ = json.NewDecoder(req.Body).Decode(&asked)
+		_ = json.NewEncoder(w).Encode(operator.ConfirmResponse{Entry: operator.Entry{Revision: 4, Summary: "teams ~lao"}, Newest: 6})
+	}))
+	defer srv.Close()
+	code, out, errs = ctl("--router", srv.URL, "confirm", kept)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errs))
+	c.Assert(asked.BaseRevision, qt.Equals, uint64(3))
+	c.Assert(asked.Digest, qt.Equals, "abc")
+	again, err := intent.Parse(asked.Intent)
+	c.Assert(err, qt.IsNil)
+	c.Assert(config.Equal(again.Document(), in.Document()), qt.IsTrue)
+	c.Assert(out, qt.Equals, "Accepted as revision 4: teams ~lao\nRevision 6 has followed it since.\n")
+}
+
+func TestStatusAtAGlance(t *testing.T) {
+	c := qt.New(t)
+	one := answering(t, http.StatusOK, operator.Status{
+		Router: "r1", DataCentre: "nimman", State: "ready", Revision: 7,
+		Services: []operator.Service{{Service: "glossa-pool", Kind: "model", Ready: 1, Linked: 2, Slots: 4, Free: 1, Waiting: 3, WaitingTeams: 1}},
+		Queues:   []operator.Queue{{Service: "glossa-pool", Team: "lao", Waiting: 3, OldestMS: 1500}},
+		Backends: []operator.Backend{{ID: "b1", Service: "glossa-pool", DataCentre: "nimman", Linked: true, Slots: 4, Free: 1, Revision: 7}, {ID: "b2", Service: "glossa-pool", Drained: true, Linked: true, Slots: 4, Free: 4, Revision: 7}},
+		Routers:  []operator.Peer{{ID: "r2", DataCentre: "suthep", State: "live"}},
+	})
+	code, out, errs := ctl("--router", one, "status")
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errs))
+	c.Assert(out, qt.Equals, strings.Join([]string{
+		"ROUTER  DATA CENTRE  STATE             REVISION  WAITING",
+		"r1      nimman       ready             7         3",
+		"r2      suthep       live (not asked)            ",
+		"",
+		"SERVICE      KIND   BACKENDS READY  SLOTS BUSY  WAITING  TEAMS WAITING",
+		"glossa-pool  model  1 of 2          3 of 4      3        1",
+		"",
+		"BACKEND SERVER  SERVICE      DATA CENTRE  STATE    SLOTS BUSY  REVISION",
+		"b1              glossa-pool  nimman       ready    3 of 4      7",
+		"b2              glossa-pool               drained  0 of 4      7",
+		"",
+		"WAITING: TEAM  SERVICE      ROUTER  REQUESTS  OLDEST",
+		"lao            glossa-pool  r1      3         1.5s",
+		"",
+	}, "\n"))
+}
