--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -29,7 +29,8 @@
   NAMES+=("$name")
 }
 
-# pid_of NAME prints the process id of a started process.
+# pid_of NAME prints the process id of a started process. A bare return would
+# give the status from before the trap when it is called in one.
 pid_of() {
   local i
   for i in "${!NAMES[@]}"; do
@@ -63,7 +64,8 @@
     "operators": "127.0.0.1:$(port $((base + 1)))",
     "peers": "127.0.0.1:$(port $((base + 2)))"
   },
-  "platform": {"url": "http://$PLATFORM"}
+  "platform": {"url": "http://$PLATFORM"},
+  "operators": {"bootstrap_digest": "$(digest bootstrap-example-token)"}
 }
 J
   register "router-$n" "{\"id\":\"router-$n\",\"role\":\"router\",\"address\":\"127.0.0.1:$(port $((base + 2)))\",\"data_centre\":\"hall-pamp\",\"state\":\"live\"}"
@@ -116,6 +118,31 @@
   wait_for "http://127.0.0.1:$(port 17)/readyz"
 }
 
+# ctl ARGS... runs goldcrestctl as the example's operator at both routers.
+ctl() {
+  GOLDCREST_ROUTERS="127.0.0.1:$(port 14),127.0.0.1:$(port 17)" \
+    GOLDCREST_TOKEN=${CTL_TOKEN:-operations-example-token} bin/goldcrestctl "$@"
+}
+
+# fleet_configure plans and confirms the first configuration.
+fleet_configure() {
+  wait_for "http://127.0.0.1:$(port 14)/healthz"
+  wait_for "http://127.0.0.1:$(port 17)/healthz"
+  CTL_TOKEN=bootstrap-example-token ctl plan -f docs/examples/pamplemousses.json --save "$OUT/plan.json" >"$OUT/plan.txt"
+  CTL_TOKEN=bootstrap-example-token ctl confirm "$OUT/plan.json"
+}
+
+# fleet_linked waits until both routers are linked with all sidecars.
+fleet_linked() {
+  local i
+  for i in $(seq 1 100); do
+    [ "$(ctl status -o json | grep -c '"linked": true')" = 8 ] && return 0
+    sleep 0.1
+  done
+  echo "the routers are not linked with all sidecars" >&2
+  return 1
+}
+
 # stop NAME sends SIGTERM and waits until the process has ended.
 stop() {
   local pid
