Tests of the promises over cut links, and leaving by list, drain and signal

Cause: the attempt cores were proved alone; over real links the whole way from a broken stream to one outcome had not been run. A sidecar did not know that the platform lists it as leaving, attempts that waited for a slot were still started after a drain, and a stream that carried nothing hung until the deadline.

Ruled out: closing the control stream of a listed sidecar (it would go on taking offers of routers whose list lags).

--- a/coordination/share/share.go
+++ b/coordination/share/share.go
@@ -91,8 +91,10 @@
 		s.slots = ev.Slots
 	case Left:
 		s.leaving = true
+		s.declineReady()
 	case Drained:
 		s.drained = ev.On
+		s.declineReady()
 	case Ticked:
 		s.expirePulls(now)
 	}
@@ -223,6 +225,18 @@
 	}
 }
 
+// declineReady turns away what waits for a slot once no new work is taken, so
+// that it goes back to its router's queue.
+func (s *State) declineReady() {
+	if !s.closed() {
+		return
+	}
+	for _, r := range s.ready {
+		s.emit(Decline{Attempt: r.attempt})
+	}
+	s.ready = nil
+}
+
 // startReady starts attempts that are here while slots are free.
 func (s *State) startReady() {
 	for len(s.ready) > 0 && len(s.runs) < s.slots {
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -159,7 +159,7 @@
 // relay passes what the stream brings to the caller until it ends.
 func (r *Router) relay(ctx context.Context, f *flight, s wire.DRPCSidecar_RunClient, watch *silence) relayState {
 	for {
-		watch.arm()
+		watch.arm(f.c.relay.offset)
 		down, err := s.Recv()
 		watch.disarm()
 		if err != nil {
--- /dev/null
+++ b/transport/router/harness_test.go
@@ -0,0 +1,326 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"goldcrestport/protocol/settings"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/platform"
+	"goldcrestport/transport/router"
+	"goldcrestport/transport/sidecar"
+	"goldcrestport/transport/spread"
+)
+
+// cutter is a small TCP relay whose links can be cut.
+type cutter struct {
+	lis    net.Listener
+	target string
+
+	mu    sync.Mutex
+	conns []net.Conn
+	muted []*atomic.Bool
+	// deaf swallows what goes towards the target; refuse closes new links.
+	deaf   atomic.Bool
+	refuse atomic.Bool
+}
+
+func newCutter(t *testing.T, target string) *cutter {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	c := &cutter{lis: lis, target: target}
+	go c.serve()
+	t.Cleanup(func() { lis.Close(); c.cut() })
+	return c
+}
+
+func (c *cutter) addr() string { return c.lis.Addr().String() }
+
+func (c *cutter) serve() {
+	for {
+		in, err := c.lis.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", c.target)
+		if err != nil || c.refuse.Load() {
+			in.Close()
+			continue
+		}
+		c.mu.Lock()
+		c.conns = append(c.conns, in, out)
+		c.mu.Unlock()
+		go func() {
+			_, _ = io.Copy(&deafWriter{out, &c.deaf}, in)
+			out.Close()
+		}()
+		muted := &atomic.Bool{}
+		c.mu.Lock()
+		c.muted = append(c.muted, muted)
+		c.mu.Unlock()
+		go func() {
+			_, _ = io.Copy(&deafWriter{in, muted}, out)
+			in.Close()
+		}()
+	}
+}
+
+type deafWriter struct {
+	net.Conn
+	deaf *atomic.Bool
+}
+
+func (w *deafWriter) Write(p []byte) (int, error) {
+	if w.deaf.Load() {
+		return len(p), nil
+	}
+	return w.Conn.Write(p)
+}
+
+// cut closes every open link.
+func (c *cutter) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	c.conns = nil
+}
+
+// mute lets the open links carry nothing more towards the router.
+func (c *cutter) mute() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.muted {
+		m.Store(true)
+	}
+}
+
+// memStore is a key-value service and instance list in memory.
+type memStore struct {
+	platform.Store
+	mu        sync.Mutex
+	doc       []byte
+	version   uint64
+	instances []platform.Instance
+}
+
+func (m *memStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if key != spread.ConfigKey {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return platform.Entry{Key: key, Value: m.doc, Version: m.version}, nil
+}
+
+func (m *memStore) Watch(ctx context.Context, prefix string, after uint64, timeout time.Duration) ([]platform.Entry, uint64, error) {
+	for end := time.Now().Add(timeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(testBackoff) {
+		if e, err := m.Get(ctx, prefix); err == nil && e.Version > after {
+			return []platform.Entry{e}, e.Version, nil
+		}
+	}
+	return nil, after, ctx.Err()
+}
+
+func (m *memStore) Instances(context.Context) ([]platform.Instance, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]platform.Instance(nil), m.instances...), nil
+}
+
+// backend is a fake backend server that counts its runs.
+type backend struct {
+	*httptest.Server
+	runs atomic.Int64
+}
+
+func newBackend(t *testing.T, h http.HandlerFunc) *backend {
+	b := &backend{}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.runs.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(b.Close)
+	return b
+}
+
+// fleet is one router before sidecars, in one process, over loopback.
+type fleet struct {
+	t     *testing.T
+	store *memStore
+	url   string
+	ops   string
+	// router and its stop channel.
+	router *router.Router
+	stop   chan struct{}
+	done   chan error
+}
+
+const (
+	testToken   = "test-token"
+	plainPath   = "/services/ledger/pledges"
+	lookupPath  = "/services/ledger/lookups"
+	testBackoff = 10 * time.Millisecond
+)
+
+// lastHost numbers the loopback addresses of this process.
+var lastHost atomic.Int32
+
+// freeAddr returns an address that nothing else uses: each has a loopback IP
+// of its own, from which no connection is opened.
+func freeAddr(t *testing.T) string {
+	n := lastHost.Add(1)
+	lis, err := net.Listen("tcp", fmt.Sprintf("127.9.%d.%d:0", n/200, n%200+1))
+	qt.Assert(t, err, qt.IsNil)
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func newFleet(t *testing.T) *fleet {
+	doc, err := json.Marshal(config.Document{
+		Revision: 1,
+		Teams: map[string]config.Team{"legacy": {
+			Share: 1, Tokens: []string{config.TokenDigest(testToken)}, Services: []string{"ledger"},
+		}},
+		Services: map[string]config.Service{"ledger": {Kind: config.KindPlain, NonIdempotent: []string{"/pledges"}}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	f := &fleet{t: t, store: &memStore{doc: doc, version: 1}, stop: make(chan struct{}), done: make(chan error, 1)}
+	return f
+}
+
+// node is one sidecar and the relay before it.
+type node struct {
+	*cutter
+	id      string
+	sidecar *sidecar.Sidecar
+	stop    chan struct{}
+	done    chan error
+}
+
+// leave tells the sidecar to stop and waits until it has.
+func (n *node) leave() {
+	close(n.stop)
+	<-n.done
+	n.done <- nil
+}
+
+// sidecar starts a sidecar before the backend server and lists it behind a
+// relay.
+func (f *fleet) sidecar(id, backendURL string, change ...func(*settings.Sidecar)) *node {
+	set := settings.DefaultSidecar()
+	set.ID, set.Service, set.DataCentre = id, "ledger", "hall-pamp"
+	set.Listen.Peers, set.Listen.Operators = freeAddr(f.t), freeAddr(f.t)
+	set.Backend.URL, set.Backend.Slots = backendURL, 4
+	for _, c := range change {
+		c(&set)
+	}
+	n := &node{
+		id:      id,
+		sidecar: sidecar.New(set, f.store, f.store, log.NewNopLogger()),
+		stop:    make(chan struct{}),
+		done:    make(chan error, 2),
+	}
+	go func() { n.done <- n.sidecar.Serve(n.stop) }()
+	f.t.Cleanup(func() {
+		select {
+		case <-n.stop:
+		default:
+			close(n.stop)
+		}
+		n.sidecar.Abort()
+		<-n.done
+	})
+	n.cutter = newCutter(f.t, set.Listen.Peers)
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.instances = append(f.store.instances, platform.Instance{
+		ID: id, Role: platform.RoleSidecar, Address: n.addr(), Service: "ledger", State: platform.StateLive,
+	})
+	return n
+}
+
+// start starts the router and waits until it reaches a sidecar.
+func (f *fleet) start(change ...func(*settings.Router)) {
+	set := settings.DefaultRouter()
+	set.ID, set.DataCentre = "router-1", "hall-pamp"
+	set.Listen.Callers, set.Listen.Operators, set.Listen.Peers = freeAddr(f.t), freeAddr(f.t), freeAddr(f.t)
+	set.Platform.InstancesEvery = settings.Duration(50 * time.Millisecond)
+	for _, c := range change {
+		c(&set)
+	}
+	f.url, f.ops = "http://"+set.Listen.Callers, "http://"+set.Listen.Operators
+	f.router = router.New(set, f.store, f.store, log.NewNopLogger())
+	go func() { f.done <- f.router.Serve(f.stop) }()
+	f.t.Cleanup(f.stopNow)
+	for range 500 {
+		resp, err := f.call(http.MethodGet, lookupPath+"/warm", "")
+		if err == nil && resp.status == http.StatusOK {
+			return
+		}
+		time.Sleep(testBackoff)
+	}
+	f.t.Fatal("the router reaches no sidecar")
+}
+
+func (f *fleet) stopNow() {
+	select {
+	case <-f.stop:
+	default:
+		close(f.stop)
+	}
+	f.router.Abort()
+	<-f.done
+}
+
+// reply is an answer as the caller sees it.
+type reply struct {
+	status  int
+	outcome string
+	header  http.Header
+	body    string
+	// cut is the error that ended the body, nil if it ended cleanly.
+	cut error
+}
+
+func (f *fleet) request(method, path, body string) *http.Request {
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	qt.Assert(f.t, err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	return req
+}
+
+func (f *fleet) call(method, path, body string) (reply, error) {
+	resp, err := http.DefaultClient.Do(f.request(method, path, body))
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header.Get("Goldcrest-Outcome"), resp.Header, string(data), err}, nil
+}
+
+// warm answers the harness's own look-ups and passes the rest on.
+func warm(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/warm") {
+			return
+		}
+		h(w, r)
+	}
+}
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -66,8 +66,9 @@
 
 func (l *links) apply(ctx context.Context, list []platform.Instance) {
 	seen := map[string]bool{}
+	l.r.listing.set(list)
 	for _, i := range list {
-		if i.Role != platform.RoleSidecar || i.State != platform.StateLive {
+		if i.Role != platform.RoleSidecar {
 			continue
 		}
 		key := i.ID + "@" + i.Address
@@ -130,6 +131,7 @@
 	r.linkCount.Add(1)
 	defer r.linkCount.Add(-1)
 	go sendLink(stream, l)
+	go r.tellListing(stream, l.id)
 	return r.receiveLink(ctx, stream, l)
 }
 
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -45,6 +45,7 @@
 	dispatcher *dispatcher
 	metrics    *metrics
 	spread     *spread.Spreader
+	listing    *listing
 	doc        atomic.Pointer[config.Document]
 	linkCount  atomic.Int64
 	ctx        context.Context
@@ -80,6 +81,7 @@
 		pool:       link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
 		dispatcher: newDispatcher(dispatch.New(cfg)),
 		metrics:    newMetrics(),
+		listing:    newListing(),
 	}
 	r.spread = r.newSpreader()
 	return r
--- a/transport/router/settle.go
+++ b/transport/router/settle.go
@@ -21,7 +21,7 @@
 		if !pause(ctx, ask.After) {
 			return attempt.Finish{Kind: attempt.Unknown, Cause: attempt.LinkLost}
 		}
-		act = f.c.core.Step(time.Now(), r.ask(f, false))
+		act = f.c.core.Step(time.Now(), fateEvent(r.ask(f, false)))
 	}
 }
 
@@ -40,9 +40,9 @@
 	}
 }
 
-// ask asks the sidecar for the fate of the attempt once. A peek changes
-// nothing there.
-func (r *Router) ask(f *flight, peek bool) attempt.Event {
+// ask asks the sidecar for the fate of the attempt once; no answer is nil. A
+// peek changes nothing there.
+func (r *Router) ask(f *flight, peek bool) *wire.SettleResponse {
 	ctx, cancel := context.WithTimeout(r.ctx, settleTimeout)
 	defer cancel()
 	r.metrics.settles.Add(1)
@@ -55,6 +55,13 @@
 		Peek:    peek,
 	})
 	if err != nil {
+		return nil
+	}
+	return resp
+}
+
+func fateEvent(resp *wire.SettleResponse) attempt.Event {
+	if resp == nil {
 		return attempt.NoAnswer{}
 	}
 	return attempt.Settled{Fate: fateOf(resp.Fate), AnswerKept: resp.AnswerKept}
@@ -84,53 +91,70 @@
 // silence watches one stream: a link that carries nothing any more does not
 // end by itself when the other side is frozen or cut off.
 type silence struct {
-	timer   *time.Timer
-	stopped atomic.Bool
-	armed   atomic.Bool
+	timer *time.Timer
+	// offset delivered when the present wait began, notWaiting if none.
+	offset atomic.Int64
+	missed int
+	// cancel ends the stream.
+	cancel context.CancelFunc
 }
 
+// Values of silence.offset when no wait is on.
+const (
+	notWaiting   = -1
+	watchStopped = -2
+)
+
 // watchSilence cancels the stream when nothing comes and the sidecar does not
-// know the attempt as running or does not answer.
+// answer, does not know the attempt as running, or has more than came.
 func (r *Router) watchSilence(f *flight, cancel context.CancelFunc) *silence {
-	s := &silence{}
-	s.armed.Store(true)
-	missed := 0
-	s.timer = time.AfterFunc(silentFor, func() {
-		if s.stopped.Load() {
-			return
-		}
-		if !s.armed.Load() {
-			s.timer.Reset(silentFor)
-			return
-		}
-		got, ok := r.ask(f, true).(attempt.Settled)
-		switch {
-		case ok && got.Fate == attempt.Running:
-			missed = 0
-		case ok || missed+1 >= silentAsks:
-			cancel()
-			return
-		default:
-			missed++
-		}
-		if !s.stopped.Load() {
-			s.timer.Reset(silentFor)
-		}
-	})
+	s := &silence{cancel: cancel}
+	s.timer = time.AfterFunc(silentFor, func() { s.look(func() *wire.SettleResponse { return r.ask(f, true) }) })
+	s.offset.Store(0)
 	return s
 }
 
-// arm starts a wait for the stream.
-func (s *silence) arm() {
-	s.armed.Store(true)
+// look asks after a silent time and cancels the stream if it is broken.
+func (s *silence) look(ask func() *wire.SettleResponse) {
+	offset := s.offset.Load()
+	switch offset {
+	case watchStopped:
+		return
+	case notWaiting:
+		s.timer.Reset(silentFor)
+		return
+	}
+	resp := ask()
+	if s.offset.Load() != offset {
+		return // something came meanwhile, and the timer is set again
+	}
+	switch {
+	case resp == nil:
+		s.missed++
+	case fateOf(resp.Fate) != attempt.Running || resp.Length > offset:
+		// It may be on its way just now, so it is asked once more.
+		s.missed++
+	default:
+		s.missed = 0
+	}
+	if s.missed >= silentAsks {
+		s.cancel()
+		return
+	}
+	s.timer.Reset(silentFor)
+}
+
+// arm starts a wait for the stream, of which offset bytes were delivered.
+func (s *silence) arm(offset int64) {
+	s.offset.Store(offset)
 	s.timer.Reset(silentFor)
 }
 
 // disarm ends a wait for the stream.
-func (s *silence) disarm() { s.armed.Store(false) }
+func (s *silence) disarm() { s.offset.Store(notWaiting) }
 
 // stop ends the watch.
 func (s *silence) stop() {
-	s.stopped.Store(true)
+	s.offset.Store(watchStopped)
 	s.timer.Stop()
 }
--- a/transport/sidecar/answer.go
+++ b/transport/sidecar/answer.go
@@ -92,6 +92,13 @@
 	return int64(len(a.buf))
 }
 
+// length returns the number of bytes so far, held or not.
+func (a *answer) length() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.base + int64(len(a.buf))
+}
+
 // ack forgets the bytes before the offset.
 func (a *answer) ack(offset int64) {
 	a.mu.Lock()
--- a/transport/sidecar/control.go
+++ b/transport/sidecar/control.go
@@ -32,6 +32,7 @@
 	s.heard(address, up.Hello.Revision, up.Hello.ConfigAgeMs)
 	r := newRouter(up.Hello.Router)
 	s.chooser.post(s.ctx, message{joined: r})
+	defer s.drain.set(s.ctx, r.id, false)
 	defer s.chooser.post(s.ctx, message{parted: r, event: share.RouterDown{Router: r.id}})
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
@@ -77,6 +78,9 @@
 				Spread: int(i.Spread),
 			}})
 		}
+		if up.Listed != wire.Listed_LISTED_UNSPECIFIED {
+			s.drain.set(ctx, r.id, up.Listed == wire.Listed_LISTED_LEAVING)
+		}
 		for _, e := range up.Empties {
 			s.chooser.post(ctx, message{event: share.PullEmpty{Pull: e.Pull}})
 		}
--- /dev/null
+++ b/transport/sidecar/drain.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"context"
+	"expvar"
+	"sync"
+
+	"goldcrestport/coordination/share"
+)
+
+// Metrics of this process; expvar names are process-wide. The time from a
+// drain to the last new start is read from them and from the log line of the
+// drain.
+var (
+	startsVar    = expvar.NewInt("sidecar_starts")
+	lastStartVar = expvar.NewInt("sidecar_last_start_unix_ms")
+)
+
+// drainByConfig names the configuration as a source of a drain.
+const drainByConfig = "configuration"
+
+// drain collects the reasons for which the sidecar takes no new work: the
+// configuration's drain list, and the platform's list as routers read it.
+//
+// Invariant: the sidecar is drained while any source says so.
+type drain struct {
+	s *Sidecar
+
+	mu      sync.Mutex
+	sources map[string]bool
+}
+
+func newDrain(s *Sidecar) *drain { return &drain{s: s, sources: map[string]bool{}} }
+
+// set records what one source says.
+func (d *drain) set(ctx context.Context, source string, on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := len(d.sources) > 0
+	if on {
+		d.sources[source] = true
+	} else {
+		delete(d.sources, source)
+	}
+	after := len(d.sources) > 0
+	if before == after {
+		return
+	}
+	_ = d.s.log.Log("event", "drained", "on", after, "source", source, "held", d.s.held.Load())
+	d.s.chooser.post(ctx, message{event: share.Drained{On: after}})
+}
--- a/transport/sidecar/settle.go
+++ b/transport/sidecar/settle.go
@@ -32,5 +32,8 @@
 	}
 	fate := s.runs.settle(req)
 	out.Fate, out.AnswerKept = fates[fate.Phase], fate.AnswerKept
+	if a := s.runs.find(idOf(req.Attempt)); a != nil {
+		out.Length = a.answer.length()
+	}
 	return out, nil
 }
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -49,6 +49,7 @@
 	chooser     *chooser
 	backend     *backend
 	runs        *runs
+	drain       *drain
 	doc         atomic.Pointer[config.Document]
 	leaving     atomic.Bool
 	ctx         context.Context
@@ -80,6 +81,7 @@
 	cfg.LookAhead = *set.Backend.LookAhead
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
+	s.drain = newDrain(s)
 	return s
 }
 
@@ -144,8 +146,11 @@
 
 // started counts the start of a run.
 func (s *Sidecar) started() {
+	now := time.Now()
 	s.starts.Add(1)
-	s.startedAt.Store(time.Now().UnixNano())
+	s.startedAt.Store(now.UnixNano())
+	startsVar.Add(1)
+	lastStartVar.Set(now.UnixMilli())
 }
 
 // lastStart returns when the last run started.
--- a/transport/sidecar/spread.go
+++ b/transport/sidecar/spread.go
@@ -50,7 +50,7 @@
 		shares[name] = t.Share
 	}
 	s.chooser.post(s.ctx, message{event: share.SharesSet{Shares: shares}})
-	s.chooser.post(s.ctx, message{event: share.Drained{On: slices.Contains(doc.Drain, s.set.ID)}})
+	s.drain.set(s.ctx, drainByConfig, slices.Contains(doc.Drain, s.set.ID))
 }
 
 // heard takes a router's word on its revision.
