make prove: a fleet under failures, and checks of its history

Cause: nothing showed whether the promises hold when processes are killed or frozen, links cut or held, the platform down, slow or losing answers, and backend servers failing, alone or together. bench/prove runs 3 routers, 5 sidecars and their backend servers behind relays, with 24 callers and 2 operators; bench/history records calls, runs, failures, leaves and revisions as JSON lines and checks nine promises offline.

--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,10 @@
 measure: build
 	@cd bench && $(GO) build -o ../bin/ ./cmd/measure
 	@bin/measure --window $(DURATION) $(MEASURE)
+
+# prove runs a fleet under failures RUNS times and checks the promises; a run
+# takes about 45 s. SEED repeats an earlier run's choices.
+.PHONY: prove
+RUNS ?= 1
+prove: build
+	$(GO) run ./bench/cmd/prove --runs $(RUNS) $(if $(SEED),--seed $(SEED))
