Dispatch core: bounded queues, drain rate, subsets of interest, retry budget, ejection

Cause: the thin dispatch scanned every waiting request for expired deadlines, told every sidecar of every change, refused with a fixed Retry-After, let one full router refuse teams that had nothing waiting, and knew no failing sidecars.

Now: requests wait in order of arrival per (service, team) within bounds per team and in total; a full router lets the team with the most waiting give way. Deadlines are a heap and expire before each event. The drain rate is departures per busy second; it refuses at arrival what would not be served in time and gives Retry-After (1s to 60s, spread). Work is registered with a subset of the pool in an order of the team's own, widened by wait and by fair share, and with each sidecar that reports room; what may wait is paced. Retries other than after a decline take from a token bucket. A sidecar whose backend server is an outlier of its pool is ejected, at most half of the pool, and probed one request at a time (coordination/health). Prefix hashes allow a bounded reorder within a team. Two push policies are in their own files for comparison.

Ruled out: counting offered requests against the queue bounds (a run of many offers would refuse with nothing waiting); instead a returned request drives out the newest of its team. Merging an interest into a message that already holds an empty, which the receiver would apply in the wrong order.

Not run yet: the whole fleet under load.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -1,341 +1,199 @@
+// Package dispatch decides, at one router, where each request goes: it is
+// offered to a sidecar with room, or it waits in its team's queue until a
+// sidecar pulls it, or it is refused.
+//
+// The package is a pure state machine: State.Step takes an event and the time
+// and returns the actions to perform. It has no I/O, clock or goroutines. The
+// driver is transport/router.
 package dispatch
 
 import (
+	"container/list"
 	"math/rand/v2"
-	"sort"
 	"time"
 )
 
-// defaultRetryAfter is the hint when no drain rate is known yet.
-const defaultRetryAfter = time.Second
+// seedStream separates the generator's second word from the seed.
+const seedStream = 0x9e3779b97f4a7c15
 
 // State is the state of one router's dispatch. It must be used by one
 // goroutine at a time.
 type State struct {
-	cfg      Config
-	rng      *rand.Rand
-	pools    map[string]*pool
-	requests map[string]*entry
-	peers    map[string]*peer
-	queued   int
-	bytes    int64
-	refresh  time.Time
-	out      []Action
+	cfg       Config
+	rng       *rand.Rand
+	place     placement
+	pools     map[string]*pool
+	requests  map[string]*entry
+	peers     map[string]*peer
+	shares    map[string]float64
+	routers   int
+	arrivals  uint64
+	queued    int
+	bytes     int64
+	deadlines deadlines
+	retries   bucket
+	pace      bucket
+	maintain  time.Time
+	stats     Stats
+	out       []Action
+}
+
+// placement is the part of a policy that differs from the others.
+type placement interface {
+	// admit places a new request or refuses it.
+	admit(now time.Time, p *pool, e *entry)
+	// readmit places a request again whose attempt did not run.
+	readmit(now time.Time, p *pool, e *entry)
+	// roomChanged lets waiting requests use room that may have opened.
+	roomChanged(now time.Time, p *pool)
 }
 
 // New returns the empty state. The config must be valid.
 func New(cfg Config) *State {
-	return &State{
+	s := &State{
 		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^seedStream)),
 		pools:    map[string]*pool{},
 		requests: map[string]*entry{},
 		peers:    map[string]*peer{},
+		shares:   map[string]float64{},
+		routers:  1,
+		retries:  newBucket(cfg.Retry.PerSecond, cfg.Retry.Burst),
+		pace:     newBucket(cfg.Interest.PerSecond, cfg.Interest.PerSecond),
+		stats:    Stats{Refused: map[RefuseReason]uint64{}},
 	}
-}
-
-// pool is what the router knows of one service.
-type pool struct {
-	service string
-	peers   []*peer
-	teams   map[string]*queue
-}
-
-// peer is one sidecar with an open control stream.
-type peer struct {
-	id      string
-	service string
-	slots   int
-	free    int
-	leaving bool
-}
-
-// queue holds the waiting requests of one team for one service.
-type queue struct {
-	team    string
-	waiting []*entry
-	bytes   int64
+	switch cfg.Policy {
+	case PolicyPushFIFO:
+		s.place = pushFIFO{s}
+	case PolicyPushFair:
+		s.place = pushFair{s}
+	default:
+		s.place = pull{s}
+	}
+	return s
 }
 
 // entry is one request that has not ended.
 type entry struct {
 	req     Request
 	arrived time.Time
-	waiting bool
+	// number orders the requests by arrival.
+	number uint64
+	// waiting is the entry's place in its queue, nil while it is sent.
+	waiting *list.Element
+	// sidecar that holds the last attempt, empty while the entry waits.
+	sidecar string
+	// avoid is the sidecar of a failed attempt.
+	avoid  string
+	offers int
+	// overtaken counts the requests that went before it out of order.
+	overtaken int
 }
 
 // Step applies one event at the time now and returns the actions to perform,
 // in order. The slice is valid until the next call.
 func (s *State) Step(now time.Time, ev Event) []Action {
 	s.out = s.out[:0]
+	s.expire(now)
 	switch ev := ev.(type) {
 	case Arrived:
 		s.arrive(now, ev.Request)
 	case Withdrawn:
 		s.drop(now, ev.ID)
 	case Ended:
-		s.drop(now, ev.ID)
+		s.ended(now, ev)
 	case SidecarUp:
 		s.sidecarUp(now, ev)
 	case SidecarDown:
-		s.sidecarDown(ev.Sidecar)
+		s.sidecarDown(now, ev.Sidecar)
 	case LoadReported:
-		s.load(ev)
+		s.load(now, ev)
 	case Pulled:
 		s.pulled(now, ev)
 	case Declined:
 		s.declined(now, ev)
+	case Failed:
+		s.failed(now, ev)
+	case Succeeded:
+		s.succeeded(now, ev)
+	case SharesSet:
+		s.shares = ev.Shares
+	case RoutersSeen:
+		s.routers = max(ev.Count, 1)
 	case Ticked:
 		s.tick(now)
 	}
 	return s.out
 }
 
-// Waiting returns the number of requests that wait at the router.
-func (s *State) Waiting() int { return s.queued }
-
 func (s *State) emit(a Action) { s.out = append(s.out, a) }
 
-func (s *State) pool(service string) *pool {
-	p := s.pools[service]
-	if p == nil {
-		p = &pool{service: service, teams: map[string]*queue{}}
-		s.pools[service] = p
+func (s *State) share(team string) float64 {
+	if w := s.shares[team]; w > 0 {
+		return w
 	}
-	return p
+	return s.cfg.DefaultShare
 }
 
-func (p *pool) queue(team string) *queue {
-	q := p.teams[team]
-	if q == nil {
-		q = &queue{team: team}
-		p.teams[team] = q
-	}
-	return q
+// send starts an attempt. A pull of 0 marks an offer.
+func (s *State) send(e *entry, c *peer, pull uint64) {
+	e.sidecar = c.id
+	c.inFlight++
+	c.since++
+	s.emit(Send{ID: e.req.ID, Sidecar: c.id, Pull: pull})
 }
 
-func (s *State) arrive(now time.Time, r Request) {
-	p := s.pool(r.Service)
-	if len(p.peers) == 0 {
-		s.emit(Refuse{ID: r.ID, Reason: NoSidecar, RetryAfter: defaultRetryAfter})
-		return
-	}
-	q := p.queue(r.Team)
-	e := &entry{req: r, arrived: now}
-	if len(q.waiting) == 0 {
-		if to := s.freePeer(p); to != nil {
-			s.requests[r.ID] = e
-			to.free--
-			s.emit(Send{ID: r.ID, Sidecar: to.id})
-			return
+// release ends the attempt's hold on its sidecar.
+func (s *State) release(e *entry) {
+	if c := s.peers[e.sidecar]; c != nil {
+		c.inFlight = max(c.inFlight-1, 0)
+		if c.reported > 0 {
+			c.free = min(c.free+1, c.slots)
 		}
-	}
-	if s.full(q, r) {
-		s.emit(Refuse{ID: r.ID, Reason: QueueFull, RetryAfter: defaultRetryAfter})
-		return
-	}
-	s.requests[r.ID] = e
-	s.enqueue(now, p, q, e, len(q.waiting))
-}
-
-// full reports whether the request would pass a bound.
-func (s *State) full(q *queue, r Request) bool {
-	maxQueued, maxBytes := s.cfg.MaxQueued, s.cfg.MaxQueuedBytes
-	if r.MaxQueued > 0 {
-		maxQueued = r.MaxQueued
-	}
-	if r.MaxQueuedBytes > 0 {
-		maxBytes = r.MaxQueuedBytes
-	}
-	return len(q.waiting) >= maxQueued ||
-		q.bytes+r.Bytes > maxBytes ||
-		s.queued >= s.cfg.TotalQueued ||
-		s.bytes+r.Bytes > s.cfg.TotalQueuedBytes
-}
-
-// freePeer returns the sidecar with the most reported room, or nil.
-func (s *State) freePeer(p *pool) *peer {
-	var best *peer
-	ties := 0
-	for _, c := range p.peers {
-		if c.leaving || c.free <= 0 {
-			continue
-		}
-		switch {
-		case best == nil || c.free > best.free:
-			best, ties = c, 1
-		case c.free == best.free:
-			ties++
-			if s.rng.IntN(ties) == 0 {
-				best = c
-			}
+		if c.probe == e.req.ID {
+			c.endProbe()
 		}
 	}
-	return best
-}
-
-// enqueue puts the entry at place at and registers interest if the queue was
-// empty.
-func (s *State) enqueue(now time.Time, p *pool, q *queue, e *entry, at int) {
-	e.waiting = true
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[at+1:], q.waiting[at:])
-	q.waiting[at] = e
-	q.bytes += e.req.Bytes
-	s.queued++
-	s.bytes += e.req.Bytes
-	if len(q.waiting) == 1 {
-		s.register(now, p, q)
-	}
-}
-
-func (s *State) register(now time.Time, p *pool, q *queue) {
-	for _, c := range p.peers {
-		s.registerAt(now, p, q, c)
-	}
-}
-
-func (s *State) registerAt(now time.Time, p *pool, q *queue, c *peer) {
-	a := Register{Sidecar: c.id, Team: q.team, Count: len(q.waiting), Spread: len(p.peers)}
-	if a.Count > 0 {
-		a.Oldest = now.Sub(q.waiting[0].arrived)
-	}
-	s.emit(a)
-}
-
-// unqueue takes the entry at place i out of its queue.
-func (s *State) unqueue(now time.Time, p *pool, q *queue, i int) *entry {
-	e := q.waiting[i]
-	q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-	q.bytes -= e.req.Bytes
-	s.queued--
-	s.bytes -= e.req.Bytes
-	e.waiting = false
-	if len(q.waiting) == 0 {
-		s.register(now, p, q)
-	}
-	return e
+	e.sidecar = ""
 }
 
+// drop forgets a request that waits or is sent.
 func (s *State) drop(now time.Time, id string) {
 	e := s.requests[id]
 	if e == nil {
 		return
 	}
 	delete(s.requests, id)
-	if !e.waiting {
-		return
-	}
 	p := s.pool(e.req.Service)
-	q := p.queue(e.req.Team)
-	for i, w := range q.waiting {
-		if w == e {
-			s.unqueue(now, p, q, i)
-			return
-		}
-	}
-}
-
-func (s *State) sidecarUp(now time.Time, ev SidecarUp) {
-	s.sidecarDown(ev.Sidecar)
-	c := &peer{id: ev.Sidecar, service: ev.Service}
-	p := s.pool(ev.Service)
-	s.peers[c.id] = c
-	p.peers = append(p.peers, c)
-	for _, team := range sortedTeams(p) {
-		if q := p.teams[team]; len(q.waiting) > 0 {
-			s.registerAt(now, p, q, c)
-		}
-	}
-}
-
-func sortedTeams(p *pool) []string {
-	teams := make([]string, 0, len(p.teams))
-	for t := range p.teams {
-		teams = append(teams, t)
-	}
-	sort.Strings(teams)
-	return teams
-}
-
-func (s *State) sidecarDown(id string) {
-	c := s.peers[id]
-	if c == nil {
-		return
-	}
-	delete(s.peers, id)
-	p := s.pool(c.service)
-	for i, other := range p.peers {
-		if other == c {
-			p.peers = append(p.peers[:i], p.peers[i+1:]...)
-			return
-		}
-	}
-}
-
-func (s *State) load(ev LoadReported) {
-	c := s.peers[ev.Sidecar]
-	if c == nil {
+	if e.waiting != nil {
+		s.unqueue(now, p, e)
 		return
 	}
-	c.slots, c.free, c.leaving = ev.Slots, ev.Free, ev.Leaving
+	s.release(e)
+	s.place.roomChanged(now, p)
 }
 
-func (s *State) pulled(now time.Time, ev Pulled) {
-	c := s.peers[ev.Sidecar]
-	if c == nil {
-		return
-	}
-	p := s.pool(c.service)
-	q := p.teams[ev.Team]
-	if q == nil || len(q.waiting) == 0 {
-		s.emit(Empty{Sidecar: ev.Sidecar, Pull: ev.Pull})
-		return
-	}
-	e := s.unqueue(now, p, q, 0)
-	s.emit(Send{ID: e.req.ID, Sidecar: ev.Sidecar, Pull: ev.Pull})
-}
-
-func (s *State) declined(now time.Time, ev Declined) {
-	if c := s.peers[ev.Sidecar]; c != nil {
-		c.free = ev.Free
-	}
+func (s *State) ended(now time.Time, ev Ended) {
 	e := s.requests[ev.ID]
-	if e == nil || e.waiting {
+	if e == nil {
 		return
 	}
-	p := s.pool(e.req.Service)
-	s.enqueue(now, p, p.queue(e.req.Team), e, 0)
+	if ev.Cost > 0 {
+		q := s.pool(e.req.Service).queue(s, e.req.Team)
+		q.served += ev.Cost - e.req.Estimate
+	}
+	s.drop(now, ev.ID)
 }
 
+// tick lets time pass: deadlines were looked at before.
 func (s *State) tick(now time.Time) {
-	for _, e := range s.expired(now) {
-		s.drop(now, e.req.ID)
-		s.emit(Refuse{ID: e.req.ID, Reason: DeadlinePassed, RetryAfter: defaultRetryAfter})
-	}
-	if now.Before(s.refresh) {
+	s.refuseUnserved(now)
+	if now.Before(s.maintain) {
 		return
 	}
-	s.refresh = now.Add(s.cfg.RefreshEvery)
-	for _, p := range s.pools {
-		for _, team := range sortedTeams(p) {
-			if q := p.teams[team]; len(q.waiting) > 0 {
-				s.register(now, p, q)
-			}
-		}
-	}
-}
-
-func (s *State) expired(now time.Time) []*entry {
-	var out []*entry
-	for _, p := range s.pools {
-		for _, q := range p.teams {
-			for _, e := range q.waiting {
-				if !e.req.Deadline.IsZero() && now.After(e.req.Deadline) {
-					out = append(out, e)
-				}
-			}
-		}
+	s.maintain = now.Add(s.cfg.Interest.MaintainEvery)
+	for _, p := range s.sortedPools() {
+		s.maintainPool(now, p)
+		s.place.roomChanged(now, p)
 	}
-	return out
 }
--- a/coordination/dispatch/event.go
+++ b/coordination/dispatch/event.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Request is what the decision needs to know of a waiting request.
+// Request is what the decision needs to know of a request.
 type Request struct {
 	ID      string
 	Service string
@@ -13,6 +13,10 @@
 	Estimate float64
 	// Deadline after which the caller has no use of the answer; zero for none.
 	Deadline time.Time
+	// Idempotent requests are preferred as probes.
+	Idempotent bool
+	// Prefix is the hash of the begin of the prompt, 0 for none.
+	Prefix uint64
 	// MaxQueued and MaxQueuedBytes override the defaults if positive.
 	MaxQueued      int
 	MaxQueuedBytes int64
@@ -21,7 +25,7 @@
 // Event is an input of State.Step.
 type Event interface{ isEvent() }
 
-// Arrived is a new request.
+// Arrived is a new request. Its ID is unique.
 type Arrived struct{ Request Request }
 
 // Withdrawn is a request whose caller is gone.
@@ -38,7 +42,11 @@
 	Sidecar string
 	Slots   int
 	Free    int
+	// Waiting is the number of attempts queued at the sidecar.
+	Waiting int
 	Leaving bool
+	// Ejected tells that the sidecar itself found its backend server failing.
+	Ejected bool
 }
 
 // Pulled is a sidecar that asks for one request of a team.
@@ -46,6 +54,8 @@
 	Sidecar string
 	Pull    uint64
 	Team    string
+	// Prefixes that the backend server served last.
+	Prefixes []uint64
 }
 
 // Declined is an attempt that a sidecar did not take and will not run.
@@ -55,8 +65,32 @@
 	Free    int
 }
 
+// Failed is an attempt that failed at a sidecar. With Retry the request asks
+// for another attempt; the answer is a Send, now or later, or a Refuse.
+type Failed struct {
+	ID      string
+	Sidecar string
+	Retry   bool
+}
+
+// Succeeded is an attempt that the backend server answered.
+type Succeeded struct {
+	ID      string
+	Sidecar string
+}
+
 // Ended is a request that has its final outcome.
-type Ended struct{ ID string }
+type Ended struct {
+	ID string
+	// Cost of the run in cost units, 0 if not known.
+	Cost float64
+}
+
+// SharesSet replaces the shares of the teams.
+type SharesSet struct{ Shares map[string]float64 }
+
+// RoutersSeen tells the number of live routers, this one included.
+type RoutersSeen struct{ Count int }
 
 // Ticked lets time pass.
 type Ticked struct{}
@@ -68,53 +102,9 @@
 func (LoadReported) isEvent() {}
 func (Pulled) isEvent()       {}
 func (Declined) isEvent()     {}
+func (Failed) isEvent()       {}
+func (Succeeded) isEvent()    {}
 func (Ended) isEvent()        {}
+func (SharesSet) isEvent()    {}
+func (RoutersSeen) isEvent()  {}
 func (Ticked) isEvent()       {}
-
-// Action is an output of State.Step that the driver performs.
-type Action interface{ isAction() }
-
-// Send starts an attempt of a request at a sidecar. Pull is 0 for an offer.
-type Send struct {
-	ID      string
-	Sidecar string
-	Pull    uint64
-}
-
-// Register tells a sidecar how much work of a team waits here.
-type Register struct {
-	Sidecar string
-	Team    string
-	Count   int
-	Oldest  time.Duration
-	// Spread is the number of sidecars that see the team.
-	Spread int
-}
-
-// Empty answers a pull for which nothing waits.
-type Empty struct {
-	Sidecar string
-	Pull    uint64
-}
-
-// RefuseReason says why a request is given up before it ran.
-type RefuseReason int
-
-// Reasons of a Refuse.
-const (
-	QueueFull RefuseReason = iota + 1
-	DeadlinePassed
-	NoSidecar
-)
-
-// Refuse ends a request that was not run.
-type Refuse struct {
-	ID         string
-	Reason     RefuseReason
-	RetryAfter time.Duration
-}
-
-func (Send) isAction()     {}
-func (Register) isAction() {}
-func (Empty) isAction()    {}
-func (Refuse) isAction()   {}
--- /dev/null
+++ b/coordination/dispatch/interest_test.go
@@ -0,0 +1,120 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/coordination/dispatch"
+)
+
+// registered applies registrations to a sidecar's view of the waiting work.
+func registered(view map[string]int, actions []dispatch.Action) map[string]int {
+	for _, r := range only[dispatch.Register](actions) {
+		if r.Count == 0 {
+			delete(view, r.Sidecar)
+			continue
+		}
+		view[r.Sidecar] = r.Count
+	}
+	return view
+}
+
+func TestSubsetWidensWithTheWait(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(func(cfg *dispatch.Config) { cfg.Interest.PerSecond = 5000 })
+	f.sidecars(60, 8, 0)
+	for i := range 20 { // so many teams that none has a fair share above 8
+		f.arrive(sidecar(i), sidecar(i))
+	}
+	view := registered(map[string]int{}, f.arrive("a", "0"))
+	c.Assert(view, qt.HasLen, 8)
+	widen := func(d time.Duration) int {
+		for _, r := range only[dispatch.Register](f.after(d)) {
+			if r.Team == "a" {
+				registered(view, []dispatch.Action{r})
+			}
+		}
+		return len(view)
+	}
+	c.Assert(widen(180*time.Millisecond), qt.Equals, 16)
+	c.Assert(widen(400*time.Millisecond), qt.Equals, 60)
+	f.step(dispatch.Withdrawn{ID: "0"})
+	c.Assert(widen(time.Second), qt.Equals, 0)
+}
+
+func TestSubsetHoldsMoreSlotsThanTheFairShare(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(func(cfg *dispatch.Config) {
+		cfg.Interest.Subset, cfg.Interest.WidenEvery = 1, 100*time.Millisecond
+	})
+	f.sidecars(40, 8, 0)
+	f.step(dispatch.SharesSet{Shares: map[string]float64{"a": 3, "b": 1}})
+	a := registered(map[string]int{}, f.arrive("a", "a-0"))
+	registered(a, f.arrive("a", "a-1"))
+	b := registered(map[string]int{}, f.arrive("b", "b-0"))
+	c.Assert(len(a)+len(b), qt.Equals, 2)
+	for _, act := range only[dispatch.Register](f.after(200 * time.Millisecond)) {
+		map[string]map[string]int{"a": a, "b": b}[act.Team][act.Sidecar] = act.Count
+	}
+	// Twice the fair share: 2 x 3/4 of 40 is the whole pool, 2 x 1/4 is half.
+	c.Assert(a, qt.HasLen, 40)
+	c.Assert(b, qt.HasLen, 20)
+}
+
+func TestFreeSidecarIsToldOfAllThatWaits(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(nil)
+	f.sidecars(40, 1, 0)
+	view := registered(map[string]int{}, f.arrive("a", "0"))
+	for i := range 40 {
+		if view[sidecar(i)] == 0 {
+			got := only[dispatch.Register](f.load(i, 1, 1))
+			c.Assert(got, qt.HasLen, 1)
+			c.Assert(got[0].Sidecar, qt.Equals, sidecar(i))
+			return
+		}
+	}
+	t.Fatal("the first subset holds the whole pool")
+}
+
+// Registrations may not grow with the requests: a queue that stays non-empty
+// is told again only when its length has changed by a factor.
+func TestSteadyBacklogCostsFewMessages(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(nil)
+	f.sidecars(8, 8, 0)
+	f.fill("a", 20)
+	f.after(time.Second)
+	before := f.Stats().Interests
+	for i := range 2000 {
+		f.arrive("a", sidecar(1000+i))
+		f.step(dispatch.Pulled{Sidecar: sidecar(i % 8), Pull: 1, Team: "a"})
+	}
+	c.Assert(f.Stats().Interests, qt.Equals, before)
+}
+
+func TestMessagesThatMayWaitArePaced(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(func(cfg *dispatch.Config) { cfg.Interest.PerSecond = 10 })
+	f.sidecars(200, 8, 0)
+	for i := range 20 {
+		f.arrive(sidecar(i), sidecar(i))
+	}
+	before := f.Stats().Interests
+	f.after(2 * time.Second)
+	sent := f.Stats().Interests - before
+	c.Assert(sent <= 30, qt.IsTrue, qt.Commentf("%d", sent))
+}
+
+func TestEmptyEndsTheRegistration(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(nil)
+	f.sidecars(1, 1, 0)
+	f.arrive("a", "0")
+	f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 1, Team: "a"})
+	got := f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 2, Team: "a"})
+	c.Assert(got, qt.DeepEquals, []dispatch.Action{dispatch.Empty{Sidecar: sidecar(0), Pull: 2}})
+	c.Assert(only[dispatch.Register](f.arrive("a", "1")), qt.HasLen, 1)
+}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -49,6 +49,7 @@
 	ReasonNoBackend      Reason = "no-backend-server"
 	ReasonNoConfig       Reason = "no-configuration"
 	ReasonLeaving        Reason = "leaving"
+	ReasonRetryBudget    Reason = "retry-budget"
 	ReasonLinkLost       Reason = "link-lost"
 	ReasonAnswerLost     Reason = "answer-lost"
 	ReasonBackend        Reason = "backend-server"
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -91,6 +91,9 @@
 
 // Router holds the settings of a router.
 type Router struct {
+	// Policy of placement: "pull", or a baseline for comparisons, "push-fifo"
+	// or "push-fair". Default "pull".
+	Policy     string       `json:"policy"`
 	ID         string       `json:"id"`
 	DataCentre string       `json:"data_centre"`
 	Listen     RouterListen `json:"listen"`
@@ -145,6 +148,7 @@
 // DefaultRouter returns a router's settings with every default filled in.
 func DefaultRouter() Router {
 	return Router{
+		Policy:   "pull",
 		Platform: defaultPlatform(),
 		Queues:   Queues{PerTeam: 512, PerTeamBytes: 64 << 20, Total: 8192, TotalBytes: 128 << 20},
 		Limits: CallerLimits{
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -58,10 +58,10 @@
 			}
 			o, again := r.try(ctx, c, d)
 			if again {
-				r.dispatcher.post(r.ctx, message{event: dispatch.Declined{ID: c.id, Sidecar: d.send.Sidecar}})
+				r.dispatcher.post(r.ctx, message{event: c.again(d)})
 				continue
 			}
-			r.dispatcher.post(r.ctx, message{event: dispatch.Ended{ID: c.id}})
+			r.ended(c, d, o)
 			r.finish(w, c, o)
 			return
 		}
@@ -101,6 +101,10 @@
 		return outcome.Refuse(outcome.ReasonQueueFull, http.StatusTooManyRequests, a.RetryAfter, "the team's queue is full")
 	case dispatch.DeadlinePassed:
 		return outcome.Refuse(outcome.ReasonDeadline, http.StatusServiceUnavailable, a.RetryAfter, "the deadline passed before a backend server was free")
+	case dispatch.WaitTooLong:
+		return outcome.Refuse(outcome.ReasonDeadline, http.StatusServiceUnavailable, a.RetryAfter, "the estimated wait passes the deadline")
+	case dispatch.RetryDenied:
+		return outcome.Refuse(outcome.ReasonRetryBudget, http.StatusServiceUnavailable, a.RetryAfter, "too many attempts fail to try again")
 	default:
 		return outcome.Refuse(outcome.ReasonNoBackend, http.StatusServiceUnavailable, a.RetryAfter, "no backend server is known")
 	}
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -12,6 +12,7 @@
 
 	"goldcrestport/coordination/dispatch"
 	"goldcrestport/protocol/outcome"
+	"goldcrestport/protocol/prefix"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
 )
@@ -155,6 +156,7 @@
 	now := time.Now()
 	deadline := now.Add(r.deadline(req))
 	key := req.Header.Get(headerKey)
+	idempotent := !nonIdempotent(service, to.path, req)
 	return &call{
 		id:        id,
 		body:      body,
@@ -167,6 +169,8 @@
 			Bytes:          int64(len(body)),
 			Estimate:       1,
 			Deadline:       deadline,
+			Idempotent:     idempotent,
+			Prefix:         prefix.Of(body),
 			MaxQueued:      team.MaxQueued,
 			MaxQueuedBytes: team.MaxQueuedBytes,
 		},
@@ -177,7 +181,7 @@
 			Method:         req.Method,
 			Path:           to.path,
 			Headers:        passedHeaders(req.Header),
-			Idempotent:     !nonIdempotent(service, to.path, req),
+			Idempotent:     idempotent,
 			IdempotencyKey: key,
 			Estimate:       1,
 			DeadlineMs:     deadline.Sub(now).Milliseconds(),
--- /dev/null
+++ b/transport/router/dispatch_config.go
@@ -0,0 +1,21 @@
+package router
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestport/coordination/dispatch"
+	"goldcrestport/protocol/settings"
+)
+
+// dispatchConfig returns the core's parameters from the settings. The seed
+// comes from the router's name, so that routers choose different subsets.
+func dispatchConfig(set settings.Router) dispatch.Config {
+	cfg := dispatch.DefaultConfig()
+	cfg.Policy = dispatch.Policy(set.Policy)
+	cfg.Queues.PerTeam = set.Queues.PerTeam
+	cfg.Queues.PerTeamBytes = set.Queues.PerTeamBytes
+	cfg.Queues.Total = set.Queues.Total
+	cfg.Queues.TotalBytes = set.Queues.TotalBytes
+	cfg.Seed = xxhash.Sum64String(set.ID)
+	return cfg
+}
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"goldcrestport/coordination/dispatch"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/state/config"
 )
 
 // Bounds of the rings between duties.
@@ -17,6 +18,10 @@
 // tickEvery is the period in which deadlines are looked at.
 const tickEvery = 20 * time.Millisecond
 
+// publishEvery is the period of the metrics' snapshots and of the look for
+// changed shares.
+const publishEvery = 250 * time.Millisecond
+
 // decision is what the dispatcher tells a request's handler: to send an
 // attempt, or that the request is refused.
 type decision struct {
@@ -42,11 +47,16 @@
 	messages chan message
 	calls    map[string]*call
 	links    map[string]*sidecarLink
+	// doc returns the configuration in force, or nil.
+	doc       func() *config.Document
+	seen      *config.Document
+	published time.Time
 }
 
-func newDispatcher(core *dispatch.State) *dispatcher {
+func newDispatcher(core *dispatch.State, doc func() *config.Document) *dispatcher {
 	return &dispatcher{
 		core:     core,
+		doc:      doc,
 		messages: make(chan message, eventRing),
 		calls:    map[string]*call{},
 		links:    map[string]*sidecarLink{},
@@ -73,8 +83,26 @@
 			d.handle(m)
 		case <-ticker.C:
 			d.step(dispatch.Ticked{})
+			d.publish(time.Now())
+		}
+	}
+}
+
+// publish hands changed shares to the core and shows its metrics.
+func (d *dispatcher) publish(now time.Time) {
+	if now.Sub(d.published) < publishEvery {
+		return
+	}
+	d.published = now
+	if doc := d.doc(); doc != nil && doc != d.seen {
+		d.seen = doc
+		shares := make(map[string]float64, len(doc.Teams))
+		for name, team := range doc.Teams {
+			shares[name] = team.Share
 		}
+		d.step(dispatch.SharesSet{Shares: shares})
 	}
+	dispatchPublished.set(d.core.WaitingBy(), d.core.Stats())
 }
 
 func (d *dispatcher) handle(m message) {
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"goldcrestport/coordination/dispatch"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/transport/platform"
@@ -66,7 +68,11 @@
 
 func (l *links) apply(ctx context.Context, list []platform.Instance) {
 	seen := map[string]bool{}
+	routers := 0
 	for _, i := range list {
+		if i.Role == platform.RoleRouter && i.State == platform.StateLive {
+			routers++
+		}
 		if i.Role != platform.RoleSidecar || i.State != platform.StateLive {
 			continue
 		}
@@ -78,6 +84,7 @@
 			go l.r.keepLink(sub, i)
 		}
 	}
+	l.r.dispatcher.post(ctx, message{event: dispatch.RoutersSeen{Count: routers}})
 	for key, cancel := range l.open {
 		if !seen[key] {
 			cancel()
@@ -143,11 +150,36 @@
 			_ = stream.Close()
 			return
 		case m := <-l.out:
-			if stream.Send(m) != nil {
-				return
+			for m != nil {
+				var rest *wire.ControlUp
+				m, rest = gather(m, l.out)
+				dispatchPublished.controlOut.Add(int64(proto.Size(m)))
+				if stream.Send(m) != nil {
+					return
+				}
+				m = rest
+			}
+		}
+	}
+}
+
+// gather joins queued messages to the first one, to save frames. It returns
+// the message that could not be joined, if any. A receiver reads interests
+// before empties, so an interest is never joined to an earlier empty.
+func gather(first *wire.ControlUp, queued <-chan *wire.ControlUp) (joined, rest *wire.ControlUp) {
+	for range controlRing {
+		select {
+		case next := <-queued:
+			if len(first.Empties) > 0 && len(next.Interests) > 0 || next.Hello != nil || next.Beat != nil {
+				return first, next
 			}
+			first.Interests = append(first.Interests, next.Interests...)
+			first.Empties = append(first.Empties, next.Empties...)
+		default:
+			return first, nil
 		}
 	}
+	return first, nil
 }
 
 // receiveLink turns the sidecar's messages into events.
@@ -157,17 +189,20 @@
 		if err != nil {
 			return err
 		}
+		dispatchPublished.controlIn.Add(int64(proto.Size(down)))
 		if load := down.Load; load != nil {
 			r.heard(l, load)
 			r.dispatcher.post(ctx, message{event: dispatch.LoadReported{
 				Sidecar: l.id,
 				Slots:   int(load.Slots),
 				Free:    int(load.Free),
+				Waiting: int(load.Waiting),
 				Leaving: load.Leaving,
+				Ejected: load.Ejected,
 			}})
 		}
 		for _, p := range down.Pulls {
-			r.dispatcher.post(ctx, message{event: dispatch.Pulled{Sidecar: l.id, Pull: p.Pull, Team: p.Team}})
+			r.dispatcher.post(ctx, message{event: dispatch.Pulled{Sidecar: l.id, Pull: p.Pull, Team: p.Team, Prefixes: p.Prefixes}})
 		}
 	}
 }
--- a/transport/router/relay.go
+++ b/transport/router/relay.go
@@ -52,6 +52,10 @@
 	acked  int64
 	sum    *xxhash.Digest
 	end    *wire.End
+	// declined tells that the sidecar did not take the last attempt.
+	declined bool
+	// status of the backend server's answer.
+	status int
 }
 
 func newRelay(w http.ResponseWriter, id string, m *metrics) *relay {
@@ -61,7 +65,7 @@
 // expect sets the attempt whose answer is taken. It must not be called after
 // a part of another attempt's answer was written.
 func (l *relay) expect(number uint32, incarnation string) {
-	l.number, l.incarnation = number, incarnation
+	l.number, l.incarnation, l.declined = number, incarnation, false
 }
 
 // take handles one message of the stream.
@@ -71,6 +75,7 @@
 		if l.wrote {
 			return relayBroken
 		}
+		l.declined = true
 		return relayDeclined
 	case *wire.RunDown_Head:
 		if !l.head(m.Head) {
@@ -109,7 +114,8 @@
 	}
 	header.Set("Goldcrest-Request-Id", l.id)
 	header.Set(outcome.Header, string(outcome.Completed))
-	l.w.WriteHeader(int(h.Status))
+	l.status = int(h.Status)
+	l.w.WriteHeader(l.status)
 	l.wrote = true
 	return true
 }
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -63,24 +63,19 @@
 
 // New returns a router that has not bound anything yet.
 func New(set settings.Router, store platform.Store, dir platform.Directory, logger log.Logger) *Router {
-	cfg := dispatch.DefaultConfig()
-	cfg.MaxQueued = set.Queues.PerTeam
-	cfg.MaxQueuedBytes = set.Queues.PerTeamBytes
-	cfg.TotalQueued = set.Queues.Total
-	cfg.TotalQueuedBytes = set.Queues.TotalBytes
 	ending, end := context.WithCancel(context.Background())
 	r := &Router{
-		ending:     ending,
-		end:        end,
-		abort:      make(chan struct{}),
-		set:        set,
-		log:        logger,
-		store:      store,
-		directory:  dir,
-		pool:       link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
-		dispatcher: newDispatcher(dispatch.New(cfg)),
-		metrics:    newMetrics(),
+		ending:    ending,
+		end:       end,
+		abort:     make(chan struct{}),
+		set:       set,
+		log:       logger,
+		store:     store,
+		directory: dir,
+		pool:      link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
+		metrics:   newMetrics(),
 	}
+	r.dispatcher = newDispatcher(dispatch.New(dispatchConfig(set)), r.doc.Load)
 	r.spread = r.newSpreader()
 	return r
 }
@@ -95,6 +90,9 @@
 // Serve binds the listeners and serves until stop is closed; it returns when
 // what it holds has ended or the stop bound has passed.
 func (r *Router) Serve(stop <-chan struct{}) error {
+	if err := dispatchConfig(r.set).Validate(); err != nil {
+		return errors.Wrap(err, "settings")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.ctx = ctx
