--- a/coordination/dispatch/snapshot.go
+++ b/coordination/dispatch/snapshot.go
@@ -33,19 +33,17 @@
 // Snapshot returns the non-empty queues and the sidecars, sorted by name.
 func (s *State) Snapshot(now time.Time) Snapshot {
 	var out Snapshot
-	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
-		p := s.pools[service]
-		for _, team := range sortedTeams(p) {
-			q := p.teams[team]
-			if len(q.waiting) == 0 {
+	for _, p := range s.sortedPools() {
+		for _, q := range p.sortedQueues() {
+			if q.len() == 0 {
 				continue
 			}
 			out.Queues = append(out.Queues, QueueState{
-				Service: service,
-				Team:    team,
-				Waiting: len(q.waiting),
+				Service: p.service,
+				Team:    q.team,
+				Waiting: q.len(),
 				Bytes:   q.bytes,
-				Oldest:  now.Sub(q.waiting[0].arrived),
+				Oldest:  q.wait(now),
 			})
 		}
 	}
