Orders to engines: the driver, permits on the platform, progress in status

Cause: the reconciling core had nobody to perform its actions. The sidecar reads what its engine has, takes a place for each load from the weight store (fleet-wide, orders.concurrent_loads) and for each change that takes capacity away (per pool, services.*.wave), each place a key under a lease on the platform, and validates before each order: with engines that check the fencing token by a fresh configuration, with others by asking the platform. The orders left ride on the load report and show in goldcrestctl status. Ruled out: releasing a permit after asking for the next one in two goroutines (the release could have hit the new lease; the place is now taken synchronously and given back later). A kill between order and answer is covered by the core's test only.

--- a/cmd/goldcrestctl/status.go
+++ b/cmd/goldcrestctl/status.go
@@ -150,6 +150,8 @@
 		return "leaving"
 	case !b.Linked:
 		return "not linked"
+	case b.OrdersLeft > 0:
+		return fmt.Sprintf("ready, %d orders left", b.OrdersLeft)
 	default:
 		return "ready"
 	}
--- a/protocol/operator/status.go
+++ b/protocol/operator/status.go
@@ -55,6 +55,9 @@
 	Drained bool `json:"drained"`
 	// Revision in force at the sidecar by its last report.
 	Revision uint64 `json:"revision"`
+	// OrdersLeft is how many orders its engine still has to be given before it
+	// has what the configuration asks for.
+	OrdersLeft int `json:"orders_left"`
 }
 
 // Peer is another router.
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -139,6 +139,15 @@
 	ResumeGrace Duration `json:"resume_grace"`
 }
 
+// Orders bounds what a sidecar orders its engine to do.
+type Orders struct {
+	// ConcurrentLoads is how many loads from the weight store run at once in
+	// the whole fleet. Default 4.
+	ConcurrentLoads int `json:"concurrent_loads"`
+	// Timeout is how long an order may take. Default 5m.
+	Timeout Duration `json:"timeout"`
+}
+
 // Sidecar holds the settings of a sidecar.
 type Sidecar struct {
 	ID         string        `json:"id"`
@@ -150,6 +159,7 @@
 	// process asks when the platform does not answer.
 	Seeds   []string `json:"seeds,omitempty"`
 	Backend Backend  `json:"backend"`
+	Orders  Orders   `json:"orders"`
 	Stop    Stop     `json:"stop"`
 }
 
@@ -176,6 +186,7 @@
 	return Sidecar{
 		Platform: defaultPlatform(),
 		Backend:  Backend{Slots: 8, LookAhead: &ahead, PromptWeight: 0.01, ResumeGrace: Duration(5 * time.Second)},
+		Orders:   Orders{ConcurrentLoads: 4, Timeout: Duration(5 * time.Minute)},
 		Stop:     Stop{Bound: Duration(30 * time.Second)},
 	}
 }
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -76,6 +76,9 @@
 	Models []Model `json:"models,omitempty"`
 	// ChecksFence tells that the engines refuse an older fencing token.
 	ChecksFence bool `json:"checks_fence,omitempty"`
+	// Wave is how many backend servers of the pool may be changed at once in a
+	// way that takes capacity away; 0 for one.
+	Wave int `json:"wave,omitempty"`
 	// Role that the engines have to play.
 	Role string `json:"role,omitempty"`
 }
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -137,7 +137,7 @@
 	defer r.dispatcher.post(r.ctx, message{link: l, event: dispatch.SidecarDown{Sidecar: l.id}})
 	r.linkCount.Add(1)
 	defer r.linkCount.Add(-1)
-	defer r.sidecarRevisions.Delete(l.id)
+	defer r.sidecarReports.Delete(l.id)
 	go sendLink(stream, l)
 	go r.tellListing(stream, l.id)
 	return r.receiveLink(ctx, stream, l)
@@ -195,7 +195,7 @@
 		dispatchPublished.controlIn.Add(int64(proto.Size(down)))
 		if load := down.Load; load != nil {
 			r.heard(l, load)
-			r.sidecarRevisions.Store(l.id, load.Revision)
+			r.sidecarReports.Store(l.id, load)
 			r.dispatcher.post(ctx, message{event: dispatch.LoadReported{
 				Sidecar: l.id,
 				Slots:   int(load.Slots),
--- a/transport/router/operators.go
+++ b/transport/router/operators.go
@@ -10,6 +10,7 @@
 	"goldcrestport/coordination/dispatch"
 	"goldcrestport/coordination/plan"
 	"goldcrestport/protocol/operator"
+	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
 	"goldcrestport/transport/platform"
 )
@@ -108,8 +109,9 @@
 		b := byID[p.Sidecar]
 		b.ID, b.Service, b.Linked = p.Sidecar, p.Service, true
 		b.Slots, b.Free, b.Leaving = p.Slots, p.Free, p.Leaving || b.Leaving
-		if revision, ok := r.sidecarRevisions.Load(p.Sidecar); ok {
-			b.Revision, _ = revision.(uint64)
+		if report, ok := r.sidecarReports.Load(p.Sidecar); ok {
+			load, _ := report.(*wire.Load)
+			b.Revision, b.OrdersLeft = load.GetRevision(), int(load.GetOrdersLeft())
 		}
 		byID[p.Sidecar] = b
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -61,8 +61,8 @@
 	end       context.CancelFunc
 	abort     chan struct{}
 	abortOnce sync.Once
-	// sidecarRevisions maps a linked sidecar to the revision that it reported.
-	sidecarRevisions sync.Map
+	// sidecarReports maps a linked sidecar to its last *wire.Load.
+	sidecarReports sync.Map
 }
 
 // New returns a router that has not bound anything yet.
--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -47,7 +47,9 @@
 	routers  map[string]*router
 	revision revisionHolder
 	address  string
-	lastBeat time.Time
+	// ordersLeft tells the orders to the engine that are left to give.
+	ordersLeft func() int
+	lastBeat   time.Time
 }
 
 // revisionHolder tells which configuration is in force, and how long ago it
@@ -179,6 +181,7 @@
 		Revision:    c.revision.Revision(),
 		Address:     c.address,
 		ConfigAgeMs: c.revision.Age().Milliseconds(),
+		OrdersLeft:  int32(c.ordersLeft()),
 	}
 }
 
--- /dev/null
+++ b/transport/sidecar/engine.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/orders"
+)
+
+// ordersPath is where engines take orders and tell what they have.
+const ordersPath = "/v1/orders"
+
+// maxEngineAnswer bounds what is read of an engine's answer, in bytes.
+const maxEngineAnswer = 8 << 20
+
+// errFenced means that the engine has seen a newer fencing token.
+var errFenced = errors.New("older fencing token")
+
+// engineItem is a model or adapter as engines write it.
+type engineItem struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+// engineState is what an engine says it has.
+type engineState struct {
+	Fence    uint64       `json:"fence"`
+	Models   []engineItem `json:"models"`
+	Adapters []engineItem `json:"adapters"`
+	Role     string       `json:"role"`
+}
+
+// engineOrder is an order as engines read it.
+type engineOrder struct {
+	Fence   uint64 `json:"fence"`
+	ID      string `json:"id"`
+	Action  string `json:"action"`
+	Kind    string `json:"kind,omitempty"`
+	Name    string `json:"name,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// engine speaks to a model engine about what it holds.
+type engine struct {
+	base string
+	http *http.Client
+}
+
+// observe asks what the engine has.
+func (e *engine) observe(ctx context.Context) (orders.Have, error) {
+	var state engineState
+	if err := e.call(ctx, http.MethodGet, nil, &state); err != nil {
+		return orders.Have{}, err
+	}
+	have := orders.Have{Fence: state.Fence, Role: state.Role}
+	for _, m := range state.Models {
+		have.Items = append(have.Items, orders.Item{Name: m.Name, Version: m.Version})
+	}
+	for _, a := range state.Adapters {
+		have.Items = append(have.Items, orders.Item{Adapter: true, Name: a.Name, Version: a.Version})
+	}
+	return have, nil
+}
+
+// give sends one order. errFenced tells that it was refused; any other error
+// leaves open whether it takes effect.
+func (e *engine) give(ctx context.Context, incarnation string, o orders.Order) error {
+	out := engineOrder{
+		Fence:   o.Fence,
+		ID:      incarnation + "/" + strconv.FormatUint(o.ID, 10),
+		Action:  string(o.Verb),
+		Name:    o.Item.Name,
+		Version: o.Item.Version,
+		Role:    o.Role,
+	}
+	if o.Verb != orders.SetRole {
+		out.Kind = "model"
+		if o.Item.Adapter {
+			out.Kind = "adapter"
+		}
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return e.call(ctx, http.MethodPost, data, nil)
+}
+
+func (e *engine) call(ctx context.Context, method string, body []byte, into any) error {
+	// A body that cannot be read again keeps the transport from repeating it.
+	req, err := http.NewRequestWithContext(ctx, method, e.base+ordersPath, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return err
+	}
+	req.ContentLength = int64(len(body))
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxEngineAnswer))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusConflict:
+		return errFenced
+	case resp.StatusCode != http.StatusOK:
+		return errors.Newf("engine: status %d", resp.StatusCode)
+	case into == nil:
+		return nil
+	}
+	return json.Unmarshal(data, into)
+}
--- /dev/null
+++ b/transport/sidecar/orders.go
@@ -0,0 +1,178 @@
+package sidecar
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/orders"
+	"goldcrestport/protocol/document"
+	"goldcrestport/state/config"
+	"goldcrestport/transport/spread"
+)
+
+// Times of the orders' driver.
+const (
+	ordersTick   = 200 * time.Millisecond
+	observeLimit = 5 * time.Second
+	permitLimit  = 5 * time.Second
+	eventsRing   = 64
+)
+
+// drainByOrders names a change of role as a source of a drain.
+const drainByOrders = "orders"
+
+var (
+	ordersLeftVar = expvar.NewInt("sidecar_orders_left")
+	ordersSentVar = expvar.NewInt("sidecar_orders_sent")
+)
+
+// reconciler is the duty that gives the engine its orders.
+type reconciler struct {
+	s       *Sidecar
+	core    *orders.State
+	events  chan orders.Event
+	engine  *engine
+	permits *permits
+	left    atomic.Int64
+}
+
+func newReconciler(s *Sidecar) *reconciler {
+	cfg := orders.DefaultConfig()
+	cfg.Seed = uint64(time.Now().UnixNano())
+	cfg.WaitOut = s.set.Orders.Timeout.D()
+	return &reconciler{
+		s:       s,
+		core:    orders.New(cfg),
+		events:  make(chan orders.Event, eventsRing),
+		engine:  &engine{base: s.set.Backend.URL, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}},
+		permits: &permits{store: s.store, holder: s.holderName(), held: map[orders.Permit]*permit{}},
+	}
+}
+
+// wants hands a new configuration to the duty.
+func (r *reconciler) wants(ctx context.Context, doc *config.Document) {
+	service := doc.Services[r.s.set.Service]
+	want := orders.Want{Revision: doc.Revision, Role: service.Role}
+	for _, m := range service.Models {
+		want.Items = append(want.Items, orders.Item{Adapter: m.Adapter, Name: m.Name, Version: m.Version})
+	}
+	r.post(ctx, orders.Wanted{Want: want})
+}
+
+func (r *reconciler) post(ctx context.Context, ev orders.Event) {
+	select {
+	case r.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// run is the duty's loop.
+func (r *reconciler) run(ctx context.Context) {
+	ticker := time.NewTicker(ordersTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-r.events:
+			r.step(ctx, ev)
+		case <-ticker.C:
+			r.step(ctx, orders.Running{Count: int(r.s.held.Load())})
+		}
+	}
+}
+
+func (r *reconciler) step(ctx context.Context, ev orders.Event) {
+	for _, a := range r.core.Step(time.Now(), ev) {
+		switch a := a.(type) {
+		case orders.Observe:
+			go r.observe(ctx)
+		case orders.Acquire:
+			go r.acquire(ctx, a.Permit)
+		case orders.Release:
+			go r.permits.release(ctx, r.permits.take(a.Permit))
+		case orders.Pause:
+			r.s.drain.set(ctx, drainByOrders, a.On)
+		case orders.Validate:
+			go r.validate(ctx)
+		case orders.Send:
+			go r.send(ctx, a.Order)
+		}
+	}
+	left := int64(r.core.Progress().Left)
+	if r.left.Swap(left) != left {
+		ordersLeftVar.Set(left)
+		_ = r.s.log.Log("event", "orders", "left", left, "revision", r.core.Progress().Revision)
+	}
+}
+
+func (r *reconciler) observe(ctx context.Context) {
+	sub, cancel := context.WithTimeout(ctx, observeLimit)
+	defer cancel()
+	have, err := r.engine.observe(sub)
+	if err != nil {
+		r.post(ctx, orders.ObserveFailed{})
+		return
+	}
+	r.post(ctx, orders.Observed{Have: have})
+}
+
+func (r *reconciler) acquire(ctx context.Context, p orders.Permit) {
+	prefix, places := r.s.permitPlaces(p)
+	lost := func() { r.post(ctx, orders.PermitLost{}) }
+	if r.permits.acquire(ctx, p, prefix, places, lost) {
+		r.post(ctx, orders.Granted{Permit: p})
+		return
+	}
+	r.post(ctx, orders.Denied{Permit: p})
+}
+
+// validate checks right before an order that this process still speaks for its
+// engine. Engines that check the fencing token need no more than a fresh
+// configuration; for the others the platform itself is asked.
+func (r *reconciler) validate(ctx context.Context) {
+	doc := r.s.doc.Load()
+	ok := doc != nil && !r.s.leaving.Load() && !r.s.spread.Stale()
+	out := orders.Validated{OK: ok, Revision: r.s.revision()}
+	if ok && !doc.Services[r.s.set.Service].ChecksFence {
+		out.Revision, out.OK = r.newest(ctx)
+	}
+	r.post(ctx, out)
+}
+
+// newest reads the newest revision from the platform.
+func (r *reconciler) newest(ctx context.Context) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, permitLimit)
+	defer cancel()
+	e, err := r.s.store.Get(ctx, spread.ConfigKey)
+	if err != nil {
+		return 0, false
+	}
+	doc, err := document.Decode(e.Value)
+	if err != nil {
+		return 0, false
+	}
+	return doc.Revision, true
+}
+
+func (r *reconciler) send(ctx context.Context, o orders.Order) {
+	ordersSentVar.Add(1)
+	sub, cancel := context.WithTimeout(ctx, r.s.set.Orders.Timeout.D())
+	defer cancel()
+	err := r.engine.give(sub, r.s.incarnation, o)
+	_ = r.s.log.Log("event", "order", "verb", o.Verb, "name", o.Item.Name, "version", o.Item.Version,
+		"order_role", o.Role, "fence", o.Fence, "err", err)
+	switch {
+	case err == nil:
+		r.post(ctx, orders.Answered{ID: o.ID})
+	case errors.Is(err, errFenced):
+		r.post(ctx, orders.Answered{ID: o.ID, Refused: true})
+	default:
+		r.post(ctx, orders.Unanswered{ID: o.ID})
+	}
+}
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -50,6 +50,7 @@
 	backend     *backend
 	runs        *runs
 	drain       *drain
+	reconciler  *reconciler
 	doc         atomic.Pointer[config.Document]
 	leaving     atomic.Bool
 	ctx         context.Context
@@ -82,6 +83,8 @@
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
 	s.drain = newDrain(s)
+	s.reconciler = newReconciler(s)
+	s.chooser.ordersLeft = func() int { return int(s.reconciler.left.Load()) }
 	return s
 }
 
@@ -118,6 +121,7 @@
 	observe.Health{Ready: s.ready}.Mount(mux)
 	go s.chooser.run(ctx)
 	go s.expireAnswers(ctx)
+	go s.reconciler.run(ctx)
 	go s.spread.Run(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
 	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
--- a/transport/sidecar/spread.go
+++ b/transport/sidecar/spread.go
@@ -51,6 +51,7 @@
 	}
 	s.chooser.post(s.ctx, message{event: share.SharesSet{Shares: shares}})
 	s.drain.set(s.ctx, drainByConfig, slices.Contains(doc.Drain, s.set.ID))
+	s.reconciler.wants(s.ctx, doc)
 }
 
 // heard takes a router's word on its revision.
