--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -61,11 +61,11 @@
 		w.step(Observed{Have: Have{Fence: w.have.Fence, Items: slices.Clone(w.have.Items), Role: w.have.Role}})
 	case Acquire:
 		if w.choose(4) == 1 {
-			w.step(Denied{Permit: a.Permit})
+			w.step(Denied(a))
 			return
 		}
 		w.held[a.Permit]++
-		w.step(Granted{Permit: a.Permit})
+		w.step(Granted(a))
 	case Release:
 		w.held[a.Permit]--
 	case Pause:
