--- a/cmd/goldcrestctl/exit.go
+++ b/cmd/goldcrestctl/exit.go
@@ -68,14 +68,27 @@
 // printError writes the error with all that a router told about it.
 func printError(w io.Writer, err error) {
 	var p *operatorclient.ProblemError
-	if !errors.As(err, &p) {
+	var found intent.Errors
+	switch {
+	case errors.As(err, &p):
+		printProblem(w, p)
+	case errors.As(err, &found):
+		fmt.Fprintf(w, "%s: %d errors in the intent\n", operator.ReasonBadIntent, len(found))
+		printIntentErrors(w, found)
+	default:
 		fmt.Fprintln(w, "error:", err)
-		return
 	}
-	fmt.Fprintf(w, "%s: %s\n", p.Reason, p.Error())
-	for _, e := range p.Errors {
+}
+
+func printIntentErrors(w io.Writer, found intent.Errors) {
+	for _, e := range found {
 		fmt.Fprintf(w, "  %s: %s\n", e.Path, e.Message)
 	}
+}
+
+func printProblem(w io.Writer, p *operatorclient.ProblemError) {
+	fmt.Fprintf(w, "%s: %s\n", p.Reason, p.Error())
+	printIntentErrors(w, p.Errors)
 	for _, e := range p.Meanwhile {
 		fmt.Fprintf(w, "  %s\n", entryLine(e))
 	}
--- a/coordination/plan/notes.go
+++ b/coordination/plan/notes.go
@@ -28,12 +28,18 @@
 		c.refused(NoteShareZero, t.Team, "all requests of team %s: 403, its share is zero", t.Team)
 		c.warn(NoteShareZero, t.Team, "the share of team %s is zero", t.Team)
 	}
+	if t.Action == Changed {
+		c.boundNotes(t.Team, old, now)
+	}
+}
+
+func (c *comparison) boundNotes(team string, old, now config.Team) {
 	if lowered(int64(old.MaxQueued), int64(now.MaxQueued)) {
-		c.refused(NoteBoundLowered, t.Team, "requests of team %s when %d wait at a router: 429 queue-full", t.Team, now.MaxQueued)
-		c.tooMany(t.Team, now)
+		c.refused(NoteBoundLowered, team, "requests of team %s when %d wait at a router: 429 queue-full", team, now.MaxQueued)
+		c.tooMany(team, now)
 	}
 	if lowered(old.MaxQueuedBytes, now.MaxQueuedBytes) {
-		c.refused(NoteBoundLowered, t.Team, "requests of team %s when %d bytes wait at a router: 429 queue-full", t.Team, now.MaxQueuedBytes)
+		c.refused(NoteBoundLowered, team, "requests of team %s when %d bytes wait at a router: 429 queue-full", team, now.MaxQueuedBytes)
 	}
 }
 
@@ -66,7 +72,7 @@
 		c.refused(NoteServiceRemoved, s.Service, "all requests to %s: 404 unknown-service", s.Service)
 		return
 	}
-	if lowered(old.MaxBody, now.MaxBody) {
+	if s.Action == Changed && lowered(old.MaxBody, now.MaxBody) {
 		c.refused(NoteBodyLowered, s.Service, "requests to %s with a body over %d bytes: 413 body-too-large", s.Service, now.MaxBody)
 	}
 }
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -44,10 +45,11 @@
 		if err := json.Unmarshal(stored, &read); err != nil {
 			t.Fatal(err)
 		}
-		if !config.Equal(forth.Apply(a), b) || !config.Equal(read.Apply(b), a) {
+		// The contents are compared without the patch's own notion of equality.
+		if !reflect.DeepEqual(forth.Apply(a), b.Content()) || !reflect.DeepEqual(read.Apply(b), a.Content()) {
 			t.Fatalf("a patch lost something: forth %+v back %+v", forth, back)
 		}
-		if forth.Empty() != config.Equal(a, b) {
+		if same := reflect.DeepEqual(a.Content(), b.Content()); forth.Empty() != same || config.Equal(a, b) != same {
 			t.Fatal("an empty patch must mean equal documents")
 		}
 	})
--- a/transport/operators/server.go
+++ b/transport/operators/server.go
@@ -22,9 +22,13 @@
 	// maxBody bounds a request in bytes; the largest intent is a few megabytes
 	// of JSON.
 	maxBody = 16 << 20
-	// maxConcurrent bounds the calls served at once: a plan of the largest
-	// fleet takes tens of milliseconds of processor time.
-	maxConcurrent = 16
+	// maxChanges and maxReads bound the calls served at once. A plan of the
+	// largest fleet takes tens of megabytes while it is worked out, and the
+	// process has 256 MB for all it does.
+	maxChanges = 3
+	maxReads   = 16
+	// slotWait bounds the wait for a call to be served.
+	slotWait = 2 * time.Second
 	// callTimeout bounds the platform's part of one call.
 	callTimeout = 5 * time.Second
 	// retryAfter is the hint with a problem that may pass.
@@ -49,7 +53,8 @@
 	router    Router
 	bootstrap string
 	log       log.Logger
-	slots     chan struct{}
+	changes   chan struct{}
+	reads     chan struct{}
 }
 
 // New returns a server. The bootstrap digest is of the token that may confirm
@@ -60,37 +65,45 @@
 		router:    router,
 		bootstrap: bootstrap,
 		log:       logger,
-		slots:     make(chan struct{}, maxConcurrent),
+		changes:   make(chan struct{}, maxChanges),
+		reads:     make(chan struct{}, maxReads),
 	}
 }
 
 // Mount adds the interface to the mux.
 func (s *Server) Mount(mux *http.ServeMux) {
-	handle := func(method, path string, h handler) { mux.HandleFunc(method+" "+path, s.guard(h)) }
-	handle(http.MethodPost, operator.PathPlan, s.plan)
-	handle(http.MethodPost, operator.PathRollbackPlan, s.rollbackPlan)
-	handle(http.MethodPost, operator.PathConfirm, s.confirm)
-	handle(http.MethodGet, operator.PathSettle, s.settle)
-	handle(http.MethodGet, operator.PathConfig, s.config)
-	handle(http.MethodGet, operator.PathHistory, s.history)
-	handle(http.MethodGet, operator.PathStatus, s.status)
+	post := func(path string, h handler) { mux.HandleFunc("POST "+path, s.guard(s.changes, h)) }
+	get := func(path string, h handler) { mux.HandleFunc("GET "+path, s.guard(s.reads, h)) }
+	post(operator.PathPlan, s.plan)
+	post(operator.PathRollbackPlan, s.rollbackPlan)
+	post(operator.PathConfirm, s.confirm)
+	get(operator.PathSettle, s.settle)
+	get(operator.PathConfig, s.config)
+	get(operator.PathHistory, s.history)
+	get(operator.PathStatus, s.status)
 }
 
 // handler answers one call with a value, or with an error that is a *problem.
 type handler func(req *http.Request, who string) (any, error)
 
 // guard bounds and authenticates the call and writes the answer.
-func (s *Server) guard(h handler) http.HandlerFunc {
+func (s *Server) guard(slots chan struct{}, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
+		// Nothing of the body is read before the token is known to be good.
+		who, err := s.authenticate(req)
+		if err != nil {
+			writeProblem(w, asProblem(err))
+			return
+		}
 		select {
-		case s.slots <- struct{}{}:
-			defer func() { <-s.slots }()
-		default:
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		case <-time.After(slotWait):
 			writeProblem(w, failure(http.StatusServiceUnavailable, operator.ReasonBusy, "too many operators' calls at once"))
 			return
 		}
 		req.Body = http.MaxBytesReader(w, req.Body, maxBody)
-		answer, err := s.serve(req, h)
+		answer, err := h(req, who)
 		if err != nil {
 			writeProblem(w, asProblem(err))
 			return
@@ -101,14 +114,6 @@
 	}
 }
 
-func (s *Server) serve(req *http.Request, h handler) (any, error) {
-	who, err := s.authenticate(req)
-	if err != nil {
-		return nil, err
-	}
-	return h(req, who)
-}
-
 // bootstrapName is recorded as the operator of the first configuration. No
 // configured operator can have this name.
 const bootstrapName = "(bootstrap)"
--- a/transport/operators/server_test.go
+++ b/transport/operators/server_test.go
@@ -160,14 +160,16 @@
 	start(c, n)
 	mine, _ := n.plan(opsToken, intentWith(3))
 	theirs, _ := n.plan(opsToken, intentWith(5))
-	var done operator.ConfirmResponse
-	c.Assert(n.confirm(opsToken, theirs, &done), qt.Equals, http.StatusOK)
+	c.Assert(n.confirm(opsToken, theirs, &operator.ConfirmResponse{}), qt.Equals, http.StatusOK)
+	theirs, _ = n.plan(opsToken, intentWith(7))
+	c.Assert(n.confirm(opsToken, theirs, &operator.ConfirmResponse{}), qt.Equals, http.StatusOK)
 	var p operator.Problem
 	c.Assert(n.confirm(opsToken, mine, &p), qt.Equals, http.StatusConflict)
 	c.Assert(p.Reason, qt.Equals, operator.ReasonStalePlan)
-	c.Assert(p.Newest, qt.Equals, uint64(2))
-	c.Assert(p.Meanwhile, qt.HasLen, 1)
-	c.Assert(p.Meanwhile[0].Summary, qt.Equals, "teams ~a 1->5")
+	c.Assert(p.Newest, qt.Equals, uint64(3))
+	c.Assert(p.Meanwhile, qt.HasLen, 2)
+	c.Assert(p.Meanwhile[0].Summary, qt.Equals, "teams ~a 5->7")
+	c.Assert(p.Meanwhile[1].Summary, qt.Equals, "teams ~a 1->5")
 	c.Assert(p.Meanwhile[0].By, qt.Equals, "ops")
 	base := uint64(1)
 	ask := operator.PlanRequest{Intent: text(intentWith(3)), BaseRevision: &base}
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -115,6 +115,10 @@
 		refuse(outcome.ReasonForbidden, http.StatusForbidden, 0, "the share of the team is zero")
 		return
 	}
+	if service.MaxBody > 0 && int64(len(body)) > service.MaxBody {
+		refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than service "+to.service+" takes")
+		return
+	}
 	c := r.newCall(id, name, team, service, to, req, body)
 	r.serve(req.Context(), w, c)
 }
