Status of the whole fleet from any router

Cause: with hundreds of routers nobody lists them all on a command line, and a team's work waits at several of them.

What was ruled out: goldcrestctl asking every router (that was the first try, and needs all addresses); whole queue lists from each router (200 teams at 800 routers are megabytes). A router answers its peers with sums per service and its ten longest waiting queues; the router asked asks 32 peers at a time, a second each, four seconds in all, and shows who did not answer.

Conclusion: goldcrestctl status shows routers, services, backend servers with their revisions, and the longest waiting queues.

--- a/cmd/goldcrestctl/main_test.go
+++ b/cmd/goldcrestctl/main_test.go
@@ -128,18 +128,20 @@
 func TestStatusAtAGlance(t *testing.T) {
 	c := qt.New(t)
 	one := answering(t, http.StatusOK, operator.Status{
-		Router: "r1", DataCentre: "nimman", State: "ready", Revision: 7,
+		Router: "r1", Revision: 7, Teams: 16,
 		Services: []operator.Service{{Service: "glossa-pool", Kind: "model", Ready: 1, Linked: 2, Slots: 4, Free: 1, Waiting: 3, WaitingTeams: 1}},
-		Queues:   []operator.Queue{{Service: "glossa-pool", Team: "lao", Waiting: 3, OldestMS: 1500}},
+		Queues:   []operator.Queue{{Service: "glossa-pool", Team: "lao", Router: "r1", Waiting: 3, OldestMS: 1500}},
 		Backends: []operator.Backend{{ID: "b1", Service: "glossa-pool", DataCentre: "nimman", Linked: true, Slots: 4, Free: 1, Revision: 7}, {ID: "b2", Service: "glossa-pool", Drained: true, Linked: true, Slots: 4, Free: 4, Revision: 7}},
-		Routers:  []operator.Peer{{ID: "r2", DataCentre: "suthep", State: "live"}},
+		Routers:  []operator.Router{{ID: "r1", DataCentre: "nimman", State: "ready", Answered: true, Revision: 7, Waiting: 3}, {ID: "r2", DataCentre: "suthep", State: "live"}},
 	})
 	code, out, errs := ctl("--router", one, "status")
 	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errs))
 	c.Assert(out, qt.Equals, strings.Join([]string{
-		"ROUTER  DATA CENTRE  STATE             REVISION  WAITING",
-		"r1      nimman       ready             7         3",
-		"r2      suthep       live (not asked)            ",
+		"Revision 7 in force at r1, 16 teams",
+		"",
+		"ROUTER  DATA CENTRE  STATE            REVISION  WAITING",
+		"r1      nimman       ready            7         3",
+		"r2      suthep       live, no answer  ?         ?",
 		"",
 		"SERVICE      KIND   BACKENDS READY  SLOTS BUSY  WAITING  TEAMS WAITING",
 		"glossa-pool  model  1 of 2          3 of 4      3        1",
@@ -148,8 +150,8 @@
 		"b1              glossa-pool  nimman       ready    3 of 4      7",
 		"b2              glossa-pool               drained  0 of 4      7",
 		"",
-		"WAITING: TEAM  SERVICE      ROUTER  REQUESTS  OLDEST",
-		"lao            glossa-pool  r1      3         1.5s",
+		"LONGEST WAITING TEAM  SERVICE      ROUTER  REQUESTS  OLDEST",
+		"lao                   glossa-pool  r1      3         1.5s",
 		"",
 	}, "\n"))
 }
--- a/protocol/operator/status.go
+++ b/protocol/operator/status.go
@@ -1,39 +1,53 @@
 package operator
 
-// Status is what one router knows of itself and of the sidecars that it is
-// linked with.
+// Status is the fleet as the router asked sees it: its own state, that of the
+// sidecars that it is linked with, and what the other routers answered.
 type Status struct {
-	Router     string `json:"router"`
-	DataCentre string `json:"data_centre"`
-	// State is "ready" or why no new work is taken.
-	State string `json:"state"`
-	// Revision in force at this router, 0 for none.
+	// Router that was asked.
+	Router string `json:"router"`
+	// Revision in force at that router, 0 for none.
 	Revision uint64    `json:"revision"`
 	Teams    int       `json:"teams"`
+	Routers  []Router  `json:"routers"`
 	Services []Service `json:"services"`
-	Queues   []Queue   `json:"queues"`
 	Backends []Backend `json:"backends"`
-	// Routers are the other routers of the platform's list.
-	Routers []Peer `json:"routers"`
+	// Queues whose first request waits longest, of all routers that answered.
+	Queues []Queue `json:"queues"`
 }
 
-// Service sums up one service as this router sees it.
+// Router is one router of the fleet.
+type Router struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	// State is "ready" or why no new work is taken; of a router that did not
+	// answer, what the platform's list says.
+	State    string `json:"state"`
+	Answered bool   `json:"answered"`
+	// Revision in force there, 0 for none.
+	Revision uint64 `json:"revision"`
+	Waiting  int    `json:"waiting"`
+}
+
+// Service sums up one service.
 type Service struct {
 	Service string `json:"service"`
 	Kind    string `json:"kind"`
-	// Ready backend servers take work; Linked ones have a control stream.
+	// Ready backend servers take work; Linked ones have a control stream with
+	// the router asked.
 	Ready  int `json:"ready"`
 	Linked int `json:"linked"`
 	// Slots and Free are of the ready ones.
 	Slots int `json:"slots"`
 	Free  int `json:"free"`
-	// Waiting requests and teams with any.
+	// Waiting requests at all routers that answered, and the most teams that
+	// wait at one of them.
 	Waiting      int `json:"waiting"`
 	WaitingTeams int `json:"waiting_teams"`
 }
 
-// Queue is the waiting work of one team for one service at this router.
+// Queue is the waiting work of one team for one service at one router.
 type Queue struct {
+	Router   string `json:"router"`
 	Service  string `json:"service"`
 	Team     string `json:"team"`
 	Waiting  int    `json:"waiting"`
@@ -46,20 +60,13 @@
 	ID         string `json:"id"`
 	Service    string `json:"service"`
 	DataCentre string `json:"data_centre,omitempty"`
-	// Linked tells that this router has a control stream to the sidecar.
+	// Linked tells that the router asked has a control stream to the sidecar.
 	Linked  bool `json:"linked"`
 	Slots   int  `json:"slots"`
 	Free    int  `json:"free"`
 	Leaving bool `json:"leaving"`
-	// Drained tells that the configuration in force here drains it.
+	// Drained tells that the configuration in force drains it.
 	Drained bool `json:"drained"`
 	// Revision in force at the sidecar by its last report.
 	Revision uint64 `json:"revision"`
 }
-
-// Peer is another router.
-type Peer struct {
-	ID         string `json:"id"`
-	DataCentre string `json:"data_centre"`
-	State      string `json:"state"`
-}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -132,11 +132,16 @@
   CTL_TOKEN=bootstrap-example-token ctl confirm "$OUT/plan.json"
 }
 
+# linked PORT succeeds if the router at the port is linked with all sidecars.
+linked() {
+  [ "$(ctl --router "127.0.0.1:$1" status -o json | grep -c '"linked": true')" = 4 ]
+}
+
 # fleet_linked waits until both routers are linked with all sidecars.
 fleet_linked() {
   local i
   for i in $(seq 1 100); do
-    [ "$(ctl status -o json | grep -c '"linked": true')" = 8 ] && return 0
+    linked "$(port 14)" && linked "$(port 17)" && return 0
     sleep 0.1
   done
   echo "the routers are not linked with all sidecars" >&2
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -102,12 +102,21 @@
 	return serve(ctx, lis, mux)
 }
 
+// RouterServer is all that a router serves to its peers.
+type RouterServer interface {
+	wire.DRPCRouterServer
+	wire.DRPCRouterStatusServer
+}
+
 // ServeRouter serves the routers' protocol until ctx ends.
-func ServeRouter(ctx context.Context, lis net.Listener, srv wire.DRPCRouterServer) error {
+func ServeRouter(ctx context.Context, lis net.Listener, srv RouterServer) error {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterRouter(mux, srv); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterRouterStatus(mux, srv); err != nil {
+		return err
+	}
 	return serve(ctx, lis, mux)
 }
 
--- a/transport/operatorclient/client.go
+++ b/transport/operatorclient/client.go
@@ -58,9 +58,6 @@
 	return c
 }
 
-// Routers returns the addresses in the order in which they are tried.
-func (c *Client) Routers() []string { return c.routers }
-
 // Plan asks what the intent would change. The base may be nil.
 func (c *Client) Plan(ctx context.Context, intent json.RawMessage, base *uint64) (*operator.PlanResponse, error) {
 	var out operator.PlanResponse
@@ -98,10 +95,10 @@
 	return &out, c.any(ctx, http.MethodGet, operator.PathHistory+"?n="+strconv.Itoa(n), nil, &out)
 }
 
-// StatusOf returns the view of one router.
-func (c *Client) StatusOf(ctx context.Context, router string) (*operator.Status, error) {
+// Status returns the fleet as the first router that answers sees it.
+func (c *Client) Status(ctx context.Context) (*operator.Status, error) {
 	var out operator.Status
-	return &out, c.one(ctx, router, http.MethodGet, operator.PathStatus, nil, &out)
+	return &out, c.any(ctx, http.MethodGet, operator.PathStatus, nil, &out)
 }
 
 // any tries the routers in turn until one gives a definite answer. An answer
--- a/transport/operators/plans.go
+++ b/transport/operators/plans.go
@@ -142,7 +142,7 @@
 	return answer, nil
 }
 
-// status answers the router's own view.
-func (s *Server) status(*http.Request, string) (any, error) {
-	return s.router.Status(), nil
+// status answers the fleet as the router sees it.
+func (s *Server) status(req *http.Request, _ string) (any, error) {
+	return s.router.Status(req.Context()), nil
 }
--- a/transport/operators/server.go
+++ b/transport/operators/server.go
@@ -1,6 +1,7 @@
 package operators
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -43,8 +44,8 @@
 	Adopt(*config.Document)
 	// Facts returns what the router knows of the running fleet.
 	Facts() plan.Facts
-	// Status returns the router's own view.
-	Status() operator.Status
+	// Status returns the fleet as the router sees it.
+	Status(ctx context.Context) operator.Status
 }
 
 // Server serves the operators' interface.
--- a/transport/operators/server_test.go
+++ b/transport/operators/server_test.go
@@ -28,7 +28,9 @@
 
 func (r *routerFake) InForce() *config.Document { return r.doc.Load() }
 func (r *routerFake) Facts() plan.Facts         { return r.facts }
-func (r *routerFake) Status() operator.Status   { return operator.Status{Router: "r"} }
+func (r *routerFake) Status(context.Context) operator.Status {
+	return operator.Status{Router: "r"}
+}
 func (r *routerFake) Adopt(d *config.Document) {
 	for old := r.doc.Load(); old == nil || old.Revision < d.Revision; old = r.doc.Load() {
 		if r.doc.CompareAndSwap(old, d) {
--- a/transport/router/operators.go
+++ b/transport/router/operators.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -20,6 +19,9 @@
 // InForce implements operators.Router.
 func (v operatorView) InForce() *config.Document { return v.r.doc.Load() }
 
+// adoptWait bounds the wait until a document is in force here.
+const adoptWait = time.Second
+
 // Adopt implements operators.Router.
 func (v operatorView) Adopt(d *config.Document) {
 	ctx, cancel := context.WithTimeout(v.r.ctx, adoptWait)
@@ -27,20 +29,19 @@
 	v.r.spread.Accept(ctx, d)
 }
 
-// adoptWait bounds the wait until a document is in force here.
-const adoptWait = time.Second
-
 // snapshotWait bounds the wait for the dispatcher, which may be busy or gone.
 const snapshotWait = time.Second
 
 // snapshot asks the dispatcher for its state; it is empty if no answer comes.
 func (r *Router) snapshot() dispatch.Snapshot {
+	ctx, cancel := context.WithTimeout(r.ctx, snapshotWait)
+	defer cancel()
 	answer := make(chan dispatch.Snapshot, 1)
-	r.dispatcher.post(r.ctx, message{snapshot: answer})
+	r.dispatcher.post(ctx, message{snapshot: answer})
 	select {
 	case s := <-answer:
 		return s
-	case <-time.After(snapshotWait):
+	case <-ctx.Done():
 		return dispatch.Snapshot{}
 	}
 }
@@ -75,25 +76,18 @@
 }
 
 // Status implements operators.Router.
-func (v operatorView) Status() operator.Status {
+func (v operatorView) Status(ctx context.Context) operator.Status {
 	r := v.r
-	out := operator.Status{Router: r.set.ID, DataCentre: r.set.DataCentre, State: "ready", Revision: r.revision()}
-	if err := r.ready(); err != nil {
-		out.State = err.Error()
-	}
 	snapshot := r.snapshot()
-	for _, q := range snapshot.Queues {
-		out.Queues = append(out.Queues, operator.Queue{
-			Service: q.Service, Team: q.Team, Waiting: q.Waiting, Bytes: q.Bytes, OldestMS: q.Oldest.Milliseconds(),
-		})
-	}
 	doc := r.doc.Load()
+	out := operator.Status{Router: r.set.ID, Revision: r.revision()}
 	out.Backends = r.backendStatus(doc, snapshot.Peers)
 	if doc != nil {
 		out.Teams = len(doc.Teams)
-		out.Services = serviceStatus(doc, out.Backends, out.Queues)
+		out.Services = serviceStatus(doc, out.Backends)
 	}
-	out.Routers = r.routerStatus()
+	addRouter(&out, r.summary(snapshot))
+	r.askRouters(ctx, &out)
 	return out
 }
 
@@ -122,8 +116,8 @@
 	return out
 }
 
-// serviceStatus sums up each configured service.
-func serviceStatus(doc *config.Document, backends []operator.Backend, queues []operator.Queue) []operator.Service {
+// serviceStatus sums up the backend servers of each configured service.
+func serviceStatus(doc *config.Document, backends []operator.Backend) []operator.Service {
 	var out []operator.Service
 	for _, name := range slices.Sorted(maps.Keys(doc.Services)) {
 		s := operator.Service{Service: name, Kind: string(doc.Services[name].Kind)}
@@ -138,28 +132,7 @@
 				s.Free += b.Free
 			}
 		}
-		for _, q := range queues {
-			if q.Service == name {
-				s.Waiting += q.Waiting
-				s.WaitingTeams++
-			}
-		}
 		out = append(out, s)
 	}
 	return out
 }
-
-func (r *Router) routerStatus() []operator.Peer {
-	list, err := r.spread.Instances(r.ctx)
-	if err != nil {
-		return nil
-	}
-	var out []operator.Peer
-	for _, i := range list {
-		if i.Role == platform.RoleRouter && i.ID != r.set.ID {
-			out = append(out, operator.Peer{ID: i.ID, DataCentre: i.DataCentre, State: string(i.State)})
-		}
-	}
-	slices.SortFunc(out, func(a, b operator.Peer) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
