A lease for each slot, judged by why it could not be renewed

Cause: two sidecars that were started for one slot both served, and one that was frozen and woken ran whatever was in its socket buffers.

A sidecar now holds a key with a lease on the platform, and asks a pure core (coordination/lease) right before each start, by the monotonic clock. A lease that lapsed while the process was awake doesn't stop it, since the platform has long outages; one that lapsed while it was frozen does, until the platform has answered. Whoever takes a slot after that is a new incarnation and knows of no attempt. A successor at the same bound address takes over at once.

Ruled out: a strict lease (an outage would stop the fleet); the held port alone (one machine only); exiting on a lost lease (a new incarnation in the process gives the same and needs no supervisor).

--- a/coordination/attempt/attempt_test.go
+++ b/coordination/attempt/attempt_test.go
@@ -97,9 +97,12 @@
 		s := newState(idempotent)
 		now := epoch
 		delivered, unproven := false, false
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+		for n := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			ev := event(t)
+			if n == 0 {
+				ev = attempt.Lost{Sent: true}
+			}
 			if l, ok := ev.(attempt.Lost); ok {
 				delivered = delivered || l.Delivered
 			}
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -137,6 +137,9 @@
 	// ResumeGrace is how long a run goes on after its link to the router was
 	// lost, so that the router may resume its answer. Default 5s.
 	ResumeGrace Duration `json:"resume_grace"`
+	// LeaseTTL is the time after which the sidecar's hold on its slot lapses
+	// unless it is renewed. Default 75s.
+	LeaseTTL Duration `json:"lease_ttl"`
 }
 
 // Sidecar holds the settings of a sidecar.
@@ -175,7 +178,7 @@
 	ahead := 1
 	return Sidecar{
 		Platform: defaultPlatform(),
-		Backend:  Backend{Slots: 8, LookAhead: &ahead, PromptWeight: 0.01, ResumeGrace: Duration(5 * time.Second)},
+		Backend:  Backend{Slots: 8, LookAhead: &ahead, PromptWeight: 0.01, ResumeGrace: Duration(5 * time.Second), LeaseTTL: Duration(75 * time.Second)},
 		Stop:     Stop{Bound: Duration(30 * time.Second)},
 	}
 }
--- a/transport/router/harness_test.go
+++ b/transport/router/harness_test.go
@@ -324,3 +324,8 @@
 		h(w, r)
 	}
 }
+
+// Grant fails: these sidecars serve without a lease.
+func (m *memStore) Grant(context.Context, time.Duration) (string, error) {
+	return "", platform.ErrUnknown
+}
--- a/transport/sidecar/control.go
+++ b/transport/sidecar/control.go
@@ -19,9 +19,10 @@
 	if up.Hello == nil {
 		return errors.New("control: first message has no hello")
 	}
+	runs := s.runs.Load()
 	welcome := &wire.Welcome{
 		Sidecar:     s.set.ID,
-		Incarnation: s.incarnation,
+		Incarnation: runs.incarnation,
 		Service:     s.set.Service,
 		DataCentre:  s.set.DataCentre,
 	}
@@ -36,6 +37,9 @@
 	defer s.chooser.post(s.ctx, message{parted: r, event: share.RouterDown{Router: r.id}})
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	// Another incarnation must be learnt through another Welcome.
+	stop := context.AfterFunc(runs.ctx, func() { _ = stream.Close() })
+	defer stop()
 	go s.sendControl(ctx, cancel, stream, r)
 	s.receiveControl(ctx, stream, r, address)
 	return nil
--- a/transport/sidecar/drain.go
+++ b/transport/sidecar/drain.go
@@ -16,11 +16,15 @@
 	lastStartVar = expvar.NewInt("sidecar_last_start_unix_ms")
 )
 
-// drainByConfig names the configuration as a source of a drain.
-const drainByConfig = "configuration"
+// Sources of a drain. Routers are named by their id.
+const (
+	drainByConfig = "configuration"
+	drainByLease  = "lease"
+)
 
 // drain collects the reasons for which the sidecar takes no new work: the
-// configuration's drain list, and the platform's list as routers read it.
+// configuration's drain list, the platform's list as routers read it, and a
+// lease that is not held.
 //
 // Invariant: the sidecar is drained while any source says so.
 type drain struct {
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -47,7 +47,7 @@
 	end.Attempt = a.start.Attempt.Number
 	end.Cost = a.meter.cost()
 	end.BackendUs = time.Since(began).Microseconds()
-	s.runs.end(a, end)
+	a.runs.end(a, end)
 	a.cancel(nil)
 	s.free(a)
 }
@@ -62,7 +62,7 @@
 		return &wire.End{Outcome: string(outcome.Unknown), Reason: string(reasonOf(ctx))}
 	}
 	defer resp.Body.Close()
-	a.answer.setHead(headOf(resp, s.incarnation))
+	a.answer.setHead(headOf(resp, a.runs.incarnation))
 	return copyAnswer(ctx, a, resp.Body)
 }
 
--- a/transport/sidecar/leave.go
+++ b/transport/sidecar/leave.go
@@ -50,8 +50,9 @@
 	case leave.Ending:
 		_ = s.log.Log("event", "stop_bound_passed", "held", s.held.Load())
 		s.chooser.post(s.ctx, message{event: share.Left{}})
-		s.runs.cancelAll(errStopped)
+		s.runs.Load().cancelAll(errStopped)
 	case leave.Stopped:
+		s.slot.release()
 		_ = s.log.Log("event", "stopped", "starts", s.starts.Load(), "held", s.held.Load(),
 			"last_start", s.lastStart())
 	}
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -21,10 +21,13 @@
 	reasonIncarnation = "another incarnation"
 	reasonBlocked     = "settled before"
 	reasonWithdrawn   = "withdrawn"
+	reasonLease       = "no lease"
 )
 
 // attempt is one attempt that this sidecar was offered.
 type attempt struct {
+	// runs is the table that the attempt is in.
+	runs    *runs
 	key     uint64
 	id      attempts.ID
 	start   *wire.RunStart
@@ -39,8 +42,9 @@
 // lastKey numbers the attempts of this process.
 var lastKey atomic.Uint64
 
-func (s *Sidecar) newAttempt(st *wire.RunStart) *attempt {
+func (s *Sidecar) newAttempt(runs *runs, st *wire.RunStart) *attempt {
 	a := &attempt{
+		runs:    runs,
 		key:     lastKey.Add(1),
 		id:      idOf(st.Attempt),
 		start:   st,
@@ -72,12 +76,13 @@
 	if err != nil {
 		return err
 	}
-	if in := st.Attempt.Incarnation; in != "" && in != s.incarnation {
+	runs := s.runs.Load()
+	if in := st.Attempt.Incarnation; in != "" && in != runs.incarnation {
 		return s.decline(stream, reasonIncarnation)
 	}
-	switch s.runs.offer(idOf(st.Attempt)) {
+	switch runs.offer(idOf(st.Attempt)) {
 	case attempts.Unseen:
-		return s.offered(stream, st, body)
+		return s.offered(stream, runs, st, body)
 	case attempts.Blocked, attempts.Declined:
 		return s.decline(stream, reasonBlocked)
 	default:
@@ -86,8 +91,8 @@
 }
 
 // offered brings a new attempt to its verdict, and runs it.
-func (s *Sidecar) offered(stream wire.DRPCSidecar_RunStream, st *wire.RunStart, body []byte) error {
-	a := s.newAttempt(st)
+func (s *Sidecar) offered(stream wire.DRPCSidecar_RunStream, runs *runs, st *wire.RunStart, body []byte) error {
+	a := s.newAttempt(runs, st)
 	up := readUp(stream, a)
 	s.chooser.post(s.ctx, message{attempt: a, event: share.Offered{
 		Attempt:  a.key,
@@ -99,14 +104,18 @@
 	select {
 	case v := <-a.verdict:
 		if v == verdictDecline {
-			s.runs.decline(a.id)
+			a.runs.decline(a.id)
 			return s.decline(stream, reasonNoSlot)
 		}
 	case <-up.done:
 		s.withdraw(a)
 		return errors.New("run: the stream ended before the start")
 	}
-	if !s.runs.start(a) {
+	if !s.slot.mayStart(runs) {
+		s.withdraw(a)
+		return s.decline(stream, reasonLease)
+	}
+	if !runs.start(a) {
 		s.free(a)
 		return s.decline(stream, reasonWithdrawn)
 	}
@@ -118,7 +127,7 @@
 
 // withdraw gives up an attempt that was not started.
 func (s *Sidecar) withdraw(a *attempt) {
-	s.runs.decline(a.id)
+	a.runs.decline(a.id)
 	s.free(a)
 }
 
@@ -157,10 +166,11 @@
 
 // resume attaches a new stream to a known attempt.
 func (s *Sidecar) resume(stream wire.DRPCSidecar_RunStream, st *wire.RunStart) error {
-	if st.Attempt.Incarnation != s.incarnation {
+	runs := s.runs.Load()
+	if st.Attempt.Incarnation != runs.incarnation {
 		return errors.New("resume: another incarnation")
 	}
-	a := s.runs.find(idOf(st.Attempt))
+	a := runs.find(idOf(st.Attempt))
 	if a == nil {
 		return errors.New("resume: the answer is not kept")
 	}
@@ -188,7 +198,7 @@
 	case how == upCancelled:
 		a.cancel(errCancelled)
 	case err == nil && how == upClosed:
-		s.runs.release(a.id)
+		a.runs.release(a.id)
 	case a.answer.detach(reader):
 		time.AfterFunc(s.set.Backend.ResumeGrace.D(), func() {
 			if a.answer.abandoned(reader) {
--- a/transport/sidecar/runs.go
+++ b/transport/sidecar/runs.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -8,16 +9,29 @@
 	"goldcrestport/state/attempts"
 )
 
-// runs is the table of attempts with the answers that are still kept.
+// runs is the table of attempts of one incarnation, with the answers that are
+// still kept.
 type runs struct {
+	incarnation string
+	// ctx ends when another incarnation takes over.
+	ctx    context.Context
+	retire context.CancelFunc
+
 	mu    sync.Mutex
 	table *attempts.Table
 	// live holds the running attempts and the ended ones with an answer.
 	live map[attempts.ID]*attempt
 }
 
-func newRuns(cfg attempts.Config) *runs {
-	return &runs{table: attempts.New(cfg), live: map[attempts.ID]*attempt{}}
+func newRuns(incarnation string, cfg attempts.Config) *runs {
+	ctx, retire := context.WithCancel(context.Background())
+	return &runs{
+		incarnation: incarnation,
+		ctx:         ctx,
+		retire:      retire,
+		table:       attempts.New(cfg),
+		live:        map[attempts.ID]*attempt{},
+	}
 }
 
 func idOf(a *wire.Attempt) attempts.ID {
--- a/transport/sidecar/settle.go
+++ b/transport/sidecar/settle.go
@@ -23,16 +23,17 @@
 	if req.Attempt == nil {
 		return nil, errors.New("settle: no attempt")
 	}
-	out := &wire.SettleResponse{Incarnation: s.incarnation}
-	if req.Attempt.Incarnation != s.incarnation {
+	runs := s.runs.Load()
+	out := &wire.SettleResponse{Incarnation: runs.incarnation}
+	if req.Attempt.Incarnation != runs.incarnation {
 		// What another incarnation ran is not known here, and it can't be
 		// blocked for it.
 		out.Fate = wire.Fate_FATE_OTHER_INCARNATION
 		return out, nil
 	}
-	fate := s.runs.settle(req)
+	fate := runs.settle(req)
 	out.Fate, out.AnswerKept = fates[fate.Phase], fate.AnswerKept
-	if a := s.runs.find(idOf(req.Attempt)); a != nil {
+	if a := runs.find(idOf(req.Attempt)); a != nil {
 		out.Length = a.answer.length()
 	}
 	return out, nil
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -39,20 +39,21 @@
 type Sidecar struct {
 	wire.DRPCSidecarUnimplementedServer
 
-	set         settings.Sidecar
-	log         log.Logger
-	store       platform.Store
-	directory   platform.Directory
-	pool        *link.Pool
-	spread      *spread.Spreader
-	incarnation string
-	chooser     *chooser
-	backend     *backend
-	runs        *runs
-	drain       *drain
-	doc         atomic.Pointer[config.Document]
-	leaving     atomic.Bool
-	ctx         context.Context
+	set       settings.Sidecar
+	log       log.Logger
+	store     platform.Store
+	directory platform.Directory
+	pool      *link.Pool
+	spread    *spread.Spreader
+	chooser   *chooser
+	backend   *backend
+	// runs of the present incarnation.
+	runs    atomic.Pointer[runs]
+	slot    *slot
+	drain   *drain
+	doc     atomic.Pointer[config.Document]
+	leaving atomic.Bool
+	ctx     context.Context
 
 	// held counts the streams and runs that have not ended.
 	held   atomic.Int64
@@ -66,15 +67,13 @@
 // New returns a sidecar that has not bound anything yet.
 func New(set settings.Sidecar, store platform.Store, dir platform.Directory, logger log.Logger) *Sidecar {
 	s := &Sidecar{
-		set:         set,
-		abort:       make(chan struct{}),
-		log:         logger,
-		store:       store,
-		directory:   dir,
-		pool:        link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
-		incarnation: uuid.NewString(),
-		backend:     newBackend(set.Backend.URL),
-		runs:        newRuns(attempts.DefaultConfig()),
+		set:       set,
+		abort:     make(chan struct{}),
+		log:       logger,
+		store:     store,
+		directory: dir,
+		pool:      link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
+		backend:   newBackend(set.Backend.URL),
 	}
 	cfg := share.DefaultConfig()
 	cfg.Slots = set.Backend.Slots
@@ -82,9 +81,14 @@
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
 	s.drain = newDrain(s)
+	s.runs.Store(newRuns(uuid.NewString(), attempts.DefaultConfig()))
+	s.slot = newSlot(s)
 	return s
 }
 
+// incarnation returns the id under which this process knows of its attempts.
+func (s *Sidecar) incarnation() string { return s.runs.Load().incarnation }
+
 func (s *Sidecar) revision() uint64 {
 	if d := s.doc.Load(); d != nil {
 		return d.Revision
@@ -118,10 +122,11 @@
 	observe.Health{Ready: s.ready}.Mount(mux)
 	go s.chooser.run(ctx)
 	go s.expireAnswers(ctx)
+	go s.slot.run(ctx)
 	go s.spread.Run(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
 	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
-	_ = s.log.Log("event", "serving", "incarnation", s.incarnation, "service", s.set.Service, "peers", s.set.Listen.Peers)
+	_ = s.log.Log("event", "serving", "incarnation", s.incarnation(), "service", s.set.Service, "peers", s.set.Listen.Peers)
 	<-stop
 	s.leave()
 	return nil
@@ -139,7 +144,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.runs.expire()
+			s.runs.Load().expire()
 		}
 	}
 }
@@ -160,5 +165,8 @@
 	if s.leaving.Load() {
 		return errors.New("leaving")
 	}
+	if err := s.slot.ready(); err != nil {
+		return err
+	}
 	return s.spread.Ready()
 }
