Old callers see a cut answer; stale connections, deadlines and grace are tested

Cause: in HTTP/1.0 an answer without a length ends with its connection, so that an aborted one looked whole. A run that passed its deadline was told as 502. The test of a router's stop passed also on a variant that does not wait for what is held, since the runs in it were too short.

An aborted answer towards HTTP/1.0 ends with a reset; a deadline in a run is 504; the runs of that test are now longer than the time in which a stopping router refuses.

Ruled out: refusing HTTP/1.0 (balancers speak it).

--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -209,10 +209,14 @@
 	if kind != outcome.Unknown {
 		kind = outcome.Failed
 	}
+	status := http.StatusBadGateway
+	if reason == outcome.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
 	return outcome.Outcome{
 		Kind:   kind,
 		Reason: reason,
-		Status: http.StatusBadGateway,
+		Status: status,
 		Detail: "the backend server did not give a whole answer",
 	}
 }
--- a/transport/router/harness_test.go
+++ b/transport/router/harness_test.go
@@ -294,6 +294,8 @@
 	outcome string
 	header  http.Header
 	body    string
+	// closes tells that the router closes the connection after it.
+	closes bool
 	// cut is the error that ended the body, nil if it ended cleanly.
 	cut error
 }
@@ -312,7 +314,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return reply{resp.StatusCode, resp.Header.Get("Goldcrest-Outcome"), resp.Header, string(data), err}, nil
+	return reply{resp.StatusCode, resp.Header.Get("Goldcrest-Outcome"), resp.Header, string(data), resp.Close, err}, nil
 }
 
 // warm answers the harness's own look-ups and passes the rest on.
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -35,10 +36,30 @@
 		defer cancel(nil)
 		stop := context.AfterFunc(r.ending, func() { cancel(errLeaving) })
 		defer stop()
+		if !req.ProtoAtLeast(1, 1) {
+			defer resetAborted(w)
+		}
 		h.ServeHTTP(w, req.WithContext(ctx))
 	})
 }
 
+// resetAborted resets the connection of an aborted answer. In HTTP/1.0 the end
+// of the connection is the end of an answer without a length, so that a plain
+// close would make a cut answer look whole.
+func resetAborted(w http.ResponseWriter) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	panic(cause)
+}
+
 // leave refuses new work, waits for what is held and returns when the process
 // may end.
 func (r *Router) leave(srv *http.Server) {
--- a/transport/router/leave_test.go
+++ b/transport/router/leave_test.go
@@ -122,7 +122,7 @@
 	c := qt.New(t)
 	var s starts
 	f := newFleet(t)
-	f.sidecar("sidecar-1", newBackend(t, warm(s.handler(300*time.Millisecond))).URL)
+	f.sidecar("sidecar-1", newBackend(t, warm(s.handler(800*time.Millisecond))).URL)
 	f.start()
 	var wg sync.WaitGroup
 	var whole atomic.Int64
@@ -143,6 +143,7 @@
 	c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(got.outcome, qt.Equals, "not-run")
 	c.Assert(got.header.Get("Retry-After"), qt.Equals, "1")
+	c.Assert(got.closes, qt.IsTrue)
 	ready, err := http.Get(f.ops + "/readyz")
 	c.Assert(err, qt.IsNil)
 	ready.Body.Close()
@@ -153,36 +154,58 @@
 	f.done <- nil
 }
 
-// When the stop bound has passed, what is held ends with typed outcomes.
+// When the stop bound has passed, or on a second request to stop, what is held
+// ends with typed outcomes.
 func TestStopBoundEndsWithTypedOutcomes(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	var s starts
-	f := newFleet(t)
-	f.sidecar("sidecar-1", newBackend(t, warm(s.handler(3*time.Second))).URL)
-	f.start(func(set *settings.Router) { set.Stop.Bound = settings.Duration(300 * time.Millisecond) })
+	for _, way := range []string{"bound", "again"} {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var s starts
+			f := newFleet(t)
+			f.sidecar("sidecar-1", newBackend(t, warm(s.handler(3*time.Second))).URL)
+			f.start(func(set *settings.Router) {
+				if way == "bound" {
+					set.Stop.Bound = settings.Duration(300 * time.Millisecond)
+				}
+			})
+			outcomes := f.outcomesOf(8, func() {
+				time.Sleep(200 * time.Millisecond)
+				close(f.stop)
+				if way == "again" {
+					f.router.Abort()
+				}
+			})
+			c.Assert(outcomes["unknown"] >= 4, qt.IsTrue, qt.Commentf("%v", outcomes))
+			c.Assert(outcomes["unknown"]+outcomes["not-run"], qt.Equals, 8, qt.Commentf("%v", outcomes))
+			c.Assert(<-f.done, qt.IsNil)
+			f.done <- nil
+		})
+	}
+}
+
+// outcomesOf sends calls at once, does something meanwhile, and counts the
+// outcomes.
+func (f *fleet) outcomesOf(calls int, meanwhile func()) map[string]int {
 	var mu sync.Mutex
-	outcomes := map[string]int{}
+	out := map[string]int{}
 	var wg sync.WaitGroup
-	for range 8 {
+	for range calls {
 		wg.Go(func() {
 			got, err := f.call(http.MethodPost, plainPath, "{}")
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				outcomes["error"]++
+				out["error"]++
 				return
 			}
-			outcomes[got.outcome]++
+			out[got.outcome]++
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
-	close(f.stop)
+	meanwhile()
 	wg.Wait()
-	c.Assert(outcomes["unknown"] >= 4, qt.IsTrue, qt.Commentf("%v", outcomes))
-	c.Assert(outcomes["unknown"]+outcomes["not-run"], qt.Equals, 8, qt.Commentf("%v", outcomes))
-	c.Assert(<-f.done, qt.IsNil)
-	f.done <- nil
+	return out
 }
 
 // A sidecar whose stop bound has passed ends its runs with typed outcomes and
--- a/transport/router/links_test.go
+++ b/transport/router/links_test.go
@@ -262,3 +262,50 @@
 	c.Assert(resp.Header.Get("Goldcrest-Outcome"), qt.Equals, "unknown")
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusBadGateway)
 }
+
+// A run whose router does not come back within the grace time ends, so that
+// its slot is free again.
+func TestAbandonedRunEndsAfterTheGrace(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	started, ended := make(chan struct{}), make(chan time.Time, 1)
+	b := newBackend(t, warm(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		ended <- time.Now()
+	}))
+	f := newFleet(t)
+	const grace = 700 * time.Millisecond
+	n := f.sidecar("sidecar-1", b.URL, func(s *settings.Sidecar) { s.Backend.ResumeGrace = settings.Duration(grace) })
+	f.start()
+	go func() { _, _ = f.call(http.MethodPost, plainPath, "{}") }()
+	<-started
+	n.refuse.Store(true)
+	n.cut()
+	cut := time.Now()
+	select {
+	case at := <-ended:
+		c.Assert(at.Sub(cut) > grace/2, qt.IsTrue, qt.Commentf("ended after %s", at.Sub(cut)))
+	case <-time.After(grace + 3*time.Second):
+		c.Fatal("the run goes on")
+	}
+}
+
+// Connections that were cut while they were idle cost no call its outcome.
+func TestStaleConnectionsCostNoCall(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBackend(t, warm(lines(1, 0)))
+	f := newFleet(t)
+	n := f.sidecar("sidecar-1", b.URL)
+	f.start()
+	before := b.runs.Load()
+	const calls = 20
+	for range calls {
+		n.cut()
+		got, err := f.call(http.MethodPost, plainPath, "{}")
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+	c.Assert(b.runs.Load()-before, qt.Equals, int64(calls))
+}
--- a/transport/router/outcomes_test.go
+++ b/transport/router/outcomes_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,3 +109,44 @@
 	c.Assert(n, qt.Equals, int64(size))
 	c.Logf("held back at %s", fmt.Sprint(held>>20, " MiB"))
 }
+
+// In HTTP/1.0 an answer may end with its connection; one that was cut short
+// ends with a reset instead.
+func TestCutAnswerResetsAnOldCaller(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBackend(t, warm(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "a part")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}))
+	f := newFleet(t)
+	f.sidecar("sidecar-1", b.URL)
+	f.start()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n{}", plainPath, testToken)
+	c.Assert(err, qt.IsNil)
+	got, err := io.ReadAll(conn)
+	c.Assert(string(got), qt.Contains, "a part")
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+}
+
+// A run that passes its deadline is ended, and is not called not-run.
+func TestDeadlineEndsARun(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBackend(t, warm(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	f := newFleet(t)
+	f.sidecar("sidecar-1", b.URL)
+	f.start()
+	req := f.request(http.MethodPost, lookupPath, "{}")
+	req.Header.Set("Goldcrest-Deadline", "300ms")
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(resp.Header.Get("Goldcrest-Outcome"), qt.Equals, "unknown")
+}
