--- a/transport/sidecar/orders.go
+++ b/transport/sidecar/orders.go
@@ -137,7 +137,7 @@
 // configuration; for the others the platform itself is asked.
 func (r *reconciler) validate(ctx context.Context) {
 	doc := r.s.doc.Load()
-	ok := doc != nil && !r.s.leaving.Load() && !r.s.spread.Stale()
+	ok := doc != nil && !r.s.leaving.Load() && !r.s.spread.Stale() && r.s.Fence() != 0
 	out := orders.Validated{OK: ok, Revision: r.s.revision()}
 	if ok && !doc.Services[r.s.set.Service].ChecksFence {
 		out.Revision, out.OK = r.newest(ctx)
@@ -164,7 +164,7 @@
 	ordersSentVar.Add(1)
 	sub, cancel := context.WithTimeout(ctx, r.s.set.Orders.Timeout.D())
 	defer cancel()
-	err := r.engine.give(sub, r.s.incarnation, o)
+	err := r.engine.give(sub, r.s.incarnation(), o)
 	_ = r.s.log.Log("event", "order", "verb", o.Verb, "name", o.Item.Name, "version", o.Item.Version,
 		"order_role", o.Role, "fence", o.Fence, "err", err)
 	switch {
--- a/transport/sidecar/permits.go
+++ b/transport/sidecar/permits.go
@@ -138,4 +138,4 @@
 }
 
 // holderName tells an operator who looks at the platform who holds a place.
-func (s *Sidecar) holderName() string { return fmt.Sprintf("%s %s", s.set.ID, s.incarnation) }
+func (s *Sidecar) holderName() string { return fmt.Sprintf("%s %s", s.set.ID, s.incarnation()) }
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -39,21 +39,22 @@
 type Sidecar struct {
 	wire.DRPCSidecarUnimplementedServer
 
-	set         settings.Sidecar
-	log         log.Logger
-	store       platform.Store
-	directory   platform.Directory
-	pool        *link.Pool
-	spread      *spread.Spreader
-	incarnation string
-	chooser     *chooser
-	backend     *backend
-	runs        *runs
-	drain       *drain
-	reconciler  *reconciler
-	doc         atomic.Pointer[config.Document]
-	leaving     atomic.Bool
-	ctx         context.Context
+	set       settings.Sidecar
+	log       log.Logger
+	store     platform.Store
+	directory platform.Directory
+	pool      *link.Pool
+	spread    *spread.Spreader
+	chooser   *chooser
+	backend   *backend
+	// runs of the present incarnation.
+	runs       atomic.Pointer[runs]
+	slot       *slot
+	drain      *drain
+	reconciler *reconciler
+	doc        atomic.Pointer[config.Document]
+	leaving    atomic.Bool
+	ctx        context.Context
 
 	// held counts the streams and runs that have not ended.
 	held   atomic.Int64
@@ -67,15 +68,13 @@
 // New returns a sidecar that has not bound anything yet.
 func New(set settings.Sidecar, store platform.Store, dir platform.Directory, logger log.Logger) *Sidecar {
 	s := &Sidecar{
-		set:         set,
-		abort:       make(chan struct{}),
-		log:         logger,
-		store:       store,
-		directory:   dir,
-		pool:        link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
-		incarnation: uuid.NewString(),
-		backend:     newBackend(set.Backend.URL),
-		runs:        newRuns(attempts.DefaultConfig()),
+		set:       set,
+		abort:     make(chan struct{}),
+		log:       logger,
+		store:     store,
+		directory: dir,
+		pool:      link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
+		backend:   newBackend(set.Backend.URL),
 	}
 	cfg := share.DefaultConfig()
 	cfg.Slots = set.Backend.Slots
@@ -83,11 +82,16 @@
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
 	s.drain = newDrain(s)
+	s.runs.Store(newRuns(uuid.NewString(), attempts.DefaultConfig()))
+	s.slot = newSlot(s)
 	s.reconciler = newReconciler(s)
 	s.chooser.ordersLeft = func() int { return int(s.reconciler.left.Load()) }
 	return s
 }
 
+// incarnation returns the id under which this process knows of its attempts.
+func (s *Sidecar) incarnation() string { return s.runs.Load().incarnation }
+
 func (s *Sidecar) revision() uint64 {
 	if d := s.doc.Load(); d != nil {
 		return d.Revision
@@ -122,10 +126,11 @@
 	go s.chooser.run(ctx)
 	go s.expireAnswers(ctx)
 	go s.reconciler.run(ctx)
+	go s.slot.run(ctx)
 	go s.spread.Run(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
 	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
-	_ = s.log.Log("event", "serving", "incarnation", s.incarnation, "service", s.set.Service, "peers", s.set.Listen.Peers)
+	_ = s.log.Log("event", "serving", "incarnation", s.incarnation(), "service", s.set.Service, "peers", s.set.Listen.Peers)
 	<-stop
 	s.leave()
 	return nil
@@ -143,7 +148,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.runs.expire()
+			s.runs.Load().expire()
 		}
 	}
 }
@@ -164,5 +169,8 @@
 	if s.leaving.Load() {
 		return errors.New("leaving")
 	}
+	if err := s.slot.ready(); err != nil {
+		return err
+	}
 	return s.spread.Ready()
 }
