The sidecar's limit follows the engine; a failing backend server gets probes only

Cause: a sidecar ran a fixed number of requests whatever the engine's times were, beyond its slots if the settings said so, and a backend server that fails fast drew all the work.

Now: coordination/limit adapts the slots one window (1s) at a time: down by as much as the tighter of the two targets is passed, up by one when used and below nine tenths, never beyond the slots that the engine reports; after each change it waits until the lag is over. Decreases that do not help are taken back, so that long prompts do not cost capacity. limit.Health lets one run at a time probe a server that gives no answer, or error answers to two teams or more. transport/sidecar feeds both: times by histogram, only time spent reading, so that a slow caller does not look like a slow engine. Pulls name the last four prefixes served.

Ruled out: two rings for starts and ends (an end could overtake its start and leave a probe open for ever); error answers of one team as a reason to eject (one team's bad requests would close the pool to all).

Tests seen failing on a broken variant each: no settling, futile decreases stay, no ceiling, no memory of what was too high, raise when unused, no lower bound, never lower, one team closes, any run ends the probe, the pause does not double, two probes, failures do not reset, cancelled runs count.

Not run yet: the whole fleet under load.

--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -126,8 +126,17 @@
 type Backend struct {
 	// URL of the backend server.
 	URL string `json:"url"`
-	// Slots is the number of requests that run at once. Default 8.
+	// Slots is the largest number of requests that run at once. Default 8.
 	Slots int `json:"slots"`
+	// MinSlots is the smallest number to which the limit of a model engine
+	// adapts; as many as Slots fixes the limit. Default 1.
+	MinSlots int `json:"min_slots"`
+	// FirstToken is the target of the time to the first token, for 95 in 100.
+	// Default 970ms.
+	FirstToken Duration `json:"first_token"`
+	// TokenGap is the target of the time between tokens, for 95 in 100.
+	// Default 50ms.
+	TokenGap Duration `json:"token_gap"`
 	// LookAhead is the number of requests pulled ahead of a free slot.
 	// Default 1.
 	LookAhead *int `json:"look_ahead,omitempty"`
@@ -175,8 +184,16 @@
 	ahead := 1
 	return Sidecar{
 		Platform: defaultPlatform(),
-		Backend:  Backend{Slots: 8, LookAhead: &ahead, PromptWeight: 0.01, ResumeGrace: Duration(5 * time.Second)},
-		Stop:     Stop{Bound: Duration(30 * time.Second)},
+		Backend: Backend{
+			Slots:        8,
+			MinSlots:     1,
+			FirstToken:   Duration(970 * time.Millisecond),
+			TokenGap:     Duration(50 * time.Millisecond),
+			LookAhead:    &ahead,
+			PromptWeight: 0.01,
+			ResumeGrace:  Duration(5 * time.Second),
+		},
+		Stop: Stop{Bound: Duration(30 * time.Second)},
 	}
 }
 
--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -48,6 +48,10 @@
 	revision revisionHolder
 	address  string
 	lastBeat time.Time
+	// recent prefixes that were started here.
+	recent recent
+	// ejected tells that the backend server fails.
+	ejected func() bool
 }
 
 // revisionHolder tells which configuration is in force, and how long ago it
@@ -65,6 +69,7 @@
 		routers:  map[string]*router{},
 		revision: revision,
 		address:  address,
+		ejected:  func() bool { return false },
 	}
 }
 
@@ -133,6 +138,9 @@
 	for _, a := range c.core.Step(time.Now(), ev) {
 		switch a := a.(type) {
 		case share.Start:
+			if started := c.attempts[a.Attempt]; started != nil {
+				c.recent.add(started.prefix)
+			}
 			c.tell(a.Attempt, verdictStart)
 		case share.Decline:
 			c.tell(a.Attempt, verdictDecline)
@@ -161,7 +169,7 @@
 	if r == nil {
 		return false
 	}
-	return r.send(&wire.ControlDown{Pulls: []*wire.Pull{{Pull: p.ID, Team: p.Team}}})
+	return r.send(&wire.ControlDown{Pulls: []*wire.Pull{{Pull: p.ID, Team: p.Team, Prefixes: c.recent.names()}}})
 }
 
 func (c *chooser) broadcast(room share.Report) {
@@ -176,6 +184,7 @@
 		Slots:       int32(room.Slots),
 		Free:        int32(room.Free),
 		Leaving:     room.Leaving,
+		Ejected:     c.ejected(),
 		Revision:    c.revision.Revision(),
 		Address:     c.address,
 		ConfigAgeMs: c.revision.Age().Milliseconds(),
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -43,7 +43,9 @@
 	}
 	began := time.Now()
 	a.meter.start(began)
+	s.limits.begin(s.ctx, a)
 	end := s.call(ctx, a, body)
+	s.limits.end(s.ctx, a, end)
 	end.Attempt = a.start.Attempt.Number
 	end.Cost = a.meter.cost()
 	end.BackendUs = time.Since(began).Microseconds()
@@ -54,6 +56,7 @@
 
 // call sends the request to the backend server and reads its answer.
 func (s *Sidecar) call(ctx context.Context, a *attempt, body []byte) *wire.End {
+	began := time.Now()
 	resp, err := s.backend.do(ctx, a.start, body)
 	switch {
 	case errors.Is(err, errNotWritten):
@@ -63,7 +66,8 @@
 	}
 	defer resp.Body.Close()
 	a.answer.setHead(headOf(resp, s.incarnation))
-	return copyAnswer(ctx, a, resp.Body)
+	a.status = resp.StatusCode
+	return copyAnswer(ctx, a, s.limits.timed(resp, began))
 }
 
 // copyAnswer reads the body into the answer. An answer that the backend
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/share"
+	"goldcrestport/protocol/prefix"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/attempts"
 )
@@ -31,6 +32,10 @@
 	verdict chan verdict
 	meter   meter
 	answer  *answer
+	// prefix of the prompt, 0 for none.
+	prefix uint64
+	// status of the backend server's answer, 0 before there is one.
+	status int
 	// ctx of the run, which outlives the stream that started it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -46,6 +51,7 @@
 		start:   st,
 		verdict: make(chan verdict, 1),
 		answer:  newAnswer(answerWindow),
+		prefix:  prefix.Of(st.Body),
 	}
 	a.meter.kind = s.serviceKind()
 	a.meter.promptWeight = s.set.Backend.PromptWeight
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -47,6 +47,7 @@
 	spread      *spread.Spreader
 	incarnation string
 	chooser     *chooser
+	limits      *limits
 	backend     *backend
 	runs        *runs
 	drain       *drain
@@ -81,6 +82,8 @@
 	cfg.LookAhead = *set.Backend.LookAhead
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
+	s.limits = newLimits(s)
+	s.chooser.ejected = s.limits.out.Load
 	s.drain = newDrain(s)
 	return s
 }
@@ -103,6 +106,9 @@
 // Serve binds the listeners and serves until stop is closed; it returns when
 // what runs has ended or the stop bound has passed.
 func (s *Sidecar) Serve(stop <-chan struct{}) error {
+	if err := limitConfig(s.set.Backend).Validate(); err != nil {
+		return errors.Wrap(err, "settings: backend")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.ctx = ctx
@@ -117,6 +123,7 @@
 	mux := http.NewServeMux()
 	observe.Health{Ready: s.ready}.Mount(mux)
 	go s.chooser.run(ctx)
+	go s.limits.run(ctx)
 	go s.expireAnswers(ctx)
 	go s.spread.Run(ctx)
 	go func() { _ = http.Serve(ops, mux) }()
