--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -46,6 +46,7 @@
 	pool      *link.Pool
 	spread    *spread.Spreader
 	chooser   *chooser
+	limits    *limits
 	backend   *backend
 	// runs of the present incarnation.
 	runs       atomic.Pointer[runs]
@@ -81,6 +82,8 @@
 	cfg.LookAhead = *set.Backend.LookAhead
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
+	s.limits = newLimits(s)
+	s.chooser.ejected = s.limits.out.Load
 	s.drain = newDrain(s)
 	s.runs.Store(newRuns(uuid.NewString(), attempts.DefaultConfig()))
 	s.slot = newSlot(s)
@@ -110,6 +113,9 @@
 // Serve binds the listeners and serves until stop is closed; it returns when
 // what runs has ended or the stop bound has passed.
 func (s *Sidecar) Serve(stop <-chan struct{}) error {
+	if err := limitConfig(s.set.Backend).Validate(); err != nil {
+		return errors.Wrap(err, "settings: backend")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.ctx = ctx
@@ -124,6 +130,7 @@
 	mux := http.NewServeMux()
 	observe.Health{Ready: s.ready}.Mount(mux)
 	go s.chooser.run(ctx)
+	go s.limits.run(ctx)
 	go s.expireAnswers(ctx)
 	go s.reconciler.run(ctx)
 	go s.slot.run(ctx)
