--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -71,11 +72,12 @@
 }
 
 func measure(ctx context.Context, o experiment.Options) error {
+	slices.Sort(o.Windows)
 	rep, trials, err := experiment.Run(ctx, o, progress)
 	if err != nil {
 		return err
 	}
-	if err := report.Plot(filepath.Join(o.Out, "service.svg"), trials); err != nil {
+	if err := report.Plot(filepath.Join(o.Out, "service.png"), trials); err != nil {
 		return err
 	}
 	line, err := json.Marshal(rep)
@@ -85,6 +87,9 @@
 	if err := os.WriteFile(filepath.Join(o.Out, "report.json"), append(line, '\n'), 0o644); err != nil {
 		return errors.Wrap(err, "report file")
 	}
+	for _, c := range rep.Checks {
+		fmt.Println(c)
+	}
 	fmt.Println(string(line))
 	return nil
 }
--- a/bench/report/result.go
+++ b/bench/report/result.go
@@ -45,6 +45,8 @@
 	Windows         []WindowGap        `json:"windows"`
 	// LongestSilence is the longest time without a completion, by team.
 	LongestSilence map[string]float64 `json:"longest_silence_ms"`
+	// RouterControlCPU is ControlCPU of the routers alone.
+	RouterControlCPU *float64 `json:"control_cpu_fraction_router"`
 	// RouterBytes, SidecarBytes are ControlBytes by role; LargestBytes that
 	// of the process with the most.
 	RouterBytes  *float64 `json:"control_bytes_per_s_router"`
@@ -58,10 +60,14 @@
 	RequestRate float64 `json:"requests_per_s"`
 }
 
-// WindowGap is the gap over the first part of the window.
+// WindowGap tells the gaps over all windows of one length that lie within the
+// trial, in mean request costs.
 type WindowGap struct {
-	Seconds     float64 `json:"seconds"`
-	FairnessGap float64 `json:"fairness_gap"`
+	Seconds float64 `json:"seconds"`
+	// Placements is the number of windows, which overlap.
+	Placements int     `json:"placements"`
+	Median     float64 `json:"median"`
+	Largest    float64 `json:"largest"`
 }
 
 // Report is the outcome of a run of the tool.
@@ -75,6 +81,8 @@
 	RateScale     float64        `json:"rate_scale"`
 	Restarted     int            `json:"restarted_routers"`
 	Spread        []Spread       `json:"spread"`
+	// Checks hold the chosen policy's medians against the targets.
+	Checks []Check `json:"checks"`
 }
 
 // Spread holds the least and the largest figure over the repeats.
