Settings are checked whole before a process starts

Cause: a settings file was decoded only; ranges, units, clashes and missing values went unnoticed until something broke at run time, and only the first unknown key was named.

The file is checked in three steps (text, JSON schema per value, values against each other) and every problem is reported at once with its path. goldcrestd validate does the same without starting. Sizes are a type of their own ("8MiB"; a plain number of bytes stays accepted).

Ruled out: struct tags with a checker of our own (a second schema language with a home-made interpreter; the schema files serve editors too).

Also: a test of the import direction of the layers and of the purity of coordination and state.

--- a/cmd/goldcrestd/commands.go
+++ b/cmd/goldcrestd/commands.go
@@ -21,7 +21,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(routerCommand(), sidecarCommand())
+	cmd.AddCommand(routerCommand(), sidecarCommand(), validateCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/goldcrestd/commands_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"goldcrestport/protocol/settings"
+)
+
+func run(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetArgs(args)
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+func TestValidate(t *testing.T) {
+	c := quicktest.New(t)
+	for _, role := range []string{roleRouter, roleSidecar} {
+		file := "../../docs/examples/" + role + ".json"
+		out, err := run("validate", "--role", role, "-s", file)
+		c.Check(err, quicktest.IsNil)
+		c.Check(out, quicktest.Equals, "settings "+file+": correct for a "+role+"\n")
+	}
+	_, err := run("validate", "--role", roleSidecar, "-s", "../../docs/examples/router.json")
+	c.Check(err, quicktest.ErrorMatches, `settings .*: 6 to correct\n  backend: is required\n  limits: unknown key\n  listen.callers: unknown key\n  operators: unknown key\n  queues: unknown key\n  service: is required`)
+	_, err = run("validate", "--role", "gateway", "-s", "x")
+	c.Check(err, quicktest.ErrorMatches, `role "gateway": want router or sidecar`)
+}
+
+// A process whose settings are wrong must end before it binds anything.
+func TestBadSettingsBindNothing(t *testing.T) {
+	c := quicktest.New(t)
+	data, err := os.ReadFile("../../docs/examples/router.json")
+	c.Assert(err, quicktest.IsNil)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	address := lis.Addr().String()
+	c.Assert(lis.Close(), quicktest.IsNil)
+	text := strings.Replace(string(data), "10.20.0.11:8080", address, 1)
+	file := filepath.Join(c.TempDir(), "router.json")
+	c.Assert(os.WriteFile(file, []byte(strings.Replace(text, `"30s"`, `"30"`, 1)), 0o600), quicktest.IsNil)
+	_, err = run(roleRouter, "-s", file)
+	var problems *settings.Problems
+	c.Assert(err, quicktest.ErrorAs, &problems)
+	c.Check(problems.List[0].Path, quicktest.Equals, "limits.body_timeout")
+	lis, err = net.Listen("tcp", address)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(lis.Close(), quicktest.IsNil)
+}
--- /dev/null
+++ b/cmd/goldcrestd/validate.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"goldcrestport/protocol/settings"
+)
+
+// Roles that a settings file can be for.
+const (
+	roleRouter  = "router"
+	roleSidecar = "sidecar"
+)
+
+// validateCommand checks a settings file without starting anything.
+func validateCommand() *cobra.Command {
+	var role, file string
+	cmd := &cobra.Command{
+		Use:   "validate",
+		Short: "Check a settings file without starting",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			into, err := settingsOf(role)
+			if err != nil {
+				return err
+			}
+			if err := settings.Load(file, into); err != nil {
+				return err
+			}
+			cmd.Printf("settings %s: correct for a %s\n", file, role)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&role, "role", "", "router or sidecar")
+	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (JSON)")
+	_ = cmd.MarkFlagRequired("role")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// settingsOf returns the default settings of a role.
+func settingsOf(role string) (settings.Settings, error) {
+	switch role {
+	case roleRouter:
+		set := settings.DefaultRouter()
+		return &set, nil
+	case roleSidecar:
+		set := settings.DefaultSidecar()
+		return &set, nil
+	default:
+		return nil, errors.Newf("role %q: want router or sidecar", role)
+	}
+}
--- /dev/null
+++ b/layers_test.go
@@ -0,0 +1,113 @@
+// Package layers checks the import direction of the product's layers.
+package layers
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+const module = "goldcrestport/"
+
+// order holds the layers from the top down. A layer imports itself and those
+// after it.
+var order = []string{"cmd", "transport", "protocol", "coordination", "state"}
+
+// pure names the layers without input, output, clock or goroutines.
+var pure = []string{"coordination", "state"}
+
+// impure lists standard packages that the pure layers must not import, with
+// everything below them.
+var impure = []string{"net", "os", "io/fs", "io/ioutil", "log", "syscall", "sync", "context", "math/rand", "crypto/rand", "expvar", "runtime"}
+
+// clockCalls are the functions of package time that read or wait on a clock.
+var clockCalls = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTicker", "NewTimer"}
+
+// below reports whether path is pkg or lies below it.
+func below(path, pkg string) bool { return path == pkg || strings.HasPrefix(path, pkg+"/") }
+
+// fault tells what is wrong with an import by a file of the layer, if
+// anything.
+func fault(layer, path string) string {
+	if below(path, "net/http/httputil") {
+		return "no proxying from libraries"
+	}
+	if slices.Contains(pure, layer) {
+		for _, p := range impure {
+			if below(path, p) && path != "math/rand/v2" {
+				return "the layer is pure"
+			}
+		}
+	}
+	inside, found := strings.CutPrefix(path, module)
+	if !found {
+		return ""
+	}
+	target, _, _ := strings.Cut(inside, "/")
+	from, to := slices.Index(order, layer), slices.Index(order, target)
+	if to < 0 || from >= 0 && to < from {
+		return "against the order of the layers"
+	}
+	return ""
+}
+
+func TestFaultsAreFound(t *testing.T) {
+	for _, tc := range []struct {
+		layer, path string
+		bad         bool
+	}{
+		{"transport", "goldcrestport/state/config", false},
+		{"state", "goldcrestport/coordination/share", true},
+		{"protocol", "goldcrestport/transport/link", true},
+		{"transport", "goldcrestport/standin/engine", true},
+		{"coordination", "net/http", true},
+		{"coordination", "math/rand/v2", false},
+		{"state", "os/exec", true},
+		{"state", "crypto/sha256", false},
+		{"transport", "net/http/httputil", true},
+		{"transport", "net/http", false},
+	} {
+		quicktest.Check(t, fault(tc.layer, tc.path) != "", quicktest.Equals, tc.bad, quicktest.Commentf("%v", tc))
+	}
+}
+
+func TestImportDirection(t *testing.T) {
+	files := 0
+	for _, layer := range order {
+		err := filepath.WalkDir(layer, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || filepath.Ext(path) != ".go" {
+				return err
+			}
+			files++
+			checkFile(t, layer, path)
+			return nil
+		})
+		quicktest.Assert(t, err, quicktest.IsNil)
+	}
+	quicktest.Check(t, files > len(order), quicktest.IsTrue)
+}
+
+func checkFile(t *testing.T, layer, path string) {
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	if strings.HasSuffix(path, "_test.go") {
+		return
+	}
+	for _, spec := range file.Imports {
+		name, err := strconv.Unquote(spec.Path.Value)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		if text := fault(layer, name); text != "" {
+			t.Errorf("%s imports %s: %s", path, name, text)
+		}
+	}
+	if slices.Contains(pure, layer) {
+		checkClock(t, path, file)
+	}
+}
--- /dev/null
+++ b/protocol/settings/router.go
@@ -0,0 +1,136 @@
+package settings
+
+import "time"
+
+// RouterPolicy says how a router hands requests to sidecars.
+type RouterPolicy string
+
+// Router policies.
+const (
+	// RouterPull lets work wait at the router until a sidecar pulls it.
+	RouterPull RouterPolicy = "pull"
+	// RouterPushFIFO pushes requests to the least loaded sidecar in order of
+	// arrival.
+	RouterPushFIFO RouterPolicy = "push-fifo"
+	// RouterPushFair pushes requests to the least loaded sidecar, fair over
+	// the teams of this router.
+	RouterPushFair RouterPolicy = "push-fair"
+)
+
+// RouterListen holds the addresses that a router binds.
+type RouterListen struct {
+	// Callers is the address for requests.
+	Callers string `json:"callers"`
+	// Operators is the address for goldcrestctl, health and metrics.
+	Operators string `json:"operators"`
+	// Peers is the address for other routers and sidecars.
+	Peers string `json:"peers"`
+}
+
+// Queues bounds what waits at a router.
+type Queues struct {
+	// PerTeam bounds one team's waiting requests. Default 512.
+	PerTeam int `json:"per_team"`
+	// PerTeamBytes bounds one team's waiting bodies. Default 64 MiB.
+	PerTeamBytes Size `json:"per_team_bytes"`
+	// Total bounds all waiting requests. Default 8192.
+	Total int `json:"total"`
+	// TotalBytes bounds all waiting bodies. Default 128 MiB.
+	TotalBytes Size `json:"total_bytes"`
+}
+
+// CallerLimits bounds what callers may do.
+type CallerLimits struct {
+	// Body bounds a request body. Default 8 MiB.
+	Body Size `json:"body"`
+	// ReadingBytes bounds all bodies that are being read. Default 64 MiB.
+	ReadingBytes Size `json:"reading_bytes"`
+	// Headers bounds the request headers. Default 64 KiB.
+	Headers Size `json:"headers"`
+	// HeaderFields bounds the number of request header fields. Default 100.
+	HeaderFields int `json:"header_fields"`
+	// Connections bounds the callers' open connections. Default 4096.
+	Connections int `json:"connections"`
+	// HeaderTimeout bounds the time to read the headers. Default 5s.
+	HeaderTimeout Duration `json:"header_timeout"`
+	// BodyTimeout bounds the time to read the body. Default 30s.
+	BodyTimeout Duration `json:"body_timeout"`
+	// IdleTimeout closes a connection without requests. Default 1m.
+	IdleTimeout Duration `json:"idle_timeout"`
+	// Deadline is the longest time that a request may take. Default 10m.
+	Deadline Duration `json:"deadline"`
+}
+
+// Operators holds what operators need before there is a configuration.
+type Operators struct {
+	// BootstrapDigest is the hex SHA-256 digest of the token that may confirm
+	// the first configuration; empty for none.
+	BootstrapDigest string `json:"bootstrap_digest,omitempty"`
+}
+
+// Router holds the settings of a router.
+type Router struct {
+	ID         string       `json:"id"`
+	DataCentre string       `json:"data_centre"`
+	Listen     RouterListen `json:"listen"`
+	Platform   Platform     `json:"platform"`
+	// Seeds are peers' addresses of some routers, IP:port, which a starting
+	// process asks when the platform does not answer.
+	Seeds []string `json:"seeds,omitempty"`
+	// Policy of handing out work. Default "pull".
+	Policy    RouterPolicy `json:"policy"`
+	Queues    Queues       `json:"queues"`
+	Limits    CallerLimits `json:"limits"`
+	Operators Operators    `json:"operators"`
+	Stop      Stop         `json:"stop"`
+	Log       Log          `json:"log"`
+	Trace     Trace        `json:"trace"`
+}
+
+// DefaultRouter returns a router's settings with every default filled in.
+func DefaultRouter() Router {
+	return Router{
+		Platform: defaultPlatform(),
+		Policy:   RouterPull,
+		Queues:   Queues{PerTeam: 512, PerTeamBytes: 64 * MiB, Total: 8192, TotalBytes: 128 * MiB},
+		Limits: CallerLimits{
+			Body:          8 * MiB,
+			ReadingBytes:  64 * MiB,
+			Headers:       64 * KiB,
+			HeaderFields:  100,
+			Connections:   4096,
+			HeaderTimeout: Duration(5 * time.Second),
+			BodyTimeout:   Duration(30 * time.Second),
+			IdleTimeout:   Duration(time.Minute),
+			Deadline:      Duration(10 * time.Minute),
+		},
+		Stop:  defaultStop(),
+		Log:   Log{Level: LogInfo},
+		Trace: defaultTrace(),
+	}
+}
+
+func (*Router) schema() string { return routerSchema }
+
+// clashes reports values that do not go together.
+func (r *Router) clashes(p *Problems) {
+	checkListeners(p, []listener{
+		{"listen.callers", r.Listen.Callers},
+		{"listen.operators", r.Listen.Operators},
+		{"listen.peers", r.Listen.Peers},
+	})
+	q, l := r.Queues, r.Limits
+	if q.Total < q.PerTeam {
+		p.add("queues.total", "%d is below queues.per_team, %d", q.Total, q.PerTeam)
+	}
+	if q.TotalBytes < q.PerTeamBytes {
+		p.add("queues.total_bytes", "%s is below queues.per_team_bytes, %s", q.TotalBytes, q.PerTeamBytes)
+	}
+	if q.PerTeamBytes < l.Body {
+		p.add("queues.per_team_bytes", "%s is below limits.body, %s", q.PerTeamBytes, l.Body)
+	}
+	if l.ReadingBytes < l.Body {
+		p.add("limits.reading_bytes", "%s is below limits.body, %s", l.ReadingBytes, l.Body)
+	}
+	r.Trace.clashes(p)
+}
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -136,7 +136,7 @@
 	limits := r.set.Limits
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(limits.BodyTimeout.D()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.Body))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.Body.Bytes()))
 	if err == nil {
 		_ = ctl.SetReadDeadline(time.Time{})
 	}
--- a/transport/router/dispatch_config.go
+++ b/transport/router/dispatch_config.go
@@ -13,9 +13,9 @@
 	cfg := dispatch.DefaultConfig()
 	cfg.Policy = dispatch.Policy(set.Policy)
 	cfg.Queues.PerTeam = set.Queues.PerTeam
-	cfg.Queues.PerTeamBytes = set.Queues.PerTeamBytes
+	cfg.Queues.PerTeamBytes = set.Queues.PerTeamBytes.Bytes()
 	cfg.Queues.Total = set.Queues.Total
-	cfg.Queues.TotalBytes = set.Queues.TotalBytes
+	cfg.Queues.TotalBytes = set.Queues.TotalBytes.Bytes()
 	cfg.Seed = xxhash.Sum64String(set.ID)
 	return cfg
 }
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -134,7 +134,7 @@
 	return &http.Server{
 		Handler:           r.holding(r.callerHandler()),
 		ReadHeaderTimeout: r.set.Limits.HeaderTimeout.D(),
-		MaxHeaderBytes:    r.set.Limits.Headers,
+		MaxHeaderBytes:    int(r.set.Limits.Headers.Bytes()),
 		IdleTimeout:       time.Minute,
 	}
 }
@@ -145,7 +145,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: r.set.Limits.HeaderTimeout.D(),
 		ReadTimeout:       r.set.Limits.BodyTimeout.D(),
-		MaxHeaderBytes:    r.set.Limits.Headers,
+		MaxHeaderBytes:    int(r.set.Limits.Headers.Bytes()),
 		IdleTimeout:       time.Minute,
 	}
 }
