Edges of the product: callers' input, logs, metrics and traces

Cause: the callers' listener ignored bad headers, cleaned paths by redirect, let a caller reach any path of a model engine under /services/, read bodies without a bound on their sum, and looked a token up by walking all teams. There were no traces and no times in the metrics.

Callers: each fault is a typed problem before anything is dispatched; memory of bodies is bounded in total and per team and is reserved as a body arrives; connections are bounded, with a spare few that are told so; a caller who stops reading is given up after limits.write_timeout; tokens are found by an index made once per revision. A listed non-idempotent path is matched unescaped, so that an escape cannot hide it.

Logs have levels, request and trace ids; refusals that say the same are limited to 5 a second per reason, team and service, and the dropped ones are counted. Metrics belong to a process value instead of the program; times are HdrHistogram summaries over the last minute. Spans: receive, queue, dispatch, sidecar, backend call, from and to W3C traceparent.

Ruled out: http.ServeMux (redirects paths with .. or //, which a plain service may own); a bound on announced lengths (a caller who announces much and sends little would hold much).

--- a/cmd/goldcrestd/commands.go
+++ b/cmd/goldcrestd/commands.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"goldcrestport/protocol/settings"
@@ -28,45 +29,65 @@
 func routerCommand() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
-		Use:   "router",
+		Use:   roleRouter,
 		Short: "Run an entry router",
-		RunE: func(*cobra.Command, []string) error {
-			set := settings.DefaultRouter()
-			if err := settings.Load(file, &set); err != nil {
-				return err
-			}
-			logger := observe.NewLogger("router", set.ID)
-			client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
-			r := router.New(set, client, client, logger)
-			return r.Serve(stopSignal(r.Abort))
-		},
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return runRouter(file) },
 	}
-	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (JSON)")
-	_ = cmd.MarkFlagRequired("settings")
+	settingsFlag(cmd, &file)
 	return cmd
 }
 
+func runRouter(file string) error {
+	set := settings.DefaultRouter()
+	if err := settings.Load(file, &set); err != nil {
+		return err
+	}
+	logger := observe.NewLogger(os.Stderr, roleRouter, set.ID, set.Log)
+	tracer, err := observe.NewTracer(os.Stdout, roleRouter, set.ID, set.Trace)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
+	r := router.New(set, client, client, logger)
+	r.SetTracer(tracer)
+	return errors.CombineErrors(r.Serve(stopSignal(r.Abort)), tracer.Close())
+}
+
 func sidecarCommand() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
-		Use:   "sidecar",
+		Use:   roleSidecar,
 		Short: "Run the sidecar of one backend server",
-		RunE: func(*cobra.Command, []string) error {
-			set := settings.DefaultSidecar()
-			if err := settings.Load(file, &set); err != nil {
-				return err
-			}
-			logger := observe.NewLogger("sidecar", set.ID)
-			client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
-			s := sidecar.New(set, client, client, logger)
-			return s.Serve(stopSignal(s.Abort))
-		},
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return runSidecar(file) },
 	}
-	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (JSON)")
-	_ = cmd.MarkFlagRequired("settings")
+	settingsFlag(cmd, &file)
 	return cmd
 }
 
+func runSidecar(file string) error {
+	set := settings.DefaultSidecar()
+	if err := settings.Load(file, &set); err != nil {
+		return err
+	}
+	logger := observe.NewLogger(os.Stderr, roleSidecar, set.ID, set.Log)
+	tracer, err := observe.NewTracer(os.Stdout, roleSidecar, set.ID, set.Trace)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(set.Platform.URL, set.ID, set.Platform.Timeout.D())
+	s := sidecar.New(set, client, client, logger)
+	s.SetTracer(tracer)
+	return errors.CombineErrors(s.Serve(stopSignal(s.Abort)), tracer.Close())
+}
+
+// settingsFlag adds the required flag that names the settings file.
+func settingsFlag(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVarP(file, "settings", "s", "", "settings file (JSON)")
+	_ = cmd.MarkFlagRequired("settings")
+}
+
 // stopSignal is closed by the first SIGTERM or SIGINT; the second one calls
 // again.
 func stopSignal(again func()) <-chan struct{} {
--- a/cmd/goldcrestd/validate.go
+++ b/cmd/goldcrestd/validate.go
@@ -33,9 +33,8 @@
 		},
 	}
 	cmd.Flags().StringVar(&role, "role", "", "router or sidecar")
-	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (JSON)")
 	_ = cmd.MarkFlagRequired("role")
-	_ = cmd.MarkFlagRequired("settings")
+	settingsFlag(cmd, &file)
 	return cmd
 }
 
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -58,6 +58,12 @@
 	ReasonKeyReused      Reason = "key-reused"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonInternal       Reason = "internal"
+	ReasonUnknownPath    Reason = "unknown-path"
+	ReasonMethod         Reason = "method-not-allowed"
+	ReasonBadHeader      Reason = "bad-header"
+	ReasonHeadersLarge   Reason = "headers-too-large"
+	ReasonConnections    Reason = "too-many-connections"
+	ReasonBodiesFull     Reason = "bodies-full"
 )
 
 // Outcome is how a request ended.
--- a/protocol/settings/router.go
+++ b/protocol/settings/router.go
@@ -43,8 +43,10 @@
 type CallerLimits struct {
 	// Body bounds a request body. Default 8 MiB.
 	Body Size `json:"body"`
-	// ReadingBytes bounds all bodies that are being read. Default 64 MiB.
-	ReadingBytes Size `json:"reading_bytes"`
+	// Bodies bounds all request bodies that the router holds: those being
+	// read, waiting and running. One team may hold half of it. Default
+	// 192 MiB.
+	Bodies Size `json:"bodies"`
 	// Headers bounds the request headers. Default 64 KiB.
 	Headers Size `json:"headers"`
 	// HeaderFields bounds the number of request header fields. Default 100.
@@ -55,6 +57,9 @@
 	HeaderTimeout Duration `json:"header_timeout"`
 	// BodyTimeout bounds the time to read the body. Default 30s.
 	BodyTimeout Duration `json:"body_timeout"`
+	// WriteTimeout bounds the time in which a caller takes a part of the
+	// answer. Default 1m.
+	WriteTimeout Duration `json:"write_timeout"`
 	// IdleTimeout closes a connection without requests. Default 1m.
 	IdleTimeout Duration `json:"idle_timeout"`
 	// Deadline is the longest time that a request may take. Default 10m.
@@ -95,12 +100,13 @@
 		Queues:   Queues{PerTeam: 512, PerTeamBytes: 64 * MiB, Total: 8192, TotalBytes: 128 * MiB},
 		Limits: CallerLimits{
 			Body:          8 * MiB,
-			ReadingBytes:  64 * MiB,
+			Bodies:        192 * MiB,
 			Headers:       64 * KiB,
 			HeaderFields:  100,
 			Connections:   4096,
 			HeaderTimeout: Duration(5 * time.Second),
 			BodyTimeout:   Duration(30 * time.Second),
+			WriteTimeout:  Duration(time.Minute),
 			IdleTimeout:   Duration(time.Minute),
 			Deadline:      Duration(10 * time.Minute),
 		},
@@ -129,8 +135,8 @@
 	if q.PerTeamBytes < l.Body {
 		p.add("queues.per_team_bytes", "%s is below limits.body, %s", q.PerTeamBytes, l.Body)
 	}
-	if l.ReadingBytes < l.Body {
-		p.add("limits.reading_bytes", "%s is below limits.body, %s", l.ReadingBytes, l.Body)
+	if l.Bodies < q.TotalBytes {
+		p.add("limits.bodies", "%s is below queues.total_bytes, %s", l.Bodies, q.TotalBytes)
 	}
 	r.Trace.clashes(p)
 }
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -82,7 +82,7 @@
 		{"limits.body", `"8MB"`, `limits.body: "8MB" is no size`},
 		{"limits.body", `"1TiB"`, `limits.body: "1TiB" is no size`},
 		{"limits.body", `12`, "limits.body: 12 is outside 1KiB to 64MiB"},
-		{"limits.reading_bytes", `"4MiB"`, "limits.reading_bytes: 4MiB is below limits.body, 8MiB"},
+		{"limits.bodies", `"4MiB"`, "limits.bodies: 4MiB is below queues.total_bytes, 128MiB"},
 		{"limits.connections", `-1`, "limits.connections: minimum: got -1, want 1"},
 		{"limits.deadline", `"1000h"`, "limits.deadline: 1000h is outside 10ms to 24h"},
 		{"operators.bootstrap_digest", `"12ab"`, "operators.bootstrap_digest: '12ab' is not valid sha256"},
@@ -148,6 +148,18 @@
 	c.Check(load(c, []byte(`{} {}`), &set)[0], quicktest.Contains, "line 1, column 4")
 }
 
+// What a tool writes from the structs must be accepted.
+func TestWrittenSettingsLoad(t *testing.T) {
+	c, router, sidecar := quicktest.New(t), DefaultRouter(), DefaultSidecar()
+	c.Assert(Load(examples+"router.json", &router), quicktest.IsNil)
+	c.Assert(Load(examples+"sidecar.json", &sidecar), quicktest.IsNil)
+	for _, set := range []Settings{&router, &sidecar} {
+		data, err := json.Marshal(set)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(load(c, data, reflect.New(reflect.TypeOf(set).Elem()).Interface().(Settings)), quicktest.HasLen, 0)
+	}
+}
+
 func TestSchemaNamesEachField(t *testing.T) {
 	c := quicktest.New(t)
 	for _, set := range []Settings{&Router{}, &Sidecar{}} {
--- a/protocol/settings/sidecar.go
+++ b/protocol/settings/sidecar.go
@@ -116,7 +116,7 @@
 		{"listen.peers", s.Listen.Peers},
 		{"listen.operators", s.Listen.Operators},
 	})
-	if s.Backend.MinSlots > s.Backend.Slots {
+	if s.Backend.Slots > 0 && s.Backend.MinSlots > s.Backend.Slots {
 		p.add("backend.min_slots", "%d is above backend.slots, %d", s.Backend.MinSlots, s.Backend.Slots)
 	}
 	s.Trace.clashes(p)
--- a/transport/observe/ops.go
+++ b/transport/observe/health.go
@@ -9,6 +9,9 @@
 type Health struct {
 	// Ready returns nil, or why no new work is taken.
 	Ready func() error
+	// Vars are the metrics of the process; nil for those of package expvar
+	// only.
+	Vars *Vars
 }
 
 // Mount adds /healthz, /readyz and /debug/vars to the mux.
@@ -17,7 +20,11 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	mux.HandleFunc("GET /readyz", h.serveReady)
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	var vars http.Handler = expvar.Handler()
+	if h.Vars != nil {
+		vars = h.Vars
+	}
+	mux.Handle("GET /debug/vars", vars)
 }
 
 func (h Health) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/transport/observe/log.go
+++ b/transport/observe/log.go
@@ -1,18 +1,34 @@
-// Package observe sets up what a process shows of itself: logs, metrics and
-// health.
 package observe
 
 import (
-	"os"
+	"io"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"goldcrestport/protocol/settings"
 )
 
-// NewLogger returns a logger that writes one key=value line per event to
-// standard error. The role and id name the process.
-func NewLogger(role, id string) log.Logger {
-	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+// NewLogger returns a logger that writes one key=value line per event. The
+// role and id name the process. An event without a level counts as info.
+func NewLogger(w io.Writer, role, id string, set settings.Log) log.Logger {
+	l := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	stamp := log.TimestampFormat(func() time.Time { return time.Now().UTC() }, time.RFC3339Nano)
-	return log.With(l, "ts", stamp, "role", role, "id", id)
+	l = log.With(l, "ts", stamp, "role", role, "id", id)
+	l = level.NewFilter(l, allowed(set.Level))
+	return level.NewInjector(l, level.InfoValue())
+}
+
+func allowed(least settings.LogLevel) level.Option {
+	switch least {
+	case settings.LogDebug:
+		return level.AllowDebug()
+	case settings.LogWarn:
+		return level.AllowWarn()
+	case settings.LogError:
+		return level.AllowError()
+	default:
+		return level.AllowInfo()
+	}
 }
--- /dev/null
+++ b/transport/observe/vars.go
@@ -0,0 +1,73 @@
+package observe
+
+import (
+	"bytes"
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// Vars holds the metrics of one process and serves them with those that
+// package expvar publishes itself.
+type Vars struct {
+	all *expvar.Map
+}
+
+// NewVars returns the metrics that every process has.
+func NewVars() *Vars {
+	v := &Vars{all: new(expvar.Map).Init()}
+	v.Func("process_goroutines", func() any { return runtime.NumGoroutine() })
+	v.Func("process_cpu_us", func() any { return cpuTime().Microseconds() })
+	return v
+}
+
+// Int adds a counter or gauge.
+func (v *Vars) Int(name string) *expvar.Int {
+	i := new(expvar.Int)
+	v.all.Set(name, i)
+	return i
+}
+
+// Map adds a set of counters.
+func (v *Vars) Map(name string) *expvar.Map {
+	m := new(expvar.Map).Init()
+	v.all.Set(name, m)
+	return m
+}
+
+// Func adds a value that is read when it is asked for. It must encode as JSON.
+func (v *Vars) Func(name string, read func() any) { v.all.Set(name, expvar.Func(read)) }
+
+// Names returns the names of all metrics of the process, sorted.
+func (v *Vars) Names() []string {
+	var out []string
+	v.all.Do(func(kv expvar.KeyValue) { out = append(out, kv.Key) })
+	return out
+}
+
+// ServeHTTP writes all metrics as one JSON object.
+func (v *Vars) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var b bytes.Buffer
+	separator := "{\n"
+	write := func(kv expvar.KeyValue) {
+		fmt.Fprintf(&b, "%s%q: %s", separator, kv.Key, kv.Value)
+		separator = ",\n"
+	}
+	expvar.Do(write)
+	v.all.Do(write)
+	b.WriteString("\n}\n")
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = w.Write(b.Bytes())
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var use syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) != nil {
+		return 0
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -58,6 +58,8 @@
 	start.Pull = d.send.Pull
 	start.Revision = r.revision()
 	start.DeadlineMs = max(time.Until(c.request.Deadline).Milliseconds(), 1)
+	c.trail.sent(start, d.send.Sidecar)
+	defer c.trail.returned()
 	res := r.stream(ctx, f, start, c.body)
 	for {
 		switch res.state {
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -30,6 +30,7 @@
 	// attempts that were made; the last one's number.
 	attempts uint32
 	relay    *relay
+	trail    *trail
 }
 
 // newCore returns the state of the request's decisions.
@@ -44,6 +45,7 @@
 func (r *Router) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	c.core = c.newCore()
 	c.relay = newRelay(w, c.id, r.metrics)
+	c.relay.trail = c.trail
 	r.dispatcher.post(r.ctx, message{call: c, event: dispatch.Arrived{Request: c.request}})
 	for {
 		select {
@@ -113,10 +115,7 @@
 // finish writes the outcome if the answer has not begun; an answer that was
 // cut short is aborted so that it never looks complete.
 func (r *Router) finish(w http.ResponseWriter, c *call, o outcome.Outcome) {
-	r.metrics.ended(o, time.Since(c.began))
-	_ = r.log.Log("event", "request_ended", "request", c.id, "team", c.request.Team,
-		"service", c.request.Service, "outcome", o.Kind, "reason", o.Reason,
-		"attempts", c.attempts, "ms", time.Since(c.began).Milliseconds())
+	c.trail.ended(o)
 	if o.Kind == outcome.Completed {
 		return
 	}
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -1,14 +1,13 @@
 package router
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
+	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"goldcrestport/coordination/dispatch"
 	"goldcrestport/protocol/outcome"
@@ -17,141 +16,163 @@
 	"goldcrestport/state/config"
 )
 
-// Paths towards callers.
-const (
-	chatPath    = "/v1/chat/completions"
-	servicePath = "/services/"
-)
+// comeBack is the hint for refusals that a moment may mend.
+const comeBack = time.Second
 
-// Request headers that the router reads.
-const (
-	headerKey           = "Idempotency-Key"
-	headerNonIdempotent = "Goldcrest-Non-Idempotent"
-	headerDeadline      = "Goldcrest-Deadline"
-)
+// bearer begins the value of an Authorization header.
+const bearer = "Bearer "
 
 // callerHandler serves the callers' listener.
-func (r *Router) callerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+chatPath, r.serveChat)
-	mux.HandleFunc(servicePath+"{service}/{path...}", r.servePlain)
-	return mux
-}
-
-// target is where a request goes.
-type target struct {
-	service string
-	path    string
-}
-
-// serveChat serves a chat completion; the model names the service.
-func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
-	r.accept(w, req, func(body []byte) (target, error) {
-		var chat struct {
-			Model string `json:"model"`
-		}
-		if err := json.Unmarshal(body, &chat); err != nil {
-			return target{}, errors.Wrap(err, "body is not JSON")
-		}
-		return target{service: chat.Model, path: chatPath}, nil
-	})
+func (r *Router) callerHandler() http.Handler { return http.HandlerFunc(r.receive) }
+
+// receive brings one request to its one outcome.
+func (r *Router) receive(w http.ResponseWriter, req *http.Request) {
+	t := r.newTrail(req)
+	w = newPatientWriter(w, r.set.Limits.WriteTimeout.D())
+	w.Header().Set(headerRequestID, t.id)
+	held := heldBody{from: r.bodies}
+	defer held.release()
+	c, refused := r.admit(t, &held, w, req)
+	if refused != nil {
+		t.ended(*refused)
+		writeRefusal(w, t.id, *refused)
+		return
+	}
+	t.queued()
+	r.serve(t.ctx, w, c)
 }
 
-// servePlain serves a call of a plain service.
-func (r *Router) servePlain(w http.ResponseWriter, req *http.Request) {
-	r.accept(w, req, func([]byte) (target, error) {
-		path := strings.TrimPrefix(req.URL.EscapedPath(), servicePath+req.PathValue("service"))
-		if req.URL.RawQuery != "" {
-			path += "?" + req.URL.RawQuery
-		}
-		return target{service: req.PathValue("service"), path: path}, nil
-	})
+// writeRefusal writes a refusal with the headers that go with its status.
+func writeRefusal(w http.ResponseWriter, id string, o outcome.Outcome) {
+	switch o.Status {
+	case http.StatusUnauthorized:
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	case http.StatusRequestTimeout, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		w.Header().Set("Connection", "close")
+	}
+	if o.Reason == outcome.ReasonConnections {
+		w.Header().Set("Connection", "close")
+	}
+	outcome.Write(w, id, o)
 }
 
-// accept checks the request, reads its body and serves it.
-func (r *Router) accept(w http.ResponseWriter, req *http.Request, find func([]byte) (target, error)) {
-	id := uuid.NewString()
+// admit checks the request in the order of what a check costs, and reads its
+// body.
+func (r *Router) admit(t *trail, held *heldBody, w http.ResponseWriter, req *http.Request) (*call, *outcome.Outcome) {
 	doc := r.doc.Load()
-	refuse := func(reason outcome.Reason, status int, after time.Duration, detail string) {
-		o := outcome.Refuse(reason, status, after, detail)
-		r.metrics.ended(o, 0)
-		outcome.Write(w, id, o)
-	}
-	if doc == nil {
-		refuse(outcome.ReasonNoConfig, http.StatusServiceUnavailable, time.Second, "no configuration yet")
-		return
+	if refused := r.accepts(doc, req); refused != nil {
+		return nil, refused
 	}
-	if r.leaving.Load() {
-		refuse(outcome.ReasonLeaving, http.StatusServiceUnavailable, time.Second, "this router is leaving")
-		return
+	to, refused := route(req)
+	if refused != nil {
+		return nil, refused
 	}
-	name, team, ok := authenticate(doc, req)
+	name, team, ok := r.tokens.of(doc, req)
 	if !ok {
-		refuse(outcome.ReasonUnauthorized, http.StatusUnauthorized, 0, "no team has this bearer token")
-		return
+		return nil, refuse(outcome.ReasonUnauthorized, http.StatusUnauthorized, "no team has this bearer token")
 	}
-	body, err := r.readBody(w, req)
+	t.team, held.team = name, name
+	opts, err := readOptions(req.Header, r.set.Limits.Deadline.D())
 	if err != nil {
-		o := bodyRefusal(err)
-		r.metrics.ended(o, 0)
-		outcome.Write(w, id, o)
-		return
+		return nil, refuse(outcome.ReasonBadHeader, http.StatusBadRequest, err.Error())
 	}
-	to, err := find(body)
-	if err != nil {
-		refuse(outcome.ReasonBadRequest, http.StatusBadRequest, 0, err.Error())
-		return
+	limit := r.set.Limits.Body.Bytes()
+	if to.kind == config.KindPlain {
+		service, refused := allowed(doc, team, to)
+		if refused != nil {
+			return nil, refused
+		}
+		limit = bodyLimit(service, limit)
 	}
-	service, ok := doc.Services[to.service]
-	if !ok {
-		refuse(outcome.ReasonUnknownService, http.StatusNotFound, 0, "no such service: "+to.service)
-		return
+	if refused := r.readBody(held, w, req, limit); refused != nil {
+		return nil, refused
 	}
-	if !team.Reaches(to.service) {
-		refuse(outcome.ReasonForbidden, http.StatusForbidden, 0, "the team may not use service "+to.service)
-		return
+	if to.kind == config.KindModel {
+		if to.service, err = modelOf(held.data); err != nil {
+			return nil, refuse(outcome.ReasonBadRequest, http.StatusBadRequest, err.Error())
+		}
 	}
-	if team.Share <= 0 {
-		refuse(outcome.ReasonForbidden, http.StatusForbidden, 0, "the share of the team is zero")
-		return
+	service, refused := allowed(doc, team, to)
+	if refused != nil {
+		return nil, refused
 	}
-	if service.MaxBody > 0 && int64(len(body)) > service.MaxBody {
-		refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than service "+to.service+" takes")
-		return
+	if int64(len(held.data)) > bodyLimit(service, limit) {
+		return nil, bodyRefusal(errBodyTooLarge)
 	}
-	c := r.newCall(id, name, team, service, to, req, body)
-	r.serve(req.Context(), w, c)
+	t.service = to.service
+	return r.newCall(t, team, service, to, opts, req, held.data), nil
 }
 
-// authenticate finds the team of the bearer token.
-func authenticate(doc *config.Document, req *http.Request) (string, config.Team, bool) {
-	token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-	if !ok {
+// accepts refuses what no request of this kind may pass.
+func (r *Router) accepts(doc *config.Document, req *http.Request) *outcome.Outcome {
+	var o outcome.Outcome
+	switch {
+	case isOver(req):
+		o = outcome.Refuse(outcome.ReasonConnections, http.StatusServiceUnavailable, comeBack, "too many connections are open")
+	case r.leaving.Load():
+		o = outcome.Refuse(outcome.ReasonLeaving, http.StatusServiceUnavailable, comeBack, "this router is leaving")
+	case doc == nil:
+		o = outcome.Refuse(outcome.ReasonNoConfig, http.StatusServiceUnavailable, comeBack, "no configuration yet")
+	case !headersFit(req.Header, r.set.Limits):
+		return refuse(outcome.ReasonHeadersLarge, http.StatusRequestHeaderFieldsTooLarge, "the headers are too many or too large")
+	default:
+		return nil
+	}
+	return &o
+}
+
+// tokens holds the token index of the configuration in force.
+type tokens struct{ index atomic.Pointer[config.Tokens] }
+
+// of finds the team of the request's bearer token. The index is made once for
+// each revision.
+func (t *tokens) of(doc *config.Document, req *http.Request) (string, config.Team, bool) {
+	auth := req.Header.Get("Authorization")
+	if len(auth) < len(bearer) || !strings.EqualFold(auth[:len(bearer)], bearer) {
 		return "", config.Team{}, false
 	}
-	return doc.TeamOf(config.TokenDigest(token))
+	index := t.index.Load()
+	if index == nil || index.Document() != doc {
+		index = config.NewTokens(doc)
+		t.index.Store(index)
+	}
+	return index.Team(config.TokenDigest(auth[len(bearer):]))
+}
+
+// bodyLimit returns the bound of one body for the service.
+func bodyLimit(service config.Service, limit int64) int64 {
+	if service.MaxBody > 0 {
+		return min(service.MaxBody, limit)
+	}
+	return limit
 }
 
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
-	limits := r.set.Limits
+// readBody reads the body within its bounds of memory and time.
+func (r *Router) readBody(held *heldBody, w http.ResponseWriter, req *http.Request, limit int64) *outcome.Outcome {
+	if !hasBody(req) {
+		return nil
+	}
 	ctl := http.NewResponseController(w)
-	_ = ctl.SetReadDeadline(time.Now().Add(limits.BodyTimeout.D()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.Body.Bytes()))
-	if err == nil {
-		_ = ctl.SetReadDeadline(time.Time{})
+	_ = ctl.SetReadDeadline(time.Now().Add(r.set.Limits.BodyTimeout.D()))
+	if err := held.read(req.Body, req.ContentLength, limit); err != nil {
+		return bodyRefusal(err)
 	}
-	return body, err
+	_ = ctl.SetReadDeadline(time.Time{})
+	return nil
 }
 
-func bodyRefusal(err error) outcome.Outcome {
-	var large *http.MaxBytesError
+func bodyRefusal(err error) *outcome.Outcome {
 	switch {
-	case errors.As(err, &large):
-		return outcome.Refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is too large")
+	case errors.Is(err, errBodyTooLarge):
+		return refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, errBodiesFull):
+		o := outcome.Refuse(outcome.ReasonBodiesFull, http.StatusServiceUnavailable, comeBack, "the memory for request bodies is used up")
+		return &o
 	case isTimeout(err):
-		return outcome.Refuse(outcome.ReasonBodyTimeout, http.StatusRequestTimeout, time.Second, "the body came too slowly")
+		o := outcome.Refuse(outcome.ReasonBodyTimeout, http.StatusRequestTimeout, comeBack, "the body came too slowly")
+		return &o
 	default:
-		return outcome.Refuse(outcome.ReasonBadRequest, http.StatusBadRequest, 0, "the body was cut short")
+		return refuse(outcome.ReasonBadRequest, http.StatusBadRequest, "the body was cut short")
 	}
 }
 
@@ -160,23 +181,22 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-func (r *Router) newCall(id, name string, team config.Team, service config.Service, to target, req *http.Request, body []byte) *call {
-	now := time.Now()
-	deadline := now.Add(r.deadline(req))
-	key := req.Header.Get(headerKey)
-	idempotent := !nonIdempotent(service, to.path, req)
+// newCall returns the admitted request as the dispatcher and sidecars see it.
+func (r *Router) newCall(t *trail, team config.Team, service config.Service, to target, opts options, req *http.Request, body []byte) *call {
+	idempotent := !opts.nonIdempotent && !listedNonIdempotent(service, to.path)
 	return &call{
-		id:        id,
+		id:        t.id,
+		trail:     t,
 		body:      body,
-		began:     now,
+		began:     t.began,
 		decisions: make(chan decision, decisionRing),
 		request: dispatch.Request{
-			ID:             id,
+			ID:             t.id,
 			Service:        to.service,
-			Team:           name,
+			Team:           t.team,
 			Bytes:          int64(len(body)),
-			Estimate:       1,
-			Deadline:       deadline,
+			Estimate:       opts.estimate,
+			Deadline:       t.began.Add(opts.deadline),
 			Idempotent:     idempotent,
 			Prefix:         prefix.Of(body),
 			MaxQueued:      team.MaxQueued,
@@ -184,58 +204,34 @@
 		},
 		start: &wire.RunStart{
 			Service:        to.service,
-			Team:           name,
+			Team:           t.team,
 			Router:         r.set.ID,
 			Method:         req.Method,
 			Path:           to.path,
 			Headers:        passedHeaders(req.Header),
 			Idempotent:     idempotent,
-			IdempotencyKey: key,
-			Estimate:       1,
-			DeadlineMs:     deadline.Sub(now).Milliseconds(),
-			Traceparent:    req.Header.Get("Traceparent"),
+			IdempotencyKey: opts.key,
+			Estimate:       opts.estimate,
+			DeadlineMs:     opts.deadline.Milliseconds(),
 		},
 	}
 }
 
-func (r *Router) deadline(req *http.Request) time.Duration {
-	limit := r.set.Limits.Deadline.D()
-	d, err := time.ParseDuration(req.Header.Get(headerDeadline))
-	if err != nil || d <= 0 || d > limit {
-		return limit
+// listedNonIdempotent reports whether the configuration marks the path.
+func listedNonIdempotent(service config.Service, path string) bool {
+	plain, _, _ := strings.Cut(path, "?")
+	// The path as the backend server reads it: escapes and repeated slashes
+	// must not hide that a call is listed.
+	if unescaped, err := url.PathUnescape(plain); err == nil {
+		plain = unescaped
 	}
-	return d
-}
-
-func nonIdempotent(service config.Service, path string, req *http.Request) bool {
-	if req.Header.Get(headerNonIdempotent) == "true" {
-		return true
+	for strings.Contains(plain, "//") {
+		plain = strings.ReplaceAll(plain, "//", "/")
 	}
 	for _, prefix := range service.NonIdempotent {
-		if strings.HasPrefix(path, prefix) {
+		if strings.HasPrefix(plain, prefix) {
 			return true
 		}
 	}
 	return false
 }
-
-// ownHeaders are read by the router and not passed on.
-var ownHeaders = map[string]bool{
-	"Authorization": true, "Connection": true, "Keep-Alive": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Proxy-Authorization": true, "Content-Length": true, "Traceparent": true,
-	"X-Request-Id": true, "X-Team": true, headerKey: true,
-}
-
-func passedHeaders(h http.Header) []*wire.Header {
-	var out []*wire.Header
-	for name, values := range h {
-		if ownHeaders[name] {
-			continue
-		}
-		for _, v := range values {
-			out = append(out, &wire.Header{Name: name, Value: v})
-		}
-	}
-	return out
-}
--- a/transport/router/harness_test.go
+++ b/transport/router/harness_test.go
@@ -19,6 +19,7 @@
 
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/observe"
 	"goldcrestport/transport/platform"
 	"goldcrestport/transport/router"
 	"goldcrestport/transport/sidecar"
@@ -38,7 +39,7 @@
 	refuse atomic.Bool
 }
 
-func newCutter(t *testing.T, target string) *cutter {
+func newCutter(t testing.TB, target string) *cutter {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	c := &cutter{lis: lis, target: target}
@@ -148,7 +149,7 @@
 	runs atomic.Int64
 }
 
-func newBackend(t *testing.T, h http.HandlerFunc) *backend {
+func newBackend(t testing.TB, h http.HandlerFunc) *backend {
 	b := &backend{}
 	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -161,12 +162,15 @@
 
 // fleet is one router before sidecars, in one process, over loopback.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *memStore
 	url   string
 	ops   string
 	// router and its stop channel.
 	router *router.Router
+	// logger and tracer of all processes.
+	logger log.Logger
+	tracer func(role string) *observe.Tracer
 	stop   chan struct{}
 	done   chan error
 }
@@ -183,7 +187,7 @@
 
 // freeAddr returns an address that nothing else uses: each has a loopback IP
 // of its own, from which no connection is opened.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	n := lastHost.Add(1)
 	lis, err := net.Listen("tcp", fmt.Sprintf("127.9.%d.%d:0", n/200, n%200+1))
 	qt.Assert(t, err, qt.IsNil)
@@ -191,7 +195,7 @@
 	return lis.Addr().String()
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	doc, err := json.Marshal(config.Document{
 		Revision: 1,
 		Teams: map[string]config.Team{"legacy": {
@@ -200,7 +204,7 @@
 		Services: map[string]config.Service{"ledger": {Kind: config.KindPlain, NonIdempotent: []string{"/pledges"}}},
 	})
 	qt.Assert(t, err, qt.IsNil)
-	f := &fleet{t: t, store: &memStore{doc: doc, version: 1}, stop: make(chan struct{}), done: make(chan error, 1)}
+	f := &fleet{t: t, store: &memStore{doc: doc, version: 1}, logger: log.NewNopLogger(), stop: make(chan struct{}), done: make(chan error, 1)}
 	return f
 }
 
@@ -232,10 +236,13 @@
 	}
 	n := &node{
 		id:      id,
-		sidecar: sidecar.New(set, f.store, f.store, log.NewNopLogger()),
+		sidecar: sidecar.New(set, f.store, f.store, f.logger),
 		stop:    make(chan struct{}),
 		done:    make(chan error, 2),
 	}
+	if f.tracer != nil {
+		n.sidecar.SetTracer(f.tracer("sidecar"))
+	}
 	go func() { n.done <- n.sidecar.Serve(n.stop) }()
 	f.t.Cleanup(func() {
 		select {
@@ -265,7 +272,10 @@
 		c(&set)
 	}
 	f.url, f.ops = "http://"+set.Listen.Callers, "http://"+set.Listen.Operators
-	f.router = router.New(set, f.store, f.store, log.NewNopLogger())
+	f.router = router.New(set, f.store, f.store, f.logger)
+	if f.tracer != nil {
+		f.router.SetTracer(f.tracer("router"))
+	}
 	go func() { f.done <- f.router.Serve(f.stop) }()
 	f.t.Cleanup(f.stopNow)
 	for range 500 {
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -52,7 +51,7 @@
 		return
 	}
 	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
 			_ = tcp.SetLinger(0)
 		}
 		_ = conn.Close()
--- a/transport/router/leave_test.go
+++ b/transport/router/leave_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-func (m *memStore) drain(t *testing.T, ids ...string) {
+func (m *memStore) drain(t testing.TB, ids ...string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var doc config.Document
--- a/transport/router/metrics.go
+++ b/transport/router/metrics.go
@@ -2,9 +2,8 @@
 
 import (
 	"expvar"
-	"time"
 
-	"goldcrestport/protocol/outcome"
+	"goldcrestport/transport/observe"
 )
 
 // Kinds of answer parts that were dropped.
@@ -19,28 +18,37 @@
 	answerMismatch = "mismatch"
 )
 
-// metrics are published under /debug/vars.
+// metrics are published under /debug/vars; docs/METRICS.md explains them.
 type metrics struct {
-	outcomes *expvar.Map
-	reasons  *expvar.Map
-	chunks   *expvar.Map
-	settles  *expvar.Int
+	vars        *observe.Vars
+	outcomes    *expvar.Map
+	reasons     *expvar.Map
+	latency     *observe.Times
+	firstByte   *observe.Times
+	queueWait   *observe.Times
+	connections *expvar.Int
+	refusedConn *expvar.Int
+	bodies      *expvar.Int
+	lost        *expvar.Int
+	chunks      *expvar.Map
+	settles     *expvar.Int
 }
 
-// published holds the metrics of this process; expvar names are process-wide.
-var published = &metrics{
-	outcomes: expvar.NewMap("router_outcomes"),
-	reasons:  expvar.NewMap("router_reasons"),
-	chunks:   expvar.NewMap("router_chunks_dropped"),
-	settles:  expvar.NewInt("router_settles"),
-}
-
-func newMetrics() *metrics { return published }
-
-func (m *metrics) ended(o outcome.Outcome, _ time.Duration) {
-	m.outcomes.Add(string(o.Kind), 1)
-	if o.Reason != "" {
-		m.reasons.Add(string(o.Reason), 1)
+func newMetrics() *metrics {
+	v := observe.NewVars()
+	return &metrics{
+		vars:        v,
+		outcomes:    v.Map("router_outcomes"),
+		reasons:     v.Map("router_reasons"),
+		latency:     v.Times("router_latency_us"),
+		firstByte:   v.Times("router_first_byte_us"),
+		queueWait:   v.Times("router_queue_wait_us"),
+		connections: v.Int("router_connections"),
+		refusedConn: v.Int("router_connections_refused"),
+		bodies:      v.Int("router_body_bytes"),
+		lost:        v.Int("log_lines_dropped"),
+		chunks:      v.Map("router_chunks_dropped"),
+		settles:     v.Int("router_settles"),
 	}
 }
 
--- a/transport/router/relay.go
+++ b/transport/router/relay.go
@@ -41,6 +41,7 @@
 	flush   *http.ResponseController
 	id      string
 	metrics *metrics
+	trail   *trail
 
 	// number and incarnation of the attempt whose answer is relayed.
 	number      uint32
@@ -117,6 +118,7 @@
 	l.status = int(h.Status)
 	l.w.WriteHeader(l.status)
 	l.wrote = true
+	l.trail.answered()
 	return true
 }
 
--- a/transport/router/relay_test.go
+++ b/transport/router/relay_test.go
@@ -50,9 +50,9 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			w := httptest.NewRecorder()
-			l := newRelay(w, "r", newMetrics())
+			m := newMetrics()
+			l := newRelay(w, "r", m)
 			l.expect(2, "i")
-			before := counted(test.counted)
 			var state relayState
 			for _, m := range test.messages {
 				state = l.take(m)
@@ -61,14 +61,14 @@
 			c.Assert(w.Body.String(), qt.Equals, test.body)
 			c.Assert(state == relayEnded && l.whole(), qt.Equals, test.whole)
 			if test.counted != "" {
-				c.Assert(counted(test.counted), qt.Equals, before+1)
+				c.Assert(counted(m, test.counted), qt.Equals, int64(1))
 			}
 		})
 	}
 }
 
-func counted(kind string) int64 {
-	v, ok := published.chunks.Get(kind).(interface{ Value() int64 })
+func counted(m *metrics, kind string) int64 {
+	v, ok := m.chunks.Get(kind).(interface{ Value() int64 })
 	if !ok {
 		return 0
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -47,6 +47,10 @@
 	metrics    *metrics
 	spread     *spread.Spreader
 	listing    *listing
+	tracer     *observe.Tracer
+	lines      *observe.LineLimit
+	bodies     *bodies
+	tokens     tokens
 	doc        atomic.Pointer[config.Document]
 	linkCount  atomic.Int64
 	ctx        context.Context
@@ -68,6 +72,7 @@
 // New returns a router that has not bound anything yet.
 func New(set settings.Router, store platform.Store, dir platform.Directory, logger log.Logger) *Router {
 	ending, end := context.WithCancel(context.Background())
+	m := newMetrics()
 	r := &Router{
 		ending:    ending,
 		end:       end,
@@ -77,14 +82,20 @@
 		store:     store,
 		directory: dir,
 		pool:      link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
-		metrics:   newMetrics(),
+		metrics:   m,
 		listing:   newListing(),
+		tracer:    observe.NoTracer(),
+		lines:     observe.NewLineLimit(m.lost),
+		bodies:    newBodies(set.Limits.Bodies.Bytes(), m.bodies),
 	}
 	r.dispatcher = newDispatcher(dispatch.New(dispatchConfig(set)), r.doc.Load)
 	r.spread = r.newSpreader()
 	return r
 }
 
+// SetTracer sets the tracer of the requests. It must be called before Serve.
+func (r *Router) SetTracer(t *observe.Tracer) { r.tracer = t }
+
 func (r *Router) revision() uint64 {
 	if d := r.doc.Load(); d != nil {
 		return d.Revision
@@ -115,30 +126,21 @@
 	}
 	srv := r.callerServer()
 	mux := http.NewServeMux()
-	observe.Health{Ready: r.ready}.Mount(mux)
 	operators.New(r.store, operatorView{r}, r.set.Operators.BootstrapDigest, r.log).Mount(mux)
+	observe.Health{Ready: r.ready, Vars: r.metrics.vars}.Mount(mux)
 	go r.dispatcher.run(ctx)
 	go r.spread.Run(ctx)
 	go r.keepBeating(ctx)
 	go (&links{r: r, open: map[string]context.CancelFunc{}}).run(ctx)
 	go func() { _ = r.operatorServer(mux).Serve(ops) }()
 	go func() { _ = link.ServeRouter(ctx, peers, r) }()
-	go func() { _ = srv.Serve(callers) }()
+	go func() { _ = srv.Serve(r.boundCallers(callers)) }()
 	_ = r.log.Log("event", "serving", "callers", r.set.Listen.Callers, "operators", r.set.Listen.Operators)
 	<-stop
 	r.leave(srv)
 	return nil
 }
 
-func (r *Router) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           r.holding(r.callerHandler()),
-		ReadHeaderTimeout: r.set.Limits.HeaderTimeout.D(),
-		MaxHeaderBytes:    int(r.set.Limits.Headers.Bytes()),
-		IdleTimeout:       time.Minute,
-	}
-}
-
 // operatorServer bounds what an operators' connection may take.
 func (r *Router) operatorServer(h http.Handler) *http.Server {
 	return &http.Server{
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -41,6 +41,7 @@
 		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(ms)*time.Millisecond, errRunDeadline)
 		defer cancel()
 	}
+	ctx, span := s.beginRun(ctx, a)
 	began := time.Now()
 	a.meter.start(began)
 	s.limits.begin(s.ctx, a)
@@ -52,11 +53,14 @@
 	a.runs.end(a, end)
 	a.cancel(nil)
 	s.free(a)
+	s.endRun(ctx, span, a, end, began)
 }
 
 // call sends the request to the backend server and reads its answer.
 func (s *Sidecar) call(ctx context.Context, a *attempt, body []byte) *wire.End {
 	began := time.Now()
+	ctx, span := s.beginCall(ctx, a)
+	defer span.End()
 	resp, err := s.backend.do(ctx, a.start, body)
 	switch {
 	case errors.Is(err, errNotWritten):
@@ -75,7 +79,9 @@
 func copyAnswer(ctx context.Context, a *attempt, body io.Reader) *wire.End {
 	end := &wire.End{Outcome: string(outcome.Completed)}
 	sum := xxhash.New()
-	buf := make([]byte, readSize)
+	held := buffers.Get().(*[readSize]byte)
+	defer buffers.Put(held)
+	buf := held[:]
 	var last tail
 	for {
 		n, err := body.Read(buf)
--- /dev/null
+++ b/transport/sidecar/metrics.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/observe"
+)
+
+// metrics are published under /debug/vars; docs/METRICS.md explains them.
+type metrics struct {
+	vars     *observe.Vars
+	outcomes *expvar.Map
+	declined *expvar.Map
+	wait     *observe.Times
+	run      *observe.Times
+}
+
+func newMetrics(s *Sidecar) *metrics {
+	v := observe.NewVars()
+	v.Func("sidecar_held", func() any { return s.held.Load() })
+	return &metrics{
+		vars:     v,
+		outcomes: v.Map("sidecar_outcomes"),
+		declined: v.Map("sidecar_declined"),
+		wait:     v.Times("sidecar_wait_us"),
+		run:      v.Times("sidecar_run_us"),
+	}
+}
+
+// SetTracer sets the tracer of the runs. It must be called before Serve.
+func (s *Sidecar) SetTracer(t *observe.Tracer) { s.tracer = t }
+
+// beginRun begins to observe a run that got its slot.
+func (s *Sidecar) beginRun(ctx context.Context, a *attempt) (context.Context, trace.Span) {
+	now := time.Now()
+	s.metrics.wait.Record(s.set.Service, now, now.Sub(a.received))
+	ctx = s.tracer.Enter(ctx, a.start.Traceparent)
+	return s.tracer.Start(ctx, observe.SpanSidecar, trace.SpanKindServer,
+		attribute.String("request.id", a.start.Attempt.RequestId),
+		attribute.String("team", a.start.Team),
+		attribute.Int64("wait_us", now.Sub(a.received).Microseconds()))
+}
+
+// endRun marks the end of a run.
+func (s *Sidecar) endRun(ctx context.Context, span trace.Span, a *attempt, end *wire.End, began time.Time) {
+	now := time.Now()
+	s.metrics.outcomes.Add(end.Outcome, 1)
+	s.metrics.run.Record(s.set.Service, now, now.Sub(began))
+	leveled := level.Info
+	if end.Outcome != string(outcome.Completed) {
+		leveled = level.Warn
+	}
+	_ = leveled(s.log).Log("event", "run_ended", "request", a.start.Attempt.RequestId,
+		"trace", observe.TraceID(ctx), "team", a.start.Team, "router", a.start.Router,
+		"attempt", a.start.Attempt.Number, "outcome", end.Outcome, "reason", end.Reason,
+		"cost", end.Cost, "us", end.BackendUs)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("outcome", end.Outcome), attribute.Float64("cost", end.Cost))
+	}
+	span.End()
+}
+
+// beginCall begins the call of the backend server and hands it the trace.
+func (s *Sidecar) beginCall(ctx context.Context, a *attempt) (context.Context, trace.Span) {
+	ctx, span := s.tracer.Start(ctx, observe.SpanBackend, trace.SpanKindClient)
+	a.start.Traceparent = observe.Traceparent(ctx)
+	return ctx, span
+}
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -39,6 +39,8 @@
 	prefix uint64
 	// status of the backend server's answer, 0 before there is one.
 	status int
+	// received is when the attempt was offered.
+	received time.Time
 	// ctx of the run, which outlives the stream that started it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -49,13 +51,14 @@
 
 func (s *Sidecar) newAttempt(runs *runs, st *wire.RunStart) *attempt {
 	a := &attempt{
-		runs:    runs,
-		key:     lastKey.Add(1),
-		id:      idOf(st.Attempt),
-		start:   st,
-		verdict: make(chan verdict, 1),
-		answer:  newAnswer(answerWindow),
-		prefix:  prefix.Of(st.Body),
+		runs:     runs,
+		key:      lastKey.Add(1),
+		id:       idOf(st.Attempt),
+		start:    st,
+		verdict:  make(chan verdict, 1),
+		answer:   newAnswer(answerWindow),
+		prefix:   prefix.Of(st.Body),
+		received: time.Now(),
 	}
 	a.meter.kind = s.serviceKind()
 	a.meter.promptWeight = s.set.Backend.PromptWeight
@@ -143,6 +146,7 @@
 }
 
 func (s *Sidecar) decline(stream wire.DRPCSidecar_RunStream, reason string) error {
+	s.metrics.declined.Add(reason, 1)
 	return stream.Send(&wire.RunDown{Kind: &wire.RunDown_Declined{Declined: &wire.Declined{
 		Reason:   reason,
 		Revision: s.revision(),
@@ -221,7 +225,9 @@
 // sendAnswer sends what the answer has from the offset on, until the end.
 func sendAnswer(ctx context.Context, stream wire.DRPCSidecar_RunStream, a *attempt, reader uint64, offset int64) error {
 	number := a.start.Attempt.Number
-	into := make([]byte, readSize)
+	buf := buffers.Get().(*[readSize]byte)
+	defer buffers.Put(buf)
+	into := buf[:]
 	wantHead := true
 	for {
 		p, err := a.answer.next(ctx, reader, offset, wantHead, into)
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -56,6 +56,8 @@
 	doc        atomic.Pointer[config.Document]
 	leaving    atomic.Bool
 	ctx        context.Context
+	metrics    *metrics
+	tracer     *observe.Tracer
 
 	// held counts the streams and runs that have not ended.
 	held   atomic.Int64
@@ -76,7 +78,9 @@
 		directory: dir,
 		pool:      link.NewPool(idleConns, idleConnsPerPeer, idleConnTime),
 		backend:   newBackend(set.Backend.URL),
+		tracer:    observe.NoTracer(),
 	}
+	s.metrics = newMetrics(s)
 	cfg := share.DefaultConfig()
 	cfg.Slots = set.Backend.Slots
 	cfg.LookAhead = *set.Backend.LookAhead
@@ -128,7 +132,7 @@
 		return errors.Wrap(err, "listen.operators")
 	}
 	mux := http.NewServeMux()
-	observe.Health{Ready: s.ready}.Mount(mux)
+	observe.Health{Ready: s.ready, Vars: s.metrics.vars}.Mount(mux)
 	go s.chooser.run(ctx)
 	go s.limits.run(ctx)
 	go s.expireAnswers(ctx)
