--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,10 @@
 .PHONY: inforce
 inforce: build
 	$(GO) run ./bench/cmd/inforce $(INFORCE_FLAGS)
+
+# latency measures what the path adds to a call of the backend server; its last
+# line is a JSON object. LATENCY takes further flags, see docs/LATENCY.md.
+.PHONY: latency
+latency: build
+	@cd bench && $(GO) build -o ../bin/ ./cmd/latency
+	@bin/latency $(LATENCY)
