--- a/cmd/goldcrestd/freeze_test.go
+++ b/cmd/goldcrestd/freeze_test.go
@@ -130,6 +130,7 @@
 	defer pool.Close()
 	head := start(t, pool, listen.Peers, "r1", "").GetHead()
 	c.Assert(head, qt.IsNotNil)
+	c.Assert(start(t, pool, listen.Peers, "r1b", "of another sidecar").GetDeclined(), qt.IsNotNil)
 	c.Assert(runs.Load(), qt.Equals, int64(1))
 
 	c.Assert(first.Signal(syscall.SIGSTOP), qt.IsNil)
