--- a/bench/cmd/measure/main.go
+++ b/bench/cmd/measure/main.go
@@ -59,6 +59,7 @@
 	f.IntVar(&o.Repeat, "repeat", 1, "trials of each policy; the medians are reported")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the requests and arrivals")
 	f.Float64Var(&o.Scale, "rate-scale", 1, "multiplies the request rate; requests are shorter by as much")
+	f.IntVar(&o.LookAhead, "look-ahead", 1, "requests that a sidecar pulls ahead of a free slot")
 	f.StringVar(&restart, "restart-routers", "0", "routers killed and started again in the window: a number or half")
 	return cmd
 }
--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -18,6 +18,7 @@
 		func(o *Options) { o.Windows = nil },
 		func(o *Options) { o.Windows = []time.Duration{time.Hour} },
 		func(o *Options) { o.Repeat = 0 },
+		func(o *Options) { o.LookAhead = -1 },
 		func(o *Options) { o.Scale = 0.5 },
 		func(o *Options) { o.Restart = load.Routers + 1 },
 	} {
--- a/bench/experiment/options.go
+++ b/bench/experiment/options.go
@@ -57,6 +57,8 @@
 	Seed     uint64
 	// Scale multiplies the request rate at the same demand in tokens.
 	Scale float64
+	// LookAhead is the number of requests that a sidecar pulls ahead.
+	LookAhead int
 	// Restart is the number of routers that are killed and started again in
 	// the window.
 	Restart int
@@ -76,6 +78,7 @@
 	}
 	add(o.Repeat < 1 || o.Repeat > maxRepeats, "repeat must lie in 1..10")
 	add(o.Scale < 1 || o.Scale > maxScale, "rate-scale must lie in 1..8")
+	add(o.LookAhead < 0 || o.LookAhead > modelSlots, "look-ahead must lie in 0..4")
 	add(o.Restart < 0 || o.Restart > load.Routers, "restart-routers must lie in 0..3")
 	return err
 }
--- a/bench/experiment/setup.go
+++ b/bench/experiment/setup.go
@@ -18,6 +18,7 @@
 // setup is a started fleet.
 type setup struct {
 	fleet    *fleet.Fleet
+	ahead    int
 	engines  []*fleet.Process
 	sidecars []*fleet.Process
 	routers  []*fleet.Process
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &setup{fleet: f}
+	s := &setup{fleet: f, ahead: o.LookAhead}
 	if err := s.bringUp(ctx, p, teams); err != nil {
 		f.Close()
 		return nil, err
@@ -97,6 +98,7 @@
 	c, err := s.fleet.StartSidecar(name, centre(i), service, backend, func(set *settings.Sidecar) {
 		set.Backend.Slots = modelSlots
 		set.Backend.PromptWeight = promptWeight
+		set.Backend.LookAhead = &s.ahead
 		if p.Sidecar != nil {
 			p.Sidecar(set)
 		}
--- a/bench/experiment/trial.go
+++ b/bench/experiment/trial.go
@@ -53,7 +53,7 @@
 	t.out = &report.Trial{
 		Policy: p.Name, Teams: teams, Windows: o.Windows, Started: t.runs.Started,
 		Pool: report.Pool{
-			Sidecars: modelSidecars, Slots: modelSlots, LookAhead: 1,
+			Sidecars: modelSidecars, Slots: modelSlots, LookAhead: o.LookAhead,
 			MaxCost: load.MaxTokens / o.Scale,
 		},
 	}
