--- a/bench/prove/caller.go
+++ b/bench/prove/caller.go
@@ -33,11 +33,13 @@
 	team   string
 	random *rand.Rand
 	client *http.Client
+	// draw makes the next operation.
+	draw mix
 }
 
 func newCaller(w *World, name, team string, seed uint64) *caller {
 	return &caller{
-		w: w, name: name, team: team,
+		w: w, name: name, team: team, draw: draw,
 		random: rand.New(rand.NewPCG(seed, 1)),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
 	}
@@ -47,7 +49,7 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		c.perform(draw(c.random, fmt.Sprintf("%s-%d", c.name, n), c.team))
+		c.perform(c.draw(c.random, fmt.Sprintf("%s-%d", c.name, n), c.team))
 		pause(ctx, minThink+rand.N(moreThink))
 	}
 }
--- a/bench/prove/fault.go
+++ b/bench/prove/fault.go
@@ -76,6 +76,14 @@
 	if !i.take(f) {
 		return false
 	}
+	i.start(f, func() { i.release(f) })
+	return true
+}
+
+// force makes the failure whatever else is failing.
+func (i *injector) force(f fault) { i.start(f, func() {}) }
+
+func (i *injector) start(f fault, ended func()) {
 	record := history.Fault{Kind: f.kind, Target: f.target, Planned: f.planned, From: time.Now()}
 	f.begin()
 	i.open.Go(func() {
@@ -83,9 +91,8 @@
 		f.heal()
 		record.Until = time.Now()
 		i.w.History.Add(record)
-		i.release(f)
+		ended()
 	})
-	return true
 }
 
 // wait waits until every failure has ended.
--- a/bench/prove/operation.go
+++ b/bench/prove/operation.go
@@ -62,6 +62,14 @@
 	partTwice  = 93
 )
 
+// mix makes the next operation of a caller.
+type mix func(random *rand.Rand, id, team string) []operation
+
+// drawOne makes the next operation, never the same pledge several times.
+func drawOne(random *rand.Rand, id, team string) []operation {
+	return draw(random, id, team)[:1]
+}
+
 // draw makes the next operation of a caller. More than one operation is
 // returned when the same pledge is sent through several routers at once; the
 // last of them is sent later.
--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var working sync.WaitGroup
-	w.startCallers(ctx, &working, plan.Seed)
+	w.startCallers(ctx, &working, plan.Seed, draw)
 	for _, name := range []string{"operator-a", "operator-b"} {
 		working.Go(func() { w.operate(ctx, name, plan.Seed) })
 	}
@@ -62,11 +62,12 @@
 	return w.collect()
 }
 
-func (w *World) startCallers(ctx context.Context, working *sync.WaitGroup, seed uint64) {
+func (w *World) startCallers(ctx context.Context, working *sync.WaitGroup, seed uint64, mix mix) {
 	for _, t := range teams() {
 		for i := range t.callers {
 			seed++
 			c := newCaller(w, fmt.Sprintf("%s-%d", t.name, i), t.name, seed)
+			c.draw = mix
 			working.Go(func() { c.run(ctx) })
 		}
 	}
