make prove drives plans and confirmations through the routers

Cause: the operators of a run wrote the configuration past the product, so that the linear history checked the stand-in only. Two operators now plan at one router and confirm at another, under the same failures; a confirmation without an answer is settled by asking. Draining goes the same way.

--- a/bench/prove/kinds.go
+++ b/bench/prove/kinds.go
@@ -202,16 +202,17 @@
 func (w *World) leaveByDrain(random *rand.Rand) fault {
 	s := w.anyServer(random)
 	leave := history.Leave{Server: s.name, How: "drain"}
+	o := newHuman(w, drainer, random.Uint64())
 	return fault{
 		kind: "leave by drain", target: s.name, group: s.service, planned: true, length: leaveLength,
 		begin: func() {
-			if w.drain(s.name, true) {
+			if o.drain(s.name, true) {
 				leave.From = time.Now()
 			}
 		},
 		heal: func() {
 			leave.Until = time.Now()
-			w.drain(s.name, false)
+			o.drain(s.name, false)
 			if !leave.From.IsZero() {
 				w.History.Add(leave)
 			}
--- a/bench/prove/operators.go
+++ b/bench/prove/operators.go
@@ -4,88 +4,124 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"goldcrestport/bench/history"
-	"goldcrestport/state/config"
-	"goldcrestport/transport/platform"
+	"goldcrestport/protocol/intent"
+	"goldcrestport/protocol/operator"
 )
 
-// configKey is the platform key of the live configuration.
-const configKey = "goldcrest/config"
-
 // Times of an operator's work.
 const (
 	minBetweenChanges  = 500 * time.Millisecond
 	moreBetweenChanges = 2 * time.Second
+	operatorBound      = 8 * time.Second
+	settleEvery        = 500 * time.Millisecond
+	settleTries        = 20
 )
 
-// operate makes changes to the configuration until ctx ends.
-func (w *World) operate(ctx context.Context, name string, seed uint64) {
-	random := rand.New(rand.NewPCG(seed, 2))
+// operatorNames are the operators of the first configuration.
+var operatorNames = []string{"operator-a", "operator-b", drainer}
+
+// drainer is the operator who drains backend servers.
+const drainer = "drainer"
+
+// human is one operator, who plans at one router and confirms at another.
+type human struct {
+	w      *World
+	name   string
+	random *rand.Rand
+	client *http.Client
+}
+
+func newHuman(w *World, name string, seed uint64) *human {
+	return &human{
+		w: w, name: name, random: rand.New(rand.NewPCG(seed, 2)),
+		client: &http.Client{Timeout: operatorBound},
+	}
+}
+
+// work makes changes to the configuration until ctx ends.
+func (o *human) work(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, minBetweenChanges+time.Duration(random.Int64N(int64(moreBetweenChanges))))
-		share := 1 + random.Float64()
-		w.change(name, func(doc *config.Document) {
-			t := doc.Teams["medium"]
+		pause(ctx, between(o.random, minBetweenChanges, moreBetweenChanges))
+		share := 1 + o.random.Float64()
+		o.change(func(in *intent.Intent) {
+			t := in.Teams["medium"]
 			t.Share = share
-			doc.Teams["medium"] = t
+			in.Teams["medium"] = t
 		})
 	}
 }
 
-// change tries once to change the configuration and records the attempt.
-func (w *World) change(operator string, edit func(*config.Document)) history.ChangeResult {
-	ctx := context.Background()
-	e, err := w.store.Get(ctx, configKey)
-	if err != nil {
+// change reads the configuration, plans an edit of it and confirms the plan.
+// A confirmation that was sent is recorded, and settled if its end is unknown.
+func (o *human) change(edit func(*intent.Intent)) history.ChangeResult {
+	ask, ok := o.plan(edit)
+	if !ok {
 		return history.ChangeRefused
 	}
-	var doc config.Document
-	if json.Unmarshal(e.Value, &doc) != nil {
-		return history.ChangeRefused
+	c := history.Change{Operator: o.name, Base: ask.BaseRevision, Sent: time.Now()}
+	var done operator.ConfirmResponse
+	p, err := o.exchange(http.MethodPost, operator.PathConfirm, ask, &done)
+	c.Ended, c.Result, c.Revision = time.Now(), changeResult(p, err), done.Revision
+	if c.Result == history.ChangeUnknown {
+		o.settle(ask, &c)
+	}
+	o.w.History.Add(c)
+	return c.Result
+}
+
+// plan makes a plan at one router and returns what confirms it.
+func (o *human) plan(edit func(*intent.Intent)) (operator.ConfirmRequest, bool) {
+	var now operator.ConfigResponse
+	if p, err := o.exchange(http.MethodGet, operator.PathConfig, nil, &now); p != nil || err != nil || now.Intent == nil {
+		return operator.ConfirmRequest{}, false
 	}
-	c := history.Change{Operator: operator, Base: doc.Revision, Sent: time.Now()}
-	edit(&doc)
-	doc.Revision++
-	data, err := json.Marshal(doc)
+	edit(now.Intent)
+	text, err := json.Marshal(now.Intent)
 	if err != nil {
-		return history.ChangeRefused
+		return operator.ConfirmRequest{}, false
 	}
-	_, err = w.store.Put(ctx, configKey, data, e.Version, "")
-	c.Ended, c.Result = time.Now(), changeResult(err)
-	if c.Result == history.ChangeAccepted {
-		c.Revision = doc.Revision
+	var planned operator.PlanResponse
+	ask := operator.PlanRequest{Intent: text, BaseRevision: &now.Revision}
+	if p, err := o.exchange(http.MethodPost, operator.PathPlan, ask, &planned); p != nil || err != nil || planned.Plan == nil {
+		return operator.ConfirmRequest{}, false
 	}
-	w.History.Add(c)
-	return c.Result
+	return operator.ConfirmRequest{Intent: text, BaseRevision: planned.Plan.BaseRevision, Digest: planned.Plan.Digest}, true
 }
 
-func changeResult(err error) history.ChangeResult {
-	switch {
-	case err == nil:
-		return history.ChangeAccepted
-	case errors.Is(err, platform.ErrConflict):
-		return history.ChangeStale
-	case errors.Is(err, platform.ErrBusy):
-		return history.ChangeRefused
-	default:
-		return history.ChangeUnknown
+// settle asks what became of a confirmation until it is told.
+func (o *human) settle(ask operator.ConfirmRequest, c *history.Change) {
+	path := operator.PathSettle + "?" + settleQuery(ask)
+	for range settleTries {
+		time.Sleep(settleEvery)
+		var fate operator.SettleResponse
+		if p, err := o.exchange(http.MethodGet, path, nil, &fate); p != nil || err != nil {
+			continue
+		}
+		switch {
+		case fate.State == operator.SettleAccepted && fate.Entry != nil:
+			c.Ended, c.Result, c.Revision = time.Now(), history.ChangeAccepted, fate.Entry.Revision
+			return
+		case fate.State == operator.SettleNotAccepted:
+			c.Ended, c.Result = time.Now(), history.ChangeStale
+			return
+		}
 	}
 }
 
 // drain puts a backend server on the list of those to drain, or off it. It
 // reports whether the change was accepted.
-func (w *World) drain(name string, on bool) bool {
+func (o *human) drain(name string, on bool) bool {
 	const tries = 20
 	for range tries {
-		result := w.change("drainer", func(doc *config.Document) {
-			doc.Drain = slices.DeleteFunc(doc.Drain, func(id string) bool { return id == name })
+		result := o.change(func(in *intent.Intent) {
+			in.Drain = slices.DeleteFunc(in.Drain, func(id string) bool { return id == name })
 			if on {
-				doc.Drain = append(doc.Drain, name)
+				in.Drain = append(in.Drain, name)
 			}
 		})
 		if result == history.ChangeAccepted {
--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -46,8 +46,10 @@
 	defer cancel()
 	var working sync.WaitGroup
 	w.startCallers(ctx, &working, plan.Seed, draw)
-	for _, name := range []string{"operator-a", "operator-b"} {
-		working.Go(func() { w.operate(ctx, name, plan.Seed) })
+	for i, name := range operatorNames {
+		if name != drainer {
+			working.Go(func() { newHuman(w, name, plan.Seed+uint64(i)).work(ctx) })
+		}
 	}
 	time.Sleep(warmUp)
 	w.fail(plan)
--- a/bench/prove/world.go
+++ b/bench/prove/world.go
@@ -73,7 +73,6 @@
 	routers  []*router
 	relays   []*relay.Relay
 	balancer *balancer
-	store    *platform.Client
 }
 
 // Start starts a fleet with the binaries of bin; logs go to dir. Close ends
@@ -89,7 +88,6 @@
 	if w.platform, err = f.StartPlatform(ctx, "--list-lag", listLag.String()); err != nil {
 		return w, err
 	}
-	w.store = platform.NewClient("http://"+w.platform.Addr, "operator", time.Second)
 	if err := f.PutConfig(firstConfig()); err != nil {
 		return w, err
 	}
@@ -238,13 +236,17 @@
 
 func firstConfig() config.Document {
 	doc := config.Document{
-		Revision: 1,
-		Teams:    map[string]config.Team{},
+		Revision:  1,
+		Operators: map[string]string{},
+		Teams:     map[string]config.Team{},
 		Services: map[string]config.Service{
 			modelService: {Kind: config.KindModel},
 			plainService: {Kind: config.KindPlain, NonIdempotent: []string{pledgePath}},
 		},
 	}
+	for _, name := range operatorNames {
+		doc.Operators[name] = config.TokenDigest(token(name))
+	}
 	for _, t := range teams() {
 		doc.Teams[t.name] = config.Team{
 			Share:    t.share,
