Checks: a duplicate is no cut if another call with its key was under way

Cause: with claims, a call that meets another one with its key ends as unknown and duplicate at once, which the check of planned stops took for a cut. It is let pass only if the call itself did not run and another call with the key overlapped it; a hand-made history without such a call fails.

--- a/bench/history/check.go
+++ b/bench/history/check.go
@@ -79,15 +79,22 @@
 
 // index finds runs and calls by their names.
 type index struct {
-	calls  map[string]Call
-	byCall map[string][]Run
-	byKey  map[string][]Run
+	calls   map[string]Call
+	withKey map[string][]Call
+	byCall  map[string][]Run
+	byKey   map[string][]Run
 }
 
 func newIndex(h *History) index {
-	x := index{calls: map[string]Call{}, byCall: map[string][]Run{}, byKey: map[string][]Run{}}
+	x := index{
+		calls: map[string]Call{}, withKey: map[string][]Call{},
+		byCall: map[string][]Run{}, byKey: map[string][]Run{},
+	}
 	for _, c := range h.Calls {
 		x.calls[c.ID] = c
+		if c.Key != "" {
+			x.withKey[c.Key] = append(x.withKey[c.Key], c)
+		}
 	}
 	for _, r := range h.Runs {
 		x.byCall[r.CallID] = append(x.byCall[r.CallID], r)
--- a/bench/history/check_test.go
+++ b/bench/history/check_test.go
@@ -139,6 +139,16 @@
 	c.Assert(breached(h), qt.DeepEquals, []Promise{PlannedStop})
 }
 
+func TestDuplicateNeedsAnotherCallUnderWay(t *testing.T) {
+	c := qt.New(t)
+	h := good()
+	h.Add(Call{ID: "c4", Operation: "o2", NonIdempotent: true, Key: "k2", Sent: at(1.2), Ended: at(1.3), Ending: Answered,
+		Status: 409, Outcome: outcome.Unknown, Reason: string(outcome.ReasonDuplicate), Problem: true})
+	c.Assert(breached(h), qt.HasLen, 0)
+	h.Calls[3].Sent, h.Calls[3].Ended = at(2.2), at(2.3)
+	c.Assert(breached(h), qt.DeepEquals, []Promise{PlannedStop})
+}
+
 func TestLeaveCountsFromWhenItCanBeKnown(t *testing.T) {
 	c := qt.New(t)
 	h := good()
--- a/bench/history/requests.go
+++ b/bench/history/requests.go
@@ -124,7 +124,8 @@
 
 // checkPlannedStops looks at the calls during which no failure was made:
 // whatever was stopped as planned, each completes, or is refused as not-run.
-// A call that found its router gone, and did not run, counts as refused.
+// A call that found its router gone, and did not run, counts as refused; so
+// does one that met another call with its key under way.
 func checkPlannedStops(h *History, x index, b Bounds) Result {
 	res := Result{Promise: PlannedStop}
 	for _, c := range h.Calls {
@@ -135,6 +136,7 @@
 		switch {
 		case c.Ending == Answered && (c.Outcome == outcome.Completed || c.Outcome == outcome.NotRun):
 		case c.Ending != Answered && c.Bytes == 0 && len(x.byCall[c.ID]) == 0:
+		case c.Reason == string(outcome.ReasonDuplicate) && x.metAnother(c):
 		default:
 			res.breach("call %s through %s ended %s %s %s after %s with no failure made: %s",
 				c.ID, c.Router, c.Ending, c.Outcome, c.Reason, c.Ended.Sub(c.Sent), c.Error)
@@ -143,6 +145,14 @@
 	return res
 }
 
+// metAnother tells whether another call with the key of c was under way at the
+// same time, and c itself did not run.
+func (x index) metAnother(c Call) bool {
+	return len(x.byCall[c.ID]) == 0 && slices.ContainsFunc(x.withKey[c.Key], func(other Call) bool {
+		return other.ID != c.ID && other.Sent.Before(c.Ended) && other.Ended.After(c.Sent)
+	})
+}
+
 func unplanned(h *History, c Call, b Bounds) bool {
 	return slices.ContainsFunc(h.Faults, func(f Fault) bool {
 		return !f.Planned && f.within(c.Sent, c.Ended, b.Settle)
