--- a/bench/prove/report.go
+++ b/bench/prove/report.go
@@ -18,6 +18,7 @@
 	checked    map[history.Promise]int
 	violations map[history.Promise]int
 	faults     map[string]int
+	planned    map[string]int
 	endings    map[string]int
 	// last is the latest start of a run after a leave, by the way of leaving.
 	last map[string]time.Duration
@@ -27,7 +28,7 @@
 func NewReport() *Report {
 	return &Report{
 		checked: map[history.Promise]int{}, violations: map[history.Promise]int{},
-		faults: map[string]int{}, endings: map[string]int{}, last: map[string]time.Duration{},
+		faults: map[string]int{}, planned: map[string]int{}, endings: map[string]int{}, last: map[string]time.Duration{},
 	}
 }
 
@@ -43,7 +44,11 @@
 		r.violations[res.Promise] += len(res.Violations)
 	}
 	for _, f := range h.Faults {
-		r.faults[f.Kind]++
+		if f.Planned {
+			r.planned[f.Kind]++
+		} else {
+			r.faults[f.Kind]++
+		}
 	}
 	for _, l := range h.Leaves {
 		r.last[l.How] = max(r.last[l.How], h.LastStart(l))
@@ -64,25 +69,25 @@
 }
 
 // Violations returns the number of breaches in all runs.
-func (r *Report) Violations() int {
-	n := 0
-	for _, v := range r.violations {
-		n += v
+func (r *Report) Violations() int { return sum(r.violations) }
+
+func sum[K comparable](counts map[K]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
 	}
-	return n
+	return total
 }
 
 // Print writes a line per promise, kind of failure and ending.
 func (r *Report) Print(w io.Writer) {
-	total := 0
-	for _, n := range r.faults {
-		total += n
-	}
-	fmt.Fprintf(w, "%d runs, %d requests, %d failures and planned stops\n", r.runs, r.requests, total)
+	fmt.Fprintf(w, "%d runs, %d requests, %d failures, %d planned stops and leaves\n",
+		r.runs, r.requests, sum(r.faults), sum(r.planned))
 	for _, p := range r.order {
 		fmt.Fprintf(w, "%s: %d runs, %d checked, %d violations\n", p, r.runs, r.checked[p], r.violations[p])
 	}
 	printCounts(w, "failure", r.faults)
+	printCounts(w, "planned", r.planned)
 	printCounts(w, "ending", r.endings)
 	printCounts(w, "latest start after leaving by", r.last)
 }
--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -13,8 +13,8 @@
 // Times of a run.
 const (
 	warmUp         = time.Second
-	minBetween     = 400 * time.Millisecond
-	moreBetween    = 500 * time.Millisecond
+	minBetween     = 300 * time.Millisecond
+	moreBetween    = 400 * time.Millisecond
 	betweenPlanned = 500 * time.Millisecond
 	lastPart       = 2 * time.Second
 	lastWrites     = time.Second
