A woken sidecar and its replacement; the tests run three fleets at a time

Cause: nothing with real processes froze a sidecar for longer than its lease while another took its slot; the default lease of 75 s is longer than a run. The proving fleet uses a lease of 4 s, below its long freezes of 5-8 s.

--- a/bench/prove/prove_test.go
+++ b/bench/prove/prove_test.go
@@ -46,7 +46,14 @@
 // testSize is a fleet small enough for a test.
 var testSize = Size{Routers: 2, Engines: 2, Plain: 2}
 
+// together bounds the fleets that run at the same time.
+var together = make(chan struct{}, 3)
+
+// startWorld starts a fleet for a test that runs beside others.
 func startWorld(c *qt.C, size Size) *World {
+	c.Parallel()
+	together <- struct{}{}
+	c.Cleanup(func() { <-together })
 	w, err := Start(context.Background(), *binaries, c.TempDir(), size)
 	if w != nil {
 		c.Cleanup(w.Close)
--- a/bench/prove/world.go
+++ b/bench/prove/world.go
@@ -32,6 +32,8 @@
 	startBound  = 20 * time.Second
 	stopBound   = 25 * time.Second
 	settleStart = 300 * time.Millisecond
+	// leaseTTL is shorter than a long freeze.
+	leaseTTL = 4 * time.Second
 )
 
 // Size is how many processes of each kind a fleet has.
@@ -156,6 +158,7 @@
 	s.sidecar, err = w.fleet.StartSidecar(s.name, dataCentre, service, s.backend, func(set *settings.Sidecar) {
 		set.Platform.URL = "http://" + s.platform.Addr()
 		set.Backend.Slots = slots(service)
+		set.Backend.LeaseTTL = settings.Duration(leaseTTL)
 	})
 	if err != nil {
 		return err
