make confirms: racing operators at routers that are killed

Cause: the race test shares one process with its store; the promise is about processes, lost connections and the platform's own interface.

What was ruled out: operators that take "nothing was changed by this call" as the end: an earlier call of theirs at a router that was killed may have changed something, so they send the plan again until its fate is told.

--- a/Makefile
+++ b/Makefile
@@ -67,3 +67,9 @@
 latency: build
 	@cd bench && $(GO) build -o ../bin/ ./cmd/latency
 	@bin/latency $(LATENCY)
+
+# confirms races operators at routers that are killed, while the platform loses
+# answers, and checks that accepted configurations form one line.
+.PHONY: confirms
+confirms: build
+	$(GO) run ./bench/cmd/confirms $(if $(SEED),--seed $(SEED))
