--- a/cmd/goldcrestctl/drain.go
+++ b/cmd/goldcrestctl/drain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -29,6 +30,7 @@
 func (a *app) drainLike(use, text string, drained bool) *cobra.Command {
 	var yes bool
 	var save string
+	var wait time.Duration
 	cmd := command(use, text, cobra.ExactArgs(1), func(ctx context.Context, args []string) error {
 		if !yes {
 			p, err := a.planDrain(ctx, args[0], drained)
@@ -37,9 +39,10 @@
 			}
 			return a.showPlan(p, save)
 		}
-		return a.drainNow(ctx, args[0], drained)
+		return a.drainNow(ctx, args[0], drained, wait)
 	})
 	cmd.Flags().BoolVarP(&yes, "yes", "y", false, "confirm the plan at once")
+	addWait(cmd, &wait)
 	cmd.Flags().StringVar(&save, "save", "", "keep the plan in this file for 'goldcrestctl confirm FILE'")
 	return cmd
 }
@@ -63,9 +66,9 @@
 	return a.client().Plan(ctx, data, &c.Revision)
 }
 
-func (a *app) drainNow(ctx context.Context, backend string, drained bool) error {
+func (a *app) drainNow(ctx context.Context, backend string, drained bool, wait time.Duration) error {
 	for attempt := 1; ; attempt++ {
-		err := a.tryDrain(ctx, backend, drained)
+		err := a.tryDrain(ctx, backend, drained, wait)
 		var p *operatorclient.ProblemError
 		stale := errors.As(err, &p) && p.Status == http.StatusConflict
 		if !stale || attempt == drainAttempts {
@@ -74,7 +77,7 @@
 	}
 }
 
-func (a *app) tryDrain(ctx context.Context, backend string, drained bool) error {
+func (a *app) tryDrain(ctx context.Context, backend string, drained bool, wait time.Duration) error {
 	p, err := a.planDrain(ctx, backend, drained)
 	if err != nil {
 		return err
@@ -92,5 +95,6 @@
 	if err != nil {
 		return err
 	}
-	return a.confirm(ctx, operator.ConfirmRequest{Intent: data, BaseRevision: p.Plan.BaseRevision, Digest: p.Plan.Digest})
+	ask := operator.ConfirmRequest{Intent: data, BaseRevision: p.Plan.BaseRevision, Digest: p.Plan.Digest}
+	return a.confirm(ctx, ask, wait)
 }
--- a/cmd/goldcrestctl/main_test.go
+++ b/cmd/goldcrestctl/main_test.go
@@ -125,6 +125,15 @@
 	c.Assert(out, qt.Equals, "Accepted as revision 4: teams ~lao\nRevision 6 has followed it since.\n")
 }
 
+func TestReach(t *testing.T) {
+	s := &operator.Status{
+		Routers:  []operator.Router{{Answered: true, Revision: 5}, {Answered: true, Revision: 4}, {Revision: 9}},
+		Backends: []operator.Backend{{Linked: true, Revision: 5}, {Linked: true, Revision: 6}, {Revision: 0}},
+	}
+	qt.Assert(t, reachOf(s, 5), qt.Equals, reach{routers: 1, allRouters: 3, backends: 2, allBackends: 2})
+	qt.Assert(t, reachOf(s, 5).whole(), qt.IsFalse)
+}
+
 func TestStatusAtAGlance(t *testing.T) {
 	c := qt.New(t)
 	one := answering(t, http.StatusOK, operator.Status{
--- a/cmd/goldcrestctl/plan.go
+++ b/cmd/goldcrestctl/plan.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -86,7 +87,8 @@
 }
 
 func (a *app) confirmCommand() *cobra.Command {
-	return command("confirm PLANFILE", "Apply exactly the plan in the file, or nothing", cobra.ExactArgs(1), func(ctx context.Context, args []string) error {
+	var wait time.Duration
+	cmd := command("confirm PLANFILE", "Apply exactly the plan in the file, or nothing", cobra.ExactArgs(1), func(ctx context.Context, args []string) error {
 		data, err := a.readFile(args[0])
 		if err != nil {
 			return err
@@ -101,15 +103,30 @@
 		if err := json.Unmarshal(data, &p); err != nil || p.Plan == nil || p.Intent == nil {
 			return badInput(errors.Newf("%s is not a plan file; 'goldcrestctl plan --save FILE' writes one", args[0]))
 		}
-		return a.confirm(ctx, operator.ConfirmRequest{Intent: p.Intent, BaseRevision: p.Plan.BaseRevision, Digest: p.Plan.Digest})
+		ask := operator.ConfirmRequest{Intent: p.Intent, BaseRevision: p.Plan.BaseRevision, Digest: p.Plan.Digest}
+		return a.confirm(ctx, ask, wait)
 	})
+	addWait(cmd, &wait)
+	return cmd
+}
+
+func addWait(cmd *cobra.Command, wait *time.Duration) {
+	cmd.Flags().DurationVar(wait, "wait", 0, "wait so long at most until it is in force everywhere")
 }
 
-func (a *app) confirm(ctx context.Context, ask operator.ConfirmRequest) error {
+// confirm sends the plan and, if wait is positive, waits until it is in force.
+func (a *app) confirm(ctx context.Context, ask operator.ConfirmRequest, wait time.Duration) error {
 	done, err := a.client().Confirm(ctx, ask)
 	if err != nil {
 		return errors.Wrapf(err, "plan %d-%s", ask.BaseRevision, ask.Digest)
 	}
+	if err := a.showConfirmed(done); err != nil || wait <= 0 {
+		return err
+	}
+	return a.await(ctx, done.Revision, wait)
+}
+
+func (a *app) showConfirmed(done *operator.ConfirmResponse) error {
 	if a.format == formatJSON {
 		return a.printJSON(done)
 	}
--- a/cmd/goldcrestctl/root.go
+++ b/cmd/goldcrestctl/root.go
@@ -123,6 +123,13 @@
 
 func (a *app) say(format string, args ...any) { fmt.Fprintf(a.out, format+"\n", args...) }
 
+// tell says what has no place in JSON output.
+func (a *app) tell(format string, args ...any) {
+	if a.format == formatTable {
+		a.say(format, args...)
+	}
+}
+
 func (a *app) versionCommand() *cobra.Command {
 	return command("version", "Print the version", cobra.NoArgs, func(context.Context, []string) error {
 		version := "unknown"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,9 +35,8 @@
 runs=$(($(starts_at 3) + $(starts_at 4)))
 [ "$runs" = 1 ] || fail "the pledge ran $runs times"
 step "sent a pledge through the other router: status $pledge, it ran $runs time"
-ctl drain sidecar-2 -y >"$OUT/drain.txt"
+ctl drain sidecar-2 -y --wait 5s >"$OUT/drain.txt"
 step "drained a backend server: $(tail -n 1 "$OUT/drain.txt")"
-sleep 2
 before=$(starts_at 2)
 for n in 1 2 3 4; do enquire 13 >/dev/null; done
 [ "$(starts_at 2)" = "$before" ] || fail "the drained backend server got new work"
--- a/transport/operators/confirms.go
+++ b/transport/operators/confirms.go
@@ -109,12 +109,15 @@
 }
 
 // settle answers what became of a plan.
-func (s *Server) settle(req *http.Request, _ string) (any, error) {
+func (s *Server) settle(req *http.Request, who string) (any, error) {
 	base, err := strconv.ParseUint(req.URL.Query().Get("base"), 10, 64)
 	digest := req.URL.Query().Get("digest")
 	if err != nil || digest == "" {
 		return nil, failure(http.StatusBadRequest, outcome.ReasonBadRequest, "base and digest are needed")
 	}
+	if who == bootstrapName && base != 0 {
+		return nil, failure(http.StatusUnauthorized, operator.ReasonUnauthorized, "the bootstrap token settles the first configuration only")
+	}
 	ctx, cancel := context.WithTimeout(req.Context(), callTimeout)
 	defer cancel()
 	done := s.ledger.Settle(ctx, base, digest)
--- a/transport/operators/server_test.go
+++ b/transport/operators/server_test.go
@@ -132,6 +132,8 @@
 		next, code := router.plan(opsToken, intentWith(2))
 		c.Assert(code, qt.Equals, http.StatusOK)
 		c.Assert(router.confirm(bootstrapToken, next, &p), qt.Equals, http.StatusUnauthorized)
+		settle := operator.PathSettle + "?base=1&digest=" + next.Plan.Digest
+		c.Assert(router.call(context.Background(), bootstrapToken, http.MethodGet, settle, nil, &p), qt.Equals, http.StatusUnauthorized)
 	}
 }
 
