Benchmark of checking the largest intent

Cause: planning and confirming the largest fleet takes about half a second each. What was ruled out: nothing yet.

--- a/protocol/intent/intent_test.go
+++ b/protocol/intent/intent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -87,3 +88,31 @@
 		}
 	})
 }
+
+func BenchmarkParseLargestFleet(b *testing.B) {
+	in, err := intent.Parse(text(good))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var services []string
+	for s := range 19 {
+		name := fmt.Sprintf("service-number-%02d", s)
+		services = append(services, name)
+		in.Services[name] = config.Service{Kind: config.KindModel}
+	}
+	for n := range 2100 {
+		name := fmt.Sprintf("team-with-a-long-name-%04d", n)
+		tokens := []string{config.TokenDigest(name + "old"), config.TokenDigest(name + "new")}
+		in.Teams[name] = config.Team{Share: 1, Tokens: tokens, Services: services}
+	}
+	data, err := json.Marshal(in)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		if _, err := intent.Parse(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
