Plans count the work that waits at all routers

Cause: a removed team's work waits anywhere in the fleet; the warning counted the router asked only, which with hundreds of routers sees next to none of it.

What was ruled out: whole queue lists from every router. The plan names the teams that it changes (200 at most), and routers answer with those queues.

Conclusion: routers that give no answer are counted in a warning.

--- a/coordination/plan/notes.go
+++ b/coordination/plan/notes.go
@@ -12,7 +12,7 @@
 	if t.Action == Removed {
 		c.refused(NoteTeamRemoved, t.Team, "all requests of team %s: 401 unauthorized", t.Team)
 		if n := c.waiting(t.Team, ""); n > 0 {
-			c.warn(NoteQueuedWork, t.Team, "team %s is removed and has %d requests waiting at this router; they still run", t.Team, n)
+			c.warn(NoteQueuedWork, t.Team, "team %s is removed and has %d requests waiting; they still run", t.Team, n)
 		}
 		return
 	}
@@ -47,16 +47,17 @@
 	for _, service := range t.Lost {
 		c.refused(NoteServiceLost, t.Team, "requests of team %s to %s: 403 service-not-allowed", t.Team, service)
 		if n := c.waiting(t.Team, service); n > 0 {
-			c.warn(NoteQueuedWork, t.Team, "team %s loses %s and has %d requests for it waiting at this router; they still run", t.Team, service, n)
+			c.warn(NoteQueuedWork, t.Team, "team %s loses %s and has %d requests for it waiting; they still run", t.Team, service, n)
 		}
 	}
 }
 
+// tooMany warns of queues over the new bound, which holds per router.
 func (c *comparison) tooMany(team string, now config.Team) {
-	for _, service := range now.Services {
-		if n := c.waiting(team, service); n > now.MaxQueued {
-			c.warn(NoteQueuedWork, team, "team %s has %d requests waiting for %s at this router, over the new bound of %d; they still run",
-				team, n, service, now.MaxQueued)
+	for _, q := range c.facts.Queues {
+		if q.Team == team && now.Reaches(q.Service) && q.Waiting > now.MaxQueued {
+			c.warn(NoteQueuedWork, team, "team %s has %d requests waiting for %s at a router, over the new bound of %d; they still run",
+				team, q.Waiting, q.Service, now.MaxQueued)
 		}
 	}
 }
@@ -79,6 +80,9 @@
 
 // backendNotes warns of services that nobody serves.
 func (c *comparison) backendNotes() {
+	if n := c.facts.SilentRouters; n > 0 {
+		c.warn(NoteNoFacts, "", "%d %s gave no answer: requests that wait there were not counted", n, plural(n, "router", "routers"))
+	}
 	if !c.facts.BackendsKnown {
 		c.warn(NoteNoFacts, "", "the list of instances can't be read now: backend servers were not checked")
 		return
--- a/coordination/plan/plan.go
+++ b/coordination/plan/plan.go
@@ -144,11 +144,14 @@
 	Waiting int
 }
 
-// Facts are what the router asked knows of the running fleet. They add
+// Facts are what is known of the running fleet. They add
 // warnings and names; the digest doesn't depend on them.
 type Facts struct {
 	Backends []Backend
-	Queues   []Queue
+	// Queues holds the waiting work of changed teams, an entry per router.
+	Queues []Queue
+	// SilentRouters counts the routers whose queues are not known.
+	SilentRouters int
 	// BackendsKnown is false while the instance list can't be read.
 	BackendsKnown bool
 }
--- a/coordination/plan/plan_test.go
+++ b/coordination/plan/plan_test.go
@@ -34,10 +34,11 @@
 
 var facts = plan.Facts{
 	BackendsKnown: true,
+	SilentRouters: 1,
 	Backends: []plan.Backend{
 		{ID: "hall-1", Service: "counsel-llm"}, {ID: "hall-2", Service: "counsel-llm"}, {ID: "book-1", Service: "ledger-app"},
 	},
-	Queues: []plan.Queue{{Team: "archive", Service: "counsel-llm", Waiting: 4}, {Team: "deeds", Service: "ledger-app", Waiting: 9}},
+	Queues: []plan.Queue{{Team: "archive", Service: "counsel-llm", Waiting: 4}, {Team: "archive", Service: "counsel-llm", Waiting: 3}, {Team: "deeds", Service: "ledger-app", Waiting: 9}},
 }
 
 func lines(c *qt.C, a, b *config.Document, f plan.Facts) []string {
@@ -93,9 +94,10 @@
 		"  all requests of team receipts: 403, its share is zero",
 		"  requests to counsel-llm with a body over 4096 bytes: 413 body-too-large",
 		"Warnings:",
-		"  team archive is removed and has 4 requests waiting at this router; they still run",
-		"  team deeds loses ledger-app and has 9 requests for it waiting at this router; they still run",
+		"  team archive is removed and has 7 requests waiting; they still run",
+		"  team deeds loses ledger-app and has 9 requests for it waiting; they still run",
 		"  the share of team receipts is zero",
+		"  1 router gave no answer: requests that wait there were not counted",
 		"  no backend server nowhere is known",
 		"  every backend server of ledger-app is drained: book-1",
 		"  service new-app has no backend servers",
--- a/transport/operators/plans.go
+++ b/transport/operators/plans.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,13 +35,13 @@
 	if ask.BaseRevision != nil && *ask.BaseRevision != base.Revision {
 		return nil, s.stale(ctx, *ask.BaseRevision, base)
 	}
-	return s.planFor(base, in)
+	return s.planFor(ctx, base, in)
 }
 
 // planFor compares and checks that the result can be stored.
-func (s *Server) planFor(base *config.Document, in *intent.Intent) (any, error) {
+func (s *Server) planFor(ctx context.Context, base *config.Document, in *intent.Intent) (any, error) {
 	next := in.Document()
-	p, err := plan.Compare(base, next, s.router.Facts())
+	p, err := plan.Compare(base, next, s.router.Facts(ctx, changedTeams(base, next)))
 	if err != nil {
 		return nil, err
 	}
@@ -52,6 +53,22 @@
 	return operator.PlanResponse{Plan: p, Intent: intent.FromDocument(next)}, nil
 }
 
+// maxFactTeams bounds the teams whose waiting work is asked for.
+const maxFactTeams = 200
+
+// changedTeams returns the names of the teams that stand in both documents or
+// in the base only, and change.
+func changedTeams(base, next *config.Document) []string {
+	var out []string
+	for name := range config.Between(base, next).Teams {
+		if _, before := base.Teams[name]; before {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out[:min(len(out), maxFactTeams)]
+}
+
 // base returns the newest revision, an empty document if there is none.
 func (s *Server) base(ctx context.Context) (*config.Document, error) {
 	head, err := s.ledger.Head(ctx)
@@ -92,7 +109,7 @@
 	if err != nil {
 		return nil, badIntent(err)
 	}
-	return s.planFor(base, in)
+	return s.planFor(ctx, base, in)
 }
 
 // maxMeanwhile bounds the revisions that a stale plan is answered with.
--- a/transport/operators/server.go
+++ b/transport/operators/server.go
@@ -42,8 +42,9 @@
 	InForce() *config.Document
 	// Adopt puts a newer configuration in force at this router.
 	Adopt(*config.Document)
-	// Facts returns what the router knows of the running fleet.
-	Facts() plan.Facts
+	// Facts returns what is known of the running fleet, with the waiting work
+	// of the teams at all routers.
+	Facts(ctx context.Context, teams []string) plan.Facts
 	// Status returns the fleet as the router sees it.
 	Status(ctx context.Context) operator.Status
 }
--- a/transport/operators/server_test.go
+++ b/transport/operators/server_test.go
@@ -26,8 +26,8 @@
 	facts plan.Facts
 }
 
-func (r *routerFake) InForce() *config.Document { return r.doc.Load() }
-func (r *routerFake) Facts() plan.Facts         { return r.facts }
+func (r *routerFake) InForce() *config.Document                  { return r.doc.Load() }
+func (r *routerFake) Facts(context.Context, []string) plan.Facts { return r.facts }
 func (r *routerFake) Status(context.Context) operator.Status {
 	return operator.Status{Router: "r"}
 }
--- a/transport/router/operators.go
+++ b/transport/router/operators.go
@@ -64,15 +64,28 @@
 }
 
 // Facts implements operators.Router.
-func (v operatorView) Facts() plan.Facts {
+func (v operatorView) Facts(ctx context.Context, teams []string) plan.Facts {
 	sidecars, known := v.r.sidecars()
 	facts := plan.Facts{BackendsKnown: known}
 	for _, id := range slices.Sorted(maps.Keys(sidecars)) {
 		facts.Backends = append(facts.Backends, plan.Backend{ID: id, Service: sidecars[id].Service})
 	}
-	for _, q := range v.r.snapshot().Queues {
-		facts.Queues = append(facts.Queues, plan.Queue{Team: q.Team, Service: q.Service, Waiting: q.Waiting})
+	if len(teams) == 0 {
+		return facts
 	}
+	add := func(queues []*wire.QueueBacklog) {
+		for _, q := range queues {
+			facts.Queues = append(facts.Queues, plan.Queue{Team: q.Team, Service: q.Service, Waiting: int(q.Waiting)})
+		}
+	}
+	add(queuesOf(v.r.snapshot().Queues, teams))
+	v.r.eachRouter(ctx, teams, func(_ platform.Instance, answer *wire.SummaryResponse) {
+		if answer == nil {
+			facts.SilentRouters++
+			return
+		}
+		add(answer.Asked)
+	})
 	return facts
 }
 
--- a/transport/router/operators_test.go
+++ b/transport/router/operators_test.go
@@ -40,6 +40,7 @@
 	}
 	services, top := condense(queues)
 	c.Assert(top, qt.HasLen, summaryQueues)
+	c.Assert(queuesOf(queues, []string{"team-7", "none"}), qt.HasLen, 2)
 	c.Assert(top[0].OldestMs, qt.Equals, int64(199_000))
 	status := operator.Status{Services: []operator.Service{{Service: "glossa-pool", Waiting: 1}, {Service: "stringhub"}}}
 	addRouter(&status, &wire.SummaryResponse{Router: "r2", State: "ready", Revision: 4, Services: services, Queues: top})
--- a/transport/router/summary.go
+++ b/transport/router/summary.go
@@ -24,8 +24,32 @@
 )
 
 // Summary implements wire.DRPCRouterStatusServer.
-func (r *Router) Summary(context.Context, *wire.SummaryRequest) (*wire.SummaryResponse, error) {
-	return r.summary(r.snapshot()), nil
+func (r *Router) Summary(_ context.Context, req *wire.SummaryRequest) (*wire.SummaryResponse, error) {
+	s := r.snapshot()
+	out := r.summary(s)
+	out.Asked = queuesOf(s.Queues, req.Teams)
+	return out, nil
+}
+
+// queuesOf returns the queues of the teams.
+func queuesOf(queues []dispatch.QueueState, teams []string) []*wire.QueueBacklog {
+	wanted := map[string]bool{}
+	for _, t := range teams {
+		wanted[t] = true
+	}
+	var out []*wire.QueueBacklog
+	for _, q := range queues {
+		if wanted[q.Team] {
+			out = append(out, backlog(q))
+		}
+	}
+	return out
+}
+
+func backlog(q dispatch.QueueState) *wire.QueueBacklog {
+	return &wire.QueueBacklog{
+		Service: q.Service, Team: q.Team, Waiting: uint32(q.Waiting), Bytes: q.Bytes, OldestMs: q.Oldest.Milliseconds(),
+	}
 }
 
 // summary condenses the queues to a bounded size.
@@ -54,15 +78,28 @@
 	slices.SortStableFunc(oldest, func(a, b dispatch.QueueState) int { return cmp.Compare(b.Oldest, a.Oldest) })
 	var top []*wire.QueueBacklog
 	for _, q := range oldest[:min(len(oldest), summaryQueues)] {
-		top = append(top, &wire.QueueBacklog{
-			Service: q.Service, Team: q.Team, Waiting: uint32(q.Waiting), Bytes: q.Bytes, OldestMs: q.Oldest.Milliseconds(),
-		})
+		top = append(top, backlog(q))
 	}
 	return services, top
 }
 
 // askRouters adds what the other routers of the list answer in time.
 func (r *Router) askRouters(ctx context.Context, out *operator.Status) {
+	r.eachRouter(ctx, nil, func(i platform.Instance, answer *wire.SummaryResponse) {
+		if answer == nil {
+			out.Routers = append(out.Routers, operator.Router{ID: i.ID, DataCentre: i.DataCentre, State: string(i.State)})
+			return
+		}
+		addRouter(out, answer)
+	})
+	slices.SortFunc(out.Routers, func(a, b operator.Router) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortStableFunc(out.Queues, func(a, b operator.Queue) int { return cmp.Compare(b.OldestMS, a.OldestMS) })
+	out.Queues = out.Queues[:min(len(out.Queues), statusQueues)]
+}
+
+// eachRouter asks the other routers of the list, some at a time, and calls take
+// with each answer, nil if none came in time. Calls of take don't overlap.
+func (r *Router) eachRouter(ctx context.Context, teams []string, take func(platform.Instance, *wire.SummaryResponse)) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	list, err := r.spread.Instances(ctx)
@@ -79,26 +116,24 @@
 		slots <- struct{}{}
 		asked.Go(func() {
 			defer func() { <-slots }()
-			answer, err := r.askSummary(ctx, i.Address)
+			answer := r.askSummary(ctx, i.Address, teams)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
-				out.Routers = append(out.Routers, operator.Router{ID: i.ID, DataCentre: i.DataCentre, State: string(i.State)})
-				return
-			}
-			addRouter(out, answer)
+			take(i, answer)
 		})
 	}
 	asked.Wait()
-	slices.SortFunc(out.Routers, func(a, b operator.Router) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortStableFunc(out.Queues, func(a, b operator.Queue) int { return cmp.Compare(b.OldestMS, a.OldestMS) })
-	out.Queues = out.Queues[:min(len(out.Queues), statusQueues)]
 }
 
-func (r *Router) askSummary(ctx context.Context, address string) (*wire.SummaryResponse, error) {
+// askSummary returns nil if no answer comes in time.
+func (r *Router) askSummary(ctx context.Context, address string, teams []string) *wire.SummaryResponse {
 	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
 	defer cancel()
-	return wire.NewDRPCRouterStatusClient(r.pool.Get(ctx, address)).Summary(ctx, &wire.SummaryRequest{})
+	answer, err := wire.NewDRPCRouterStatusClient(r.pool.Get(ctx, address)).Summary(ctx, &wire.SummaryRequest{Teams: teams})
+	if err != nil {
+		return nil
+	}
+	return answer
 }
 
 // addRouter adds one router's answer to the fleet's status.
