--- a/cmd/goldcrestctl/drain.go
+++ b/cmd/goldcrestctl/drain.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"goldcrestport/protocol/operator"
-	"goldcrestport/transport/operatorclient"
 )
 
 // drainAttempts bounds how often a drain is planned again because another
@@ -69,9 +66,7 @@
 func (a *app) drainNow(ctx context.Context, backend string, drained bool, wait time.Duration) error {
 	for attempt := 1; ; attempt++ {
 		err := a.tryDrain(ctx, backend, drained, wait)
-		var p *operatorclient.ProblemError
-		stale := errors.As(err, &p) && p.Status == http.StatusConflict
-		if !stale || attempt == drainAttempts {
+		if !isStale(err) || attempt == drainAttempts {
 			return err
 		}
 	}
--- a/cmd/goldcrestctl/exit.go
+++ b/cmd/goldcrestctl/exit.go
@@ -41,6 +41,8 @@
 		return exitOK
 	case errors.As(err, &p):
 		return problemCode(p)
+	case errors.Is(err, errMeets):
+		return exitStale
 	case errors.Is(err, operatorclient.ErrUnreachable):
 		return exitUnsettled
 	case errors.Is(err, errBadInput), errors.As(err, &found), !errors.Is(err, errRun):
--- a/cmd/goldcrestctl/plan.go
+++ b/cmd/goldcrestctl/plan.go
@@ -88,6 +88,7 @@
 
 func (a *app) confirmCommand() *cobra.Command {
 	var wait time.Duration
+	var rebase bool
 	cmd := command("confirm PLANFILE", "Apply exactly the plan in the file, or nothing", cobra.ExactArgs(1), func(ctx context.Context, args []string) error {
 		data, err := a.readFile(args[0])
 		if err != nil {
@@ -104,9 +105,13 @@
 			return badInput(errors.Newf("%s is not a plan file; 'goldcrestctl plan --save FILE' writes one", args[0]))
 		}
 		ask := operator.ConfirmRequest{Intent: p.Intent, BaseRevision: p.Plan.BaseRevision, Digest: p.Plan.Digest}
-		return a.confirm(ctx, ask, wait)
+		if !rebase {
+			return a.confirm(ctx, ask, wait)
+		}
+		return a.confirmRebased(ctx, ask, func(ask operator.ConfirmRequest) error { return a.confirm(ctx, ask, wait) })
 	})
 	addWait(cmd, &wait)
+	cmd.Flags().BoolVar(&rebase, "rebase", false, "if other changes came between, put this plan's changes on top of them unless both touch the same team, service or operator")
 	return cmd
 }
 
