--- a/transport/operators/server_test.go
+++ b/transport/operators/server_test.go
@@ -26,8 +26,8 @@
 	facts plan.Facts
 }
 
-func (r *routerFake) InForce() *config.Document { return r.doc.Load() }
-func (r *routerFake) Facts() plan.Facts         { return r.facts }
+func (r *routerFake) InForce() *config.Document                  { return r.doc.Load() }
+func (r *routerFake) Facts(context.Context, []string) plan.Facts { return r.facts }
 func (r *routerFake) Status(context.Context) operator.Status {
 	return operator.Status{Router: "r"}
 }
@@ -132,6 +132,8 @@
 		next, code := router.plan(opsToken, intentWith(2))
 		c.Assert(code, qt.Equals, http.StatusOK)
 		c.Assert(router.confirm(bootstrapToken, next, &p), qt.Equals, http.StatusUnauthorized)
+		settle := operator.PathSettle + "?base=1&digest=" + next.Plan.Digest
+		c.Assert(router.call(context.Background(), bootstrapToken, http.MethodGet, settle, nil, &p), qt.Equals, http.StatusUnauthorized)
 	}
 }
 
