Claims: calls with an idempotency key run at most once

Cause: a non-idempotent call that a caller repeated with its Idempotency-Key ran again, since only the platform's service outlives a router.

A router claims the key by compare-and-swap before it dispatches the request and records the result after it. 16 shards, each one value; one write in flight per shard and writer, many calls in one write, 100 ms between writes. A shard's home is chosen by rendezvous hashing; others ask it over drpc (service Claims), then the next in rank, then write themselves. The record only keeps others out; whether an attempt was dispatched is known by its router, which holds it in memory from before the claim is asked for until it is certain that it never runs or its result is written. So a claim left over from a refused request is taken over after asking its router, and not-run may be said at once when the platform does not answer.

Ruled out: a lease per router to tell that an executor is gone (800 routers, ttl 60 s: 40 writes a second for nothing in the usual case); attaching a repeat to the running first request (holds a second connection for as long).

Found by the history test and mended: a home that had failed long ago paused for a second after a first, harmless conflict and refused meanwhile; a Finish answered from an old table let its router forget a result that was not written.

Not yet: figures against the platform stand-in, values larger than one shard holds (new keys are refused).

--- /dev/null
+++ b/coordination/claim/claim.go
@@ -0,0 +1,331 @@
+package claim
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"goldcrestport/state/claims"
+)
+
+// State is the state of one process's claim writer. It must be used by one
+// goroutine at a time.
+type State struct {
+	cfg    Config
+	rng    *rand.Rand
+	shards [claims.Shards]*shard
+	guest  bucket
+	// steps counts the events, to order what happens at one time.
+	steps uint64
+	out   []Action
+}
+
+// New returns a state that knows nothing. The config must be valid.
+func New(cfg Config) *State {
+	s := &State{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15))}
+	for i := range s.shards {
+		s.shards[i] = &shard{id: i, stale: true}
+	}
+	s.guest.setRate(cfg.Budget)
+	return s
+}
+
+// Step applies one event at the time now and returns the actions to perform,
+// in order. The slice is valid until the next call.
+func (s *State) Step(now time.Time, ev Event) []Action {
+	s.out = s.out[:0]
+	s.steps++
+	switch ev := ev.(type) {
+	case Asked:
+		s.asked(now, ev.Call)
+	case ReadDone:
+		s.readDone(now, ev)
+	case WriteDone:
+		s.writeDone(now, ev)
+	case HomesSet:
+		s.homesSet(ev)
+	case Flushed:
+		s.flush(now)
+	case Ticked:
+		s.tick(now)
+	}
+	return s.out
+}
+
+// Pending returns the number of calls that have no answer yet.
+func (s *State) Pending() int {
+	n := 0
+	for _, sh := range s.shards {
+		n += len(sh.pending) + len(sh.writing)
+	}
+	return n
+}
+
+func (s *State) emit(a Action) { s.out = append(s.out, a) }
+
+func (s *State) answer(c *waiting, v verdict) {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	s.emit(Answer{Call: c.call.ID, Verdict: v.verdict, Record: v.record})
+}
+
+func (s *State) asked(now time.Time, c Call) {
+	sh := s.shards[c.Key.Shard()]
+	w := &waiting{call: c, arrived: now, step: s.steps}
+	if len(sh.pending) >= s.cfg.MaxPending || sh.retryAt.After(c.Deadline) {
+		s.answer(w, verdict{verdict: Unavailable})
+		return
+	}
+	sh.pending = append(sh.pending, w)
+	s.advance(now, sh)
+}
+
+func (s *State) homesSet(ev HomesSet) {
+	for i, sh := range s.shards {
+		sh.home = ev.Home[i]
+	}
+	s.guest.setRate(s.cfg.Budget / float64(max(1, ev.Routers)))
+}
+
+func (s *State) flush(now time.Time) {
+	for _, sh := range s.shards {
+		for _, w := range sh.pending {
+			w.due = true
+		}
+		s.advance(now, sh)
+	}
+}
+
+func (s *State) tick(now time.Time) {
+	for _, sh := range s.shards {
+		s.expire(now, sh)
+		s.advance(now, sh)
+	}
+}
+
+// expire answers the calls that nobody waits for any longer. Those in a write
+// on the way may still take effect, as Unavailable says.
+func (s *State) expire(now time.Time, sh *shard) {
+	for _, w := range sh.writing {
+		if now.After(w.call.Deadline) {
+			s.answer(w, verdict{verdict: Unavailable})
+		}
+	}
+	kept := sh.pending[:0]
+	for _, w := range sh.pending {
+		if now.After(w.call.Deadline) {
+			s.answer(w, verdict{verdict: Unavailable})
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(sh.pending[len(kept):])
+	sh.pending = kept
+}
+
+// advance starts the next platform call of a shard if there is need and room
+// for one.
+func (s *State) advance(now time.Time, sh *shard) {
+	if sh.busy || len(sh.pending) == 0 || now.Before(sh.retryAt) {
+		return
+	}
+	if sh.stale || sh.wantsFresh() {
+		s.read(sh)
+		return
+	}
+	s.settle(now, sh)
+	if sh.busy || len(sh.pending) == 0 || now.Before(sh.writeAt) || !s.writeDue(now, sh) {
+		return
+	}
+	if !sh.home && !s.guest.take(now) {
+		return
+	}
+	s.write(now, sh)
+}
+
+func (s *State) read(sh *shard) {
+	sh.busy = true
+	sh.began = s.steps
+	s.emit(Read{Shard: sh.id})
+}
+
+func (s *State) readDone(now time.Time, ev ReadDone) {
+	sh := s.shards[ev.Shard]
+	sh.busy = false
+	if ev.Result != OK {
+		sh.retryAt = s.after(now, sh.failures)
+		sh.failures++
+		return
+	}
+	sh.failures = 0
+	sh.stale = false
+	sh.table = ev.Table
+	sh.version = ev.Version
+	sh.fresh = sh.began
+	s.advance(now, sh)
+}
+
+// settle answers the calls that need no write. A call whose key an earlier
+// waiting call may change has to wait for that one. That a result or a release
+// needs no write is said only after a read begun since: the claim may have
+// been written by another process, and forgetting its result would let the
+// key run again.
+func (s *State) settle(now time.Time, sh *shard) {
+	dirty := map[claims.Key]bool{}
+	kept := sh.pending[:0]
+	for _, w := range sh.pending {
+		v, change := s.decide(now, sh.lookup(w.call.Key), w.call)
+		if change == nil && v.verdict == Done && sh.fresh < w.step {
+			w.call.Fresh = true
+			change = keep
+		}
+		if change == nil && !dirty[w.call.Key] {
+			s.answer(w, v)
+			continue
+		}
+		dirty[w.call.Key] = true
+		kept = append(kept, w)
+	}
+	clear(sh.pending[len(kept):])
+	sh.pending = kept
+	if sh.wantsFresh() {
+		s.read(sh)
+	}
+}
+
+// writeDue reports whether a waiting call is worth a write now. Results wait
+// for company up to FinishDelay.
+func (s *State) writeDue(now time.Time, sh *shard) bool {
+	for _, w := range sh.pending {
+		if w.call.Kind != Finish || w.due || now.Sub(w.arrived) >= s.cfg.FinishDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// write groups the waiting calls into one compare-and-swap.
+func (s *State) write(now time.Time, sh *shard) {
+	changes := map[claims.Key]*claims.Record{}
+	sh.writing = sh.writing[:0]
+	for _, w := range sh.pending {
+		s.apply(now, sh, changes, w)
+	}
+	sh.pending = nil
+	next := sh.table.With(changes, now, s.cfg.Expiry)
+	value, err := next.Encode()
+	if err != nil || len(value) > s.cfg.MaxBytes {
+		s.full(now, sh)
+		return
+	}
+	sh.busy = true
+	sh.next = next
+	sh.began = s.steps
+	s.emit(Write{Shard: sh.id, Version: sh.version, Value: value, Calls: len(sh.writing)})
+}
+
+// apply adds the effect of one call to the changes.
+func (s *State) apply(now time.Time, sh *shard, changes map[claims.Key]*claims.Record, w *waiting) {
+	record, changed := changes[w.call.Key]
+	if !changed {
+		record = sh.lookup(w.call.Key)
+	}
+	v, change := s.decide(now, record, w.call)
+	if change != nil {
+		changes[w.call.Key] = change.record
+	}
+	w.verdict = v
+	sh.writing = append(sh.writing, w)
+}
+
+func (s *State) writeDone(now time.Time, ev WriteDone) {
+	sh := s.shards[ev.Shard]
+	sh.busy = false
+	switch ev.Result {
+	case OK:
+		s.written(now, sh, ev.Version)
+	case TooLarge:
+		s.full(now, sh)
+	case Refused:
+		s.failed(now, sh)
+	case Lost:
+		sh.retryAt = s.after(now, sh.failures)
+		sh.failures++
+		fallthrough
+	default:
+		// After Conflict another writer's records are unknown here; after Lost
+		// the write itself is. Nobody is told anything before a read: the
+		// next write names the version read, so that a late effect of this
+		// one makes it conflict.
+		sh.stale = true
+		s.failed(now, sh)
+	}
+	s.expire(now, sh)
+	s.advance(now, sh)
+}
+
+func (s *State) written(now time.Time, sh *shard, version uint64) {
+	sh.version = version
+	sh.table = sh.next
+	sh.next = nil
+	sh.fresh = sh.began
+	sh.writeFailures = 0
+	sh.writeAt = now.Add(s.cfg.Gap)
+	for _, w := range sh.writing {
+		s.answer(w, w.verdict)
+	}
+	sh.writing = nil
+}
+
+// full refuses the new keys of a write that is too large; the rest is tried
+// again. Results that are too large on their own lose their answers.
+func (s *State) full(now time.Time, sh *shard) {
+	rest := sh.pending
+	sh.pending = nil
+	refused := false
+	for _, w := range sh.writing {
+		if w.call.Kind == Acquire {
+			s.answer(w, verdict{verdict: Full})
+			refused = true
+		}
+		if w.answered {
+			continue
+		}
+		sh.pending = append(sh.pending, w)
+	}
+	if !refused {
+		dropAnswers(sh.pending)
+	}
+	sh.pending = append(sh.pending, rest...)
+	sh.writing = nil
+	s.failed(now, sh)
+}
+
+// failed takes the calls of a write back that had no proven effect.
+func (s *State) failed(now time.Time, sh *shard) {
+	sh.requeue()
+	if now.Sub(sh.writeAt) > s.cfg.BackoffMax {
+		// The failures before are long past and say nothing of this one.
+		sh.writeFailures = 0
+	}
+	sh.writeAt = s.after(now, sh.writeFailures)
+	sh.writeFailures++
+}
+
+// after returns the end of a pause that doubles with each failure. It is
+// spread, so that writers that conflicted do not meet again.
+func (s *State) after(now time.Time, failures int) time.Time {
+	pause := min(s.cfg.Backoff<<min(failures, maxDoublings), s.cfg.BackoffMax)
+	return now.Add(pause/2 + time.Duration(s.rng.Int64N(int64(pause/2)+1)))
+}
+
+// maxDoublings keeps the shift of a pause from overflowing.
+const maxDoublings = 10
+
+// dropAnswers keeps of each result only its outcome.
+func dropAnswers(calls []*waiting) {
+	for _, w := range calls {
+		w.call.Result.Body, w.call.Result.Kept = nil, false
+	}
+}
--- /dev/null
+++ b/coordination/claim/claim_test.go
@@ -0,0 +1,280 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"goldcrestport/state/claims"
+)
+
+// store is a platform shard whose writes may be lost before or after, or take
+// effect late.
+type store struct {
+	version uint64
+	value   []byte
+}
+
+func (s *store) put(w Write) CallResult {
+	if w.Version != s.version {
+		return Conflict
+	}
+	s.version++
+	s.value = w.Value
+	return OK
+}
+
+func (s *store) table(t *rapid.T) *claims.Table {
+	table, err := claims.Decode(s.value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// machine drives two writers of one shard against the store.
+type machine struct {
+	now     time.Time
+	store   store
+	late    []Write
+	writers [2]*State
+	calls   [2][]Action // platform calls on the way
+	open    map[uint64]Call
+	granted []Call          // to be finished or released
+	once    map[string]bool // attempts that were granted
+	lastID  uint64
+	keys    []claims.Key
+}
+
+func newMachine() *machine {
+	m := &machine{now: time.Unix(1_800_000_000, 0), open: map[uint64]Call{}, once: map[string]bool{}}
+	for i := range m.writers {
+		cfg := DefaultConfig()
+		cfg.Seed = uint64(i)
+		m.writers[i] = New(cfg)
+	}
+	// The second writer is a guest, as after a change of the instance list.
+	home := HomesSet{Routers: 2}
+	for i := range home.Home {
+		home.Home[i] = true
+	}
+	m.writers[0].Step(m.now, home)
+	for i := 0; len(m.keys) < 3; i++ {
+		if k := claims.NewKey("team", "service", string(rune('a'+i))); k.Shard() == 0 {
+			m.keys = append(m.keys, k)
+		}
+	}
+	return m
+}
+
+func (m *machine) step(t *rapid.T, w int, ev Event) {
+	for _, a := range m.writers[w].Step(m.now, ev) {
+		answer, ok := a.(Answer)
+		if !ok {
+			m.calls[w] = append(m.calls[w], a)
+			if len(m.calls[w]) > 1 {
+				t.Fatalf("two platform calls on the way: %v", m.calls[w])
+			}
+			continue
+		}
+		m.check(t, answer)
+	}
+}
+
+// check holds an answer against what the store has.
+func (m *machine) check(t *rapid.T, a Answer) {
+	c, open := m.open[a.Call]
+	if !open {
+		t.Fatalf("answer to a call that is not open: %v", a)
+	}
+	delete(m.open, a.Call)
+	r, found := m.store.table(t).Records[c.Key]
+	holds := found && r.State == claims.Claimed && r.Attempt == c.Attempt
+	if a.Verdict == Granted && !m.once[c.Attempt] {
+		m.once[c.Attempt] = true
+		m.granted = append(m.granted, c)
+		if !holds {
+			t.Fatalf("granted, but the record is %+v", r)
+		}
+	}
+	if a.Verdict == Done && c.Kind == Finish && holds {
+		t.Fatalf("finish is done, but the record is %+v", r)
+	}
+}
+
+func (m *machine) ask(t *rapid.T) {
+	m.lastID++
+	c := Call{
+		ID:       m.lastID,
+		Kind:     Acquire,
+		Key:      rapid.SampledFrom(m.keys).Draw(t, "key"),
+		Digest:   "d",
+		Attempt:  fmt.Sprint("attempt-", m.lastID),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(10, 1500).Draw(t, "wait")) * time.Millisecond),
+	}
+	m.open[c.ID] = c
+	m.step(t, 0, Asked{Call: c})
+	if rapid.Bool().Draw(t, "at both") {
+		m.lastID++
+		c.ID = m.lastID
+		m.open[c.ID] = c
+		m.step(t, 1, Asked{Call: c})
+	}
+}
+
+// conclude ends a granted attempt at either writer.
+func (m *machine) conclude(t *rapid.T) {
+	if len(m.granted) == 0 {
+		return
+	}
+	c := m.granted[0]
+	m.granted = m.granted[1:]
+	m.lastID++
+	c.ID = m.lastID
+	c.Kind = rapid.SampledFrom([]Kind{Finish, Release}).Draw(t, "kind")
+	c.Result = claims.Result{Outcome: "completed", Status: 200}
+	c.Deadline = m.now.Add(time.Duration(rapid.IntRange(10, 3000).Draw(t, "wait")) * time.Millisecond)
+	m.open[c.ID] = c
+	m.step(t, rapid.IntRange(0, 1).Draw(t, "writer"), Asked{Call: c})
+}
+
+// end brings one platform call to an end in one of the ways that can happen.
+func (m *machine) end(t *rapid.T) {
+	w := rapid.IntRange(0, 1).Draw(t, "writer")
+	if len(m.calls[w]) == 0 {
+		return
+	}
+	call := m.calls[w][0]
+	m.calls[w] = nil
+	fault := rapid.SampledFrom([]string{"", "", "", "refused", "lost before", "lost after", "late"}).Draw(t, "fault")
+	switch call := call.(type) {
+	case Read:
+		if fault != "" {
+			m.step(t, w, ReadDone{Shard: call.Shard, Result: Lost})
+			return
+		}
+		m.step(t, w, ReadDone{Shard: call.Shard, Result: OK, Version: m.store.version, Table: m.store.table(t)})
+	case Write:
+		m.endWrite(t, w, call, fault)
+	}
+}
+
+func (m *machine) endWrite(t *rapid.T, w int, call Write, fault string) {
+	done := WriteDone{Shard: call.Shard, Result: Lost}
+	switch fault {
+	case "":
+		done.Result = m.store.put(call)
+		done.Version = m.store.version
+	case "refused":
+		done.Result = Refused
+	case "lost after":
+		m.store.put(call)
+	case "late":
+		m.late = append(m.late, call)
+	}
+	m.step(t, w, done)
+}
+
+func (m *machine) land(*rapid.T) {
+	if len(m.late) > 0 {
+		m.store.put(m.late[0])
+		m.late = m.late[1:]
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+	for w := range m.writers {
+		m.step(t, w, Ticked{})
+	}
+}
+
+// TestAnswersMatchTheStore checks that each call gets one answer, that a
+// grant and a done are true in the store when they are given, and that a
+// shard has one platform call on the way at most.
+func TestAnswersMatchTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"ask":  m.ask,
+			"done": m.conclude,
+			"end":  m.end,
+			"end2": m.end,
+			"land": m.land,
+			"pass": m.pass,
+		})
+		m.now = m.now.Add(time.Minute)
+		for w := range m.writers {
+			m.step(t, w, Ticked{})
+		}
+		if len(m.open) > 0 {
+			t.Fatalf("calls without an answer: %v", m.open)
+		}
+	})
+}
+
+// TestGroupsAndPaces checks that many calls share a write and that writes of
+// a shard keep their gap.
+func TestGroupsAndPaces(t *testing.T) {
+	c := quicktest.New(t)
+	m := newMachine()
+	w := m.writers[0]
+	key := m.keys[0]
+	actions := w.Step(m.now, Asked{Call{ID: 1, Kind: Acquire, Key: key, Attempt: "a", Deadline: m.now.Add(time.Second)}})
+	c.Assert(actions, quicktest.DeepEquals, []Action{Read{Shard: 0}})
+	actions = w.Step(m.now, ReadDone{Result: OK, Table: &claims.Table{}})
+	c.Assert(actions, quicktest.HasLen, 1)
+	for id := uint64(2); id < 12; id++ {
+		k := claims.Key(string(m.keys[1])) // the same key: one grant, the others held
+		c.Assert(w.Step(m.now, Asked{Call{ID: id, Kind: Acquire, Key: k, Attempt: string(rune('a' + id)), Deadline: m.now.Add(time.Second)}}), quicktest.HasLen, 0)
+	}
+	c.Assert(w.Step(m.now, WriteDone{Result: OK, Version: 1}), quicktest.HasLen, 1, quicktest.Commentf("the first call's answer; the next write waits for its gap"))
+	c.Assert(w.Step(m.now.Add(99*time.Millisecond), Ticked{}), quicktest.HasLen, 0)
+	actions = w.Step(m.now.Add(100*time.Millisecond), Ticked{})
+	c.Assert(actions, quicktest.HasLen, 1)
+	c.Assert(actions[0].(Write).Calls, quicktest.Equals, 10)
+	verdicts := map[Verdict]int{}
+	for _, a := range w.Step(m.now.Add(105*time.Millisecond), WriteDone{Result: OK, Version: 2}) {
+		verdicts[a.(Answer).Verdict]++
+	}
+	c.Assert(verdicts, quicktest.DeepEquals, map[Verdict]int{Granted: 1, Held: 9})
+}
+
+// TestFullShardRefusesNewKeys checks that a value near its limit takes results
+// and releases but no new key.
+func TestFullShardRefusesNewKeys(t *testing.T) {
+	c := quicktest.New(t)
+	m := newMachine()
+	m.writers[0].cfg.MaxBytes = 200
+	deadline := m.now.Add(time.Minute)
+	w := m.writers[0]
+	w.Step(m.now, Asked{Call{ID: 1, Kind: Acquire, Key: m.keys[0], Attempt: "a", Deadline: deadline}})
+	w.Step(m.now, ReadDone{Result: OK, Table: &claims.Table{}})
+	w.Step(m.now, WriteDone{Result: OK, Version: 1})
+	m.now = m.now.Add(time.Second)
+	actions := w.Step(m.now, Asked{Call{ID: 2, Kind: Acquire, Key: m.keys[1], Attempt: "a long name that has no room, as it is more than one hundred bytes of a value of two hundred bytes in all", Deadline: deadline}})
+	c.Assert(actions, quicktest.DeepEquals, []Action{Answer{Call: 2, Verdict: Full}})
+	m.now = m.now.Add(time.Second)
+	actions = w.Step(m.now, Asked{Call{ID: 3, Kind: Release, Key: m.keys[0], Attempt: "a", Deadline: deadline}})
+	c.Assert(actions, quicktest.HasLen, 1)
+	c.Assert(actions[0].(Write).Version, quicktest.Equals, uint64(1))
+}
+
+func TestRankSpreadsAndIsStable(t *testing.T) {
+	c := quicktest.New(t)
+	routers := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	moved := 0
+	for s := range claims.Shards {
+		before := Rank(s, routers)
+		after := Rank(s, routers[1:])
+		if before[0] != after[0] {
+			c.Assert(before[0], quicktest.Equals, "a")
+			c.Assert(after[0], quicktest.Equals, before[1])
+			moved++
+		}
+	}
+	c.Assert(moved < claims.Shards/2, quicktest.IsTrue)
+}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -56,6 +56,8 @@
 	ReasonPlatform       Reason = "platform-unavailable"
 	ReasonDuplicate      Reason = "duplicate"
 	ReasonKeyReused      Reason = "key-reused"
+	ReasonExecutorLost   Reason = "executor-lost"
+	ReasonNotKept        Reason = "answer-not-kept"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonInternal       Reason = "internal"
 	ReasonUnknownPath    Reason = "unknown-path"
--- /dev/null
+++ b/protocol/settings/claims.go
@@ -0,0 +1,42 @@
+package settings
+
+import "time"
+
+// Claims bounds how non-idempotent requests with a caller's key are kept at
+// most once. Every router must have the same values.
+type Claims struct {
+	// Expiry is how long a key is remembered. The platform must hold leases
+	// 30 minutes longer. Default 23h.
+	Expiry Duration `json:"expiry"`
+	// Wait bounds the time from a request to its claim. Default 500ms.
+	Wait Duration `json:"wait"`
+	// Gap is the least time between two writes of one of the 16 shards.
+	// Default 100ms: 160 writes a second at most.
+	Gap Duration `json:"gap"`
+	// FinishDelay is how long a result waits to be written with others.
+	// Default 1s.
+	FinishDelay Duration `json:"finish_delay"`
+	// MaxAnswer bounds an answer that is kept with its key. Default 4 KiB.
+	MaxAnswer Size `json:"max_answer"`
+}
+
+// expiryDeadlines is the number of request deadlines that a key must outlive,
+// so that no attempt can be dispatched after its key has expired.
+const expiryDeadlines = 2
+
+func defaultClaims() Claims {
+	return Claims{
+		Expiry:      Duration(23 * time.Hour),
+		Wait:        Duration(500 * time.Millisecond),
+		Gap:         Duration(100 * time.Millisecond),
+		FinishDelay: Duration(time.Second),
+		MaxAnswer:   4 * KiB,
+	}
+}
+
+// clashes reports values that do not go together with the longest deadline.
+func (c Claims) clashes(p *Problems, deadline Duration) {
+	if c.Expiry < expiryDeadlines*deadline {
+		p.add("claims.expiry", "%s is below twice limits.deadline, %s", c.Expiry.D(), deadline.D())
+	}
+}
--- a/protocol/settings/router.go
+++ b/protocol/settings/router.go
@@ -88,6 +88,7 @@
 	Limits    CallerLimits `json:"limits"`
 	Operators Operators    `json:"operators"`
 	Stop      Stop         `json:"stop"`
+	Claims    Claims       `json:"claims"`
 	Log       Log          `json:"log"`
 	Trace     Trace        `json:"trace"`
 }
@@ -110,9 +111,10 @@
 			IdleTimeout:   Duration(time.Minute),
 			Deadline:      Duration(10 * time.Minute),
 		},
-		Stop:  defaultStop(),
-		Log:   Log{Level: LogInfo},
-		Trace: defaultTrace(),
+		Claims: defaultClaims(),
+		Stop:   defaultStop(),
+		Log:    Log{Level: LogInfo},
+		Trace:  defaultTrace(),
 	}
 }
 
@@ -138,5 +140,6 @@
 	if l.Bodies < q.TotalBytes {
 		p.add("limits.bodies", "%s is below queues.total_bytes, %s", l.Bodies, q.TotalBytes)
 	}
+	r.Claims.clashes(p, l.Deadline)
 	r.Trace.clashes(p)
 }
--- /dev/null
+++ b/state/claims/key.go
@@ -0,0 +1,71 @@
+// Package claims holds the records that make a non-idempotent request with a
+// caller's key run at most once, and their form in the platform's key-value
+// service.
+//
+// Keys are hashed to a fixed number of shards; the records of one shard are
+// one value of the service. coordination/claim decides what is written.
+package claims
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"hash"
+)
+
+// Shards is the number of values over which the keys are spread. It is part
+// of the stored form: every process must use the same number.
+const Shards = 16
+
+// keyPrefix is the prefix of the platform keys of the shards.
+const keyPrefix = "goldcrest/claims/v1/"
+
+// digestSize is the size in bytes to which SHA-256 digests are cut. Keys and
+// bodies come from callers, so collisions must be hard to find.
+const digestSize = 16
+
+// Key identifies a caller's idempotency key within a team and a service.
+type Key string
+
+// NewKey returns the Key of a caller's idempotency key.
+func NewKey(team, service, key string) Key {
+	return Key(digest([]byte(team), []byte(service), []byte(key)))
+}
+
+// NewDigest returns the digest that tells whether two requests with one key
+// are the same request.
+func NewDigest(method, path string, body []byte) string {
+	return digest([]byte(method), []byte(path), body)
+}
+
+// digest hashes the parts with their lengths, so that no two lists of parts
+// give the same input.
+func digest(parts ...[]byte) string {
+	h := sha256.New()
+	for _, p := range parts {
+		writePart(h, p)
+	}
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:digestSize])
+}
+
+func writePart(h hash.Hash, p []byte) {
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(p)))
+	_, _ = h.Write(size[:])
+	_, _ = h.Write(p)
+}
+
+// Shard returns the shard of the key.
+func (k Key) Shard() int {
+	sum := 0
+	for i := range len(k) {
+		sum = (sum*31 + int(k[i])) % Shards
+	}
+	return sum
+}
+
+// StoreKey returns the platform key of a shard.
+func StoreKey(shard int) string {
+	return fmt.Sprintf("%s%02x", keyPrefix, shard)
+}
--- /dev/null
+++ b/transport/claims/history_test.go
@@ -0,0 +1,319 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/frankban/quicktest"
+
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/state/claims"
+)
+
+// Size of one recorded history.
+const (
+	historyRouters = 4
+	historyKeys    = 6               // in use at one time
+	historyWindow  = 4 * time.Second // after which others are used
+	historyCallers = 12
+	historyTime    = 40 * time.Second
+)
+
+// fleet is a few Guards that share a store, with callers that repeat keys.
+type fleet struct {
+	seed  uint64
+	store *fakeStore
+	peers *fakePeers
+	ctx   context.Context
+	start time.Time
+	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	guards  []*process
+	history []porcupine.Operation
+	runs    map[string][]string // attempts that ran, by key
+	refused map[string]bool     // attempts that were answered not-run
+	counts  map[string]int
+	faults  int
+}
+
+// process is one incarnation of a router.
+type process struct {
+	*Guard
+	kill context.CancelFunc
+}
+
+func newFleet(ctx context.Context, seed uint64) *fleet {
+	f := &fleet{
+		seed:    seed,
+		store:   newFakeStore(seed),
+		peers:   newFakePeers(seed),
+		ctx:     ctx,
+		start:   time.Now(),
+		guards:  make([]*process, historyRouters),
+		runs:    map[string][]string{},
+		refused: map[string]bool{},
+		counts:  map[string]int{},
+	}
+	for i := range f.guards {
+		f.restart(i)
+	}
+	return f
+}
+
+// restart kills router i and starts it without memory.
+func (f *fleet) restart(i int) {
+	f.mu.Lock()
+	if f.guards[i] != nil {
+		f.guards[i].kill()
+	}
+	cfg := DefaultConfig()
+	cfg.Core.Seed = f.seed + uint64(i)
+	ctx, kill := context.WithCancel(f.ctx)
+	defer f.mu.Unlock()
+	var all []Peer
+	for n := range historyRouters {
+		all = append(all, Peer{ID: fmt.Sprint("router-", n), Address: fmt.Sprint("10.0.0.", n)})
+	}
+	g := New(cfg, all[i], f.store, f.peers)
+	f.guards[i] = &process{g, kill}
+	g.Start(ctx)
+	g.SetRouters(all)
+	f.peers.put(g)
+}
+
+func (f *fleet) guard(i int) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.guards[i]
+}
+
+// Inputs of the register that each key is.
+type opKind int
+
+const (
+	opRun opKind = iota
+	opFinish
+	opRelease
+	opReplay
+)
+
+type input struct {
+	kind   opKind
+	key    string
+	result string
+}
+
+func (f *fleet) record(caller int, in input, call, end time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ret := int64(math.MaxInt64)
+	if !end.IsZero() {
+		ret = int64(end.Sub(f.start))
+	}
+	f.history = append(f.history, porcupine.Operation{
+		ClientId: caller, Input: in, Call: int64(call.Sub(f.start)), Return: ret,
+	})
+}
+
+func (f *fleet) count(what string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[what]++
+}
+
+func keyName(window, n int) string { return fmt.Sprintf("key-%d-%d", window, n) }
+
+// caller repeats requests with few keys through any router.
+func (f *fleet) caller(id int) {
+	defer f.wg.Done()
+	rng := rand.New(rand.NewPCG(f.seed, uint64(1000+id)))
+	for n := 0; time.Since(f.start) < historyTime; n++ {
+		key := keyName(int(time.Since(f.start)/historyWindow), rng.IntN(historyKeys))
+		f.request(id, fmt.Sprintf("%d-%d", id, n), key, f.guard(rng.IntN(historyRouters)), rng)
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	}
+}
+
+func (f *fleet) request(id int, attempt, key string, g *process, rng *rand.Rand) {
+	r := Request{ID: attempt, Team: "t", Service: "s", Key: key, Method: "POST", Path: "/", Body: []byte("b")}
+	began := time.Now()
+	d := g.Acquire(g.ctx, r)
+	switch {
+	case g.ctx.Err() != nil:
+		f.count("killed")
+	case d.Replay != nil:
+		f.count("replayed")
+		f.record(id, input{opReplay, key, string(d.Replay.Body)}, began, time.Now())
+	case d.Run:
+		f.record(id, input{opRun, key, ""}, began, time.Now())
+		f.run(id, r, g, rng)
+	default:
+		f.count(string(d.Refusal.Kind) + " " + string(d.Refusal.Reason))
+		f.mu.Lock()
+		f.refused[attempt] = f.refused[attempt] || d.Refusal.Kind == outcome.NotRun
+		f.mu.Unlock()
+	}
+}
+
+// run is what a router does with a granted request; it may be slow, killed on
+// the way, or find that the request can't be run.
+func (f *fleet) run(id int, r Request, g *process, rng *rand.Rand) {
+	time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+	if g.ctx.Err() != nil {
+		f.count("killed before its run")
+		return
+	}
+	if rng.IntN(2) == 0 {
+		began := time.Now()
+		g.Release(r)
+		f.count("released")
+		f.record(id, input{opRelease, r.Key, ""}, began, time.Now())
+		return
+	}
+	f.mu.Lock()
+	f.runs[r.Key] = append(f.runs[r.Key], r.ID)
+	f.mu.Unlock()
+	time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+	if g.ctx.Err() != nil {
+		f.count("killed in its run")
+		return
+	}
+	f.count("run")
+	f.record(id, input{opFinish, r.Key, r.ID}, time.Now(), time.Time{})
+	g.Finish(r, claims.Result{Outcome: "completed", Status: 200, Kept: true, Body: []byte(r.ID)})
+}
+
+// trouble makes one failure after the other, two at a time now and then.
+func (f *fleet) trouble() {
+	defer f.wg.Done()
+	rng := rand.New(rand.NewPCG(f.seed, 3))
+	for time.Since(f.start) < historyTime {
+		f.faults++
+		switch rng.IntN(5) {
+		case 0:
+			f.store.set(true, 0)
+		case 1, 2:
+			f.store.set(false, 0.5)
+		case 3:
+			f.peers.set(0.5)
+		case 4:
+			f.restart(rng.IntN(historyRouters))
+		}
+		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
+		if rng.IntN(3) > 0 {
+			f.heal()
+		}
+	}
+	f.heal()
+}
+
+func (f *fleet) heal() {
+	f.store.set(false, 0.05)
+	f.peers.set(0)
+}
+
+// model is one key: free, claimed, or ended with a result.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(input).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return "free" },
+	Step: func(state, in, _ any) (bool, any) {
+		op := in.(input)
+		switch op.kind {
+		case opRun:
+			return state == "free", "claimed"
+		case opRelease:
+			return state == "claimed", "free"
+		case opFinish:
+			return state == "claimed", "ended " + op.result
+		default:
+			return state == "ended "+op.result, state
+		}
+	},
+}
+
+// check is the verdict on one history.
+func (f *fleet) check(c *quicktest.C) {
+	for key, ran := range f.runs {
+		c.Check(len(ran) <= 1, quicktest.IsTrue, quicktest.Commentf("seed %d: %s ran %d times: %v", f.seed, key, len(ran), ran))
+		for _, attempt := range ran {
+			c.Check(f.refused[attempt], quicktest.IsFalse, quicktest.Commentf("seed %d: %s ran and was answered not-run", f.seed, attempt))
+		}
+	}
+	result := porcupine.CheckOperationsTimeout(model, f.history, 10*time.Second)
+	c.Check(result, quicktest.Equals, porcupine.Ok, quicktest.Commentf("seed %d: history of %d operations", f.seed, len(f.history)))
+}
+
+// settled checks that, with every failure mended, each key can be asked for
+// and what ran under a living router has its recorded result.
+func (f *fleet) settled(c *quicktest.C) {
+	for n := range historyKeys * int(historyTime/historyWindow) {
+		key := keyName(n/historyKeys, n%historyKeys)
+		g := f.guard(n % historyRouters)
+		d := g.Acquire(f.ctx, Request{ID: "last-" + key, Team: "t", Service: "s", Key: key, Method: "POST", Path: "/", Body: []byte("b")})
+		c.Check(d.Refusal.Kind == outcome.NotRun, quicktest.IsFalse, quicktest.Commentf("seed %d: %s: %+v", f.seed, key, d))
+		if d.Run {
+			c.Check(f.runs[key], quicktest.HasLen, 0, quicktest.Commentf("seed %d: %s may run again", f.seed, key))
+			g.Release(Request{ID: "last-" + key, Team: "t", Service: "s", Key: key})
+		}
+	}
+}
+
+// TestRunsAtMostOnce records histories under failures of the platform, the
+// links and the routers. CLAIMS_RUNS sets how many, CLAIMS_SEED the first.
+func TestRunsAtMostOnce(t *testing.T) {
+	runs, first := number("CLAIMS_RUNS", 20), number("CLAIMS_SEED", 1)
+	total, faults, requests := map[string]int{}, 0, 0
+	for seed := first; seed < first+runs; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			c := quicktest.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			f := newFleet(ctx, uint64(seed))
+			f.wg.Add(historyCallers + 1)
+			for id := range historyCallers {
+				go f.caller(id)
+			}
+			go f.trouble()
+			f.wg.Wait()
+			f.store.set(false, 0)
+			time.Sleep(10 * time.Second)
+			f.settled(c)
+			f.check(c)
+			for what, n := range f.counts {
+				total[what] += n
+				requests += n
+			}
+			faults += f.faults + f.store.lost
+			cancel()
+			time.Sleep(time.Minute) // until every goroutine has ended
+		})
+	}
+	t.Logf("claims: %d runs, %d requests, %d failures made; %v", runs, requests, faults, total)
+}
+
+func number(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -90,6 +90,11 @@
 	return wire.NewDRPCRouterClient(p.Get(ctx, addr))
 }
 
+// Claims returns a client of the claims at the router of the address.
+func (p *Pool) Claims(ctx context.Context, addr string) wire.DRPCClaimsClient {
+	return wire.NewDRPCClaimsClient(p.Get(ctx, addr))
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() error { return p.conns.Close() }
 
@@ -108,8 +113,8 @@
 	wire.DRPCRouterStatusServer
 }
 
-// ServeRouter serves the routers' protocol until ctx ends.
-func ServeRouter(ctx context.Context, lis net.Listener, srv RouterServer) error {
+// ServeRouter serves the routers' protocol and claims until ctx ends.
+func ServeRouter(ctx context.Context, lis net.Listener, srv RouterServer, claims wire.DRPCClaimsServer) error {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterRouter(mux, srv); err != nil {
 		return err
@@ -117,6 +122,9 @@
 	if err := wire.DRPCRegisterRouterStatus(mux, srv); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterClaims(mux, claims); err != nil {
+		return err
+	}
 	return serve(ctx, lis, mux)
 }
 
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -24,6 +24,11 @@
 	body      []byte
 	decisions chan decision
 	began     time.Time
+	// settle is called with the outcome before the caller is told; nil if no
+	// key is claimed.
+	settle func(outcome.Outcome)
+	// run is the context of the run if it does not end with the caller's.
+	run context.Context
 
 	// core decides how the request goes on when an attempt breaks off.
 	core *attempt.State
@@ -58,7 +63,7 @@
 				r.finish(w, c, notRunUnless(c, refusal(*d.refuse)))
 				return
 			}
-			o, again := r.try(ctx, c, d)
+			o, again := r.try(c.runContext(ctx), c, d)
 			if again {
 				r.dispatcher.post(r.ctx, message{event: c.again(d)})
 				continue
@@ -116,6 +121,9 @@
 // cut short is aborted so that it never looks complete.
 func (r *Router) finish(w http.ResponseWriter, c *call, o outcome.Outcome) {
 	c.trail.ended(o)
+	if c.settle != nil {
+		c.settle(o)
+	}
 	if o.Kind == outcome.Completed {
 		return
 	}
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -39,7 +39,7 @@
 		return
 	}
 	t.queued()
-	r.serve(t.ctx, w, c)
+	r.serveCall(t.ctx, w, c)
 }
 
 // writeRefusal writes a refusal with the headers that go with its status.
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -57,6 +57,7 @@
 	for {
 		if list, err := l.r.spread.Instances(ctx); err == nil {
 			l.apply(ctx, list)
+			l.r.claims.SetRouters(liveRouters(list))
 		}
 		select {
 		case <-ctx.Done():
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -20,6 +20,7 @@
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/claims"
 	"goldcrestport/transport/link"
 	"goldcrestport/transport/observe"
 	"goldcrestport/transport/operators"
@@ -44,6 +45,7 @@
 	directory  platform.Directory
 	pool       *link.Pool
 	dispatcher *dispatcher
+	claims     *claims.Guard
 	metrics    *metrics
 	spread     *spread.Spreader
 	listing    *listing
@@ -90,6 +92,7 @@
 	}
 	r.dispatcher = newDispatcher(dispatch.New(dispatchConfig(set)), r.doc.Load)
 	r.spread = r.newSpreader()
+	r.claims = r.newClaims()
 	return r
 }
 
@@ -109,6 +112,9 @@
 	if err := dispatchConfig(r.set).Validate(); err != nil {
 		return errors.Wrap(err, "settings")
 	}
+	if err := claimsConfig(r.set.Claims).Validate(); err != nil {
+		return errors.Wrap(err, "settings")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.ctx = ctx
@@ -128,16 +134,18 @@
 	mux := http.NewServeMux()
 	operators.New(r.store, operatorView{r}, r.set.Operators.BootstrapDigest, r.log).Mount(mux)
 	observe.Health{Ready: r.ready, Vars: r.metrics.vars}.Mount(mux)
+	r.claims.Start(ctx)
 	go r.dispatcher.run(ctx)
 	go r.spread.Run(ctx)
 	go r.keepBeating(ctx)
 	go (&links{r: r, open: map[string]context.CancelFunc{}}).run(ctx)
 	go func() { _ = r.operatorServer(mux).Serve(ops) }()
-	go func() { _ = link.ServeRouter(ctx, peers, r) }()
+	go func() { _ = link.ServeRouter(ctx, peers, r, r.claims) }()
 	go func() { _ = srv.Serve(r.boundCallers(callers)) }()
 	_ = r.log.Log("event", "serving", "callers", r.set.Listen.Callers, "operators", r.set.Listen.Operators)
 	<-stop
 	r.leave(srv)
+	r.flushClaims()
 	return nil
 }
 
