Claims: ended keys move to segments, so that writes stay small

Cause: a shard's value held all its keys. At about 200 bytes a key, 16 values of 1 MiB hold some 80,000 keys, five minutes of 260 calls a second, and each write carried the whole value.

From 64 KiB on the ended records of a value move to a segment: a value of its own, written once under a lease that outlives its keys, then named by the next compare-and-swap of the shard's value. A writer knows every segment that the value names before it grants a key. A segment that was written but never named goes with its lease.

Ruled out: a value per shard and hour (the boundary would need a seal of its own, or two homes could grant one key in two values); merging segments (fewer values, but old generations to delete).

Conclusion: 16 x 256 segments of 64 KiB bound the keys remembered.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -41,6 +41,10 @@
 		s.readDone(now, ev)
 	case WriteDone:
 		s.writeDone(now, ev)
+	case SealDone:
+		s.sealDone(now, ev)
+	case SegmentDone:
+		s.segmentDone(now, ev)
 	case HomesSet:
 		s.homesSet(ev)
 	case Flushed:
@@ -134,6 +138,11 @@
 		s.read(sh)
 		return
 	}
+	if id := s.missing(now, sh); id != "" {
+		sh.busy = true
+		s.emit(ReadSegment{Shard: sh.id, ID: id})
+		return
+	}
 	s.settle(now, sh)
 	if sh.busy || len(sh.pending) == 0 || now.Before(sh.writeAt) || !s.writeDue(now, sh) {
 		return
@@ -141,7 +150,9 @@
 	if !sh.home && !s.guest.take(now) {
 		return
 	}
-	s.write(now, sh)
+	if !s.seal(now, sh) {
+		s.write(now, sh)
+	}
 }
 
 func (s *State) read(sh *shard) {
@@ -162,6 +173,7 @@
 	sh.stale = false
 	sh.table = ev.Table
 	sh.version = ev.Version
+	sh.forget()
 	sh.fresh = sh.began
 	s.advance(now, sh)
 }
@@ -213,7 +225,7 @@
 		s.apply(now, sh, changes, w)
 	}
 	sh.pending = nil
-	next := sh.table.With(changes, now, s.cfg.Expiry)
+	next := sh.sealed(sh.table.With(changes, now, s.cfg.Expiry), changes)
 	value, err := next.Encode()
 	if err != nil || len(value) > s.cfg.MaxBytes {
 		s.full(now, sh)
@@ -221,6 +233,7 @@
 	}
 	sh.busy = true
 	sh.next = next
+	sh.size = len(value)
 	sh.began = s.steps
 	s.emit(Write{Shard: sh.id, Version: sh.version, Value: value, Calls: len(sh.writing)})
 }
@@ -269,6 +282,7 @@
 	sh.version = version
 	sh.table = sh.next
 	sh.next = nil
+	sh.adoptSegment()
 	sh.fresh = sh.began
 	sh.writeFailures = 0
 	sh.writeAt = now.Add(s.cfg.Gap)
--- a/coordination/claim/config.go
+++ b/coordination/claim/config.go
@@ -27,11 +27,18 @@
 	// BackoffMax bounds the pause, in nanoseconds. Default 1s.
 	BackoffMax time.Duration
 	// Expiry is how long a key is remembered, in nanoseconds. It must exceed
-	// every request deadline and clock difference. Default 24h.
+	// every request deadline and clock difference. Default 23h.
 	Expiry time.Duration
 	// MaxBytes bounds the stored value of one shard, in bytes. The platform
 	// holds 1 MiB. Default 1000 KiB.
 	MaxBytes int
+	// SealBytes is the size of a shard's value, in bytes, from which its ended
+	// records move to a segment of their own, so that each write stays small.
+	// Default 64 KiB.
+	SealBytes int
+	// MaxSealed bounds the segments of one shard. With Shards and SealBytes it
+	// bounds the keys that are remembered. Default 256.
+	MaxSealed int
 	// MaxPending bounds the calls that wait at one shard. Default 4096.
 	MaxPending int
 	// Budget is the rate of writes that all routers together make for shards
@@ -48,8 +55,10 @@
 		FinishDelay: time.Second,
 		Backoff:     50 * time.Millisecond,
 		BackoffMax:  time.Second,
-		Expiry:      24 * time.Hour,
+		Expiry:      23 * time.Hour,
 		MaxBytes:    1000 << 10,
+		SealBytes:   64 << 10,
+		MaxSealed:   256,
 		MaxPending:  4096,
 		Budget:      40,
 	}
@@ -72,6 +81,8 @@
 	check(c.BackoffMax >= c.Backoff, "BackoffMax must be at least Backoff")
 	check(c.Expiry >= minExpiry, "Expiry must be at least 20m")
 	check(c.MaxBytes > 0 && c.MaxBytes <= 1<<20, "MaxBytes must lie in 1..1048576")
+	check(c.SealBytes > 0 && c.SealBytes <= c.MaxBytes, "SealBytes must lie in 1..MaxBytes")
+	check(c.MaxSealed >= 0, "MaxSealed must not be negative")
 	check(c.MaxPending > 0, "MaxPending must be positive")
 	check(c.Budget > 0, "Budget must be positive")
 	return err
--- a/coordination/claim/event.go
+++ b/coordination/claim/event.go
@@ -98,6 +98,20 @@
 	Version uint64
 }
 
+// SealDone ends a Seal.
+type SealDone struct {
+	Shard  int
+	Result CallResult
+}
+
+// SegmentDone ends a ReadSegment. A segment that does not exist is Lost.
+type SegmentDone struct {
+	Shard  int
+	ID     string
+	Result CallResult
+	Table  *claims.Table
+}
+
 // HomesSet tells which shards have their home here and how many routers live.
 type HomesSet struct {
 	Home    [claims.Shards]bool
@@ -110,12 +124,14 @@
 // Ticked lets time pass.
 type Ticked struct{}
 
-func (Asked) isEvent()     {}
-func (ReadDone) isEvent()  {}
-func (WriteDone) isEvent() {}
-func (HomesSet) isEvent()  {}
-func (Flushed) isEvent()   {}
-func (Ticked) isEvent()    {}
+func (Asked) isEvent()       {}
+func (ReadDone) isEvent()    {}
+func (WriteDone) isEvent()   {}
+func (SealDone) isEvent()    {}
+func (SegmentDone) isEvent() {}
+func (HomesSet) isEvent()    {}
+func (Flushed) isEvent()     {}
+func (Ticked) isEvent()      {}
 
 // Action is an output of State.Step that the driver performs.
 type Action interface{ isAction() }
@@ -132,6 +148,20 @@
 	Calls int
 }
 
+// Seal writes a new segment, which must not exist, and comes back as SealDone.
+// Nothing names the segment yet; it may be dropped once Expiry has passed.
+type Seal struct {
+	Shard int
+	ID    string
+	Value []byte
+}
+
+// ReadSegment reads a segment and comes back as SegmentDone.
+type ReadSegment struct {
+	Shard int
+	ID    string
+}
+
 // Answer ends a call. Record is set for Held and Replayed.
 type Answer struct {
 	Call    uint64
@@ -139,6 +169,8 @@
 	Record  claims.Record
 }
 
-func (Read) isAction()   {}
-func (Write) isAction()  {}
-func (Answer) isAction() {}
+func (Read) isAction()        {}
+func (Write) isAction()       {}
+func (Seal) isAction()        {}
+func (ReadSegment) isAction() {}
+func (Answer) isAction()      {}
--- a/coordination/claim/shard.go
+++ b/coordination/claim/shard.go
@@ -27,6 +27,12 @@
 	pending []*waiting
 	writing []*waiting
 	next    *claims.Table
+	// segments holds the segments that the table names.
+	segments map[string]*claims.Table
+	// size of the stored value, in bytes.
+	size    int
+	sealing *sealing
+	sealAt  time.Time
 	// writeAt is when the next write may begin.
 	writeAt       time.Time
 	writeFailures int
@@ -50,11 +56,15 @@
 }
 
 func (sh *shard) lookup(k claims.Key) *claims.Record {
-	r, ok := sh.table.Records[k]
-	if !ok {
-		return nil
+	if r, ok := sh.table.Records[k]; ok {
+		return &r
 	}
-	return &r
+	for _, g := range sh.table.Sealed {
+		if r, ok := sh.segment(g).Records[k]; ok {
+			return &r
+		}
+	}
+	return nil
 }
 
 // wantsFresh reports whether a call waits that the table is too old for.
--- a/state/claims/key.go
+++ b/state/claims/key.go
@@ -65,6 +65,11 @@
 	return sum
 }
 
+// SegmentKey returns the platform key of a segment of a shard.
+func SegmentKey(shard int, id string) string {
+	return StoreKey(shard) + "/" + id
+}
+
 // StoreKey returns the platform key of a shard.
 func StoreKey(shard int) string {
 	return fmt.Sprintf("%s%02x", keyPrefix, shard)
--- a/state/claims/record.go
+++ b/state/claims/record.go
@@ -1,12 +1,6 @@
 package claims
 
-import (
-	"encoding/json"
-	"maps"
-	"time"
-
-	"github.com/cockroachdb/errors"
-)
+import "time"
 
 // State of a record.
 type State uint8
@@ -77,45 +71,3 @@
 
 // outcomeUnknown is protocol/outcome.Unknown.
 const outcomeUnknown = "unknown"
-
-// Table holds the records of one shard. A Table that was encoded or handed
-// out is not changed any more; With makes the next one.
-type Table struct {
-	Records map[Key]Record `json:"r"`
-}
-
-// With returns the table with the changes applied and expired records
-// dropped. A nil change deletes its record.
-func (t *Table) With(changes map[Key]*Record, now time.Time, expiry time.Duration) *Table {
-	next := maps.Clone(t.Records)
-	if next == nil {
-		next = map[Key]Record{}
-	}
-	maps.DeleteFunc(next, func(_ Key, r Record) bool { return r.Expired(now, expiry) })
-	for k, r := range changes {
-		if r == nil {
-			delete(next, k)
-			continue
-		}
-		next[k] = *r
-	}
-	return &Table{Records: next}
-}
-
-// Encode returns the stored form of the table.
-func (t *Table) Encode() ([]byte, error) {
-	data, err := json.Marshal(t)
-	return data, errors.Wrap(err, "encode claims")
-}
-
-// Decode reads the stored form; an empty value is an empty table.
-func Decode(data []byte) (*Table, error) {
-	t := &Table{}
-	if len(data) == 0 {
-		return t, nil
-	}
-	if err := json.Unmarshal(data, t); err != nil {
-		return nil, errors.Wrap(err, "decode claims")
-	}
-	return t, nil
-}
--- a/transport/claims/fake_test.go
+++ b/transport/claims/fake_test.go
@@ -100,6 +100,16 @@
 	return s.put(key, value, version)
 }
 
+// Grant implements platform.Store.
+func (s *fakeStore) Grant(context.Context, time.Duration) (string, error) {
+	wait, fault := s.draw()
+	time.Sleep(wait)
+	if fault != "" {
+		return "", platform.ErrUnknown
+	}
+	return "lease", nil
+}
+
 func (s *fakeStore) loseOne() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/claims/guard.go
+++ b/transport/claims/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -45,6 +46,9 @@
 // New returns a Guard of a new incarnation. The config must be valid.
 func New(cfg Config, self Peer, store platform.Store, peers Peers) *Guard {
 	m := newMetrics()
+	if cfg.Core.Seed == 0 {
+		cfg.Core.Seed = rand.Uint64()
+	}
 	return &Guard{
 		cfg:      cfg,
 		executor: claims.Executor{Incarnation: uuid.NewString(), Address: self.Address},
--- a/transport/claims/metrics.go
+++ b/transport/claims/metrics.go
@@ -28,6 +28,7 @@
 	lost      expvar.Int
 	readBacks expvar.Int
 	suspects  expvar.Int
+	sealed    expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -51,6 +52,7 @@
 		"lost":            &m.lost,
 		"read_backs":      &m.readBacks,
 		"suspects":        &m.suspects,
+		"sealed":          &m.sealed,
 	} {
 		m.vars.Set(name, v)
 	}
--- a/transport/claims/writer.go
+++ b/transport/claims/writer.go
@@ -29,6 +29,7 @@
 	core    *claim.State
 	store   platform.Store
 	timeout time.Duration
+	expiry  time.Duration
 	metrics *metrics
 	events  chan event
 	waiting map[uint64]chan claim.Answer
@@ -40,6 +41,7 @@
 		core:    claim.New(cfg.Core),
 		store:   store,
 		timeout: cfg.CallTimeout,
+		expiry:  cfg.Core.Expiry,
 		metrics: m,
 		events:  make(chan event, eventRing),
 		waiting: map[uint64]chan claim.Answer{},
@@ -80,6 +82,10 @@
 		case claim.Write:
 			w.metrics.grouped.Add(int64(a.Calls))
 			go w.write(ctx, a)
+		case claim.Seal:
+			go w.seal(ctx, a)
+		case claim.ReadSegment:
+			go w.readSegment(ctx, a)
 		case claim.Answer:
 			w.waiting[a.Call] <- a
 			delete(w.waiting, a.Call)
@@ -111,24 +117,63 @@
 }
 
 func (w *writer) read(ctx context.Context, a claim.Read) {
+	done := claim.ReadDone{Shard: a.Shard}
+	var found bool
+	done.Table, done.Version, found, done.Result = w.get(ctx, claims.StoreKey(a.Shard))
+	if !found && done.Result == claim.OK {
+		done.Table = &claims.Table{}
+	}
+	w.post(ctx, event{event: done})
+}
+
+// readSegment reads a segment. One that is missing is not taken for empty:
+// its keys are unknown until they expire.
+func (w *writer) readSegment(ctx context.Context, a claim.ReadSegment) {
+	table, _, found, res := w.get(ctx, claims.SegmentKey(a.Shard, a.ID))
+	if !found {
+		res = claim.Lost
+	}
+	w.post(ctx, event{event: claim.SegmentDone{Shard: a.Shard, ID: a.ID, Result: res, Table: table}})
+}
+
+// get reads one table and its version, and reports whether it exists.
+func (w *writer) get(ctx context.Context, key string) (*claims.Table, uint64, bool, claim.CallResult) {
 	w.metrics.reads.Add(1)
 	sub, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
-	e, err := w.store.Get(sub, claims.StoreKey(a.Shard))
-	done := claim.ReadDone{Shard: a.Shard, Result: claim.OK, Version: e.Version}
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		done.Table = &claims.Table{}
-	case err != nil:
-		done.Result = result(err)
-	default:
-		done.Table, err = claims.Decode(e.Value)
-		if err != nil {
-			done.Result = claim.Lost
-		}
+	e, err := w.store.Get(sub, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, false, claim.OK
 	}
-	w.metrics.platform(done.Result)
-	w.post(ctx, event{event: done})
+	if err != nil {
+		w.metrics.platform(result(err))
+		return nil, 0, false, result(err)
+	}
+	table, err := claims.Decode(e.Value)
+	if err != nil {
+		return nil, 0, false, claim.Lost
+	}
+	return table, e.Version, true, claim.OK
+}
+
+// leaseMargin is how long a segment outlives its keys, so that clocks that
+// differ do not make it vanish before.
+const leaseMargin = 30 * time.Minute
+
+// seal stores a segment under a lease of its own, which removes it when its
+// keys have expired, or if no value ever names it.
+func (w *writer) seal(ctx context.Context, a claim.Seal) {
+	w.metrics.sealed.Add(1)
+	w.metrics.writes.Add(2)
+	w.metrics.bytes.Add(int64(len(a.Value)))
+	sub, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	lease, err := w.store.Grant(sub, w.expiry+leaseMargin)
+	if err == nil {
+		_, err = w.store.Put(sub, claims.SegmentKey(a.Shard, a.ID), a.Value, 0, lease)
+	}
+	w.metrics.platform(result(err))
+	w.post(ctx, event{event: claim.SealDone{Shard: a.Shard, Result: result(err)}})
 }
 
 func (w *writer) write(ctx context.Context, a claim.Write) {
