--- a/protocol/settings/claims.go
+++ b/protocol/settings/claims.go
@@ -34,9 +34,13 @@
 	}
 }
 
+// longestDeadline is the schema's bound of limits.deadline; a longer one is
+// reported by itself.
+const longestDeadline = Duration(24 * time.Hour)
+
 // clashes reports values that do not go together with the longest deadline.
 func (c Claims) clashes(p *Problems, deadline Duration) {
-	if c.Expiry < expiryDeadlines*deadline {
+	if deadline <= longestDeadline && c.Expiry < expiryDeadlines*deadline {
 		p.add("claims.expiry", "%s is below twice limits.deadline, %s", c.Expiry.D(), deadline.D())
 	}
 }
--- a/transport/router/callers_test.go
+++ b/transport/router/callers_test.go
@@ -19,6 +19,7 @@
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/platform"
 )
 
 // edge is a router's callers' listener before a dispatcher that refuses
@@ -30,14 +31,26 @@
 	refuse  chan struct{}
 }
 
+// emptyStore is a key-value service that takes every write and holds nothing.
+type emptyStore struct{ platform.Store }
+
+func (emptyStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+func (emptyStore) Put(_ context.Context, _ string, _ []byte, version uint64, _ string) (uint64, error) {
+	return version + 1, nil
+}
+
 func newEdge(c *quicktest.C, edit func(*settings.Router)) *edge {
 	set := settings.DefaultRouter()
 	if edit != nil {
 		edit(&set)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := New(set, nil, nil, log.NewNopLogger())
+	r := New(set, emptyStore{}, nil, log.NewNopLogger())
 	r.ctx = ctx
+	r.claims.Start(ctx)
 	r.doc.Store(&config.Document{
 		Revision: 1,
 		Teams: map[string]config.Team{
--- a/transport/router/harness_test.go
+++ b/transport/router/harness_test.go
@@ -164,8 +164,10 @@
 type fleet struct {
 	t     testing.TB
 	store *memStore
-	url   string
-	ops   string
+	// claims is the router's store if it is not the fleet's.
+	claims platform.Store
+	url    string
+	ops    string
 	// router and its stop channel.
 	router *router.Router
 	// logger and tracer of all processes.
@@ -272,7 +274,11 @@
 		c(&set)
 	}
 	f.url, f.ops = "http://"+set.Listen.Callers, "http://"+set.Listen.Operators
-	f.router = router.New(set, f.store, f.store, f.logger)
+	var store platform.Store = f.store
+	if f.claims != nil {
+		store = f.claims
+	}
+	f.router = router.New(set, store, f.store, f.logger)
 	if f.tracer != nil {
 		f.router.SetTracer(f.tracer("router"))
 	}
@@ -318,7 +324,11 @@
 }
 
 func (f *fleet) call(method, path, body string) (reply, error) {
-	resp, err := http.DefaultClient.Do(f.request(method, path, body))
+	return send(f.request(method, path, body))
+}
+
+func send(req *http.Request) (reply, error) {
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{}, err
 	}
