--- a/bench/rollout/rollout_test.go
+++ b/bench/rollout/rollout_test.go
@@ -75,6 +75,7 @@
 	for i := range engines {
 		e, err := f.StartEngine(fmt.Sprint("engine-", i), "--load-time", loadTime.String(), "--check-fence="+strconv.FormatBool(checks))
 		c.Assert(err, qt.IsNil)
+		c.Assert(f.WaitHTTP(ctx, e.Addr, "/v1/orders"), qt.IsNil)
 		_, err = f.StartSidecar(fmt.Sprint("sidecar-", i), "nimman", "glossa-pool", e, func(s *settings.Sidecar) {
 			s.Orders.ConcurrentLoads = concurrentLoads
 		})
