A short answer goes to the router as one message

The head of an answer whose announced length is at most 32 KiB waits for its bytes, and its last byte for the end. Streams and longer answers are as before.

Ruled out: holding back the head of every answer until its first byte (a stream's caller may wait for the head alone).

--- a/transport/sidecar/answer.go
+++ b/transport/sidecar/answer.go
@@ -29,6 +29,9 @@
 	// wake is closed and replaced at each change.
 	wake chan struct{}
 	head *wire.Head
+	// announced is the length by the head; short tells that it is known and small.
+	announced int64
+	short     bool
 	// buf holds the bytes from the offset base on.
 	buf  []byte
 	base int64
@@ -49,12 +52,18 @@
 	a.wake = make(chan struct{})
 }
 
-// setHead adds the head.
-func (a *answer) setHead(h *wire.Head) {
+// setHead adds the head of an answer with the announced length, -1 for none.
+// The head of a short answer waits for its bytes, and its last byte for the
+// end, so that both go out as one message.
+func (a *answer) setHead(h *wire.Head, length int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.head = h
-	a.changed()
+	a.short = length >= 0 && length <= readSize
+	a.announced = length
+	if !a.short {
+		a.changed()
+	}
 }
 
 // write adds bytes, waiting while the window is full.
@@ -63,7 +72,9 @@
 		a.mu.Lock()
 		if len(a.buf) == 0 || len(a.buf)+len(p) <= a.window {
 			a.buf = append(a.buf, p...)
-			a.changed()
+			if !a.short || a.base+int64(len(a.buf)) < a.announced {
+				a.changed()
+			}
 			a.mu.Unlock()
 			return nil
 		}
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -69,7 +69,7 @@
 		return &wire.End{Outcome: string(outcome.Unknown), Reason: string(reasonOf(ctx))}
 	}
 	defer resp.Body.Close()
-	a.answer.setHead(headOf(resp, a.runs.incarnation))
+	a.answer.setHead(headOf(resp, a.runs.incarnation), resp.ContentLength)
 	a.status = resp.StatusCode
 	return copyAnswer(ctx, a, s.limits.timed(resp, began))
 }
