--- a/protocol/settings/common.go
+++ b/protocol/settings/common.go
@@ -68,6 +68,13 @@
 
 func defaultStop() Stop { return Stop{Bound: Duration(30 * time.Second)} }
 
+// clashes of the times of a graceful shutdown.
+func (s Stop) clashes(p *Problems) {
+	if s.Bound < s.Linger {
+		p.add("stop.bound", "%s is below stop.linger, %s", s.Bound.D(), s.Linger.D())
+	}
+}
+
 // clashes of the trace settings.
 func (t Trace) clashes(p *Problems) {
 	if t.Exporter == TraceOTLP && t.Endpoint == "" {
--- a/protocol/settings/router.go
+++ b/protocol/settings/router.go
@@ -138,5 +138,6 @@
 	if l.Bodies < q.TotalBytes {
 		p.add("limits.bodies", "%s is below queues.total_bytes, %s", l.Bodies, q.TotalBytes)
 	}
+	r.Stop.clashes(p)
 	r.Trace.clashes(p)
 }
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -87,6 +87,7 @@
 		{"limits.deadline", `"1000h"`, "limits.deadline: 1000h is outside 10ms to 24h"},
 		{"operators.bootstrap_digest", `"12ab"`, "operators.bootstrap_digest: '12ab' is not valid sha256"},
 		{"stop.bound", `"0s"`, "stop.bound: 0s is outside 100ms to 24h"},
+		{"stop.bound", `"1s"`, "stop.bound: 1s is below stop.linger, 5s"},
 		{"log.level", `"loud"`, "log.level: value must be one of"},
 		{"trace.exporter", `"none"`, `trace.endpoint: is used by trace.exporter "otlp-http" only`},
 		{"trace.endpoint", ``, `trace.endpoint: is required by trace.exporter "otlp-http"`},
--- a/protocol/settings/sidecar.go
+++ b/protocol/settings/sidecar.go
@@ -119,5 +119,6 @@
 	if s.Backend.Slots > 0 && s.Backend.MinSlots > s.Backend.Slots {
 		p.add("backend.min_slots", "%d is above backend.slots, %d", s.Backend.MinSlots, s.Backend.Slots)
 	}
+	s.Stop.clashes(p)
 	s.Trace.clashes(p)
 }
