--- a/cmd/goldcrestd/commands.go
+++ b/cmd/goldcrestd/commands.go
@@ -44,6 +44,7 @@
 		return err
 	}
 	logger := observe.NewLogger(os.Stderr, roleRouter, set.ID, set.Log)
+	observe.LogTraceErrors(logger)
 	tracer, err := observe.NewTracer(os.Stdout, roleRouter, set.ID, set.Trace)
 	if err != nil {
 		return err
@@ -72,6 +73,7 @@
 		return err
 	}
 	logger := observe.NewLogger(os.Stderr, roleSidecar, set.ID, set.Log)
+	observe.LogTraceErrors(logger)
 	tracer, err := observe.NewTracer(os.Stdout, roleSidecar, set.ID, set.Trace)
 	if err != nil {
 		return err
--- a/transport/observe/health.go
+++ b/transport/observe/health.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"time"
 )
 
 // Health tells whether a process lives and whether it takes new work.
@@ -14,6 +15,25 @@
 	Vars *Vars
 }
 
+// Bounds of a connection to the operators' listener.
+const (
+	opsHeaderTimeout = 5 * time.Second
+	opsReadTimeout   = 30 * time.Second
+	opsIdleTimeout   = time.Minute
+	opsMaxHeaders    = 64 << 10
+)
+
+// Server returns an HTTP server for the operators' listener.
+func Server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: opsHeaderTimeout,
+		ReadTimeout:       opsReadTimeout,
+		IdleTimeout:       opsIdleTimeout,
+		MaxHeaderBytes:    opsMaxHeaders,
+	}
+}
+
 // Mount adds /healthz, /readyz and /debug/vars to the mux.
 func (h Health) Mount(mux *http.ServeMux) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/transport/observe/observe_test.go
+++ b/transport/observe/observe_test.go
@@ -5,13 +5,17 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/frankban/quicktest"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.opentelemetry.io/otel/trace"
 
@@ -127,6 +131,46 @@
 	c.Check(out.String(), quicktest.Contains, SpanReceive)
 }
 
+func TestOTLPExporter(t *testing.T) {
+	c := quicktest.New(t)
+	paths := make(chan string, 1)
+	var fails atomic.Bool
+	var out bytes.Buffer
+	LogTraceErrors(NewLogger(&out, "router", "r1", settings.Log{}))
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if fails.Load() {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		paths <- r.Method + " " + r.URL.Path + " " + r.Header.Get("Content-Type")
+	}))
+	defer collector.Close()
+	set := settings.Trace{Exporter: settings.TraceOTLP, Endpoint: collector.URL, Fraction: 1}
+	tracer, err := NewTracer(nil, "router", "r1", set)
+	c.Assert(err, quicktest.IsNil)
+	_, span := tracer.Start(context.Background(), SpanReceive, trace.SpanKindServer)
+	span.End()
+	c.Assert(tracer.Flush(context.Background()), quicktest.IsNil)
+	c.Check(<-paths, quicktest.Equals, "POST /v1/traces application/x-protobuf")
+	fails.Store(true)
+	_, span = tracer.Start(context.Background(), SpanReceive, trace.SpanKindServer)
+	span.End()
+	c.Check(tracer.Close(), quicktest.IsNil)
+	c.Check(out.String(), quicktest.Contains, "event=trace_export_failed")
+}
+
+func TestTraceErrorsAreLogged(t *testing.T) {
+	c := quicktest.New(t)
+	var out bytes.Buffer
+	LogTraceErrors(NewLogger(&out, "router", "r1", settings.Log{}))
+	for range 100 {
+		otel.Handle(errors.New("no collector"))
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Check(lines, quicktest.HasLen, limitBurst)
+	c.Check(lines[0], quicktest.Matches, `.* level=warn event=trace_export_failed err="no collector"`)
+}
+
 func BenchmarkTracerOff(b *testing.B) {
 	tracer := NoTracer()
 	for b.Loop() {
--- a/transport/observe/trace.go
+++ b/transport/observe/trace.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/binary"
+	"expvar"
 	"io"
 	"math/rand/v2"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
@@ -97,6 +101,17 @@
 	}
 }
 
+// LogTraceErrors sends the errors of all exporters of this program to the
+// logger, a few of a kind each second.
+func LogTraceErrors(logger log.Logger) {
+	lines := NewLineLimit(new(expvar.Int))
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		if allowed, _ := lines.Allow("", time.Now()); allowed {
+			_ = level.Warn(logger).Log("event", "trace_export_failed", "err", err)
+		}
+	}))
+}
+
 // Enter continues the trace of a W3C traceparent from another process. A
 // request without one gets a trace id of its own, so that its log lines can
 // be joined while nothing is recorded.
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -139,7 +139,7 @@
 	go s.reconciler.run(ctx)
 	go s.slot.run(ctx)
 	go s.spread.Run(ctx)
-	go func() { _ = http.Serve(ops, mux) }()
+	go func() { _ = observe.Server(mux).Serve(ops) }()
 	go func() { _ = link.ServeSidecar(ctx, peers, s) }()
 	_ = s.log.Log("event", "serving", "incarnation", s.incarnation(), "service", s.set.Service, "peers", s.set.Listen.Peers)
 	<-stop
