--- a/protocol/settings/router.go
+++ b/protocol/settings/router.go
@@ -141,5 +141,6 @@
 		p.add("limits.bodies", "%s is below queues.total_bytes, %s", l.Bodies, q.TotalBytes)
 	}
 	r.Claims.clashes(p, l.Deadline)
+	r.Stop.clashes(p)
 	r.Trace.clashes(p)
 }
