Dispatch looks only at active queues, and paces raised counts

Cause: every tick sorted the queues of all teams ever seen, and a benchmark at the design size (2,204 sidecars, 210 backlogged teams at one router) sent 574 registrations a second: each repeat lowered a count to the next power of two, and the next arrival raised it again at the whole pool.

Now: a pool keeps the queues that hold something or are known to a sidecar, sorted; a count is kept while it fits (above a quarter of it); raising it takes from the budget of messages that may wait.

Ruled out: pacing the first registration of new work too (work could wait unseen while the budget lasts).

--- a/coordination/dispatch/admit.go
+++ b/coordination/dispatch/admit.go
@@ -119,7 +119,7 @@
 		if !s.unserved(now, p) {
 			continue
 		}
-		for _, q := range p.sortedQueues() {
+		for _, q := range p.active {
 			for q.len() > 0 {
 				s.refuse(now, q, q.oldest(), NoSidecar)
 			}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -194,6 +194,7 @@
 	s.maintain = now.Add(s.cfg.Interest.MaintainEvery)
 	for _, p := range s.sortedPools() {
 		s.maintainPool(now, p)
+		p.settle()
 		s.place.roomChanged(now, p)
 	}
 }
--- a/coordination/dispatch/eject.go
+++ b/coordination/dispatch/eject.go
@@ -134,7 +134,7 @@
 // longestWait returns the queue whose oldest request waits longest, or nil.
 func (p *pool) longestWait(now time.Time) *queue {
 	var best *queue
-	for _, q := range p.sortedQueues() {
+	for _, q := range p.active {
 		if q.len() > 0 && (best == nil || q.wait(now) > best.wait(now)) {
 			best = q
 		}
--- a/coordination/dispatch/interest.go
+++ b/coordination/dispatch/interest.go
@@ -24,13 +24,19 @@
 }
 
 // announce tells sidecars of a queue that has just grown: a first subset of
-// the pool if it was empty, else those that know a count much too small.
+// the pool if it was empty, else those that know a count too small, as far as
+// the budget goes; the others are told at the next look.
 func (s *State) announce(now time.Time, q *queue) {
 	s.cover(now, q, coverage{sidecars: s.cfg.Interest.Subset})
 	for _, c := range s.order(q) {
-		if r := q.seen[c.id]; r != nil && r.count < q.len() {
-			s.register(now, q, c)
+		r := q.seen[c.id]
+		if r == nil || r.count >= q.len() {
+			continue
 		}
+		if !s.pace.take(now) {
+			return
+		}
+		s.register(now, q, c)
 	}
 }
 
@@ -75,7 +81,7 @@
 	if s.cfg.Policy != PolicyPull {
 		return
 	}
-	for _, q := range p.sortedQueues() {
+	for _, q := range p.active {
 		if q.len() > 0 {
 			s.cover(now, q, coverage{sidecars: s.cfg.Interest.Subset})
 		}
@@ -88,7 +94,7 @@
 	if s.cfg.Policy != PolicyPull || c.free <= 0 || !c.open() {
 		return
 	}
-	for _, q := range p.sortedQueues() {
+	for _, q := range p.active {
 		if q.len() == 0 {
 			continue
 		}
@@ -105,11 +111,17 @@
 		r = &registration{}
 		q.seen[c.id] = r
 	}
-	r.count, r.spread, r.sent = roundUp(q.len()), len(q.seen), now
+	if !r.fits(q.len()) {
+		r.count = roundUp(q.len())
+	}
+	r.spread, r.sent = len(q.seen), now
 	s.stats.Interests++
 	s.emit(Register{Sidecar: c.id, Team: q.team, Count: r.count, Oldest: q.wait(now), Spread: r.spread})
 }
 
+// fits reports whether the count told still stands for n waiting requests.
+func (r *registration) fits(n int) bool { return n <= r.count && n > r.count/4 }
+
 // withdraw tells one sidecar that nothing waits any more.
 func (s *State) withdraw(q *queue, c *peer) {
 	delete(q.seen, c.id)
@@ -119,7 +131,7 @@
 
 // forget withdraws all that a sidecar was told, when it leaves or is ejected.
 func (s *State) forget(p *pool, c *peer) {
-	for _, q := range p.sortedQueues() {
+	for _, q := range p.active {
 		if q.seen[c.id] != nil {
 			s.withdraw(q, c)
 		}
@@ -186,13 +198,12 @@
 			slots += c.slots
 		}
 	}
-	queues := p.sortedQueues()
-	for _, q := range queues {
+	for _, q := range p.active {
 		if q.len() > 0 {
 			shares += s.share(q.team)
 		}
 	}
-	for _, q := range queues {
+	for _, q := range p.active {
 		if q.len() == 0 {
 			s.withdrawIdle(now, q)
 			continue
@@ -227,10 +238,9 @@
 		if r == nil {
 			continue
 		}
-		shrunk := q.len() <= r.count/4
 		spread := 4*len(q.seen) > 5*r.spread
 		old := now.Sub(r.sent) >= s.cfg.Interest.RefreshEvery
-		if !shrunk && !spread && !old {
+		if r.fits(q.len()) && !spread && !old {
 			continue
 		}
 		if !s.pace.take(now) {
--- a/coordination/dispatch/pool.go
+++ b/coordination/dispatch/pool.go
@@ -13,6 +13,9 @@
 	service string
 	peers   []*peer
 	teams   map[string]*queue
+	// active holds the queues in which something waits or of which a sidecar
+	// knows, sorted by team. Teams that send nothing cost nothing.
+	active []*queue
 	// version changes when a sidecar joins or goes.
 	version int
 	// emptySince is when the last sidecar that takes work went, zero while
@@ -74,13 +77,19 @@
 	return out
 }
 
-func (p *pool) sortedQueues() []*queue {
-	out := make([]*queue, 0, len(p.teams))
-	for _, q := range p.teams {
-		out = append(out, q)
+// activate adds a queue to those that are looked at.
+func (p *pool) activate(q *queue) {
+	i, found := slices.BinarySearchFunc(p.active, q.team, byTeam)
+	if !found {
+		p.active = slices.Insert(p.active, i, q)
 	}
-	slices.SortFunc(out, func(a, b *queue) int { return strings.Compare(a.team, b.team) })
-	return out
+}
+
+func byTeam(q *queue, team string) int { return strings.Compare(q.team, team) }
+
+// settle drops the queues that hold nothing and that no sidecar knows of.
+func (p *pool) settle() {
+	p.active = slices.DeleteFunc(p.active, func(q *queue) bool { return q.len() == 0 && len(q.seen) == 0 })
 }
 
 // openPeers returns the number of sidecars that take ordinary work.
@@ -115,7 +124,7 @@
 	p := s.pool(c.service)
 	p.peers = slices.DeleteFunc(p.peers, func(o *peer) bool { return o == c })
 	p.version++
-	for _, q := range p.teams {
+	for _, q := range p.active {
 		delete(q.seen, id)
 	}
 	s.checkEmpty(now, p)
--- a/coordination/dispatch/push_fair.go
+++ b/coordination/dispatch/push_fair.go
@@ -48,7 +48,7 @@
 // next returns the queue with the least virtual service, or nil.
 func (d pushFair) next(p *pool) *queue {
 	var best *queue
-	for _, q := range p.sortedQueues() {
+	for _, q := range p.active {
 		if q.len() > 0 && (best == nil || d.virtual(q) < d.virtual(best)) {
 			best = q
 		}
--- a/coordination/dispatch/push_fifo.go
+++ b/coordination/dispatch/push_fifo.go
@@ -20,7 +20,7 @@
 func (d pushFIFO) readmit(now time.Time, p *pool, e *entry) { d.s.waitAgain(now, p, e) }
 
 func (d pushFIFO) roomChanged(now time.Time, p *pool) {
-	for _, q := range p.sortedQueues() {
+	for _, q := range p.active {
 		for e := q.oldest(); e != nil; e = q.oldest() {
 			c := d.leastLoaded(p, e)
 			if c == nil {
--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -71,6 +71,7 @@
 	s.bytes += e.req.Bytes
 	s.requests[e.req.ID] = e
 	s.deadlines.add(e)
+	q.pool.activate(q)
 }
 
 // insert searches from the end at which the entry belongs: a new one goes to
@@ -169,7 +170,7 @@
 func (s *State) largest() *queue {
 	var best *queue
 	for _, p := range s.sortedPools() {
-		for _, q := range p.sortedQueues() {
+		for _, q := range p.active {
 			if q.len() > 0 && (best == nil || s.usage(q, 0, 0) > s.usage(best, 0, 0)) {
 				best = q
 			}
--- a/coordination/dispatch/snapshot.go
+++ b/coordination/dispatch/snapshot.go
@@ -34,7 +34,7 @@
 func (s *State) Snapshot(now time.Time) Snapshot {
 	var out Snapshot
 	for _, p := range s.sortedPools() {
-		for _, q := range p.sortedQueues() {
+		for _, q := range p.active {
 			if q.len() == 0 {
 				continue
 			}
--- a/coordination/dispatch/stats.go
+++ b/coordination/dispatch/stats.go
@@ -43,14 +43,14 @@
 func (s *State) WaitingBy() map[string]map[string]int {
 	out := map[string]map[string]int{}
 	for service, p := range s.pools {
-		for team, q := range p.teams {
+		for _, q := range p.active {
 			if q.len() == 0 {
 				continue
 			}
 			if out[service] == nil {
 				out[service] = map[string]int{}
 			}
-			out[service][team] = q.len()
+			out[service][q.team] = q.len()
 		}
 	}
 	return out
