A pull that a withdrawn request was to answer gets the next one

Cause: a caller that hangs up between the decision to send and the start of the attempt left the sidecar's pull without an answer, which keeps a slot until the pull times out.

Now: when the request is withdrawn, the dispatcher looks whether a decision was never read, and hands its pull to the next request of the team, or answers it with Empty. The depth of the reorder by prefix is a setting.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -99,7 +99,7 @@
 	case Arrived:
 		s.arrive(now, ev.Request)
 	case Withdrawn:
-		s.drop(now, ev.ID)
+		s.withdrawn(now, ev)
 	case Ended:
 		s.ended(now, ev)
 	case SidecarUp:
@@ -173,6 +173,20 @@
 	s.place.roomChanged(now, p)
 }
 
+// withdrawn forgets a request. A pull that it was to answer gets the next one,
+// so that the sidecar does not wait for an attempt that never comes.
+func (s *State) withdrawn(now time.Time, ev Withdrawn) {
+	e := s.requests[ev.ID]
+	if e == nil {
+		return
+	}
+	sidecar := e.sidecar
+	s.drop(now, ev.ID)
+	if ev.Pull != 0 && sidecar != "" {
+		s.pulled(now, Pulled{Sidecar: sidecar, Pull: ev.Pull, Team: e.req.Team})
+	}
+}
+
 func (s *State) ended(now time.Time, ev Ended) {
 	e := s.requests[ev.ID]
 	if e == nil {
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -255,6 +255,18 @@
 	c.Assert(sent[0].ID, qt.Equals, "2")
 }
 
+func TestPullOfAWithdrawnRequestGetsTheNextOne(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(nil)
+	f.sidecars(1, 1, 0)
+	f.fill("a", 2)
+	f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 7, Team: "a"})
+	c.Assert(f.step(dispatch.Withdrawn{ID: "a-0", Pull: 7}), qt.DeepEquals,
+		[]dispatch.Action{dispatch.Send{ID: "a-1", Sidecar: sidecar(0), Pull: 7}})
+	c.Assert(f.step(dispatch.Withdrawn{ID: "a-1", Pull: 7}), qt.DeepEquals,
+		[]dispatch.Action{dispatch.Empty{Sidecar: sidecar(0), Pull: 7}})
+}
+
 func TestReorderByPrefixIsBounded(t *testing.T) {
 	for name, test := range map[string]struct {
 		prefixes []uint64
--- a/coordination/dispatch/event.go
+++ b/coordination/dispatch/event.go
@@ -29,7 +29,12 @@
 type Arrived struct{ Request Request }
 
 // Withdrawn is a request whose caller is gone.
-type Withdrawn struct{ ID string }
+type Withdrawn struct {
+	ID string
+	// Pull that was answered with the request, if its attempt was not
+	// started; 0 for none.
+	Pull uint64
+}
 
 // SidecarUp is a control stream that opened.
 type SidecarUp struct{ Sidecar, Service string }
--- a/coordination/dispatch/property_test.go
+++ b/coordination/dispatch/property_test.go
@@ -67,8 +67,11 @@
 		case dispatch.Register:
 			m.view[a.Sidecar+"/"+a.Team] = a.Count > 0
 		case dispatch.Empty:
-			if p, ok := ev.(dispatch.Pulled); ok {
-				m.view[a.Sidecar+"/"+p.Team] = false
+			switch ev := ev.(type) {
+			case dispatch.Pulled:
+				m.view[a.Sidecar+"/"+ev.Team] = false
+			case dispatch.Withdrawn:
+				m.view[a.Sidecar+"/"+m.known[ev.ID].Team] = false
 			}
 		}
 	}
@@ -217,6 +220,11 @@
 		}
 	default:
 		if r, at, ok := m.attempt(); ok {
+			if rapid.Bool().Draw(m.t, "withdrawn") {
+				delete(m.sent, r)
+				m.step(dispatch.Withdrawn{ID: r, Pull: uint64(rapid.IntRange(0, 1).Draw(m.t, "open pull"))})
+				return
+			}
 			m.step(dispatch.Succeeded{ID: r, Sidecar: at})
 			delete(m.sent, r)
 			m.step(dispatch.Ended{ID: r})
--- a/protocol/settings/router.go
+++ b/protocol/settings/router.go
@@ -37,6 +37,10 @@
 	Total int `json:"total"`
 	// TotalBytes bounds all waiting bodies. Default 128 MiB.
 	TotalBytes Size `json:"total_bytes"`
+	// ReorderDepth is the number of a team's first requests among which one
+	// with a cached prompt prefix is looked for; 1 keeps strict order.
+	// Default 4.
+	ReorderDepth int `json:"reorder_depth"`
 }
 
 // CallerLimits bounds what callers may do.
@@ -97,7 +101,7 @@
 	return Router{
 		Platform: defaultPlatform(),
 		Policy:   RouterPull,
-		Queues:   Queues{PerTeam: 512, PerTeamBytes: 64 * MiB, Total: 8192, TotalBytes: 128 * MiB},
+		Queues:   Queues{PerTeam: 512, PerTeamBytes: 64 * MiB, Total: 8192, TotalBytes: 128 * MiB, ReorderDepth: 4},
 		Limits: CallerLimits{
 			Body:          8 * MiB,
 			Bodies:        192 * MiB,
--- a/transport/router/dispatch_config.go
+++ b/transport/router/dispatch_config.go
@@ -16,6 +16,7 @@
 	cfg.Queues.PerTeamBytes = set.Queues.PerTeamBytes.Bytes()
 	cfg.Queues.Total = set.Queues.Total
 	cfg.Queues.TotalBytes = set.Queues.TotalBytes.Bytes()
+	cfg.Reorder.Depth = set.Queues.ReorderDepth
 	cfg.Seed = xxhash.Sum64String(set.ID)
 	return cfg
 }
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -124,6 +124,10 @@
 	case dispatch.Ended:
 		delete(d.calls, ev.ID)
 	case dispatch.Withdrawn:
+		if c := d.calls[ev.ID]; c != nil {
+			ev.Pull = c.unstarted()
+			m.event = ev
+		}
 		delete(d.calls, ev.ID)
 	case dispatch.SidecarUp:
 		d.links[ev.Sidecar] = m.link
--- a/transport/router/result.go
+++ b/transport/router/result.go
@@ -16,6 +16,19 @@
 	return dispatch.Failed{ID: c.id, Sidecar: d.send.Sidecar, Retry: true}
 }
 
+// unstarted returns the pull of an attempt that was decided on after the
+// request's handler had left, 0 for none. Only then may it be called.
+func (c *call) unstarted() uint64 {
+	select {
+	case d := <-c.decisions:
+		if d.send != nil {
+			return d.send.Pull
+		}
+	default:
+	}
+	return 0
+}
+
 // result is the event that tells how the backend server did, or nil if the
 // outcome says nothing of it.
 func (c *call) result(d decision, o outcome.Outcome) dispatch.Event {
