Offers prefer the sidecar that got the prompt's prefix last

Cause: without backlog offers went to a random sidecar with room, so a shared prefix was computed again at each engine of the pool.

Ruled out: preferring it at any load (all streams of a full engine get slower).

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -138,6 +138,7 @@
 // send starts an attempt. A pull of 0 marks an offer.
 func (s *State) send(e *entry, c *peer, pull uint64) {
 	e.sidecar = c.id
+	s.pool(c.service).affinity.note(e.req.Prefix, c.id)
 	c.inFlight++
 	c.since++
 	s.emit(Send{ID: e.req.ID, Sidecar: c.id, Pull: pull})
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -316,3 +316,23 @@
 		}
 	}
 }
+
+func TestOffersGoWhereThePrefixIsWarm(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(nil)
+	f.sidecars(8, 4, 4)
+	offer := func(id string, prefix uint64) string {
+		r := request("a", id)
+		r.Prefix = prefix
+		return only[dispatch.Send](f.step(dispatch.Arrived{Request: r}))[0].Sidecar
+	}
+	first := offer("0", 5)
+	c.Assert(offer("1", 5), qt.Equals, first)
+	c.Assert(offer("2", 5), qt.Equals, first)
+	f.step(dispatch.LoadReported{Sidecar: first, Slots: 4}) // others took the rest
+	moved := offer("3", 5)
+	c.Assert(moved, qt.Not(qt.Equals), first)
+	c.Assert(offer("4", 5), qt.Equals, moved)
+	f.step(dispatch.SidecarDown{Sidecar: moved})
+	c.Assert(offer("gone", 5), qt.Not(qt.Equals), moved)
+}
--- a/coordination/dispatch/pool.go
+++ b/coordination/dispatch/pool.go
@@ -15,7 +15,8 @@
 	teams   map[string]*queue
 	// active holds the queues in which something waits or of which a sidecar
 	// knows, sorted by team. Teams that send nothing cost nothing.
-	active []*queue
+	active   []*queue
+	affinity affinity
 	// version changes when a sidecar joins or goes.
 	version int
 	// emptySince is when the last sidecar that takes work went, zero while
--- a/coordination/dispatch/pull.go
+++ b/coordination/dispatch/pull.go
@@ -37,6 +37,9 @@
 		return false
 	}
 	c := s.offerProbe(now, p, e)
+	if c == nil {
+		c = s.warm(p, e)
+	}
 	if c == nil {
 		c = s.drawFree(p, e)
 	}
