Metrics of dispatch and limit belong to their process

Cause: they were process-wide variables, so two routers in one test shared them and the newer metrics page's list could not see them. Now: they are added to the process's own set. No behaviour changes.

--- a/transport/router/dispatch_vars.go
+++ b/transport/router/dispatch_vars.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"goldcrestport/coordination/dispatch"
+	"goldcrestport/transport/observe"
 )
 
 // dispatchVars are the metrics of the dispatch core under /debug/vars. The
@@ -16,19 +17,15 @@
 	controlOut *expvar.Int
 }
 
-// dispatchPublished holds the metrics of this process; expvar names are
-// process-wide.
-var dispatchPublished = publishDispatchVars()
-
-func publishDispatchVars() *dispatchVars {
+func newDispatchVars(all *observe.Vars) *dispatchVars {
 	v := &dispatchVars{
-		controlIn:  expvar.NewInt("router_control_bytes_in"),
-		controlOut: expvar.NewInt("router_control_bytes_out"),
+		controlIn:  all.Int("router_control_bytes_in"),
+		controlOut: all.Int("router_control_bytes_out"),
 	}
 	v.set(map[string]map[string]int{}, dispatch.Stats{})
-	expvar.Publish("router_waiting", expvar.Func(func() any { return *v.waiting.Load() }))
-	expvar.Publish("router_refused", expvar.Func(v.refused))
-	expvar.Publish("router_dispatch", expvar.Func(v.counts))
+	all.Func("router_waiting", func() any { return *v.waiting.Load() })
+	all.Func("router_refused", v.refused)
+	all.Func("router_dispatch", v.counts)
 	return v
 }
 
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -53,12 +53,14 @@
 	doc       func() *config.Document
 	seen      *config.Document
 	published time.Time
+	vars      *dispatchVars
 }
 
-func newDispatcher(core *dispatch.State, doc func() *config.Document) *dispatcher {
+func newDispatcher(core *dispatch.State, doc func() *config.Document, vars *dispatchVars) *dispatcher {
 	return &dispatcher{
 		core:     core,
 		doc:      doc,
+		vars:     vars,
 		messages: make(chan message, eventRing),
 		calls:    map[string]*call{},
 		links:    map[string]*sidecarLink{},
@@ -104,7 +106,7 @@
 		}
 		d.step(dispatch.SharesSet{Shares: shares})
 	}
-	dispatchPublished.set(d.core.WaitingBy(), d.core.Stats())
+	d.vars.set(d.core.WaitingBy(), d.core.Stats())
 }
 
 func (d *dispatcher) handle(m message) {
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -138,13 +138,13 @@
 	r.linkCount.Add(1)
 	defer r.linkCount.Add(-1)
 	defer r.sidecarReports.Delete(l.id)
-	go sendLink(stream, l)
+	go sendLink(stream, l, r.dispatcher.vars)
 	go r.tellListing(stream, l.id)
 	return r.receiveLink(ctx, stream, l)
 }
 
 // sendLink writes the link's ring to its stream.
-func sendLink(stream wire.DRPCSidecar_ControlClient, l *sidecarLink) {
+func sendLink(stream wire.DRPCSidecar_ControlClient, l *sidecarLink, vars *dispatchVars) {
 	for {
 		select {
 		case <-stream.Context().Done():
@@ -156,7 +156,7 @@
 			for m != nil {
 				var rest *wire.ControlUp
 				m, rest = gather(m, l.out)
-				dispatchPublished.controlOut.Add(int64(proto.Size(m)))
+				vars.controlOut.Add(int64(proto.Size(m)))
 				if stream.Send(m) != nil {
 					return
 				}
@@ -192,7 +192,7 @@
 		if err != nil {
 			return err
 		}
-		dispatchPublished.controlIn.Add(int64(proto.Size(down)))
+		r.dispatcher.vars.controlIn.Add(int64(proto.Size(down)))
 		if load := down.Load; load != nil {
 			r.heard(l, load)
 			r.sidecarReports.Store(l.id, load)
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -88,7 +88,7 @@
 		lines:     observe.NewLineLimit(m.lost),
 		bodies:    newBodies(set.Limits.Bodies.Bytes(), m.bodies),
 	}
-	r.dispatcher = newDispatcher(dispatch.New(dispatchConfig(set)), r.doc.Load)
+	r.dispatcher = newDispatcher(dispatch.New(dispatchConfig(set)), r.doc.Load, newDispatchVars(r.metrics.vars))
 	r.spread = r.newSpreader()
 	return r
 }
--- a/transport/sidecar/limit.go
+++ b/transport/sidecar/limit.go
@@ -17,6 +17,7 @@
 	"goldcrestport/coordination/share"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/observe"
 )
 
 const (
@@ -43,12 +44,16 @@
 )
 
 // limitVars are the limiter's metrics under /debug/vars.
-var limitVars = struct{ slots, ejected, first, gap, dropped *expvar.Int }{
-	slots:   expvar.NewInt("sidecar_slots"),
-	ejected: expvar.NewInt("sidecar_ejected"),
-	first:   expvar.NewInt("sidecar_first_token_p95_us"),
-	gap:     expvar.NewInt("sidecar_token_gap_p95_us"),
-	dropped: expvar.NewInt("sidecar_samples_dropped"),
+type limitVars struct{ slots, ejected, first, gap, dropped *expvar.Int }
+
+func newLimitVars(all *observe.Vars) limitVars {
+	return limitVars{
+		slots:   all.Int("sidecar_slots"),
+		ejected: all.Int("sidecar_ejected"),
+		first:   all.Int("sidecar_first_token_p95_us"),
+		gap:     all.Int("sidecar_token_gap_p95_us"),
+		dropped: all.Int("sidecar_samples_dropped"),
+	}
 }
 
 // runEvent is the start or the end of a run at the backend server. Both go
@@ -86,6 +91,7 @@
 	running, peak int
 	report        *limit.Report
 	slots         int
+	vars          limitVars
 }
 
 // limitConfig returns the limiter's parameters from the settings.
@@ -113,6 +119,7 @@
 		first:   hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		gap:     hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		slots:   s.set.Backend.Slots,
+		vars:    newLimitVars(s.metrics.vars),
 	}
 }
 
@@ -175,10 +182,10 @@
 	l.gap.Reset()
 	l.peak, l.report = l.running, nil
 	if w.Firsts > 0 {
-		limitVars.first.Set(w.First.Microseconds())
+		l.vars.first.Set(w.First.Microseconds())
 	}
 	if w.Gaps > 0 {
-		limitVars.gap.Set(w.Gap.Microseconds())
+		l.vars.gap.Set(w.Gap.Microseconds())
 	}
 	if l.kind() == config.KindModel {
 		l.limiter.Observe(w)
@@ -190,12 +197,12 @@
 func (l *limits) apply(ctx context.Context) {
 	ejected := l.health.Ejected()
 	l.out.Store(ejected)
-	limitVars.ejected.Set(0)
+	l.vars.ejected.Set(0)
 	if ejected {
-		limitVars.ejected.Set(1)
+		l.vars.ejected.Set(1)
 	}
 	slots := l.health.Slots(time.Now(), l.limiter.Limit())
-	limitVars.slots.Set(int64(slots))
+	l.vars.slots.Set(int64(slots))
 	if slots == l.slots {
 		return
 	}
--- a/transport/sidecar/limit_test.go
+++ b/transport/sidecar/limit_test.go
@@ -19,6 +19,7 @@
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/observe"
 )
 
 // testLimits returns the duty with its SlotsSet events on a channel.
@@ -37,6 +38,7 @@
 		first:   hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		gap:     hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		slots:   set.Slots,
+		vars:    newLimitVars(observe.NewVars()),
 	}, slots
 }
 
--- a/transport/sidecar/timing.go
+++ b/transport/sidecar/timing.go
@@ -55,7 +55,7 @@
 	select {
 	case t.limits.samples <- m:
 	default:
-		limitVars.dropped.Add(1)
+		t.limits.vars.dropped.Add(1)
 	}
 }
 
