A retry waits for another sidecar for a second at most

Cause: a request that failed at one sidecar was never pulled there again while another one took work, so a free slot could idle beside it without bound. Now: it avoids that sidecar for 1 s. Test seen failing without the bound.

--- a/coordination/dispatch/affinity.go
+++ b/coordination/dispatch/affinity.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // keptPrefixes bounds the prefixes that a pool remembers.
 const keptPrefixes = 4096
 
@@ -39,9 +41,9 @@
 // warm returns the sidecar that is likely to have the request's prefix in its
 // cache, if at least half of its slots are free: a busy one would make all
 // its streams slower for the sake of one prompt.
-func (s *State) warm(p *pool, e *entry) *peer {
+func (s *State) warm(now time.Time, p *pool, e *entry) *peer {
 	c := s.peers[p.affinity.last[e.req.Prefix]]
-	if c == nil || c.service != p.service || !c.takesOffers(e) || 2*c.free < c.slots {
+	if c == nil || c.service != p.service || !c.takesOffers(now, e) || 2*c.free < c.slots {
 		return nil
 	}
 	return c
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -83,9 +83,11 @@
 	waiting *list.Element
 	// sidecar that holds the last attempt, empty while the entry waits.
 	sidecar string
-	// avoid is the sidecar of a failed attempt.
-	avoid  string
-	offers int
+	// avoid is the sidecar of a failed attempt, which gets the request again
+	// only after avoidUntil.
+	avoid      string
+	avoidUntil time.Time
+	offers     int
 	// overtaken counts the requests that went before it out of order.
 	overtaken int
 }
--- a/coordination/dispatch/eject.go
+++ b/coordination/dispatch/eject.go
@@ -6,6 +6,15 @@
 	"goldcrestport/coordination/health"
 )
 
+// avoidFor is how long a request waits for another sidecar than the one at
+// which it failed. It is bounded, so that a free one does not idle for ever.
+const avoidFor = time.Second
+
+// avoids reports whether the request is not to go to the sidecar now.
+func (e *entry) avoids(now time.Time, c *peer) bool {
+	return e.avoid == c.id && now.Before(e.avoidUntil)
+}
+
 // failed counts a failed attempt and, if asked, places the request again
 // within the retry budget.
 func (s *State) failed(now time.Time, ev Failed) {
@@ -15,7 +24,7 @@
 		return
 	}
 	s.release(e)
-	e.avoid = ev.Sidecar
+	e.avoid, e.avoidUntil = ev.Sidecar, now.Add(avoidFor)
 	if !s.retries.take(now) {
 		s.refuse(now, s.pool(e.req.Service).queue(s, e.req.Team), e, RetryDenied)
 		return
@@ -91,7 +100,7 @@
 		return nil
 	}
 	for _, c := range p.peers {
-		if !c.leaving && c.free > 0 && c.id != e.avoid && c.health.ProbeDue(now) {
+		if !c.leaving && c.free > 0 && !e.avoids(now, c) && c.health.ProbeDue(now) {
 			c.probe = e.req.ID
 			c.health.ProbeSent()
 			return c
--- a/coordination/dispatch/eject_test.go
+++ b/coordination/dispatch/eject_test.go
@@ -171,3 +171,18 @@
 	f.step(dispatch.SidecarDown{Sidecar: sidecar(1)})
 	c.Assert(only[dispatch.Send](f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 3, Team: "a"})), qt.HasLen, 1)
 }
+
+// A sidecar may not idle for ever beside a request that failed there.
+func TestRetryComesBackIfNothingElseTakesIt(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(nil)
+	f.sidecars(2, 1, 0)
+	f.arrive("a", "0")
+	f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 1, Team: "a"})
+	f.step(dispatch.Failed{ID: "0", Sidecar: sidecar(0), Retry: true})
+	f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 2, Team: "a"})
+	f.after(1100 * time.Millisecond)
+	told := only[dispatch.Register](f.load(0, 1, 1))
+	c.Assert(told, qt.HasLen, 1)
+	c.Assert(only[dispatch.Send](f.step(dispatch.Pulled{Sidecar: sidecar(0), Pull: 3, Team: "a"})), qt.HasLen, 1)
+}
--- a/coordination/dispatch/pull.go
+++ b/coordination/dispatch/pull.go
@@ -38,10 +38,10 @@
 	}
 	c := s.offerProbe(now, p, e)
 	if c == nil {
-		c = s.warm(p, e)
+		c = s.warm(now, p, e)
 	}
 	if c == nil {
-		c = s.drawFree(p, e)
+		c = s.drawFree(now, p, e)
 	}
 	if c == nil {
 		return false
@@ -56,10 +56,10 @@
 
 // drawFree draws a sidecar with room, each with a chance in proportion to its
 // room, so that routers do not all choose the same one.
-func (s *State) drawFree(p *pool, e *entry) *peer {
+func (s *State) drawFree(now time.Time, p *pool, e *entry) *peer {
 	total := 0
 	for _, c := range p.peers {
-		if c.takesOffers(e) {
+		if c.takesOffers(now, e) {
 			total += c.free
 		}
 	}
@@ -68,7 +68,7 @@
 	}
 	n := s.rng.IntN(total)
 	for _, c := range p.peers {
-		if !c.takesOffers(e) {
+		if !c.takesOffers(now, e) {
 			continue
 		}
 		if n -= c.free; n < 0 {
@@ -78,8 +78,8 @@
 	return nil
 }
 
-func (c *peer) takesOffers(e *entry) bool {
-	return c.open() && !c.selfEjected && c.free > 0 && c.id != e.avoid
+func (c *peer) takesOffers(now time.Time, e *entry) bool {
+	return c.open() && !c.selfEjected && c.free > 0 && !e.avoids(now, c)
 }
 
 // declined places the request again. A decline is proof that it did not run,
@@ -130,11 +130,11 @@
 	if c.health.Ejected() {
 		return s.pickProbe(now, q, c)
 	}
-	front := s.firstFor(q, c)
+	front := s.firstFor(now, q, c)
 	if front == nil {
 		return nil
 	}
-	if e := s.pickCached(q, c, front, prefixes); e != nil {
+	if e := s.pickCached(now, q, c, front, prefixes); e != nil {
 		return e
 	}
 	return front
@@ -142,9 +142,9 @@
 
 // firstFor returns the first request that the sidecar may get: not one that
 // failed there, unless no other sidecar takes work.
-func (s *State) firstFor(q *queue, c *peer) *entry {
+func (s *State) firstFor(now time.Time, q *queue, c *peer) *entry {
 	for el := q.waiting.Front(); el != nil; el = el.Next() {
-		if e := entryOf(el); e.avoid != c.id || q.pool.openPeers() < 2 {
+		if e := entryOf(el); !e.avoids(now, c) || q.pool.openPeers() < 2 {
 			return e
 		}
 	}
@@ -153,7 +153,7 @@
 
 // pickCached returns a request among the first few whose prefix the backend
 // server served last. Nobody is overtaken too often or by one much younger.
-func (s *State) pickCached(q *queue, c *peer, front *entry, prefixes []uint64) *entry {
+func (s *State) pickCached(now time.Time, q *queue, c *peer, front *entry, prefixes []uint64) *entry {
 	if len(prefixes) == 0 || slices.Contains(prefixes, front.req.Prefix) && front.req.Prefix != 0 {
 		return nil
 	}
@@ -164,7 +164,7 @@
 		if e.arrived.Sub(front.arrived) > r.MaxAge {
 			return nil
 		}
-		if e.req.Prefix != 0 && e.avoid != c.id && slices.Contains(prefixes, e.req.Prefix) {
+		if e.req.Prefix != 0 && !e.avoids(now, c) && slices.Contains(prefixes, e.req.Prefix) {
 			overtake(front.waiting, el)
 			s.stats.Reordered++
 			return e
--- a/coordination/dispatch/push_fifo.go
+++ b/coordination/dispatch/push_fifo.go
@@ -7,7 +7,7 @@
 type pushFIFO struct{ s *State }
 
 func (d pushFIFO) admit(now time.Time, p *pool, e *entry) {
-	if c := d.leastLoaded(p, e); c != nil {
+	if c := d.leastLoaded(now, p, e); c != nil {
 		d.s.requests[e.req.ID] = e
 		d.s.send(e, c, 0)
 		return
@@ -22,7 +22,7 @@
 func (d pushFIFO) roomChanged(now time.Time, p *pool) {
 	for _, q := range p.active {
 		for e := q.oldest(); e != nil; e = q.oldest() {
-			c := d.leastLoaded(p, e)
+			c := d.leastLoaded(now, p, e)
 			if c == nil {
 				break
 			}
@@ -35,11 +35,11 @@
 
 // leastLoaded returns the sidecar with the least known work per slot, or nil.
 // Known work is the last report and what was sent from here since.
-func (d pushFIFO) leastLoaded(p *pool, e *entry) *peer {
+func (d pushFIFO) leastLoaded(now time.Time, p *pool, e *entry) *peer {
 	var best *peer
 	ties := 0
 	for _, c := range p.peers {
-		if !c.open() || c.id == e.avoid && p.openPeers() > 1 {
+		if !c.open() || e.avoids(now, c) && p.openPeers() > 1 {
 			continue
 		}
 		switch {
