--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -83,9 +83,11 @@
 	waiting *list.Element
 	// sidecar that holds the last attempt, empty while the entry waits.
 	sidecar string
-	// avoid is the sidecar of a failed attempt.
-	avoid  string
-	offers int
+	// avoid is the sidecar of a failed attempt, which gets the request again
+	// only after avoidUntil.
+	avoid      string
+	avoidUntil time.Time
+	offers     int
 	// overtaken counts the requests that went before it out of order.
 	overtaken int
 }
@@ -99,7 +101,7 @@
 	case Arrived:
 		s.arrive(now, ev.Request)
 	case Withdrawn:
-		s.drop(now, ev.ID)
+		s.withdrawn(now, ev)
 	case Ended:
 		s.ended(now, ev)
 	case SidecarUp:
@@ -138,6 +140,7 @@
 // send starts an attempt. A pull of 0 marks an offer.
 func (s *State) send(e *entry, c *peer, pull uint64) {
 	e.sidecar = c.id
+	s.pool(c.service).affinity.note(e.req.Prefix, c.id)
 	c.inFlight++
 	c.since++
 	s.emit(Send{ID: e.req.ID, Sidecar: c.id, Pull: pull})
@@ -173,6 +176,20 @@
 	s.place.roomChanged(now, p)
 }
 
+// withdrawn forgets a request. A pull that it was to answer gets the next one,
+// so that the sidecar does not wait for an attempt that never comes.
+func (s *State) withdrawn(now time.Time, ev Withdrawn) {
+	e := s.requests[ev.ID]
+	if e == nil {
+		return
+	}
+	sidecar := e.sidecar
+	s.drop(now, ev.ID)
+	if ev.Pull != 0 && sidecar != "" {
+		s.pulled(now, Pulled{Sidecar: sidecar, Pull: ev.Pull, Team: e.req.Team})
+	}
+}
+
 func (s *State) ended(now time.Time, ev Ended) {
 	e := s.requests[ev.ID]
 	if e == nil {
@@ -194,6 +211,7 @@
 	s.maintain = now.Add(s.cfg.Interest.MaintainEvery)
 	for _, p := range s.sortedPools() {
 		s.maintainPool(now, p)
+		p.settle()
 		s.place.roomChanged(now, p)
 	}
 }
