--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -20,6 +20,9 @@
 // beatEvery is the period of the room report to all routers.
 const beatEvery = time.Second
 
+// showEvery is the period in which the metrics are set.
+const showEvery = 100 * time.Millisecond
+
 // verdict is the answer to an offered attempt.
 type verdict int
 
@@ -35,6 +38,8 @@
 	attempt *attempt
 	joined  *router
 	parted  *router
+	// query reads the core between two events.
+	query func(*share.State)
 	// announce tells every router the room and revision at once.
 	announce bool
 }
@@ -50,6 +55,10 @@
 	// ordersLeft tells the orders to the engine that are left to give.
 	ordersLeft func() int
 	lastBeat   time.Time
+	// lastShown is when the metrics were last set.
+	lastShown time.Time
+	// show sets the metrics.
+	show func(*share.State)
 	// recent prefixes that were started here.
 	recent recent
 	// ejected tells that the backend server fails.
@@ -72,6 +81,7 @@
 		revision: revision,
 		address:  address,
 		ejected:  func() bool { return false },
+		show:     func(*share.State) {},
 	}
 }
 
@@ -104,6 +114,9 @@
 	case m.announce:
 		c.broadcast(c.core.Room())
 		return
+	case m.query != nil:
+		m.query(c.core)
+		return
 	case m.attempt != nil:
 		c.attempts[m.attempt.key] = m.attempt
 	case m.joined != nil:
@@ -129,7 +142,12 @@
 		}
 	}
 	c.step(share.Ticked{})
-	if now := time.Now(); now.Sub(c.lastBeat) >= beatEvery {
+	now := time.Now()
+	if now.Sub(c.lastShown) >= showEvery {
+		c.lastShown = now
+		c.show(c.core)
+	}
+	if now.Sub(c.lastBeat) >= beatEvery {
 		c.lastBeat = now
 		c.broadcast(c.core.Room())
 	}
@@ -156,7 +174,7 @@
 		}
 	}
 	for _, id := range failed {
-		c.step(share.PullEmpty{Pull: id})
+		c.step(share.PullFailed{Pull: id})
 	}
 }
 
@@ -186,6 +204,7 @@
 		Slots:       int32(room.Slots),
 		Free:        int32(room.Free),
 		Leaving:     room.Leaving,
+		Waiting:     int32(room.Waiting),
 		Ejected:     c.ejected(),
 		Revision:    c.revision.Revision(),
 		Address:     c.address,
