--- a/transport/sidecar/metrics.go
+++ b/transport/sidecar/metrics.go
@@ -21,6 +21,10 @@
 	declined *expvar.Map
 	wait     *observe.Times
 	run      *observe.Times
+	choice   *choiceMetrics
+	// Messages to and from routers and peers that are no part of a request.
+	controlIn  *expvar.Int
+	controlOut *expvar.Int
 }
 
 func newMetrics(s *Sidecar) *metrics {
@@ -32,9 +36,19 @@
 		declined: v.Map("sidecar_declined"),
 		wait:     v.Times("sidecar_wait_us"),
 		run:      v.Times("sidecar_run_us"),
+		choice:   newChoiceMetrics(v),
+
+		controlIn:  v.Int("sidecar_control_bytes_in"),
+		controlOut: v.Int("sidecar_control_bytes_out"),
 	}
 }
 
+// control counts the bytes of control messages.
+func (m *metrics) control(in, out int) {
+	m.controlIn.Add(int64(in))
+	m.controlOut.Add(int64(out))
+}
+
 // SetTracer sets the tracer of the runs. It must be called before Serve.
 func (s *Sidecar) SetTracer(t *observe.Tracer) { s.tracer = t }
 
