The choice between teams charges work under way and looks past its own slots

Cause: each sidecar counted only what it gave, charged pulls as one unit and trusted the waiting counts, so long requests won and slots waited on lost pulls. Built: virtual service per team over the pool (state/ledger holds one counter per writer and incarnation; between words the others are presumed alike), estimates learnt per team and class (state/estimate), a lift that is local, debts that outlive short gaps on both sides, pulls bounded by known counts, replaced at once when empty or lost, and a look-ahead only where the pull matters against the run. Policies pull, pull-settle and push by the settings; metrics sidecar_team_cost, sidecar_idle_while_waiting_ms and others. The exchange's driver and its failure tests are not in yet.

--- a/coordination/share/share.go
+++ b/coordination/share/share.go
@@ -1,68 +1,56 @@
 package share
 
 import (
-	"math"
-	"sort"
+	"math/rand/v2"
 	"time"
+
+	"goldcrestport/state/estimate"
+	"goldcrestport/state/ledger"
 )
 
-// pullTimeout is how long a pull may stay unanswered before its slot is used
-// for another one.
-const pullTimeout = 2 * time.Second
+// seedMix makes the second word of the random source's seed.
+const seedMix = 0x9e3779b97f4a7c15
 
 // State is the state of one sidecar's choice. It must be used by one
 // goroutine at a time.
 type State struct {
 	cfg      Config
+	rng      *rand.Rand
+	now      time.Time
 	slots    int
 	leaving  bool
 	drained  bool
 	accounts map[string]*account
 	shares   map[string]float64
+	ledger   *ledger.Ledger
+	costs    *estimate.Table
 	runs     map[uint64]*run
 	ready    []*run
 	pulls    map[uint64]*pull
 	lastPull uint64
-	floor    float64
+	// level is the virtual service at which the last choice was made. A team
+	// that becomes backlogged beside no other starts from it.
+	level    float64
+	pace     pace
+	ticked   time.Time
+	timing   timing
+	restored bool
+	tellings uint64
+	stats    Stats
 	reported Report
 	out      []Action
 }
 
-// account is the service that one team had here.
-type account struct {
-	team string
-	// served is the cost given so far, in cost units.
-	served float64
-	// pending is the estimated cost of pulls and attempts not yet counted.
-	pending float64
-	// lift is a local offset of the virtual service. It never enters served.
-	lift    float64
-	routers map[string]Interest
-	next    int
-}
-
-// run is an attempt that holds a slot or waits for one.
-type run struct {
-	attempt  uint64
-	team     string
-	estimate float64
-	cost     float64
-}
-
-// pull is a pull that was not answered yet.
-type pull struct {
-	router string
-	team   string
-	sent   time.Time
-}
-
 // New returns the empty state. The config must be valid.
 func New(cfg Config) *State {
 	return &State{
 		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^seedMix)),
 		slots:    cfg.Slots,
 		accounts: map[string]*account{},
 		shares:   map[string]float64{},
+		ledger:   ledger.New(cfg.Ledger),
+		costs:    estimate.New(cfg.Estimate),
 		runs:     map[uint64]*run{},
 		pulls:    map[uint64]*pull{},
 	}
@@ -72,23 +60,36 @@
 // in order. The slice is valid until the next call.
 func (s *State) Step(now time.Time, ev Event) []Action {
 	s.out = s.out[:0]
+	s.advance(now)
+	s.apply(now, ev)
+	s.startReady(now)
+	s.fill(now)
+	s.report(ev)
+	return s.out
+}
+
+func (s *State) apply(now time.Time, ev Event) {
 	switch ev := ev.(type) {
 	case Interest:
-		s.interest(ev)
+		s.interest(now, ev)
 	case RouterDown:
 		s.routerDown(ev.Router)
 	case Offered:
-		s.offered(ev)
+		s.offered(now, ev)
 	case PullEmpty:
 		s.pullEmpty(ev.Pull)
+	case PullFailed:
+		s.pullLost(ev.Pull)
 	case Progressed:
 		s.progress(ev.Attempt, ev.Cost)
 	case Ended:
-		s.ended(ev)
+		s.ended(now, ev)
 	case SharesSet:
-		s.shares = ev.Shares
+		s.setShares(ev.Shares)
 	case SlotsSet:
 		s.slots = ev.Slots
+	case Heard:
+		s.heard(now, ev)
 	case Left:
 		s.leaving = true
 		s.declineReady()
@@ -96,237 +97,56 @@
 		s.drained = ev.On
 		s.declineReady()
 	case Ticked:
-		s.expirePulls(now)
-	}
-	s.startReady()
-	s.fill(now)
-	s.report()
-	return s.out
-}
-
-func (s *State) emit(a Action) { s.out = append(s.out, a) }
-
-// closed reports whether no new work is taken.
-func (s *State) closed() bool { return s.leaving || s.drained }
-
-func (s *State) account(team string) *account {
-	a := s.accounts[team]
-	if a == nil {
-		a = &account{team: team, routers: map[string]Interest{}}
-		s.accounts[team] = a
-	}
-	return a
-}
-
-func (s *State) share(team string) float64 {
-	if w := s.shares[team]; w > 0 {
-		return w
-	}
-	return s.cfg.DefaultShare
-}
-
-// virtual returns the team's virtual service: cost per share, with the lift.
-func (s *State) virtual(a *account) float64 {
-	return a.lift + (a.served+a.pending)/s.share(a.team)
-}
-
-func (s *State) interest(ev Interest) {
-	a := s.account(ev.Team)
-	if ev.Count == 0 {
-		delete(a.routers, ev.Router)
-		return
-	}
-	if len(a.routers) == 0 {
-		s.raise(a)
-	}
-	a.routers[ev.Router] = ev
-}
-
-// raise lifts a team that becomes backlogged to the smallest virtual service
-// of the backlogged teams, so that no credit is saved up; a debt stays.
-func (s *State) raise(a *account) {
-	if v := s.virtual(a); v < s.floor {
-		a.lift += s.floor - v
-	}
-}
-
-func (s *State) routerDown(router string) {
-	for _, a := range s.accounts {
-		delete(a.routers, router)
-	}
-	for id, p := range s.pulls {
-		if p.router == router {
-			s.pullEmpty(id)
-		}
-	}
-}
-
-func (s *State) offered(ev Offered) {
-	asked := s.takePull(ev.Pull)
-	r := &run{attempt: ev.Attempt, team: ev.Team, estimate: ev.Estimate}
-	if s.closed() || (!asked && s.free() <= 0) {
-		s.emit(Decline{Attempt: ev.Attempt})
-		return
-	}
-	a := s.account(ev.Team)
-	if len(a.routers) == 0 && !asked {
-		s.raise(a)
-	}
-	s.ready = append(s.ready, r)
-}
-
-// takePull forgets an answered pull and reports whether it was open.
-func (s *State) takePull(id uint64) bool {
-	p := s.pulls[id]
-	if p == nil {
-		return false
+		s.tick(now)
 	}
-	delete(s.pulls, id)
-	s.account(p.team).pending -= s.pullCharge(p.team)
-	return true
 }
 
-func (s *State) pullEmpty(id uint64) {
-	p := s.pulls[id]
-	if !s.takePull(id) {
-		return
-	}
-	delete(s.account(p.team).routers, p.router)
-}
-
-// pullCharge is what a pull counts until its request is known.
-func (s *State) pullCharge(string) float64 { return 1 }
-
-func (s *State) progress(attempt uint64, cost float64) {
-	r := s.runs[attempt]
-	if r == nil || cost <= r.cost {
-		return
-	}
-	s.account(r.team).served += cost - r.cost
-	r.cost = cost
-}
-
-func (s *State) ended(ev Ended) {
-	s.progress(ev.Attempt, ev.Cost)
-	delete(s.runs, ev.Attempt)
-	for i, r := range s.ready {
-		if r.attempt == ev.Attempt {
-			s.ready = append(s.ready[:i], s.ready[i+1:]...)
-			return
-		}
-	}
-}
-
-func (s *State) expirePulls(now time.Time) {
-	for id, p := range s.pulls {
-		if now.Sub(p.sent) > pullTimeout {
-			s.pullEmpty(id)
-		}
-	}
-}
-
-// declineReady turns away what waits for a slot once no new work is taken, so
-// that it goes back to its router's queue.
-func (s *State) declineReady() {
-	if !s.closed() {
-		return
-	}
-	for _, r := range s.ready {
-		s.emit(Decline{Attempt: r.attempt})
+// advance lets the time pass since the last event.
+func (s *State) advance(now time.Time) {
+	if !s.now.IsZero() {
+		elapsed := now.Sub(s.now)
+		s.stats.advance(s, elapsed)
+		s.forgive(elapsed)
 	}
-	s.ready = nil
+	s.now = now
 }
 
-// startReady starts attempts that are here while slots are free.
-func (s *State) startReady() {
-	for len(s.ready) > 0 && len(s.runs) < s.slots {
-		r := s.ready[0]
-		s.ready = s.ready[1:]
-		s.runs[r.attempt] = r
-		s.emit(Start{Attempt: r.attempt})
+func (s *State) tick(now time.Time) {
+	if !s.ticked.IsZero() {
+		elapsed := now.Sub(s.ticked)
+		s.pace.advance(elapsed)
+		s.release(elapsed)
 	}
+	s.ticked = now
+	s.ledger.Expire(now)
+	s.expirePulls(now)
 }
 
-// free is the number of slots with nothing on the way to them.
-func (s *State) free() int {
-	return s.slots - len(s.runs) - len(s.ready) - len(s.pulls)
-}
-
-// fill pulls for free slots and the look-ahead.
-func (s *State) fill(now time.Time) {
-	if s.closed() {
-		return
-	}
-	for s.free()+s.cfg.LookAhead > 0 {
-		a := s.choose()
-		if a == nil {
-			return
-		}
-		router := a.pickRouter()
-		s.lastPull++
-		s.pulls[s.lastPull] = &pull{router: router, team: a.team, sent: now}
-		a.pending += s.pullCharge(a.team)
-		s.emit(Pull{ID: s.lastPull, Router: router, Team: a.team})
-	}
-}
-
-// choose returns the registered team with the smallest virtual service.
-func (s *State) choose() *account {
-	var best *account
-	least := math.Inf(1)
-	for _, a := range s.accounts {
-		if !s.pullable(a) {
-			continue
-		}
-		v := s.virtual(a)
-		if v < least || (v == least && a.team < best.team) {
-			best, least = a, v
-		}
-	}
-	if best != nil && least > s.floor {
-		s.floor = least
-	}
-	return best
-}
-
-// pullable reports whether more requests wait than pulls are on the way.
-func (s *State) pullable(a *account) bool {
-	if len(a.routers) == 0 {
-		return false
-	}
-	waiting := 0
-	for _, i := range a.routers {
-		waiting += i.Count
-	}
-	return waiting > 0
-}
+func (s *State) emit(a Action) { s.out = append(s.out, a) }
 
-// pickRouter returns the routers that hold the team's work in turn.
-func (a *account) pickRouter() string {
-	names := make([]string, 0, len(a.routers))
-	for r := range a.routers {
-		names = append(names, r)
-	}
-	sort.Strings(names)
-	a.next++
-	return names[a.next%len(names)]
-}
+// closed reports whether no new work is taken.
+func (s *State) closed() bool { return s.leaving || s.drained }
 
 // Room returns the present room, for the periodic report.
 func (s *State) Room() Report {
-	r := Report{Slots: s.slots, Free: max(s.free(), 0), Leaving: s.closed()}
-	if s.closed() {
-		r.Free = 0
+	r := Report{Slots: s.slots, Leaving: s.closed(), Waiting: len(s.ready)}
+	if !s.closed() {
+		r.Free = max(s.free(), 0)
 	}
 	return r
 }
 
 // report tells the routers the room when it changed between none and some.
-func (s *State) report() {
+// Routers that push need it each time, so they get it with each tick.
+func (s *State) report(ev Event) {
 	r := s.Room()
 	before := s.reported
 	same := r.Slots == before.Slots && r.Leaving == before.Leaving
-	if same && (r.Free > 0) == (before.Free > 0) {
+	if s.cfg.Policy == PolicyPush {
+		if _, tick := ev.(Ticked); !tick || r == before {
+			return
+		}
+	} else if same && (r.Free > 0) == (before.Free > 0) {
 		return
 	}
 	s.reported = r
--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -18,6 +18,9 @@
 // tickEvery is the period in which running costs are charged.
 const tickEvery = 20 * time.Millisecond
 
+// showEvery is the period in which the metrics are set.
+const showEvery = 100 * time.Millisecond
+
 // verdict is the answer to an offered attempt.
 type verdict int
 
@@ -33,6 +36,8 @@
 	attempt *attempt
 	joined  *router
 	parted  *router
+	// query reads the core between two events.
+	query func(*share.State)
 	// announce tells every router the room and revision at once.
 	announce bool
 }
@@ -50,6 +55,10 @@
 	// reports decides which routers hear of the room last handed to it.
 	reports *report.State
 	room    share.Report
+	// lastShown is when the metrics were last set.
+	lastShown time.Time
+	// show sets the metrics.
+	show func(*share.State)
 	// recent prefixes that were started here.
 	recent recent
 	// ejected tells that the backend server fails.
@@ -74,6 +83,7 @@
 		ejected:  func() bool { return false },
 		reports:  report.New(report.DefaultConfig()),
 		room:     core.Room(),
+		show:     func(*share.State) {},
 	}
 }
 
@@ -106,6 +116,9 @@
 	case m.announce:
 		c.inform(report.Announced{})
 		return
+	case m.query != nil:
+		m.query(c.core)
+		return
 	case m.attempt != nil:
 		c.attempts[m.attempt.key] = m.attempt
 	case m.joined != nil:
@@ -132,6 +145,10 @@
 		}
 	}
 	c.step(share.Ticked{})
+	if now := time.Now(); now.Sub(c.lastShown) >= showEvery {
+		c.lastShown = now
+		c.show(c.core)
+	}
 	c.broadcast(c.core.Room())
 }
 
@@ -156,7 +173,7 @@
 		}
 	}
 	for _, id := range failed {
-		c.step(share.PullEmpty{Pull: id})
+		c.step(share.PullFailed{Pull: id})
 	}
 }
 
@@ -179,6 +196,7 @@
 		Slots:       int32(room.Slots),
 		Free:        int32(room.Free),
 		Leaving:     room.Leaving,
+		Waiting:     int32(room.Waiting),
 		Ejected:     c.ejected(),
 		Revision:    c.revision.Revision(),
 		Address:     c.address,
--- a/transport/sidecar/meter.go
+++ b/transport/sidecar/meter.go
@@ -40,6 +40,9 @@
 	return float64(time.Now().UnixNano()-started) / float64(time.Millisecond)
 }
 
+// settled reports whether the final cost is fixed.
+func (m *meter) settled() bool { return m.final.Load() != nil }
+
 // read counts a part of a streamed answer.
 func (m *meter) read(part []byte) {
 	if m.kind == config.KindModel {
--- a/transport/sidecar/metrics.go
+++ b/transport/sidecar/metrics.go
@@ -21,6 +21,7 @@
 	declined *expvar.Map
 	wait     *observe.Times
 	run      *observe.Times
+	choice   *choiceMetrics
 }
 
 func newMetrics(s *Sidecar) *metrics {
@@ -32,6 +33,7 @@
 		declined: v.Map("sidecar_declined"),
 		wait:     v.Times("sidecar_wait_us"),
 		run:      v.Times("sidecar_run_us"),
+		choice:   newChoiceMetrics(v),
 	}
 }
 
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -108,6 +108,7 @@
 		Pull:     st.Pull,
 		Router:   st.Router,
 		Team:     st.Team,
+		Class:    st.Class,
 		Estimate: st.Estimate,
 	}})
 	select {
@@ -142,7 +143,11 @@
 
 // free gives the attempt's slot back.
 func (s *Sidecar) free(a *attempt) {
-	s.chooser.post(s.ctx, message{event: share.Ended{Attempt: a.key, Cost: a.meter.cost()}})
+	s.chooser.post(s.ctx, message{event: share.Ended{
+		Attempt: a.key,
+		Cost:    a.meter.cost(),
+		Whole:   a.status != 0 && a.meter.settled(),
+	}})
 }
 
 func (s *Sidecar) decline(stream wire.DRPCSidecar_RunStream, reason string) error {
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/google/uuid"
@@ -81,21 +82,32 @@
 		tracer:    observe.NoTracer(),
 	}
 	s.metrics = newMetrics(s)
-	cfg := share.DefaultConfig()
-	cfg.Slots = set.Backend.Slots
-	cfg.LookAhead = *set.Backend.LookAhead
+	incarnation := uuid.NewString()
+	cfg := shareConfig(set, incarnation)
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
+	s.chooser.show = s.metrics.choice.set
 	s.limits = newLimits(s)
 	s.chooser.ejected = s.limits.out.Load
 	s.drain = newDrain(s)
-	s.runs.Store(newRuns(uuid.NewString(), attempts.DefaultConfig()))
+	s.runs.Store(newRuns(incarnation, attempts.DefaultConfig()))
 	s.slot = newSlot(s)
 	s.reconciler = newReconciler(s)
 	s.chooser.ordersLeft = func() int { return int(s.reconciler.left.Load()) }
 	return s
 }
 
+// shareConfig returns the parameters of the choice from the settings.
+func shareConfig(set settings.Sidecar, incarnation string) share.Config {
+	cfg := share.DefaultConfig()
+	cfg.Policy = share.Policy(set.Policy)
+	cfg.Slots = set.Backend.Slots
+	cfg.LookAhead = *set.Backend.LookAhead
+	cfg.Seed = xxhash.Sum64String(incarnation)
+	cfg.Ledger.Writer, cfg.Ledger.Incarnation = set.ID, incarnation
+	return cfg
+}
+
 // incarnation returns the id under which this process knows of its attempts.
 func (s *Sidecar) incarnation() string { return s.runs.Load().incarnation }
 
@@ -120,6 +132,9 @@
 	if err := limitConfig(s.set.Backend).Validate(); err != nil {
 		return errors.Wrap(err, "settings: backend")
 	}
+	if err := shareConfig(s.set, "").Validate(); err != nil {
+		return errors.Wrap(err, "settings: policy and backend")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.ctx = ctx
