Sidecars exchange their counters, and take debts back after a restart

Cause: a team that only a part of the pool sees is served by sidecars that do not know of each other, and a restart or a partition loses what was given. News after a long silence is counted at half of the fair rate at most. Metrics sidecar_control_bytes_in and _out. Ruled out: taking back the bare sums. They hold no lifts, which are local, so a team that joined late would have looked served least by far.

--- a/coordination/share/fair_test.go
+++ b/coordination/share/fair_test.go
@@ -178,15 +178,34 @@
 	c.Assert(second.Router, qt.Not(qt.Equals), first.Router)
 	o.want("b", 3)
 	o.wait(time.Second)
-	c.Assert(o.pulls, qt.HasLen, 3, qt.Commentf("the lost pull is replaced at another router"))
+	c.Assert(o.pulls, qt.HasLen, 3, qt.Commentf("the lost pull is replaced at once"))
+}
+
+// A router that does not answer gets no more pulls until it is heard again,
+// though it holds the work of the team that is served least.
+func TestSilentRouterIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	o := newOne(1)
+	o.step(Interest{Router: "frozen", Team: "least", Count: 9})
+	o.step(Interest{Router: "live", Team: "other", Count: 9})
+	c.Assert(o.pulls[0].Router, qt.Equals, "frozen")
+	o.pulls = nil
+	o.wait(time.Second)
+	for range 5 {
+		c.Assert(o.pulls[0].Router, qt.Equals, "live")
+		o.serve(10)
+	}
+	o.step(Interest{Router: "frozen", Team: "least", Count: 9})
+	o.serve(10)
+	c.Assert(o.pulls[0].Router, qt.Equals, "frozen")
 }
 
 // Pulls at once are bounded by what is known to wait, and spread over teams.
 func TestPullsAtOnce(t *testing.T) {
 	c := qt.New(t)
-	o := newOne(8)
+	o := newOne(7)
 	o.step(Drained{On: true})
-	o.want("a", 2)
+	o.want("a", 1)
 	o.want("b", 100)
 	o.want("c", 100)
 	o.step(Drained{})
@@ -194,7 +213,7 @@
 	for _, p := range o.pulls {
 		got[p.Team]++
 	}
-	c.Assert(got, qt.DeepEquals, map[string]int{"a": 2, "b": 3, "c": 3})
+	c.Assert(got, qt.DeepEquals, map[string]int{"a": 1, "b": 3, "c": 3})
 }
 
 func TestPolicies(t *testing.T) {
--- /dev/null
+++ b/coordination/share/fault_test.go
@@ -0,0 +1,163 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/state/ledger"
+)
+
+// told is a pool whose counters are exchanged.
+func told(subset int) scenario {
+	sc := run12(1, 120*time.Second)
+	sc.subset, sc.exchange = subset, 2*time.Second
+	return sc
+}
+
+// worstOf runs the scenario with what change does to the fleet, over seeds.
+func worstOf(sc scenario, change func(*fleet, scenario)) float64 {
+	const seeds = 3
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		sc.seed = seed + 1
+		f := newFleet(sc)
+		change(f, sc)
+		f.run(sc.last)
+		sum += f.worst
+	}
+	return sum / seeds
+}
+
+// Faults may cost some of the gap, but a bounded part of it.
+func TestGapUnderFaults(t *testing.T) {
+	const most = 2.0
+	sc := told(5)
+	calm := worstOf(sc, func(*fleet, scenario) {})
+	faults := map[string]func(*fleet, scenario){
+		"4 in 10 exchanges lost": func(f *fleet, _ scenario) {
+			f.cut = func(int, int, time.Time) bool { return f.rng.IntN(10) < 4 }
+		},
+		"a third of the sidecars restart": func(f *fleet, sc scenario) {
+			for i := range 4 {
+				f.at(time.Duration(40+10*i)*time.Second, func() { f.restart(i, sc) })
+			}
+		},
+		"no exchange for 10 s": func(f *fleet, _ scenario) {
+			from, to := f.now.Add(50*time.Second), f.now.Add(60*time.Second)
+			f.cut = func(_, _ int, now time.Time) bool { return now.After(from) && now.Before(to) }
+		},
+	}
+	for name, fault := range faults {
+		gap := worstOf(sc, fault)
+		t.Logf("%s: gap %.1f, without %.1f", name, gap, calm)
+		qt.Check(t, gap <= most*calm, qt.IsTrue, qt.Commentf("%s: %.1f against %.1f", name, gap, calm))
+	}
+}
+
+// A team that joins late gets what the others get from then on.
+func TestLateTeamIsLevelOverThePool(t *testing.T) {
+	for _, subset := range []int{0, 5} {
+		sc := told(subset)
+		f := newFleet(sc)
+		f.run(60 * time.Second)
+		before := map[string]float64{}
+		for _, s := range f.teams {
+			before[s.name] = s.served
+		}
+		f.addTeam("late", 1, 0, f.pick(sc, true), 9)
+		late := f.byName["late"]
+		late.late = true
+		f.run(60 * time.Second)
+		sum := 0.0
+		for _, s := range f.teams[:len(heavyMeans)] {
+			sum += (s.served - before[s.name]) / float64(len(heavyMeans))
+		}
+		t.Logf("subset %d: late team %.0f, others %.0f each", subset, late.served, sum)
+		qt.Check(t, late.served < 1.2*sum && late.served > 0.8*sum, qt.IsTrue)
+	}
+}
+
+// After a partition, what the other side gave is repaid, but no faster than
+// leaves the team half of its fair rate.
+func TestRepaymentAfterPartitionIsCapped(t *testing.T) {
+	c := qt.New(t)
+	o := newOne(1)
+	hear := func(a, b float64) {
+		o.step(Heard{Counters: []ledger.Counter{
+			{Writer: "peer", Incarnation: "1", Team: "a", Served: a},
+			{Writer: "peer", Incarnation: "1", Team: "b", Served: b},
+		}})
+	}
+	serve := func(last time.Duration) map[string]float64 {
+		got := map[string]float64{}
+		for end := o.now.Add(last); o.now.Before(end); {
+			o.wait(100 * time.Millisecond)
+			got[o.serve(1)]++
+		}
+		return got
+	}
+	o.want("a", 1e6)
+	o.want("b", 1e6)
+	hear(0, 0)
+	serve(60 * time.Second)
+	hear(1000, 0)
+	c.Assert(o.ahead("a", "b") < 5, qt.IsTrue, qt.Commentf("the news is held back"))
+	got := serve(20 * time.Second)
+	c.Assert(got["a"] >= 200*0.5*0.4, qt.IsTrue, qt.Commentf("%v", got))
+	c.Assert(got["a"] <= 200*0.5*0.8, qt.IsTrue, qt.Commentf("repaid too slowly: %v", got))
+}
+
+// A restarted sidecar takes the debts back from a peer.
+func TestRestartTakesDebtsBack(t *testing.T) {
+	c := qt.New(t)
+	o := newOne(1)
+	o.want("a", 100)
+	o.want("b", 100)
+	for o.pulls[0].Team != "a" {
+		o.serve(1)
+	}
+	o.serve(300)
+	counters, ahead := o.Standing()
+	fresh := newOne(1)
+	fresh.cfg.Ledger.Writer = "fresh"
+	fresh.want("a", 100)
+	fresh.want("b", 100)
+	fresh.step(Heard{Counters: counters, Ahead: ahead})
+	debt := o.ahead("a", "b")
+	c.Assert(debt > 200, qt.IsTrue)
+	c.Assert(fresh.ahead("a", "b") > 0.95*debt, qt.IsTrue, qt.Commentf("%v of %v", fresh.ahead("a", "b"), debt))
+}
+
+// A lift is local: the counters that are exchanged hold what was given only.
+func TestLiftIsNotExchanged(t *testing.T) {
+	c := qt.New(t)
+	o := newOne(1)
+	o.want("old", 100)
+	for range 50 {
+		o.serve(10)
+	}
+	o.want("new", 100)
+	given := map[string]float64{}
+	for _, k := range o.Counters(10) {
+		given[k.Team] = k.Served
+	}
+	c.Assert(given, qt.DeepEquals, map[string]float64{"old": 500, "new": 0})
+}
+
+// A bound on the counters of one message delays some and drops none.
+func TestCountersTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	o := newOne(1)
+	for _, team := range []string{"a", "b", "c", "d", "e"} {
+		o.want(team, 1)
+	}
+	seen := map[string]int{}
+	for range 5 {
+		for _, k := range o.Counters(2) {
+			seen[k.Team]++
+		}
+	}
+	c.Assert(seen, qt.DeepEquals, map[string]int{"a": 2, "b": 2, "c": 2, "d": 2, "e": 2})
+}
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -42,6 +43,8 @@
 	served float64
 	waits  []float64
 	late   bool
+	// fixed overrides the costs.
+	fixed func() float64
 }
 
 type simRun struct {
@@ -116,20 +119,44 @@
 }
 
 func (f *fleet) addCore(i int, sc scenario) {
+	f.cores = append(f.cores, New(coreConfig(i, "1", sc)))
+	f.at(time.Duration(f.rng.IntN(int(simTick))), func() { f.tick(i) })
+	if f.exchange > 0 {
+		f.at(time.Duration(f.rng.Int64N(int64(f.exchange))), func() { f.gossip(i) })
+	}
+}
+
+// restart replaces a core by one that remembers nothing and asks a peer.
+func (f *fleet) restart(i int, sc scenario) {
+	f.cores[i] = New(coreConfig(i, "2", sc))
+	for id, r := range f.runs {
+		if r.core == i {
+			if !r.start.IsZero() {
+				r.from.served += f.now.Sub(r.start).Seconds()
+			}
+			delete(f.runs, id)
+		}
+	}
+	for _, s := range f.teams {
+		if slices.Contains(s.seen, i) && s.period == 0 {
+			f.step(i, Interest{Router: "r", Team: s.name, Count: 1000, Spread: len(s.seen)})
+		}
+	}
+	counters, ahead := f.cores[(i+1)%len(f.cores)].Standing()
+	f.step(i, Heard{Counters: counters, Ahead: ahead})
+}
+
+func coreConfig(i int, incarnation string, sc scenario) Config {
 	cfg := DefaultConfig()
 	cfg.Slots, cfg.LookAhead, cfg.Seed = sc.slots, 0, sc.seed+uint64(i)
 	if sc.policy != "" {
 		cfg.Policy = sc.policy
 	}
-	cfg.Ledger.Writer, cfg.Ledger.Incarnation = fmt.Sprint(i), "1"
+	cfg.Ledger.Writer, cfg.Ledger.Incarnation = fmt.Sprint(i), incarnation
 	if sc.change != nil {
 		sc.change(&cfg)
 	}
-	f.cores = append(f.cores, New(cfg))
-	f.at(time.Duration(f.rng.IntN(int(simTick))), func() { f.tick(i) })
-	if f.exchange > 0 {
-		f.at(time.Duration(f.rng.Int64N(int64(f.exchange))), func() { f.gossip(i) })
-	}
+	return cfg
 }
 
 // pick returns the cores that see a team.
@@ -155,6 +182,9 @@
 
 // cost is a long-tailed cost with the team's mean, capped at 60.
 func (s *source) cost() float64 {
+	if s.fixed != nil {
+		return s.fixed()
+	}
 	const sigma = 1.0
 	return min(60, s.mean*math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2))
 }
@@ -219,13 +249,21 @@
 	f.seq++
 	attempt := f.seq
 	f.runs[attempt] = &simRun{core: i, from: s, cost: s.cost()}
-	f.at(f.delay, func() { f.step(i, Offered{Attempt: attempt, Pull: p.ID, Router: "r", Team: p.Team}) })
+	f.at(f.delay, func() {
+		if f.runs[attempt] == nil {
+			return
+		}
+		f.step(i, Offered{Attempt: attempt, Pull: p.ID, Router: "r", Team: p.Team})
+	})
 }
 
 func (f *fleet) start(i int, attempt uint64) {
 	r := f.runs[attempt]
 	r.start = f.now
 	f.at(time.Duration(r.cost*float64(time.Second)), func() {
+		if f.runs[attempt] == nil {
+			return
+		}
 		r.from.served += r.cost
 		delete(f.runs, attempt)
 		f.step(i, Ended{Attempt: attempt, Cost: r.cost, Whole: true})
--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -95,6 +95,21 @@
 	}
 }
 
+// ask runs a query of the core in the duty and reports whether it was run.
+func (c *chooser) ask(ctx context.Context, query func(*share.State)) bool {
+	done := make(chan struct{})
+	c.post(ctx, message{query: func(core *share.State) {
+		query(core)
+		close(done)
+	}})
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // run is the duty's loop.
 func (c *chooser) run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
--- a/transport/sidecar/control.go
+++ b/transport/sidecar/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"goldcrestport/coordination/share"
 	"goldcrestport/protocol/wire"
@@ -59,6 +60,7 @@
 			if stream.Send(m) != nil {
 				return
 			}
+			s.metrics.control(0, proto.Size(m))
 		}
 	}
 }
@@ -70,6 +72,7 @@
 		if err != nil {
 			return
 		}
+		s.metrics.control(proto.Size(up), 0)
 		if b := up.Beat; b != nil {
 			s.heard(address, b.Revision, b.ConfigAgeMs)
 		}
--- a/transport/sidecar/metrics.go
+++ b/transport/sidecar/metrics.go
@@ -22,6 +22,9 @@
 	wait     *observe.Times
 	run      *observe.Times
 	choice   *choiceMetrics
+	// Messages to and from routers and peers that are no part of a request.
+	controlIn  *expvar.Int
+	controlOut *expvar.Int
 }
 
 func newMetrics(s *Sidecar) *metrics {
@@ -34,9 +37,18 @@
 		wait:     v.Times("sidecar_wait_us"),
 		run:      v.Times("sidecar_run_us"),
 		choice:   newChoiceMetrics(v),
+
+		controlIn:  v.Int("sidecar_control_bytes_in"),
+		controlOut: v.Int("sidecar_control_bytes_out"),
 	}
 }
 
+// control counts the bytes of control messages.
+func (m *metrics) control(in, out int) {
+	m.controlIn.Add(int64(in))
+	m.controlOut.Add(int64(out))
+}
+
 // SetTracer sets the tracer of the runs. It must be called before Serve.
 func (s *Sidecar) SetTracer(t *observe.Tracer) { s.tracer = t }
 
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -47,6 +47,7 @@
 	pool      *link.Pool
 	spread    *spread.Spreader
 	chooser   *chooser
+	exchanger *exchanger
 	limits    *limits
 	backend   *backend
 	// runs of the present incarnation.
@@ -87,6 +88,7 @@
 	s.spread = s.newSpreader()
 	s.chooser = newChooser(share.New(cfg), s.spread, set.Listen.Peers)
 	s.chooser.show = s.metrics.choice.set
+	s.exchanger = newExchanger(s, incarnation)
 	s.limits = newLimits(s)
 	s.chooser.ejected = s.limits.out.Load
 	s.drain = newDrain(s)
@@ -149,6 +151,7 @@
 	mux := http.NewServeMux()
 	observe.Health{Ready: s.ready, Vars: s.metrics.vars}.Mount(mux)
 	go s.chooser.run(ctx)
+	go s.exchanger.run(ctx)
 	go s.limits.run(ctx)
 	go s.expireAnswers(ctx)
 	go s.reconciler.run(ctx)
