--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -160,8 +160,7 @@
 		}
 	}
 	c.step(share.Ticked{})
-	now := time.Now()
-	if now.Sub(c.lastShown) >= showEvery {
+	if now := time.Now(); now.Sub(c.lastShown) >= showEvery {
 		c.lastShown = now
 		c.show(c.core)
 	}
