--- /dev/null
+++ b/cmd/goldcrestd/rolling_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/protocol/settings"
+	"goldcrestport/state/config"
+)
+
+const rollingToken = "rolling-token"
+
+// member is one process of the fleet that can be restarted.
+type member struct {
+	process *os.Process
+	file    string
+	role    string
+	ready   string
+	callers string
+	// up is what the balancer thinks of a router.
+	up atomic.Bool
+}
+
+// rolling is a fleet of two routers and two sidecars before one backend
+// server that counts the runs of each call.
+type rolling struct {
+	p       *processes
+	members []*member
+	mu      sync.Mutex
+	runs    map[string]int
+}
+
+func newRolling(t *testing.T) *rolling {
+	f := &rolling{p: newProcesses(t), runs: map[string]int{}}
+	backend := httptest.NewServer(http.HandlerFunc(f.serve))
+	t.Cleanup(backend.Close)
+	doc := fmt.Sprintf(`{"revision":1,"teams":{"legacy":{"share":1,"tokens":[%q],"services":["ledger-app"]}},`+
+		`"services":{"ledger-app":{"kind":"plain","non_idempotent":["/pledges"]}}}`, config.TokenDigest(rollingToken))
+	platform := f.p.platform(20, doc)
+	for i := range 2 {
+		f.addSidecar(platform, fmt.Sprint("sidecar-", i), 30+10*i, backend.URL)
+	}
+	for i := range 2 {
+		f.addRouter(platform, fmt.Sprint("router-", i), 60+10*i)
+	}
+	return f
+}
+
+// serve is the backend server: it answers with the body in two parts.
+func (f *rolling) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	f.mu.Lock()
+	f.runs[string(body)]++
+	f.mu.Unlock()
+	_, _ = w.Write(body)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(30 * time.Millisecond)
+	_, _ = w.Write(body)
+}
+
+func (f *rolling) addSidecar(platform, id string, host int, backend string) {
+	set := settings.DefaultSidecar()
+	set.ID, set.Service, set.DataCentre = id, "ledger-app", "hall-pamp"
+	set.Listen = settings.SidecarListen{Peers: f.p.address(host), Operators: f.p.address(host + 1)}
+	set.Platform.URL, set.Backend.URL = platform, backend
+	f.p.put(platform+"/v1/instances/"+id, fmt.Sprintf(
+		`{"role":"sidecar","address":%q,"data_centre":"hall-pamp","service":"ledger-app"}`, set.Listen.Peers))
+	f.add(&member{file: f.p.settings(id, set), role: "sidecar", ready: "http://" + set.Listen.Operators + "/readyz"})
+}
+
+func (f *rolling) addRouter(platform, id string, host int) {
+	set := settings.DefaultRouter()
+	set.ID, set.DataCentre = id, "hall-pamp"
+	set.Listen = settings.RouterListen{
+		Callers: f.p.address(host), Operators: f.p.address(host + 1), Peers: f.p.address(host + 2),
+	}
+	set.Platform.URL = platform
+	set.Stop.Linger = settings.Duration(500 * time.Millisecond)
+	f.p.put(platform+"/v1/instances/"+id, fmt.Sprintf(
+		`{"role":"router","address":%q,"data_centre":"hall-pamp"}`, set.Listen.Peers))
+	f.add(&member{
+		file: f.p.settings(id, set), role: "router",
+		ready: "http://" + set.Listen.Operators + "/readyz", callers: "http://" + set.Listen.Callers,
+	})
+}
+
+func (f *rolling) add(m *member) {
+	f.startMember(m)
+	f.members = append(f.members, m)
+}
+
+func (f *rolling) startMember(m *member) {
+	m.process = f.p.start("goldcrestd", m.role, "--settings", m.file)
+	f.p.waitOK(m.ready)
+}
+
+// restart ends a member gracefully and starts it again.
+func (f *rolling) restart(m *member) {
+	qt.Assert(f.p.t, m.process.Signal(syscall.SIGTERM), qt.IsNil)
+	state, err := m.process.Wait()
+	qt.Assert(f.p.t, err, qt.IsNil)
+	qt.Assert(f.p.t, state.Success(), qt.IsTrue)
+	f.startMember(m)
+}
+
+// balance looks at the routers' readiness as a balancer does.
+func (f *rolling) balance(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range f.members {
+			if m.callers == "" {
+				continue
+			}
+			resp, err := http.Get(m.ready)
+			m.up.Store(err == nil && resp.StatusCode == http.StatusOK)
+			if err == nil {
+				resp.Body.Close()
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// call sends one pledge through a router that is up and returns its result.
+func (f *rolling) call(id string, n int) error {
+	var up []*member
+	for _, m := range f.members {
+		if m.up.Load() {
+			up = append(up, m)
+		}
+	}
+	if len(up) == 0 {
+		return fmt.Errorf("no router is up")
+	}
+	req, err := http.NewRequest(http.MethodPost, up[n%len(up)].callers+"/services/ledger-app/pledges", strings.NewReader(id))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+rollingToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK || string(body) != id+id {
+		return fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	return nil
+}
+
+// Every process of the fleet is restarted under load: each pledge is answered
+// whole by its first call, and ran once.
+func TestRollingRestartLosesNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newRolling(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.balance(ctx)
+	time.Sleep(2 * time.Second)
+
+	const callers = 8
+	var wg sync.WaitGroup
+	var calls, bad atomic.Int64
+	stop := make(chan struct{})
+	for k := range callers {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				calls.Add(1)
+				if err := f.call(fmt.Sprintf("pledge-%d-%d", k, n), n); err != nil {
+					bad.Add(1)
+					t.Logf("caller %d, call %d: %v", k, n, err)
+				}
+			}
+		})
+	}
+	for _, m := range f.members {
+		f.restart(m)
+		time.Sleep(500 * time.Millisecond)
+	}
+	close(stop)
+	wg.Wait()
+	c.Logf("%d calls over %d restarts", calls.Load(), len(f.members))
+	c.Assert(bad.Load(), qt.Equals, int64(0))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Assert(int64(len(f.runs)), qt.Equals, calls.Load())
+	for id, runs := range f.runs {
+		c.Assert(runs, qt.Equals, 1, qt.Commentf(id))
+	}
+}
--- a/state/attempts/config.go
+++ b/state/attempts/config.go
@@ -15,9 +15,11 @@
 
 // Config holds the bounds of a Table.
 type Config struct {
-	// BlockFor is how long an unseen attempt stays blocked. It must be longer
-	// than any router keeps a request, since a start that arrives later would
-	// run. Default 15m.
+	// BlockFor is how long an unseen attempt stays blocked. A start that
+	// arrives later would run. A router hands a start to its kernel before it
+	// asks, and closes that connection, so this must be longer than a kernel
+	// goes on sending for a closed connection (under two minutes on Linux).
+	// Default 15m.
 	BlockFor time.Duration
 	// MaxBlocked bounds the blocked attempts. When it is reached, Settle
 	// blocks no more and tells that it does not know. Default 8192.
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -38,6 +38,11 @@
 		if !req.ProtoAtLeast(1, 1) {
 			defer resetAborted(w)
 		}
+		if r.unready.Load() {
+			// Idle connections stay open until the end: one that is closed
+			// while a caller sends on it leaves the caller in doubt.
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, req.WithContext(ctx))
 	})
 }
@@ -90,11 +95,8 @@
 // enter begins a phase of leaving.
 func (r *Router) enter(p leave.Phase, srv *http.Server) {
 	switch p {
-	case leave.Lingering:
-		srv.SetKeepAlivesEnabled(false)
 	case leave.Refusing:
 		// The listener stays open: who comes is told that nothing was run.
-		srv.SetKeepAlivesEnabled(false)
 		r.leaving.Store(true)
 	case leave.Ending:
 		_ = r.log.Log("event", "stop_bound_passed", "held", r.held.Load())
