The rolling restart holds runs longer than a process stays

Cause: with runs of 30 ms the test passed on a variant that does not wait for what is held, as a leaving process stays for a second anyway.

Half of the callers now send calls of 3 s. Ruled out: one such caller with 2.5 s (the variant passed still, since a router's close waits another second and one call is at one of two sidecars only).

--- a/cmd/goldcrestd/rolling_test.go
+++ b/cmd/goldcrestd/rolling_test.go
@@ -20,7 +20,13 @@
 	"goldcrestport/state/config"
 )
 
-const rollingToken = "rolling-token"
+const (
+	rollingToken = "rolling-token"
+	// slowCaller is the begin of the pledges that run for slowRun, longer
+	// than a process that leaves with nothing held stays.
+	slowCaller = "slow-pledge-"
+	slowRun    = 3 * time.Second
+)
 
 // member is one process of the fleet that can be restarted.
 type member struct {
@@ -66,7 +72,11 @@
 	f.mu.Unlock()
 	_, _ = w.Write(body)
 	_ = http.NewResponseController(w).Flush()
-	time.Sleep(30 * time.Millisecond)
+	took := 30 * time.Millisecond
+	if strings.HasPrefix(string(body), slowCaller) {
+		took = slowRun
+	}
+	time.Sleep(took)
 	_, _ = w.Write(body)
 }
 
@@ -186,7 +196,11 @@
 				default:
 				}
 				calls.Add(1)
-				if err := f.call(fmt.Sprintf("pledge-%d-%d", k, n), n); err != nil {
+				id := fmt.Sprintf("pledge-%d-%d", k, n)
+				if k%2 == 0 {
+					id = fmt.Sprintf("%s%d-%d", slowCaller, k, n)
+				}
+				if err := f.call(id, n+k/2); err != nil {
 					bad.Add(1)
 					t.Logf("caller %d, call %d: %v", k, n, err)
 				}
