--- a/Makefile
+++ b/Makefile
@@ -73,3 +73,10 @@
 .PHONY: confirms
 confirms: build
 	$(GO) run ./bench/cmd/confirms $(if $(SEED),--seed $(SEED))
+
+# claims measures what idempotency keys cost: the platform's reads and writes
+# and the added latency, see docs/CLAIMS.md. It takes about two minutes.
+.PHONY: claims
+claims: build
+	@cd bench && $(GO) build -o ../bin/ ./cmd/claims
+	@bin/claims
