--- a/Makefile
+++ b/Makefile
@@ -73,3 +73,8 @@
 .PHONY: confirms
 confirms: build
 	$(GO) run ./bench/cmd/confirms $(if $(SEED),--seed $(SEED))
+# slopes measures what each role costs and writes the tables of the page.
+.PHONY: slopes
+slopes: build
+	@cd bench && $(GO) build -o ../bin/ ./cmd/slopes
+	@bin/slopes --page docs/CAPACITY.md $(SLOPES_FLAGS)
