Links stay within a region, and a silent sidecar is dialled less often

Cause: a router linked with every sidecar of the list, 2,200 at the size to design for, and dialled a lost one five times a second. Ruled out: a bounded number of links without regard to place.

--- a/protocol/settings/router.go
+++ b/protocol/settings/router.go
@@ -86,6 +86,10 @@
 	// Seeds are peers' addresses of some routers, IP:port, which a starting
 	// process asks when the platform does not answer.
 	Seeds []string `json:"seeds,omitempty"`
+	// Region names the data centres whose backend servers this router hands
+	// work to; empty for all. It bounds the links of one router in a fleet of
+	// several regions.
+	Region []string `json:"region,omitempty"`
 	// Policy of handing out work. Default "pull".
 	Policy    RouterPolicy `json:"policy"`
 	Queues    Queues       `json:"queues"`
--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -11,8 +13,13 @@
 	"goldcrestport/transport/platform"
 )
 
-// reconnectAfter is the pause before a lost control stream is opened again.
-const reconnectAfter = 200 * time.Millisecond
+// Pauses before a lost control stream is opened again: the first, the longest,
+// and how long a stream must have held for the pause to start anew.
+const (
+	reconnectAfter  = 200 * time.Millisecond
+	reconnectAtMost = 3 * time.Second
+	steadyAfter     = 5 * time.Second
+)
 
 // lookEvery is the period in which the list in memory is compared with the
 // open links.
@@ -72,6 +79,9 @@
 	l.r.listing.set(list)
 	routers := 0
 	for _, i := range list {
+		if !l.r.serves(i.DataCentre) {
+			continue
+		}
 		if i.Role == platform.RoleRouter && i.State == platform.StateLive {
 			routers++
 		}
@@ -95,16 +105,29 @@
 	}
 }
 
-// keepLink opens the control stream again and again until ctx ends.
+// serves reports whether this router hands work to the data centre.
+func (r *Router) serves(dataCentre string) bool {
+	return len(r.set.Region) == 0 || slices.Contains(r.set.Region, dataCentre)
+}
+
+// keepLink opens the control stream again and again until ctx ends. The pause
+// doubles while the sidecar does not answer, so that the routers of a region
+// do not dial a lost data centre all the time, nor come back to it as one.
 func (r *Router) keepLink(ctx context.Context, i platform.Instance) {
+	pause := reconnectAfter
 	for ctx.Err() == nil {
+		began := time.Now()
 		if err := r.holdLink(ctx, i); err != nil && ctx.Err() == nil {
 			_ = r.log.Log("event", "link_lost", "sidecar", i.ID, "err", err)
 		}
+		if time.Since(began) > steadyAfter {
+			pause = reconnectAfter
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(reconnectAfter):
+		case <-time.After(pause/2 + time.Duration(rand.Int64N(int64(pause)))):
 		}
+		pause = min(2*pause, reconnectAtMost)
 	}
 }
 
