--- a/Makefile
+++ b/Makefile
@@ -80,3 +80,8 @@
 claims: build
 	@cd bench && $(GO) build -o ../bin/ ./cmd/claims
 	@bin/claims
+# slopes measures what each role costs and writes the tables of the page.
+.PHONY: slopes
+slopes: build
+	@cd bench && $(GO) build -o ../bin/ ./cmd/slopes
+	@bin/slopes --page docs/CAPACITY.md $(SLOPES_FLAGS)
