Links open again at once after a cut; only a silent sidecar is dialled less often

Cause: the pause before a control stream is opened again doubled also after short-lived streams, so that a few cuts in a row left a service without links for longer than requests wait (TestStaleConnectionsCostNoCall: 503). Ruled out: a longer wait for a sidecar; the link itself could be back at once. Conclusion: the pause grows only while nobody answers.

--- a/transport/router/link.go
+++ b/transport/router/link.go
@@ -13,12 +13,11 @@
 	"goldcrestport/transport/platform"
 )
 
-// Pauses before a lost control stream is opened again: the first, the longest,
-// and how long a stream must have held for the pause to start anew.
+// Pauses before a lost control stream is opened again: the first, and the
+// longest while the sidecar does not answer.
 const (
 	reconnectAfter  = 200 * time.Millisecond
 	reconnectAtMost = 3 * time.Second
-	steadyAfter     = 5 * time.Second
 )
 
 // lookEvery is the period in which the list in memory is compared with the
@@ -116,11 +115,11 @@
 func (r *Router) keepLink(ctx context.Context, i platform.Instance) {
 	pause := reconnectAfter
 	for ctx.Err() == nil {
-		began := time.Now()
-		if err := r.holdLink(ctx, i); err != nil && ctx.Err() == nil {
+		opened, err := r.holdLink(ctx, i)
+		if err != nil && ctx.Err() == nil {
 			_ = r.log.Log("event", "link_lost", "sidecar", i.ID, "err", err)
 		}
-		if time.Since(began) > steadyAfter {
+		if opened {
 			pause = reconnectAfter
 		}
 		select {
@@ -131,24 +130,25 @@
 	}
 }
 
-// holdLink opens one control stream and serves it until it ends.
-func (r *Router) holdLink(ctx context.Context, i platform.Instance) error {
+// holdLink opens one control stream and serves it until it ends. It reports
+// whether the sidecar answered.
+func (r *Router) holdLink(ctx context.Context, i platform.Instance) (opened bool, err error) {
 	conn, err := r.pool.Dial(ctx, i.Address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer conn.Close()
 	stream, err := wire.NewDRPCSidecarClient(conn).Control(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	hello := &wire.Hello{Router: r.set.ID, DataCentre: r.set.DataCentre, Revision: r.revision(), Address: r.set.Listen.Peers, ConfigAgeMs: r.spread.Age().Milliseconds()}
 	if err := stream.Send(&wire.ControlUp{Hello: hello}); err != nil {
-		return err
+		return false, err
 	}
 	down, err := stream.Recv()
 	if err != nil {
-		return err
+		return false, err
 	}
 	l := &sidecarLink{
 		id:          i.ID,
@@ -164,7 +164,7 @@
 	defer r.sidecarReports.Delete(l.id)
 	go sendLink(stream, l, r.dispatcher.vars)
 	go r.tellListing(stream, l.id)
-	return r.receiveLink(ctx, stream, l)
+	return true, r.receiveLink(ctx, stream, l)
 }
 
 // sendLink writes the link's ring to its stream.
