Orders: a late observation is no word on what the engine has after an order

Cause: TestRollout failed now and then on a busy machine with one load given twice. An Observe that was under way when an order was sent was answered after the order had taken effect, with what the engine had before it; the order was given again. Ruled out: a second sidecar, a repeated HTTP call (the record shows two order ids of one incarnation), a lost answer. Changed: an Observe carries an id; sending an order makes the answers of earlier ones void.

--- a/coordination/orders/event.go
+++ b/coordination/orders/event.go
@@ -64,11 +64,15 @@
 // Wanted is a configuration that came in force.
 type Wanted struct{ Want Want }
 
-// Observed is the engine's word on what it has.
-type Observed struct{ Have Have }
+// Observed is the engine's word on what it has, as the answer to the Observe
+// with the same ID.
+type Observed struct {
+	ID   uint64
+	Have Have
+}
 
 // ObserveFailed is an Observe without an answer.
-type ObserveFailed struct{}
+type ObserveFailed struct{ ID uint64 }
 
 // Granted is a permit that was obtained.
 type Granted struct{ Permit Permit }
@@ -117,8 +121,8 @@
 // Action is an output of State.Step that the driver performs.
 type Action interface{ isAction() }
 
-// Observe asks the engine what it has.
-type Observe struct{}
+// Observe asks the engine what it has. ID marks its answer.
+type Observe struct{ ID uint64 }
 
 // Acquire asks for a permit.
 type Acquire struct{ Permit Permit }
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -20,7 +20,10 @@
 	// known tells that have was read after the last order.
 	known     bool
 	observing bool
-	lookAt    time.Time
+	// lookID is the last Observe whose answer counts: one that was asked
+	// before an order tells nothing of what the engine has after it.
+	lookID uint64
+	lookAt time.Time
 
 	held      Permit
 	acquiring Permit
@@ -51,10 +54,9 @@
 	case Wanted:
 		s.wanted(now, ev.Want)
 	case Observed:
-		s.observed(now, ev.Have)
+		s.observed(now, ev)
 	case ObserveFailed:
-		s.observing = false
-		s.later(now)
+		s.observeFailed(now, ev.ID)
 	case Granted:
 		s.granted(ev.Permit)
 	case Denied:
@@ -119,9 +121,20 @@
 	s.lookAt = now
 }
 
-func (s *State) observed(now time.Time, h Have) {
+func (s *State) observeFailed(now time.Time, id uint64) {
+	if id != s.lookID {
+		return
+	}
 	s.observing = false
-	s.have, s.known = h, true
+	s.later(now)
+}
+
+func (s *State) observed(now time.Time, ev Observed) {
+	if ev.ID != s.lookID {
+		return
+	}
+	s.observing = false
+	s.have, s.known = ev.Have, true
 	s.lookAt = now.Add(s.cfg.ObserveEvery)
 	if s.sent == nil || !s.unsure {
 		return
@@ -164,6 +177,8 @@
 		return
 	}
 	s.sent, s.sentAt, s.known = o, now, false
+	s.lookID++
+	s.observing = false
 	s.emit(Send{Order: *o})
 }
 
@@ -241,7 +256,8 @@
 		return
 	}
 	s.observing = true
-	s.emit(Observe{})
+	s.lookID++
+	s.emit(Observe{ID: s.lookID})
 }
 
 // permitted reports whether the permit is held and asks for it if not.
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -55,10 +55,10 @@
 	switch a := a.(type) {
 	case Observe:
 		if w.choose(8) == 1 {
-			w.step(ObserveFailed{})
+			w.step(ObserveFailed(a))
 			return
 		}
-		w.step(Observed{Have: Have{Fence: w.have.Fence, Items: slices.Clone(w.have.Items), Role: w.have.Role}})
+		w.step(Observed{ID: a.ID, Have: Have{Fence: w.have.Fence, Items: slices.Clone(w.have.Items), Role: w.have.Role}})
 	case Acquire:
 		if w.choose(4) == 1 {
 			w.step(Denied(a))
@@ -150,6 +150,25 @@
 	qt.Assert(t, w.orders, qt.HasLen, 0)
 }
 
+// What an engine had before an order is no word on what it has after it, even
+// if that answer comes late.
+func TestALateObservationGivesNoOrderTwice(t *testing.T) {
+	c := qt.New(t)
+	s := New(DefaultConfig())
+	want := Want{Revision: 1, Items: []Item{item("m", "1")}}
+	s.Step(start, Wanted{want})
+	s.Step(start, Observed{ID: s.lookID})
+	s.Step(start, Granted{PermitLoad})
+	now := start.Add(s.cfg.ObserveEvery)
+	looks := s.Step(now, Ticked{})
+	c.Assert(looks, qt.HasLen, 1)
+	late, ok := looks[0].(Observe)
+	c.Assert(ok, qt.IsTrue)
+	sent := s.Step(now, Validated{OK: true, Revision: 1})
+	s.Step(now, Answered{ID: sent[0].(Send).Order.ID})
+	c.Assert(s.Step(now, Observed{ID: late.ID}), qt.HasLen, 0, qt.Commentf("the engine had nothing when it was asked"))
+}
+
 func TestGivesNoOrderWhenTheEngineSawANewerFence(t *testing.T) {
 	w := newWorld(never)
 	w.have, w.newest = Have{Fence: 9}, 8
@@ -163,7 +182,7 @@
 	c := qt.New(t)
 	s := New(DefaultConfig())
 	s.Step(start, Wanted{Want{Revision: 1, Items: []Item{item("m", "1")}}})
-	s.Step(start, Observed{})
+	s.Step(start, Observed{ID: s.lookID})
 	s.Step(start, Granted{PermitLoad})
 	got := s.Step(start, Validated{OK: true, Revision: 1})
 	c.Assert(got, qt.HasLen, 1)
@@ -176,7 +195,7 @@
 				t.Fatalf("%T after %s", a, now.Sub(start))
 			}
 		}
-		s.Step(now, Observed{})
+		s.Step(now, Observed{ID: s.lookID})
 	}
 	c.Assert(s.Progress().Sent, qt.IsNil)
 }
--- a/transport/sidecar/orders.go
+++ b/transport/sidecar/orders.go
@@ -91,7 +91,7 @@
 	for _, a := range r.core.Step(time.Now(), ev) {
 		switch a := a.(type) {
 		case orders.Observe:
-			go r.observe(ctx)
+			go r.observe(ctx, a.ID)
 		case orders.Acquire:
 			go r.acquire(ctx, a.Permit)
 		case orders.Release:
@@ -111,15 +111,15 @@
 	}
 }
 
-func (r *reconciler) observe(ctx context.Context) {
+func (r *reconciler) observe(ctx context.Context, id uint64) {
 	sub, cancel := context.WithTimeout(ctx, observeLimit)
 	defer cancel()
 	have, err := r.engine.observe(sub)
 	if err != nil {
-		r.post(ctx, orders.ObserveFailed{})
+		r.post(ctx, orders.ObserveFailed{ID: id})
 		return
 	}
-	r.post(ctx, orders.Observed{Have: have})
+	r.post(ctx, orders.Observed{ID: id, Have: have})
 }
 
 func (r *reconciler) acquire(ctx context.Context, p orders.Permit) {
