A sidecar without slots takes nothing, also nothing ahead

Cause: while its backend server fails a sidecar has no slots between probes, but it still pulled one request ahead of them, which then waited there for up to 10 s while other sidecars had room.

Now: without slots nothing is pulled or taken, and what waits goes back to its router; the sidecar does not report that it leaves.

--- a/coordination/share/share.go
+++ b/coordination/share/share.go
@@ -88,6 +88,7 @@
 		s.setShares(ev.Shares)
 	case SlotsSet:
 		s.slots = ev.Slots
+		s.declineReady()
 	case Heard:
 		s.heard(now, ev)
 	case Left:
@@ -125,11 +126,14 @@
 func (s *State) emit(a Action) { s.out = append(s.out, a) }
 
 // closed reports whether no new work is taken.
-func (s *State) closed() bool { return s.leaving || s.drained }
+func (s *State) closed() bool { return s.parting() || s.slots == 0 }
+
+// parting reports whether the sidecar leaves or is drained.
+func (s *State) parting() bool { return s.leaving || s.drained }
 
 // Room returns the present room, for the periodic report.
 func (s *State) Room() Report {
-	r := Report{Slots: s.slots, Leaving: s.closed(), Waiting: len(s.ready)}
+	r := Report{Slots: s.slots, Leaving: s.parting(), Waiting: len(s.ready)}
 	if !s.closed() {
 		r.Free = max(s.free(), 0)
 	}
