Late decisions and ended streams start nothing

Cause: a router that was frozen sent queued requests with a deadline of 1 ms when it woke, and a sidecar that was frozen started attempts whose stream had ended meanwhile. Either made a run that nobody could use, and for a non-idempotent call an outcome unknown in place of not-run.

The router refuses what is past its deadline before it sends it; the sidecar looks at the stream right before the start.

Ruled out: passing absolute deadlines (no common clock).

--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -45,6 +45,12 @@
 // try sends one attempt and brings it to its end. It returns true if the
 // request must be dispatched again.
 func (r *Router) try(ctx context.Context, c *call, d decision) (outcome.Outcome, bool) {
+	if !time.Now().Before(c.request.Deadline) {
+		// A router that was frozen wakes with old decisions. A start now would
+		// be cut off at once, and nobody could say whether it ran.
+		return notRunUnless(c, outcome.Refuse(outcome.ReasonDeadline, http.StatusServiceUnavailable, retryAfterLost,
+			"the deadline passed before the request was sent")), false
+	}
 	c.attempts++
 	f := &flight{
 		c:       c,
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -118,6 +118,8 @@
 			return s.decline(stream, reasonNoSlot)
 		}
 	case <-up.done:
+	}
+	if up.how() != upOpen {
 		s.withdraw(a)
 		return errors.New("run: the stream ended before the start")
 	}
