Silent writers are not presumed twice; the measure runs the baselines

Cause: a sidecar that told of a team and then fell silent was counted again among those that had not told yet, and what was presumed for it stayed for good beside its late news. Built: only writers that never told are presumed as untold; writers silent for ten times StaleAfter are dropped. The core-level test exchanges in rounds as the driver does. pull-settle, push-fifo and push-fair run in the measure.

--- a/bench/experiment/policy.go
+++ b/bench/experiment/policy.go
@@ -22,14 +22,25 @@
 
 // Policies returns the chosen policy and the baselines.
 func Policies() []Policy {
-	return []Policy{{Name: Chosen}}
+	return []Policy{
+		{Name: Chosen},
+		{Name: "pull-settle", Sidecar: sidecarPolicy(settings.SidecarPullSettle)},
+		{Name: "push-fifo", Router: routerPolicy(settings.RouterPushFIFO), Sidecar: sidecarPolicy(settings.SidecarPush)},
+		{Name: "push-fair", Router: routerPolicy(settings.RouterPushFair), Sidecar: sidecarPolicy(settings.SidecarPush)},
+	}
+}
+
+func routerPolicy(p settings.RouterPolicy) func(*settings.Router) {
+	return func(set *settings.Router) { set.Policy = p }
 }
 
-// NotRun names the baselines that the processes cannot run yet.
-func NotRun() []string {
-	return []string{"pull-settle", "push-fifo", "push-fair"}
+func sidecarPolicy(p settings.SidecarPolicy) func(*settings.Sidecar) {
+	return func(set *settings.Sidecar) { set.Policy = p }
 }
 
+// NotRun names the baselines that the processes cannot run.
+func NotRun() []string { return nil }
+
 // Named returns the policies with the names, all if there are none.
 func Named(names []string) ([]Policy, error) {
 	if len(names) == 0 {
--- a/coordination/share/account.go
+++ b/coordination/share/account.go
@@ -85,9 +85,8 @@
 
 // charge adds cost that was given to the team here.
 func (s *State) charge(a *account, cost float64) {
-	_, fresh := s.ledger.Others(a.team)
-	untold := s.seen(a) - 1 - float64(fresh)
-	a.presumed += untold * cost
+	untold := s.seen(a) - 1 - float64(s.ledger.Tellers(a.team))
+	a.presumed += max(0, untold) * cost
 	s.ledger.Add(a.team, cost)
 	a.charged = s.now
 	s.pace.add(cost * s.seen(a))
--- a/coordination/share/figures_test.go
+++ b/coordination/share/figures_test.go
@@ -36,28 +36,59 @@
 	return gap, wait
 }
 
+// weighted sets how much of an estimate counts before it is real.
+func (sc scenario) weighted(weight float64) scenario {
+	sc.change = func(cfg *Config) { cfg.PendingWeight = weight }
+	return sc
+}
+
+func (sc scenario) settling() scenario {
+	sc.policy = PolicyPullSettle
+	return sc
+}
+
+func (sc scenario) told(every time.Duration, subset int) scenario {
+	sc.exchange, sc.subset = every, subset
+	return sc
+}
+
 // BenchmarkGap prints the figures of docs/FAIRNESS.md.
 func BenchmarkGap(b *testing.B) {
 	base := run12(0, 120*time.Second)
+	large := base
+	large.cores = 60
 	cases := []struct {
 		name string
-		make func(scenario) scenario
+		sc   scenario
 	}{
-		{"exact", scenario.exact},
-		{"exact-settle", func(sc scenario) scenario { sc = sc.exact(); sc.policy = PolicyPullSettle; return sc }},
-		{"all", func(sc scenario) scenario { return sc }},
-		{"all-settle", func(sc scenario) scenario { sc.policy = PolicyPullSettle; return sc }},
-		{"all-exchange-5s", func(sc scenario) scenario { sc.exchange = 5 * time.Second; return sc }},
-		{"all-exchange-1s", func(sc scenario) scenario { sc.exchange = 1 * time.Second; return sc }},
-		{"subset-alone", func(sc scenario) scenario { sc.subset = 5; return sc }},
-		{"subset-exchange-5s", func(sc scenario) scenario { sc.subset = 5; sc.exchange = 5 * time.Second; return sc }},
-		{"subset-exchange-2s", func(sc scenario) scenario { sc.subset = 5; sc.exchange = 2 * time.Second; return sc }},
+		{"exact", base.exact()},
+		{"exact-weight-0", base.exact().weighted(0)},
+		{"exact-weight-0.1", base.exact().weighted(0.1)},
+		{"exact-weight-1", base.exact().weighted(1)},
+		{"exact-settle", base.exact().settling()},
+		{"all-alone", base},
+		{"all-alone-settle", base.settling()},
+		{"all-told-1s", base.told(time.Second, 0)},
+		{"all-told-2s", base.told(2*time.Second, 0)},
+		{"all-told-5s", base.told(5*time.Second, 0)},
+		{"all-told-2s-weight-0", base.told(2*time.Second, 0).weighted(0)},
+		{"all-told-2s-weight-0.1", base.told(2*time.Second, 0).weighted(0.1)},
+		{"all-told-2s-weight-1", base.told(2*time.Second, 0).weighted(1)},
+		{"subset-alone", base.told(0, 5)},
+		{"subset-told-1s", base.told(time.Second, 5)},
+		{"subset-told-2s", base.told(2*time.Second, 5)},
+		{"subset-told-5s", base.told(5*time.Second, 5)},
+		{"60-exact", large.exact()},
+		{"60-all-told-2s", large.told(2*time.Second, 0)},
+		{"60-subset-30-told-2s", large.told(2*time.Second, 30)},
+		{"60-subset-15-told-500ms", large.told(500*time.Millisecond, 15)},
+		{"60-subset-15-told-2s", large.told(2*time.Second, 15)},
 	}
 	const seeds = 4
 	for _, c := range cases {
 		b.Run(c.name, func(b *testing.B) {
 			for range b.N {
-				gap, wait := averageGap(c.make(base), seeds)
+				gap, wait := averageGap(c.sc, seeds)
 				b.ReportMetric(gap, "gap")
 				b.ReportMetric(wait*1000, "lightp95ms")
 			}
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -24,6 +24,8 @@
 	delay time.Duration
 	// exchange is the period of the exchange of counters; 0 for none.
 	exchange time.Duration
+	// rounds holds whom each core exchanges with next.
+	rounds map[int][]int
 	// cut reports whether two cores cannot exchange now.
 	cut   func(a, b int, now time.Time) bool
 	rng   *rand.Rand
@@ -102,6 +104,7 @@
 		runs:     map[uint64]*simRun{},
 		delay:    500 * time.Microsecond,
 		exchange: sc.exchange,
+		rounds:   map[int][]int{},
 		rng:      rand.New(rand.NewPCG(sc.seed, 1)),
 		cut:      func(int, int, time.Time) bool { return false },
 		after:    func(int) {},
@@ -307,11 +310,17 @@
 	return most - least
 }
 
-// gossip exchanges counters between a core and a few random others.
+// gossip exchanges counters between a core and the next others of its round,
+// as the driver does: three at least, and each once in 15 s.
 func (f *fleet) gossip(i int) {
-	const fanOut = 3
-	for range fanOut {
-		j := f.rng.IntN(len(f.cores))
+	const fewest, round = 3, 15 * time.Second
+	n := max(fewest, int(time.Duration(len(f.cores))*f.exchange/round))
+	for range n {
+		if len(f.rounds[i]) == 0 {
+			f.rounds[i] = f.rng.Perm(len(f.cores))
+		}
+		j := f.rounds[i][0]
+		f.rounds[i] = f.rounds[i][1:]
 		if j == i || f.cut(i, j, f.now) {
 			continue
 		}
--- a/state/ledger/ledger.go
+++ b/state/ledger/ledger.go
@@ -139,6 +139,14 @@
 	return t.known + float64(t.fresh)*t.own - t.ownAt, t.fresh
 }
 
+// Tellers returns the number of other writers that told of the team.
+func (l *Ledger) Tellers(name string) int {
+	if t := l.teams[name]; t != nil {
+		return len(t.remotes)
+	}
+	return 0
+}
+
 // Merge takes in one counter that was heard at the time now.
 func (l *Ledger) Merge(now time.Time, c Counter) News {
 	if c.Writer == l.cfg.Writer || c.Team == "" || !(c.Served >= 0) {
@@ -203,13 +211,22 @@
 	t.stop(r)
 }
 
-// Expire stops the extrapolation of writers without news for StaleAfter.
+// forgetFactor is after how many times StaleAfter a silent writer is dropped.
+const forgetFactor = 10
+
+// Expire stops the extrapolation of writers without news for StaleAfter, and
+// drops those that were silent for much longer. What they gave stays counted.
 func (l *Ledger) Expire(now time.Time) {
 	for _, t := range l.teams {
-		for _, r := range t.remotes {
-			if r.fresh && now.Sub(r.heard) > l.cfg.StaleAfter {
+		for writer, r := range t.remotes {
+			silent := now.Sub(r.heard)
+			if r.fresh && silent > l.cfg.StaleAfter {
 				t.stop(r)
 			}
+			if silent > forgetFactor*l.cfg.StaleAfter {
+				delete(t.remotes, writer)
+				l.remotes--
+			}
 		}
 	}
 }
--- a/state/ledger/ledger_test.go
+++ b/state/ledger/ledger_test.go
@@ -43,6 +43,18 @@
 	c.Assert(others(l, "team"), qt.Equals, 70.0)
 }
 
+func TestWriterSilentForLongIsDropped(t *testing.T) {
+	c := qt.New(t)
+	l := newLedger("self")
+	l.Merge(t0, Counter{"b", "1", "team", 0})
+	l.Merge(t0, Counter{"b", "1", "team", 5})
+	l.Expire(t0.Add(299 * time.Second))
+	c.Assert(l.Tellers("team"), qt.Equals, 1)
+	l.Expire(t0.Add(301 * time.Second))
+	c.Assert(l.Tellers("team"), qt.Equals, 0)
+	c.Assert(others(l, "team"), qt.Equals, 5.0)
+}
+
 func TestNewIncarnationGoesOnWithoutJump(t *testing.T) {
 	c := qt.New(t)
 	l := newLedger("self")
