--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -311,9 +311,9 @@
 }
 
 // gossip exchanges counters between a core and the next others of its round,
-// as the driver does: three at least, and each once in 15 s.
+// as the driver does: three at least, and each once in 6 s.
 func (f *fleet) gossip(i int) {
-	const fewest, round = 3, 15 * time.Second
+	const fewest, round = 3, 6 * time.Second
 	n := max(fewest, int(time.Duration(len(f.cores))*f.exchange/round))
 	for range n {
 		if len(f.rounds[i]) == 0 {
--- a/transport/sidecar/exchange.go
+++ b/transport/sidecar/exchange.go
@@ -18,11 +18,12 @@
 const (
 	// exchangeFanOut is how many peers are asked in one period, at least.
 	exchangeFanOut = 3
-	// exchangeRound is the time in which every peer has been asked once. It is
+	// exchangeRound is the time in which every peer has been asked once; the gap
+	// of teams that few sidecars see grows with it (docs/FAIRNESS.md). It is
 	// well below the time after which a silent peer is no longer extrapolated.
-	exchangeRound = 15 * time.Second
+	exchangeRound = 6 * time.Second
 	// exchangeBudget bounds what one process sends, in bytes per second.
-	exchangeBudget = 4 << 10
+	exchangeBudget = 8 << 10
 	// exchangeTimeout bounds one call.
 	exchangeTimeout = time.Second
 	// counterSize is the size of a counter of the sender, in bytes, with a
