The pure layers import no package io again

Cause: the check of the layers landed without io, since the codec of the configuration was in state then; it is in protocol/document now. Ruled out: leaving the check as it was; it was eased for a reason that is gone. Figures: the check passes with io (and what lies below it) forbidden. Conclusion: as strict as first written.

--- a/layers_test.go
+++ b/layers_test.go
@@ -25,7 +25,7 @@
 
 // impure lists standard packages that the pure layers must not import, with
 // everything below them.
-var impure = []string{"net", "os", "io/fs", "io/ioutil", "log", "syscall", "sync", "context", "math/rand", "crypto/rand", "expvar", "runtime"}
+var impure = []string{"net", "os", "io", "log", "syscall", "sync", "context", "math/rand", "crypto/rand", "expvar", "runtime"}
 
 // clockCalls are the functions of package time that read or wait on a clock.
 var clockCalls = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTicker", "NewTimer"}
