A starting process asks routers before the platform

Cause: every process read the instance list at its start, and a sidecar that reached no router read it each second: at 3,000 processes a restart of all would have been 3,000 reads at once, and a loss of the routers 2,200 a second. Changed: sidecars wait up to 3 s for the word of a router, ask the router that greeted them or a seed, and read the platform's list no more often than the fleet's read budget allows. Ruled out: a longer jitter alone; the read itself is not needed.

--- a/transport/sidecar/spread.go
+++ b/transport/sidecar/spread.go
@@ -13,12 +13,18 @@
 	"goldcrestport/transport/spread"
 )
 
+// startJitter is the longest wait of a starting sidecar for the first word of
+// a router, before it reads the platform itself.
+const startJitter = 3 * time.Second
+
 // newSpreader returns the duty that keeps the configuration and the instance
 // list of this sidecar. Sidecars never wait at the platform.
 func (s *Sidecar) newSpreader() *spread.Spreader {
 	cfg := corespread.DefaultConfig()
 	cfg.Self, cfg.DataCentre = s.set.ID, s.set.DataCentre
 	cfg.Seed = uint64(time.Now().UnixNano())
+	// Routers greet a sidecar soon; until then it need not ask the platform.
+	cfg.StartJitter = startJitter
 	sp := spread.New(spread.Options{
 		Self:           cfg,
 		Seeds:          seeds(s.set.Seeds),
--- a/transport/spread/instances.go
+++ b/transport/spread/instances.go
@@ -50,20 +50,19 @@
 
 // followInstances refreshes the list until ctx ends. Every process asks a
 // router, which answers with a few bytes if nothing changed. Watchers take
-// turns to read the platform; processes that reach no router read it too.
+// turns to read the platform; processes that reach no router read it too, but
+// no more often than the read budget of the whole fleet allows.
 func (s *Spreader) followInstances(ctx context.Context) {
-	every := s.opts.InstancesEvery
-	var nextRead time.Time
+	every := min(s.opts.InstancesEvery, firstListEvery)
+	nextRead := time.Now().Add(time.Duration(rand.Int64N(int64(s.opts.Self.StartJitter) + 1)))
 	for ctx.Err() == nil {
 		asked := s.askForInstances(ctx)
-		turn := s.view.Load().watcher && time.Now().After(nextRead)
-		if !asked || turn {
+		wanted := !asked || s.view.Load().watcher
+		if wanted && !time.Now().Before(nextRead) {
 			s.readInstances(ctx)
-			nextRead = time.Now().Add(jittered(s.turnEvery()))
+			nextRead = time.Now().Add(jittered(s.readEvery()))
 		}
-		if s.list.Load().empty() {
-			every = min(every, firstListEvery)
-		} else {
+		if !s.list.Load().empty() {
 			every = s.opts.InstancesEvery
 		}
 		select {
@@ -73,6 +72,20 @@
 	}
 }
 
+// readEvery is the time between two reads of the platform's list by this
+// process.
+func (s *Spreader) readEvery() time.Duration {
+	l := s.list.Load()
+	switch {
+	case l.empty():
+		return firstListEvery
+	case s.view.Load().watcher:
+		return s.turnEvery()
+	}
+	fair := time.Duration(float64(len(l.instances)) / s.opts.Self.ReadBudget * float64(time.Second))
+	return max(s.opts.InstancesEvery, fair)
+}
+
 // jittered returns a random time around d.
 func jittered(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
@@ -116,7 +129,8 @@
 	return s.takeInstances(ctx, resp)
 }
 
-// someRouter returns a router to ask, one of the own data centre if possible.
+// someRouter returns a router to ask, one of the own data centre if possible,
+// else one that was heard or a seed.
 func (s *Spreader) someRouter() (Peer, bool) {
 	var near, far []Peer
 	for _, i := range s.list.Load().instances {
@@ -130,7 +144,10 @@
 			far = append(far, p)
 		}
 	}
-	for _, from := range [][]Peer{near, far} {
+	if p := s.contact.Load(); p != nil {
+		far = append(far, *p)
+	}
+	for _, from := range [][]Peer{near, far, s.opts.Seeds} {
 		if len(from) > 0 {
 			return from[rand.IntN(len(from))], true
 		}
--- a/transport/spread/spread.go
+++ b/transport/spread/spread.go
@@ -67,9 +67,11 @@
 	messages chan message
 	doc      atomic.Pointer[config.Document]
 	list     atomic.Pointer[list]
-	view     atomic.Pointer[view]
-	steps    steps
-	use      usage
+	// contact is the router that was heard last.
+	contact atomic.Pointer[Peer]
+	view    atomic.Pointer[view]
+	steps   steps
+	use     usage
 
 	mu          sync.Mutex
 	subscribers []func(*config.Document)
@@ -143,6 +145,9 @@
 // Heard takes a peer's word on its revision. It never blocks: a word that is
 // lost in a full ring is repeated by the next heartbeat.
 func (s *Spreader) Heard(p Peer, revision uint64, age time.Duration) {
+	if p.Role == platform.RoleRouter {
+		s.contact.Store(&p)
+	}
 	select {
 	case s.messages <- message{event: spread.Heard{Peer: key(p), Revision: revision, Age: age}}:
 	default:
