Events cost no scan of all teams

Cause: each event looked at every account for the backlog, for what idle capacity forgives, and to lift the bar from a router; with 2,100 teams that is paid at every charge. Built: the backlogged teams and the barred routers are tables of their own; what idle capacity forgives is worked out at the tick. A benchmark of one event. Ruled out: an ordered table of virtual services; all of them move at each charge of a team that others presume, and the scan fits the budget.

--- a/coordination/share/account.go
+++ b/coordination/share/account.go
@@ -122,6 +122,7 @@
 	}
 	delete(a.routers, router)
 	if !a.backlogged() {
+		delete(s.backlogged, a.team)
 		a.idle = s.now
 		a.credit = max(0, s.smallest(a)-s.virtual(a))
 	}
@@ -131,8 +132,8 @@
 // one, or the last level served if there are none.
 func (s *State) smallest(but *account) float64 {
 	least := math.Inf(1)
-	for _, a := range s.accounts {
-		if a != but && a.backlogged() {
+	for _, a := range s.backlogged {
+		if a != but {
 			least = min(least, s.virtual(a))
 		}
 	}
@@ -157,14 +158,7 @@
 }
 
 // backlog reports whether any team is backlogged.
-func (s *State) backlog() bool {
-	for _, a := range s.accounts {
-		if a.backlogged() {
-			return true
-		}
-	}
-	return false
-}
+func (s *State) backlog() bool { return len(s.backlogged) > 0 }
 
 func (s *State) setShares(shares map[string]float64) {
 	before := make(map[*account]float64, len(s.accounts))
--- a/coordination/share/figures_test.go
+++ b/coordination/share/figures_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +96,33 @@
 		})
 	}
 }
+
+// BenchmarkStep is the time of one event with 2,100 teams, a tenth of them
+// backlogged, and every slot busy: a charge, and the end of a run with the
+// choice and the pull that follow.
+func BenchmarkStep(b *testing.B) {
+	const teams = 2100
+	o := newOne(16)
+	const running = 1
+	o.next = running
+	o.step(Offered{Attempt: running, Team: "team-1"})
+	for i := range teams {
+		team := fmt.Sprint("team-", i)
+		o.next++
+		o.step(Offered{Attempt: o.next, Team: team})
+		o.step(Ended{Attempt: o.next, Cost: 1, Whole: true})
+		if i%10 == 0 {
+			o.want(team, 1e9)
+		}
+	}
+	b.Run("charge", func(b *testing.B) {
+		for i := range b.N {
+			o.step(Progressed{Attempt: running, Cost: float64(i)})
+		}
+	})
+	b.Run("choose", func(b *testing.B) {
+		for range b.N {
+			o.serve(1)
+		}
+	})
+}
--- a/coordination/share/property_test.go
+++ b/coordination/share/property_test.go
@@ -62,7 +62,7 @@
 		return
 	}
 	for team, a := range s.accounts {
-		if a.pullable() {
+		if s.pullable(a) {
 			t.Fatalf("%d slots free while %s waits and no pull is on its way", s.free(), team)
 		}
 	}
--- a/coordination/share/pull.go
+++ b/coordination/share/pull.go
@@ -22,12 +22,10 @@
 	// oldest is when the oldest waiting request arrived, as far as known.
 	oldest   time.Time
 	inflight int
-	// barred is set when a pull timed out, until the router is heard again.
-	barred bool
 }
 
 // open reports whether another pull may be sent.
-func (w *waiting) open() bool { return !w.barred && w.inflight < w.count }
+func (w *waiting) open() bool { return w.inflight < w.count }
 
 // took accounts for one request that the router handed over.
 func (w *waiting) took(now time.Time) {
@@ -61,6 +59,7 @@
 	if w == nil {
 		w = &waiting{probe: 1, inflight: s.inflight(ev.Router, ev.Team)}
 		a.routers[ev.Router] = w
+		s.backlogged[a.team] = a
 	}
 	w.count = ev.Count
 	w.oldest = now.Add(-ev.Oldest)
@@ -80,15 +79,10 @@
 }
 
 // heardFrom lifts the bar from a router that shows signs of life.
-func (s *State) heardFrom(router string) {
-	for _, a := range s.accounts {
-		if w := a.routers[router]; w != nil {
-			w.barred = false
-		}
-	}
-}
+func (s *State) heardFrom(router string) { delete(s.barred, router) }
 
 func (s *State) routerDown(router string) {
+	s.heardFrom(router)
 	for _, a := range s.accounts {
 		s.drop(a, router)
 	}
@@ -157,11 +151,7 @@
 	if p == nil {
 		return
 	}
-	for _, a := range s.accounts {
-		if w := a.routers[p.router]; w != nil {
-			w.barred = true
-		}
-	}
+	s.barred[p.router] = true
 }
 
 func (s *State) expirePulls(now time.Time) {
@@ -193,7 +183,7 @@
 }
 
 func (s *State) pull(now time.Time, a *account) {
-	router := a.pickRouter()
+	router := s.pickRouter(a)
 	s.lastPull++
 	p := &pull{router: router, team: a.team, sent: now}
 	p.charge = s.costs.Estimate(a.team, "", 0)
@@ -212,7 +202,7 @@
 	least, ties := math.Inf(1), 0
 	for _, team := range s.teams() {
 		a := s.accounts[team]
-		if !a.pullable() {
+		if !s.pullable(a) {
 			continue
 		}
 		v := s.virtual(a)
@@ -236,20 +226,18 @@
 // teams returns the backlogged teams in order, so that the random choices
 // depend on the seed alone.
 func (s *State) teams() []string {
-	teams := make([]string, 0, len(s.accounts))
-	for team, a := range s.accounts {
-		if a.backlogged() {
-			teams = append(teams, team)
-		}
+	teams := make([]string, 0, len(s.backlogged))
+	for team := range s.backlogged {
+		teams = append(teams, team)
 	}
 	sort.Strings(teams)
 	return teams
 }
 
 // pullable reports whether some router has more work than pulls are open.
-func (a *account) pullable() bool {
-	for _, w := range a.routers {
-		if w.open() {
+func (s *State) pullable(a *account) bool {
+	for router, w := range a.routers {
+		if w.open() && !s.barred[router] {
 			return true
 		}
 	}
@@ -257,10 +245,10 @@
 }
 
 // pickRouter returns the router that holds the team's oldest work.
-func (a *account) pickRouter() string {
+func (s *State) pickRouter(a *account) string {
 	best := ""
 	for name, w := range a.routers {
-		if !w.open() {
+		if !w.open() || s.barred[name] {
 			continue
 		}
 		b := a.routers[best]
--- a/coordination/share/remote.go
+++ b/coordination/share/remote.go
@@ -63,10 +63,8 @@
 // release counts what is held back, at a part of the fair rate at most.
 func (s *State) release(elapsed time.Duration) {
 	shares := 0.0
-	for _, a := range s.accounts {
-		if a.backlogged() {
-			shares += s.share(a.team)
-		}
+	for _, a := range s.backlogged {
+		shares += s.share(a.team)
 	}
 	if shares == 0 {
 		return
@@ -109,10 +107,8 @@
 func (s *State) Standing() ([]ledger.Counter, map[string]float64) {
 	ahead := map[string]float64{}
 	base := s.smallest(nil)
-	for _, a := range s.accounts {
-		if a.backlogged() {
-			ahead[a.team] = s.virtual(a) - base
-		}
+	for _, a := range s.backlogged {
+		ahead[a.team] = s.virtual(a) - base
 	}
 	return s.ledger.All(), ahead
 }
--- a/coordination/share/share.go
+++ b/coordination/share/share.go
@@ -21,6 +21,10 @@
 	leaving  bool
 	drained  bool
 	accounts map[string]*account
+	// backlogged holds the accounts of the teams with waiting work.
+	backlogged map[string]*account
+	// barred holds the routers that left a pull unanswered.
+	barred   map[string]bool
 	shares   map[string]float64
 	ledger   *ledger.Ledger
 	costs    *estimate.Table
@@ -44,15 +48,17 @@
 // New returns the empty state. The config must be valid.
 func New(cfg Config) *State {
 	return &State{
-		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^seedMix)),
-		slots:    cfg.Slots,
-		accounts: map[string]*account{},
-		shares:   map[string]float64{},
-		ledger:   ledger.New(cfg.Ledger),
-		costs:    estimate.New(cfg.Estimate),
-		runs:     map[uint64]*run{},
-		pulls:    map[uint64]*pull{},
+		cfg:        cfg,
+		rng:        rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^seedMix)),
+		slots:      cfg.Slots,
+		accounts:   map[string]*account{},
+		backlogged: map[string]*account{},
+		barred:     map[string]bool{},
+		shares:     map[string]float64{},
+		ledger:     ledger.New(cfg.Ledger),
+		costs:      estimate.New(cfg.Estimate),
+		runs:       map[uint64]*run{},
+		pulls:      map[uint64]*pull{},
 	}
 }
 
@@ -107,7 +113,6 @@
 	if !s.now.IsZero() {
 		elapsed := now.Sub(s.now)
 		s.stats.advance(s, elapsed)
-		s.forgive(elapsed)
 	}
 	s.now = now
 }
@@ -115,6 +120,7 @@
 func (s *State) tick(now time.Time) {
 	if !s.ticked.IsZero() {
 		elapsed := now.Sub(s.ticked)
+		s.forgive(elapsed)
 		s.pace.advance(elapsed)
 		s.release(elapsed)
 	}
