prove: four operators who read their plans before they confirm them

Cause: with two operators a confirmation seldom met another one between its read of the head and its write.

--- a/bench/prove/operators.go
+++ b/bench/prove/operators.go
@@ -15,15 +15,16 @@
 
 // Times of an operator's work.
 const (
-	minBetweenChanges  = 500 * time.Millisecond
-	moreBetweenChanges = 2 * time.Second
+	minBetweenChanges  = 200 * time.Millisecond
+	moreBetweenChanges = 1200 * time.Millisecond
 	operatorBound      = 8 * time.Second
 	settleEvery        = 500 * time.Millisecond
 	settleTries        = 20
+	moreReading        = 400 * time.Millisecond
 )
 
 // operatorNames are the operators of the first configuration.
-var operatorNames = []string{"operator-a", "operator-b", drainer}
+var operatorNames = []string{"operator-a", "operator-b", "operator-c", "operator-d", drainer}
 
 // drainer is the operator who drains backend servers.
 const drainer = "drainer"
@@ -63,6 +64,8 @@
 	if !ok {
 		return history.ChangeRefused
 	}
+	// A person reads the plan; meanwhile others may change the configuration.
+	time.Sleep(between(o.random, minPause, moreReading))
 	c := history.Change{Operator: o.name, Base: ask.BaseRevision, Sent: time.Now()}
 	var done operator.ConfirmResponse
 	p, err := o.exchange(http.MethodPost, operator.PathConfirm, ask, &done)
