--- a/bench/experiment/options.go
+++ b/bench/experiment/options.go
@@ -17,7 +17,9 @@
 	// engineStep is the time of one token with nothing else running. At 48
 	// slots the pool generates about 3,000 tokens a second, which leaves the
 	// processors of one machine mostly idle.
-	engineStep = "15ms"
+	engineStep = 15 * time.Millisecond
+	// chargeEvery is the period in which the sidecars charge what runs.
+	chargeEvery = 20 * time.Millisecond
 )
 
 // promptWeight is the cost of an uncached prompt token, in generated ones.
--- a/bench/experiment/setup.go
+++ b/bench/experiment/setup.go
@@ -69,7 +69,7 @@
 func (s *setup) startModel(p Policy) error {
 	for i := range modelSidecars {
 		e, err := s.fleet.StartEngine(fmt.Sprintf("engine-%d", i+1),
-			"--slots", strconv.Itoa(modelSlots), "--step", engineStep)
+			"--slots", strconv.Itoa(modelSlots), "--step", engineStep.String())
 		if err != nil {
 			return err
 		}
--- a/bench/experiment/trial.go
+++ b/bench/experiment/trial.go
@@ -54,7 +54,8 @@
 		Policy: p.Name, Teams: teams, Windows: o.Windows, Started: t.runs.Started,
 		Pool: report.Pool{
 			Sidecars: modelSidecars, Slots: modelSlots, LookAhead: o.LookAhead,
-			MaxCost: load.MaxTokens / o.Scale,
+			MaxCost:  load.MaxTokens/o.Scale + promptWeight*load.MaxPromptTokens,
+			CostRate: float64(time.Second) / float64(engineStep), ChargeEvery: chargeEvery,
 		},
 	}
 	return t
--- a/bench/load/request.go
+++ b/bench/load/request.go
@@ -20,6 +20,9 @@
 	lightMaxTokens  = 48
 	leastMaxTokens  = 8
 	documentsByTeam = 6
+	bytesByToken    = 4
+	// MaxPromptTokens is the largest prompt of the workload, in tokens.
+	MaxPromptTokens = (longPromptBytes + questionBytes) / bytesByToken
 )
 
 // chatBody is the part of a chat completion request that the callers send.
--- a/bench/report/gap.go
+++ b/bench/report/gap.go
@@ -30,17 +30,20 @@
 	return most - least, per
 }
 
+// pendingWeight is the part of an estimate that counts while a request is
+// pulled or has not cost as much yet; the sidecars' default.
+const pendingWeight = 0.3
+
 // Bound returns what the gap of the pull policy must stay below, in cost
-// units.
+// units, by the formula of docs/FAIRNESS.md for a pool in which every sidecar
+// sees every team:
+//
+//	N ((S + L) (C + w E) + S r t) / f
 //
-// Each sidecar sees every backlogged team and chooses the one with the least
-// cost per share that it gave itself. When it chooses a team, that team is not
-// ahead; until it is chosen again it can get ahead only by what was not yet
-// charged then: the requests in the slots and those pulled ahead, at most
-// (Slots + LookAhead) x MaxCost, divided by its share. So at any time two teams
-// are apart by at most that, with the least share, at one sidecar, and a window
-// can begin and end with opposite signs: twice that. The sum over the sidecars
-// bounds the pool.
+// with the estimate E taken as large as the dearest request C. That bounds how
+// far one team is ahead of another at any time. A window may begin with the one
+// ahead and end with the other, so the gap over a window is bounded by twice
+// that.
 func Bound(p Pool, teams []load.Team) float64 {
 	least := math.Inf(1)
 	for _, t := range teams {
@@ -50,7 +53,9 @@
 		return 0
 	}
 	const bothEdges = 2
-	return bothEdges * float64(p.Sidecars*(p.Slots+p.LookAhead)) * p.MaxCost / least
+	underWay := float64(p.Slots+p.LookAhead) * p.MaxCost * (1 + pendingWeight)
+	uncharged := float64(p.Slots) * p.CostRate * p.ChargeEvery.Seconds()
+	return bothEdges * float64(p.Sidecars) * (underWay + uncharged) / least
 }
 
 // windowGaps returns the gaps over windows of each of the trial's lengths.
--- a/bench/report/report_test.go
+++ b/bench/report/report_test.go
@@ -47,7 +47,7 @@
 			{Name: "c", Kind: load.Light, Share: 1},
 		},
 		From: at(0), To: at(10), Windows: []time.Duration{5 * time.Second, 10 * time.Second},
-		Pool:    Pool{Sidecars: 2, Slots: 4, LookAhead: 1, MaxCost: 100},
+		Pool:    Pool{Sidecars: 2, Slots: 4, LookAhead: 1, MaxCost: 100, CostRate: 100, ChargeEvery: 20 * time.Millisecond},
 		Samples: []TeamSample{sample(-1, 0, 0, 3, 0), sample(0, 40, 10, 3, 10), sample(5, 240, 50, 3, 20), sample(10, 440, 70, 3, 30)},
 		SlotSamples: []observe.SlotSample{
 			{At: at(0), Waiting: true}, {At: at(10), Busy: 60 * time.Second, Waiting: true},
@@ -70,7 +70,7 @@
 	c.Assert(r.MeanRequestCost, qt.Equals, 10.0)
 	c.Assert(r.Backlogged, qt.DeepEquals, []string{"a", "b"})
 	c.Assert(r.FairnessGap, qt.Equals, 4.0) // 400/4 against 60/1, over 10
-	c.Assert(r.GapBound, qt.Equals, 200.0)
+	c.Assert(r.GapBound, qt.Equals, 263.2)  // 2 x 2 x (5 x 100 x 1.3 + 4 x 100 x 0.02) / 1, over 10
 	c.Assert(r.Windows, qt.DeepEquals, []WindowGap{{5, 2, 3, 3}, {10, 1, 4, 4}})
 	c.Assert(r.Utilisation, qt.Equals, 0.75)
 	c.Assert(r.IdleWhileWaiting, qt.Equals, 0.25)
--- a/bench/report/trial.go
+++ b/bench/report/trial.go
@@ -45,6 +45,10 @@
 	Slots, LookAhead int
 	// MaxCost of one request, in cost units.
 	MaxCost float64
+	// CostRate is the cost units a second that one slot gives at most.
+	CostRate float64
+	// ChargeEvery is the time between two charges of a running request.
+	ChargeEvery time.Duration
 }
 
 // window returns the trial's samples between From and the length after it.
