--- a/bench/prove/run.go
+++ b/bench/prove/run.go
@@ -20,6 +20,8 @@
 	lastWrites     = time.Second
 	// pairPart is the part of the failures that come in pairs, out of 100.
 	pairPart = 30
+	// draws bounds how often a failure is drawn whose target is taken.
+	draws = 4
 )
 
 // Plan is what happens in a run.
@@ -79,7 +81,13 @@
 func (w *World) fail(plan Plan) {
 	random := rand.New(rand.NewPCG(plan.Seed, 3))
 	i, kinds := newInjector(w), w.kinds()
-	one := func() { i.inject(kinds[random.IntN(len(kinds))](random)) }
+	one := func() {
+		for range draws {
+			if i.inject(kinds[random.IntN(len(kinds))](random)) {
+				return
+			}
+		}
+	}
 	for end := time.Now().Add(plan.Failures); time.Now().Before(end); {
 		one()
 		if random.IntN(100) < pairPart {
