--- a/coordination/share/remote.go
+++ b/coordination/share/remote.go
@@ -34,6 +34,9 @@
 // so that no team starves while a partition is repaid.
 func (s *State) heard(now time.Time, ev Heard) {
 	for _, c := range ev.Counters {
+		if !s.hasRoom(c.Team) {
+			continue
+		}
 		a := s.account(c.Team)
 		before := s.virtual(a)
 		switch s.ledger.Merge(now, c) {
@@ -49,10 +52,19 @@
 	}
 }
 
+// hasRoom reports whether a team that other sidecars tell of has an account or
+// may get one: what peers send must not grow the table without bound.
+func (s *State) hasRoom(team string) bool {
+	return s.accounts[team] != nil || len(s.accounts) < s.cfg.Ledger.MaxTeams
+}
+
 // restore takes back the debts of teams after a restart, as another sidecar
 // sees them.
 func (s *State) restore(ahead map[string]float64) {
 	for team, debt := range ahead {
+		if !s.hasRoom(team) {
+			continue
+		}
 		a := s.account(team)
 		if to := s.level + debt; debt > 0 && s.virtual(a) < to {
 			a.lift += to - s.virtual(a)
--- a/state/ledger/ledger.go
+++ b/state/ledger/ledger.go
@@ -7,6 +7,7 @@
 package ledger
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -149,7 +150,7 @@
 
 // Merge takes in one counter that was heard at the time now.
 func (l *Ledger) Merge(now time.Time, c Counter) News {
-	if c.Writer == l.cfg.Writer || c.Team == "" || !(c.Served >= 0) {
+	if c.Writer == l.cfg.Writer || c.Team == "" || !(c.Served >= 0) || math.IsInf(c.Served, 1) {
 		return Nothing
 	}
 	if l.teams[c.Team] == nil && len(l.teams) >= l.cfg.MaxTeams {
--- a/transport/claims/convert.go
+++ b/transport/claims/convert.go
@@ -36,7 +36,7 @@
 		Executor: executorFromWire(m.Executor),
 		Over:     m.Over,
 		Fresh:    m.Fresh,
-		Deadline: now.Add(time.Duration(m.WaitMs) * time.Millisecond),
+		Deadline: now.Add(wire.Millis(m.WaitMs)),
 	}
 	if m.Result != nil {
 		c.Result = *resultFromWire(m.Result)
--- a/transport/platform/http.go
+++ b/transport/platform/http.go
@@ -34,10 +34,14 @@
 		base:    strings.TrimRight(base, "/"),
 		caller:  caller,
 		timeout: timeout,
-		http:    &http.Client{Transport: tr},
+		http:    &http.Client{Transport: tr, CheckRedirect: neverRedirect},
 	}
 }
 
+// neverRedirect keeps the client from following a redirect: a write would
+// become a read, and the read's answer would pass for the write's.
+func neverRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var e Entry
@@ -165,7 +169,7 @@
 	if err := statusError(resp.StatusCode); err != nil {
 		return errors.Wrapf(err, "%s %s", method, path)
 	}
-	if into == nil || len(data) == 0 {
+	if into == nil {
 		return nil
 	}
 	if err := json.Unmarshal(data, into); err != nil {
@@ -176,7 +180,7 @@
 
 func statusError(status int) error {
 	switch {
-	case status < http.StatusMultipleChoices:
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
 		return nil
 	case status == http.StatusNotFound:
 		return ErrNotFound
--- a/transport/router/relay.go
+++ b/transport/router/relay.go
@@ -13,6 +13,9 @@
 // it may forget them. It must be well below the sidecar's answer window.
 const ackEvery = 256 << 10
 
+// mostStatus is the greatest status that HTTP can tell.
+const mostStatus = 999
+
 // relayState is how far a relayed answer is.
 type relayState int
 
@@ -106,6 +109,10 @@
 		l.metrics.dropped(chunkCrossed)
 		return false
 	}
+	if h.Status < http.StatusOK || h.Status > mostStatus {
+		l.metrics.dropped(answerMismatch)
+		return false
+	}
 	if l.wrote {
 		return true
 	}
--- a/transport/router/spread.go
+++ b/transport/router/spread.go
@@ -66,7 +66,7 @@
 
 // heard takes a sidecar's word on its revision.
 func (r *Router) heard(l *sidecarLink, load *wire.Load) {
-	age := time.Duration(load.ConfigAgeMs) * time.Millisecond
+	age := wire.Millis(load.ConfigAgeMs)
 	r.spread.Heard(spread.Peer{Role: platform.RoleSidecar, Address: l.addr}, load.Revision, age)
 }
 
--- a/transport/sidecar/answer.go
+++ b/transport/sidecar/answer.go
@@ -114,10 +114,10 @@
 func (a *answer) ack(offset int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := min(offset-a.base, int64(len(a.buf)))
-	if n <= 0 {
+	if offset <= a.base || len(a.buf) == 0 {
 		return
 	}
+	n := min(offset-a.base, int64(len(a.buf)))
 	a.buf = append(a.buf[:0], a.buf[n:]...)
 	a.base += n
 	a.changed()
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -151,6 +151,10 @@
 // do sends the request once and returns the open answer. The error is marked
 // with errNotWritten if the request certainly did not run.
 func (b *backend) do(ctx context.Context, st *wire.RunStart, body []byte) (*http.Response, error) {
+	if !strings.HasPrefix(st.Path, "/") {
+		// It would become a part of the backend server's address.
+		return nil, errors.Mark(errors.New("the path has no leading slash"), errNotWritten)
+	}
 	var used usedConn
 	trace := &httptrace.ClientTrace{GotConn: used.got}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), st.Method, b.base+st.Path, nil)
--- a/transport/sidecar/control.go
+++ b/transport/sidecar/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -34,7 +33,7 @@
 	s.heard(address, up.Hello.Revision, up.Hello.ConfigAgeMs)
 	r := newRouter(up.Hello.Router)
 	s.chooser.post(s.ctx, message{joined: r})
-	defer s.drain.set(s.ctx, r.id, false)
+	defer s.drain.set(s.ctx, drainByRouter(r.id), false)
 	defer s.chooser.post(s.ctx, message{parted: r, event: share.RouterDown{Router: r.id}})
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
@@ -81,12 +80,12 @@
 				Router: r.id,
 				Team:   i.Team,
 				Count:  int(i.Count),
-				Oldest: time.Duration(i.OldestMs) * time.Millisecond,
+				Oldest: wire.Millis(i.OldestMs),
 				Spread: int(i.Spread),
 			}})
 		}
 		if up.Listed != wire.Listed_LISTED_UNSPECIFIED {
-			s.drain.set(ctx, r.id, up.Listed == wire.Listed_LISTED_LEAVING)
+			s.drain.set(ctx, drainByRouter(r.id), up.Listed == wire.Listed_LISTED_LEAVING)
 		}
 		for _, e := range up.Empties {
 			s.chooser.post(ctx, message{event: share.PullEmpty{Pull: e.Pull}})
--- a/transport/sidecar/drain.go
+++ b/transport/sidecar/drain.go
@@ -16,12 +16,16 @@
 	lastStartVar = expvar.NewInt("sidecar_last_start_unix_ms")
 )
 
-// Sources of a drain. Routers are named by their id.
+// Sources of a drain beside routers.
 const (
 	drainByConfig = "configuration"
 	drainByLease  = "lease"
 )
 
+// drainByRouter names a router as a source of a drain. No router's id makes it
+// the name of another source.
+func drainByRouter(id string) string { return "router " + id }
+
 // drain collects the reasons for which the sidecar takes no new work: the
 // configuration's drain list, the platform's list as routers read it, and a
 // lease that is not held.
--- a/transport/sidecar/exchange.go
+++ b/transport/sidecar/exchange.go
@@ -221,8 +221,8 @@
 		if c.Writer == "" {
 			lc.Writer, lc.Incarnation = m.Sender, m.Incarnation
 		}
-		if c.Ahead > 0 {
-			ev.Ahead[c.Team] = c.Ahead
+		if ahead := wire.Amount(c.Ahead); ahead > 0 {
+			ev.Ahead[c.Team] = ahead
 		}
 		ev.Counters = append(ev.Counters, lc)
 	}
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,7 +39,7 @@
 	ctx := a.ctx
 	if ms := a.start.DeadlineMs; ms > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(ms)*time.Millisecond, errRunDeadline)
+		ctx, cancel = context.WithTimeoutCause(ctx, wire.Millis(ms), errRunDeadline)
 		defer cancel()
 	}
 	ctx, span := s.beginRun(ctx, a)
@@ -69,6 +70,10 @@
 		return &wire.End{Outcome: string(outcome.Unknown), Reason: string(reasonOf(ctx))}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK {
+		// What follows is another protocol, or no answer of HTTP.
+		return &wire.End{Outcome: string(outcome.Failed), Reason: string(outcome.ReasonBackend)}
+	}
 	a.answer.setHead(headOf(resp, a.runs.incarnation), resp.ContentLength)
 	a.status = resp.StatusCode
 	return copyAnswer(ctx, a, s.limits.timed(resp, began))
--- a/transport/sidecar/meter.go
+++ b/transport/sidecar/meter.go
@@ -12,12 +12,33 @@
 // eventSeparator ends a server-sent event.
 var eventSeparator = []byte("\n\n")
 
+// events counts the events of a stream that comes in parts.
+type events struct {
+	// half tells that the last part ended within a separator.
+	half bool
+}
+
+// count returns the number of events that end in the next part.
+func (e *events) count(part []byte) int64 {
+	if len(part) == 0 {
+		return 0
+	}
+	var n int64
+	if e.half && part[0] == eventSeparator[0] {
+		n, part = 1, part[1:]
+	}
+	text := bytes.TrimRight(part, "\n")
+	e.half = (len(part)-len(text))%len(eventSeparator) == 1
+	return n + int64(bytes.Count(part, eventSeparator))
+}
+
 // meter counts the cost of one attempt while it runs.
 type meter struct {
 	kind         config.ServiceKind
 	promptWeight float64
 	started      atomic.Int64
 	tokens       atomic.Int64
+	events       events
 	final        atomic.Pointer[float64]
 }
 
@@ -46,7 +67,7 @@
 // read counts a part of a streamed answer.
 func (m *meter) read(part []byte) {
 	if m.kind == config.KindModel {
-		m.tokens.Add(int64(bytes.Count(part, eventSeparator)))
+		m.tokens.Add(m.events.count(part))
 	}
 }
 
@@ -61,12 +82,19 @@
 	} `json:"usage"`
 }
 
+// cost returns what the usage comes to. An engine may tell anything; no part
+// counts less than nothing.
+func (u usage) cost(promptWeight float64) float64 {
+	prompt := max(u.Usage.PromptTokens, 0)
+	fresh := prompt - min(max(u.Usage.Details.CachedTokens, 0), prompt)
+	return float64(max(u.Usage.CompletionTokens, 0)) + promptWeight*float64(fresh)
+}
+
 // settle fixes the final cost from the answer's tail, if it tells.
 func (m *meter) settle(tail []byte) {
 	cost := m.cost()
 	if u, ok := lastUsage(tail); m.kind == config.KindModel && ok {
-		fresh := u.Usage.PromptTokens - u.Usage.Details.CachedTokens
-		cost = float64(u.Usage.CompletionTokens) + m.promptWeight*float64(fresh)
+		cost = u.cost(m.promptWeight)
 	}
 	m.final.Store(&cost)
 }
@@ -74,18 +102,24 @@
 // lastUsage finds the usage object in a whole answer or in the last events of
 // a stream.
 func lastUsage(tail []byte) (usage, bool) {
-	var u usage
-	if json.Unmarshal(tail, &u) == nil && u.Usage != nil {
+	if u, ok := usageOf(tail); ok {
 		return u, true
 	}
 	events := bytes.Split(tail, eventSeparator)
 	for i := len(events) - 1; i >= 0; i-- {
 		data, found := bytes.CutPrefix(bytes.TrimSpace(events[i]), []byte("data:"))
-		if found && json.Unmarshal(data, &u) == nil && u.Usage != nil {
+		if u, ok := usageOf(data); found && ok {
 			return u, true
 		}
 	}
-	return u, false
+	return usage{}, false
+}
+
+// usageOf reads one object.
+func usageOf(data []byte) (usage, bool) {
+	var u usage
+	ok := json.Unmarshal(data, &u) == nil && u.Usage != nil
+	return u, ok
 }
 
 // tailSize is how much of an answer's end is kept to read the usage, in bytes.
--- a/transport/sidecar/run.go
+++ b/transport/sidecar/run.go
@@ -109,7 +109,7 @@
 		Router:   st.Router,
 		Team:     st.Team,
 		Class:    st.Class,
-		Estimate: st.Estimate,
+		Estimate: wire.Amount(st.Estimate),
 	}})
 	select {
 	case v := <-a.verdict:
@@ -163,7 +163,7 @@
 // readBody collects the request body, which is bounded.
 func readBody(stream wire.DRPCSidecar_RunStream, st *wire.RunStart) ([]byte, error) {
 	body := st.Body
-	if st.BodyRest < 0 || int64(len(body))+st.BodyRest > maxBody {
+	if st.BodyRest < 0 || st.BodyRest > maxBody-int64(len(body)) {
 		return nil, errors.New("run: body too large")
 	}
 	for rest := st.BodyRest; rest > 0; {
--- a/transport/sidecar/runs.go
+++ b/transport/sidecar/runs.go
@@ -120,5 +120,5 @@
 	if req.Peek {
 		return r.table.Peek(id)
 	}
-	return r.table.Settle(time.Now(), id, time.Duration(req.AgeMs)*time.Millisecond)
+	return r.table.Settle(time.Now(), id, wire.Millis(req.AgeMs))
 }
--- a/transport/sidecar/spread.go
+++ b/transport/sidecar/spread.go
@@ -65,7 +65,7 @@
 	if address == "" {
 		return
 	}
-	age := time.Duration(ageMS) * time.Millisecond
+	age := wire.Millis(ageMS)
 	s.spread.Heard(spread.Peer{Role: platform.RoleRouter, Address: address}, revision, age)
 }
 
--- a/transport/sidecar/timing.go
+++ b/transport/sidecar/timing.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -21,6 +20,7 @@
 type timedBody struct {
 	io.Reader
 	limits *limits
+	events events
 	// waited since the last token.
 	waited time.Duration
 	any    bool
@@ -39,8 +39,8 @@
 	began := time.Now()
 	n, err := t.Reader.Read(p)
 	t.waited += time.Since(began)
-	if tokens := bytes.Count(p[:n], eventSeparator); tokens > 0 {
-		t.tokens(int64(tokens))
+	if tokens := t.events.count(p[:n]); tokens > 0 {
+		t.tokens(tokens)
 	}
 	return n, err
 }
--- a/transport/spread/instances.go
+++ b/transport/spread/instances.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return false
 	}
-	age := time.Duration(resp.ConfigAgeMs) * time.Millisecond
+	age := wire.Millis(resp.ConfigAgeMs)
 	s.post(ctx, message{event: spread.Heard{Peer: key(p), Revision: resp.Revision, Age: age}})
 	return s.takeInstances(ctx, resp)
 }
@@ -160,7 +160,7 @@
 	if resp.InstancesDigest == 0 {
 		return false
 	}
-	asOf := time.Now().Add(-time.Duration(resp.InstancesAgeMs) * time.Millisecond)
+	asOf := time.Now().Add(-wire.Millis(resp.InstancesAgeMs))
 	own := s.list.Load()
 	if !asOf.After(own.asOf) {
 		return true
--- a/transport/spread/peers.go
+++ b/transport/spread/peers.go
@@ -69,7 +69,7 @@
 		s.post(ctx, message{event: spread.FetchFailed{Peer: from}})
 		return
 	}
-	age := time.Duration(resp.ConfigAgeMs) * time.Millisecond
+	age := wire.Millis(resp.ConfigAgeMs)
 	s.post(ctx, message{event: spread.Heard{Peer: from, Revision: resp.Revision, Age: age}})
 	s.post(ctx, message{event: spread.Fetched{Peer: from, Revision: resp.Revision, Age: age}, doc: doc})
 }
