The last metrics of the whole program belong to their sidecar

Cause: the starts of runs and the orders to the engine counted in expvar's registry, so that two sidecars of one program shared them, and the test that holds the page to the metrics did not see them.

They are in the sidecar's own set now; names and meaning stay.

Ruled out: dropping the counters that the sidecar keeps for its last log line; they are read as a time, not as a metric.

--- a/transport/sidecar/drain.go
+++ b/transport/sidecar/drain.go
@@ -2,20 +2,11 @@
 
 import (
 	"context"
-	"expvar"
 	"sync"
 
 	"goldcrestport/coordination/share"
 )
 
-// Metrics of this process; expvar names are process-wide. The time from a
-// drain to the last new start is read from them and from the log line of the
-// drain.
-var (
-	startsVar    = expvar.NewInt("sidecar_starts")
-	lastStartVar = expvar.NewInt("sidecar_last_start_unix_ms")
-)
-
 // Sources of a drain beside routers.
 const (
 	drainByConfig = "configuration"
--- a/transport/sidecar/metrics.go
+++ b/transport/sidecar/metrics.go
@@ -25,6 +25,13 @@
 	// Messages to and from routers and peers that are no part of a request.
 	controlIn  *expvar.Int
 	controlOut *expvar.Int
+	// Starts of runs. The time from a drain to the last new start is read from
+	// them and from the log line of the drain.
+	starts    *expvar.Int
+	lastStart *expvar.Int
+	// Orders to the engine.
+	ordersLeft *expvar.Int
+	ordersSent *expvar.Int
 }
 
 func newMetrics(s *Sidecar) *metrics {
@@ -40,6 +47,11 @@
 
 		controlIn:  v.Int("sidecar_control_bytes_in"),
 		controlOut: v.Int("sidecar_control_bytes_out"),
+
+		starts:     v.Int("sidecar_starts"),
+		lastStart:  v.Int("sidecar_last_start_unix_ms"),
+		ordersLeft: v.Int("sidecar_orders_left"),
+		ordersSent: v.Int("sidecar_orders_sent"),
 	}
 }
 
--- a/transport/sidecar/orders.go
+++ b/transport/sidecar/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -26,11 +25,6 @@
 // drainByOrders names a change of role as a source of a drain.
 const drainByOrders = "orders"
 
-var (
-	ordersLeftVar = expvar.NewInt("sidecar_orders_left")
-	ordersSentVar = expvar.NewInt("sidecar_orders_sent")
-)
-
 // reconciler is the duty that gives the engine its orders.
 type reconciler struct {
 	s       *Sidecar
@@ -106,7 +100,7 @@
 	}
 	left := int64(r.core.Progress().Left)
 	if r.left.Swap(left) != left {
-		ordersLeftVar.Set(left)
+		r.s.metrics.ordersLeft.Set(left)
 		_ = r.s.log.Log("event", "orders", "left", left, "revision", r.core.Progress().Revision)
 	}
 }
@@ -161,7 +155,7 @@
 }
 
 func (r *reconciler) send(ctx context.Context, o orders.Order) {
-	ordersSentVar.Add(1)
+	r.s.metrics.ordersSent.Add(1)
 	sub, cancel := context.WithTimeout(ctx, r.s.set.Orders.Timeout.D())
 	defer cancel()
 	err := r.engine.give(sub, r.s.incarnation(), o)
--- a/transport/sidecar/sidecar.go
+++ b/transport/sidecar/sidecar.go
@@ -187,8 +187,8 @@
 	now := time.Now()
 	s.starts.Add(1)
 	s.startedAt.Store(now.UnixNano())
-	startsVar.Add(1)
-	lastStartVar.Set(now.UnixMilli())
+	s.metrics.starts.Add(1)
+	s.metrics.lastStart.Set(now.UnixMilli())
 }
 
 // lastStart returns when the last run started.
