One piece for the post loops, the leaving loop and the seeds

Cause: routers and sidecars each had the loop that drives a graceful shutdown and the function that makes peers of the seeds; five drivers had the same select for posting to a ring; the core of claims ended its two kinds of reads alike, line for line.

The bounds of the two connection pools have the same names and other values. The claims writer's post returns whether the event was taken, so it is no copy.

Conclusion: the drivers differ in what they decide on only.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -161,15 +161,24 @@
 	s.emit(Read{Shard: sh.id})
 }
 
-func (s *State) readDone(now time.Time, ev ReadDone) {
-	sh := s.shards[ev.Shard]
+// readEnded ends a read of the shard or of a segment and reports whether it
+// brought something; if not, it is made again after a pause.
+func (s *State) readEnded(now time.Time, sh *shard, result CallResult) bool {
 	sh.busy = false
-	if ev.Result != OK {
+	if result != OK {
 		sh.retryAt = s.after(now, sh.failures)
 		sh.failures++
-		return
+		return false
 	}
 	sh.failures = 0
+	return true
+}
+
+func (s *State) readDone(now time.Time, ev ReadDone) {
+	sh := s.shards[ev.Shard]
+	if !s.readEnded(now, sh, ev.Result) {
+		return
+	}
 	sh.stale = false
 	sh.table = ev.Table
 	sh.version = ev.Version
--- a/coordination/claim/seal.go
+++ b/coordination/claim/seal.go
@@ -53,13 +53,9 @@
 
 func (s *State) segmentDone(now time.Time, ev SegmentDone) {
 	sh := s.shards[ev.Shard]
-	sh.busy = false
-	if ev.Result != OK {
-		sh.retryAt = s.after(now, sh.failures)
-		sh.failures++
+	if !s.readEnded(now, sh, ev.Result) {
 		return
 	}
-	sh.failures = 0
 	if sh.segments == nil {
 		sh.segments = map[string]*claims.Table{}
 	}
--- a/transport/router/dispatcher.go
+++ b/transport/router/dispatcher.go
@@ -7,6 +7,7 @@
 	"goldcrestport/coordination/dispatch"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/duty"
 )
 
 // Bounds of the rings between duties.
@@ -69,10 +70,7 @@
 
 // post hands a message to the duty, waiting while its ring is full.
 func (d *dispatcher) post(ctx context.Context, m message) {
-	select {
-	case d.messages <- m:
-	case <-ctx.Done():
-	}
+	duty.Post(ctx, d.messages, m)
 }
 
 // run is the duty's loop.
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -8,11 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/leave"
+	"goldcrestport/transport/duty"
 )
 
-// leaveEvery is the period in which a leaving process looks at what it holds.
-const leaveEvery = 10 * time.Millisecond
-
 // shutdownTimeout bounds the closing of the callers' connections once nothing
 // is held.
 const shutdownTimeout = time.Second
@@ -69,27 +67,9 @@
 func (r *Router) leave(srv *http.Server) {
 	cfg := leave.DefaultConfig()
 	cfg.Linger, cfg.Bound = r.set.Stop.Linger.D(), r.set.Stop.Bound.D()
-	core := leave.New(cfg)
-	ticker := time.NewTicker(leaveEvery)
-	defer ticker.Stop()
 	_ = r.log.Log("event", "leaving", "held", r.held.Load())
 	r.unready.Store(true)
-	phase := core.Step(time.Now(), leave.Asked{})
-	r.enter(phase, srv)
-	abort := r.abort
-	for phase != leave.Stopped {
-		var ev leave.Event
-		select {
-		case <-ticker.C:
-			ev = leave.Ticked{Held: int(r.held.Load())}
-		case <-abort:
-			abort, ev = nil, leave.AskedAgain{}
-		}
-		if next := core.Step(time.Now(), ev); next != phase {
-			phase = next
-			r.enter(phase, srv)
-		}
-	}
+	duty.Leave(cfg, r.held.Load, r.abort, func(p leave.Phase) { r.enter(p, srv) })
 }
 
 // enter begins a phase of leaving.
--- a/transport/router/spread.go
+++ b/transport/router/spread.go
@@ -25,7 +25,7 @@
 	cfg.Seed = uint64(time.Now().UnixNano())
 	s := spread.New(spread.Options{
 		Self:           cfg,
-		Seeds:          seeds(r.set.Seeds),
+		Seeds:          spread.Routers(r.set.Seeds),
 		InstancesEvery: r.set.Platform.InstancesEvery.D(),
 		Store:          r.store,
 		Directory:      r.directory,
@@ -37,15 +37,6 @@
 	return s
 }
 
-// seeds turns the routers of the settings into peers.
-func seeds(addresses []string) []spread.Peer {
-	var out []spread.Peer
-	for _, a := range addresses {
-		out = append(out, spread.Peer{Role: platform.RoleRouter, Address: a})
-	}
-	return out
-}
-
 // beat tells every linked sidecar the revision that is in force here.
 func (r *Router) beat() {
 	b := &wire.RouterBeat{Revision: r.spread.Revision(), ConfigAgeMs: r.spread.Age().Milliseconds()}
--- a/transport/sidecar/chooser.go
+++ b/transport/sidecar/chooser.go
@@ -7,6 +7,7 @@
 	"goldcrestport/coordination/report"
 	"goldcrestport/coordination/share"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/duty"
 )
 
 // Bounds of the rings between duties.
@@ -89,10 +90,7 @@
 
 // post hands a message to the duty, waiting while its ring is full.
 func (c *chooser) post(ctx context.Context, m message) {
-	select {
-	case c.messages <- m:
-	case <-ctx.Done():
-	}
+	duty.Post(ctx, c.messages, m)
 }
 
 // ask runs a query of the core in the duty and reports whether it was run.
--- a/transport/sidecar/leave.go
+++ b/transport/sidecar/leave.go
@@ -1,15 +1,11 @@
 package sidecar
 
 import (
-	"time"
-
 	"goldcrestport/coordination/leave"
 	"goldcrestport/coordination/share"
+	"goldcrestport/transport/duty"
 )
 
-// leaveEvery is the period in which a leaving process looks at what it holds.
-const leaveEvery = 10 * time.Millisecond
-
 // Abort ends a graceful shutdown early: what still runs ends with a typed
 // outcome. It may be called at any time and more than once.
 func (s *Sidecar) Abort() { s.abortOnce.Do(func() { close(s.abort) }) }
@@ -19,27 +15,9 @@
 func (s *Sidecar) leave() {
 	cfg := leave.DefaultConfig()
 	cfg.Linger, cfg.Bound = s.set.Stop.Linger.D(), s.set.Stop.Bound.D()
-	core := leave.New(cfg)
-	ticker := time.NewTicker(leaveEvery)
-	defer ticker.Stop()
 	_ = s.log.Log("event", "leaving", "held", s.held.Load())
 	s.leaving.Store(true)
-	phase := core.Step(time.Now(), leave.Asked{})
-	s.enter(phase)
-	abort := s.abort
-	for phase != leave.Stopped {
-		var ev leave.Event
-		select {
-		case <-ticker.C:
-			ev = leave.Ticked{Held: int(s.held.Load())}
-		case <-abort:
-			abort, ev = nil, leave.AskedAgain{}
-		}
-		if next := core.Step(time.Now(), ev); next != phase {
-			phase = next
-			s.enter(phase)
-		}
-	}
+	duty.Leave(cfg, s.held.Load, s.abort, s.enter)
 }
 
 // enter begins a phase of leaving.
--- a/transport/sidecar/orders.go
+++ b/transport/sidecar/orders.go
@@ -11,6 +11,7 @@
 	"goldcrestport/coordination/orders"
 	"goldcrestport/protocol/document"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/duty"
 	"goldcrestport/transport/spread"
 )
 
@@ -59,10 +60,7 @@
 }
 
 func (r *reconciler) post(ctx context.Context, ev orders.Event) {
-	select {
-	case r.events <- ev:
-	case <-ctx.Done():
-	}
+	duty.Post(ctx, r.events, ev)
 }
 
 // run is the duty's loop.
--- a/transport/sidecar/spread.go
+++ b/transport/sidecar/spread.go
@@ -27,7 +27,7 @@
 	cfg.StartJitter = startJitter
 	sp := spread.New(spread.Options{
 		Self:           cfg,
-		Seeds:          seeds(s.set.Seeds),
+		Seeds:          spread.Routers(s.set.Seeds),
 		InstancesEvery: s.set.Platform.InstancesEvery.D(),
 		Store:          s.store,
 		Directory:      s.directory,
@@ -39,15 +39,6 @@
 	return sp
 }
 
-// seeds turns the routers of the settings into peers.
-func seeds(addresses []string) []spread.Peer {
-	var out []spread.Peer
-	for _, a := range addresses {
-		out = append(out, spread.Peer{Role: platform.RoleRouter, Address: a})
-	}
-	return out
-}
-
 // adopt puts a newer document in force.
 func (s *Sidecar) adopt(doc *config.Document) {
 	s.doc.Store(doc)
--- a/transport/sidecar/timing.go
+++ b/transport/sidecar/timing.go
@@ -10,6 +10,7 @@
 	"goldcrestport/coordination/limit"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/duty"
 )
 
 // eventStream is the media type of a streamed answer.
@@ -71,10 +72,7 @@
 
 // post hands an event to the duty, waiting while its ring is full.
 func (l *limits) post(ctx context.Context, e runEvent) {
-	select {
-	case l.runs <- e:
-	case <-ctx.Done():
-	}
+	duty.Post(ctx, l.runs, e)
 }
 
 // resultOf tells what the end of a run says of the backend server.
--- a/transport/spread/peers.go
+++ b/transport/spread/peers.go
@@ -27,6 +27,15 @@
 	return Peer{Role: platform.Role(role), Address: addr}
 }
 
+// Routers returns the routers at the addresses as peers.
+func Routers(addresses []string) []Peer {
+	var out []Peer
+	for _, a := range addresses {
+		out = append(out, Peer{Role: platform.RoleRouter, Address: a})
+	}
+	return out
+}
+
 // PoolAsker asks over pooled drpc connections.
 type PoolAsker struct{ Pool *link.Pool }
 
--- a/transport/spread/spread.go
+++ b/transport/spread/spread.go
@@ -18,6 +18,7 @@
 	"goldcrestport/coordination/spread"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/duty"
 	"goldcrestport/transport/platform"
 )
 
@@ -166,10 +167,7 @@
 }
 
 func (s *Spreader) post(ctx context.Context, m message) {
-	select {
-	case s.messages <- m:
-	case <-ctx.Done():
-	}
+	duty.Post(ctx, s.messages, m)
 }
 
 // Run keeps the configuration until ctx ends.
