--- a/transport/sidecar/messages_fuzz_test.go
+++ b/transport/sidecar/messages_fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -20,6 +21,7 @@
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/state/attempts"
 	"goldcrestport/state/ledger"
 )
 
@@ -107,6 +109,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	ok := s.chooser.ask(ctx, func(core *share.State) {
+		core.Step(time.Now(), share.Interest{Router: "probe", Team: "a", Count: 1})
 		core.Step(time.Now(), share.Ticked{})
 		core.TeamCosts(func(team string, cost float64) { c.Check(wire.Amount(cost), qt.Equals, cost, qt.Commentf("%q", team)) })
 		counters, ahead := core.Standing()
@@ -324,3 +327,44 @@
 	c.Assert(string(a.buf), qt.Equals, "34")
 	c.Assert(a.base, qt.Equals, int64(2))
 }
+
+// An age whose nanoseconds wrap around is a long one: what is not known may
+// have been forgotten, so it can't be blocked as never seen.
+func TestLongAgeIsNoShortOne(t *testing.T) {
+	c := qt.New(t)
+	const wraps = 18446744073710 // milliseconds; 448 microseconds beyond 2^64 ns
+	cfg := attempts.DefaultConfig()
+	cfg.KnownFor = time.Nanosecond
+	for _, age := range []int64{wraps, math.MaxInt64} {
+		r := newRuns("i", cfg)
+		forgotten := attempts.ID{Request: "forgotten"}
+		r.offer(forgotten)
+		r.decline(forgotten)
+		time.Sleep(2 * time.Millisecond)
+		req := &wire.SettleRequest{Attempt: &wire.Attempt{RequestId: "r"}, AgeMs: age}
+		c.Check(r.settle(req).Phase, qt.Equals, attempts.Unsure)
+	}
+}
+
+// An answer whose status HTTP can't tell is none.
+func TestAnswerWithoutStatusEndsAsFailed(t *testing.T) {
+	c := qt.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, readSize))
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok")
+		_ = conn.Close()
+	}()
+	s := fuzzed(c, "http://"+lis.Addr().String())
+	start := &wire.RunUp{Kind: &wire.RunUp_Start{Start: startOf("GET", "/x", true, "")}}
+	stream := newFakeStream(context.Background(), lastOfRun, start)
+	c.Assert(s.Run(stream), qt.IsNil)
+	c.Assert(stream.sent, qt.HasLen, 1)
+	c.Check(stream.sent[0].GetEnd().GetOutcome(), qt.Equals, string(outcome.Failed))
+}
