--- a/transport/sidecar/timing.go
+++ b/transport/sidecar/timing.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"goldcrestport/coordination/limit"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/duty"
 )
 
 // eventStream is the media type of a streamed answer.
@@ -21,6 +21,7 @@
 type timedBody struct {
 	io.Reader
 	limits *limits
+	events events
 	// waited since the last token.
 	waited time.Duration
 	any    bool
@@ -39,8 +40,8 @@
 	began := time.Now()
 	n, err := t.Reader.Read(p)
 	t.waited += time.Since(began)
-	if tokens := bytes.Count(p[:n], eventSeparator); tokens > 0 {
-		t.tokens(int64(tokens))
+	if tokens := t.events.count(p[:n]); tokens > 0 {
+		t.tokens(tokens)
 	}
 	return n, err
 }
@@ -71,10 +72,7 @@
 
 // post hands an event to the duty, waiting while its ring is full.
 func (l *limits) post(ctx context.Context, e runEvent) {
-	select {
-	case l.runs <- e:
-	case <-ctx.Done():
-	}
+	duty.Post(ctx, l.runs, e)
 }
 
 // resultOf tells what the end of a run says of the backend server.
--- a/transport/spread/peers.go
+++ b/transport/spread/peers.go
@@ -27,6 +27,15 @@
 	return Peer{Role: platform.Role(role), Address: addr}
 }
 
+// Routers returns the routers at the addresses as peers.
+func Routers(addresses []string) []Peer {
+	var out []Peer
+	for _, a := range addresses {
+		out = append(out, Peer{Role: platform.RoleRouter, Address: a})
+	}
+	return out
+}
+
 // PoolAsker asks over pooled drpc connections.
 type PoolAsker struct{ Pool *link.Pool }
 
@@ -69,7 +78,7 @@
 		s.post(ctx, message{event: spread.FetchFailed{Peer: from}})
 		return
 	}
-	age := time.Duration(resp.ConfigAgeMs) * time.Millisecond
+	age := wire.Millis(resp.ConfigAgeMs)
 	s.post(ctx, message{event: spread.Heard{Peer: from, Revision: resp.Revision, Age: age}})
 	s.post(ctx, message{event: spread.Fetched{Peer: from, Revision: resp.Revision, Age: age}, doc: doc})
 }
