slopes: control with the pulls, and tables from an earlier report

Cause: the sum of the parts left out what comes with each request that waited. Ruled out: the slope over backlogged teams, which is none within the spread.

--- a/bench/cmd/slopes/main.go
+++ b/bench/cmd/slopes/main.go
@@ -28,11 +28,18 @@
 
 func command() *cobra.Command {
 	o := slopes.Options{Progress: func(format string, args ...any) { fmt.Printf(format+"\n", args...) }}
-	var page string
+	var page, from string
 	cmd := &cobra.Command{
 		Use: "slopes", Short: "Measure the costs of each role over the size of the fleet",
 		Args: cobra.NoArgs, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if from != "" {
+				rep, err := slopes.ReadReport(from)
+				if err != nil {
+					return err
+				}
+				return rep.WriteInto(page)
+			}
 			rep, err := slopes.Run(cmd.Context(), o)
 			if err != nil {
 				return err
@@ -46,6 +53,7 @@
 	f.StringSliceVar(&o.Only, "only", nil, "scenarios to run (default all)")
 	f.DurationVar(&o.Window, "window", 3*time.Second, "length of one reading; three are taken at each size")
 	f.StringVar(&page, "page", "", "page whose tables are replaced (default: none)")
+	f.StringVar(&from, "from", "", "report of an earlier run whose tables are written again")
 	return cmd
 }
 
--- a/bench/slopes/report.go
+++ b/bench/slopes/report.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -29,6 +30,24 @@
 	return r
 }
 
+// ReadReport reads the report of an earlier run.
+func ReadReport(file string) (*Report, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "report")
+	}
+	var r Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	s := set{}
+	for i := range r.Series {
+		s.order = append(s.order, &r.Series[i])
+	}
+	r.rows = budget(&s, Target)
+	return &r, nil
+}
+
 // Markdown renders the tables.
 func (r *Report) Markdown() string {
 	var b strings.Builder
--- a/bench/slopes/scenarios.go
+++ b/bench/slopes/scenarios.go
@@ -175,10 +175,19 @@
 	})
 }
 
+// The scenario of the backlog: its sidecars and slots, and the requests a
+// second that they pull.
+const (
+	backlogSidecars = 8
+	backlogSlots    = 2
+	backlogTime     = 200 * time.Millisecond
+	backlogRate     = backlogSidecars * backlogSlots / 0.2
+)
+
 // backlog varies the teams that always have work waiting at one router.
 func backlog(ctx context.Context, m *measurement, size int) error {
 	const perTeam = 3
-	s := shape{routers: 1, sidecars: 8, teams: size, kind: config.KindPlain, slots: 2, args: []string{"--time", "200ms", "--slots", "64"}}
+	s := shape{routers: 1, sidecars: backlogSidecars, teams: size, kind: config.KindPlain, slots: backlogSlots, args: []string{"--time", backlogTime.String(), "--slots", "64"}}
 	return m.with(ctx, "backlog", s, func(r *rig) error {
 		return m.loaded(ctx, "backlog", r, perBacklog, float64(size), func(ctx context.Context, c *caller) func() {
 			return closed(ctx, size*perTeam, func(i int) { c.plain(ctx, r.routers[0], teamName(i%size)) })
--- a/bench/slopes/target.go
+++ b/bench/slopes/target.go
@@ -94,6 +94,7 @@
 			sum(s, role, costRSS, 0, "requests held, not control", part{perHeld, t.Held / t.nodes(role)}),
 		)
 	}
+	out = append(out, pulls(s, t))
 	return append(out, platformRows(s, t)...)
 }
 
@@ -128,6 +129,29 @@
 	return out
 }
 
+// pulls is a router's control with the messages that come with each request
+// that waited: the pull and the changes of interest. The scenario of the
+// backlog pulls all its requests, at the rate that its slots allow.
+func pulls(s *set, t Size) row {
+	out := row{role: roleRouter, cost: costControl, budget: budgetControl, note: "per second and per request that waited, all waiting"}
+	load, links := s.find(roleRouter, costControl, perBacklog), s.find(roleRouter, costControl, perLinks)
+	if len(load.Points) < 3 || len(links.Points) < 3 {
+		out.formula = "[no run]"
+		return out
+	}
+	var y []float64
+	for _, p := range load.Points {
+		y = append(y, p.Y)
+	}
+	rest := links.Fit()
+	each := (mean(y) - rest.At(backlogSidecars)) / backlogRate
+	perNode := t.Requests / float64(t.Routers)
+	out.measured = true
+	out.value = rest.At(t.replicasPerRegion()) + each*perNode
+	out.formula = fmt.Sprintf("%.4g + %.4g x %.0f links + %.4g B x %.0f requests/s", rest.Intercept, rest.Slope, t.replicasPerRegion(), each, perNode)
+	return out
+}
+
 // platformRows are the calls of the whole fleet at rest, from the periods that
 // the processes keep (coordination/spread, transport/sidecar).
 func platformRows(s *set, t Size) []row {
