A configuration is written once for all peers that ask for it whole

A heap profile showed the compressor's buffers: each sidecar that starts asks for the whole document, and each answer wrote it anew. Ruled out: rings, histograms and the drpc buffers, which were small in the profile.

--- a/transport/spread/peers.go
+++ b/transport/spread/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,6 +112,29 @@
 		return resp, nil
 	}
 	var err error
-	resp.Document, err = document.Encode(doc)
+	resp.Document, err = s.whole.of(doc)
 	return resp, err
 }
+
+// wholeDocument is the document in force as peers get it, written once for
+// each revision: a starting region asks for it all at once.
+type wholeDocument struct {
+	mu   sync.Mutex
+	doc  *config.Document
+	data []byte
+}
+
+// of returns the encoded document.
+func (w *wholeDocument) of(doc *config.Document) ([]byte, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.doc == doc {
+		return w.data, nil
+	}
+	data, err := document.Encode(doc)
+	if err != nil {
+		return nil, err
+	}
+	w.doc, w.data = doc, data
+	return data, nil
+}
--- a/transport/spread/spread.go
+++ b/transport/spread/spread.go
@@ -71,6 +71,7 @@
 	contact atomic.Pointer[Peer]
 	view    atomic.Pointer[view]
 	steps   steps
+	whole   wholeDocument
 	use     usage
 
 	mu          sync.Mutex
--- a/transport/spread/spread_test.go
+++ b/transport/spread/spread_test.go
@@ -135,6 +135,25 @@
 	c.Assert(config.Equal(behind.Document(), source.Document()), qt.IsTrue)
 }
 
+// Many peers that start at once get the same bytes, written once.
+func TestWholeDocumentIsWrittenOnce(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put(c, document1(1))
+	s := started(c, store, fakePeers{})
+	eventually(c, "the first", func() bool { return s.Revision() == 1 })
+	first, err := s.Answer(&wire.ConfigRequest{})
+	c.Assert(err, qt.IsNil)
+	again, err := s.Answer(&wire.ConfigRequest{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(&again.Document[0], qt.Equals, &first.Document[0])
+	s.Accept(context.Background(), document1(2))
+	next, err := s.Answer(&wire.ConfigRequest{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.Revision, qt.Equals, uint64(2))
+	c.Assert(next.Document, qt.Not(qt.DeepEquals), first.Document)
+}
+
 func TestOlderDocumentsNeverComeBack(t *testing.T) {
 	c := qt.New(t)
 	store := &fakeStore{}
