--- a/cmd/goldcrestd/commands.go
+++ b/cmd/goldcrestd/commands.go
@@ -22,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(routerCommand(), sidecarCommand(), validateCommand())
+	cmd.AddCommand(routerCommand(), sidecarCommand(), directCommand(), validateCommand())
 	return cmd
 }
 
--- a/cmd/goldcrestd/commands_test.go
+++ b/cmd/goldcrestd/commands_test.go
@@ -34,7 +34,7 @@
 	_, err := run("validate", "--role", roleSidecar, "-s", "../../docs/examples/router.json")
 	c.Check(err, quicktest.ErrorMatches, `settings .*: 6 to correct\n  backend: is required\n  limits: unknown key\n  listen.callers: unknown key\n  operators: unknown key\n  queues: unknown key\n  service: is required`)
 	_, err = run("validate", "--role", "gateway", "-s", "x")
-	c.Check(err, quicktest.ErrorMatches, `role "gateway": want router or sidecar`)
+	c.Check(err, quicktest.ErrorMatches, `role "gateway": want router, sidecar or direct`)
 }
 
 // A process whose settings are wrong must end before it binds anything.
--- /dev/null
+++ b/cmd/goldcrestd/direct.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/repeats"
+	"goldcrestport/coordination/roster"
+	"goldcrestport/platform"
+	"goldcrestport/protocol/settings"
+	"goldcrestport/transport/backend"
+	"goldcrestport/transport/direct"
+	"goldcrestport/transport/observe"
+)
+
+func directCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   roleDirect,
+		Short: "Run an entry router that calls backend servers itself",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return runDirect(file) },
+	}
+	settingsFlag(cmd, &file)
+	return cmd
+}
+
+// freshnessShare of the time in which a key must stop working is the greatest
+// age of the configuration; the rest is the way of a request to its server.
+const freshnessShare = 0.94
+
+// heapShare of the process's memory is the collector's soft limit; the rest is
+// for stacks, buffers of the kernel and what the limit overshoots.
+const heapShare = 0.6
+
+func runDirect(file string) error {
+	set := settings.DefaultDirect()
+	if err := settings.Load(file, &set); err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(set.Memory.Bytes())))
+	logger := observe.NewLogger(observe.NewWriter(os.Stdout), roleDirect, set.ID, set.Log)
+	source := platform.NewSource(platform.NewStore(set.Platform.URL))
+	r := direct.New(set, directConfig(set), source, platform.Dialect{}, logger)
+	return r.Serve(stopSignal(r.Abort))
+}
+
+func directConfig(set settings.Direct) direct.Config {
+	return direct.Config{
+		Admission: admission.DefaultConfig(),
+		Roster:    roster.DefaultConfig(),
+		Backend:   backend.DefaultConfig(),
+		Repeats: repeats.Config{
+			Window: set.Repeats.Window.D(), Ratio: set.Repeats.Ratio,
+			Allowance: float64(set.Repeats.Allowance), Use: repeats.DefaultUse,
+		},
+		Freshness: scale(set.KeyRevocation.D(), freshnessShare),
+	}
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
--- a/cmd/goldcrestd/validate.go
+++ b/cmd/goldcrestd/validate.go
@@ -11,6 +11,7 @@
 const (
 	roleRouter  = "router"
 	roleSidecar = "sidecar"
+	roleDirect  = "direct"
 )
 
 // validateCommand checks a settings file without starting anything.
@@ -32,7 +33,7 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&role, "role", "", "router or sidecar")
+	cmd.Flags().StringVar(&role, "role", "", "router, sidecar or direct")
 	_ = cmd.MarkFlagRequired("role")
 	settingsFlag(cmd, &file)
 	return cmd
@@ -47,7 +48,10 @@
 	case roleSidecar:
 		set := settings.DefaultSidecar()
 		return &set, nil
+	case roleDirect:
+		set := settings.DefaultDirect()
+		return &set, nil
 	default:
-		return nil, errors.Newf("role %q: want router or sidecar", role)
+		return nil, errors.Newf("role %q: want router, sidecar or direct", role)
 	}
 }
--- /dev/null
+++ b/coordination/admission/admission.go
@@ -0,0 +1,292 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestport/coordination/health"
+)
+
+// State holds the servers and this router's runs. Invariant: the counts of a
+// server are the sums over the runs that have not ended.
+type State struct {
+	cfg     Config
+	servers map[string]*server
+	pools   map[string]*pool
+	// routers is the number of routers that share the servers, at least 1.
+	routers int
+}
+
+// pool holds the servers of one service.
+type pool struct {
+	servers []*server
+	engine  bool
+}
+
+// New returns a state without servers. The config must be valid.
+func New(cfg Config) *State {
+	return &State{cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool), routers: 1}
+}
+
+// SetRouters tells how many routers share the servers.
+func (s *State) SetRouters(n int) { s.routers = max(n, 1) }
+
+// Routers returns the number of routers that share the servers.
+func (s *State) Routers() int { return s.routers }
+
+// SetEngine tells whether the service's servers are model engines.
+func (s *State) SetEngine(service string, engine bool) { s.pool(service).engine = engine }
+
+// Add takes a server in.
+func (s *State) Add(id, service string, slots int) {
+	if s.servers[id] != nil {
+		return
+	}
+	one := &server{
+		id: id, service: service, slots: max(slots, 1),
+		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), parts: make(map[uint64]time.Time),
+	}
+	s.servers[id] = one
+	p := s.pool(service)
+	p.servers = append(p.servers, one)
+	slices.SortFunc(p.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+}
+
+// Remove takes a server out; its runs go on.
+func (s *State) Remove(id string) {
+	one := s.servers[id]
+	if one == nil {
+		return
+	}
+	delete(s.servers, id)
+	p := s.pool(one.service)
+	p.servers = slices.DeleteFunc(p.servers, func(o *server) bool { return o == one })
+}
+
+func (s *State) pool(service string) *pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &pool{}
+		s.pools[service] = p
+	}
+	return p
+}
+
+// Place decides where the request goes.
+func (s *State) Place(now time.Time, req Request) Decision {
+	p := s.pool(req.Service)
+	usable := s.usable(now, p, req.Avoid)
+	if len(usable) == 0 {
+		return Decision{Verdict: NoServer, Reason: ReasonNoServer, RetryAfter: s.cfg.ReturnLeast}
+	}
+	if p.engine {
+		return s.placeEngine(now, req, usable)
+	}
+	return s.placePlain(now, usable)
+}
+
+// usable returns the servers that may get work: those that are not ejected,
+// one that is due a probe, and all when every one is ejected.
+func (s *State) usable(now time.Time, p *pool, avoid []string) []*server {
+	out := make([]*server, 0, len(p.servers))
+	for _, one := range p.servers {
+		if slices.Contains(avoid, one.id) {
+			continue
+		}
+		if one.health.Ejected() && !one.health.ProbeDue(now) {
+			continue
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+// placePlain takes the server with the least work in relation to its slots.
+// The other routers are presumed to send as this one does.
+func (s *State) placePlain(now time.Time, usable []*server) Decision {
+	best := slices.MinFunc(usable, func(a, b *server) int { return cmp.Compare(s.busy(now, a), s.busy(now, b)) })
+	return Decision{Verdict: Send, Run: s.start(now, best, 0, nil), Server: best.id}
+}
+
+// loadTime is how long a server's own word on its load counts. It was true
+// when an answer left the server; a request of a plain service takes some tens
+// of milliseconds.
+const loadTime = 100 * time.Millisecond
+
+// busy is the server's load in relation to its slots.
+func (s *State) busy(now time.Time, one *server) float64 {
+	own := float64(one.running + one.awaiting)
+	if now.Sub(one.loadAt) < loadTime {
+		own = max(own, float64(one.load.Running+one.load.Waiting))
+	}
+	return own / float64(one.slots)
+}
+
+// candidate is a server with what the request would meet there.
+type candidate struct {
+	server *server
+	rank   int
+	// unread are the tokens that the engine would have to read for it.
+	unread float64
+	// wait for the first token before its own reading.
+	wait time.Duration
+	// price is the wait plus what reading shared parts again costs others.
+	price time.Duration
+}
+
+// placeEngine takes the candidate of least price and admits the request when
+// the wait there is within its patience.
+func (s *State) placeEngine(now time.Time, req Request, usable []*server) Decision {
+	candidates := s.candidates(now, req, usable)
+	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.price, b.price) })
+	limit := s.patience(req, best)
+	d := Decision{Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank}
+	if best.wait > limit && !req.Again {
+		d.Verdict, d.Reason = Refuse, ReasonWait
+		d.RetryAfter = min(max(best.wait-limit, s.cfg.ReturnLeast), s.cfg.ReturnMost)
+		return d
+	}
+	d.Verdict = Send
+	d.Run = s.start(now, best.server, best.unread, req.Shared)
+	return d
+}
+
+// candidates returns the first servers in the order of the request's last
+// shared part. Without shared parts every server is a candidate.
+func (s *State) candidates(now time.Time, req Request, usable []*server) []candidate {
+	order := usable
+	if n := len(req.Shared); n > 0 {
+		part := req.Shared[n-1].ID
+		slices.SortFunc(order, func(a, b *server) int { return cmp.Compare(b.rank(part), a.rank(part)) })
+		order = order[:min(len(order), s.cfg.Candidates)]
+	}
+	out := make([]candidate, len(order))
+	for i, one := range order {
+		out[i] = s.assess(now, req, one, i)
+	}
+	return out
+}
+
+// unknownShare is the part of a shared prompt part that is presumed to be read
+// at its first server when this router has not sent it there lately: another
+// one may have.
+const unknownShare = 0.5
+
+// assess estimates what the request meets at the server.
+func (s *State) assess(now time.Time, req Request, one *server, rank int) candidate {
+	c := candidate{server: one, rank: rank, unread: float64(req.Prompt), wait: s.wait(one)}
+	var again float64
+	for _, part := range req.Shared {
+		tokens := float64(part.Tokens)
+		switch {
+		case one.holds(now, part.ID, s.cfg.BeliefTime):
+			c.unread -= tokens
+		case rank == 0:
+			c.unread -= tokens * (1 - unknownShare)
+		default:
+			again += tokens
+		}
+	}
+	c.unread = max(c.unread, 0)
+	c.price = c.wait + s.reading(c.unread) + s.reading(again*s.cfg.SpillWeight)
+	return c
+}
+
+// wait estimates the time to the first token of a request that arrives now.
+// The other routers are presumed to have sent as much as this one.
+func (s *State) wait(one *server) time.Duration {
+	runs := time.Duration((one.running + one.awaiting) * s.routers)
+	return s.reading(one.unread*float64(s.routers)) + runs*s.cfg.RunCost
+}
+
+// reading is the time in which an engine reads the tokens.
+func (s *State) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / s.cfg.ReadRate * float64(time.Millisecond))
+}
+
+// patience is the wait up to which the request is admitted.
+func (s *State) patience(_ Request, c candidate) time.Duration {
+	own := time.Duration(s.cfg.OwnReading * float64(s.reading(c.unread)))
+	return max(s.cfg.Patience-own, 0)
+}
+
+func (s *State) start(now time.Time, one *server, unread float64, shared []Part) *Run {
+	r := &Run{server: one, unread: unread}
+	if one.health.Ejected() {
+		one.health.ProbeSent()
+		r.probe = true
+	}
+	one.awaiting++
+	one.unread += unread
+	one.use(now, shared, s.cfg.BeliefTime)
+	return r
+}
+
+// FirstByte notes that the answer of the run began.
+func (s *State) FirstByte(r *Run) {
+	if r.first || r.ended {
+		return
+	}
+	r.first = true
+	r.server.unread -= r.unread
+	r.server.awaiting--
+	r.server.running++
+}
+
+// Ended notes that the run ended.
+func (s *State) Ended(now time.Time, r *Run, result health.Result) {
+	if r.ended {
+		return
+	}
+	s.FirstByte(r)
+	r.ended = true
+	r.server.running--
+	s.record(now, r, result)
+}
+
+// Reported takes the server's own word on its load.
+func (s *State) Reported(now time.Time, r *Run, load Load) {
+	r.server.load, r.server.loadAt = load, now
+	if load.Slots > 0 {
+		r.server.slots = load.Slots
+	}
+}
+
+func (s *State) record(now time.Time, r *Run, result health.Result) {
+	one := r.server
+	if r.probe {
+		one.health.ProbeEnded(now, result)
+		return
+	}
+	one.health.Record(result)
+	if one.health.Suspect() && s.mayEject(one) {
+		one.health.Eject(now)
+	}
+}
+
+// mayEject bounds the share of ejected servers.
+func (s *State) mayEject(one *server) bool {
+	p := s.pool(one.service)
+	ejected := 1
+	for _, other := range p.servers {
+		if other != one && other.health.Ejected() {
+			ejected++
+		}
+	}
+	return float64(ejected) <= s.cfg.EjectShare*float64(len(p.servers))
+}
+
+// Ejected returns the ids of the ejected servers, sorted.
+func (s *State) Ejected() []string {
+	var out []string
+	for id, one := range s.servers {
+		if one.health.Ejected() {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/coordination/admission/config.go
@@ -0,0 +1,94 @@
+// Package admission decides, at a router that calls backend servers itself,
+// where a request goes, and whether it is refused and when to come back.
+//
+// A State is pure: it takes requests, what became of them, and the time. It
+// holds no clock, network or goroutine and must be used by one goroutine at a
+// time.
+//
+// The pattern that it answers: engines that admit requests in order of
+// arrival, read prompts in one queue and know no priorities. One long prompt
+// delays the first token of all behind it, so a request is admitted by the
+// estimated wait for its first token, not by free slots, and what cannot be
+// served in time is refused at once with the time at which it can.
+package admission
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/health"
+)
+
+// Config holds the constants of a State. The figures come from runs on the
+// users' deployments; docs/ADMISSION.md holds the trials.
+type Config struct {
+	// ReadRate is the prompt tokens that an engine reads in a millisecond
+	// when it does nothing else. Default 66, as the users' sheets say.
+	ReadRate float64
+	// RunCost is the time that each running generation adds to the wait of a
+	// first token. Default 3ms.
+	RunCost time.Duration
+	// Candidates is the number of servers in a part's order among which the
+	// least wait is chosen. Default 3.
+	Candidates int
+	// SpillWeight is the number of times that reading a shared part counts
+	// again at servers that are not first in the part's order. Default 4.
+	SpillWeight float64
+	// Patience is the estimated wait up to which a request is admitted.
+	// Default 180ms.
+	Patience time.Duration
+	// OwnReading is the part of a request's own reading time that is taken
+	// off its patience, so that long prompts leave room for short ones.
+	// Default 0.25; a third starved the largest tenth.
+	OwnReading float64
+	// BeliefTime is how long a part is believed to be cached after its last
+	// use. Default 10s.
+	BeliefTime time.Duration
+	// ReturnLeast and ReturnMost bound the time after which a refused caller
+	// is asked to come back. Default 50ms and 2s.
+	ReturnLeast time.Duration
+	ReturnMost  time.Duration
+	// Health holds the thresholds of ejection.
+	Health health.Config
+	// EjectShare is the greatest share of a service's servers that may be
+	// ejected at once. Default 0.5.
+	EjectShare float64
+}
+
+// DefaultConfig returns the documented defaults.
+func DefaultConfig() Config {
+	return Config{
+		ReadRate:    66,
+		RunCost:     3 * time.Millisecond,
+		Candidates:  3,
+		SpillWeight: 4,
+		Patience:    180 * time.Millisecond,
+		OwnReading:  0.25,
+		BeliefTime:  10 * time.Second,
+		ReturnLeast: 50 * time.Millisecond,
+		ReturnMost:  2 * time.Second,
+		Health:      health.DefaultConfig(),
+		EjectShare:  0.5,
+	}
+}
+
+// Validate returns an error that names each field out of range.
+func (c Config) Validate() error {
+	err := c.Health.Validate()
+	check := func(ok bool, what string) {
+		if !ok {
+			err = errors.CombineErrors(err, errors.New(what))
+		}
+	}
+	check(c.ReadRate > 0, "ReadRate must be positive")
+	check(c.RunCost >= 0, "RunCost must not be negative")
+	check(c.Candidates > 0, "Candidates must be positive")
+	check(c.SpillWeight >= 0, "SpillWeight must not be negative")
+	check(c.Patience > 0, "Patience must be positive")
+	check(c.OwnReading >= 0 && c.OwnReading < 1, "OwnReading must lie in [0, 1)")
+	check(c.BeliefTime > 0, "BeliefTime must be positive")
+	check(c.ReturnLeast > 0 && c.ReturnMost >= c.ReturnLeast, "ReturnMost must be at least ReturnLeast, both positive")
+	check(c.EjectShare >= 0 && c.EjectShare <= 1, "EjectShare must lie in [0, 1]")
+	return err
+}
--- /dev/null
+++ b/coordination/admission/request.go
@@ -0,0 +1,79 @@
+package admission
+
+import "time"
+
+// Part is one part of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what a router knows of a request before it is sent.
+type Request struct {
+	Service string
+	Team    string
+	// Prompt is the number of tokens to read; 0 for plain services.
+	Prompt int
+	// Output bounds the tokens to generate.
+	Output int
+	// Shared are the parts of the prompt that other requests may have
+	// brought, in order; the request's own last part is not among them.
+	Shared []Part
+	// Objective is the time to the first byte that is worth most.
+	Objective time.Duration
+	// Avoid names servers at which the request failed already.
+	Avoid []string
+	// Again tells that the request was admitted before and goes to a further
+	// server; it is not refused for the wait.
+	Again bool
+}
+
+// Verdict says what becomes of a request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Send the request to the decision's server.
+	Send Verdict = iota
+	// Refuse it: nothing can serve it in time.
+	Refuse
+	// NoServer tells that the service has no usable server.
+	NoServer
+)
+
+// Decision is the answer of Place, with the inputs that decided it.
+type Decision struct {
+	Verdict Verdict
+	Run     *Run
+	// Server is the id of the chosen or best server.
+	Server string
+	// Wait is the estimated wait for the first token there.
+	Wait time.Duration
+	// Limit is the wait up to which the request was admissible.
+	Limit time.Duration
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+	// Rank of the server in the order of the request's shared part, from 0.
+	Rank int
+	// Reason of a refusal, for logs and metrics.
+	Reason string
+}
+
+// Reasons of refusals.
+const (
+	ReasonWait     = "estimated_wait"
+	ReasonFull     = "servers_full"
+	ReasonNoServer = "no_server"
+)
+
+// Run is a request that was sent to a server. It is owned by the State.
+type Run struct {
+	server *server
+	unread float64
+	probe  bool
+	first  bool
+	ended  bool
+}
+
+// Server returns the id of the run's server.
+func (r *Run) Server() string { return r.server.id }
--- /dev/null
+++ b/coordination/freshness/freshness_test.go
@@ -0,0 +1,42 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const bound = 4 * time.Second
+
+func TestNothingIsServedBeforeTheFirstConfiguration(t *testing.T) {
+	qt.Check(t, New(bound).Fresh(0), qt.IsFalse)
+	qt.Check(t, New(bound).Fresh(time.Hour), qt.IsFalse)
+}
+
+func TestKnowledgeCountsFromTheSendingOfTheRead(t *testing.T) {
+	tr := New(bound)
+	// The read was sent at 10 s; its answer may come much later.
+	tr.Confirm(10 * time.Second)
+	qt.Check(t, tr.Fresh(14*time.Second), qt.IsTrue)
+	qt.Check(t, tr.Fresh(14*time.Second+1), qt.IsFalse)
+}
+
+func TestLateAnswersDoNotTakeKnowledgeBack(t *testing.T) {
+	tr := New(bound)
+	tr.Confirm(20 * time.Second)
+	tr.Confirm(12 * time.Second)
+	age, known := tr.Age(21 * time.Second)
+	qt.Check(t, known, qt.IsTrue)
+	qt.Check(t, age, qt.Equals, time.Second)
+}
+
+// A clock that goes on during suspension makes the first request after a
+// freeze find the knowledge too old.
+func TestWakingUpAfterAFreezeIsStale(t *testing.T) {
+	tr := New(bound)
+	tr.Confirm(5 * time.Second)
+	qt.Check(t, tr.Fresh(5*time.Second+6*time.Second), qt.IsFalse)
+	tr.Confirm(11 * time.Second)
+	qt.Check(t, tr.Fresh(12*time.Second), qt.IsTrue)
+}
--- /dev/null
+++ b/coordination/repeats/repeats_test.go
@@ -0,0 +1,76 @@
+package repeats
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var cfg = Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50, Use: 0.8}
+
+func TestAFailingServiceSpendsNoMoreThanTheBudget(t *testing.T) {
+	b, now := New(cfg), time.Unix(1000, 0)
+	taken := 0
+	for range 1000 {
+		b.Request(now)
+		if b.Take(now, 5) {
+			taken++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	// 0.8 x (0.2 x 1000 + 50 / 5)
+	qt.Check(t, taken, qt.Equals, 168)
+}
+
+func TestAnUnusedAllowanceComesBackAfterTheWindow(t *testing.T) {
+	b, now := New(cfg), time.Unix(1000, 0)
+	for b.Take(now, 1) {
+	}
+	qt.Check(t, b.Take(now.Add(9*time.Second), 1), qt.IsFalse)
+	qt.Check(t, b.Take(now.Add(11*time.Second), 1), qt.IsTrue)
+}
+
+// In each window of the given length the repeats stay within the bound, for
+// any pattern of requests and repeats.
+func TestEveryWindowKeepsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := New(cfg), time.Unix(1000, 0)
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "repeat") {
+				if b.Take(now, 2) {
+					events = append(events, event{now, true})
+				}
+			} else {
+				b.Request(now)
+				events = append(events, event{at: now})
+			}
+		}
+		for i, first := range events {
+			repeats := 0.0
+			for _, e := range events[i:] {
+				if e.repeat && e.at.Sub(first.at) < cfg.Window {
+					repeats++
+				}
+			}
+			// Requests of the window and of the half a window before it count.
+			requests := 0.0
+			for _, e := range events {
+				d := e.at.Sub(first.at)
+				if !e.repeat && d < cfg.Window && d > -cfg.Window {
+					requests++
+				}
+			}
+			if repeats > cfg.Ratio*requests+cfg.Allowance/2 {
+				t.Fatalf("%v repeats for %v requests", repeats, requests)
+			}
+		}
+	})
+}
--- a/layers_test.go
+++ b/layers_test.go
@@ -18,7 +18,7 @@
 
 // order holds the layers from the top down. A layer imports itself and those
 // after it.
-var order = []string{"cmd", "transport", "protocol", "coordination", "state"}
+var order = []string{"cmd", "platform", "transport", "protocol", "coordination", "state"}
 
 // pure names the layers without input, output, clock or goroutines.
 var pure = []string{"coordination", "state"}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -76,6 +76,9 @@
 	Status int
 	// RetryAfter is when the caller may come back; 0 for no hint.
 	RetryAfter time.Duration
+	// Fractional writes Retry-After with fractions of a second, for callers
+	// that are known to read them.
+	Fractional bool
 	// Detail is a sentence for a person.
 	Detail string
 }
@@ -106,7 +109,7 @@
 	h.Set("Content-Type", ContentType)
 	h.Set(Header, string(o.Kind))
 	if o.RetryAfter > 0 {
-		h.Set("Retry-After", RetryAfterSeconds(o.RetryAfter))
+		h.Set("Retry-After", o.retryAfter())
 	}
 	w.WriteHeader(o.Status)
 	p := Problem{
@@ -127,3 +130,11 @@
 func RetryAfterSeconds(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
+
+// retryAfter writes the delay as the callers read it.
+func (o Outcome) retryAfter() string {
+	if o.Fractional {
+		return strconv.FormatFloat(o.RetryAfter.Seconds(), 'f', 3, 64)
+	}
+	return RetryAfterSeconds(o.RetryAfter)
+}
--- /dev/null
+++ b/protocol/settings/direct.go
@@ -0,0 +1,91 @@
+package settings
+
+import "time"
+
+// DirectListen holds the addresses that a direct router binds.
+type DirectListen struct {
+	// Callers is the address for requests.
+	Callers string `json:"callers"`
+	// Health is the address at which the balancer asks whether the router is
+	// ready.
+	Health string `json:"health"`
+	// ReadyPath is the path of that question. Default "/readyz".
+	ReadyPath string `json:"ready_path"`
+	// Metrics is the address of metrics; empty for none.
+	Metrics string `json:"metrics,omitempty"`
+	// Peers is the address for datagrams of other routers; empty for none.
+	Peers string `json:"peers,omitempty"`
+}
+
+// DirectCallers bounds what callers may do.
+type DirectCallers struct {
+	// Body bounds a request body where the configuration does not. Default
+	// 8 MiB.
+	Body Size `json:"body"`
+	// Headers bounds the request headers. Default 64 KiB.
+	Headers Size `json:"headers"`
+	// HeaderTimeout bounds the time to read the headers. Default 30s.
+	HeaderTimeout Duration `json:"header_timeout"`
+	// IdleTimeout closes a connection without requests. It must be above what
+	// the configuration allows callers. Default 2m.
+	IdleTimeout Duration `json:"idle_timeout"`
+}
+
+// Repeats bounds the requests that are sent to a further backend server, over
+// the whole fleet.
+type Repeats struct {
+	// Window that slides. Default 10s.
+	Window Duration `json:"window"`
+	// Ratio of repeats to requests. Default 0.2.
+	Ratio float64 `json:"ratio"`
+	// Allowance of repeats in a window beside the ratio. Default 10.
+	Allowance int `json:"allowance"`
+}
+
+// Direct holds the settings of a router that calls backend servers itself.
+type Direct struct {
+	ID         string        `json:"id"`
+	DataCentre string        `json:"data_centre"`
+	Listen     DirectListen  `json:"listen"`
+	Platform   Platform      `json:"platform"`
+	Callers    DirectCallers `json:"callers"`
+	Repeats    Repeats       `json:"repeats"`
+	// KeyRevocation is the time after which a key that was taken away must
+	// not work any more. Default 5s.
+	KeyRevocation Duration `json:"key_revocation"`
+	// Memory that the process may use; its soft limit lies below. Default
+	// 256 MiB.
+	Memory Size `json:"memory"`
+	Stop   Stop `json:"stop"`
+	Log    Log  `json:"log"`
+}
+
+// DefaultDirect returns a direct router's settings with every default filled
+// in.
+func DefaultDirect() Direct {
+	return Direct{
+		Listen:   DirectListen{ReadyPath: "/readyz"},
+		Platform: defaultPlatform(),
+		Callers: DirectCallers{
+			Body: 8 * MiB, Headers: 64 * KiB,
+			HeaderTimeout: Duration(30 * time.Second), IdleTimeout: Duration(2 * time.Minute),
+		},
+		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
+		KeyRevocation: Duration(5 * time.Second),
+		Memory:        256 * MiB,
+		Stop:          defaultStop(),
+		Log:           Log{Level: LogInfo},
+	}
+}
+
+func (*Direct) schema() string { return directSchema }
+
+// clashes reports values that do not go together.
+func (d *Direct) clashes(p *Problems) {
+	all := []listener{{"listen.callers", d.Listen.Callers}, {"listen.health", d.Listen.Health}}
+	if d.Listen.Metrics != "" {
+		all = append(all, listener{"listen.metrics", d.Listen.Metrics})
+	}
+	checkListeners(p, all)
+	d.Stop.clashes(p)
+}
--- a/protocol/settings/schema.go
+++ b/protocol/settings/schema.go
@@ -23,6 +23,9 @@
 //go:embed schema/sidecar.json
 var sidecarSchema string
 
+//go:embed schema/direct.json
+var directSchema string
+
 //go:embed schema/common.json
 var commonSchema string
 
--- /dev/null
+++ b/state/routing/routing.go
@@ -0,0 +1,127 @@
+// Package routing holds the configuration of routers that call backend servers
+// themselves: routes by host and path prefix, services, teams' keys and limits.
+//
+// A Config is what operators accepted; a Table answers from it which route and
+// which team a request belongs to. Both are immutable once built.
+package routing
+
+import "time"
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// Kinds of routes.
+const (
+	// NonIdempotent requests run at most once for each attempt of a caller.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once with the effect of one run.
+	Idempotent
+	// Streaming requests are answered by a series of events. They count as
+	// non-idempotent unless the route is Resumable.
+	Streaming
+)
+
+// String returns the name of the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "non_idempotent"
+	}
+}
+
+// Target is one service of a route's split with its weight.
+type Target struct {
+	Service string
+	// Weight relative to the other targets; positive.
+	Weight float64
+}
+
+// Route says where the requests below a path prefix of a host go.
+type Route struct {
+	Name string
+	Host string
+	// Prefix of the path, with a slash at its begin and end.
+	Prefix string
+	Kind   Kind
+	// Resumable streams may go on at another backend server after the last
+	// event that the caller has.
+	Resumable bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time in which an answer (of a stream: its first event)
+	// is worth most.
+	Objective time.Duration
+	// Pause is the longest time between two events of a stream that is still
+	// on time.
+	Pause time.Duration
+	// Priority of the requests; 0 goes first.
+	Priority int
+	Targets  []Target
+	// Attempts is the greatest number of backend servers that one attempt of a
+	// caller may reach.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Prompts tells that requests describe the parts of their prompt, so that
+	// a backend server that holds a part is preferred.
+	Prompts bool
+}
+
+// MayRepeat reports whether a request may run again before anything of its
+// answer was passed on.
+func (r *Route) MayRepeat() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
+
+// Engine describes the model engines of a service; zero for plain services.
+type Engine struct {
+	// Slots is the number of requests that run at once.
+	Slots int
+	// Memory for prompts and generated text, in tokens.
+	Memory int
+}
+
+// Service is a set of backend servers that serve the same requests.
+type Service struct {
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// Connections that one backend server takes from all routers together.
+	Connections int
+	Engine      Engine
+}
+
+// Limits bound what callers send, and tell the fleet's throughput.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound the size of a request.
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTimeout bounds the time in which a request's headers arrive.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time that a connection without requests is kept.
+	IdleTimeout time.Duration
+	// TokensPerSecond is what all engines produce together; a token read
+	// counts once, a generated one twice. 0: unknown.
+	TokensPerSecond float64
+}
+
+// Team shares capacity and is known by its keys.
+type Team struct {
+	Name string
+	Keys []string
+	// Priority of the team's requests; it goes before the route's. Negative:
+	// the team has none.
+	Priority int
+}
+
+// Config is one accepted version of the configuration.
+type Config struct {
+	// Version rises with each change, in uneven steps.
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	Teams    []Team
+}
--- /dev/null
+++ b/transport/backend/exchange.go
@@ -0,0 +1,248 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Request is one request as the server gets it.
+type Request struct {
+	Method string
+	// URI is the path and query, unchanged from the caller.
+	URI  string
+	Host string
+	// Header holds the end-to-end headers.
+	Header http.Header
+	Body   []byte
+	// HasBody tells that the caller sent a body, if only an empty one.
+	HasBody bool
+	// Own reports whether the head of an answer belongs to this request. A
+	// server may send an answer twice; the second one then arrives where the
+	// answer to the next request is expected.
+	Own func(http.Header) bool
+}
+
+// Stage tells how far a failed exchange came.
+type Stage int
+
+// Stages of failure.
+const (
+	// NotSent means that not a byte of the request left: it has not run.
+	NotSent Stage = iota
+	// MaybeRun means that the request was sent and has no whole answer.
+	MaybeRun
+)
+
+// Failure is the outcome of an exchange without an answer.
+type Failure struct {
+	Stage Stage
+	Err   error
+}
+
+// ErrStrange means that the server sent bytes that are not the answer.
+var ErrStrange = errors.New("bytes that are no answer to the request")
+
+// Answer is the head of the server's answer and its body to come. Close must
+// be called once the body was read or is not wanted.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length of the body in bytes, or -1 when it is not announced.
+	Length int64
+	body   io.ReadCloser
+
+	pool    *Pool
+	conn    *conn
+	resp    *http.Response
+	written chan error
+	stop    func() bool
+	ended   bool
+}
+
+// maxStray bounds the answers to other requests that are skipped, and
+// maxStrayBytes the body of each.
+const (
+	maxStray      = 3
+	maxStrayBytes = 1 << 20
+)
+
+// Do sends the request and returns the head of the answer, or a failure. The
+// connection is closed as soon as ctx is done.
+func (p *Pool) Do(ctx context.Context, to Target, req Request) (*Answer, *Failure) {
+	c, err := p.get(ctx, to)
+	if err != nil {
+		return nil, &Failure{Stage: NotSent, Err: err}
+	}
+	if ctx.Err() != nil {
+		_ = c.Close()
+		return nil, &Failure{Stage: NotSent, Err: ctx.Err()}
+	}
+	a := &Answer{pool: p, conn: c, written: make(chan error, 1)}
+	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a.send(req)
+	if err := a.readHead(req); err != nil {
+		a.abandon()
+		return nil, &Failure{Stage: MaybeRun, Err: err}
+	}
+	return a, nil
+}
+
+// inlineBody is the size up to which a request is written before its answer is
+// read; a longer one is written beside, as a server may answer before it has
+// read the whole body.
+const inlineBody = 2048
+
+func (a *Answer) send(req Request) {
+	data := encode(req)
+	if len(data) <= inlineBody {
+		_, err := a.conn.Write(data)
+		a.written <- err
+		return
+	}
+	go func() {
+		_, err := a.conn.Write(data)
+		a.written <- err
+	}()
+}
+
+// encode writes the request as HTTP/1.1.
+func encode(req Request) []byte {
+	var b bytes.Buffer
+	b.Grow(len(req.Body) + 512)
+	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
+	// The keys and values were parsed by net/http, which lets no line end pass.
+	_ = req.Header.Write(&b)
+	if req.HasBody || len(req.Body) > 0 {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(req.Body)
+	return b.Bytes()
+}
+
+// readHead reads up to the head of the request's own answer.
+func (a *Answer) readHead(req Request) error {
+	for range maxStray {
+		resp, err := readResponse(a.conn.reader, req.Method)
+		if err != nil {
+			return err
+		}
+		if req.Own(resp.Header) {
+			a.take(resp)
+			return nil
+		}
+		if err := skip(resp); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(ErrStrange, "too many answers to other requests")
+}
+
+// readResponse reads one final head; interim ones are passed over.
+func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Wrap(ErrStrange, "protocol switch")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// skip reads the answer to another request to its end.
+func skip(resp *http.Response) error {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errors.Wrap(ErrStrange, "an answer without length to another request")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+	if err != nil {
+		return err
+	}
+	if n == maxStrayBytes {
+		return errors.Wrap(ErrStrange, "a long answer to another request")
+	}
+	return nil
+}
+
+func (a *Answer) take(resp *http.Response) {
+	a.resp, a.body = resp, resp.Body
+	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
+}
+
+// Read reads the body. It returns io.EOF only at the announced end.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Buffered returns the bytes that can be read without waiting.
+func (a *Answer) Buffered() int { return a.conn.reader.Buffered() }
+
+// Framed reports whether the end of the body is marked: a body without length
+// ends with its connection.
+func (a *Answer) Framed() bool { return a.Length >= 0 || len(a.resp.TransferEncoding) > 0 }
+
+// Close gives the connection back when the exchange ended cleanly, and closes
+// it otherwise, which tells the server to stop its work.
+func (a *Answer) Close() {
+	if !a.reusable() {
+		a.abandon()
+		return
+	}
+	a.conn.expires = idleEnd(a.Header, time.Now())
+	a.pool.put(a.conn, time.Now())
+}
+
+// reusable reports whether nothing of this exchange is left on the connection.
+func (a *Answer) reusable() bool {
+	if !a.ended && a.Length == 0 {
+		a.ended = true
+	}
+	if !a.ended || a.resp.Close || !a.Framed() || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	select {
+	case err := <-a.written:
+		if err != nil {
+			return false
+		}
+	default:
+		return false
+	}
+	return a.stop()
+}
+
+func (a *Answer) abandon() {
+	a.stop()
+	_ = a.conn.Close()
+}
+
+// idleEnd reads the server's idle timeout, whole seconds in Keep-Alive.
+func idleEnd(h http.Header, now time.Time) time.Time {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return now.Add(time.Duration(seconds) * time.Second)
+		}
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/transport/direct/dispatch.go
@@ -0,0 +1,216 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/repeats"
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/transport/backend"
+)
+
+// step is what follows an attempt at one server.
+type step int
+
+// Steps after an attempt.
+const (
+	// done means that the caller has its final answer or has left.
+	done step = iota
+	// refused means that the server did not run the request.
+	refused
+	// failed means that the request may have run and nothing of its answer
+	// was passed on.
+	failed
+	// broken means that a stream broke off after events were passed on.
+	broken
+)
+
+// dispatch sends the request to servers until it has its final answer.
+func (c *call) dispatch(ctx context.Context) {
+	c.r.countRequest(c.service)
+	var events relay
+	for {
+		decision := c.place()
+		c.last = decision
+		if decision.Verdict != admission.Send {
+			c.unplaced(decision)
+			return
+		}
+		next, err := c.attempt(ctx, decision.Run, &events)
+		switch {
+		case next == done:
+			return
+		case c.mayGoOn(ctx, next):
+			c.logAgain(decision, next, err)
+		default:
+			c.giveUp(ctx, next, err)
+			return
+		}
+	}
+}
+
+// place asks where the request goes, once more if it was sent before.
+func (c *call) place() admission.Decision {
+	req := admission.Request{
+		Service: c.service, Team: c.team, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
+		Objective: c.route.Objective, Avoid: c.avoid, Again: c.sent > 0,
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	return c.r.admission.Place(time.Now(), req)
+}
+
+// unplaced ends a request for which no server was found.
+func (c *call) unplaced(d admission.Decision) {
+	switch {
+	case c.begun:
+		c.cut("no_server")
+	case c.reached > 0:
+		c.fail(outcome.ReasonBackend, http.StatusBadGateway, "the answer was lost and no further server is free")
+	case d.Verdict == admission.Refuse:
+		c.refuse(*notRun(outcome.ReasonQueueFull, d.RetryAfter, "no backend server can begin in time"))
+	default:
+		c.refuse(*notRun(outcome.ReasonNoBackend, d.RetryAfter, "no backend server is known"))
+	}
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (c *call) attempt(ctx context.Context, run *admission.Run, events *relay) (step, error) {
+	result := health.NoResult
+	defer func() { c.r.runEnded(run, result) }()
+	left := c.left()
+	if left <= 0 {
+		return failed, context.DeadlineExceeded
+	}
+	if c.team != "" && !c.r.isFresh() {
+		return refused, errors.New("the configuration cannot be shown to be the newest")
+	}
+	server, known := c.r.server(run.Server())
+	if !known {
+		return refused, errors.New("the server left")
+	}
+	c.sent++
+	c.avoid = append(c.avoid, server.ID)
+	out := c.r.dialect.Outgoing(c.req.Header, Call{Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.lastEvent()})
+	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.ID, Address: server.Address}, backend.Request{
+		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
+		Own: func(h http.Header) bool { return c.r.dialect.Own(h, c.meta.ID) },
+	})
+	if failure != nil {
+		if ctx.Err() == nil {
+			result = health.Failure
+		}
+		if failure.Stage == backend.NotSent {
+			return refused, failure.Err
+		}
+		c.reached++
+		return failed, failure.Err
+	}
+	defer answer.Close()
+	reply := c.r.dialect.Reply(answer.Status, answer.Header)
+	c.r.replied(run, reply)
+	if reply.NotRun || reply.OtherServer {
+		if reply.OtherServer {
+			result = health.Failure
+		}
+		return refused, errors.Newf("the server refused with %d", answer.Status)
+	}
+	c.reached++
+	var next step
+	var err error
+	next, result, err = c.pass(ctx, answer, reply, events)
+	return next, err
+}
+
+// mayGoOn decides whether a further server is tried. Each further send of a
+// request that arrived at a server draws on the fleet's budget.
+func (c *call) mayGoOn(ctx context.Context, after step) bool {
+	if ctx.Err() != nil || c.sent >= sends || c.left() <= 0 {
+		return false
+	}
+	if after != refused && (!c.route.MayRepeat() || c.reached >= c.route.Attempts) {
+		return false
+	}
+	return c.r.takeRepeat(c.service)
+}
+
+// giveUp gives the final answer after the last attempt.
+func (c *call) giveUp(ctx context.Context, after step, err error) {
+	switch {
+	case c.req.Context().Err() != nil && time.Now().Before(c.deadline):
+		c.logEnd("caller_left", 0, 0)
+		c.r.metrics.outcomes.Add("caller_left", 1)
+	case c.begun:
+		c.cut(errText(err))
+	case c.reached == 0 && after == refused:
+		c.refuse(*notRun(outcome.ReasonNoBackend, c.returnAfter(), "no backend server took the request"))
+	case ctx.Err() != nil && c.r.ending.Err() != nil:
+		c.fail(outcome.ReasonLeaving, http.StatusBadGateway, "this router stopped before the answer was whole")
+	case ctx.Err() != nil:
+		c.fail(outcome.ReasonDeadline, http.StatusGatewayTimeout, "the time limit passed while a backend server was at work")
+	default:
+		c.fail(outcome.ReasonAnswerLost, http.StatusBadGateway, errText(err))
+	}
+}
+
+// returnAfter is when to come back after servers refused.
+func (c *call) returnAfter() time.Duration {
+	return max(c.last.Wait, c.r.cfg.Admission.ReturnLeast)
+}
+
+// fail answers a request that may have run.
+func (c *call) fail(reason outcome.Reason, status int, detail string) {
+	c.refuse(outcome.Outcome{Kind: outcome.Unknown, Reason: reason, Status: status, Detail: detail})
+}
+
+// cut closes the caller's connection, so that an answer that is not whole does
+// not look so.
+func (c *call) cut(why string) {
+	c.logEnd("cut: "+why, 0, 0)
+	c.r.metrics.outcomes.Add("cut", 1)
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		c.r.event("cut_failed", "request", c.meta.ID, "err", err)
+		return
+	}
+	_ = conn.Close()
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// countRequest earns the service's budget of repeats.
+func (r *Router) countRequest(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).Request(time.Now())
+}
+
+func (r *Router) takeRepeat(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ok := r.budget(service).Take(time.Now(), r.admission.Routers())
+	if ok {
+		r.metrics.repeats.Add(1)
+	}
+	return ok
+}
+
+// budget returns the service's budget. The caller holds mu.
+func (r *Router) budget(service string) *repeats.Budget {
+	b := r.budgets[service]
+	if b == nil {
+		b = repeats.New(r.cfg.Repeats)
+		r.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/transport/direct/leave.go
@@ -0,0 +1,42 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"goldcrestport/coordination/leave"
+	"goldcrestport/transport/duty"
+)
+
+// shutdownTimeout bounds the closing of the callers' connections once nothing
+// is held.
+const shutdownTimeout = 200 * time.Millisecond
+
+// leave goes through the phases of a graceful shutdown.
+func (r *Router) leave(srv *http.Server) {
+	cfg := leave.DefaultConfig()
+	cfg.Linger, cfg.Bound, cfg.Ending = r.set.Stop.Linger.D(), r.set.Stop.Bound.D(), shutdownTimeout
+	r.event("leaving", "held", r.held.Load())
+	r.unready.Store(true)
+	duty.Leave(cfg, r.held.Load, r.abort, func(p leave.Phase) { r.enter(p, srv) })
+}
+
+// enter begins a phase of leaving.
+func (r *Router) enter(p leave.Phase, srv *http.Server) {
+	switch p {
+	case leave.Refusing:
+		r.leaving.Store(true)
+	case leave.Ending:
+		r.event("stop_bound_passed", "held", r.held.Load())
+		r.leaving.Store(true)
+		r.end()
+	case leave.Stopped:
+		r.event("stopped", "held", r.held.Load())
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if srv.Shutdown(ctx) != nil {
+			_ = srv.Close()
+		}
+	}
+}
--- /dev/null
+++ b/transport/direct/metrics.go
@@ -0,0 +1,47 @@
+package direct
+
+import (
+	"expvar"
+	"time"
+
+	"goldcrestport/transport/observe"
+)
+
+// metrics are the counters and histograms of one router, see docs/METRICS.md.
+type metrics struct {
+	vars        *observe.Vars
+	requests    *expvar.Int
+	outcomes    *expvar.Map
+	repeats     *expvar.Int
+	storeErrors *expvar.Int
+	dropped     *expvar.Int
+	latency     *observe.Times
+}
+
+func newMetrics(r *Router) *metrics {
+	v := observe.NewVars()
+	m := &metrics{
+		vars:        v,
+		requests:    v.Int("direct_requests"),
+		outcomes:    v.Map("direct_outcomes"),
+		repeats:     v.Int("direct_repeats"),
+		storeErrors: v.Int("direct_store_errors"),
+		dropped:     v.Int("log_lines_dropped"),
+		latency:     v.Times("direct_latency_us"),
+	}
+	v.Func("direct_held", func() any { return r.held.Load() })
+	v.Func("direct_dials", func() any { return r.pool.Dials() })
+	v.Func("direct_configuration_version", func() any {
+		if t := r.table.Load(); t != nil {
+			return t.Version()
+		}
+		return 0
+	})
+	return m
+}
+
+// completed counts an answer that was passed on whole.
+func (m *metrics) completed(c *call, _ int) {
+	m.outcomes.Add("completed", 1)
+	m.latency.Record(c.service, time.Now(), time.Since(c.received))
+}
--- /dev/null
+++ b/transport/direct/router.go
@@ -0,0 +1,179 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"golang.org/x/sys/unix"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/freshness"
+	"goldcrestport/coordination/repeats"
+	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/settings"
+	"goldcrestport/state/routing"
+	"goldcrestport/transport/backend"
+	"goldcrestport/transport/observe"
+)
+
+// Router is the process.
+type Router struct {
+	set     settings.Direct
+	cfg     Config
+	log     log.Logger
+	lines   *observe.LineLimit
+	dialect Dialect
+	source  Source
+	pool    *backend.Pool
+	metrics *metrics
+	table   atomic.Pointer[routing.Table]
+
+	// mu guards the decisions below.
+	mu        sync.Mutex
+	admission *admission.State
+	roster    *roster.Roster
+	budgets   map[string]*repeats.Budget
+	fresh     *freshness.Tracker
+	servers   map[string]roster.Server
+	peers     map[string]string
+
+	unready atomic.Bool
+	leaving atomic.Bool
+	held    atomic.Int64
+	ending  context.Context
+	end     context.CancelFunc
+	abort   chan struct{}
+	once    sync.Once
+}
+
+// New returns a router that has not bound anything yet.
+func New(set settings.Direct, cfg Config, source Source, dialect Dialect, logger log.Logger) *Router {
+	ending, end := context.WithCancel(context.Background())
+	r := &Router{
+		set: set, cfg: cfg, log: logger, dialect: dialect, source: source,
+		pool:      backend.NewPool(cfg.Backend),
+		admission: admission.New(cfg.Admission),
+		roster:    roster.New(cfg.Roster),
+		budgets:   make(map[string]*repeats.Budget),
+		fresh:     freshness.New(cfg.Freshness),
+		servers:   make(map[string]roster.Server),
+		peers:     make(map[string]string),
+		ending:    ending, end: end, abort: make(chan struct{}),
+	}
+	r.metrics = newMetrics(r)
+	r.lines = observe.NewLineLimit(r.metrics.dropped)
+	return r
+}
+
+// Abort ends a graceful shutdown early. It may be called more than once.
+func (r *Router) Abort() { r.once.Do(func() { close(r.abort) }) }
+
+// Serve binds the listeners and serves until stop is closed and what is held
+// has ended or the stop bound has passed.
+func (r *Router) Serve(stop <-chan struct{}) error {
+	if err := r.cfg.Admission.Validate(); err != nil {
+		return errors.Wrap(err, "admission")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers, err := net.Listen("tcp", r.set.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen.callers")
+	}
+	health, err := net.Listen("tcp", r.set.Listen.Health)
+	if err != nil {
+		return errors.Wrap(err, "listen.health")
+	}
+	srv := r.callerServer()
+	go r.follow(ctx)
+	go r.sweep(ctx)
+	go r.register(ctx)
+	go func() { _ = observe.Server(r.healthHandler()).Serve(health) }()
+	if r.set.Listen.Metrics != "" {
+		metrics, err := net.Listen("tcp", r.set.Listen.Metrics)
+		if err != nil {
+			return errors.Wrap(err, "listen.metrics")
+		}
+		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
+	}
+	go func() { _ = srv.Serve(callers) }()
+	r.event("serving", "callers", r.set.Listen.Callers)
+	<-stop
+	r.leave(srv)
+	return nil
+}
+
+// callerServer bounds what a caller's connection may take.
+func (r *Router) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(r.serve),
+		ReadHeaderTimeout: r.set.Callers.HeaderTimeout.D(),
+		IdleTimeout:       r.set.Callers.IdleTimeout.D(),
+		MaxHeaderBytes:    int(r.set.Callers.Headers.Bytes()),
+	}
+}
+
+// bootTime reads the clock that goes on while the instance is suspended.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	// The clock exists on every kernel that the product supports; the zero
+	// time of a failure counts as knowledge that is too old.
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return time.Duration(ts.Nano())
+}
+
+// isFresh reports whether requests that need a key may be served now.
+func (r *Router) isFresh() bool {
+	now := bootTime()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fresh.Fresh(now)
+}
+
+// ready returns nil, or why no new work is wanted.
+func (r *Router) ready() error {
+	if r.unready.Load() {
+		return errors.New("leaving")
+	}
+	if r.table.Load() == nil {
+		return errors.New("no configuration yet")
+	}
+	now := bootTime()
+	r.mu.Lock()
+	age, known := r.fresh.Age(now)
+	r.mu.Unlock()
+	if !known || age > time.Duration(unreadyShare*float64(r.cfg.Freshness)) {
+		return errors.Newf("the configuration was last known to be the newest %v ago", age)
+	}
+	return nil
+}
+
+func (r *Router) healthHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+r.set.Listen.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if err := r.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
+
+func (r *Router) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	observe.Health{Ready: r.ready, Vars: r.metrics.vars}.Mount(mux)
+	mux.HandleFunc("GET /metrics", r.metrics.vars.ServeText)
+	return mux
+}
+
+// event writes one line that is never left out.
+func (r *Router) event(name string, keyvals ...any) {
+	_ = r.log.Log(append([]any{"event", name}, keyvals...)...)
+}
--- /dev/null
+++ b/transport/direct/runs.go
@@ -0,0 +1,39 @@
+package direct
+
+import (
+	"time"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/roster"
+)
+
+// server returns the server as the store has it.
+func (r *Router) server(id string) (roster.Server, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.servers[id]
+	return s, known
+}
+
+func (r *Router) runEnded(run *admission.Run, result health.Result) {
+	r.mu.Lock()
+	before := len(r.admission.Ejected())
+	r.admission.Ended(time.Now(), run, result)
+	ejected := r.admission.Ejected()
+	r.mu.Unlock()
+	if len(ejected) != before {
+		r.event("ejected", "server", run.Server(), "result", int(result), "now_ejected", len(ejected))
+	}
+}
+
+// replied notes the head of an answer.
+func (r *Router) replied(run *admission.Run, reply Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.admission.FirstByte(run)
+	if reply.Load.Slots > 0 {
+		r.admission.Reported(now, run, reply.Load)
+	}
+}
--- /dev/null
+++ b/transport/direct/serve.go
@@ -0,0 +1,198 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/state/routing"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	r        *Router
+	w        http.ResponseWriter
+	req      *http.Request
+	meta     Meta
+	table    *routing.Table
+	route    *routing.Route
+	service  string
+	team     string
+	body     []byte
+	received time.Time
+	// deadline is when the caller must have its final answer.
+	deadline time.Time
+
+	// reached counts the servers that may have run the request, sent those
+	// that it was sent to.
+	reached int
+	sent    int
+	avoid   []string
+	last    admission.Decision
+	// begun tells that a part of the answer was passed on.
+	begun bool
+}
+
+// serve brings one request to its final answer.
+func (r *Router) serve(w http.ResponseWriter, req *http.Request) {
+	r.held.Add(1)
+	defer r.held.Add(-1)
+	r.metrics.requests.Add(1)
+	c := &call{r: r, w: w, req: req, meta: r.dialect.Meta(req.Header), received: time.Now()}
+	if r.unready.Load() {
+		// Idle connections stay open until the end: one that is closed while
+		// a caller sends on it leaves the caller in doubt.
+		w.Header().Set("Connection", "close")
+	}
+	if o := c.admit(); o != nil {
+		c.refuse(*o)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
+	defer cancel()
+	stop := context.AfterFunc(r.ending, cancel)
+	defer stop()
+	c.dispatch(ctx)
+}
+
+// notRun returns a refusal that asks the caller to come back.
+func notRun(reason outcome.Reason, after time.Duration, detail string) *outcome.Outcome {
+	o := outcome.Refuse(reason, http.StatusServiceUnavailable, after, detail)
+	return &o
+}
+
+// admit finds the route and the team, and reads the body.
+func (c *call) admit() *outcome.Outcome {
+	r := c.r
+	if r.leaving.Load() {
+		return notRun(outcome.ReasonLeaving, staleReturn, "this router is leaving")
+	}
+	c.table = r.table.Load()
+	if c.table == nil {
+		return notRun(outcome.ReasonNoConfig, staleReturn, "no configuration yet")
+	}
+	if o := c.identify(); o != nil {
+		return o
+	}
+	c.deadline = c.received.Add(c.timeLeft())
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(c.deadline)
+	_ = rc.SetWriteDeadline(c.deadline.Add(outcomeSlack))
+	if o := c.readBody(); o != nil {
+		return o
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	c.service = c.route.Pick(rand.Float64())
+	return nil
+}
+
+// identify finds the route and the team of the request.
+func (c *call) identify() *outcome.Outcome {
+	c.route = c.table.Route(c.req.Host, c.req.URL.Path)
+	if c.route == nil {
+		return c.unknown(outcome.ReasonUnknownPath, http.StatusNotFound, "no route for this host and path")
+	}
+	if c.route.Public || c.table.Teams() == 0 {
+		return nil
+	}
+	team := c.table.Team(c.meta.Key)
+	if team == nil {
+		return c.unknown(outcome.ReasonUnauthorized, http.StatusUnauthorized, "no team has this key")
+	}
+	c.team = team.Name
+	if !c.r.isFresh() {
+		return c.stale()
+	}
+	return nil
+}
+
+// unknown refuses what the configuration does not know; when a newer one may
+// know it, the caller is asked to come back instead.
+func (c *call) unknown(reason outcome.Reason, status int, detail string) *outcome.Outcome {
+	if !c.r.isFresh() {
+		return c.stale()
+	}
+	o := outcome.Refuse(reason, status, 0, detail)
+	return &o
+}
+
+func (c *call) stale() *outcome.Outcome {
+	return notRun(outcome.ReasonPlatform, staleReturn, "the configuration cannot be shown to be the newest")
+}
+
+// timeLeft is how long the caller is to be kept waiting at the most.
+func (c *call) timeLeft() time.Duration {
+	left := c.meta.TimeLeft
+	if left <= 0 {
+		left = defaultDeadline
+	}
+	if c.route.Timeout > 0 {
+		left = min(left, c.route.Timeout)
+	}
+	return left
+}
+
+// left is the time until the caller stops waiting.
+func (c *call) left() time.Duration {
+	left := time.Until(c.deadline)
+	if c.meta.TimeLeft > 0 {
+		left = min(left, c.meta.TimeLeft-time.Since(c.received))
+	}
+	return left
+}
+
+// readBody reads the whole body: a request that is sent has all its bytes, and
+// its caller's leaving is noticed from then on.
+func (c *call) readBody() *outcome.Outcome {
+	limit := int64(c.table.Limits().BodyBytes)
+	if limit <= 0 {
+		limit = c.r.set.Callers.Body.Bytes()
+	}
+	if c.req.ContentLength > limit {
+		o := outcome.Refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than allowed")
+		return &o
+	}
+	var err error
+	c.body, err = readAll(http.MaxBytesReader(c.w, c.req.Body, limit), c.req.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		o := outcome.Refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than allowed")
+		return &o
+	case err != nil:
+		o := outcome.Refuse(outcome.ReasonBodyTimeout, http.StatusRequestTimeout, 0, "the body did not arrive")
+		return &o
+	}
+	return nil
+}
+
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+// hasBody reports whether the caller sent a body, if only an empty one.
+func (c *call) hasBody() bool {
+	return c.req.ContentLength != 0 || len(c.req.Header["Content-Length"]) > 0
+}
+
+// refuse gives the caller its final answer.
+func (c *call) refuse(o outcome.Outcome) {
+	o.Fractional = true
+	c.logEnd(string(o.Reason), o.Status, o.RetryAfter)
+	c.r.metrics.outcomes.Add(string(o.Kind)+"/"+string(o.Reason), 1)
+	if o.Status == http.StatusRequestTimeout || o.Status == http.StatusRequestEntityTooLarge {
+		c.w.Header().Set("Connection", "close")
+	}
+	outcome.Write(c.w, c.meta.ID, o)
+}
--- /dev/null
+++ b/transport/direct/sync.go
@@ -0,0 +1,222 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/roster"
+	"goldcrestport/state/routing"
+	"goldcrestport/transport/platform"
+)
+
+// follow keeps the configuration and the servers as the store has them.
+func (r *Router) follow(ctx context.Context) {
+	f := &follower{r: r}
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.worked()
+	}
+}
+
+// follower is the state of the duty that reads the store.
+type follower struct {
+	r *Router
+	// revision up to which changes are known; 0: everything must be read.
+	revision uint64
+	loaded   time.Time
+	lost     bool
+}
+
+// step reads everything, or waits once for changes.
+func (f *follower) step(ctx context.Context) error {
+	if f.revision == 0 || time.Since(f.loaded) > resyncEvery {
+		return f.load(ctx)
+	}
+	return f.changes(ctx)
+}
+
+func (f *follower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := bootTime()
+	s, err := f.r.source.Load(ctx)
+	if err != nil {
+		return err
+	}
+	f.worked()
+	f.r.replace(s)
+	f.r.confirm(s.Config, sent)
+	f.revision, f.loaded = s.Revision, time.Now()
+	return nil
+}
+
+func (f *follower) changes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	sent := bootTime()
+	d, err := f.r.source.Changes(ctx, f.revision, watchWait)
+	if err != nil {
+		// A wait that was cut may have missed changes.
+		f.revision = 0
+		return err
+	}
+	f.worked()
+	f.r.update(d)
+	f.r.confirm(d.Config, sent)
+	f.revision = d.Revision
+	return nil
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	f.r.metrics.storeErrors.Add(1)
+	if errors.Is(err, platform.ErrCompacted) {
+		f.r.event("history_lost", "err", err)
+		return
+	}
+	if !f.lost && ctx.Err() == nil {
+		f.lost = true
+		f.r.event("store_lost", "err", err)
+		f.r.mu.Lock()
+		f.r.roster.StoreLost()
+		f.r.mu.Unlock()
+	}
+	select {
+	case <-time.After(storePause):
+	case <-ctx.Done():
+	}
+}
+
+func (f *follower) worked() {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.r.event("store_back")
+	f.r.mu.Lock()
+	f.r.roster.StoreBack(time.Now())
+	f.r.mu.Unlock()
+}
+
+// confirm adopts a newer configuration and notes when it was the newest.
+func (r *Router) confirm(c *routing.Config, sent time.Duration) {
+	if c != nil {
+		r.adopt(c)
+	}
+	if r.table.Load() == nil {
+		return
+	}
+	r.mu.Lock()
+	r.fresh.Confirm(sent)
+	r.mu.Unlock()
+}
+
+// adopt puts a configuration in force unless a newer one is.
+func (r *Router) adopt(c *routing.Config) {
+	old := r.table.Load()
+	if old != nil && old.Version() >= c.Version {
+		return
+	}
+	r.table.Store(routing.NewTable(c))
+	r.mu.Lock()
+	for _, s := range c.Services {
+		r.admission.SetEngine(s.Name, s.Engine.Slots > 0)
+	}
+	r.mu.Unlock()
+	r.event("configuration", "version", c.Version, "routes", len(c.Routes), "teams", len(c.Teams))
+}
+
+func (r *Router) replace(s Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(r.roster.Replace(time.Now(), s.Servers))
+	r.peers = s.Routers
+	r.countRouters()
+}
+
+func (r *Router) update(d Delta) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range d.Servers {
+		r.apply(r.roster.Put(one))
+	}
+	for _, id := range d.Removed {
+		r.apply(r.roster.Remove(time.Now(), id))
+	}
+	for id, address := range d.Joined {
+		r.peers[id] = address
+	}
+	for _, id := range d.Left {
+		delete(r.peers, id)
+	}
+	r.countRouters()
+}
+
+func (r *Router) countRouters() {
+	n := len(r.peers)
+	if _, self := r.peers[r.set.ID]; !self {
+		n++
+	}
+	r.admission.SetRouters(n)
+}
+
+// apply makes changes of the roster known to the decisions. The caller holds
+// mu.
+func (r *Router) apply(changes []roster.Change) {
+	for _, c := range changes {
+		if c.Usable {
+			r.servers[c.Server.ID] = c.Server
+			r.admission.Add(c.Server.ID, c.Server.Service, c.Server.Slots)
+		} else {
+			delete(r.servers, c.Server.ID)
+			r.admission.Remove(c.Server.ID)
+			go r.pool.Forget(c.Server.ID)
+		}
+		r.event("backend_server", "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "usable", c.Usable, "reason", c.Reason)
+	}
+}
+
+// sweep looks after idle connections and servers that lapsed.
+func (r *Router) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.pool.Sweep(now)
+			r.mu.Lock()
+			r.apply(r.roster.Tick(now))
+			r.mu.Unlock()
+		}
+	}
+}
+
+// register keeps this router's entry in the store, by which the others know
+// how many share the servers.
+func (r *Router) register(ctx context.Context) {
+	lease := ""
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Callers, lease, registerTTL)
+		cancel()
+		if err != nil {
+			r.metrics.storeErrors.Add(1)
+			if errors.Is(err, platform.ErrNotFound) {
+				got = ""
+			} else {
+				got = lease
+			}
+		}
+		lease = got
+		select {
+		case <-time.After(registerEvery):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/transport/direct/trail.go
@@ -0,0 +1,42 @@
+package direct
+
+import (
+	"time"
+
+	"goldcrestport/coordination/admission"
+)
+
+// logEnd writes the line of a request that ended without a whole answer.
+func (c *call) logEnd(why string, status int, after time.Duration) {
+	c.line("request_ended", "why", why, "status", status, "retry_after_ms", after.Milliseconds())
+}
+
+// logCompleted writes the line of a request that was answered.
+func (c *call) logCompleted(status int) { c.line("request_completed", "status", status) }
+
+// logAgain writes the line of a request that goes to a further server.
+func (c *call) logAgain(d admission.Decision, after step, err error) {
+	c.line("request_again", "after_server", d.Server, "ran", after != refused, "err", errText(err))
+}
+
+// line writes one line about the request with the inputs of its decision.
+func (c *call) line(event string, keyvals ...any) {
+	allowed, dropped := c.r.lines.Allow(event, time.Now())
+	if !allowed {
+		return
+	}
+	version := uint64(0)
+	if c.table != nil {
+		version = c.table.Version()
+	}
+	route := ""
+	if c.route != nil {
+		route = c.route.Name
+	}
+	all := []any{
+		"request", c.meta.ID, "route", route, "team", c.team, "version", version, "server", c.last.Server,
+		"wait_ms", c.last.Wait.Milliseconds(), "limit_ms", c.last.Limit.Milliseconds(), "sent", c.sent, "reached", c.reached,
+		"took_ms", time.Since(c.received).Milliseconds(), "left_out", dropped,
+	}
+	c.r.event(event, append(all, keyvals...)...)
+}
--- a/transport/observe/vars.go
+++ b/transport/observe/vars.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"expvar"
 	"fmt"
+	"maps"
 	"net/http"
 	"runtime"
+	"slices"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -71,3 +76,35 @@
 	}
 	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
 }
+
+// ServeText writes the numbers among the metrics as text, one "name value" or
+// "name{key} value" a line, as scrapers read it.
+func (v *Vars) ServeText(w http.ResponseWriter, _ *http.Request) {
+	var b bytes.Buffer
+	v.all.Do(func(kv expvar.KeyValue) { writeText(&b, kv) })
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = w.Write(b.Bytes())
+}
+
+func writeText(b *bytes.Buffer, kv expvar.KeyValue) {
+	var value any
+	if json.Unmarshal([]byte(kv.Value.String()), &value) != nil {
+		return
+	}
+	writeNumbers(b, kv.Key, "", value)
+}
+
+// writeNumbers writes a number, or those of a map with their keys as a label.
+func writeNumbers(b *bytes.Buffer, name, label string, value any) {
+	switch value := value.(type) {
+	case float64:
+		if label != "" {
+			label = "{key=" + strconv.Quote(label) + "}"
+		}
+		fmt.Fprintf(b, "%s%s %v\n", name, label, value)
+	case map[string]any:
+		for _, key := range slices.Sorted(maps.Keys(value)) {
+			writeNumbers(b, name, strings.TrimPrefix(label+"/"+key, "/"), value[key])
+		}
+	}
+}
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -20,6 +20,9 @@
 	ErrConflict = errors.New("version conflict")
 	// ErrBusy means that the service refused the call because of its rate.
 	ErrBusy = errors.New("rate limited")
+	// ErrCompacted means that the changes after a revision are not known any
+	// more: list again.
+	ErrCompacted = errors.New("history compacted")
 	// ErrTooLarge means that the value is larger than the service holds.
 	ErrTooLarge = errors.New("value too large")
 	// ErrUnknown means that no answer came: the call may have taken effect.
