--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -45,7 +48,10 @@
 	debug.SetMemoryLimit(int64(heapShare * float64(set.Memory.Bytes())))
 	logger := observe.NewLogger(observe.NewWriter(os.Stdout), roleDirect, set.ID, set.Log)
 	source := platform.NewSource(platform.NewStore(set.Platform.URL))
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
 	r := direct.New(set, directConfig(set), source, platform.Dialect{}, logger)
+	go reload(file, hangUp, r)
 	return r.Serve(stopSignal(r.Abort))
 }
 
@@ -63,3 +69,33 @@
 }
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
+
+// reloadEvery is the time between looks at the settings file, which may change
+// without a signal.
+const reloadEvery = 2 * time.Second
+
+// reload puts changed settings in force, at a signal or when the file differs.
+// Settings that are wrong leave those before in force.
+func reload(file string, hangUp <-chan os.Signal, r *direct.Router) {
+	before, _ := os.ReadFile(file)
+	for {
+		asked := false
+		select {
+		case <-hangUp:
+			asked = true
+		case <-time.After(reloadEvery):
+		}
+		now, err := os.ReadFile(file)
+		if err != nil || (!asked && bytes.Equal(before, now)) {
+			continue
+		}
+		before = now
+		set := settings.DefaultDirect()
+		if err := settings.Load(file, &set); err != nil {
+			r.Rejected(err)
+			continue
+		}
+		debug.SetMemoryLimit(int64(heapShare * float64(set.Memory.Bytes())))
+		r.Reload(set, directConfig(set))
+	}
+}
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
 )
 
@@ -18,6 +19,11 @@
 	pools   map[string]*pool
 	// routers is the number of routers that share the servers, at least 1.
 	routers int
+	peers   map[string]peer
+	teams   *fairshare.Meter
+	// capacity is the tokens that all engines produce in the teams' window;
+	// 0: unknown.
+	capacity float64
 }
 
 // pool holds the servers of one service.
@@ -28,7 +34,16 @@
 
 // New returns a state without servers. The config must be valid.
 func New(cfg Config) *State {
-	return &State{cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool), routers: 1}
+	return &State{
+		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool), routers: 1,
+		peers: make(map[string]peer), teams: fairshare.NewMeter(cfg.Window),
+	}
+}
+
+// SetCapacity tells how many tokens all engines produce in a second; a token
+// read counts once, a generated one twice. 0: unknown.
+func (s *State) SetCapacity(tokensPerSecond float64) {
+	s.capacity = tokensPerSecond * s.cfg.Window.Seconds()
 }
 
 // SetRouters tells how many routers share the servers.
@@ -140,16 +155,24 @@
 // placeEngine takes the candidate of least price and admits the request when
 // the wait there is within its patience.
 func (s *State) placeEngine(now time.Time, req Request, usable []*server) Decision {
+	team, tokens := fairshare.IDOf(req.Team), req.tokens()
+	if req.Elapsed == 0 && !req.Again {
+		s.teams.Ask(now, team, tokens)
+	}
+	standing := s.teams.Standing(now, team, s.capacity)
 	candidates := s.candidates(now, req, usable)
 	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.price, b.price) })
-	limit := s.patience(req, best)
-	d := Decision{Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank}
+	limit := s.patience(req, best, standing)
+	d := Decision{Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing}
 	if best.wait > limit && !req.Again {
 		d.Verdict, d.Reason = Refuse, ReasonWait
 		d.RetryAfter = min(max(best.wait-limit, s.cfg.ReturnLeast), s.cfg.ReturnMost)
 		return d
 	}
 	d.Verdict = Send
+	if !req.Again {
+		s.teams.Begin(now, team, tokens)
+	}
 	d.Run = s.start(now, best.server, best.unread, req.Shared)
 	return d
 }
@@ -177,7 +200,7 @@
 
 // assess estimates what the request meets at the server.
 func (s *State) assess(now time.Time, req Request, one *server, rank int) candidate {
-	c := candidate{server: one, rank: rank, unread: float64(req.Prompt), wait: s.wait(one)}
+	c := candidate{server: one, rank: rank, unread: float64(req.Prompt), wait: s.wait(now, one)}
 	var again float64
 	for _, part := range req.Shared {
 		tokens := float64(part.Tokens)
@@ -195,11 +218,25 @@
 	return c
 }
 
-// wait estimates the time to the first token of a request that arrives now.
-// The other routers are presumed to have sent as much as this one.
-func (s *State) wait(one *server) time.Duration {
-	runs := time.Duration((one.running + one.awaiting) * s.routers)
-	return s.reading(one.unread*float64(s.routers)) + runs*s.cfg.RunCost
+// wait estimates the time to the first token of a request that arrives now,
+// from the prompts that are not read yet and the generations that run. Routers
+// that told nothing lately are presumed to have sent as much as the others do
+// on average.
+func (s *State) wait(now time.Time, one *server) time.Duration {
+	total := Use{Unread: one.unread, Runs: one.running + one.awaiting}
+	told := 1
+	for _, p := range s.peers {
+		if now.Sub(p.at) > peerTime {
+			continue
+		}
+		told++
+		u := p.servers[one.seed]
+		total.Unread += u.Unread
+		total.Runs += u.Runs
+	}
+	scale := max(float64(s.routers)/float64(told), 1)
+	runs := time.Duration(float64(total.Runs) * scale * float64(s.cfg.RunCost))
+	return s.reading(total.Unread*scale) + runs
 }
 
 // reading is the time in which an engine reads the tokens.
@@ -208,11 +245,30 @@
 }
 
 // patience is the wait up to which the request is admitted.
-func (s *State) patience(_ Request, c candidate) time.Duration {
-	own := time.Duration(s.cfg.OwnReading * float64(s.reading(c.unread)))
-	return max(s.cfg.Patience-own, 0)
+func (s *State) patience(req Request, c candidate, standing float64) time.Duration {
+	patience := float64(s.cfg.Patience)
+	own := s.cfg.OwnReading * float64(s.reading(c.unread))
+	patience -= min(own, s.cfg.OwnReadingMost*patience)
+	switch {
+	case standing > 1:
+		patience *= s.cfg.Beyond
+	case req.Elapsed > 0:
+		patience *= s.cfg.Returned
+	case standing < wellBelow:
+		patience *= s.cfg.Below
+	}
+	return time.Duration(patience)
 }
 
+// wellBelow is the standing under which a team is well below its share.
+const wellBelow = 0.8
+
+// tokens is what the request takes of the capacity that teams share.
+func (r Request) tokens() float64 { return float64(r.Prompt) + outputWeight*float64(r.Output) }
+
+// outputWeight is what a generated token counts against one that is read.
+const outputWeight = 2
+
 func (s *State) start(now time.Time, one *server, unread float64, shared []Part) *Run {
 	r := &Run{server: one, unread: unread}
 	if one.health.Ejected() {
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -42,6 +42,18 @@
 	// off its patience, so that long prompts leave room for short ones.
 	// Default 0.25; a third starved the largest tenth.
 	OwnReading float64
+	// OwnReadingMost bounds what is taken off, as a part of the patience.
+	// Default 0.6: the largest prompts of a class are not starved.
+	OwnReadingMost float64
+	// Returned multiplies the patience of a request that was refused before:
+	// its caller has waited, and does not come a third time. Default 2.
+	Returned float64
+	// Beyond multiplies the patience of a team that is beyond its share, and
+	// Below that of one well below it. Default 0.2 and 1.5.
+	Beyond float64
+	Below  float64
+	// Window in which teams share the capacity. Default 4s.
+	Window time.Duration
 	// BeliefTime is how long a part is believed to be cached after its last
 	// use. Default 10s.
 	BeliefTime time.Duration
@@ -59,17 +71,22 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		ReadRate:    66,
-		RunCost:     3 * time.Millisecond,
-		Candidates:  3,
-		SpillWeight: 4,
-		Patience:    180 * time.Millisecond,
-		OwnReading:  0.25,
-		BeliefTime:  10 * time.Second,
-		ReturnLeast: 50 * time.Millisecond,
-		ReturnMost:  2 * time.Second,
-		Health:      health.DefaultConfig(),
-		EjectShare:  0.5,
+		ReadRate:       66,
+		RunCost:        3 * time.Millisecond,
+		Candidates:     3,
+		SpillWeight:    4,
+		Patience:       180 * time.Millisecond,
+		OwnReading:     0.25,
+		OwnReadingMost: 0.6,
+		Returned:       2,
+		Beyond:         0.2,
+		Below:          1.5,
+		Window:         4 * time.Second,
+		BeliefTime:     10 * time.Second,
+		ReturnLeast:    50 * time.Millisecond,
+		ReturnMost:     2 * time.Second,
+		Health:         health.DefaultConfig(),
+		EjectShare:     0.5,
 	}
 }
 
@@ -87,6 +104,11 @@
 	check(c.SpillWeight >= 0, "SpillWeight must not be negative")
 	check(c.Patience > 0, "Patience must be positive")
 	check(c.OwnReading >= 0 && c.OwnReading < 1, "OwnReading must lie in [0, 1)")
+	check(c.OwnReadingMost >= 0 && c.OwnReadingMost <= 1, "OwnReadingMost must lie in [0, 1]")
+	check(c.Returned >= 1, "Returned must be at least 1")
+	check(c.Beyond >= 0 && c.Beyond <= 1, "Beyond must lie in [0, 1]")
+	check(c.Below >= 1, "Below must be at least 1")
+	check(c.Window > 0, "Window must be positive")
 	check(c.BeliefTime > 0, "BeliefTime must be positive")
 	check(c.ReturnLeast > 0 && c.ReturnMost >= c.ReturnLeast, "ReturnMost must be at least ReturnLeast, both positive")
 	check(c.EjectShare >= 0 && c.EjectShare <= 1, "EjectShare must lie in [0, 1]")
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -21,6 +21,9 @@
 	Shared []Part
 	// Objective is the time to the first byte that is worth most.
 	Objective time.Duration
+	// Elapsed is the time since the caller's first attempt; above 0 it was
+	// refused before.
+	Elapsed time.Duration
 	// Avoid names servers at which the request failed already.
 	Avoid []string
 	// Again tells that the request was admitted before and goes to a further
@@ -55,6 +58,9 @@
 	RetryAfter time.Duration
 	// Rank of the server in the order of the request's shared part, from 0.
 	Rank int
+	// Standing is what the team got in relation to its share; 0 while all
+	// that is asked for fits.
+	Standing float64
 	// Reason of a refusal, for logs and metrics.
 	Reason string
 }
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -32,8 +32,6 @@
 	loadAt time.Time
 	// parts maps a shared part to its last use here.
 	parts map[uint64]time.Time
-	// full is when the server last refused a request.
-	full time.Time
 }
 
 // rank orders servers for a part: the greatest first. It changes for no other
--- a/coordination/freshness/freshness.go
+++ b/coordination/freshness/freshness.go
@@ -38,3 +38,6 @@
 
 // Fresh reports whether requests that need a key may be served now.
 func (t *Tracker) Fresh(now time.Duration) bool { return t.known && now-t.asOf <= t.bound }
+
+// SetBound changes the greatest age of knowledge that serves.
+func (t *Tracker) SetBound(bound time.Duration) { t.bound = bound }
--- a/coordination/repeats/repeats.go
+++ b/coordination/repeats/repeats.go
@@ -44,6 +44,10 @@
 // New returns an unspent budget.
 func New(cfg Config) *Budget { return &Budget{cfg: cfg, width: cfg.Window / slices} }
 
+// SetConfig changes the bounds. What was spent stays counted; a window of
+// another length is followed from here on.
+func (b *Budget) SetConfig(cfg Config) { b.cfg, b.width = cfg, cfg.Window/slices }
+
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) {
 	b.turn(now)
--- /dev/null
+++ b/coordination/returning/returning.go
@@ -0,0 +1,65 @@
+// Package returning tells how long a caller has been waiting since its first
+// attempt, from the time that it still has: callers of one route have the same
+// time at first, and less when they come back after a refusal.
+//
+// A Tracker is pure.
+package returning
+
+import "time"
+
+// Config holds the times of a Tracker.
+type Config struct {
+	// Least is the shortest time that counts as waiting. A first attempt may
+	// lose some milliseconds to the opening of its connection. Default 25ms.
+	Least time.Duration
+	// Memory is how long the greatest time of a route counts; a route's
+	// callers may get less time with a new configuration. Default 10s.
+	Memory time.Duration
+	// Greatest is the longest wait that is believed. Default 2/3 of the
+	// greatest time: callers come back within a third of what they have left.
+	Greatest float64
+}
+
+// DefaultConfig returns the documented defaults.
+func DefaultConfig() Config {
+	return Config{Least: 25 * time.Millisecond, Memory: 10 * time.Second, Greatest: 2.0 / 3}
+}
+
+// longest is the greatest time of a route in two spans of the memory.
+type longest struct {
+	began       time.Time
+	now, before time.Duration
+}
+
+// Tracker holds the greatest time of each route. It must be used by one
+// goroutine at a time.
+type Tracker struct {
+	cfg    Config
+	routes map[string]*longest
+}
+
+// New returns a tracker that knows no route.
+func New(cfg Config) *Tracker { return &Tracker{cfg: cfg, routes: make(map[string]*longest)} }
+
+// Elapsed returns the time since the caller's first attempt, 0 for a first
+// attempt or when it cannot be told.
+func (t *Tracker) Elapsed(now time.Time, route string, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	l := t.routes[route]
+	if l == nil {
+		l = &longest{began: now}
+		t.routes[route] = l
+	}
+	if now.Sub(l.began) > t.cfg.Memory {
+		l.began, l.before, l.now = now, l.now, 0
+	}
+	l.now = max(l.now, left)
+	full := max(l.now, l.before)
+	waited := full - left
+	if waited < t.cfg.Least || float64(waited) > t.cfg.Greatest*float64(full) {
+		return 0
+	}
+	return waited
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -58,7 +58,7 @@
 func (c *call) place() admission.Decision {
 	req := admission.Request{
 		Service: c.service, Team: c.team, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
-		Objective: c.route.Objective, Avoid: c.avoid, Again: c.sent > 0,
+		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Again: c.sent > 0,
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
@@ -112,6 +112,7 @@
 		return failed, failure.Err
 	}
 	defer answer.Close()
+	c.firstByte = time.Now()
 	reply := c.r.dialect.Reply(answer.Status, answer.Header)
 	c.r.replied(run, reply)
 	if reply.NotRun || reply.OtherServer {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -15,6 +15,7 @@
 	repeats     *expvar.Int
 	storeErrors *expvar.Int
 	dropped     *expvar.Int
+	peerErrors  *expvar.Int
 	latency     *observe.Times
 }
 
@@ -27,6 +28,7 @@
 		repeats:     v.Int("direct_repeats"),
 		storeErrors: v.Int("direct_store_errors"),
 		dropped:     v.Int("log_lines_dropped"),
+		peerErrors:  v.Int("direct_peer_errors"),
 		latency:     v.Times("direct_latency_us"),
 	}
 	v.Func("direct_held", func() any { return r.held.Load() })
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -15,6 +15,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/freshness"
 	"goldcrestport/coordination/repeats"
+	"goldcrestport/coordination/returning"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
@@ -42,6 +43,7 @@
 	fresh     *freshness.Tracker
 	servers   map[string]roster.Server
 	peers     map[string]string
+	returning *returning.Tracker
 
 	unready atomic.Bool
 	leaving atomic.Bool
@@ -64,6 +66,7 @@
 		fresh:     freshness.New(cfg.Freshness),
 		servers:   make(map[string]roster.Server),
 		peers:     make(map[string]string),
+		returning: returning.New(returning.DefaultConfig()),
 		ending:    ending, end: end, abort: make(chan struct{}),
 	}
 	r.metrics = newMetrics(r)
@@ -95,6 +98,9 @@
 	go r.sweep(ctx)
 	go r.register(ctx)
 	go func() { _ = observe.Server(r.healthHandler()).Serve(health) }()
+	if err := r.exchange(ctx); err != nil {
+		return errors.Wrap(err, "listen.peers")
+	}
 	if r.set.Listen.Metrics != "" {
 		metrics, err := net.Listen("tcp", r.set.Listen.Metrics)
 		if err != nil {
@@ -147,8 +153,9 @@
 	now := bootTime()
 	r.mu.Lock()
 	age, known := r.fresh.Age(now)
+	bound := time.Duration(unreadyShare * float64(r.cfg.Freshness))
 	r.mu.Unlock()
-	if !known || age > time.Duration(unreadyShare*float64(r.cfg.Freshness)) {
+	if !known || age > bound {
 		return errors.Newf("the configuration was last known to be the newest %v ago", age)
 	}
 	return nil
@@ -177,3 +184,24 @@
 func (r *Router) event(name string, keyvals ...any) {
 	_ = r.log.Log(append([]any{"event", name}, keyvals...)...)
 }
+
+// Reload puts the bounds of changed settings in force. Addresses stay as they
+// are until the process starts again.
+func (r *Router) Reload(set settings.Direct, cfg Config) {
+	r.mu.Lock()
+	r.fresh.SetBound(cfg.Freshness)
+	r.cfg.Freshness = cfg.Freshness
+	if cfg.Repeats != r.cfg.Repeats {
+		// Budgets with other bounds begin as spent ones would: empty windows
+		// would allow a second allowance at once.
+		r.cfg.Repeats = cfg.Repeats
+		for _, b := range r.budgets {
+			b.SetConfig(cfg.Repeats)
+		}
+	}
+	r.mu.Unlock()
+	r.event("reloaded", "key_revocation", set.KeyRevocation.D(), "repeat_ratio", set.Repeats.Ratio, "repeat_allowance", set.Repeats.Allowance)
+}
+
+// Rejected notes that changed settings were wrong.
+func (r *Router) Rejected(err error) { r.event("reload_rejected", "err", err) }
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -29,6 +29,10 @@
 	// deadline is when the caller must have its final answer.
 	deadline time.Time
 
+	// elapsed is the time since the caller's first attempt, if it came back.
+	elapsed time.Duration
+	// firstByte is when the answer began.
+	firstByte time.Time
 	// reached counts the servers that may have run the request, sent those
 	// that it was sent to.
 	reached int
@@ -89,6 +93,7 @@
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	c.service = c.route.Pick(rand.Float64())
+	c.elapsed = r.elapsed(c)
 	return nil
 }
 
@@ -196,3 +201,10 @@
 	}
 	outcome.Write(c.w, c.meta.ID, o)
 }
+
+// elapsed returns how long the caller has been waiting since its first attempt.
+func (r *Router) elapsed(c *call) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.returning.Elapsed(c.received, c.route.Name, c.meta.TimeLeft)
+}
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -123,11 +123,13 @@
 	}
 	r.table.Store(routing.NewTable(c))
 	r.mu.Lock()
+	r.admission.SetCapacity(c.Limits.TokensPerSecond)
 	for _, s := range c.Services {
 		r.admission.SetEngine(s.Name, s.Engine.Slots > 0)
 	}
 	r.mu.Unlock()
-	r.event("configuration", "version", c.Version, "routes", len(c.Routes), "teams", len(c.Teams))
+	r.event("configuration", "version", c.Version, "routes", len(c.Routes), "teams", len(c.Teams),
+		"tokens_per_second", c.Limits.TokensPerSecond)
 }
 
 func (r *Router) replace(s Snapshot) {
@@ -203,7 +205,7 @@
 	lease := ""
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Callers, lease, registerTTL)
+		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Peers, lease, registerTTL)
 		cancel()
 		if err != nil {
 			r.metrics.storeErrors.Add(1)
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -36,7 +36,17 @@
 	all := []any{
 		"request", c.meta.ID, "route", route, "team", c.team, "version", version, "server", c.last.Server,
 		"wait_ms", c.last.Wait.Milliseconds(), "limit_ms", c.last.Limit.Milliseconds(), "sent", c.sent, "reached", c.reached,
+		"standing", c.last.Standing, "rank", c.last.Rank, "elapsed_ms", c.elapsed.Milliseconds(),
+		"first_ms", c.firstMillis(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output,
 		"took_ms", time.Since(c.received).Milliseconds(), "left_out", dropped,
 	}
 	c.r.event(event, append(all, keyvals...)...)
 }
+
+// firstMillis is the time from the request to the begin of its answer, or -1.
+func (c *call) firstMillis() int64 {
+	if c.firstByte.IsZero() {
+		return -1
+	}
+	return c.firstByte.Sub(c.received).Milliseconds()
+}
