--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -21,6 +21,7 @@
 	routers int
 	peers   map[string]peer
 	teams   *fairshare.Meter
+	outputs outputs
 	// capacity is the tokens that all engines produce in the teams' window;
 	// 0: unknown.
 	capacity float64
@@ -36,7 +37,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool), routers: 1,
-		peers: make(map[string]peer), teams: fairshare.NewMeter(cfg.Window),
+		peers: make(map[string]peer), teams: fairshare.NewMeter(cfg.Window), outputs: make(outputs),
 	}
 }
 
@@ -155,7 +156,7 @@
 // placeEngine takes the candidate of least price and admits the request when
 // the wait there is within its patience.
 func (s *State) placeEngine(now time.Time, req Request, usable []*server) Decision {
-	team, tokens := fairshare.IDOf(req.Team), req.tokens()
+	team, tokens := fairshare.IDOf(req.Team), s.tokens(req)
 	if req.Elapsed == 0 && !req.Again {
 		s.teams.Ask(now, team, tokens)
 	}
@@ -174,6 +175,7 @@
 		s.teams.Begin(now, team, tokens)
 	}
 	d.Run = s.start(now, best.server, best.unread, req.Shared)
+	d.Run.class, d.Run.output = req.Class, req.Output
 	return d
 }
 
@@ -249,22 +251,38 @@
 	patience := float64(s.cfg.Patience)
 	own := s.cfg.OwnReading * float64(s.reading(c.unread))
 	patience -= min(own, s.cfg.OwnReadingMost*patience)
-	switch {
-	case standing > 1:
-		patience *= s.cfg.Beyond
-	case req.Elapsed > 0:
+	patience *= s.turn(standing)
+	if req.Elapsed > 0 && standing <= 1 {
 		patience *= s.cfg.Returned
-	case standing < wellBelow:
-		patience *= s.cfg.Below
 	}
 	return time.Duration(patience)
 }
 
-// wellBelow is the standing under which a team is well below its share.
-const wellBelow = 0.8
+// Standings between which a team's turn goes from that of one well below its
+// share to that of one beyond it. Between two that are beyond, the one that got
+// less goes first.
+const (
+	wellBelow  = 0.7
+	wellBeyond = 1.3
+)
+
+// turn is the factor of the patience for a team's standing.
+func (s *State) turn(standing float64) float64 {
+	switch {
+	case standing <= wellBelow:
+		return s.cfg.Below
+	case standing >= wellBeyond:
+		return s.cfg.Beyond * wellBeyond / standing
+	default:
+		part := (standing - wellBelow) / (wellBeyond - wellBelow)
+		return s.cfg.Below + part*(s.cfg.Beyond-s.cfg.Below)
+	}
+}
 
 // tokens is what the request takes of the capacity that teams share.
-func (r Request) tokens() float64 { return float64(r.Prompt) + outputWeight*float64(r.Output) }
+func (s *State) tokens(r Request) float64 {
+	return float64(r.Prompt) + outputWeight*s.outputs.expect(r.Class, r.Output)
+}
 
 // outputWeight is what a generated token counts against one that is read.
 const outputWeight = 2
@@ -303,6 +321,9 @@
 	s.record(now, r, result)
 }
 
+// Generated notes the tokens of a complete answer.
+func (s *State) Generated(r *Run, tokens int) { s.outputs.learn(r.class, r.output, float64(tokens)) }
+
 // Reported takes the server's own word on its load.
 func (s *State) Reported(now time.Time, r *Run, load Load) {
 	r.server.load, r.server.loadAt = load, now
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -72,7 +72,7 @@
 func DefaultConfig() Config {
 	return Config{
 		ReadRate:       66,
-		RunCost:        3 * time.Millisecond,
+		RunCost:        1500 * time.Microsecond,
 		Candidates:     3,
 		SpillWeight:    4,
 		Patience:       180 * time.Millisecond,
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -12,6 +12,8 @@
 type Request struct {
 	Service string
 	Team    string
+	// Class names requests of like length, such as those of one route.
+	Class string
 	// Prompt is the number of tokens to read; 0 for plain services.
 	Prompt int
 	// Output bounds the tokens to generate.
@@ -75,6 +77,8 @@
 // Run is a request that was sent to a server. It is owned by the State.
 type Run struct {
 	server *server
+	class  string
+	output int
 	unread float64
 	probe  bool
 	first  bool
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -81,6 +81,8 @@
 	Slots int
 	// Memory for prompts and generated text, in tokens.
 	Memory int
+	// EventTokens is the tokens in one event of a stream; 0: unknown.
+	EventTokens int
 }
 
 // Service is a set of backend servers that serve the same requests.
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -57,7 +57,7 @@
 // place asks where the request goes, once more if it was sent before.
 func (c *call) place() admission.Decision {
 	req := admission.Request{
-		Service: c.service, Team: c.team, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
+		Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
 		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Again: c.sent > 0,
 	}
 	c.r.mu.Lock()
@@ -124,7 +124,11 @@
 	c.reached++
 	var next step
 	var err error
+	before := events.count
 	next, result, err = c.pass(ctx, answer, reply, events)
+	if next == done && result == health.Success && before == 0 {
+		c.r.generated(run, events.count*c.eventTokens())
+	}
 	return next, err
 }
 
@@ -215,3 +219,11 @@
 	}
 	return b
 }
+
+// eventTokens is the number of tokens in one event of the service's streams.
+func (c *call) eventTokens() int {
+	if s := c.table.Service(c.service); s != nil {
+		return s.Engine.EventTokens
+	}
+	return 0
+}
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -19,6 +19,8 @@
 type relay struct {
 	last string
 	rest []byte
+	// count of the events that were passed on.
+	count int
 }
 
 // lastEvent is the id of the last whole event that was passed on.
@@ -158,7 +160,7 @@
 			if resumable {
 				out = events.whole(out)
 			}
-			if writeErr := c.forward(flusher, answer, out); writeErr != nil {
+			if writeErr := c.forward(flusher, answer, events, out); writeErr != nil {
 				return c.lostCaller(writeErr)
 			}
 		}
@@ -174,10 +176,11 @@
 	}
 }
 
-func (c *call) forward(flusher *http.ResponseController, answer *backend.Answer, out []byte) error {
+func (c *call) forward(flusher *http.ResponseController, answer *backend.Answer, events *relay, out []byte) error {
 	if len(out) == 0 {
 		return nil
 	}
+	events.count += bytes.Count(out, eventEnd)
 	if !c.begun {
 		c.head(answer, -1)
 	}
--- a/transport/direct/runs.go
+++ b/transport/direct/runs.go
@@ -37,3 +37,13 @@
 		r.admission.Reported(now, run, reply.Load)
 	}
 }
+
+// generated notes the length of a complete answer.
+func (r *Router) generated(run *admission.Run, tokens int) {
+	if tokens == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admission.Generated(run, tokens)
+}
