--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -29,6 +29,9 @@
 	// IdleTimeout closes a connection without requests. It must be above what
 	// the configuration allows callers. Default 2m.
 	IdleTimeout Duration `json:"idle_timeout"`
+	// Connections bounds the callers' open connections: those idle for longest
+	// are closed beyond it. Default 2500.
+	Connections int `json:"connections"`
 }
 
 // Repeats bounds the requests that are sent to a further backend server, over
@@ -69,6 +72,7 @@
 		Callers: DirectCallers{
 			Body: 8 * MiB, Headers: 64 * KiB,
 			HeaderTimeout: Duration(30 * time.Second), IdleTimeout: Duration(2 * time.Minute),
+			Connections: 2500,
 		},
 		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
 		KeyRevocation: Duration(5 * time.Second),
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -11,6 +11,7 @@
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/protocol/outcome"
+	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
 )
 
@@ -138,6 +139,10 @@
 	if ctx.Err() != nil || c.sent >= sends || c.left() <= 0 {
 		return false
 	}
+	if after == broken && c.route.Kind != routing.Streaming {
+		// A part of another run's answer must not follow the first one's.
+		return false
+	}
 	if after != refused && (!c.route.MayRepeat() || c.reached >= c.route.Attempts) {
 		return false
 	}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -16,6 +16,7 @@
 	storeErrors *expvar.Int
 	dropped     *expvar.Int
 	peerErrors  *expvar.Int
+	closedIdle  *expvar.Int
 	latency     *observe.Times
 }
 
@@ -29,9 +30,11 @@
 		storeErrors: v.Int("direct_store_errors"),
 		dropped:     v.Int("log_lines_dropped"),
 		peerErrors:  v.Int("direct_peer_errors"),
+		closedIdle:  v.Int("direct_idle_closed"),
 		latency:     v.Times("direct_latency_us"),
 	}
 	v.Func("direct_held", func() any { return r.held.Load() })
+	v.Func("direct_caller_connections", func() any { return r.callers.open() })
 	v.Func("direct_dials", func() any { return r.pool.Dials() })
 	v.Func("direct_configuration_version", func() any {
 		if t := r.table.Load(); t != nil {
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -77,7 +77,7 @@
 		return failed, health.Failure, errors.New("a success without the server's mark")
 	case success && c.route.Kind == routing.Streaming:
 		return c.passEvents(ctx, answer, events)
-	case answer.Framed() && answer.Length <= wholeBody:
+	case answer.Length <= wholeBody:
 		return c.passWhole(ctx, answer, success)
 	default:
 		return c.passBytes(ctx, answer)
@@ -99,7 +99,7 @@
 	if err != nil {
 		return failed, brokeOff(ctx), err
 	}
-	if answer.Length < 0 && len(body) == wholeBody {
+	if len(body) == wholeBody && answer.Length != wholeBody {
 		c.head(answer, -1)
 		return c.passRest(ctx, answer, body)
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +53,7 @@
 	ending  context.Context
 	end     context.CancelFunc
 	abort   chan struct{}
+	callers *callers
 	once    sync.Once
 }
 
@@ -67,7 +70,7 @@
 		servers:   make(map[string]roster.Server),
 		peers:     make(map[string]string),
 		returning: returning.New(returning.DefaultConfig()),
-		ending:    ending, end: end, abort: make(chan struct{}),
+		ending:    ending, end: end, abort: make(chan struct{}), callers: newCallers(),
 	}
 	r.metrics = newMetrics(r)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
@@ -121,6 +124,8 @@
 		Handler:           http.HandlerFunc(r.serve),
 		ReadHeaderTimeout: r.set.Callers.HeaderTimeout.D(),
 		IdleTimeout:       r.set.Callers.IdleTimeout.D(),
+		ConnState:         r.callers.changed,
+		ErrorLog:          stdlog.New(errorLines{r}, "", 0),
 		MaxHeaderBytes:    int(r.set.Callers.Headers.Bytes()),
 	}
 }
@@ -205,3 +210,14 @@
 
 // Rejected notes that changed settings were wrong.
 func (r *Router) Rejected(err error) { r.event("reload_rejected", "err", err) }
+
+// errorLines takes the lines that net/http logs about connections.
+type errorLines struct{ r *Router }
+
+// Write implements io.Writer.
+func (e errorLines) Write(line []byte) (int, error) {
+	if allowed, dropped := e.r.lines.Allow("http_server", time.Now()); allowed {
+		e.r.event("http_server", "text", strings.TrimSpace(string(line)), "left_out", dropped)
+	}
+	return len(line), nil
+}
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -192,6 +192,7 @@
 			return
 		case now := <-ticker.C:
 			r.pool.Sweep(now)
+			r.sweepCallers(now)
 			r.mu.Lock()
 			r.apply(r.roster.Tick(now))
 			r.mu.Unlock()
@@ -222,3 +223,19 @@
 		}
 	}
 }
+
+// idleSlack is how long past the configuration's idle timeout a caller's
+// connection is kept: callers use connections up to near that time.
+const idleSlack = 500 * time.Millisecond
+
+// sweepCallers closes callers' connections that are idle for too long or too
+// many.
+func (r *Router) sweepCallers(now time.Time) {
+	limit := r.set.Callers.IdleTimeout.D()
+	if t := r.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
+		limit = t.Limits().IdleTimeout + idleSlack
+	}
+	if closed := r.callers.sweep(now, limit, r.set.Callers.Connections); closed > 0 {
+		r.metrics.closedIdle.Add(int64(closed))
+	}
+}
