--- /dev/null
+++ b/standin/kvstore/kvstore.go
@@ -0,0 +1,365 @@
+// Package kvstore is a stand-in for the users' platform's key-value store,
+// written from the users' pages: items with a store-wide revision, ranges in
+// pages, watches, conditional writes and leases, with the faults that the
+// pages name.
+package kvstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"goldcrestport/standin/internal/reply"
+)
+
+// Item is one key as readers see it.
+type Item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Faults are what goes wrong at the store. The zero value is a sound store.
+type Faults struct {
+	// Status answers every call with it and does nothing, such as 503 or 429.
+	Status int
+	// Silent takes calls and never answers.
+	Silent bool
+	// LoseAnswers does what a call says and closes the connection.
+	LoseAnswers bool
+	// Late does a write only after this time, without an answer.
+	Late time.Duration
+	// DeafWatches tell no changes until their time is over.
+	DeafWatches bool
+}
+
+// pageItems is the number of items in a page of a range.
+const pageItems = 3
+
+// maxWait bounds a watch.
+const maxWait = 30 * time.Second
+
+// Server is the stand-in.
+type Server struct {
+	mux *http.ServeMux
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	history  []Item
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
+	leases    map[uint64]time.Time
+	nextLease uint64
+	changed   chan struct{}
+	faults    Faults
+	calls     map[string]int
+}
+
+// New returns an empty store.
+func New() *Server {
+	s := &Server{mux: http.NewServeMux(), items: map[string]Item{}, leases: map[uint64]time.Time{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s.mux.HandleFunc("GET /api/kv-key", s.key)
+	s.mux.HandleFunc("GET /api/kv-range", s.list)
+	s.mux.HandleFunc("GET /api/kv-watch", s.watch)
+	s.mux.HandleFunc("POST /api/kv-txn", s.txn)
+	s.mux.HandleFunc("POST /api/kv-lease", s.grant)
+	s.mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
+	s.mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.end)
+	return s
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns how often the path was called.
+func (s *Server) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes as the operators and backend servers do.
+func (s *Server) Put(key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write([]Item{{Key: key, Value: value}}, nil)
+}
+
+// Remove deletes as the store does when a lease ends.
+func (s *Server) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(nil, []string{key})
+}
+
+// Compact drops the history.
+func (s *Server) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+}
+
+// Items returns the items below the prefix by their keys.
+func (s *Server) Items(prefix string) map[string]Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	out := map[string]Item{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			out[key] = item
+		}
+	}
+	return out
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	f := s.faults
+	s.expire()
+	s.mu.Unlock()
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+	case f.Status != 0:
+		reply.Error(w, f.Status, "fault")
+	case f.Late > 0 && r.Method != http.MethodGet:
+		body := r.Clone(r.Context())
+		data, _ := reply.Body(w, r, 1<<20)
+		time.AfterFunc(f.Late, func() { s.replay(body, data) })
+		reply.Abort(w)
+	case f.LoseAnswers:
+		s.mux.ServeHTTP(&discard{header: http.Header{}}, r)
+		reply.Abort(w)
+	default:
+		s.mux.ServeHTTP(w, r)
+	}
+}
+
+// write applies changes at one revision. The caller holds mu.
+func (s *Server) write(puts []Item, remove []string) uint64 {
+	s.revision++
+	for _, p := range puts {
+		p.Revision, p.Created = s.revision, s.revision
+		if old, known := s.items[p.Key]; known {
+			p.Created = old.Created
+		}
+		s.items[p.Key] = p
+		s.history = append(s.history, p)
+	}
+	for _, key := range remove {
+		if _, known := s.items[key]; known {
+			delete(s.items, key)
+			s.history = append(s.history, Item{Key: key, Revision: s.revision, Deleted: true})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// expire removes the keys of leases that ended. The caller holds mu.
+func (s *Server) expire() {
+	for id, ends := range s.leases {
+		if time.Now().After(ends) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *Server) dropLease(id uint64) {
+	delete(s.leases, id)
+	var keys []string
+	for key, item := range s.items {
+		if item.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) > 0 {
+		s.write(nil, keys)
+	}
+}
+
+func (s *Server) key(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	item, known := s.items[r.URL.Query().Get("key")]
+	revision := s.revision
+	s.mu.Unlock()
+	if !known {
+		reply.Error(w, http.StatusNotFound, "no such key")
+		return
+	}
+	reply.JSON(w, http.StatusOK, struct {
+		Item
+		CurrentRev uint64 `json:"currentRev"`
+	}{item, revision})
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("pathPrefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := []Item{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page = append(page, item)
+		}
+	}
+	slices.SortFunc(page, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(page) > pageItems
+	reply.JSON(w, http.StatusOK, map[string]any{"entries": page[:min(len(page), pageItems)], "hasMore": more, "currentRev": s.revision})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, waitErr := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	if err != nil || waitErr != nil {
+		reply.Error(w, http.StatusBadRequest, "after and waitMs are whole numbers")
+		return
+	}
+	end := time.After(min(time.Duration(wait)*time.Millisecond, maxWait))
+	for {
+		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			reply.Error(w, http.StatusGone, "history is gone")
+			return
+		}
+		events, revision, changed := s.since(q.Get("pathPrefix"), after), s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			reply.JSON(w, http.StatusOK, map[string]any{"events": events, "currentRev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			reply.JSON(w, http.StatusOK, map[string]any{"events": []Item{}, "currentRev": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes below the prefix. The caller holds mu.
+func (s *Server) since(prefix string, after uint64) []Item {
+	var events []Item
+	if s.faults.DeafWatches {
+		return nil
+	}
+	for _, item := range s.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events
+}
+
+// transaction is the body of a conditional write.
+type transaction struct {
+	ExpectedRev []Item   `json:"expectedRev"`
+	Puts        []Item   `json:"puts"`
+	Remove      []string `json:"remove"`
+}
+
+func (s *Server) txn(w http.ResponseWriter, r *http.Request) {
+	data, status := reply.Body(w, r, 1<<20)
+	if status != 0 {
+		reply.Error(w, status, "body")
+		return
+	}
+	s.apply(w, data)
+}
+
+func (s *Server) apply(w http.ResponseWriter, data []byte) {
+	var t transaction
+	if err := json.Unmarshal(data, &t); err != nil {
+		reply.Error(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, want := range t.ExpectedRev {
+		if s.items[want.Key].Revision != want.Revision {
+			reply.JSON(w, http.StatusPreconditionFailed, map[string]any{"entries": []Item{s.items[want.Key]}})
+			return
+		}
+	}
+	for _, p := range t.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			reply.Error(w, http.StatusForbidden, "not the system's keys")
+			return
+		}
+		if _, known := s.leases[p.Lease]; p.Lease != 0 && !known {
+			reply.Error(w, http.StatusNotFound, "no such lease")
+			return
+		}
+	}
+	reply.JSON(w, http.StatusOK, map[string]uint64{"revision": s.write(t.Puts, t.Remove)})
+}
+
+// replay does a late write.
+func (s *Server) replay(r *http.Request, data []byte) {
+	if strings.HasSuffix(r.URL.Path, "kv-txn") {
+		s.apply(&discard{header: http.Header{}}, data)
+	}
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMs <= 0 {
+		reply.Error(w, http.StatusBadRequest, "ttlMs")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = time.Now().Add(time.Duration(body.TTLMs) * time.Millisecond)
+	reply.JSON(w, http.StatusOK, map[string]any{"lease": s.nextLease, "ttlMs": body.TTLMs})
+}
+
+func (s *Server) keep(w http.ResponseWriter, r *http.Request) { s.onLease(w, r, func(uint64) {}) }
+
+func (s *Server) end(w http.ResponseWriter, r *http.Request) { s.onLease(w, r, s.dropLease) }
+
+func (s *Server) onLease(w http.ResponseWriter, r *http.Request, do func(uint64)) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.leases[id]; err != nil || !known {
+		reply.Error(w, http.StatusNotFound, "no such lease")
+		return
+	}
+	do(id)
+	reply.JSON(w, http.StatusOK, map[string]int64{"ttlMs": 1000})
+}
+
+// discard is a response that nobody gets.
+type discard struct{ header http.Header }
+
+// Header implements http.ResponseWriter.
+func (d *discard) Header() http.Header { return d.header }
+
+// Write implements http.ResponseWriter.
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (d *discard) WriteHeader(int) {}
