Digests every 20 ms in small fleets; reading a shared part again weighs eight times

Cause: engines were sent two long prompts at once by routers that did not know of each other's for up to 50 ms; shared parts that are read again are the greatest price.

--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -33,7 +33,7 @@
 	// least wait is chosen. Default 3.
 	Candidates int
 	// SpillWeight is the number of times that reading a shared part counts
-	// again at servers that are not first in the part's order. Default 4.
+	// again at servers that are not first in the part's order. Default 8.
 	SpillWeight float64
 	// Patience is the estimated wait up to which a request is admitted.
 	// Default 180ms.
@@ -74,7 +74,7 @@
 		ReadRate:       66,
 		RunCost:        1500 * time.Microsecond,
 		Candidates:     3,
-		SpillWeight:    4,
+		SpillWeight:    8,
 		Patience:       180 * time.Millisecond,
 		OwnReading:     0.25,
 		OwnReadingMost: 0.6,
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -12,11 +12,11 @@
 // Times and sizes of what routers tell each other.
 const (
 	// tellEvery is the time between digests in a small fleet. An engine reads
-	// 3,300 tokens meanwhile, less than a long prompt.
-	tellEvery = 50 * time.Millisecond
+	// 1,300 tokens meanwhile, less than a long prompt.
+	tellEvery = 20 * time.Millisecond
 	// tellBudget bounds the datagrams that a router sends in a second; in
 	// larger fleets the digests are rarer.
-	tellBudget = 100
+	tellBudget = 200
 	// maxDatagram bounds a digest, in bytes.
 	maxDatagram = 32 << 10
 )
