A few routers watch the store for all, and tell each other changes of their use only

Ruled out: polling less often (the bound of keys is 5 s); taking a peer's word at its arrival (a message may lie in a buffer while the instance is frozen, so a word counts from this router's own message that it answers).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -19,7 +19,9 @@
 	pools   map[string]*pool
 	// routers is the number of routers that share the servers, at least 1.
 	routers int
-	peers   map[string]peer
+	peers   map[string]*peer
+	// others is the sum of what the peers told.
+	others  map[ServerID]Use
 	teams   *fairshare.Meter
 	outputs outputs
 	// capacity is the tokens that all engines produce in the teams' window;
@@ -37,7 +39,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool), routers: 1,
-		peers: make(map[string]peer), teams: fairshare.NewMeter(cfg.Window), outputs: make(outputs),
+		peers: make(map[string]*peer), others: make(map[ServerID]Use), teams: fairshare.NewMeter(cfg.Window), outputs: make(outputs),
 	}
 }
 
@@ -65,6 +67,7 @@
 		id: id, service: service, slots: max(slots, 1),
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), parts: make(map[uint64]time.Time),
 	}
+	one.number = ServerID(one.seed)
 	s.servers[id] = one
 	p := s.pool(service)
 	p.servers = append(p.servers, one)
@@ -184,9 +187,7 @@
 func (s *State) candidates(now time.Time, req Request, usable []*server) []candidate {
 	order := usable
 	if n := len(req.Shared); n > 0 {
-		part := req.Shared[n-1].ID
-		slices.SortFunc(order, func(a, b *server) int { return cmp.Compare(b.rank(part), a.rank(part)) })
-		order = order[:min(len(order), s.cfg.Candidates)]
+		order = first(usable, req.Shared[n-1].ID, s.cfg.Candidates)
 	}
 	out := make([]candidate, len(order))
 	for i, one := range order {
@@ -195,6 +196,29 @@
 	return out
 }
 
+// first returns the first n servers in the order of the part.
+func first(servers []*server, part uint64, n int) []*server {
+	type ranked struct {
+		server *server
+		rank   uint64
+	}
+	best := make([]ranked, 0, n+1)
+	for _, one := range servers {
+		rank := one.rank(part)
+		if len(best) == n && rank <= best[n-1].rank {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, rank, func(r ranked, rank uint64) int { return cmp.Compare(rank, r.rank) })
+		best = slices.Insert(best, at, ranked{one, rank})
+		best = best[:min(len(best), n)]
+	}
+	out := make([]*server, len(best))
+	for i, r := range best {
+		out[i] = r.server
+	}
+	return out
+}
+
 // unknownShare is the part of a shared prompt part that is presumed to be read
 // at its first server when this router has not sent it there lately: another
 // one may have.
@@ -202,7 +226,7 @@
 
 // assess estimates what the request meets at the server.
 func (s *State) assess(now time.Time, req Request, one *server, rank int) candidate {
-	c := candidate{server: one, rank: rank, unread: float64(req.Prompt), wait: s.wait(now, one)}
+	c := candidate{server: one, rank: rank, unread: float64(req.Prompt), wait: s.wait(one)}
 	var again float64
 	for _, part := range req.Shared {
 		tokens := float64(part.Tokens)
@@ -224,18 +248,11 @@
 // from the prompts that are not read yet and the generations that run. Routers
 // that told nothing lately are presumed to have sent as much as the others do
 // on average.
-func (s *State) wait(now time.Time, one *server) time.Duration {
-	total := Use{Unread: one.unread, Runs: one.running + one.awaiting}
-	told := 1
-	for _, p := range s.peers {
-		if now.Sub(p.at) > peerTime {
-			continue
-		}
-		told++
-		u := p.servers[one.seed]
-		total.Unread += u.Unread
-		total.Runs += u.Runs
-	}
+func (s *State) wait(one *server) time.Duration {
+	total := s.others[one.number]
+	total.Unread += one.unread
+	total.Runs += one.running + one.awaiting
+	told := 1 + len(s.peers)
 	scale := max(float64(s.routers)/float64(told), 1)
 	runs := time.Duration(float64(total.Runs) * scale * float64(s.cfg.RunCost))
 	return s.reading(total.Unread*scale) + runs
@@ -310,15 +327,18 @@
 	r.server.running++
 }
 
-// Ended notes that the run ended.
-func (s *State) Ended(now time.Time, r *Run, result health.Result) {
+// Ended notes that the run ended. It reports whether the server was ejected or
+// taken in again.
+func (s *State) Ended(now time.Time, r *Run, result health.Result) (changed bool) {
 	if r.ended {
-		return
+		return false
 	}
 	s.FirstByte(r)
 	r.ended = true
 	r.server.running--
+	before := r.server.health.Ejected()
 	s.record(now, r, result)
+	return r.server.health.Ejected() != before
 }
 
 // Generated notes the tokens of a complete answer.
--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -6,6 +6,9 @@
 	"goldcrestport/coordination/fairshare"
 )
 
+// ServerID names a server in messages between routers.
+type ServerID uint32
+
 // Use is what one router has at one server.
 type Use struct {
 	// Unread are the prompt tokens sent and not answered by a first event.
@@ -14,19 +17,20 @@
 	Runs int
 }
 
-// Digest is what routers tell each other: their own state, whole, so that a
-// lost message costs nothing but time.
+// Digest is what a router tells the others of its own state. The figures are
+// whole, not differences, so that a lost message costs nothing but time.
 type Digest struct {
-	// Servers maps the hash of a server's id to the use of it. Servers without
-	// use are left out.
-	Servers map[uint64]Use
-	Teams   map[fairshare.TeamID]fairshare.Use
+	// All tells that servers that are not named have no use.
+	All     bool
+	Servers map[ServerID]Use
+	// Teams holds the use of every team, or is nil when it is left out.
+	Teams map[fairshare.TeamID]fairshare.Use
 }
 
-// peer is another router's last digest.
+// peer is what another router told last.
 type peer struct {
 	at      time.Time
-	servers map[uint64]Use
+	servers map[ServerID]Use
 }
 
 // peerTime is how long another router's word counts. Routers tell each other
@@ -34,27 +38,74 @@
 // is presumed to be like the others.
 const peerTime = time.Second
 
-// Digest returns what this router tells the others.
-func (s *State) Digest(now time.Time) Digest {
-	d := Digest{Servers: make(map[uint64]Use), Teams: s.teams.Own(now)}
+// Digest returns what this router tells the others: the servers whose use
+// changed since the last digest, or all of them.
+func (s *State) Digest(now time.Time, all, teams bool) Digest {
+	d := Digest{All: all, Servers: make(map[ServerID]Use)}
+	if teams {
+		d.Teams = s.teams.Own(now)
+	}
 	for _, one := range s.servers {
-		if runs := one.running + one.awaiting; runs > 0 {
-			d.Servers[one.seed] = Use{Unread: one.unread, Runs: runs}
+		use := Use{Unread: one.unread, Runs: one.running + one.awaiting}
+		if all && use.Runs > 0 || !all && use != one.told {
+			d.Servers[one.number] = use
 		}
+		one.told = use
 	}
 	return d
 }
 
 // Told takes another router's digest.
 func (s *State) Told(now time.Time, router string, d Digest) {
-	s.peers[router] = peer{at: now, servers: d.Servers}
-	s.teams.Reported(now, router, d.Teams)
-	for id, p := range s.peers {
-		if now.Sub(p.at) > forgetPeer {
-			delete(s.peers, id)
+	p := s.peers[router]
+	if p == nil {
+		p = &peer{servers: make(map[ServerID]Use)}
+		s.peers[router] = p
+	}
+	p.at = now
+	if d.All {
+		for id := range p.servers {
+			if _, named := d.Servers[id]; !named {
+				s.setOther(p, id, Use{})
+			}
 		}
 	}
+	for id, use := range d.Servers {
+		s.setOther(p, id, use)
+	}
+	if d.Teams != nil {
+		s.teams.Reported(now, router, d.Teams)
+	}
 }
 
-// forgetPeer is when a silent router's word is dropped.
-const forgetPeer = 10 * time.Second
+// setOther replaces the peer's use of a server in the sum of all.
+func (s *State) setOther(p *peer, id ServerID, use Use) {
+	before := p.servers[id]
+	sum := s.others[id]
+	sum.Unread = max(sum.Unread+use.Unread-before.Unread, 0)
+	sum.Runs += use.Runs - before.Runs
+	if use == (Use{}) {
+		delete(p.servers, id)
+	} else {
+		p.servers[id] = use
+	}
+	if sum.Runs <= 0 {
+		delete(s.others, id)
+	} else {
+		s.others[id] = sum
+	}
+}
+
+// Tick drops the word of routers that are silent. It is to be called several
+// times a second.
+func (s *State) Tick(now time.Time) {
+	for router, p := range s.peers {
+		if now.Sub(p.at) <= peerTime {
+			continue
+		}
+		for id := range p.servers {
+			s.setOther(p, id, Use{})
+		}
+		delete(s.peers, router)
+	}
+}
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -19,7 +19,11 @@
 	service string
 	slots   int
 	seed    uint64
-	health  *health.Tracker
+	// number names the server in messages between routers.
+	number ServerID
+	// told is the use that the others know.
+	told   Use
+	health *health.Tracker
 	// unread are the prompt tokens that this router sent and that no first
 	// event has answered yet.
 	unread float64
--- a/coordination/freshness/freshness_test.go
+++ b/coordination/freshness/freshness_test.go
@@ -40,3 +40,29 @@
 	tr.Confirm(11 * time.Second)
 	qt.Check(t, tr.Fresh(12*time.Second), qt.IsTrue)
 }
+
+// Another router's finding counts from when this one sent the message that the
+// other had heard before it asked the store, however late the word arrives.
+func TestAWitnessCountsFromThisRoutersOwnClock(t *testing.T) {
+	tr, w := New(bound), &Witness{}
+	w.Sent(1, 10*time.Second)
+	w.Sent(2, 11*time.Second)
+	// The word arrives at 14.5 s, and speaks of message 1.
+	at, known := w.Heard(1)
+	qt.Assert(t, known, qt.IsTrue)
+	tr.Confirm(at)
+	qt.Check(t, tr.Fresh(14*time.Second), qt.IsTrue)
+	qt.Check(t, tr.Fresh(14500*time.Millisecond), qt.IsFalse)
+}
+
+func TestAWitnessKnowsNothingOfMessagesNeverSentOrForgotten(t *testing.T) {
+	w := &Witness{}
+	for _, seq := range []uint32{0, 5} {
+		_, known := w.Heard(seq)
+		qt.Check(t, known, qt.IsFalse)
+	}
+	w.Sent(5, time.Second)
+	w.Sent(5+remembered, 20*time.Second)
+	_, known := w.Heard(5)
+	qt.Check(t, known, qt.IsFalse)
+}
--- /dev/null
+++ b/coordination/watchduty/watchduty.go
@@ -0,0 +1,50 @@
+// Package watchduty decides which routers of a fleet ask the store for changes.
+//
+// Every call of the store is paid for, and its rates grow more slowly than the
+// fleet. So a few routers watch and tell the others; a router that does not
+// hear from them in time asks itself, so that no router depends on another.
+//
+// The package is pure.
+package watchduty
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config holds the constants of the choice.
+type Config struct {
+	// Watchers is the number of routers that watch. Default 2: one may fail
+	// while its fall is not known yet.
+	Watchers int
+	// Patience is the age of knowledge from which a router asks itself.
+	// Default 1.9s: a watcher's word is up to a second old when it comes, and
+	// the next one is due a second later.
+	Patience time.Duration
+}
+
+// DefaultConfig returns the documented defaults.
+func DefaultConfig() Config { return Config{Watchers: 2, Patience: 1900 * time.Millisecond} }
+
+// Asks reports whether the router asks the store now. Routers are the ids of
+// all registered ones; age is that of its knowledge, if there is any.
+func (c Config) Asks(self string, routers []string, age time.Duration, known bool) bool {
+	if !known || age > c.Patience {
+		return true
+	}
+	before := 0
+	for _, other := range routers {
+		if other != self && compare(other, self) < 0 {
+			before++
+		}
+	}
+	return before < c.Watchers
+}
+
+// compare orders routers by the hash of their ids, which spreads the duty over
+// data centres whose names lead the ids.
+func compare(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
--- a/protocol/digest/digest.go
+++ b/protocol/digest/digest.go
@@ -17,32 +17,80 @@
 )
 
 // version begins a datagram; others are dropped.
-const version = 1
+const version = 2
 
-// Sizes of the parts, in bytes. Tokens are written in units of unit.
+// Sizes of the parts, in bytes, and the unit in which unread tokens are
+// written: a long prompt has thousands.
 const (
-	serverSize = 8 + 4 + 2
-	teamSize   = 4 + 4 + 4
-	// maxName bounds the name of a router.
-	maxName = 255
+	headSize    = 1 + 1 + 4 + 4 + 8
+	serverSize  = 4 + 2 + 2
+	teamSize    = 4 + 4 + 4
+	unreadUnit  = 16
+	maxName     = 255
+	flagAll     = 1
+	flagTeams   = 2
+	countLength = 2
 )
 
 // ErrForm means that a datagram is not a digest of this version.
 var ErrForm = errors.New("no digest of this version")
 
-// Append writes the digest of the router.
-func Append(b []byte, router string, d admission.Digest) []byte {
-	name := router[:min(len(router), maxName)]
-	b = append(b, version, byte(len(name)))
+// Message is one datagram.
+type Message struct {
+	// Router is the id of the sender.
+	Router string
+	// Seq numbers the sender's messages to this receiver's fleet; it rises.
+	Seq uint32
+	// Heard is the number of the last message that the sender had from the
+	// receiver when it asked the store what is newest; 0: it did not ask.
+	Heard uint32
+	// Revision of the store that was the newest then.
+	Revision uint64
+	Digest   admission.Digest
+}
+
+// Append writes the message.
+func Append(b []byte, m Message) []byte {
+	flags := byte(0)
+	if m.Digest.All {
+		flags |= flagAll
+	}
+	if m.Digest.Teams != nil {
+		flags |= flagTeams
+	}
+	b = append(b, version, flags)
+	b = binary.LittleEndian.AppendUint32(b, m.Seq)
+	b = binary.LittleEndian.AppendUint32(b, m.Heard)
+	b = binary.LittleEndian.AppendUint64(b, m.Revision)
+	name := m.Router[:min(len(m.Router), maxName)]
+	b = append(b, byte(len(name)))
 	b = append(b, name...)
-	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Servers)))
-	for id, u := range d.Servers {
-		b = binary.LittleEndian.AppendUint64(b, id)
-		b = binary.LittleEndian.AppendUint32(b, whole(u.Unread))
+	b = appendServers(b, m.Digest.Servers)
+	if m.Digest.Teams != nil {
+		b = appendTeams(b, m.Digest.Teams)
+	}
+	return b
+}
+
+// SetHeard changes what a written message says to one receiver.
+func SetHeard(b []byte, heard uint32, revision uint64) {
+	binary.LittleEndian.PutUint32(b[6:], heard)
+	binary.LittleEndian.PutUint64(b[10:], revision)
+}
+
+func appendServers(b []byte, servers map[admission.ServerID]admission.Use) []byte {
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(servers)))
+	for id, u := range servers {
+		b = binary.LittleEndian.AppendUint32(b, uint32(id))
+		b = binary.LittleEndian.AppendUint16(b, uint16(min(u.Unread/unreadUnit, math.MaxUint16)))
 		b = binary.LittleEndian.AppendUint16(b, uint16(min(u.Runs, math.MaxUint16)))
 	}
-	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Teams)))
-	for id, u := range d.Teams {
+	return b
+}
+
+func appendTeams(b []byte, teams map[fairshare.TeamID]fairshare.Use) []byte {
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(teams)))
+	for id, u := range teams {
 		b = binary.LittleEndian.AppendUint32(b, uint32(id))
 		b = binary.LittleEndian.AppendUint32(b, whole(u.Asked))
 		b = binary.LittleEndian.AppendUint32(b, whole(u.Begun))
@@ -53,34 +101,72 @@
 func whole(tokens float64) uint32 { return uint32(min(max(tokens, 0), math.MaxUint32)) }
 
 // Read reads a datagram.
-func Read(b []byte) (router string, d admission.Digest, err error) {
-	if len(b) < 2 || b[0] != version || len(b) < 2+int(b[1])+2 {
-		return "", d, ErrForm
-	}
-	router, b = string(b[2:2+int(b[1])]), b[2+int(b[1]):]
-	n := int(binary.LittleEndian.Uint16(b))
-	b = b[2:]
-	if len(b) < n*serverSize+2 {
-		return "", d, ErrForm
-	}
-	d.Servers = make(map[uint64]admission.Use, n)
-	for range n {
-		d.Servers[binary.LittleEndian.Uint64(b)] = admission.Use{
-			Unread: float64(binary.LittleEndian.Uint32(b[8:])), Runs: int(binary.LittleEndian.Uint16(b[12:])),
+func Read(b []byte) (m Message, err error) {
+	if len(b) < headSize+1 || b[0] != version {
+		return m, ErrForm
+	}
+	flags := b[1]
+	m.Seq = binary.LittleEndian.Uint32(b[2:])
+	m.Heard = binary.LittleEndian.Uint32(b[6:])
+	m.Revision = binary.LittleEndian.Uint64(b[10:])
+	name := int(b[headSize])
+	b = b[headSize+1:]
+	if len(b) < name {
+		return m, ErrForm
+	}
+	m.Router, b = string(b[:name]), b[name:]
+	m.Digest.All = flags&flagAll != 0
+	if m.Digest.Servers, b, err = readServers(b); err != nil {
+		return m, err
+	}
+	if flags&flagTeams != 0 {
+		if m.Digest.Teams, b, err = readTeams(b); err != nil {
+			return m, err
 		}
-		b = b[serverSize:]
+	}
+	if len(b) != 0 {
+		return m, ErrForm
+	}
+	return m, nil
+}
+
+// counted returns the parts of a size that follow their number.
+func counted(b []byte, size int) (parts, rest []byte, n int, err error) {
+	if len(b) < countLength {
+		return nil, nil, 0, ErrForm
 	}
 	n = int(binary.LittleEndian.Uint16(b))
-	b = b[2:]
-	if len(b) != n*teamSize {
-		return "", d, ErrForm
-	}
-	d.Teams = make(map[fairshare.TeamID]fairshare.Use, n)
-	for range n {
-		d.Teams[fairshare.TeamID(binary.LittleEndian.Uint32(b))] = fairshare.Use{
-			Asked: float64(binary.LittleEndian.Uint32(b[4:])), Begun: float64(binary.LittleEndian.Uint32(b[8:])),
+	b = b[countLength:]
+	if len(b) < n*size {
+		return nil, nil, 0, ErrForm
+	}
+	return b[:n*size], b[n*size:], n, nil
+}
+
+func readServers(b []byte) (map[admission.ServerID]admission.Use, []byte, error) {
+	parts, rest, n, err := counted(b, serverSize)
+	if err != nil {
+		return nil, nil, err
+	}
+	out := make(map[admission.ServerID]admission.Use, n)
+	for ; len(parts) > 0; parts = parts[serverSize:] {
+		out[admission.ServerID(binary.LittleEndian.Uint32(parts))] = admission.Use{
+			Unread: unreadUnit * float64(binary.LittleEndian.Uint16(parts[4:])), Runs: int(binary.LittleEndian.Uint16(parts[6:])),
+		}
+	}
+	return out, rest, nil
+}
+
+func readTeams(b []byte) (map[fairshare.TeamID]fairshare.Use, []byte, error) {
+	parts, rest, n, err := counted(b, teamSize)
+	if err != nil {
+		return nil, nil, err
+	}
+	out := make(map[fairshare.TeamID]fairshare.Use, n)
+	for ; len(parts) > 0; parts = parts[teamSize:] {
+		out[fairshare.TeamID(binary.LittleEndian.Uint32(parts))] = fairshare.Use{
+			Asked: float64(binary.LittleEndian.Uint32(parts[4:])), Begun: float64(binary.LittleEndian.Uint32(parts[8:])),
 		}
-		b = b[teamSize:]
 	}
-	return router, d, nil
+	return out, rest, nil
 }
--- a/protocol/digest/digest_test.go
+++ b/protocol/digest/digest_test.go
@@ -9,32 +9,48 @@
 	"goldcrestport/coordination/fairshare"
 )
 
-func example() admission.Digest {
-	return admission.Digest{
-		Servers: map[uint64]admission.Use{7: {Unread: 12000, Runs: 3}, 9: {Runs: 1}},
-		Teams:   map[fairshare.TeamID]fairshare.Use{4: {Asked: 9000, Begun: 100}},
+func example() Message {
+	return Message{
+		Router: "edge-1", Seq: 9, Heard: 4, Revision: 77,
+		Digest: admission.Digest{
+			All:     true,
+			Servers: map[admission.ServerID]admission.Use{7: {Unread: 12000, Runs: 3}, 9: {Runs: 1}},
+			Teams:   map[fairshare.TeamID]fairshare.Use{4: {Asked: 9000, Begun: 100}},
+		},
 	}
 }
 
-func TestADigestIsReadAsItWasWritten(t *testing.T) {
-	router, got, err := Read(Append(nil, "edge-1", example()))
+func TestAMessageIsReadAsItWasWritten(t *testing.T) {
+	changes := example()
+	changes.Digest.All, changes.Digest.Teams = false, nil
+	for _, m := range []Message{example(), changes} {
+		got, err := Read(Append(nil, m))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.DeepEquals, m)
+	}
+	written := Append(nil, example())
+	SetHeard(written, 5, 78)
+	got, err := Read(written)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, router, qt.Equals, "edge-1")
-	qt.Check(t, got, qt.DeepEquals, example())
+	qt.Check(t, got.Heard, qt.Equals, uint32(5))
+	qt.Check(t, got.Revision, qt.Equals, uint64(78))
+	qt.Check(t, got.Seq, qt.Equals, uint32(9))
 }
 
 func TestCutDatagramsAreRefused(t *testing.T) {
-	whole := Append(nil, "edge-1", example())
+	whole := Append(nil, example())
 	for n := range whole {
-		_, _, err := Read(whole[:n])
+		_, err := Read(whole[:n])
 		qt.Check(t, err, qt.Equals, ErrForm, qt.Commentf("%d bytes", n))
 	}
+	_, err := Read(append(whole, 0))
+	qt.Check(t, err, qt.Equals, ErrForm)
 }
 
 func FuzzRead(f *testing.F) {
-	f.Add(Append(nil, "edge-1", example()))
+	f.Add(Append(nil, example()))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if _, _, err := Read(b); err != nil && err != ErrForm {
+		if _, err := Read(b); err != nil && err != ErrForm {
 			t.Fatal(err)
 		}
 	})
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -26,13 +26,21 @@
 	// as the last wait's begin, so it is twice this at most on a calm day;
 	// the users' bound for keys is 5 s.
 	watchWait = time.Second
+	// awaitStep is the time between looks at whether others still tell what is
+	// new.
+	awaitStep = 100 * time.Millisecond
+	// catchUpDelay is waited before changes are read that others know of, so
+	// that a series of them takes one call; catchUpWait is the wait of that
+	// call, which has something to tell at once.
+	catchUpDelay = 150 * time.Millisecond
+	catchUpWait  = 50 * time.Millisecond
 	// callTimeout bounds a call of the store beyond its wait. On the users'
 	// slow days an answer takes 250 ms.
 	callTimeout = 800 * time.Millisecond
 	// storePause is the time between calls of a store that fails.
 	storePause = 150 * time.Millisecond
 	// resyncEvery is the time after which everything is read again, in case a
-	// watch missed a change.
+	// watch missed a change. Only routers that watch do so.
 	resyncEvery = 15 * time.Second
 	// sweepEvery is the time between looks at idle connections and lapsed
 	// servers.
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -17,50 +19,89 @@
 	// tellBudget bounds the datagrams that a router sends in a second; in
 	// larger fleets the digests are rarer.
 	tellBudget = 200
+	// allEvery is the time between digests that name every server, which mend
+	// what lost ones left wrong.
+	allEvery = time.Second
+	// teamsEvery is the time between digests that name the teams. Their shares
+	// are of the last seconds.
+	teamsEvery = 250 * time.Millisecond
 	// maxDatagram bounds a digest, in bytes.
 	maxDatagram = 32 << 10
 )
 
-// tell sends this router's digest to the others.
-func (r *Router) tell(ctx context.Context, conn *net.UDPConn) {
-	var buf []byte
+// vouching is what this router found in the store last, for the others.
+type vouching struct {
+	// heard holds the last message of each router before the store was asked.
+	heard    map[string]uint32
+	revision uint64
+}
+
+// teller is the duty that sends this router's digests.
+type teller struct {
+	r    *Router
+	conn *net.UDPConn
+	// seq starts anywhere, so that words about an earlier life of this router
+	// are not taken for this one's.
+	seq          uint32
+	buf          []byte
+	nextAll      time.Time
+	nextTeams    time.Time
+	destinations map[string]netip.AddrPort
+}
+
+func (t *teller) run(ctx context.Context) {
 	for {
-		others := r.others()
-		every := max(tellEvery, time.Duration(len(others))*time.Second/tellBudget)
+		every := max(tellEvery, time.Duration(len(t.destinations))*time.Second/tellBudget)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(every):
-		}
-		if len(others) == 0 {
-			continue
-		}
-		r.mu.Lock()
-		d := r.admission.Digest(time.Now())
-		r.mu.Unlock()
-		buf = digest.Append(buf[:0], r.set.ID, d)
-		for _, to := range others {
-			if _, err := conn.WriteToUDPAddrPort(buf, to); err != nil {
-				r.metrics.peerErrors.Add(1)
-			}
+		case now := <-time.After(every):
+			t.tell(now)
 		}
 	}
 }
 
-// others returns the addresses of the other routers.
-func (r *Router) others() []netip.AddrPort {
+// tell sends one digest to every other router.
+func (t *teller) tell(now time.Time) {
+	m := digest.Message{Router: t.r.set.ID}
+	all, teams := !now.Before(t.nextAll), !now.Before(t.nextTeams)
+	if all {
+		t.nextAll = now.Add(allEvery)
+	}
+	if teams {
+		t.nextTeams = now.Add(teamsEvery)
+	}
+	t.seq = max(t.seq+1, 1)
+	m.Seq = t.seq
+	r := t.r
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]netip.AddrPort, 0, len(r.peers))
-	for id, address := range r.peers {
-		if id == r.set.ID {
-			continue
+	t.addresses()
+	m.Digest = r.admission.Digest(now, all, teams)
+	vouch := r.vouch
+	r.witness.Sent(t.seq, bootTime())
+	r.mu.Unlock()
+	t.buf = digest.Append(t.buf[:0], m)
+	for id, to := range t.destinations {
+		digest.SetHeard(t.buf, vouch.heard[id], vouch.revision)
+		if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
+			r.metrics.peerErrors.Add(1)
 		}
-		if to, err := netip.ParseAddrPort(address); err == nil {
-			out = append(out, to)
+	}
+}
+
+// addresses takes over the routers that are registered now. The caller holds
+// the router's lock.
+func (t *teller) addresses() {
+	if t.r.peersChanged {
+		t.r.peersChanged = false
+		clear(t.destinations)
+		for id, address := range t.r.peers {
+			to, err := netip.ParseAddrPort(address)
+			if id != t.r.set.ID && err == nil {
+				t.destinations[id] = to
+			}
 		}
 	}
-	return out
 }
 
 // listen takes the other routers' digests.
@@ -71,17 +112,60 @@
 		if err != nil {
 			return
 		}
-		router, d, err := digest.Read(buf[:n])
+		m, err := digest.Read(buf[:n])
 		if err != nil {
 			r.metrics.peerErrors.Add(1)
 			continue
 		}
-		r.mu.Lock()
-		r.admission.Told(time.Now(), router, d)
-		r.mu.Unlock()
+		r.hear(m)
 	}
 }
 
+// hear takes one message of another router.
+func (r *Router) hear(m digest.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admission.Told(time.Now(), m.Router, m.Digest)
+	r.heard[m.Router] = m.Seq
+	if m.Heard == 0 {
+		return
+	}
+	if at, known := r.witness.Heard(m.Heard); known {
+		r.vouched(at, m.Revision)
+	}
+}
+
+// vouched notes that the revision was the newest at the time. The caller holds
+// mu.
+func (r *Router) vouched(at time.Duration, revision uint64) {
+	if r.revision >= revision && r.table.Load() != nil {
+		r.fresh.Confirm(at)
+		return
+	}
+	r.pending.at, r.pending.revision = at, revision
+	select {
+	case r.behind <- struct{}{}:
+	default:
+	}
+}
+
+// reached notes the revision up to which this router knows all, and what other
+// routers vouched for meanwhile. The caller holds mu.
+func (r *Router) reached(revision uint64) {
+	r.revision = revision
+	if r.pending.revision != 0 && revision >= r.pending.revision && r.table.Load() != nil {
+		r.fresh.Confirm(r.pending.at)
+		r.pending.revision = 0
+	}
+}
+
+// hearing returns the last message heard of each router.
+func (r *Router) hearing() map[string]uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.heard)
+}
+
 // exchange begins the duties that tell other routers and listen to them.
 func (r *Router) exchange(ctx context.Context) error {
 	if r.set.Listen.Peers == "" {
@@ -96,7 +180,8 @@
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	go r.tell(ctx, conn)
+	t := &teller{r: r, conn: conn, seq: rand.Uint32(), destinations: make(map[string]netip.AddrPort)}
+	go t.run(ctx)
 	go r.listen(conn)
 	return nil
 }
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -45,6 +45,22 @@
 	fresh     *freshness.Tracker
 	servers   map[string]roster.Server
 	peers     map[string]string
+	// peersChanged tells the teller to read peers anew.
+	peersChanged bool
+	// heard is the last message of each other router, witness the times of
+	// this one's.
+	heard   map[string]uint32
+	witness freshness.Witness
+	vouch   vouching
+	// revision up to which this router knows all that the store holds.
+	revision uint64
+	// pending is a revision that others vouched for and this router has not
+	// reached yet; behind wakes the duty that reads it.
+	pending struct {
+		at       time.Duration
+		revision uint64
+	}
+	behind    chan struct{}
 	returning *returning.Tracker
 
 	unready atomic.Bool
@@ -69,6 +85,8 @@
 		fresh:     freshness.New(cfg.Freshness),
 		servers:   make(map[string]roster.Server),
 		peers:     make(map[string]string),
+		heard:     make(map[string]uint32),
+		behind:    make(chan struct{}, 1),
 		returning: returning.New(returning.DefaultConfig()),
 		ending:    ending, end: end, abort: make(chan struct{}), callers: newCallers(),
 	}
--- a/transport/direct/runs.go
+++ b/transport/direct/runs.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"goldcrestport/coordination/admission"
@@ -18,12 +20,14 @@
 
 func (r *Router) runEnded(run *admission.Run, result health.Result) {
 	r.mu.Lock()
-	before := len(r.admission.Ejected())
-	r.admission.Ended(time.Now(), run, result)
-	ejected := r.admission.Ejected()
+	changed := r.admission.Ended(time.Now(), run, result)
+	var ejected []string
+	if changed {
+		ejected = r.admission.Ejected()
+	}
 	r.mu.Unlock()
-	if len(ejected) != before {
-		r.event("ejected", "server", run.Server(), "result", int(result), "now_ejected", len(ejected))
+	if changed {
+		r.event("ejection", "server", run.Server(), "ejected", slices.Contains(ejected, run.Server()), "all_ejected", strings.Join(ejected, ","))
 	}
 }
 
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -2,19 +2,26 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/watchduty"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/platform"
 )
 
 // follow keeps the configuration and the servers as the store has them.
 func (r *Router) follow(ctx context.Context) {
-	f := &follower{r: r}
+	f := &follower{r: r, duty: watchduty.DefaultConfig()}
 	for ctx.Err() == nil {
+		if !f.asks() {
+			f.await(ctx)
+			continue
+		}
 		if err := f.step(ctx); err != nil {
 			f.failed(ctx, err)
 			continue
@@ -25,11 +32,38 @@
 
 // follower is the state of the duty that reads the store.
 type follower struct {
-	r *Router
+	r    *Router
+	duty watchduty.Config
 	// revision up to which changes are known; 0: everything must be read.
 	revision uint64
 	loaded   time.Time
 	lost     bool
+	// catchUp tells that other routers know of changes that this one does not.
+	catchUp bool
+}
+
+// asks reports whether this router asks the store now, or relies on others.
+func (f *follower) asks() bool {
+	if f.revision == 0 || f.catchUp || f.lost {
+		return true
+	}
+	now := bootTime()
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	age, known := f.r.fresh.Age(now)
+	return f.duty.Asks(f.r.set.ID, slices.Collect(maps.Keys(f.r.peers)), age, known)
+}
+
+// await waits until others tell of changes, for a moment at most.
+func (f *follower) await(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(awaitStep):
+	case <-f.r.behind:
+		// What is written in quick succession is read together.
+		time.Sleep(catchUpDelay)
+		f.catchUp = true
+	}
 }
 
 // step reads everything, or waits once for changes.
@@ -37,29 +71,33 @@
 	if f.revision == 0 || time.Since(f.loaded) > resyncEvery {
 		return f.load(ctx)
 	}
-	return f.changes(ctx)
+	if f.catchUp {
+		f.catchUp = false
+		return f.changes(ctx, catchUpWait)
+	}
+	return f.changes(ctx, watchWait)
 }
 
 func (f *follower) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := bootTime()
+	heard, sent := f.r.hearing(), bootTime()
 	s, err := f.r.source.Load(ctx)
 	if err != nil {
 		return err
 	}
 	f.worked()
 	f.r.replace(s)
-	f.r.confirm(s.Config, sent)
+	f.r.confirm(s.Config, sent, vouching{heard, s.Revision})
 	f.revision, f.loaded = s.Revision, time.Now()
 	return nil
 }
 
-func (f *follower) changes(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+func (f *follower) changes(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	sent := bootTime()
-	d, err := f.r.source.Changes(ctx, f.revision, watchWait)
+	heard, sent := f.r.hearing(), bootTime()
+	d, err := f.r.source.Changes(ctx, f.revision, wait)
 	if err != nil {
 		// A wait that was cut may have missed changes.
 		f.revision = 0
@@ -67,7 +105,7 @@
 	}
 	f.worked()
 	f.r.update(d)
-	f.r.confirm(d.Config, sent)
+	f.r.confirm(d.Config, sent, vouching{heard, d.Revision})
 	f.revision = d.Revision
 	return nil
 }
@@ -103,16 +141,17 @@
 }
 
 // confirm adopts a newer configuration and notes when it was the newest.
-func (r *Router) confirm(c *routing.Config, sent time.Duration) {
+func (r *Router) confirm(c *routing.Config, sent time.Duration, v vouching) {
 	if c != nil {
 		r.adopt(c)
 	}
-	if r.table.Load() == nil {
-		return
-	}
 	r.mu.Lock()
-	r.fresh.Confirm(sent)
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	r.vouch = v
+	if r.table.Load() != nil {
+		r.fresh.Confirm(sent)
+	}
+	r.reached(v.revision)
 }
 
 // adopt puts a configuration in force unless a newer one is.
@@ -159,6 +198,7 @@
 }
 
 func (r *Router) countRouters() {
+	r.peersChanged = true
 	n := len(r.peers)
 	if _, self := r.peers[r.set.ID]; !self {
 		n++
@@ -195,6 +235,7 @@
 			r.sweepCallers(now)
 			r.mu.Lock()
 			r.apply(r.roster.Tick(now))
+			r.admission.Tick(now)
 			r.mu.Unlock()
 		}
 	}
