--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -38,7 +38,11 @@
 
 // heapShare of the process's memory is the collector's soft limit; the rest is
 // for stacks, buffers of the kernel and what the limit overshoots.
-const heapShare = 0.6
+const heapShare = 0.7
+
+// heapGrowth is the collector's target in percent: the heap of live requests is
+// small, and collecting it costs more than letting it grow.
+const heapGrowth = 200
 
 func runDirect(file string) error {
 	set := settings.DefaultDirect()
@@ -46,6 +50,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(heapShare * float64(set.Memory.Bytes())))
+	debug.SetGCPercent(heapGrowth)
 	logger := observe.NewLogger(observe.NewWriter(os.Stdout), roleDirect, set.ID, set.Log)
 	source := platform.NewSource(platform.NewStore(set.Platform.URL))
 	hangUp := make(chan os.Signal, 1)
--- /dev/null
+++ b/coordination/saturation/limit.go
@@ -0,0 +1,65 @@
+package saturation
+
+import "time"
+
+// LimitConfig holds the constants of a Limit.
+type LimitConfig struct {
+	// High is the mean lateness above which fewer requests may be held, Low
+	// the one below which more may. Default 12ms and 4ms.
+	High time.Duration
+	Low  time.Duration
+	// Every is the time between two changes. Default 250ms, in which the mean
+	// has forgotten the load before the last change.
+	Every time.Duration
+	// Shrink and Grow are the factors of a change. Default 0.85 and 1.05.
+	Shrink float64
+	Grow   float64
+	// Least is the least number of requests. Default 16.
+	Least int
+}
+
+// DefaultLimitConfig returns the documented defaults.
+func DefaultLimitConfig() LimitConfig {
+	return LimitConfig{
+		High: 12 * time.Millisecond, Low: 4 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Least: 16,
+	}
+}
+
+// Limit bounds the streams that a router holds by what its processor can pass
+// on: each open stream costs processor time all the while, unlike a refusal,
+// after which the caller comes back to another router. It grows and shrinks as
+// the congestion window of a transport protocol does.
+type Limit struct {
+	cfg     LimitConfig
+	most    float64
+	changed time.Time
+}
+
+// NewLimit returns a limit that bounds nothing until the router is late.
+func NewLimit(cfg LimitConfig) *Limit { return &Limit{cfg: cfg} }
+
+// Adjust takes the mean lateness and the number of requests held.
+func (l *Limit) Adjust(now time.Time, late time.Duration, held int) {
+	if now.Sub(l.changed) < l.cfg.Every {
+		return
+	}
+	switch {
+	case late > l.cfg.High:
+		from := float64(held)
+		if l.most > 0 {
+			from = min(from, l.most)
+		}
+		l.most = max(from*l.cfg.Shrink, float64(l.cfg.Least))
+	case late < l.cfg.Low && l.most > 0:
+		l.most *= l.cfg.Grow
+	default:
+		return
+	}
+	l.changed = now
+}
+
+// Allows reports whether one more request may be held.
+func (l *Limit) Allows(held int) bool { return l.most == 0 || float64(held) < l.most }
+
+// Most returns the greatest number of requests, 0 for no bound.
+func (l *Limit) Most() int { return int(l.most) }
--- /dev/null
+++ b/coordination/saturation/saturation_test.go
@@ -0,0 +1,73 @@
+package saturation
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const every = 25 * time.Millisecond
+
+// observe feeds the lateness for the time and returns when it ended.
+func observe(t *Tracker, now time.Time, late, span time.Duration) time.Time {
+	for end := now.Add(span); now.Before(end); now = now.Add(every) {
+		t.Observe(now, late)
+	}
+	return now
+}
+
+// One caller floods a small router: it is saturated within half a second, and
+// ready again only after the pause and when timers are in time.
+func TestAFloodedRouterIsSaturatedUntilItIsOver(t *testing.T) {
+	tr, now := New(DefaultConfig()), time.Unix(1000, 0)
+	now = observe(tr, now, time.Millisecond, 5*time.Second)
+	qt.Check(t, tr.Saturated(), qt.IsFalse)
+	now = observe(tr, now, 100*time.Millisecond, 500*time.Millisecond)
+	qt.Check(t, tr.Saturated(), qt.IsTrue)
+	now = observe(tr, now, time.Millisecond, time.Second)
+	qt.Check(t, tr.Saturated(), qt.IsTrue)
+	now = observe(tr, now, time.Millisecond, 3*time.Second)
+	qt.Check(t, tr.Saturated(), qt.IsFalse)
+	// It comes back at once: the pause doubles.
+	now = observe(tr, now, 100*time.Millisecond, 500*time.Millisecond)
+	now = observe(tr, now, time.Millisecond, 4*time.Second)
+	qt.Check(t, tr.Saturated(), qt.IsTrue)
+	observe(tr, now, time.Millisecond, 3*time.Second)
+	qt.Check(t, tr.Saturated(), qt.IsFalse)
+}
+
+// A single long pause, such as a freeze or a collection, is no saturation.
+func TestASingleLateTimerIsNoSaturation(t *testing.T) {
+	tr, now := New(DefaultConfig()), time.Unix(1000, 0)
+	tr.Observe(now, 200*time.Millisecond)
+	qt.Check(t, tr.Saturated(), qt.IsFalse)
+}
+
+// A flood of streams that the processor cannot pass on settles at what it can,
+// and the limit rises again afterwards.
+func TestTheLimitSettlesAtWhatTheProcessorCanDo(t *testing.T) {
+	const capacity = 200
+	l, now, held := NewLimit(DefaultLimitConfig()), time.Unix(1000, 0), 0
+	for range 400 {
+		for range 20 {
+			if l.Allows(held) {
+				held++
+			}
+		}
+		held -= held / 20
+		late := time.Millisecond
+		if held > capacity {
+			late = time.Duration(held-capacity) * time.Millisecond
+		}
+		now = now.Add(50 * time.Millisecond)
+		l.Adjust(now, late, held)
+	}
+	qt.Check(t, held > capacity*8/10 && held < capacity*12/10, qt.IsTrue, qt.Commentf("%d held", held))
+	before := l.Most()
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		l.Adjust(now, time.Millisecond, 10)
+	}
+	qt.Check(t, l.Most() > 5*before, qt.IsTrue)
+}
--- a/transport/direct/callers.go
+++ b/transport/direct/callers.go
@@ -1,36 +1,59 @@
 package direct
 
 import (
-	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
+
+	"goldcrestport/protocol/settings"
 )
 
 // callers follows the callers' connections, so that idle ones end when the
 // configuration says so, and sooner when descriptors run out.
 type callers struct {
-	mu sync.Mutex
-	// idle maps a connection without a request to when that began; the time
-	// is zero while it has one.
-	idle map[net.Conn]time.Time
+	mu  sync.Mutex
+	all map[net.Conn]*caller
+}
+
+// caller is one connection.
+type caller struct {
+	// idle is when it was without a request last; zero while it has one.
+	idle time.Time
+	// short tells that the caller knows of its short life.
+	short bool
 }
 
-func newCallers() *callers { return &callers{idle: make(map[net.Conn]time.Time)} }
+func newCallers() *callers { return &callers{all: make(map[net.Conn]*caller)} }
 
 // changed is the server's hook for the state of a connection.
 func (c *callers) changed(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	one := c.all[conn]
+	if one == nil {
+		one = &caller{}
+		c.all[conn] = one
+	}
 	switch state {
 	case http.StateNew, http.StateActive:
-		c.idle[conn] = time.Time{}
+		one.idle = time.Time{}
 	case http.StateIdle:
-		c.idle[conn] = time.Now()
+		one.idle = time.Now()
 	case http.StateClosed, http.StateHijacked:
-		delete(c.idle, conn)
+		delete(c.all, conn)
+	}
+}
+
+// shorten notes that the caller was told of a short life.
+func (c *callers) shorten(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if one := c.all[conn]; one != nil {
+		one.short = true
 	}
 }
 
@@ -38,33 +61,87 @@
 func (c *callers) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.idle)
+	return len(c.all)
 }
 
-// sweep closes connections that were idle for longer than the limit, and those
-// idle for longest while there are more than most.
+// sweep closes connections that were idle for longer than their limit, and
+// those idle for longest while there are more than most.
 func (c *callers) sweep(now time.Time, limit time.Duration, most int) (closed int) {
 	type idler struct {
-		conn  net.Conn
-		since time.Time
+		conn net.Conn
+		*caller
 	}
 	var idlers []idler
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if !since.IsZero() {
-			idlers = append(idlers, idler{conn, since})
+	for conn, one := range c.all {
+		if !one.idle.IsZero() {
+			idlers = append(idlers, idler{conn, one})
 		}
 	}
-	slices.SortFunc(idlers, func(a, b idler) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
-	excess := len(c.idle) - most
+	slices.SortFunc(idlers, func(a, b idler) int { return a.idle.Compare(b.idle) })
+	excess := len(c.all) - most
 	for i, one := range idlers {
-		if i >= excess && now.Sub(one.since) <= limit {
-			break
+		if i < excess || one.over(now, limit) {
+			delete(c.all, one.conn)
+			_ = one.conn.Close()
+			closed++
 		}
-		delete(c.idle, one.conn)
-		_ = one.conn.Close()
-		closed++
 	}
 	return closed
 }
+
+// over reports whether the connection was idle for too long.
+func (c *caller) over(now time.Time, limit time.Duration) bool {
+	if c.short {
+		limit = min(limit, crowdedLimit)
+	}
+	return now.Sub(c.idle) > limit
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Figures of the callers' connections.
+const (
+	// connectionBytes is what an open connection takes: two buffers, stacks
+	// and what the kernel holds.
+	connectionBytes = 24 << 10
+	// connectionShare is the part of the process's memory for connections;
+	// past it the collector would run without end.
+	connectionShare = 0.25
+	// crowdedShare of the greatest number is where connections get short
+	// lives.
+	crowdedShare = 0.25
+	// crowdedIdle is the idle time then, in seconds, and crowdedLimit when
+	// such a connection is closed: a caller may use it up to the time it was
+	// told.
+	crowdedIdle  = 2
+	crowdedLimit = 3 * time.Second
+)
+
+// mostConnections is the greatest number of callers' connections.
+func mostConnections(set settings.Direct) int {
+	byMemory := int(connectionShare * float64(set.Memory.Bytes()) / connectionBytes)
+	return min(set.Callers.Connections, byMemory)
+}
+
+// crowded reports whether connections should be short-lived.
+func (r *Router) crowded() bool {
+	return r.load.saturated.Load() || float64(r.callers.open()) > crowdedShare*float64(mostConnections(r.set))
+}
+
+// keepAlive tells the caller how long its connection may stay idle when there
+// are many.
+func (c *call) keepAlive() {
+	if c.r.crowded() {
+		c.w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(crowdedIdle))
+		if conn, ok := c.req.Context().Value(connKey{}).(net.Conn); ok {
+			c.r.callers.shorten(conn)
+		}
+	}
+}
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -66,6 +66,9 @@
 	sends = 4
 	// defaultDeadline is for callers that do not say how long they wait.
 	defaultDeadline = 30 * time.Second
+	// busyReturn is when to come back after a router was too busy: at once, as
+	// the caller comes to another one.
+	busyReturn = 20 * time.Millisecond
 	// staleReturn is when to come back to a router that cannot show that its
 	// configuration is the newest.
 	staleReturn = 300 * time.Millisecond
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -34,6 +34,14 @@
 // dispatch sends the request to servers until it has its final answer.
 func (c *call) dispatch(ctx context.Context) {
 	c.r.countRequest(c.service)
+	if c.route.Kind == routing.Streaming {
+		if !c.r.load.admits() {
+			c.refuse(*notRun(outcome.ReasonConnections, busyReturn, "this router passes on as many streams as it can"))
+			return
+		}
+		c.r.load.streams.Add(1)
+		defer c.r.load.streams.Add(-1)
+	}
 	var events relay
 	for {
 		decision := c.place()
--- /dev/null
+++ b/transport/direct/harness_test.go
@@ -0,0 +1,342 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/repeats"
+	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/settings"
+	"goldcrestport/state/routing"
+	"goldcrestport/transport/backend"
+	"goldcrestport/transport/platform"
+)
+
+// Headers of the dialect that these tests speak.
+const (
+	testID     = "X-Id"
+	testKey    = "X-Key"
+	testTeam   = "X-Team"
+	testLeft   = "X-Left-Ms"
+	testServer = "X-Server"
+	testLast   = "Last-Event-Id"
+	testMark   = "X-Mark"
+	testNotRun = "X-Not-Run"
+	testPrompt = "X-Prompt"
+)
+
+// testDialect implements Dialect with few headers.
+type testDialect struct{}
+
+func (testDialect) Meta(h http.Header) Meta {
+	ms, _ := strconv.Atoi(h.Get(testLeft))
+	prompt, _ := strconv.Atoi(h.Get(testPrompt))
+	return Meta{ID: h.Get(testID), Key: h.Get(testKey), TimeLeft: time.Duration(ms) * time.Millisecond, Prompt: prompt, Output: 100}
+}
+
+func (testDialect) Outgoing(h http.Header, call Call) http.Header {
+	out := http.Header{
+		testID: h[testID], testServer: {call.Server}, testTeam: {call.Team}, testLeft: {strconv.FormatInt(call.TimeLeft.Milliseconds(), 10)},
+	}
+	if call.ResumeAfter != "" {
+		out.Set(testLast, call.ResumeAfter)
+	}
+	return out
+}
+
+func (testDialect) Own(h http.Header, id string) bool {
+	return h.Get(testID) == "" || h.Get(testID) == id
+}
+
+func (testDialect) Reply(status int, h http.Header) Reply {
+	return Reply{NotRun: h.Get(testNotRun) != "", OtherServer: status == http.StatusMisdirectedRequest, Marked: h.Get(testMark) != ""}
+}
+
+func (testDialect) Incoming(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Connection")
+	out.Del("Content-Length")
+	return out
+}
+
+// testSource implements Source from memory.
+type testSource struct {
+	mu      sync.Mutex
+	now     Snapshot
+	changes chan Delta
+	down    bool
+}
+
+func (s *testSource) Load(context.Context) (Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Snapshot{}, platform.ErrUnknown
+	}
+	return s.now, nil
+}
+
+func (s *testSource) Changes(ctx context.Context, after uint64, wait time.Duration) (Delta, error) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		return Delta{}, platform.ErrUnknown
+	}
+	select {
+	case d := <-s.changes:
+		return d, nil
+	case <-time.After(min(wait, 50*time.Millisecond)):
+		return Delta{Revision: after}, nil
+	case <-ctx.Done():
+		return Delta{}, ctx.Err()
+	}
+}
+
+func (s *testSource) Register(context.Context, string, string, string, time.Duration) (string, error) {
+	return "1", nil
+}
+
+func (s *testSource) Unregister(context.Context, string) error { return nil }
+
+func (s *testSource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// backendServer plays a backend server; run answers each request on the raw
+// connection and reports whether the connection goes on.
+type backendServer struct {
+	id, address string
+
+	mu   sync.Mutex
+	ran  []string
+	last http.Header
+}
+
+func (b *backendServer) runs() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.ran...)
+}
+
+func newBackend(t testing.TB, id string, run func(w io.Writer, req *http.Request) bool) *backendServer {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = lis.Close() })
+	b := &backendServer{id: id, address: lis.Addr().String()}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, run)
+		}
+	}()
+	return b
+}
+
+func (b *backendServer) serve(conn net.Conn, run func(w io.Writer, req *http.Request) bool) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		b.mu.Lock()
+		b.ran = append(b.ran, req.Header.Get(testID))
+		b.last = req.Header
+		b.mu.Unlock()
+		if !run(conn, req) {
+			return
+		}
+	}
+}
+
+// ok answers with a marked success.
+func ok(w io.Writer, req *http.Request) bool {
+	return respond(w, req, http.StatusOK, testMark+": m\r\n", "hello")
+}
+
+func respond(w io.Writer, req *http.Request, status int, headers, body string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, testID, req.Header.Get(testID), headers, len(body), body)
+	return err == nil
+}
+
+// events streams events from one after the last that the caller has, up to n,
+// then ends the stream or breaks it off.
+func events(w io.Writer, req *http.Request, n int, pause time.Duration, broken bool) bool {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: m\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testMark)
+	from, _ := strconv.Atoi(req.Header.Get(testLast))
+	for i := from + 1; i <= n; i++ {
+		text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text); err != nil {
+			return false
+		}
+		time.Sleep(pause)
+	}
+	if broken {
+		_, _ = io.WriteString(w, "8\r\nid: 9")
+		return false
+	}
+	_, err := io.WriteString(w, "0\r\n\r\n")
+	return err == nil
+}
+
+// fixture is a router before backend servers.
+type fixture struct {
+	*qt.C
+	router *Router
+	source *testSource
+	set    settings.Direct
+	stop   chan struct{}
+	ended  chan struct{}
+}
+
+// testRoutes are the routes of every fixture, below one host.
+func testRoutes() []routing.Route {
+	to := []routing.Target{{Service: "app", Weight: 1}}
+	const long = 3 * time.Second
+	return []routing.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: long, Objective: time.Second, Targets: to, Attempts: 2, Public: true},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Timeout: long, Objective: time.Second, Targets: to, Attempts: 2, Public: true},
+		{Name: "short", Host: "h", Prefix: "/short/", Kind: routing.Idempotent, Timeout: 150 * time.Millisecond, Objective: time.Second, Targets: to, Attempts: 1, Public: true},
+		{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: routing.Idempotent, Timeout: long, Objective: time.Second, Targets: to, Attempts: 2},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Timeout: long, Objective: time.Second, Targets: to, Attempts: 2, Public: true},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: routing.Streaming, Resumable: true, Timeout: long, Objective: time.Second, Targets: to, Attempts: 3, Public: true},
+	}
+}
+
+func testConfig(version uint64) *routing.Config {
+	return &routing.Config{
+		Version: version, Routes: testRoutes(), Services: []routing.Service{{Name: "app"}},
+		Teams:  []routing.Team{{Name: "team", Keys: []string{"key"}}},
+		Limits: routing.Limits{BodyBytes: 1 << 20, IdleTimeout: 10 * time.Second},
+	}
+}
+
+func servers(all ...*backendServer) []roster.Server {
+	var out []roster.Server
+	for _, b := range all {
+		out = append(out, roster.Server{ID: b.id, Address: b.address, Service: "app", Slots: 8})
+	}
+	return out
+}
+
+// start runs a router with the snapshot; a nil configuration means none yet.
+func start(t testing.TB, c *routing.Config, backends ...*backendServer) *fixture {
+	f := &fixture{C: qt.New(t), stop: make(chan struct{}), ended: make(chan struct{})}
+	f.source = &testSource{now: Snapshot{Config: c, Servers: servers(backends...), Routers: map[string]string{}, Revision: 1}, changes: make(chan Delta, 16)}
+	f.set = settings.DefaultDirect()
+	f.set.ID, f.set.Listen.Callers, f.set.Listen.Health = "router", freeAddress(f.C), freeAddress(f.C)
+	f.set.Stop = settings.Stop{Linger: settings.Duration(100 * time.Millisecond), Bound: settings.Duration(600 * time.Millisecond)}
+	f.set.Gather = 0
+	cfg := Config{
+		Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Backend: backend.DefaultConfig(),
+		Repeats:   repeats.Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 20, Use: 1},
+		Freshness: 400 * time.Millisecond,
+	}
+	f.router = New(f.set, cfg, f.source, testDialect{}, log.NewNopLogger())
+	go func() {
+		defer close(f.ended)
+		if err := f.router.Serve(f.stop); err != nil {
+			f.Error(err)
+		}
+	}()
+	t.Cleanup(f.end)
+	f.waitListening()
+	if c != nil {
+		f.waitReady()
+	}
+	return f
+}
+
+func freeAddress(c *qt.C) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func (f *fixture) end() {
+	select {
+	case <-f.stop:
+	default:
+		close(f.stop)
+	}
+	<-f.ended
+}
+
+func (f *fixture) waitListening() {
+	for range 500 {
+		if conn, err := net.Dial("tcp", f.set.Listen.Callers); err == nil {
+			_ = conn.Close()
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	f.Fatal("the router does not listen")
+}
+
+func (f *fixture) waitReady() {
+	for range 500 {
+		if f.ready() == http.StatusOK {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	f.Fatal("the router is not ready")
+}
+
+// ready asks as the balancer does.
+func (f *fixture) ready() int {
+	resp, err := http.Get("http://" + f.set.Listen.Health + "/readyz")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request on a connection of its own.
+func (f *fixture) call(path, id string, headers ...string) reply {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.set.Listen.Callers+path, strings.NewReader("body"))
+	f.Assert(err, qt.IsNil)
+	req.Host, req.Close = "h", true
+	req.Header.Set(testID, id)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
--- /dev/null
+++ b/transport/direct/load.go
@@ -0,0 +1,97 @@
+package direct
+
+import (
+	"context"
+	"encoding/binary"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"goldcrestport/coordination/saturation"
+)
+
+// probeEvery is the time between two measurements of how late input is read.
+const probeEvery = 25 * time.Millisecond
+
+// load follows how late this process reads its input. Timers do not tell: the
+// runtime looks at them before it looks at connections.
+type load struct {
+	// saturated tells that the processor has more work than it can do.
+	saturated atomic.Bool
+	// late is the mean lateness in nanoseconds.
+	late atomic.Int64
+	// most is the greatest number of streams; 0 for no bound.
+	most atomic.Int64
+	// streams is the number of streams held.
+	streams atomic.Int64
+}
+
+// admits reports whether one more stream may be held.
+func (l *load) admits() bool {
+	most := l.most.Load()
+	return most == 0 || l.streams.Load() < most
+}
+
+// watchLoad measures until ctx ends: the time of sending goes through a pipe,
+// and its way takes as long as that of any input.
+func (r *Router) watchLoad(ctx context.Context) {
+	out, in, err := os.Pipe()
+	if err != nil {
+		r.event("load_unknown", "err", err)
+		return
+	}
+	begin := time.Now()
+	go probe(ctx, in, begin)
+	defer out.Close()
+	tracker, limit := saturation.New(saturation.DefaultConfig()), saturation.NewLimit(saturation.DefaultLimitConfig())
+	var b [8]byte
+	for {
+		if _, err := out.Read(b[:]); err != nil {
+			return
+		}
+		now := time.Now()
+		late := now.Sub(begin) - time.Duration(binary.LittleEndian.Uint64(b[:]))
+		r.observeLoad(tracker, limit, now, late)
+	}
+}
+
+// probe writes the time since begin into the pipe, again and again.
+func probe(ctx context.Context, in *os.File, begin time.Time) {
+	defer in.Close()
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	var b [8]byte
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		binary.LittleEndian.PutUint64(b[:], uint64(time.Since(begin)))
+		if _, err := in.Write(b[:]); err != nil {
+			return
+		}
+	}
+}
+
+// observeLoad takes one measurement.
+func (r *Router) observeLoad(tracker *saturation.Tracker, limit *saturation.Limit, now time.Time, late time.Duration) {
+	changed := tracker.Observe(now, late)
+	limit.Adjust(now, tracker.Mean(), int(r.load.streams.Load()))
+	r.load.late.Store(int64(tracker.Mean()))
+	r.load.most.Store(int64(limit.Most()))
+	if changed {
+		r.load.saturated.Store(tracker.Saturated())
+		r.event("load", "saturated", tracker.Saturated(), "lateness", tracker.Mean(), "streams", r.load.streams.Load(), "most", limit.Most(), "held", r.held.Load(), "connections", r.callers.open())
+	}
+}
+
+// gatherPerLate is the time for which events are gathered for each unit of the
+// mean lateness: a router at rest passes them on at once.
+const gatherPerLate = 12
+
+// gatherTime is for how long events of a stream are gathered now.
+func (r *Router) gatherTime() time.Duration {
+	late := time.Duration(r.load.late.Load())
+	return min(gatherPerLate*late, r.set.Gather.D())
+}
--- /dev/null
+++ b/transport/direct/path_bench_test.go
@@ -0,0 +1,47 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// BenchmarkStreams measures what the path of a stream of fifty events costs.
+func BenchmarkStreams(b *testing.B) {
+	const together, perStream = 20, 50
+	run := func(w io.Writer, req *http.Request) bool { return events(w, req, perStream, 2*time.Millisecond, false) }
+	f := start(b, testConfig(1), newBackend(b, "i-1", run), newBackend(b, "i-2", run))
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for worker := range together {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := worker; i < b.N; i += together {
+				if r := f.call("/stream/", fmt.Sprint("r", i), testLeft, "15000"); r.err != nil {
+					b.Error(r.err)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// BenchmarkRefusals measures what a refused request on a new connection costs.
+func BenchmarkRefusals(b *testing.B) {
+	f := start(b, testConfig(1))
+	b.ResetTimer()
+	for i := range b.N {
+		conn, err := net.Dial("tcp", f.set.Listen.Callers)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: h\r\n%s: r%d\r\n%s: 15000\r\nContent-Length: 3\r\n\r\nabc", testID, i, testLeft)
+		_, _ = conn.Read(make([]byte, 1024))
+		_ = conn.Close()
+	}
+}
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -155,6 +156,11 @@
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := answer.Read(buf)
+		for err == nil && n < len(buf) && answer.Buffered() > 0 {
+			var more int
+			more, err = answer.Read(buf[n:])
+			n += more
+		}
 		if n > 0 {
 			out := buf[:n]
 			if resumable {
@@ -163,6 +169,9 @@
 			if writeErr := c.forward(flusher, answer, events, out); writeErr != nil {
 				return c.lostCaller(writeErr)
 			}
+			if err == nil {
+				c.gather(ctx)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return c.streamEnded(answer, events)
@@ -176,6 +185,24 @@
 	}
 }
 
+// leastGather is the shortest time worth a timer.
+const leastGather = 5 * time.Millisecond
+
+// gather waits for further events, so that several go out in one write: on
+// small instances each write and wake-up costs more than the event.
+func (c *call) gather(ctx context.Context) {
+	wait := c.r.gatherTime()
+	if wait < leastGather {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (c *call) forward(flusher *http.ResponseController, answer *backend.Answer, events *relay, out []byte) error {
 	if len(out) == 0 {
 		return nil
@@ -223,6 +250,7 @@
 		// Without this net/http would guess a type and add it.
 		h["Content-Type"] = nil
 	}
+	c.keepAlive()
 	c.begun = true
 	c.w.WriteHeader(answer.Status)
 }
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -63,6 +63,7 @@
 	behind    chan struct{}
 	returning *returning.Tracker
 
+	load    load
 	unready atomic.Bool
 	leaving atomic.Bool
 	held    atomic.Int64
@@ -130,6 +131,7 @@
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
 	go func() { _ = srv.Serve(callers) }()
+	go r.watchLoad(ctx)
 	r.event("serving", "callers", r.set.Listen.Callers)
 	<-stop
 	r.leave(srv)
@@ -143,6 +145,7 @@
 		ReadHeaderTimeout: r.set.Callers.HeaderTimeout.D(),
 		IdleTimeout:       r.set.Callers.IdleTimeout.D(),
 		ConnState:         r.callers.changed,
+		ConnContext:       withConn,
 		ErrorLog:          stdlog.New(errorLines{r}, "", 0),
 		MaxHeaderBytes:    int(r.set.Callers.Headers.Bytes()),
 	}
@@ -173,6 +176,9 @@
 	if r.table.Load() == nil {
 		return errors.New("no configuration yet")
 	}
+	if r.load.saturated.Load() {
+		return errors.New("the processor has too much work")
+	}
 	now := bootTime()
 	r.mu.Lock()
 	age, known := r.fresh.Age(now)
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -196,7 +196,7 @@
 	o.Fractional = true
 	c.logEnd(string(o.Reason), o.Status, o.RetryAfter)
 	c.r.metrics.outcomes.Add(string(o.Kind)+"/"+string(o.Reason), 1)
-	if r := c.r; r.callers.open() > r.set.Callers.Connections/2 {
+	if c.r.crowded() {
 		// A refused caller comes back on another connection; this one would
 		// hold a descriptor in vain.
 		c.w.Header().Set("Connection", "close")
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -276,7 +276,8 @@
 	if t := r.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
 		limit = t.Limits().IdleTimeout + idleSlack
 	}
-	if closed := r.callers.sweep(now, limit, r.set.Callers.Connections); closed > 0 {
+	most := mostConnections(r.set)
+	if closed := r.callers.sweep(now, limit, most); closed > 0 {
 		r.metrics.closedIdle.Add(int64(closed))
 	}
 }
