--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -33,6 +33,8 @@
 type pool struct {
 	servers []*server
 	engine  bool
+	// runTime is the mean time from a run's first event to its end.
+	runTime time.Duration
 }
 
 // New returns a state without servers. The config must be valid.
@@ -88,12 +90,15 @@
 func (s *State) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{}
+		p = &pool{runTime: firstRunTime}
 		s.pools[service] = p
 	}
 	return p
 }
 
+// firstRunTime is presumed until runs have ended.
+const firstRunTime = time.Second
+
 // Place decides where the request goes.
 func (s *State) Place(now time.Time, req Request) Decision {
 	p := s.pool(req.Service)
@@ -254,8 +259,19 @@
 	total.Runs += one.running + one.awaiting
 	told := 1 + len(s.peers)
 	scale := max(float64(s.routers)/float64(told), 1)
-	runs := time.Duration(float64(total.Runs) * scale * float64(s.cfg.RunCost))
-	return s.reading(total.Unread*scale) + runs
+	runs := float64(total.Runs) * scale
+	crowd := time.Duration(runs * float64(s.cfg.RunCost))
+	return s.reading(total.Unread*scale) + crowd + s.slotWait(one, runs)
+}
+
+// slotWait is the time until a slot is free for one more run: runs that wait
+// for one are admitted in turn, and one ends each runTime / slots.
+func (s *State) slotWait(one *server, runs float64) time.Duration {
+	excess := runs + 1 - float64(one.slots)
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess * float64(s.pool(one.service).runTime) / float64(one.slots))
 }
 
 // reading is the time in which an engine reads the tokens.
@@ -316,12 +332,15 @@
 	return r
 }
 
+// runTimeGain is the weight of one run in the mean time of runs.
+const runTimeGain = 0.02
+
 // FirstByte notes that the answer of the run began.
-func (s *State) FirstByte(r *Run) {
+func (s *State) FirstByte(now time.Time, r *Run) {
 	if r.first || r.ended {
 		return
 	}
-	r.first = true
+	r.first, r.began = true, now
 	r.server.unread -= r.unread
 	r.server.awaiting--
 	r.server.running++
@@ -333,8 +352,12 @@
 	if r.ended {
 		return false
 	}
-	s.FirstByte(r)
+	s.FirstByte(now, r)
 	r.ended = true
+	if result == health.Success {
+		p := s.pool(r.server.service)
+		p.runTime += time.Duration(runTimeGain * float64(now.Sub(r.began)-p.runTime))
+	}
 	r.server.running--
 	before := r.server.health.Ejected()
 	s.record(now, r, result)
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -82,6 +82,7 @@
 	unread float64
 	probe  bool
 	first  bool
+	began  time.Time
 	ended  bool
 }
 
--- a/coordination/saturation/limit.go
+++ b/coordination/saturation/limit.go
@@ -58,8 +58,23 @@
 	l.changed = now
 }
 
-// Allows reports whether one more request may be held.
-func (l *Limit) Allows(held int) bool { return l.most == 0 || float64(held) < l.most }
-
 // Most returns the greatest number of requests, 0 for no bound.
 func (l *Limit) Most() int { return int(l.most) }
+
+// Figures of Admits.
+const (
+	// smallShare of the streams may be held by a team while others fill the
+	// router, and overFill is how far beyond the limit this may go.
+	smallShare = 1.0 / 8
+	overFill   = 1.5
+)
+
+// Admits reports whether a router that may hold most streams (0: no bound), and
+// holds some, of which the team has its own, may hold one more of the team. A
+// team that floods the router does not push the others out.
+func Admits(most, held, own int) bool {
+	if most == 0 || held < most {
+		return true
+	}
+	return float64(own) < smallShare*float64(most) && float64(held) < overFill*float64(most)
+}
--- a/coordination/saturation/saturation_test.go
+++ b/coordination/saturation/saturation_test.go
@@ -51,7 +51,7 @@
 	l, now, held := NewLimit(DefaultLimitConfig()), time.Unix(1000, 0), 0
 	for range 400 {
 		for range 20 {
-			if l.Allows(held) {
+			if Admits(l.Most(), held, held) {
 				held++
 			}
 		}
@@ -71,3 +71,21 @@
 	}
 	qt.Check(t, l.Most() > 5*before, qt.IsTrue)
 }
+
+// A team that floods the router does not push the small ones out.
+func TestAFloodLeavesRoomForOthers(t *testing.T) {
+	for _, tc := range []struct {
+		most, held, own int
+		want            bool
+	}{
+		{0, 5000, 5000, true},
+		{100, 99, 99, true},
+		{100, 100, 95, false},
+		{100, 100, 5, true},
+		{100, 149, 12, true},
+		{100, 149, 13, false},
+		{100, 150, 0, false},
+	} {
+		qt.Check(t, Admits(tc.most, tc.held, tc.own), qt.Equals, tc.want, qt.Commentf("%+v", tc))
+	}
+}
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -56,10 +56,9 @@
 	// KeyRevocation is the time after which a key that was taken away must
 	// not work any more. Default 5s.
 	KeyRevocation Duration `json:"key_revocation"`
-	// Gather is the longest time for which a busy router gathers events of a
-	// stream to pass them on together; the first one goes out at once, and a
-	// router at rest gathers nothing. Default 60ms.
-	Gather Duration `json:"gather"`
+	// EventDelay is the time after which an event of a stream is late at its
+	// caller. A busy router gathers events for a part of it. Default 100ms.
+	EventDelay Duration `json:"event_delay"`
 	// Memory that the process may use; its soft limit lies below. Default
 	// 256 MiB.
 	Memory Size `json:"memory"`
@@ -80,7 +79,7 @@
 		},
 		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
 		KeyRevocation: Duration(5 * time.Second),
-		Gather:        Duration(60 * time.Millisecond),
+		EventDelay:    Duration(100 * time.Millisecond),
 		Memory:        256 * MiB,
 		Stop:          defaultStop(),
 		Log:           Log{Level: LogInfo},
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -35,12 +35,11 @@
 func (c *call) dispatch(ctx context.Context) {
 	c.r.countRequest(c.service)
 	if c.route.Kind == routing.Streaming {
-		if !c.r.load.admits() {
+		if !c.r.load.take(c.team) {
 			c.refuse(*notRun(outcome.ReasonConnections, busyReturn, "this router passes on as many streams as it can"))
 			return
 		}
-		c.r.load.streams.Add(1)
-		defer c.r.load.streams.Add(-1)
+		defer c.r.load.release(c.team)
 	}
 	var events relay
 	for {
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -247,7 +247,7 @@
 	f.set = settings.DefaultDirect()
 	f.set.ID, f.set.Listen.Callers, f.set.Listen.Health = "router", freeAddress(f.C), freeAddress(f.C)
 	f.set.Stop = settings.Stop{Linger: settings.Duration(100 * time.Millisecond), Bound: settings.Duration(600 * time.Millisecond)}
-	f.set.Gather = 0
+	f.set.EventDelay = 0
 	cfg := Config{
 		Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Backend: backend.DefaultConfig(),
 		Repeats:   repeats.Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 20, Use: 1},
--- a/transport/direct/load.go
+++ b/transport/direct/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,14 +23,44 @@
 	late atomic.Int64
 	// most is the greatest number of streams; 0 for no bound.
 	most atomic.Int64
-	// streams is the number of streams held.
-	streams atomic.Int64
+
+	mu sync.Mutex
+	// streams is the number of streams held, of all teams and of each.
+	streams int
+	byTeam  map[string]int
 }
 
-// admits reports whether one more stream may be held.
-func (l *load) admits() bool {
-	most := l.most.Load()
-	return most == 0 || l.streams.Load() < most
+// take holds one more stream of the team if the router may.
+func (l *load) take(team string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !saturation.Admits(int(l.most.Load()), l.streams, l.byTeam[team]) {
+		return false
+	}
+	l.streams++
+	if l.byTeam == nil {
+		l.byTeam = make(map[string]int)
+	}
+	l.byTeam[team]++
+	return true
+}
+
+// release ends one stream of the team.
+func (l *load) release(team string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.streams--
+	l.byTeam[team]--
+	if l.byTeam[team] == 0 {
+		delete(l.byTeam, team)
+	}
+}
+
+// held returns the number of streams.
+func (l *load) held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams
 }
 
 // watchLoad measures until ctx ends: the time of sending goes through a pipe,
@@ -77,12 +108,12 @@
 // observeLoad takes one measurement.
 func (r *Router) observeLoad(tracker *saturation.Tracker, limit *saturation.Limit, now time.Time, late time.Duration) {
 	changed := tracker.Observe(now, late)
-	limit.Adjust(now, tracker.Mean(), int(r.load.streams.Load()))
+	limit.Adjust(now, tracker.Mean(), r.load.held())
 	r.load.late.Store(int64(tracker.Mean()))
 	r.load.most.Store(int64(limit.Most()))
 	if changed {
 		r.load.saturated.Store(tracker.Saturated())
-		r.event("load", "saturated", tracker.Saturated(), "lateness", tracker.Mean(), "streams", r.load.streams.Load(), "most", limit.Most(), "held", r.held.Load(), "connections", r.callers.open())
+		r.event("load", "saturated", tracker.Saturated(), "lateness", tracker.Mean(), "streams", r.load.held(), "most", limit.Most(), "held", r.held.Load(), "connections", r.callers.open())
 	}
 }
 
@@ -90,8 +121,12 @@
 // mean lateness: a router at rest passes them on at once.
 const gatherPerLate = 12
 
+// gatherShare is the part of the time in which an event is not late for which
+// it may be gathered; the rest is for its way and the router's lateness.
+const gatherShare = 0.6
+
 // gatherTime is for how long events of a stream are gathered now.
 func (r *Router) gatherTime() time.Duration {
 	late := time.Duration(r.load.late.Load())
-	return min(gatherPerLate*late, r.set.Gather.D())
+	return min(gatherPerLate*late, time.Duration(gatherShare*float64(r.set.EventDelay.D())))
 }
--- a/transport/direct/runs.go
+++ b/transport/direct/runs.go
@@ -36,7 +36,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.admission.FirstByte(run)
+	r.admission.FirstByte(now, run)
 	if reply.Load.Slots > 0 {
 		r.admission.Reported(now, run, reply.Load)
 	}
