All that teams ask for counts; a request that lay unread is no return

Cause: on a flooded router first attempts lay unread for longer than 25 ms, so they looked like returns: they were not counted as asked for (the teams' level stayed infinite, FAIR) and got twice the patience. Ruled out: the capacity (1.25 M tokens a second, known).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -165,7 +165,9 @@
 // the wait there is within its patience.
 func (s *State) placeEngine(now time.Time, req Request, usable []*server) Decision {
 	team, tokens := fairshare.IDOf(req.Team), s.tokens(req)
-	if req.Elapsed == 0 && !req.Again {
+	if !req.Again {
+		// A request that comes back counts again: its team asks for what it
+		// did not get, and whether it comes back is only a guess.
 		s.teams.Ask(now, team, tokens)
 	}
 	standing := s.teams.Standing(now, team, s.capacity)
--- a/coordination/returning/returning.go
+++ b/coordination/returning/returning.go
@@ -9,8 +9,9 @@
 
 // Config holds the times of a Tracker.
 type Config struct {
-	// Least is the shortest time that counts as waiting. A first attempt may
-	// lose some milliseconds to the opening of its connection. Default 25ms.
+	// Least is the shortest time that counts as waiting. A first attempt loses
+	// some milliseconds to the opening of its connection; one that was refused
+	// comes back after 50 ms or more. Default 40ms.
 	Least time.Duration
 	// Memory is how long the greatest time of a route counts; a route's
 	// callers may get less time with a new configuration. Default 10s.
@@ -22,7 +23,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Least: 25 * time.Millisecond, Memory: 10 * time.Second, Greatest: 2.0 / 3}
+	return Config{Least: 40 * time.Millisecond, Memory: 10 * time.Second, Greatest: 2.0 / 3}
 }
 
 // longest is the greatest time of a route in two spans of the memory.
@@ -42,8 +43,9 @@
 func New(cfg Config) *Tracker { return &Tracker{cfg: cfg, routes: make(map[string]*longest)} }
 
 // Elapsed returns the time since the caller's first attempt, 0 for a first
-// attempt or when it cannot be told.
-func (t *Tracker) Elapsed(now time.Time, route string, left time.Duration) time.Duration {
+// attempt or when it cannot be told. Late is how long a request may have lain
+// unread at this router, which is no sign of an earlier attempt.
+func (t *Tracker) Elapsed(now time.Time, route string, left, late time.Duration) time.Duration {
 	if left <= 0 {
 		return 0
 	}
@@ -58,7 +60,7 @@
 	l.now = max(l.now, left)
 	full := max(l.now, l.before)
 	waited := full - left
-	if waited < t.cfg.Least || float64(waited) > t.cfg.Greatest*float64(full) {
+	if waited < t.cfg.Least+late || float64(waited) > t.cfg.Greatest*float64(full) {
 		return 0
 	}
 	return waited
--- a/coordination/returning/returning_test.go
+++ b/coordination/returning/returning_test.go
@@ -9,22 +9,30 @@
 
 func TestTheTimeThatIsGoneTellsTheWait(t *testing.T) {
 	tr, now := New(DefaultConfig()), time.Unix(1000, 0)
-	qt.Check(t, tr.Elapsed(now, "r", 15*time.Second), qt.Equals, time.Duration(0))
+	qt.Check(t, tr.Elapsed(now, "r", 15*time.Second, 0), qt.Equals, time.Duration(0))
 	// The opening of a connection is no wait.
-	qt.Check(t, tr.Elapsed(now, "r", 14992*time.Millisecond), qt.Equals, time.Duration(0))
-	qt.Check(t, tr.Elapsed(now, "r", 14700*time.Millisecond), qt.Equals, 300*time.Millisecond)
+	qt.Check(t, tr.Elapsed(now, "r", 14992*time.Millisecond, 0), qt.Equals, time.Duration(0))
+	qt.Check(t, tr.Elapsed(now, "r", 14700*time.Millisecond, 0), qt.Equals, 300*time.Millisecond)
 	// Routes differ, and a caller that does not say is not judged.
-	qt.Check(t, tr.Elapsed(now, "s", 3*time.Second), qt.Equals, time.Duration(0))
-	qt.Check(t, tr.Elapsed(now, "r", 0), qt.Equals, time.Duration(0))
+	qt.Check(t, tr.Elapsed(now, "s", 3*time.Second, 0), qt.Equals, time.Duration(0))
+	qt.Check(t, tr.Elapsed(now, "r", 0, 0), qt.Equals, time.Duration(0))
 }
 
 func TestAShorterTimeOfTheRouteIsLearnt(t *testing.T) {
 	tr, now := New(DefaultConfig()), time.Unix(1000, 0)
-	tr.Elapsed(now, "r", 15*time.Second)
+	tr.Elapsed(now, "r", 15*time.Second, 0)
 	for range 25 {
 		now = now.Add(time.Second)
-		tr.Elapsed(now, "r", 10*time.Second)
+		tr.Elapsed(now, "r", 10*time.Second, 0)
 	}
-	qt.Check(t, tr.Elapsed(now, "r", 10*time.Second), qt.Equals, time.Duration(0))
-	qt.Check(t, tr.Elapsed(now, "r", 9*time.Second), qt.Equals, time.Second)
+	qt.Check(t, tr.Elapsed(now, "r", 10*time.Second, 0), qt.Equals, time.Duration(0))
+	qt.Check(t, tr.Elapsed(now, "r", 9*time.Second, 0), qt.Equals, time.Second)
+}
+
+// At a router that reads late, a first attempt looks as if it had waited.
+func TestARequestThatLayUnreadIsNoReturn(t *testing.T) {
+	tr, now := New(DefaultConfig()), time.Unix(1000, 0)
+	tr.Elapsed(now, "r", 15*time.Second, 0)
+	qt.Check(t, tr.Elapsed(now, "r", 14800*time.Millisecond, 300*time.Millisecond), qt.Equals, time.Duration(0))
+	qt.Check(t, tr.Elapsed(now, "r", 14800*time.Millisecond, 10*time.Millisecond), qt.Equals, 200*time.Millisecond)
 }
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -207,9 +207,14 @@
 	outcome.Write(c.w, c.meta.ID, o)
 }
 
+// unreadPerLate is how long a request may have lain unread for each unit of the
+// mean lateness: its connection, its head and its body are read one by one.
+const unreadPerLate = 6
+
 // elapsed returns how long the caller has been waiting since its first attempt.
 func (r *Router) elapsed(c *call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.returning.Elapsed(c.received, c.route.Name, c.meta.TimeLeft)
+	late := unreadPerLate * time.Duration(r.load.late.Load())
+	return r.returning.Elapsed(c.received, c.route.Name, c.meta.TimeLeft, late)
 }
