Unreachable servers are ejected at once; what was not run is admitted anew

Cause: a crashed server refuses connections at once, so its load looked least and each of 30 routers sent it five requests before it was ejected; each of those then passed admission unchecked at the next server, whatever its team had. Ruled out: the share's factor (a team at 4.9 times its level was served by repeats only).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -165,7 +165,7 @@
 // the wait there is within its patience.
 func (s *State) placeEngine(now time.Time, req Request, usable []*server) Decision {
 	team, tokens := fairshare.IDOf(req.Team), s.tokens(req)
-	if !req.Again {
+	if !req.Sent {
 		// A request that comes back counts again: its team asks for what it
 		// did not get, and whether it comes back is only a guess.
 		s.teams.Ask(now, team, tokens)
@@ -181,7 +181,7 @@
 		return d
 	}
 	d.Verdict = Send
-	if !req.Again {
+	if !req.Sent {
 		s.teams.Begin(now, team, tokens)
 	}
 	d.Run = s.start(now, best.server, best.unread, req.Shared)
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -28,8 +28,10 @@
 	Elapsed time.Duration
 	// Avoid names servers at which the request failed already.
 	Avoid []string
-	// Again tells that the request was admitted before and goes to a further
-	// server; it is not refused for the wait.
+	// Sent tells that the request was sent before and is counted already.
+	Sent bool
+	// Again tells that a server may have run it: it goes on at a further one
+	// whatever the wait.
 	Again bool
 }
 
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -71,6 +71,9 @@
 	Success
 	// Failure is an error of the server.
 	Failure
+	// Unreachable means that no connection to the server could be opened; one
+	// such result makes it suspect.
+	Unreachable
 )
 
 // Tracker follows the results of one server. It must be used by one goroutine
@@ -107,6 +110,9 @@
 	}
 	t.consecutive++
 	t.failures++
+	if r == Unreachable {
+		t.consecutive = max(t.consecutive, t.cfg.Consecutive)
+	}
 }
 
 // Rate returns the fraction of failures among the last results and whether
@@ -161,7 +167,7 @@
 		if t.successes >= t.cfg.Successes {
 			*t = Tracker{cfg: t.cfg}
 		}
-	case Failure:
+	case Failure, Unreachable:
 		t.successes = 0
 		t.pause = min(2*t.pause, t.cfg.LongestPause)
 		t.nextProbe = now.Add(t.pause)
--- a/coordination/health/health_test.go
+++ b/coordination/health/health_test.go
@@ -86,3 +86,15 @@
 		}
 	})
 }
+
+func TestAServerThatCannotBeReachedIsSuspectAtOnce(t *testing.T) {
+	tr, now := health.New(health.DefaultConfig()), time.Unix(1000, 0)
+	tr.Record(health.Success)
+	tr.Record(health.Unreachable)
+	qt.Check(t, tr.Suspect(), qt.IsTrue)
+	tr.Eject(now)
+	tr.ProbeSent()
+	tr.ProbeEnded(now.Add(time.Second), health.Unreachable)
+	qt.Check(t, tr.ProbeDue(now.Add(2*time.Second)), qt.IsFalse)
+	qt.Check(t, tr.ProbeDue(now.Add(3*time.Second)), qt.IsTrue)
+}
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -16,15 +16,15 @@
 
 // Config holds the times of a Pool.
 type Config struct {
-	// DialTimeout bounds the opening of a connection. Default 500ms: a
+	// DialTimeout bounds the opening of a connection. Default 200ms: a
 	// handshake takes some milliseconds; a lost opening packet is sent again
 	// after a second, when another server is the better choice.
 	DialTimeout time.Duration
 	// UnackedTimeout ends a connection whose sent bytes are not acknowledged.
-	// Default 3s.
+	// Default 1200ms: three retransmissions.
 	UnackedTimeout time.Duration
 	// KeepAlive finds a dead path while an answer is awaited. Default: first
-	// probe after 1s, then each second, three lost ones end it.
+	// probe after 1s, then each second, two lost ones end it.
 	KeepAlive net.KeepAliveConfig
 	// IdleTime bounds the time that a connection is kept without an exchange.
 	// Default 20s.
@@ -39,9 +39,9 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:    500 * time.Millisecond,
-		UnackedTimeout: 3 * time.Second,
-		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		DialTimeout:    200 * time.Millisecond,
+		UnackedTimeout: 1200 * time.Millisecond,
+		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		IdleTime:       20 * time.Second,
 		IdleMargin:     500 * time.Millisecond,
 		IdlePerServer:  64,
--- a/transport/direct/callers.go
+++ b/transport/direct/callers.go
@@ -132,7 +132,7 @@
 
 // crowded reports whether connections should be short-lived.
 func (r *Router) crowded() bool {
-	return r.load.saturated.Load() || float64(r.callers.open()) > crowdedShare*float64(mostConnections(r.set))
+	return float64(r.callers.open()) > crowdedShare*float64(mostConnections(r.set))
 }
 
 // keepAlive tells the caller how long its connection may stay idle when there
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -66,7 +66,7 @@
 func (c *call) place() admission.Decision {
 	req := admission.Request{
 		Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
-		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Again: c.sent > 0,
+		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Sent: c.sent > 0, Again: c.reached > 0,
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
@@ -103,6 +103,7 @@
 		return refused, errors.New("the server left")
 	}
 	c.sent++
+	c.arrived = true
 	c.avoid = append(c.avoid, server.ID)
 	out := c.r.dialect.Outgoing(c.req.Header, Call{Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.lastEvent()})
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.ID, Address: server.Address}, backend.Request{
@@ -110,12 +111,14 @@
 		Own: func(h http.Header) bool { return c.r.dialect.Own(h, c.meta.ID) },
 	})
 	if failure != nil {
-		if ctx.Err() == nil {
-			result = health.Failure
-		}
 		if failure.Stage == backend.NotSent {
+			c.arrived = false
+			if ctx.Err() == nil {
+				result = health.Unreachable
+			}
 			return refused, failure.Err
 		}
+		result = brokeOff(ctx)
 		c.reached++
 		return failed, failure.Err
 	}
@@ -141,7 +144,8 @@
 }
 
 // mayGoOn decides whether a further server is tried. Each further send of a
-// request that arrived at a server draws on the fleet's budget.
+// request that arrived at a server draws on the fleet's budget; one that found
+// no connection did not arrive.
 func (c *call) mayGoOn(ctx context.Context, after step) bool {
 	if ctx.Err() != nil || c.sent >= sends || c.left() <= 0 {
 		return false
@@ -153,7 +157,7 @@
 	if after != refused && (!c.route.MayRepeat() || c.reached >= c.route.Attempts) {
 		return false
 	}
-	return c.r.takeRepeat(c.service)
+	return !c.arrived || c.r.takeRepeat(c.service)
 }
 
 // giveUp gives the final answer after the last attempt.
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -37,6 +37,8 @@
 	// that it was sent to.
 	reached int
 	sent    int
+	// arrived tells that the last send reached a server.
+	arrived bool
 	avoid   []string
 	last    admission.Decision
 	// begun tells that a part of the answer was passed on.
