--- a/coordination/saturation/limit.go
+++ b/coordination/saturation/limit.go
@@ -14,14 +14,15 @@
 	// Shrink and Grow are the factors of a change. Default 0.85 and 1.05.
 	Shrink float64
 	Grow   float64
-	// Least is the least number of requests. Default 16.
+	// Least is the least number of streams. Default 64: passing them on takes
+	// a sixth of the smallest of the users' instances.
 	Least int
 }
 
 // DefaultLimitConfig returns the documented defaults.
 func DefaultLimitConfig() LimitConfig {
 	return LimitConfig{
-		High: 12 * time.Millisecond, Low: 4 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Least: 16,
+		High: 12 * time.Millisecond, Low: 4 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Least: 64,
 	}
 }
 
@@ -44,6 +45,9 @@
 		return
 	}
 	switch {
+	case late > l.cfg.High && l.most > 0 && float64(held) < l.most/2:
+		// What makes the router late is not the streams.
+		return
 	case late > l.cfg.High:
 		from := float64(held)
 		if l.most > 0 {
--- a/coordination/saturation/saturation.go
+++ b/coordination/saturation/saturation.go
@@ -22,7 +22,8 @@
 	Leave time.Duration
 	// Pause is the least time for which it stays so; it doubles up to
 	// LongestPause while saturation comes back within twice the pause.
-	// Default 3s and 12s: the balancer needs two seconds to notice.
+	// Default 6s and 24s: the balancer needs two seconds to notice, and the
+	// flood should have found a larger instance before.
 	Pause        time.Duration
 	LongestPause time.Duration
 	// Gain is the weight of one observation in the mean. Default 0.1, which
@@ -32,7 +33,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Enter: 25 * time.Millisecond, Leave: 6 * time.Millisecond, Pause: 3 * time.Second, LongestPause: 12 * time.Second, Gain: 0.1}
+	return Config{Enter: 25 * time.Millisecond, Leave: 6 * time.Millisecond, Pause: 6 * time.Second, LongestPause: 24 * time.Second, Gain: 0.1}
 }
 
 // Tracker follows the lateness of timers. It must be used by one goroutine at
--- a/transport/direct/callers.go
+++ b/transport/direct/callers.go
@@ -7,8 +7,11 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"goldcrestport/protocol/settings"
 )
 
@@ -145,3 +148,70 @@
 		}
 	}
 }
+
+// leftLate is the mean lateness from which a router looks whether a caller has
+// left before it sends a request on: at rest the runtime tells in time.
+const leftLate = 8 * time.Millisecond
+
+// hasLeft reports whether the caller closed its connection while its request
+// lay unread.
+func (c *call) hasLeft() bool {
+	if time.Duration(c.r.load.late.Load()) < leftLate {
+		return false
+	}
+	conn, _ := c.req.Context().Value(connKey{}).(syscall.Conn)
+	if conn == nil {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = peekErr == nil && n == 0 || peekErr != nil && peekErr != unix.EAGAIN && peekErr != unix.EINTR
+	})
+	return left || err != nil
+}
+
+// boundedListener accepts no more connections than most; the others wait in
+// the kernel until one ends.
+type boundedListener struct {
+	net.Listener
+	places chan struct{}
+}
+
+func newBoundedListener(l net.Listener, most int) *boundedListener {
+	return &boundedListener{Listener: l, places: make(chan struct{}, most)}
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	l.places <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		<-l.places
+		return conn, nil
+	}
+	return &boundedTCP{TCPConn: tcp, places: l.places}, nil
+}
+
+// boundedTCP gives its place back when it is closed.
+type boundedTCP struct {
+	*net.TCPConn
+	places chan struct{}
+	once   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *boundedTCP) Close() error {
+	c.once.Do(func() { <-c.places })
+	return c.TCPConn.Close()
+}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -130,7 +130,7 @@
 		}
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
-	go func() { _ = srv.Serve(callers) }()
+	go func() { _ = srv.Serve(newBoundedListener(callers, mostConnections(r.set))) }()
 	go r.watchLoad(ctx)
 	r.event("serving", "callers", r.set.Listen.Callers)
 	<-stop
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -60,6 +60,11 @@
 		c.refuse(*o)
 		return
 	}
+	if c.hasLeft() {
+		c.logEnd("caller_left", 0, 0)
+		r.metrics.outcomes.Add("caller_left", 1)
+		return
+	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
 	defer cancel()
 	stop := context.AfterFunc(r.ending, cancel)
