--- /dev/null
+++ b/transport/direct/direct_test.go
@@ -0,0 +1,296 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/coordination/roster"
+)
+
+func TestWithoutAConfigurationNothingIsServed(t *testing.T) {
+	f := start(t, nil)
+	f.Check(f.ready(), qt.Equals, http.StatusServiceUnavailable)
+	got := f.call("/safe/", "r")
+	f.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
+func TestAnAnswerIsPassedOnAsItIs(t *testing.T) {
+	b := newBackend(t, "i-1", func(w io.Writer, req *http.Request) bool {
+		return respond(w, req, http.StatusCreated, testMark+": m\r\nX-Other: kept\r\n", "héllo")
+	})
+	f := start(t, testConfig(1), b)
+	got := f.call("/once/x?y=1", "r", testLeft, "2000")
+	f.Check(got.status, qt.Equals, http.StatusCreated)
+	f.Check(got.body, qt.Equals, "héllo")
+	f.Check(got.header.Get("X-Other"), qt.Equals, "kept")
+	f.Check(got.header.Get(testMark), qt.Equals, "m")
+	f.Check(b.runs(), qt.DeepEquals, []string{"r"})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f.Check(b.last.Get(testServer), qt.Equals, "i-1")
+	left, err := strconv.Atoi(b.last.Get(testLeft))
+	f.Check(err, qt.IsNil)
+	f.Check(left > 1500 && left <= 2000, qt.IsTrue, qt.Commentf("%d ms", left))
+}
+
+func TestRoutesAndKeys(t *testing.T) {
+	b := newBackend(t, "i-1", ok)
+	f := start(t, testConfig(1), b)
+	f.Check(f.call("/nowhere/", "a").status, qt.Equals, http.StatusNotFound)
+	f.Check(f.call("/keyed/", "b").status, qt.Equals, http.StatusUnauthorized)
+	f.Check(f.call("/keyed/", "c", testKey, "wrong").status, qt.Equals, http.StatusUnauthorized)
+	f.Check(f.call("/keyed/", "d", testKey, "key", testTeam, "another").status, qt.Equals, http.StatusOK)
+	b.mu.Lock()
+	f.Check(b.last.Get(testTeam), qt.Equals, "team")
+	b.mu.Unlock()
+	f.Check(b.runs(), qt.DeepEquals, []string{"d"})
+}
+
+// A key that was taken away stops working also at a router that cannot reach
+// the store: within the bound, it refuses every key. Public routes go on.
+func TestKeysNeedKnowledgeThatIsFresh(t *testing.T) {
+	f := start(t, testConfig(1), newBackend(t, "i-1", ok))
+	f.Check(f.call("/keyed/", "a", testKey, "key").status, qt.Equals, http.StatusOK)
+	f.source.setDown(true)
+	time.Sleep(600 * time.Millisecond)
+	got := f.call("/keyed/", "b", testKey, "key")
+	f.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	// What may be known by now is not denied.
+	f.Check(f.call("/keyed/", "c", testKey, "new").status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(f.call("/nowhere/", "d").status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(f.call("/safe/", "e").status, qt.Equals, http.StatusOK)
+	f.Check(f.ready(), qt.Equals, http.StatusServiceUnavailable)
+	f.source.setDown(false)
+	f.waitReady()
+	f.Check(f.call("/keyed/", "f", testKey, "key").status, qt.Equals, http.StatusOK)
+}
+
+func TestANewConfigurationIsInForceAndNeverGoesBack(t *testing.T) {
+	f := start(t, testConfig(5), newBackend(t, "i-1", ok))
+	c := testConfig(9)
+	c.Teams[0].Keys = []string{"other"}
+	f.source.changes <- Delta{Config: c, Revision: 2}
+	f.waitStatus("/keyed/", "other", http.StatusOK)
+	f.source.changes <- Delta{Config: testConfig(7), Revision: 3}
+	time.Sleep(100 * time.Millisecond)
+	f.Check(f.call("/keyed/", "x", testKey, "key").status, qt.Equals, http.StatusUnauthorized)
+}
+
+func (f *fixture) waitStatus(path, key string, want int) {
+	for i := range 100 {
+		if f.call(path, fmt.Sprint("w", i), testKey, key).status == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.Fatalf("no %d from %s", want, path)
+}
+
+// A request that may run once is sent to another server only when the first
+// one certainly did not run it; otherwise its outcome is unknown, and no
+// refusal.
+func TestARequestThatMayRunOnceRunsOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		run  func(w io.Writer, req *http.Request) bool
+		want int
+		runs int
+	}{
+		"refused": {func(w io.Writer, req *http.Request) bool {
+			return respond(w, req, http.StatusServiceUnavailable, testNotRun+": 1\r\n", "")
+		}, http.StatusServiceUnavailable, 2},
+		"another server": {func(w io.Writer, req *http.Request) bool {
+			return respond(w, req, http.StatusMisdirectedRequest, "", "")
+		}, http.StatusServiceUnavailable, 2},
+		"closed": {func(io.Writer, *http.Request) bool { return false }, http.StatusBadGateway, 1},
+		"cut": {func(w io.Writer, req *http.Request) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: m\r\nContent-Length: 9\r\n\r\nabc", testMark)
+			return false
+		}, http.StatusBadGateway, 1},
+		"unmarked": {func(w io.Writer, req *http.Request) bool { return respond(w, req, http.StatusOK, "", "x") }, http.StatusBadGateway, 1},
+		"own error": {func(w io.Writer, req *http.Request) bool {
+			return respond(w, req, http.StatusInternalServerError, testMark+": m\r\n", "x")
+		}, http.StatusInternalServerError, 1},
+	} {
+		a, b := newBackend(t, "i-1", tc.run), newBackend(t, "i-2", tc.run)
+		f := start(t, testConfig(1), a, b)
+		got := f.call("/once/", "r")
+		f.Check(got.status, qt.Equals, tc.want, qt.Commentf(name))
+		f.Check(len(a.runs())+len(b.runs()), qt.Equals, tc.runs, qt.Commentf(name))
+		f.Check(got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") != "", qt.IsTrue, qt.Commentf(name))
+	}
+}
+
+// An idempotent request whose answer breaks off is repeated, and the caller
+// gets the whole answer of one run.
+func TestABrokenAnswerIsRepeatedWhole(t *testing.T) {
+	for _, head := range []string{"Content-Length: 9\r\n", "", "Transfer-Encoding: chunked\r\n"} {
+		var once sync.Once
+		run := func(w io.Writer, req *http.Request) bool {
+			broken := false
+			once.Do(func() { broken = true })
+			if !broken {
+				return ok(w, req)
+			}
+			body := "abc"
+			if strings.HasPrefix(head, "Transfer") {
+				body = "3\r\nabc\r\n"
+			}
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: other\r\n%s\r\n%s", testMark, head, body)
+			time.Sleep(20 * time.Millisecond)
+			_ = w.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		f := start(t, testConfig(1), newBackend(t, "i-1", run), newBackend(t, "i-2", run))
+		got := f.call("/safe/", "r")
+		f.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%q", head))
+		f.Check(got.body, qt.Equals, "hello", qt.Commentf("%q", head))
+		f.Check(got.header.Get(testMark), qt.Equals, "m", qt.Commentf("%q", head))
+	}
+}
+
+func TestAStreamIsPassedOnWhole(t *testing.T) {
+	f := start(t, testConfig(1), newBackend(t, "i-1", func(w io.Writer, req *http.Request) bool { return events(w, req, 5, time.Millisecond, false) }))
+	got := f.call("/stream/", "r")
+	f.Check(got.err, qt.IsNil)
+	f.Check(got.body, qt.Equals, eventsText(1, 5))
+}
+
+func eventsText(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// A stream that may not run again is visibly cut when its server breaks off;
+// one that may goes on at another server after the last whole event.
+func TestABrokenStream(t *testing.T) {
+	run := func(w io.Writer, req *http.Request) bool {
+		if req.Header.Get(testLast) == "" {
+			return events(w, req, 3, time.Millisecond, true)
+		}
+		return events(w, req, 6, time.Millisecond, false)
+	}
+	a, b := newBackend(t, "i-1", run), newBackend(t, "i-2", run)
+	f := start(t, testConfig(1), a, b)
+	cut := f.call("/stream/", "r1")
+	f.Check(cut.err, qt.IsNotNil)
+	f.Check(len(a.runs())+len(b.runs()), qt.Equals, 1)
+	whole := f.call("/resume/", "r2")
+	f.Check(whole.err, qt.IsNil)
+	f.Check(whole.body, qt.Equals, eventsText(1, 6))
+	f.Check(len(a.runs())+len(b.runs()), qt.Equals, 3)
+}
+
+// The final answer comes at the route's timeout, and the server is told less
+// time than the caller has left.
+func TestTheFinalAnswerComesAtTheTimeout(t *testing.T) {
+	f := start(t, testConfig(1), newBackend(t, "i-1", func(io.Writer, *http.Request) bool {
+		time.Sleep(time.Second)
+		return false
+	}))
+	begin := time.Now()
+	got := f.call("/short/", "r", testLeft, "60000")
+	f.Check(got.status, qt.Equals, http.StatusGatewayTimeout)
+	took := time.Since(begin)
+	f.Check(took > 140*time.Millisecond && took < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+// A caller that leaves ends the work at the server.
+func TestACallerThatLeavesEndsTheRun(t *testing.T) {
+	ended := make(chan struct{})
+	b := newBackend(t, "i-1", func(w io.Writer, _ *http.Request) bool {
+		_, _ = w.(net.Conn).Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	f := start(t, testConfig(1), b)
+	conn, err := net.Dial("tcp", f.set.Listen.Callers)
+	f.Assert(err, qt.IsNil)
+	_, _ = fmt.Fprintf(conn, "POST /stream/ HTTP/1.1\r\nHost: h\r\n%s: r\r\nContent-Length: 0\r\n\r\n", testID)
+	for range 200 {
+		if len(b.runs()) == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.Assert(conn.Close(), qt.IsNil)
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		f.Fatal("the server is still at work")
+	}
+}
+
+// Servers that drain or whose entries are removed get nothing more.
+func TestLeavingServersGetNoWork(t *testing.T) {
+	a, b := newBackend(t, "i-1", ok), newBackend(t, "i-2", ok)
+	f := start(t, testConfig(1), a, b)
+	leaving := servers(a)[0]
+	leaving.Draining = true
+	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 2}
+	time.Sleep(100 * time.Millisecond)
+	for i := range 6 {
+		f.Check(f.call("/safe/", fmt.Sprint("r", i)).status, qt.Equals, http.StatusOK)
+	}
+	f.Check(a.runs(), qt.HasLen, 0)
+	f.source.changes <- Delta{Removed: []string{"i-2"}, Revision: 3}
+	time.Sleep(100 * time.Millisecond)
+	f.Check(f.call("/safe/", "last").status, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// A planned stop: not ready at once, new work is still taken for a while,
+// kept connections are told to close, and what runs ends whole.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	b := newBackend(t, "i-1", func(w io.Writer, req *http.Request) bool { return events(w, req, 10, 20*time.Millisecond, false) })
+	f := start(t, testConfig(1), b)
+	running := make(chan reply, 1)
+	go func() { running <- f.call("/stream/", "r1") }()
+	for len(b.runs()) == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(f.stop)
+	time.Sleep(30 * time.Millisecond)
+	f.Check(f.ready(), qt.Equals, http.StatusServiceUnavailable)
+	taken := f.call("/stream/", "r2")
+	f.Check(taken.err, qt.IsNil)
+	f.Check(taken.body, qt.Equals, eventsText(1, 10))
+	f.Check(strings.EqualFold(taken.header.Get("Connection"), "close") || taken.header.Get("Connection") == "", qt.IsTrue)
+	got := <-running
+	f.Check(got.err, qt.IsNil)
+	f.Check(got.body, qt.Equals, eventsText(1, 10))
+}
+
+// Idle connections are closed when the configuration says so, and refused
+// callers do not keep theirs when there are many.
+func TestIdleCallersAreClosedInTime(t *testing.T) {
+	c := newCallers()
+	now := time.Now()
+	for i := range 4 {
+		near, far := net.Pipe()
+		defer far.Close()
+		c.changed(near, http.StateIdle)
+		c.all[near].idle = now.Add(-time.Duration(i) * time.Second)
+	}
+	busy, other := net.Pipe()
+	defer other.Close()
+	c.changed(busy, http.StateActive)
+	qt.Check(t, c.sweep(now, 10*time.Second, 10), qt.Equals, 0)
+	qt.Check(t, c.sweep(now, 2500*time.Millisecond, 10), qt.Equals, 1)
+	// The longest idle ones go when there are too many; busy ones stay.
+	qt.Check(t, c.sweep(now, 10*time.Second, 2), qt.Equals, 2)
+	qt.Check(t, c.sweep(now, 10*time.Second, 0), qt.Equals, 1)
+	qt.Check(t, c.open(), qt.Equals, 1)
+}
