--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -307,8 +307,7 @@
 	case standing <= wellBelow:
 		return s.cfg.Below
 	case standing >= wellBeyond:
-		over := wellBeyond / standing
-		return s.cfg.Beyond * over * over
+		return s.cfg.Beyond * wellBeyond / standing
 	default:
 		part := (standing - wellBelow) / (wellBeyond - wellBelow)
 		return s.cfg.Below + part*(s.cfg.Beyond-s.cfg.Below)
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -39,6 +39,9 @@
 	callTimeout = 800 * time.Millisecond
 	// storePause is the time between calls of a store that fails.
 	storePause = 150 * time.Millisecond
+	// retryEvery is the time between calls of a store that does not answer
+	// this router while others tell it what is new.
+	retryEvery = time.Second
 	// resyncEvery is the time after which everything is read again, in case a
 	// watch missed a change. Only routers that watch do so.
 	resyncEvery = 15 * time.Second
@@ -53,6 +56,9 @@
 	// from which the router is not ready: callers are better served by
 	// others.
 	unreadyShare = 0.6
+	// cutReady is how long a router is ready without the store's own answer,
+	// though others tell it what is new: callers are better served by those.
+	cutReady = 1500 * time.Millisecond
 	// outcomeSlack is the time beyond a request's deadline in which its last
 	// bytes may still be written to the caller.
 	outcomeSlack = 300 * time.Millisecond
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -294,3 +294,40 @@
 	qt.Check(t, c.sweep(now, 10*time.Second, 0), qt.Equals, 1)
 	qt.Check(t, c.open(), qt.Equals, 1)
 }
+
+// Routers that hear that another one has newer knowledge take it from there,
+// and only when its word answers a message of their own does it count as fresh.
+func TestKnowledgeComesFromAnotherRouter(t *testing.T) {
+	b := newBackend(t, "i-1", ok)
+	watcher := startPeer(t, "watcher", testConfig(1), b)
+	follower := startPeer(t, "follower", testConfig(1), b)
+	follower.source.setDown(true)
+	follower.meet(watcher)
+	watcher.meet(follower)
+	c := testConfig(9)
+	c.Teams[0].Keys = []string{"new"}
+	watcher.source.changes <- Delta{Config: c, Revision: 50, Joined: map[string]string{
+		"follower": follower.set.Listen.Peers, "watcher": watcher.set.Listen.Peers,
+	}}
+	follower.waitStatus("/keyed/", "new", http.StatusOK)
+	// The store stays away for longer than the bound; the watcher's word keeps
+	// the follower fresh.
+	time.Sleep(800 * time.Millisecond)
+	follower.Check(follower.call("/keyed/", "x", testKey, "new").status, qt.Equals, http.StatusOK)
+	follower.Check(follower.call("/keyed/", "y", testKey, "key").status, qt.Equals, http.StatusUnauthorized)
+	// It serves who comes, and asks the balancer to send callers elsewhere.
+	time.Sleep(cutReady)
+	follower.Check(follower.ready(), qt.Equals, http.StatusServiceUnavailable)
+	// Without the watcher the follower stops.
+	watcher.end()
+	time.Sleep(800 * time.Millisecond)
+	follower.Check(follower.call("/keyed/", "z", testKey, "new").status, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// meet registers the other router here.
+func (f *fixture) meet(other *fixture) {
+	f.router.mu.Lock()
+	defer f.router.mu.Unlock()
+	f.router.peers[other.set.ID] = other.set.Listen.Peers
+	f.router.countRouters()
+}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -16,6 +16,7 @@
 	storeErrors *expvar.Int
 	dropped     *expvar.Int
 	peerErrors  *expvar.Int
+	peerReads   *expvar.Int
 	closedIdle  *expvar.Int
 	latency     *observe.Times
 }
@@ -29,6 +30,7 @@
 		repeats:     v.Int("direct_repeats"),
 		storeErrors: v.Int("direct_store_errors"),
 		dropped:     v.Int("log_lines_dropped"),
+		peerReads:   v.Int("direct_peer_reads"),
 		peerErrors:  v.Int("direct_peer_errors"),
 		closedIdle:  v.Int("direct_idle_closed"),
 		latency:     v.Times("direct_latency_us"),
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestport/protocol/digest"
 )
 
@@ -131,18 +133,18 @@
 		return
 	}
 	if at, known := r.witness.Heard(m.Heard); known {
-		r.vouched(at, m.Revision)
+		r.vouched(at, m)
 	}
 }
 
-// vouched notes that the revision was the newest at the time. The caller holds
-// mu.
-func (r *Router) vouched(at time.Duration, revision uint64) {
-	if r.revision >= revision && r.table.Load() != nil {
+// vouched notes that the message's revision was the newest at the time. The
+// caller holds mu.
+func (r *Router) vouched(at time.Duration, m digest.Message) {
+	if r.revision >= m.Revision && r.table.Load() != nil {
 		r.fresh.Confirm(at)
 		return
 	}
-	r.pending.at, r.pending.revision = at, revision
+	r.pending.at, r.pending.revision, r.pending.router = at, m.Revision, m.Router
 	select {
 	case r.behind <- struct{}{}:
 	default:
@@ -179,7 +181,12 @@
 	if err != nil {
 		return err
 	}
+	lis, err := net.Listen("tcp", r.set.Listen.Peers)
+	if err != nil {
+		return errors.CombineErrors(err, conn.Close())
+	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	go r.servePeers(ctx, lis)
 	t := &teller{r: r, conn: conn, seq: rand.Uint32(), destinations: make(map[string]netip.AddrPort)}
 	go t.run(ctx)
 	go r.listen(conn)
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -30,7 +30,10 @@
 	set     settings.Direct
 	cfg     Config
 	log     log.Logger
-	lines   *observe.LineLimit
+	// lines bounds the lines of answers that were whole, failures those of
+	// all others.
+	lines    *observe.LineLimit
+	failures *observe.LineLimit
 	dialect Dialect
 	source  Source
 	pool    *backend.Pool
@@ -59,19 +62,25 @@
 	pending struct {
 		at       time.Duration
 		revision uint64
+		// router that vouched for it.
+		router string
 	}
+	mirror    mirror
 	behind    chan struct{}
 	returning *returning.Tracker
 
-	load    load
-	unready atomic.Bool
-	leaving atomic.Bool
-	held    atomic.Int64
-	ending  context.Context
-	end     context.CancelFunc
-	abort   chan struct{}
-	callers *callers
-	once    sync.Once
+	load load
+	// cutSince is since when the store does not answer this router, by the
+	// clock of bootTime; 0 while it does.
+	cutSince atomic.Int64
+	unready  atomic.Bool
+	leaving  atomic.Bool
+	held     atomic.Int64
+	ending   context.Context
+	end      context.CancelFunc
+	abort    chan struct{}
+	callers  *callers
+	once     sync.Once
 }
 
 // New returns a router that has not bound anything yet.
@@ -93,6 +102,7 @@
 	}
 	r.metrics = newMetrics(r)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
+	r.failures = observe.NewLineLimitOf(r.metrics.dropped, failureLines)
 	return r
 }
 
@@ -180,6 +190,9 @@
 		return errors.New("the processor has too much work")
 	}
 	now := bootTime()
+	if cut := time.Duration(r.cutSince.Load()); cut != 0 && now-cut > cutReady {
+		return errors.Newf("the store has not answered this router for %v", now-cut)
+	}
 	r.mu.Lock()
 	age, known := r.fresh.Age(now)
 	bound := time.Duration(unreadyShare * float64(r.cfg.Freshness))
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -26,7 +26,6 @@
 			f.failed(ctx, err)
 			continue
 		}
-		f.worked()
 	}
 }
 
@@ -38,13 +37,15 @@
 	revision uint64
 	loaded   time.Time
 	lost     bool
+	// nextTry is when a router that is cut off from the store tries it again.
+	nextTry time.Time
 	// catchUp tells that other routers know of changes that this one does not.
 	catchUp bool
 }
 
 // asks reports whether this router asks the store now, or relies on others.
 func (f *follower) asks() bool {
-	if f.revision == 0 || f.catchUp || f.lost {
+	if f.revision == 0 || f.catchUp || f.retries() {
 		return true
 	}
 	now := bootTime()
@@ -54,6 +55,12 @@
 	return f.duty.Asks(f.r.set.ID, slices.Collect(maps.Keys(f.r.peers)), age, known)
 }
 
+// retries reports whether the store is due another try after it did not answer:
+// other routers may still tell what is new, but not for ever.
+func (f *follower) retries() bool {
+	return f.r.cutSince.Load() != 0 && !time.Now().Before(f.nextTry)
+}
+
 // await waits until others tell of changes, for a moment at most.
 func (f *follower) await(ctx context.Context) {
 	select {
@@ -68,16 +75,26 @@
 
 // step reads everything, or waits once for changes.
 func (f *follower) step(ctx context.Context) error {
-	if f.revision == 0 || time.Since(f.loaded) > resyncEvery {
-		return f.load(ctx)
-	}
-	if f.catchUp {
+	if f.catchUp && f.revision > 0 {
 		f.catchUp = false
-		return f.changes(ctx, catchUpWait)
+		if err := f.askPeer(ctx); err == nil {
+			f.r.metrics.peerReads.Add(1)
+			f.storeBack()
+			return nil
+		}
+		if !f.stale() {
+			return f.changes(ctx, catchUpWait)
+		}
+	}
+	if f.stale() {
+		return f.load(ctx)
 	}
 	return f.changes(ctx, watchWait)
 }
 
+// stale reports whether everything must be read.
+func (f *follower) stale() bool { return f.revision == 0 || time.Since(f.loaded) > resyncEvery }
+
 func (f *follower) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -99,8 +116,9 @@
 	heard, sent := f.r.hearing(), bootTime()
 	d, err := f.r.source.Changes(ctx, f.revision, wait)
 	if err != nil {
-		// A wait that was cut may have missed changes.
-		f.revision = 0
+		// A wait that was cut may have missed changes. What other routers
+		// tell goes on from what is known.
+		f.loaded = time.Time{}
 		return err
 	}
 	f.worked()
@@ -116,7 +134,12 @@
 		f.r.event("history_lost", "err", err)
 		return
 	}
-	if !f.lost && ctx.Err() == nil {
+	if ctx.Err() != nil {
+		return
+	}
+	f.nextTry = time.Now().Add(retryEvery)
+	f.r.cutSince.CompareAndSwap(0, int64(bootTime()))
+	if !f.lost {
 		f.lost = true
 		f.r.event("store_lost", "err", err)
 		f.r.mu.Lock()
@@ -125,16 +148,26 @@
 	}
 	select {
 	case <-time.After(storePause):
+	case <-f.r.behind:
+		f.catchUp = true
 	case <-ctx.Done():
 	}
 }
 
+// worked notes that the store answered this router.
 func (f *follower) worked() {
+	f.r.cutSince.Store(0)
+	f.storeBack()
+}
+
+// storeBack notes that what the store holds is known again, from it or from
+// another router.
+func (f *follower) storeBack() {
 	if !f.lost {
 		return
 	}
 	f.lost = false
-	f.r.event("store_back")
+	f.r.event("store_back", "own", f.r.cutSince.Load() == 0)
 	f.r.mu.Lock()
 	f.r.roster.StoreBack(time.Now())
 	f.r.mu.Unlock()
@@ -174,6 +207,7 @@
 func (r *Router) replace(s Snapshot) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.mirror.replace(s)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
 	r.peers = s.Routers
 	r.countRouters()
@@ -182,6 +216,7 @@
 func (r *Router) update(d Delta) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.mirror.update(d)
 	for _, one := range d.Servers {
 		r.apply(r.roster.Put(one))
 	}
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -4,24 +4,31 @@
 	"time"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/transport/observe"
 )
 
+// failureLines is the number of lines a second that a router writes of requests
+// that were refused, failed or went to a further server. At ordinary rates none
+// is left out; one line takes some tens of microseconds.
+const failureLines = 60
+
+
 // logEnd writes the line of a request that ended without a whole answer.
 func (c *call) logEnd(why string, status int, after time.Duration) {
-	c.line("request_ended", "why", why, "status", status, "retry_after_ms", after.Milliseconds())
+	c.line(c.r.failures, "request_ended", "why", why, "status", status, "retry_after_ms", after.Milliseconds())
 }
 
 // logCompleted writes the line of a request that was answered.
-func (c *call) logCompleted(status int) { c.line("request_completed", "status", status) }
+func (c *call) logCompleted(status int) { c.line(c.r.lines, "request_completed", "status", status) }
 
 // logAgain writes the line of a request that goes to a further server.
 func (c *call) logAgain(d admission.Decision, after step, err error) {
-	c.line("request_again", "after_server", d.Server, "ran", after != refused, "err", errText(err))
+	c.line(c.r.failures, "request_again", "after_server", d.Server, "ran", after != refused, "err", errText(err))
 }
 
 // line writes one line about the request with the inputs of its decision.
-func (c *call) line(event string, keyvals ...any) {
-	allowed, dropped := c.r.lines.Allow(event, time.Now())
+func (c *call) line(limit *observe.LineLimit, event string, keyvals ...any) {
+	allowed, dropped := limit.Allow(event, time.Now())
 	if !allowed {
 		return
 	}
--- /dev/null
+++ b/transport/link/records.go
@@ -0,0 +1,38 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+)
+
+// Records encodes the messages of calls whose form is a Go record, as JSON.
+// They are few; the frequent ones are in protocol/wire and protocol/digest.
+type Records struct{}
+
+// Marshal implements drpc.Encoding.
+func (Records) Marshal(m drpc.Message) ([]byte, error) { return json.Marshal(m) }
+
+// Unmarshal implements drpc.Encoding.
+func (Records) Unmarshal(data []byte, m drpc.Message) error { return json.Unmarshal(data, m) }
+
+// Call makes one call of a record to the address, on a connection of its own.
+func Call(ctx context.Context, addr, rpc string, in, out any) error {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	conn := newConn(raw)
+	defer conn.Close()
+	return conn.Invoke(ctx, rpc, Records{}, in, out)
+}
+
+// ServeRecords serves calls of records until ctx ends.
+func ServeRecords(ctx context.Context, lis net.Listener, h drpc.Handler) error {
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: drpcmanager.Options{Reader: managerOptions().Reader}}).Serve(ctx, lis)
+}
--- a/transport/observe/limit.go
+++ b/transport/observe/limit.go
@@ -25,11 +25,16 @@
 	lines   map[string]int
 	dropped map[string]int
 	total   *expvar.Int
+	burst   int
 }
 
 // NewLineLimit returns a limit that adds each dropped line to total.
-func NewLineLimit(total *expvar.Int) *LineLimit {
-	return &LineLimit{lines: map[string]int{}, dropped: map[string]int{}, total: total}
+func NewLineLimit(total *expvar.Int) *LineLimit { return NewLineLimitOf(total, limitBurst) }
+
+// NewLineLimitOf returns a limit of another number of lines of one key in an
+// interval of a second.
+func NewLineLimitOf(total *expvar.Int, burst int) *LineLimit {
+	return &LineLimit{lines: map[string]int{}, dropped: map[string]int{}, total: total, burst: burst}
 }
 
 // Allow reports whether a line with this key may be written, and how many
@@ -41,7 +46,7 @@
 		l.turn(now)
 	}
 	n, known := l.lines[key]
-	if n >= limitBurst || !known && len(l.lines) >= limitKeys {
+	if n >= l.burst || !known && len(l.lines) >= limitKeys {
 		l.total.Add(1)
 		if known {
 			l.lines[key]++
@@ -59,8 +64,8 @@
 	l.began = now
 	clear(l.dropped)
 	for key, n := range l.lines {
-		if n > limitBurst {
-			l.dropped[key] = n - limitBurst
+		if n > l.burst {
+			l.dropped[key] = n - l.burst
 		}
 	}
 	clear(l.lines)
