goldcrestctl explain: the course of a request from the routers' logs

Cause: on-call engineers have only logs and metrics. After: the cause of refused, cut, repeated and failed requests is said from real lines; cut and foreign lines are passed over.

--- a/cmd/goldcrestctl/main_test.go
+++ b/cmd/goldcrestctl/main_test.go
@@ -164,3 +164,18 @@
 		"",
 	}, "\n"))
 }
+
+// The course of a request is said from logs, in files or on standard input.
+func TestExplain(t *testing.T) {
+	line := "ts=2026-01-01T00:00:00Z role=direct id=edge-1 event=request_ended request=aa01 route=r why=no-configuration status=503 retry_after_ms=300\n"
+	file := filepath.Join(t.TempDir(), "log")
+	qt.Assert(t, os.WriteFile(file, []byte(line), 0o600), qt.IsNil)
+	code, out, _ := ctl("explain", "aa01", file)
+	qt.Check(t, code, qt.Equals, exitOK)
+	qt.Check(t, out, qt.Contains, "the router had no configuration yet")
+	code, _, errs := ctl("explain", "bb02", file)
+	qt.Check(t, code, qt.Not(qt.Equals), exitOK)
+	qt.Check(t, errs, qt.Contains, "no line names the request")
+	code, _, _ = ctl("explain", "aa01", filepath.Join(t.TempDir(), "missing"))
+	qt.Check(t, code, qt.Not(qt.Equals), exitOK)
+}
--- /dev/null
+++ b/protocol/trail/trail.go
@@ -0,0 +1,159 @@
+// Package trail reads the routers' log lines of one request and says its course
+// in sentences.
+//
+// goldcrestctl explain uses it. The lines may come from several processes, in
+// any order, cut or with a collector's text before them.
+package trail
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logfmt/logfmt"
+)
+
+// Line is one log line: its keys with their values.
+type Line map[string]string
+
+// ErrUnknown means that no line names the request.
+var ErrUnknown = errors.New("no line names the request")
+
+// maxLine bounds a line that is read, in bytes; the rest of a longer one is
+// passed over.
+const maxLine = 64 << 10
+
+// Read returns the lines that name the request, by their time, and the number
+// of lines that were read.
+func Read(from io.Reader, request string) (lines []Line, read int, err error) {
+	r := bufio.NewReaderSize(from, maxLine)
+	for {
+		text, isCut, err := r.ReadLine()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, read, err
+		}
+		read++
+		// A request's id stands whole in its lines; others are not parsed.
+		if strings.Contains(string(text), request) {
+			if line := parse(text); line["request"] == request {
+				lines = append(lines, line)
+			}
+		}
+		for isCut && err == nil {
+			_, isCut, err = r.ReadLine()
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return strings.Compare(a["ts"], b["ts"]) })
+	return lines, read, nil
+}
+
+// parse reads as many keys as the line has in good form.
+func parse(text []byte) Line {
+	line := Line{}
+	d := logfmt.NewDecoder(strings.NewReader(string(text)))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			if value := string(d.Value()); value != "" {
+				line[string(d.Key())] = value
+			}
+		}
+	}
+	return line
+}
+
+// Explain writes the course of the request.
+func Explain(to io.Writer, request string, lines []Line) error {
+	if len(lines) == 0 {
+		return errors.Wrap(ErrUnknown, request)
+	}
+	var b strings.Builder
+	first := lines[0]
+	fmt.Fprintf(&b, "Request %s came by route %s", request, orUnknown(first["route"]))
+	if team := first["team"]; team != "" {
+		fmt.Fprintf(&b, " for team %s", team)
+	}
+	fmt.Fprintf(&b, ", under version %s of the configuration.\n", orUnknown(first["version"]))
+	for _, line := range lines {
+		fmt.Fprintf(&b, "- %s, %s: %s\n", orUnknown(line["ts"]), orUnknown(line["id"]), sentence(line))
+	}
+	_, err := io.WriteString(to, b.String())
+	return err
+}
+
+func orUnknown(text string) string {
+	if text == "" {
+		return "unknown"
+	}
+	return text
+}
+
+// sentence says what one line tells.
+func sentence(l Line) string {
+	switch l["event"] {
+	case "request_completed":
+		return fmt.Sprintf("answered with %s by server %s after %s ms (first byte after %s ms).", l["status"], l["server"], l["took_ms"], l["first_ms"])
+	case "request_again":
+		if l["ran"] == "true" {
+			return fmt.Sprintf("server %s may have run it and gave no whole answer (%s); it went to a further server.", l["after_server"], orUnknown(l["err"]))
+		}
+		return fmt.Sprintf("server %s did not run it (%s); it went to a further server.", l["after_server"], orUnknown(l["err"]))
+	case "request_ended":
+		return ending(l)
+	default:
+		return orUnknown(l["event"])
+	}
+}
+
+// endings say why a request ended without a whole answer, by the line's reason.
+var endings = map[string]string{
+	"queue-full":           "refused, not run: no backend server could begin in time",
+	"no-backend-server":    "refused, not run: no backend server took it",
+	"no-configuration":     "refused, not run: the router had no configuration yet",
+	"platform-unavailable": "refused, not run: the router could not show that its configuration, and so the key, was the newest",
+	"too-many-connections": "refused, not run: the router passed on as many streams as its processor allows",
+	"leaving":              "refused, not run: the router was leaving",
+	"unauthorized":         "refused, not run: no team of this version holds the key",
+	"unknown-path":         "refused, not run: no route of this version for its host and path",
+	"body-too-large":       "refused, not run: its body is larger than the configuration allows",
+	"body-timeout":         "refused, not run: its body did not arrive in time",
+	"deadline":             "failed: the time limit passed while a server was at work",
+	"answer-lost":          "failed: its server broke off or lost the answer, and it may have run",
+	"backend-server":       "failed: its server broke off, and no further one was free",
+	"caller_left":          "the caller left before the answer",
+	"caller_lost":          "the caller's connection was lost while the answer was passed on",
+}
+
+func ending(l Line) string {
+	why, detail, _ := strings.Cut(l["why"], ": ")
+	text, known := endings[why]
+	if why == "cut" {
+		text, known = "cut: a part of the answer was passed on when its server broke off ("+detail+")", true
+	}
+	if !known {
+		text = "ended: " + orUnknown(l["why"])
+	}
+	text += inputs(l)
+	if after := l["retry_after_ms"]; after != "" && after != "0" {
+		text += fmt.Sprintf(" The caller was asked to come back after %s ms.", after)
+	}
+	return text
+}
+
+// inputs says what decided.
+func inputs(l Line) string {
+	switch {
+	case l["why"] == "queue-full":
+		return fmt.Sprintf(". The wait at server %s was estimated at %s ms, the limit was %s ms (team's standing %s of its share).",
+			l["server"], l["wait_ms"], l["limit_ms"], orUnknown(l["standing"]))
+	case l["server"] != "" && l["sent"] != "0":
+		return fmt.Sprintf(". Its last server was %s; it was sent %s times and reached %s servers.", l["server"], l["sent"], l["reached"])
+	default:
+		return "."
+	}
+}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -27,18 +27,18 @@
 
 // Router is the process.
 type Router struct {
-	set     settings.Direct
-	cfg     Config
-	log     log.Logger
+	set settings.Direct
+	cfg Config
+	log log.Logger
 	// lines bounds the lines of answers that were whole, failures those of
 	// all others.
 	lines    *observe.LineLimit
 	failures *observe.LineLimit
-	dialect Dialect
-	source  Source
-	pool    *backend.Pool
-	metrics *metrics
-	table   atomic.Pointer[routing.Table]
+	dialect  Dialect
+	source   Source
+	pool     *backend.Pool
+	metrics  *metrics
+	table    atomic.Pointer[routing.Table]
 
 	// mu guards the decisions below.
 	mu        sync.Mutex
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net/http"
 	"time"
 
 	"goldcrestport/coordination/admission"
@@ -10,8 +11,7 @@
 // failureLines is the number of lines a second that a router writes of requests
 // that were refused, failed or went to a further server. At ordinary rates none
 // is left out; one line takes some tens of microseconds.
-const failureLines = 60
-
+const failureLines = 25
 
 // logEnd writes the line of a request that ended without a whole answer.
 func (c *call) logEnd(why string, status int, after time.Duration) {
@@ -19,7 +19,13 @@
 }
 
 // logCompleted writes the line of a request that was answered.
-func (c *call) logCompleted(status int) { c.line(c.r.lines, "request_completed", "status", status) }
+func (c *call) logCompleted(status int) {
+	limit := c.r.lines
+	if status >= http.StatusInternalServerError {
+		limit = c.r.failures
+	}
+	c.line(limit, "request_completed", "status", status)
+}
 
 // logAgain writes the line of a request that goes to a further server.
 func (c *call) logAgain(d admission.Decision, after step, err error) {
