--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -273,6 +273,30 @@
 	f.Check(got.body, qt.Equals, eventsText(1, 10))
 }
 
+// While a router leaves, streams are refused, as they may outlast it; short
+// requests are served to the end.
+func TestALeavingRouterServesShortRequests(t *testing.T) {
+	long := func(w io.Writer, req *http.Request) bool {
+		if req.URL.Path == "/safe/" {
+			return ok(w, req)
+		}
+		return events(w, req, 20, 20*time.Millisecond, false)
+	}
+	f := start(t, testConfig(1), newBackend(t, "i-1", long))
+	running := make(chan reply, 1)
+	go func() { running <- f.call("/stream/", "r1") }()
+	time.Sleep(30 * time.Millisecond)
+	close(f.stop)
+	for !f.router.leaving.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	refused := f.call("/stream/", "r2")
+	f.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(refused.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	f.Check(f.call("/safe/", "r3").status, qt.Equals, http.StatusOK)
+	f.Check((<-running).err, qt.IsNil)
+}
+
 // Idle connections are closed when the configuration says so, and refused
 // callers do not keep theirs when there are many.
 func TestIdleCallersAreClosedInTime(t *testing.T) {
--- a/transport/direct/leave.go
+++ b/transport/direct/leave.go
@@ -16,7 +16,10 @@
 // leave goes through the phases of a graceful shutdown.
 func (r *Router) leave(srv *http.Server) {
 	cfg := leave.DefaultConfig()
-	cfg.Linger, cfg.Bound, cfg.Ending = r.set.Stop.Linger.D(), r.set.Stop.Bound.D(), shutdownTimeout
+	// Everything has ended when the bound is over, as the process is killed
+	// then.
+	cfg.Linger, cfg.Ending = r.set.Stop.Linger.D(), shutdownTimeout
+	cfg.Bound = max(r.set.Stop.Bound.D()-2*shutdownTimeout, cfg.Linger)
 	r.event("leaving", "held", r.held.Load())
 	r.unready.Store(true)
 	duty.Leave(cfg, r.held.Load, r.abort, func(p leave.Phase) { r.enter(p, srv) })
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -81,9 +81,6 @@
 // admit finds the route and the team, and reads the body.
 func (c *call) admit() *outcome.Outcome {
 	r := c.r
-	if r.leaving.Load() {
-		return notRun(outcome.ReasonLeaving, staleReturn, "this router is leaving")
-	}
 	c.table = r.table.Load()
 	if c.table == nil {
 		return notRun(outcome.ReasonNoConfig, staleReturn, "no configuration yet")
@@ -91,6 +88,13 @@
 	if o := c.identify(); o != nil {
 		return o
 	}
+	if r.leaving.Load() && c.route.Kind == routing.Streaming {
+		// A stream may outlast the process; short requests do not.
+		return notRun(outcome.ReasonLeaving, staleReturn, "this router is leaving")
+	}
+	if r.ending.Err() != nil {
+		return notRun(outcome.ReasonLeaving, staleReturn, "this router is leaving")
+	}
 	c.deadline = c.received.Add(c.timeLeft())
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
