--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -13,8 +13,12 @@
 	ReadyPath string `json:"ready_path"`
 	// Metrics is the address of metrics; empty for none.
 	Metrics string `json:"metrics,omitempty"`
-	// Peers is the address for datagrams of other routers; empty for none.
+	// Peers is the address for datagrams and calls of other routers; empty
+	// for none.
 	Peers string `json:"peers,omitempty"`
+	// Seeds is a further address for calls of routers that begin; empty for
+	// none.
+	Seeds string `json:"seeds,omitempty"`
 }
 
 // DirectCallers bounds what callers may do.
@@ -47,12 +51,15 @@
 
 // Direct holds the settings of a router that calls backend servers itself.
 type Direct struct {
-	ID         string        `json:"id"`
-	DataCentre string        `json:"data_centre"`
-	Listen     DirectListen  `json:"listen"`
-	Platform   Platform      `json:"platform"`
-	Callers    DirectCallers `json:"callers"`
-	Repeats    Repeats       `json:"repeats"`
+	ID         string       `json:"id"`
+	DataCentre string       `json:"data_centre"`
+	Listen     DirectListen `json:"listen"`
+	Platform   Platform     `json:"platform"`
+	// Seeds are listen.seeds of some routers, IP:port, which a router that
+	// begins asks for a configuration while the store does not answer.
+	Seeds   []string      `json:"seeds,omitempty"`
+	Callers DirectCallers `json:"callers"`
+	Repeats Repeats       `json:"repeats"`
 	// KeyRevocation is the time after which a key that was taken away must
 	// not work any more. Default 5s.
 	KeyRevocation Duration `json:"key_revocation"`
@@ -94,6 +101,9 @@
 	if d.Listen.Metrics != "" {
 		all = append(all, listener{"listen.metrics", d.Listen.Metrics})
 	}
+	if d.Listen.Seeds != "" {
+		all = append(all, listener{"listen.seeds", d.Listen.Seeds})
+	}
 	checkListeners(p, all)
 	d.Stop.clashes(p)
 }
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/settings"
 )
 
 func TestWithoutAConfigurationNothingIsServed(t *testing.T) {
@@ -348,6 +351,21 @@
 	follower.Check(follower.call("/keyed/", "z", testKey, "new").status, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// A router that begins while the store does not answer takes a configuration
+// from a seed and serves what needs no key; keys wait until it is known to be
+// the newest.
+func TestARouterBeginsByASeed(t *testing.T) {
+	b := newBackend(t, "i-1", ok)
+	seed := startPeer(t, "seed", testConfig(3), b)
+	begun := startWith(t, nil, func(set *settings.Direct, source *testSource) {
+		source.down = true
+		set.ID, set.Listen.Peers, set.Seeds = "begun", freeAddress(qt.New(t)), []string{seed.set.Listen.Peers}
+	})
+	begun.waitStatus("/safe/", "", http.StatusOK)
+	begun.Check(begun.call("/keyed/", "k", testKey, "key").status, qt.Equals, http.StatusServiceUnavailable)
+	begun.Check(begun.ready(), qt.Equals, http.StatusServiceUnavailable)
+}
+
 // meet registers the other router here.
 func (f *fixture) meet(other *fixture) {
 	f.router.mu.Lock()
@@ -355,3 +373,18 @@
 	f.router.peers[other.set.ID] = other.set.Listen.Peers
 	f.router.countRouters()
 }
+
+// Every metric is on the page, and the text form holds its numbers.
+func TestMetricsAreDocumented(t *testing.T) {
+	f := start(t, testConfig(1), newBackend(t, "i-1", ok))
+	f.call("/safe/", "r")
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	f.Assert(err, qt.IsNil)
+	for _, name := range f.router.metrics.vars.Names() {
+		f.Check(strings.Contains(string(page), "`"+name+"`"), qt.IsTrue, qt.Commentf(name))
+	}
+	w := httptest.NewRecorder()
+	f.router.metrics.vars.ServeText(w, nil)
+	f.Check(w.Body.String(), qt.Contains, "direct_requests 1\n")
+	f.Check(w.Body.String(), qt.Contains, "direct_outcomes{key=\"completed\"} 1\n")
+}
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -242,24 +242,24 @@
 
 // start runs a router with the snapshot; a nil configuration means none yet.
 func start(t testing.TB, c *routing.Config, backends ...*backendServer) *fixture {
-	return startWith(t, c, func(*settings.Direct) {}, backends...)
+	return startWith(t, c, func(*settings.Direct, *testSource) {}, backends...)
 }
 
 // startPeer runs a router that exchanges with others.
 func startPeer(t testing.TB, id string, c *routing.Config, backends ...*backendServer) *fixture {
-	return startWith(t, c, func(set *settings.Direct) {
+	return startWith(t, c, func(set *settings.Direct, _ *testSource) {
 		set.ID, set.Listen.Peers = id, freeAddress(qt.New(t))
 	}, backends...)
 }
 
-func startWith(t testing.TB, c *routing.Config, change func(*settings.Direct), backends ...*backendServer) *fixture {
+func startWith(t testing.TB, c *routing.Config, change func(*settings.Direct, *testSource), backends ...*backendServer) *fixture {
 	f := &fixture{C: qt.New(t), stop: make(chan struct{}), ended: make(chan struct{})}
 	f.source = &testSource{now: Snapshot{Config: c, Servers: servers(backends...), Routers: map[string]string{}, Revision: 1}, changes: make(chan Delta, 16)}
 	f.set = settings.DefaultDirect()
 	f.set.ID, f.set.Listen.Callers, f.set.Listen.Health = "router", freeAddress(f.C), freeAddress(f.C)
 	f.set.Stop = settings.Stop{Linger: settings.Duration(100 * time.Millisecond), Bound: settings.Duration(1500 * time.Millisecond)}
 	f.set.EventDelay = 0
-	change(&f.set)
+	change(&f.set, f.source)
 	cfg := Config{
 		Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Backend: backend.DefaultConfig(),
 		Repeats:   repeats.Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 20, Use: 1},
@@ -293,6 +293,8 @@
 	default:
 		close(f.stop)
 	}
+	// A second request to stop ends what is held at once.
+	f.router.Abort()
 	<-f.ended
 }
 
--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -109,13 +109,33 @@
 	if address == "" || want.Revision == 0 {
 		return errBehind
 	}
+	return f.takeFrom(ctx, address, want)
+}
+
+// askSeeds takes what a seed has, when this router began without the store. It
+// says nothing about what is the newest.
+func (f *follower) askSeeds(ctx context.Context) {
+	for _, seed := range f.r.set.Seeds {
+		if seed == f.r.set.Listen.Seeds {
+			continue
+		}
+		if err := f.takeFrom(ctx, seed, changesRequest{}); err == nil {
+			f.r.event("began_by_seed", "seed", seed, "revision", f.revision)
+			return
+		}
+	}
+}
+
+// takeFrom takes what the router at the address has.
+func (f *follower) takeFrom(ctx context.Context, address string, want changesRequest) error {
+	r := f.r
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	var s Snapshot
 	if err := link.Call(ctx, address, changesCall, want, &s); err != nil {
 		return err
 	}
-	if s.Revision < want.Revision {
+	if s.Revision < want.Revision || s.Revision == 0 {
 		return errBehind
 	}
 	if s.Config != nil {
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -187,8 +187,24 @@
 	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go r.servePeers(ctx, lis)
+	if err := r.serveSeeds(ctx); err != nil {
+		return err
+	}
 	t := &teller{r: r, conn: conn, seq: rand.Uint32(), destinations: make(map[string]netip.AddrPort)}
 	go t.run(ctx)
 	go r.listen(conn)
 	return nil
 }
+
+// serveSeeds answers routers that begin.
+func (r *Router) serveSeeds(ctx context.Context) error {
+	if r.set.Listen.Seeds == "" {
+		return nil
+	}
+	lis, err := net.Listen("tcp", r.set.Listen.Seeds)
+	if err != nil {
+		return errors.Wrap(err, "listen.seeds")
+	}
+	go r.servePeers(ctx, lis)
+	return nil
+}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -178,6 +178,19 @@
 	return r.fresh.Fresh(now)
 }
 
+// configAge is how long ago the configuration was known to be the newest, or
+// -1ms if it never was.
+func (r *Router) configAge() time.Duration {
+	now := bootTime()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	age, known := r.fresh.Age(now)
+	if !known {
+		return -time.Millisecond
+	}
+	return age
+}
+
 // ready returns nil, or why no new work is wanted.
 func (r *Router) ready() error {
 	if r.unready.Load() {
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -137,6 +137,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if f.revision == 0 {
+		f.askSeeds(ctx)
+	}
 	f.nextTry = time.Now().Add(retryEvery)
 	f.r.cutSince.CompareAndSwap(0, int64(bootTime()))
 	if !f.lost {
