Direct routers: spans for each hop; the decisions and the store's duty in files of their own

Cause: the house style asks for a span a hop; two files had grown past what one reads at once. Ruled out: passing the trace on to backend servers (their headers are the caller's).

--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"goldcrestport/coordination/admission"
@@ -52,12 +53,18 @@
 	debug.SetMemoryLimit(int64(heapShare * float64(set.Memory.Bytes())))
 	debug.SetGCPercent(heapGrowth)
 	logger := observe.NewLogger(observe.NewWriter(os.Stdout), roleDirect, set.ID, set.Log)
+	observe.LogTraceErrors(logger)
+	tracer, err := observe.NewTracer(os.Stdout, roleDirect, set.ID, set.Trace)
+	if err != nil {
+		return err
+	}
 	source := platform.NewSource(platform.NewStore(set.Platform.URL))
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
 	r := direct.New(set, directConfig(set), source, platform.Dialect{}, logger)
 	go reload(file, hangUp, r)
-	return r.Serve(stopSignal(r.Abort))
+	r.SetTracer(tracer)
+	return errors.CombineErrors(r.Serve(stopSignal(r.Abort)), tracer.Close())
 }
 
 func directConfig(set settings.Direct) direct.Config {
--- /dev/null
+++ b/coordination/admission/estimate.go
@@ -0,0 +1,166 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// loadTime is how long a server's own word on its load counts. It was true
+// when an answer left the server; a request of a plain service takes some tens
+// of milliseconds.
+const loadTime = 100 * time.Millisecond
+
+// busy is the server's load in relation to its slots.
+func (s *State) busy(now time.Time, one *server) float64 {
+	own := float64(one.running + one.awaiting)
+	if now.Sub(one.loadAt) < loadTime {
+		own = max(own, float64(one.load.Running+one.load.Waiting))
+	}
+	return own / float64(one.slots)
+}
+
+// candidate is a server with what the request would meet there.
+type candidate struct {
+	server *server
+	rank   int
+	// unread are the tokens that the engine would have to read for it.
+	unread float64
+	// wait for the first token before its own reading.
+	wait time.Duration
+	// price is the wait plus what reading shared parts again costs others.
+	price time.Duration
+}
+
+// candidates returns the first servers in the order of the request's last
+// shared part. Without shared parts every server is a candidate.
+func (s *State) candidates(now time.Time, req Request, usable []*server) []candidate {
+	order := usable
+	if n := len(req.Shared); n > 0 {
+		order = first(usable, req.Shared[n-1].ID, s.cfg.Candidates)
+	}
+	out := make([]candidate, len(order))
+	for i, one := range order {
+		out[i] = s.assess(now, req, one, i)
+	}
+	return out
+}
+
+// first returns the first n servers in the order of the part.
+func first(servers []*server, part uint64, n int) []*server {
+	type ranked struct {
+		server *server
+		rank   uint64
+	}
+	best := make([]ranked, 0, n+1)
+	for _, one := range servers {
+		rank := one.rank(part)
+		if len(best) == n && rank <= best[n-1].rank {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, rank, func(r ranked, rank uint64) int { return cmp.Compare(rank, r.rank) })
+		best = slices.Insert(best, at, ranked{one, rank})
+		best = best[:min(len(best), n)]
+	}
+	out := make([]*server, len(best))
+	for i, r := range best {
+		out[i] = r.server
+	}
+	return out
+}
+
+// unknownShare is the part of a shared prompt part that is presumed to be read
+// at its first server when this router has not sent it there lately: another
+// one may have.
+const unknownShare = 0.5
+
+// assess estimates what the request meets at the server.
+func (s *State) assess(now time.Time, req Request, one *server, rank int) candidate {
+	c := candidate{server: one, rank: rank, unread: float64(req.Prompt), wait: s.wait(one)}
+	var again float64
+	for _, part := range req.Shared {
+		tokens := float64(part.Tokens)
+		switch {
+		case one.holds(now, part.ID, s.cfg.BeliefTime):
+			c.unread -= tokens
+		case rank == 0:
+			c.unread -= tokens * (1 - unknownShare)
+		default:
+			again += tokens
+		}
+	}
+	c.unread = max(c.unread, 0)
+	c.price = c.wait + s.reading(c.unread) + s.reading(again*s.cfg.SpillWeight)
+	return c
+}
+
+// wait estimates the time to the first token of a request that arrives now,
+// from the prompts that are not read yet and the generations that run. Routers
+// that told nothing lately are presumed to have sent as much as the others do
+// on average.
+func (s *State) wait(one *server) time.Duration {
+	total := s.others[one.number]
+	total.Unread += one.unread
+	total.Runs += one.running + one.awaiting
+	told := 1 + len(s.peers)
+	scale := max(float64(s.routers)/float64(told), 1)
+	runs := float64(total.Runs) * scale
+	crowd := time.Duration(runs * float64(s.cfg.RunCost))
+	return s.reading(total.Unread*scale) + crowd + s.slotWait(one, runs)
+}
+
+// slotWait is the time until a slot is free for one more run: runs that wait
+// for one are admitted in turn, and one ends each runTime / slots.
+func (s *State) slotWait(one *server, runs float64) time.Duration {
+	excess := runs + 1 - float64(one.slots)
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess * float64(s.pool(one.service).runTime) / float64(one.slots))
+}
+
+// reading is the time in which an engine reads the tokens.
+func (s *State) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / s.cfg.ReadRate * float64(time.Millisecond))
+}
+
+// patience is the wait up to which the request is admitted.
+func (s *State) patience(req Request, c candidate, standing float64) time.Duration {
+	patience := float64(s.cfg.Patience)
+	own := s.cfg.OwnReading * float64(s.reading(c.unread))
+	patience -= min(own, s.cfg.OwnReadingMost*patience)
+	patience *= s.turn(standing)
+	if req.Elapsed > 0 && standing <= 1 {
+		patience *= s.cfg.Returned
+	}
+	return time.Duration(patience)
+}
+
+// Standings between which a team's turn goes from that of one well below its
+// share to that of one beyond it. Between two that are beyond, the one that got
+// less goes first.
+const (
+	wellBelow  = 0.7
+	wellBeyond = 1.3
+)
+
+// turn is the factor of the patience for a team's standing.
+func (s *State) turn(standing float64) float64 {
+	switch {
+	case standing <= wellBelow:
+		return s.cfg.Below
+	case standing >= wellBeyond:
+		return s.cfg.Beyond * wellBeyond / standing
+	default:
+		part := (standing - wellBelow) / (wellBeyond - wellBelow)
+		return s.cfg.Below + part*(s.cfg.Beyond-s.cfg.Below)
+	}
+}
+
+// tokens is what the request takes of the capacity that teams share.
+func (s *State) tokens(r Request) float64 {
+	return float64(r.Prompt) + outputWeight*s.outputs.expect(r.Class, r.Output)
+}
+
+// outputWeight is what a generated token counts against one that is read.
+const outputWeight = 2
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -68,9 +68,10 @@
 	EventDelay Duration `json:"event_delay"`
 	// Memory that the process may use; its soft limit lies below. Default
 	// 256 MiB.
-	Memory Size `json:"memory"`
-	Stop   Stop `json:"stop"`
-	Log    Log  `json:"log"`
+	Memory Size  `json:"memory"`
+	Stop   Stop  `json:"stop"`
+	Log    Log   `json:"log"`
+	Trace  Trace `json:"trace"`
 }
 
 // DefaultDirect returns a direct router's settings with every default filled
@@ -90,6 +91,7 @@
 		Memory:        256 * MiB,
 		Stop:          defaultStop(),
 		Log:           Log{Level: LogInfo},
+		Trace:         defaultTrace(),
 	}
 }
 
@@ -106,4 +108,5 @@
 	}
 	checkListeners(p, all)
 	d.Stop.clashes(p)
+	d.Trace.clashes(p)
 }
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,9 +15,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
+	"goldcrestport/transport/observe"
 )
 
 func TestWithoutAConfigurationNothingIsServed(t *testing.T) {
@@ -388,3 +391,19 @@
 	f.Check(w.Body.String(), qt.Contains, "direct_requests 1\n")
 	f.Check(w.Body.String(), qt.Contains, "direct_outcomes{key=\"completed\"} 1\n")
 }
+
+// Each hop of a request has a span: its reception and each call of a server.
+func TestEachHopHasASpan(t *testing.T) {
+	kept := tracetest.NewInMemoryExporter()
+	tracer := observe.TracerTo(kept, "direct", "r", 1)
+	f := start(t, testConfig(1), newBackend(t, "i-1", ok))
+	f.router.SetTracer(tracer)
+	f.Assert(f.call("/safe/", "r").status, qt.Equals, http.StatusOK)
+	f.Assert(tracer.Flush(context.Background()), qt.IsNil)
+	var names []string
+	for _, span := range kept.GetSpans() {
+		names = append(names, span.Name)
+	}
+	f.Check(names, qt.Contains, observe.SpanReceive)
+	f.Check(names, qt.Contains, observe.SpanBackend)
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/health"
@@ -13,6 +14,7 @@
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
+	"goldcrestport/transport/observe"
 )
 
 // step is what follows an attempt at one server.
@@ -105,6 +107,8 @@
 	c.sent++
 	c.arrived = true
 	c.avoid = append(c.avoid, server.ID)
+	ctx, span := c.r.tracer.Start(ctx, observe.SpanBackend, trace.SpanKindClient)
+	defer span.End()
 	out := c.r.dialect.Outgoing(c.req.Header, Call{Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.lastEvent()})
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.ID, Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
--- /dev/null
+++ b/transport/direct/follow.go
@@ -0,0 +1,175 @@
+package direct
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/watchduty"
+	"goldcrestport/transport/platform"
+)
+
+// follow keeps the configuration and the servers as the store has them.
+func (r *Router) follow(ctx context.Context) {
+	f := &follower{r: r, duty: watchduty.DefaultConfig()}
+	for ctx.Err() == nil {
+		if !f.asks() {
+			f.await(ctx)
+			continue
+		}
+		if err := f.step(ctx); err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+	}
+}
+
+// follower is the state of the duty that reads the store.
+type follower struct {
+	r    *Router
+	duty watchduty.Config
+	// revision up to which changes are known; 0: everything must be read.
+	revision uint64
+	loaded   time.Time
+	lost     bool
+	// nextTry is when a router that is cut off from the store tries it again.
+	nextTry time.Time
+	// catchUp tells that other routers know of changes that this one does not.
+	catchUp bool
+}
+
+// asks reports whether this router asks the store now, or relies on others.
+func (f *follower) asks() bool {
+	if f.revision == 0 || f.catchUp || f.retries() {
+		return true
+	}
+	now := bootTime()
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	age, known := f.r.fresh.Age(now)
+	return f.duty.Asks(f.r.set.ID, slices.Collect(maps.Keys(f.r.peers)), age, known)
+}
+
+// retries reports whether the store is due another try after it did not answer:
+// other routers may still tell what is new, but not for ever.
+func (f *follower) retries() bool {
+	return f.r.cutSince.Load() != 0 && !time.Now().Before(f.nextTry)
+}
+
+// await waits until others tell of changes, for a moment at most.
+func (f *follower) await(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(awaitStep):
+	case <-f.r.behind:
+		// What is written in quick succession is read together.
+		time.Sleep(catchUpDelay)
+		f.catchUp = true
+	}
+}
+
+// step reads everything, or waits once for changes.
+func (f *follower) step(ctx context.Context) error {
+	if f.catchUp && f.revision > 0 {
+		f.catchUp = false
+		if err := f.askPeer(ctx); err == nil {
+			f.r.metrics.peerReads.Add(1)
+			f.storeBack()
+			return nil
+		}
+		if !f.stale() {
+			return f.changes(ctx, catchUpWait)
+		}
+	}
+	if f.stale() {
+		return f.load(ctx)
+	}
+	return f.changes(ctx, watchWait)
+}
+
+// stale reports whether everything must be read.
+func (f *follower) stale() bool { return f.revision == 0 || time.Since(f.loaded) > resyncEvery }
+
+func (f *follower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	heard, sent := f.r.hearing(), bootTime()
+	s, err := f.r.source.Load(ctx)
+	if err != nil {
+		return err
+	}
+	f.worked()
+	f.r.replace(s)
+	f.r.confirm(s.Config, sent, vouching{heard, s.Revision})
+	f.revision, f.loaded = s.Revision, time.Now()
+	return nil
+}
+
+func (f *follower) changes(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	heard, sent := f.r.hearing(), bootTime()
+	d, err := f.r.source.Changes(ctx, f.revision, wait)
+	if err != nil {
+		// A wait that was cut may have missed changes. What other routers
+		// tell goes on from what is known.
+		f.loaded = time.Time{}
+		return err
+	}
+	f.worked()
+	f.r.update(d)
+	f.r.confirm(d.Config, sent, vouching{heard, d.Revision})
+	f.revision = d.Revision
+	return nil
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	f.r.metrics.storeErrors.Add(1)
+	if errors.Is(err, platform.ErrCompacted) {
+		f.r.event("history_lost", "err", err)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if f.revision == 0 {
+		f.askSeeds(ctx)
+	}
+	f.nextTry = time.Now().Add(retryEvery)
+	f.r.cutSince.CompareAndSwap(0, int64(bootTime()))
+	if !f.lost {
+		f.lost = true
+		f.r.event("store_lost", "err", err)
+		f.r.mu.Lock()
+		f.r.roster.StoreLost()
+		f.r.mu.Unlock()
+	}
+	select {
+	case <-time.After(storePause):
+	case <-f.r.behind:
+		f.catchUp = true
+	case <-ctx.Done():
+	}
+}
+
+// worked notes that the store answered this router.
+func (f *follower) worked() {
+	f.r.cutSince.Store(0)
+	f.storeBack()
+}
+
+// storeBack notes that what the store holds is known again, from it or from
+// another router.
+func (f *follower) storeBack() {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.r.event("store_back", "own", f.r.cutSince.Load() == 0)
+	f.r.mu.Lock()
+	f.r.roster.StoreBack(time.Now())
+	f.r.mu.Unlock()
+}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -38,6 +38,7 @@
 	source   Source
 	pool     *backend.Pool
 	metrics  *metrics
+	tracer   *observe.Tracer
 	table    atomic.Pointer[routing.Table]
 
 	// mu guards the decisions below.
@@ -89,6 +90,7 @@
 	r := &Router{
 		set: set, cfg: cfg, log: logger, dialect: dialect, source: source,
 		pool:      backend.NewPool(cfg.Backend),
+		tracer:    observe.NoTracer(),
 		admission: admission.New(cfg.Admission),
 		roster:    roster.New(cfg.Roster),
 		budgets:   make(map[string]*repeats.Budget),
@@ -106,6 +108,9 @@
 	return r
 }
 
+// SetTracer sets the tracer of the requests. It must be called before Serve.
+func (r *Router) SetTracer(t *observe.Tracer) { r.tracer = t }
+
 // Abort ends a graceful shutdown early. It may be called more than once.
 func (r *Router) Abort() { r.once.Do(func() { close(r.abort) }) }
 
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
+	"goldcrestport/transport/observe"
 )
 
 // call is one request of a caller on its way.
@@ -50,6 +52,9 @@
 	r.held.Add(1)
 	defer r.held.Add(-1)
 	r.metrics.requests.Add(1)
+	traced, span := r.tracer.Start(r.tracer.Enter(req.Context(), req.Header.Get("Traceparent")), observe.SpanReceive, trace.SpanKindServer)
+	defer span.End()
+	req = req.WithContext(traced)
 	c := &call{r: r, w: w, req: req, meta: r.dialect.Meta(req.Header), received: time.Now()}
 	if r.unready.Load() {
 		// Idle connections stay open until the end: one that is closed while
