--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -80,6 +80,14 @@
 	r.graceEnd = now.Add(r.cfg.ReturnGrace)
 }
 
+// StoreSound notes that the store answered others all the while: what is
+// missing now has left, and did not lapse.
+func (r *Roster) StoreSound() { r.away, r.graceEnd = false, time.Time{} }
+
+// Settling reports whether entries may be missing only because the store was
+// away.
+func (r *Roster) Settling(now time.Time) bool { return r.away || now.Before(r.graceEnd) }
+
 // Put takes a server's entry as it was written.
 func (r *Roster) Put(s Server) []Change {
 	e := r.entries[s.ID]
@@ -109,7 +117,7 @@
 	if e == nil {
 		return nil
 	}
-	if !e.server.Draining && (r.away || now.Before(r.graceEnd)) {
+	if !e.server.Draining && r.Settling(now) {
 		e.missing = true
 		return nil
 	}
@@ -134,7 +142,7 @@
 
 // Tick drops the servers that did not come back in time.
 func (r *Roster) Tick(now time.Time) []Change {
-	if r.away || now.Before(r.graceEnd) {
+	if r.Settling(now) {
 		return nil
 	}
 	var changes []Change
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -65,3 +65,15 @@
 	qt.Check(t, r.Has("a"), qt.IsFalse)
 	qt.Check(t, r.Has("b"), qt.IsTrue)
 }
+
+// A router that alone was cut off learns from others what left meanwhile: that
+// is gone at once, as the store was there for the servers all the while.
+func TestWhatLeftWhileOnlyThisRouterWasCutOffIsGone(t *testing.T) {
+	r := New(DefaultConfig())
+	r.Put(Server{ID: "a"})
+	r.StoreLost()
+	qt.Check(t, r.Settling(start), qt.IsTrue)
+	r.StoreSound()
+	qt.Check(t, r.Settling(start), qt.IsFalse)
+	qt.Check(t, one(r.Replace(start, nil)), qt.Equals, ReasonRemoved)
+}
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/transport/observe"
@@ -407,3 +409,16 @@
 	f.Check(names, qt.Contains, observe.SpanReceive)
 	f.Check(names, qt.Contains, observe.SpanBackend)
 }
+
+// A timeout of a router that reads late says nothing about the server; a
+// refused connection always does.
+func TestALateRouterDoesNotBlameServers(t *testing.T) {
+	f := start(t, testConfig(1))
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	ctx := context.Background()
+	f.Check(f.router.unreached(ctx, timeout), qt.Equals, health.Unreachable)
+	f.router.load.late.Store(int64(2 * leftLate))
+	f.Check(f.router.unreached(ctx, timeout), qt.Equals, health.NoResult)
+	f.Check(f.router.unreached(ctx, refused), qt.Equals, health.Unreachable)
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -117,9 +118,7 @@
 	if failure != nil {
 		if failure.Stage == backend.NotSent {
 			c.arrived = false
-			if ctx.Err() == nil {
-				result = health.Unreachable
-			}
+			result = c.r.unreached(ctx, failure.Err)
 			return refused, failure.Err
 		}
 		result = brokeOff(ctx)
@@ -147,6 +146,17 @@
 	return next, err
 }
 
+// unreached judges a connection that could not be opened. A router that reads
+// late sees timeouts of its own making.
+func (r *Router) unreached(ctx context.Context, err error) health.Result {
+	var network net.Error
+	isTimeout := errors.As(err, &network) && network.Timeout()
+	if ctx.Err() != nil || isTimeout && time.Duration(r.load.late.Load()) > leftLate {
+		return health.NoResult
+	}
+	return health.Unreachable
+}
+
 // mayGoOn decides whether a further server is tried. Each further send of a
 // request that arrived at a server draws on the fleet's budget; one that found
 // no connection did not arrive.
--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -77,7 +77,6 @@
 		f.catchUp = false
 		if err := f.askPeer(ctx); err == nil {
 			f.r.metrics.peerReads.Add(1)
-			f.storeBack()
 			return nil
 		}
 		if !f.stale() {
@@ -158,18 +157,22 @@
 // worked notes that the store answered this router.
 func (f *follower) worked() {
 	f.r.cutSince.Store(0)
-	f.storeBack()
+	f.storeBack(false)
 }
 
 // storeBack notes that what the store holds is known again, from it or from
-// another router.
-func (f *follower) storeBack() {
+// another router, which may know that it was sound all the while.
+func (f *follower) storeBack(sound bool) {
 	if !f.lost {
 		return
 	}
 	f.lost = false
 	f.r.event("store_back", "own", f.r.cutSince.Load() == 0)
 	f.r.mu.Lock()
-	f.r.roster.StoreBack(time.Now())
-	f.r.mu.Unlock()
+	defer f.r.mu.Unlock()
+	if sound {
+		f.r.roster.StoreSound()
+	} else {
+		f.r.roster.StoreBack(time.Now())
+	}
 }
--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -87,7 +87,10 @@
 	if r.mirror.revision < want.Revision || r.mirror.config == nil {
 		return nil, errBehind
 	}
-	s := &Snapshot{Servers: slices.Collect(maps.Values(r.mirror.servers)), Routers: maps.Clone(r.peers), Revision: r.mirror.revision}
+	s := &Snapshot{
+		Servers: slices.Collect(maps.Values(r.mirror.servers)), Routers: maps.Clone(r.peers), Revision: r.mirror.revision,
+		Settling: r.roster.Settling(time.Now()),
+	}
 	if r.mirror.config.Version > want.Version {
 		s.Config = r.mirror.config
 	}
@@ -141,6 +144,7 @@
 	if s.Config != nil {
 		r.adopt(s.Config)
 	}
+	f.storeBack(!s.Settling)
 	r.replace(s)
 	r.mu.Lock()
 	r.reached(s.Revision)
