--- a/coordination/saturation/limit.go
+++ b/coordination/saturation/limit.go
@@ -5,7 +5,7 @@
 // LimitConfig holds the constants of a Limit.
 type LimitConfig struct {
 	// High is the mean lateness above which fewer requests may be held, Low
-	// the one below which more may. Default 12ms and 4ms.
+	// the one below which more may. Default 25ms and 10ms.
 	High time.Duration
 	Low  time.Duration
 	// Every is the time between two changes. Default 250ms, in which the mean
@@ -22,7 +22,7 @@
 // DefaultLimitConfig returns the documented defaults.
 func DefaultLimitConfig() LimitConfig {
 	return LimitConfig{
-		High: 12 * time.Millisecond, Low: 4 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Least: 64,
+		High: 25 * time.Millisecond, Low: 10 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Least: 64,
 	}
 }
 
--- a/coordination/saturation/saturation.go
+++ b/coordination/saturation/saturation.go
@@ -14,11 +14,11 @@
 // Config holds the thresholds of a Tracker.
 type Config struct {
 	// Enter is the mean lateness from which the router is saturated. Default
-	// 25ms: half of the time in which a caller of a plain service should have
-	// its answer is left.
+	// 45ms: a caller of a plain service still has its answer in time, and the
+	// first token of a stream is delayed by less than a tenth of its objective.
 	Enter time.Duration
 	// Leave is the mean lateness below which it may be ready again. Default
-	// 6ms.
+	// 10ms.
 	Leave time.Duration
 	// Pause is the least time for which it stays so; it doubles up to
 	// LongestPause while saturation comes back within twice the pause.
@@ -33,7 +33,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Enter: 25 * time.Millisecond, Leave: 6 * time.Millisecond, Pause: 6 * time.Second, LongestPause: 24 * time.Second, Gain: 0.1}
+	return Config{Enter: 45 * time.Millisecond, Leave: 10 * time.Millisecond, Pause: 6 * time.Second, LongestPause: 24 * time.Second, Gain: 0.1}
 }
 
 // Tracker follows the lateness of timers. It must be used by one goroutine at
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -93,8 +93,9 @@
 	if o := c.identify(); o != nil {
 		return o
 	}
-	if r.leaving.Load() && c.route.Kind == routing.Streaming {
-		// A stream may outlast the process; short requests do not.
+	if r.leaving.Load() && (c.route.Kind == routing.Streaming || r.load.held() == 0) {
+		// A stream may outlast the process. Short requests are served while
+		// streams keep it here, and no longer.
 		return notRun(outcome.ReasonLeaving, staleReturn, "this router is leaving")
 	}
 	if r.ending.Err() != nil {
