--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -25,7 +25,7 @@
 }
 
 func prompt(tokens int, shared ...Part) Request {
-	return Request{Service: "llm", Class: "c", Prompt: tokens, Output: 100, Shared: shared, Objective: 800 * time.Millisecond}
+	return Request{Service: "llm", Class: "c", Prompt: tokens, Output: 100, Shared: shared}
 }
 
 func TestConfigNamesWhatIsWrong(t *testing.T) {
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -21,8 +21,6 @@
 	// Shared are the parts of the prompt that other requests may have
 	// brought, in order; the request's own last part is not among them.
 	Shared []Part
-	// Objective is the time to the first byte that is worth most.
-	Objective time.Duration
 	// Elapsed is the time since the caller's first attempt; above 0 it was
 	// refused before.
 	Elapsed time.Duration
@@ -72,7 +70,6 @@
 // Reasons of refusals.
 const (
 	ReasonWait     = "estimated_wait"
-	ReasonFull     = "servers_full"
 	ReasonNoServer = "no_server"
 )
 
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -191,9 +191,6 @@
 	return n, err
 }
 
-// Buffered returns the bytes that can be read without waiting.
-func (a *Answer) Buffered() int { return a.conn.reader.Buffered() }
-
 // Framed reports whether the end of the body is marked: a body without length
 // ends with its connection.
 func (a *Answer) Framed() bool { return a.Length >= 0 || len(a.resp.TransferEncoding) > 0 }
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -84,6 +84,23 @@
 	f.Check(f.call("/keyed/", "f", testKey, "key").status, qt.Equals, http.StatusOK)
 }
 
+// A request whose server fails when the configuration is not known to be fresh
+// any more is not sent again, and ends at once.
+func TestNothingIsRepeatedOnOldKnowledge(t *testing.T) {
+	slow := func(io.Writer, *http.Request) bool {
+		time.Sleep(600 * time.Millisecond)
+		return false
+	}
+	a, b := newBackend(t, "i-1", slow), newBackend(t, "i-2", slow)
+	f := start(t, testConfig(1), a, b)
+	f.source.setDown(true)
+	begin := time.Now()
+	got := f.call("/keyed/", "r", testKey, "key")
+	f.Check(got.status, qt.Equals, http.StatusBadGateway)
+	f.Check(time.Since(begin) < 1200*time.Millisecond, qt.IsTrue)
+	f.Check(len(a.runs())+len(b.runs()), qt.Equals, 1)
+}
+
 func TestANewConfigurationIsInForceAndNeverGoesBack(t *testing.T) {
 	f := start(t, testConfig(5), newBackend(t, "i-1", ok))
 	c := testConfig(9)
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -69,7 +69,7 @@
 func (c *call) place() admission.Decision {
 	req := admission.Request{
 		Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
-		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Sent: c.sent > 0, Again: c.reached > 0,
+		Elapsed: c.elapsed, Avoid: c.avoid, Sent: c.sent > 0, Again: c.reached > 0,
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
@@ -98,6 +98,7 @@
 	if left <= 0 {
 		return failed, context.DeadlineExceeded
 	}
+	c.sent++
 	if c.team != "" && !c.r.isFresh() {
 		return refused, errors.New("the configuration cannot be shown to be the newest")
 	}
@@ -105,7 +106,6 @@
 	if !known {
 		return refused, errors.New("the server left")
 	}
-	c.sent++
 	c.arrived = true
 	c.avoid = append(c.avoid, server.ID)
 	ctx, span := c.r.tracer.Start(ctx, observe.SpanBackend, trace.SpanKindClient)
@@ -164,6 +164,10 @@
 	if ctx.Err() != nil || c.sent >= sends || c.left() <= 0 {
 		return false
 	}
+	if c.team != "" && !c.r.isFresh() {
+		// The key may have been taken away while the request ran.
+		return false
+	}
 	if after == broken && c.route.Kind != routing.Streaming {
 		// A part of another run's answer must not follow the first one's.
 		return false
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -48,7 +48,7 @@
 }
 
 // completed counts an answer that was passed on whole.
-func (m *metrics) completed(c *call, _ int) {
+func (m *metrics) completed(c *call) {
 	m.outcomes.Add("completed", 1)
 	m.latency.Record(c.service, time.Now(), time.Since(c.received))
 }
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -85,8 +86,8 @@
 	}
 }
 
-// result of a run whose answer broke off: a caller who left says nothing about
-// the server.
+// brokeOff judges a run whose answer broke off: a caller who left says nothing
+// about the server.
 func brokeOff(ctx context.Context) health.Result {
 	if ctx.Err() != nil {
 		return health.NoResult
@@ -156,11 +157,6 @@
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := answer.Read(buf)
-		for err == nil && n < len(buf) && answer.Buffered() > 0 {
-			var more int
-			more, err = answer.Read(buf[n:])
-			n += more
-		}
 		if n > 0 {
 			out := buf[:n]
 			if resumable {
@@ -256,7 +252,7 @@
 }
 
 func (c *call) completed(answer *backend.Answer) {
-	c.r.metrics.completed(c, answer.Status)
+	c.r.metrics.completed(c)
 	c.logCompleted(answer.Status)
 }
 
@@ -266,16 +262,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, s := range r.servers {
-		if s.Service == c.service && !contains(c.avoid, id) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(list []string, one string) bool {
-	for _, s := range list {
-		if s == one {
+		if s.Service == c.service && !slices.Contains(c.avoid, id) {
 			return true
 		}
 	}
