--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -9,7 +9,7 @@
   for day in bench/days/*.toml; do
     report=$("$BENCH" run "$site" "$day" --jobs 4 --why "${WHY:-days of our own}" 2>&1 || true)
     line=$(grep -E -A1 '^day ' <<<"$report" | tail -n 1 || true)
-    echo "$(basename "$site" .toml) $(basename "$day" .toml): ${line:-no result}"
+    echo "$(basename "$site" .toml) $(basename "$day" .toml): ${line:-not played: $(tail -n 1 <<<"$report")}"
     grep -E '^(rules broken|short of the gate)' <<<"$report" && status=1
     grep -E ' ended by itself' <<<"$report" && status=1
   done
