Request lines tell what a server had to read and to run

Cause: the lines told the estimated wait and its limit, not what they were made of, so that a wrong estimate could not be told from a full engine. Ruled out: reading the engines' reports, which are priced and tell no more of one request. Before and after: no decision changes.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -177,7 +177,10 @@
 	candidates := s.candidates(now, req, usable)
 	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.price, b.price) })
 	limit := s.patience(req, best, standing)
-	d := Decision{Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing}
+	d := Decision{
+		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing,
+		Unread: int(best.unread), QueueTokens: int(best.queue.unread), QueueRuns: int(best.queue.runs),
+	}
 	if best.wait > limit && !req.Again {
 		d.Verdict, d.Reason = Refuse, ReasonWait
 		d.RetryAfter = min(max(best.wait-limit, s.cfg.ReturnLeast), s.cfg.ReturnMost)
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -170,7 +170,8 @@
 	alone := engines(1)
 	alone.SetRouters(4)
 	alone.Place(epoch, prompt(8000))
-	queue, _ := alone.wait(alone.servers["i-0"])
+	one := alone.servers["i-0"]
+	queue, _ := alone.wait(one, alone.load(one))
 	qt.Check(t, queue > 4*alone.reading(8000), qt.IsTrue)
 }
 
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -33,6 +33,15 @@
 	estimate time.Duration
 	// price is the wait plus what reading shared parts again costs others.
 	price time.Duration
+	// queue is what the server has to do before, over all routers.
+	queue load
+}
+
+// load is the work at a server as this router knows it: prompt tokens that are
+// not read yet, and generations that run or wait.
+type load struct {
+	unread float64
+	runs   float64
 }
 
 // candidates returns the first servers in the order of the request's last
@@ -93,7 +102,8 @@
 		}
 	}
 	c.unread = max(c.unread, 0)
-	queue, slot := s.wait(one)
+	c.queue = s.load(one)
+	queue, slot := s.wait(one, c.queue)
 	own := s.reading(c.unread)
 	if slot == 0 {
 		c.estimate = queue + own
@@ -106,20 +116,23 @@
 
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
-// wait estimates the time to the first token of a request that arrives now:
-// queue is from the prompts that are not read yet and the generations that run,
-// at the presumed rate, and slot is the time until a slot is free. Routers
-// that told nothing lately are presumed to have sent as much as the others do
-// on average.
-func (s *State) wait(one *server) (queue, slot time.Duration) {
+// load is the work at the server. Routers that told nothing lately are presumed
+// to have sent as much as the others do on average.
+func (s *State) load(one *server) load {
 	total := s.others[one.number]
 	total.Unread += one.unread
 	total.Runs += one.running + one.awaiting
 	told := 1 + len(s.peers)
 	scale := max(float64(s.routers)/float64(told), 1)
-	runs := float64(total.Runs) * scale
-	crowd := time.Duration(runs * float64(s.cfg.RunCost))
-	return s.reading(total.Unread*scale) + crowd, s.slotWait(one, runs)
+	return load{unread: total.Unread * scale, runs: float64(total.Runs) * scale}
+}
+
+// wait estimates the time to the first token of a request that arrives now:
+// queue is from the prompts that are not read yet and the generations that run,
+// at the presumed rate, and slot is the time until a slot is free.
+func (s *State) wait(one *server, l load) (queue, slot time.Duration) {
+	crowd := time.Duration(l.runs * float64(s.cfg.RunCost))
+	return s.reading(l.unread) + crowd, s.slotWait(one, l.runs)
 }
 
 // slotWait is the time until a slot is free for one more run: runs that wait
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -60,6 +60,11 @@
 	Limit time.Duration
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration
+	// Unread are the request's own prompt tokens that the server would read.
+	Unread int
+	// QueueTokens and QueueRuns are the prompt tokens and the generations that
+	// the server was believed to have before this request.
+	QueueTokens, QueueRuns int
 	// Rank of the server in the order of the request's shared part, from 0.
 	Rank int
 	// Standing is what the team got in relation to its share; 0 while all
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -53,6 +53,7 @@
 		"wait_ms", c.last.Wait.Milliseconds(), "limit_ms", c.last.Limit.Milliseconds(), "sent", c.sent, "reached", c.reached,
 		"standing", roundTo(c.last.Standing, standingDigits), "rank", c.last.Rank, "elapsed_ms", c.elapsed.Milliseconds(),
 		"first_ms", c.firstMillis(), "config_age_ms", c.r.configAge().Milliseconds(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output,
+		"unread", c.last.Unread, "queue_tokens", c.last.QueueTokens, "queue_runs", c.last.QueueRuns,
 		"took_ms", time.Since(c.received).Milliseconds(), "left_out", dropped,
 	}
 	c.r.event(event, append(all, keyvals...)...)
