--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -199,7 +199,8 @@
 		s.FirstByte(epoch, s.start(epoch, s.servers["i-0"], 0, nil))
 	}
 	crowd := 32 * s.cfg.RunCost
-	queue, slot := s.wait(s.servers["i-0"])
+	one := s.servers["i-0"]
+	queue, slot := s.wait(one, s.load(one))
 	qt.Check(t, queue+slot, qt.Equals, crowd+firstRunTime/32)
 }
 
