--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -67,9 +67,6 @@
 	// Objective is the shortest time in which an answer of the service has to
 	// begin, over its routes; 0: unknown.
 	Objective time.Duration
-	// Pause is the shortest time between two events of a stream of the service
-	// that is still on time; 0: unknown.
-	Pause time.Duration
 }
 
 // SetService tells what the service's servers are.
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -51,12 +51,6 @@
 	// wait and its own reading; the rest covers the error of the estimate. A
 	// request that its own reading makes late is not bound by it. Default 0.85.
 	OnTime float64
-	// PauseShare is the part of the service's shortest pause for which a server
-	// may read prompts without a break. Streams that run there get a token with
-	// each chunk that is read, and an event holds several: an engine that reads
-	// 28 tokens a millisecond in chunks of 4,096 passes on an event of five in
-	// 725 ms. Default 0.9; the rest is for the tokens themselves.
-	PauseShare float64
 	// Wider is the standing below which a request is placed at any of the first
 	// Fetchers servers of its order before it is refused. Default 1.
 	Wider float64
@@ -109,7 +103,6 @@
 		FetchWeight:    0.4,
 		PatienceShare:  0.36,
 		OnTime:         0.85,
-		PauseShare:     0.9,
 		Wider:          1,
 		Patience:       180 * time.Millisecond,
 		OwnReading:     0.25,
@@ -144,7 +137,6 @@
 	check(c.FetchWeight >= 0, "FetchWeight must not be negative")
 	check(c.PatienceShare > 0 && c.PatienceShare < 1, "PatienceShare must lie in (0, 1)")
 	check(c.OnTime > 0, "OnTime must be positive")
-	check(c.PauseShare > 0, "PauseShare must be positive")
 	check(c.Wider >= 0, "Wider must not be negative")
 	check(c.Patience > 0, "Patience must be positive")
 	check(c.OwnReading >= 0 && c.OwnReading < 1, "OwnReading must lie in [0, 1)")
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -139,21 +139,10 @@
 	slower := one.pace.factor(now)
 	c.wait = scaled(queue, slower) + slot
 	c.reading = scaled(own, slower)
-	c.price = c.wait + c.reading + s.pausing(req.Service, c) + s.reading(parts.again*s.cfg.SpillWeight+parts.fetched*s.cfg.FetchWeight)
+	c.price = c.wait + c.reading + s.reading(parts.again*s.cfg.SpillWeight+parts.fetched*s.cfg.FetchWeight)
 	return c
 }
 
-// pausing is by how much the streams at the server, taken together, would pause
-// for longer than is on time if it read the request's prompt, too. A prompt
-// that takes longer than a pause goes where it holds up the fewest.
-func (s *State) pausing(service string, c candidate) time.Duration {
-	unbroken := s.unbroken(service)
-	if unbroken == 0 {
-		return 0
-	}
-	return scaled(max(c.wait+c.reading-unbroken, 0), c.queue.runs)
-}
-
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // load is the work at the server. Routers that told nothing lately are presumed
--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -11,21 +11,13 @@
 	if req.Elapsed > 0 && standing <= 1 {
 		patience *= s.cfg.Returned
 	}
-	for _, bound := range []time.Duration{s.latest(req, c), s.unbroken(req.Service) - c.reading} {
-		// A bound that its own reading alone breaks is broken anywhere.
-		if bound > 0 {
-			patience = min(patience, float64(bound))
-		}
+	if late := s.latest(req, c); late > 0 {
+		// What its own reading makes late is late anywhere.
+		patience = min(patience, float64(late))
 	}
 	return time.Duration(patience)
 }
 
-// unbroken is for how long a server may read prompts while streams run there,
-// 0 for any time.
-func (s *State) unbroken(service string) time.Duration {
-	return time.Duration(s.cfg.PauseShare * float64(s.pool(service).traits.Pause))
-}
-
 // firstTokenBase is the time to a first token without a queue and with a short
 // prompt: one step of the engine and the way there and back.
 const firstTokenBase = 30 * time.Millisecond
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -146,23 +146,15 @@
 	Teams    []Team
 }
 
-// Shortest returns the least objective and the least pause of the routes to the
-// service, 0 for what none of them has.
-func (c *Config) Shortest(service string) (objective, pause time.Duration) {
+// ShortestObjective is the least objective of the routes to the service, 0 when
+// none has one.
+func (c *Config) ShortestObjective(service string) time.Duration {
+	var shortest time.Duration
 	for _, route := range c.Routes {
-		if !slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service }) {
-			continue
+		leads := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service })
+		if leads && route.Objective > 0 && (shortest == 0 || route.Objective < shortest) {
+			shortest = route.Objective
 		}
-		objective = shorter(objective, route.Objective)
-		pause = shorter(pause, route.Pause)
 	}
-	return objective, pause
-}
-
-// shorter returns the shorter of two times, of which 0 is none.
-func shorter(a, b time.Duration) time.Duration {
-	if a <= 0 || b > 0 && b < a {
-		return b
-	}
-	return a
+	return shortest
 }
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -47,8 +47,7 @@
 
 // traits is what admission has to know of a service.
 func traits(c *routing.Config, s routing.Service) admission.Traits {
-	objective, pause := c.Shortest(s.Name)
-	return admission.Traits{Engine: s.Engine.Slots > 0, FetchRate: s.Engine.FetchRate(), Objective: objective, Pause: pause}
+	return admission.Traits{Engine: s.Engine.Slots > 0, FetchRate: s.Engine.FetchRate(), Objective: c.ShortestObjective(s.Name)}
 }
 
 // replace takes a whole reading, unless others told of later changes since it
