goldcrestctl losses: which requests were lost, and why, from the routers' logs

Cause: engineers have only logs; which requests are refused, failed, cut or late, for which inputs, had to be counted by scripts of one's own. Change: the command groups requests by outcome, reason, route, team, standing, size, server, router or second, with the means of what decided them, as a table, JSON, or a plot of each second (gonum/plot). Request lines tell what was late for its route. Memory is bounded by groups and seconds; broken lines are counted, a file without log lines is an error. No decision changes.

--- /dev/null
+++ b/cmd/goldcrestctl/losses_plot.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"goldcrestport/protocol/losses"
+)
+
+// Size of the plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// plotLosses draws what ended in each second; the file's extension is the format.
+func plotLosses(t *losses.Tally, file string) error {
+	p := plot.New()
+	p.Title.Text = "Requests by second and outcome"
+	p.X.Label.Text = "seconds since the first line"
+	p.Y.Label.Text = "requests"
+	p.Legend.Top = true
+	err := plotutil.AddLines(p,
+		"in time", series(t, func(s *losses.Second) int { return s.Served }),
+		"late", series(t, func(s *losses.Second) int { return s.Late }),
+		"refused", series(t, func(s *losses.Second) int { return s.Refused }),
+		"failed, cut or left", series(t, func(s *losses.Second) int { return s.Lost }),
+	)
+	if err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// series is a figure of each second; those without a request count as 0.
+func series(t *losses.Tally, value func(*losses.Second) int) plotter.XYs {
+	var out plotter.XYs
+	for _, s := range t.Second {
+		x := s.At.Sub(t.Second[0].At).Seconds()
+		if n := len(out); n > 0 && x > out[n-1].X+1 {
+			out = append(out, plotter.XY{X: out[n-1].X + 1}, plotter.XY{X: x - 1})
+		}
+		out = append(out, plotter.XY{X: x, Y: float64(value(s))})
+	}
+	return out
+}
--- a/cmd/goldcrestctl/main_test.go
+++ b/cmd/goldcrestctl/main_test.go
@@ -179,3 +179,23 @@
 	code, _, _ = ctl("explain", "aa01", filepath.Join(t.TempDir(), "missing"))
 	qt.Check(t, code, qt.Not(qt.Equals), exitOK)
 }
+
+// Losses are counted from logs, as a table, as JSON and as a plot.
+func TestLosses(t *testing.T) {
+	file := filepath.Join("..", "..", "protocol", "losses", "testdata", "router.log")
+	drawn := filepath.Join(t.TempDir(), "losses.svg")
+	code, out, errs := ctl("losses", file, "--by", "outcome,reason", "--plot", drawn)
+	qt.Assert(t, code, qt.Equals, exitOK, qt.Commentf("%s", errs))
+	qt.Check(t, out, qt.Contains, "11 requests in 14 lines; 2 lines were broken")
+	qt.Check(t, out, qt.Matches, `(?s).*refused +queue-full +4 .*`)
+	qt.Check(t, out, qt.Not(qt.Contains), "served")
+	svg, err := os.ReadFile(drawn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(svg), qt.Contains, "<svg")
+	code, out, _ = ctl("losses", file, "-o", "json")
+	qt.Check(t, code, qt.Equals, exitOK)
+	qt.Check(t, out, qt.Contains, `"requests":11`)
+	code, _, errs = ctl("losses", "main.go")
+	qt.Check(t, code, qt.Not(qt.Equals), exitOK)
+	qt.Check(t, errs, qt.Contains, "no line is a router's log line")
+}
--- /dev/null
+++ b/protocol/losses/losses.go
@@ -0,0 +1,193 @@
+// Package losses counts what routers' log lines tell of requests that were
+// refused, failed, cut or late, by the inputs that decided it.
+//
+// goldcrestctl losses uses it. Logs may be of any length: what is kept is
+// bounded by the number of groups and seconds, not by that of lines.
+package losses
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcome of a request as its caller sees it.
+type Outcome string
+
+// Outcomes.
+const (
+	Served   Outcome = "served"
+	Late     Outcome = "late"
+	Refused  Outcome = "refused"
+	Rejected Outcome = "rejected" // no route or key
+	Failed   Outcome = "failed"
+	Cut      Outcome = "cut"
+	Left     Outcome = "left" // by the caller
+)
+
+// Dimension is something by which requests are grouped.
+type Dimension string
+
+// Dimensions.
+const (
+	ByOutcome  Dimension = "outcome"
+	ByReason   Dimension = "reason"
+	ByRoute    Dimension = "route"
+	ByTeam     Dimension = "team"
+	ByStanding Dimension = "standing"
+	BySize     Dimension = "size"
+	ByServer   Dimension = "server"
+	ByRouter   Dimension = "router"
+	BySecond   Dimension = "second"
+)
+
+// Dimensions lists all of them, in the order of columns.
+var Dimensions = []Dimension{ByOutcome, ByReason, ByRoute, ByTeam, ByStanding, BySize, ByServer, ByRouter, BySecond}
+
+// ParseDimensions reads a list such as "outcome,reason".
+func ParseDimensions(text string) ([]Dimension, error) {
+	var out []Dimension
+	for _, name := range strings.Split(text, ",") {
+		d := Dimension(strings.TrimSpace(name))
+		if !slices.Contains(Dimensions, d) {
+			return nil, errors.Newf("unknown dimension %q; known are %v", name, Dimensions)
+		}
+		out = append(out, d)
+	}
+	return out, nil
+}
+
+// Bounds of a tally. A day of one fleet has some hundred groups.
+const (
+	maxGroups  = 20_000
+	maxSeconds = 200_000
+)
+
+// Group is the requests that are alike in the dimensions.
+type Group struct {
+	// Values of the dimensions, in their order.
+	Values []string `json:"values"`
+	Count  int      `json:"count"`
+	// First and Last are the times of the first and the last line.
+	First time.Time `json:"first"`
+	Last  time.Time `json:"last"`
+	// Means of what decided it: the estimated wait and its limit in
+	// milliseconds, the request's own tokens to read, and the tokens and
+	// generations that the server had before.
+	WaitMs      float64 `json:"wait_ms"`
+	LimitMs     float64 `json:"limit_ms"`
+	Unread      float64 `json:"unread"`
+	QueueTokens float64 `json:"queue_tokens"`
+	QueueRuns   float64 `json:"queue_runs"`
+}
+
+// Second is what ended in a second.
+type Second struct {
+	At      time.Time `json:"at"`
+	Served  int       `json:"served"`
+	Late    int       `json:"late"`
+	Refused int       `json:"refused"`
+	Lost    int       `json:"lost"` // failed, cut or left
+}
+
+// Tally is what the lines told.
+type Tally struct {
+	By     []Dimension `json:"by"`
+	Groups []*Group    `json:"groups"`
+	Second []*Second   `json:"seconds"`
+	// Lines that were read, Requests among them, Broken ones that are no whole
+	// log line, and LeftOut those that routers left out to bound their logs.
+	Lines    int `json:"lines"`
+	Requests int `json:"requests"`
+	Broken   int `json:"broken"`
+	LeftOut  int `json:"left_out"`
+	// Beyond counts requests beyond the bounds of groups or seconds.
+	Beyond int `json:"beyond"`
+
+	groups  map[string]*Group
+	seconds map[int64]*Second
+}
+
+func newTally(by []Dimension) *Tally {
+	return &Tally{By: by, groups: make(map[string]*Group), seconds: make(map[int64]*Second)}
+}
+
+// add counts one request.
+func (t *Tally) add(r request) {
+	t.Requests++
+	t.LeftOut += r.leftOut
+	values := make([]string, len(t.By))
+	for i, d := range t.By {
+		values[i] = r.value(d)
+	}
+	key := strings.Join(values, "\x00")
+	g := t.groups[key]
+	if g == nil {
+		if len(t.groups) >= maxGroups {
+			t.Beyond++
+			return
+		}
+		g = &Group{Values: values, First: r.at}
+		t.groups[key] = g
+	}
+	g.add(r)
+	t.addSecond(r)
+}
+
+func (g *Group) add(r request) {
+	g.Count++
+	if r.at.Before(g.First) {
+		g.First = r.at
+	}
+	if r.at.After(g.Last) {
+		g.Last = r.at
+	}
+	n := float64(g.Count)
+	for _, m := range []struct {
+		mean  *float64
+		value float64
+	}{
+		{&g.WaitMs, r.waitMs}, {&g.LimitMs, r.limitMs}, {&g.Unread, r.unread}, {&g.QueueTokens, r.queueTokens}, {&g.QueueRuns, r.queueRuns},
+	} {
+		*m.mean += (m.value - *m.mean) / n
+	}
+}
+
+func (t *Tally) addSecond(r request) {
+	s := t.seconds[r.at.Unix()]
+	if s == nil {
+		if len(t.seconds) >= maxSeconds {
+			t.Beyond++
+			return
+		}
+		s = &Second{At: time.Unix(r.at.Unix(), 0).UTC()}
+		t.seconds[r.at.Unix()] = s
+	}
+	switch r.outcome {
+	case Served:
+		s.Served++
+	case Late:
+		s.Late++
+	case Refused, Rejected:
+		s.Refused++
+	default:
+		s.Lost++
+	}
+}
+
+// finish sorts what was counted: the largest groups first, seconds by time.
+func (t *Tally) finish() {
+	for _, g := range t.groups {
+		t.Groups = append(t.Groups, g)
+	}
+	slices.SortFunc(t.Groups, func(a, b *Group) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), slices.Compare(a.Values, b.Values))
+	})
+	for _, s := range t.seconds {
+		t.Second = append(t.Second, s)
+	}
+	slices.SortFunc(t.Second, func(a, b *Second) int { return a.At.Compare(b.At) })
+}
--- /dev/null
+++ b/protocol/losses/losses_test.go
@@ -0,0 +1,83 @@
+package losses
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The lines are recorded ones of direct routers: three served, four refused,
+// one cut, one whose caller left, two late, one that is no request's, one that
+// was cut in the middle, and one that is none.
+func TestRecordedLinesAreCounted(t *testing.T) {
+	f, err := os.Open("testdata/router.log")
+	qt.Assert(t, err, qt.IsNil)
+	defer f.Close()
+	got, err := Read(f, []Dimension{ByOutcome})
+	qt.Assert(t, err, qt.IsNil)
+	counts := map[string]int{}
+	for _, g := range got.Groups {
+		counts[g.Values[0]] = g.Count
+	}
+	qt.Check(t, counts, qt.DeepEquals, map[string]int{"served": 3, "refused": 4, "cut": 1, "left": 1, "late": 2})
+	qt.Check(t, got.Lines, qt.Equals, 14)
+	qt.Check(t, got.Requests, qt.Equals, 11)
+	qt.Check(t, got.Broken, qt.Equals, 2)
+	total := 0
+	for _, s := range got.Second {
+		total += s.Served + s.Late + s.Refused + s.Lost
+	}
+	qt.Check(t, total, qt.Equals, 11)
+}
+
+func line(second, extra string) string {
+	return fmt.Sprintf("ts=2026-01-01T00:00:%sZ id=r1 event=request_ended route=a team=t standing=2 prompt=5000 wait_ms=40 limit_ms=20 unread=900 why=queue-full status=503 left_out=2 %s\n", second, extra)
+}
+
+// What decided a group is the mean over its requests, and what routers left out
+// is told.
+func TestGroupsHoldTheInputsThatDecided(t *testing.T) {
+	log := line("01", "") + line("03", "") + strings.ReplaceAll(line("02", ""), "wait_ms=40", "wait_ms=100")
+	got, err := Read(strings.NewReader(log), []Dimension{ByOutcome, ByReason, ByTeam, ByStanding, BySize, ByRouter})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got.Groups, qt.HasLen, 1)
+	g := got.Groups[0]
+	qt.Check(t, g.Values, qt.DeepEquals, []string{"refused", "queue-full", "t", "beyond", "<16k", "r1"})
+	qt.Check(t, g.Count, qt.Equals, 3)
+	qt.Check(t, g.WaitMs, qt.Equals, 60.0)
+	qt.Check(t, g.Unread, qt.Equals, 900.0)
+	qt.Check(t, g.First.Second(), qt.Equals, 1)
+	qt.Check(t, g.Last.Second(), qt.Equals, 3)
+	qt.Check(t, got.LeftOut, qt.Equals, 6)
+	qt.Check(t, got.Second, qt.HasLen, 3)
+}
+
+func TestWhatIsNoLogIsSaidSo(t *testing.T) {
+	for _, text := range []string{"", "hello\nworld\n", "\x00\x01\x02"} {
+		_, err := Read(strings.NewReader(text), []Dimension{ByOutcome})
+		qt.Check(t, err, qt.ErrorIs, ErrNoLog)
+	}
+	_, err := ParseDimensions("outcome,colour")
+	qt.Check(t, err, qt.ErrorMatches, `unknown dimension "colour".*`)
+}
+
+// A line longer than the bound counts as broken, and the next one is read.
+func TestLongLinesArePassedOver(t *testing.T) {
+	got, err := Read(strings.NewReader(line("01", strings.Repeat("x", 3*maxLine))+line("02", "")), []Dimension{ByOutcome})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got.Broken, qt.Equals, 1)
+	qt.Check(t, got.Requests, qt.Equals, 1)
+}
+
+// Memory is bounded by groups, whatever the log holds.
+func TestGroupsAreBounded(t *testing.T) {
+	tally := newTally([]Dimension{ByTeam})
+	for i := range maxGroups + 10 {
+		tally.line([]byte(strings.ReplaceAll(line("01", ""), "team=t", fmt.Sprint("team=t", i))))
+	}
+	qt.Check(t, tally.groups, qt.HasLen, maxGroups)
+	qt.Check(t, tally.Beyond, qt.Equals, 10)
+}
--- a/protocol/trail/trail.go
+++ b/protocol/trail/trail.go
@@ -42,7 +42,7 @@
 		read++
 		// A request's id stands whole in its lines; others are not parsed.
 		if strings.Contains(string(text), request) {
-			if line := parse(text); line["request"] == request {
+			if line := Parse(text); line["request"] == request {
 				lines = append(lines, line)
 			}
 		}
@@ -54,8 +54,8 @@
 	return lines, read, nil
 }
 
-// parse reads as many keys as the line has in good form.
-func parse(text []byte) Line {
+// Parse reads as many keys as the line has in good form.
+func Parse(text []byte) Line {
 	line := Line{}
 	d := logfmt.NewDecoder(strings.NewReader(string(text)))
 	for d.ScanRecord() {
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/state/routing"
 	"goldcrestport/transport/observe"
 )
 
@@ -52,7 +53,7 @@
 		"request", c.meta.ID, "route", route, "team", c.team, "version", version, "server", c.last.Server,
 		"wait_ms", c.last.Wait.Milliseconds(), "limit_ms", c.last.Limit.Milliseconds(), "sent", c.sent, "reached", c.reached,
 		"standing", roundTo(c.last.Standing, standingDigits), "rank", c.last.Rank, "elapsed_ms", c.elapsed.Milliseconds(),
-		"first_ms", c.firstMillis(), "pause_ms", c.pause.Milliseconds(), "config_age_ms", c.r.configAge().Milliseconds(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output,
+		"first_ms", c.firstMillis(), "pause_ms", c.pause.Milliseconds(), "late", c.lateness(), "config_age_ms", c.r.configAge().Milliseconds(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output,
 		"unread", c.last.Unread, "queue_tokens", c.last.QueueTokens, "queue_runs", c.last.QueueRuns,
 		"took_ms", time.Since(c.received).Milliseconds(), "left_out", dropped,
 	}
@@ -74,3 +75,23 @@
 	}
 	return c.firstByte.Sub(c.received).Milliseconds()
 }
+
+// lateness says what of an answer was late for its route: its first event, a
+// pause between two, or, without events, the answer; nothing when none was.
+func (c *call) lateness() string {
+	switch {
+	case c.route == nil || c.firstByte.IsZero():
+		return ""
+	case c.route.Kind != routing.Streaming:
+		if c.route.Objective > 0 && time.Since(c.received) > c.route.Objective {
+			return "answer"
+		}
+		return ""
+	case c.route.Objective > 0 && c.firstByte.Sub(c.received) > c.route.Objective:
+		return "first"
+	case c.route.Pause > 0 && c.pause > c.route.Pause:
+		return "pause"
+	default:
+		return ""
+	}
+}
