--- a/transport/direct/callers.go
+++ b/transport/direct/callers.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"goldcrestport/protocol/settings"
@@ -95,32 +96,64 @@
 	return len(c.all) - c.closing
 }
 
+// idler is a connection that was without a request since a time.
+type idler struct {
+	conn  net.Conn
+	since time.Time
+}
+
 // sweep closes connections that were without a request for longer than their
 // limit, and the longest of those while there are more than most.
 func (c *callers) sweep(now time.Time, limit time.Duration, most int) (closed int) {
-	type idler struct {
-		conn net.Conn
-		*caller
+	idlers, excess := c.idlers(now, limit, most)
+	for i, one := range idlers {
+		if c.mayClose(one, now, limit, i < excess) {
+			_ = one.conn.Close()
+			closed++
+		}
 	}
-	var idlers []idler
+	return closed
+}
+
+// idlers returns the connections without a request that may be closed, the
+// longest first, and how many of them are beyond most.
+func (c *callers) idlers(now time.Time, limit time.Duration, most int) (out []idler, excess int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	excess = max(len(c.all)-c.closing-most, 0)
 	for conn, one := range c.all {
-		if !one.idle.IsZero() && !one.closed {
-			idlers = append(idlers, idler{conn, one})
+		if one.idle.IsZero() || one.closed {
+			continue
 		}
-	}
-	slices.SortFunc(idlers, func(a, b idler) int { return a.idle.Compare(b.idle) })
-	excess := len(c.all) - c.closing - most
-	for i, one := range idlers {
-		if i < excess || one.over(now, limit) {
-			one.closed = true
-			c.closing++
-			_ = one.conn.Close()
-			closed++
+		if excess > 0 || one.over(now, limit) {
+			out = append(out, idler{conn, one.idle})
 		}
 	}
-	return closed
+	slices.SortFunc(out, func(a, b idler) int { return a.since.Compare(b.since) })
+	return out, excess
+}
+
+// mayClose reports whether the connection is still to be closed, and notes that
+// it is. The lock is not held while connections are closed: a small instance
+// takes half a second for thousands, and requests that were read meanwhile
+// waited for the lock to find their connections closed.
+func (c *callers) mayClose(one idler, now time.Time, limit time.Duration, beyond bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.all[one.conn]
+	if known == nil || known.closed || !known.idle.Equal(one.since) {
+		return false
+	}
+	if !beyond && !known.over(now, limit) {
+		return false
+	}
+	if hasUnread(one.conn) {
+		// A request is there that this router has not read yet.
+		return false
+	}
+	known.closed = true
+	c.closing++
+	return true
 }
 
 // over reports whether the connection was idle for too long.
@@ -211,21 +244,43 @@
 	if time.Duration(c.r.load.late.Load()) < leftLate && !c.r.callers.isFirst(c.conn()) {
 		return false
 	}
-	conn, ok := c.conn().(syscall.Conn)
+	n, err := peek(c.conn())
+	return err == nil && n == 0 || err != nil && !errors.Is(err, errNothing)
+}
+
+// hasUnread reports whether bytes arrived on the connection that were not read.
+func hasUnread(conn net.Conn) bool {
+	n, err := peek(conn)
+	return err == nil && n > 0
+}
+
+// errNothing means that nothing arrived, or that the connection cannot be
+// looked at.
+var errNothing = errors.New("nothing arrived")
+
+// peek looks for a byte on the connection without reading it: 0 bytes without
+// an error are its end.
+func peek(conn net.Conn) (n int, err error) {
+	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNothing
 	}
-	raw, err := conn.SyscallConn()
+	control, err := raw.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	left := false
-	err = raw.Control(func(fd uintptr) {
+	var peekErr error
+	err = control.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = peekErr == nil && n == 0 || peekErr != nil && peekErr != unix.EAGAIN && peekErr != unix.EINTR
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return left || err != nil
+	if err != nil {
+		return 0, err
+	}
+	if peekErr == unix.EAGAIN || peekErr == unix.EINTR {
+		return 0, errNothing
+	}
+	return n, peekErr
 }
 
 // boundedListener accepts no more connections than most; the others wait in
--- a/transport/direct/callers_test.go
+++ b/transport/direct/callers_test.go
@@ -209,3 +209,68 @@
 		f.Check(strings.HasPrefix(id, "left"), qt.IsFalse, qt.Commentf(id))
 	}
 }
+
+// closingConn is a connection that tells when it is closed.
+type closingConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c closingConn) Close() error {
+	c.closed()
+	return nil
+}
+
+// Pattern: thousands of idle connections are over their limit at once, such as
+// after a flood, on an instance that takes half a second to close them; callers
+// send on some of them meanwhile. Ground: seen on the users' grown site (68
+// requests that had been read got no answer); closing held a lock for which
+// these requests waited.
+func TestARequestThatComesDuringASweepIsServed(t *testing.T) {
+	c, now := newCallers(), time.Now()
+	var second *closingConn
+	lost := false
+	first := &closingConn{closed: func() {
+		done := make(chan struct{})
+		go func() {
+			c.changed(second, http.StateActive)
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+		}
+	}}
+	second = &closingConn{closed: func() { lost = true }}
+	c.changed(first, http.StateNew)
+	time.Sleep(time.Millisecond)
+	c.changed(second, http.StateNew)
+	qt.Check(t, c.sweep(now.Add(time.Minute), time.Second, 10), qt.Equals, 1)
+	qt.Check(t, lost, qt.IsFalse)
+	qt.Check(t, c.swept(second), qt.IsFalse)
+}
+
+// A request that lies unread on a connection keeps it open: the router is late,
+// not the caller.
+func TestAConnectionWithAnUnreadRequestIsNotIdle(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer client.Close()
+	server, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer server.Close()
+	c := newCallers()
+	c.changed(server, http.StateIdle)
+	_, err = client.Write([]byte("GET / HTTP/1.1\r\n"))
+	qt.Assert(t, err, qt.IsNil)
+	for !hasUnread(server) {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, c.sweep(time.Now().Add(time.Minute), time.Second, 0), qt.Equals, 0)
+	_, err = server.Read(make([]byte, 64))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, c.sweep(time.Now().Add(time.Minute), time.Second, 0), qt.Equals, 1)
+}
