Each coordination package says which process uses it

Cause: a newcomer could not see which decisions run on the users' platform and which only behind the product's own interface. Ruled out: separate folders for the two ways; health and leave are shared, and imports of every package would change for a word.

--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -10,6 +10,8 @@
 // delays the first token of all behind it, so a request is admitted by the
 // estimated wait for its first token, not by free slots, and what cannot be
 // served in time is refused at once with the time at which it can.
+//
+// Direct routers use it.
 package admission
 
 import (
--- a/coordination/attempt/attempt.go
+++ b/coordination/attempt/attempt.go
@@ -5,6 +5,8 @@
 // The package is a pure state machine: State.Step takes an event and the time
 // and returns the action to perform. It has no I/O, clock or goroutines. The
 // driver is transport/router.
+//
+// Routers with sidecars use it.
 package attempt
 
 import (
--- a/coordination/claim/config.go
+++ b/coordination/claim/config.go
@@ -4,6 +4,8 @@
 //
 // State is a pure state machine: Step takes an event and the time and returns
 // the actions to perform. The driver is transport/claims.
+//
+// Routers with sidecars use it, for idempotency keys.
 package claim
 
 import (
--- a/coordination/confirm/confirm.go
+++ b/coordination/confirm/confirm.go
@@ -10,6 +10,8 @@
 //   - a write without an answer is settled by reading back, never by guessing.
 //
 // The package is a pure state machine; the driver is transport/operators.
+//
+// The operators' interface of routers with sidecars uses it.
 package confirm
 
 import "goldcrestport/state/config"
--- a/coordination/fairshare/level.go
+++ b/coordination/fairshare/level.go
@@ -7,6 +7,8 @@
 // all it asks for, and the others get the level.
 //
 // The package is pure.
+//
+// Direct routers use it, through admission.
 package fairshare
 
 import "slices"
--- a/coordination/freshness/freshness.go
+++ b/coordination/freshness/freshness.go
@@ -5,6 +5,8 @@
 // A Tracker is pure. Times are readings of one clock that goes on while the
 // process or its instance is suspended, so that a router that wakes up knows
 // that its knowledge is old.
+//
+// Direct routers use it.
 package freshness
 
 import "time"
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -3,6 +3,8 @@
 //
 // A Tracker is pure: it takes results and the time, and holds no clock. The
 // routers use it (coordination/dispatch) and the sidecars (transport/sidecar).
+//
+// All three use it: direct routers, routers with sidecars, and sidecars.
 package health
 
 import (
--- a/coordination/leave/leave.go
+++ b/coordination/leave/leave.go
@@ -3,6 +3,8 @@
 // The package is a pure state machine: State.Step takes an event and the time
 // and returns the phase. It has no I/O, clock or goroutines. The drivers are
 // transport/router and transport/sidecar.
+//
+// All three use it: direct routers, routers with sidecars, and sidecars.
 package leave
 
 import (
--- a/coordination/limit/config.go
+++ b/coordination/limit/config.go
@@ -4,6 +4,8 @@
 //
 // The types are pure: they take measurements and hold no clock. The driver is
 // transport/sidecar.
+//
+// Sidecars use it.
 package limit
 
 import (
--- a/coordination/plan/plan.go
+++ b/coordination/plan/plan.go
@@ -4,6 +4,8 @@
 // It is pure: the same two documents and the same facts give the same plan at
 // every router. The driver is transport/operators; goldcrestctl renders the
 // result.
+//
+// Routers with sidecars, their operators' interface and goldcrestctl use it.
 package plan
 
 import (
--- a/coordination/repeats/repeats.go
+++ b/coordination/repeats/repeats.go
@@ -4,6 +4,8 @@
 //
 // A Budget is pure. Each router keeps to a part of its own, so that the sum
 // holds also while routers cannot reach each other.
+//
+// Direct routers use it.
 package repeats
 
 import "time"
--- a/coordination/report/report.go
+++ b/coordination/report/report.go
@@ -8,6 +8,8 @@
 // A report is a hint that saves a declined offer or lets a router offer at
 // all. Work that waits is registered with sidecars and pulled without it, so a
 // late report costs time, never a stall.
+//
+// Sidecars use it.
 package report
 
 import (
--- a/coordination/returning/returning.go
+++ b/coordination/returning/returning.go
@@ -3,6 +3,8 @@
 // time at first, and less when they come back after a refusal.
 //
 // A Tracker is pure.
+//
+// Direct routers use it.
 package returning
 
 import "time"
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -2,6 +2,8 @@
 // in the platform's store that come late, lapse and come back.
 //
 // A Roster is pure: it takes what the store said and the time.
+//
+// Direct routers use it.
 package roster
 
 import "time"
--- a/coordination/saturation/saturation.go
+++ b/coordination/saturation/saturation.go
@@ -7,6 +7,8 @@
 // new connections, and the caller's next ones go to others.
 //
 // A Tracker is pure.
+//
+// Direct routers use it.
 package saturation
 
 import "time"
--- a/coordination/watchduty/watchduty.go
+++ b/coordination/watchduty/watchduty.go
@@ -5,6 +5,8 @@
 // hear from them in time asks itself, so that no router depends on another.
 //
 // The package is pure.
+//
+// Direct routers use it.
 package watchduty
 
 import (
