A test waits until the reader of the log stalls

Cause: TestAStalledReaderOfLogsSlowsNoRequest failed once beside eight busy processes. It filled the queue of lines while the writer still gathered its first ones; the writer then took a batch of 64 KiB and left room for a thousand lines, so that the requests' lines fitted and none was lost. Ruled out: shorter lines (the batch is bounded in bytes, the queue in lines), the writer: it dropped and counted what did not fit.

--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -475,24 +475,33 @@
 	f.Check(w.Body.String(), qt.Contains, "direct_outcomes{key=\"completed\"} 1\n")
 }
 
-// stalled is a reader of the log that reads nothing until it is closed.
-type stalled chan struct{}
+// stalled is a reader of the log that reads nothing until it is released.
+type stalled struct {
+	// entered is closed by the first write, which waits from then on.
+	entered, released chan struct{}
+	once              sync.Once
+}
 
 // Write implements io.Writer.
-func (s stalled) Write(line []byte) (int, error) {
-	<-s
+func (s *stalled) Write(line []byte) (int, error) {
+	s.once.Do(func() { close(s.entered) })
+	<-s.released
 	return len(line), nil
 }
 
 // A reader of standard output that stalls costs lines, which are counted, and
 // slows no request.
 func TestAStalledReaderOfLogsSlowsNoRequest(t *testing.T) {
-	reader := make(stalled)
-	defer close(reader)
+	reader := &stalled{entered: make(chan struct{}), released: make(chan struct{})}
+	defer close(reader.released)
 	lines := observe.NewWriter(reader)
 	logger := observe.NewLogger(lines, "direct", "r", settings.Log{Level: settings.LogInfo})
 	f := startLogged(t, testConfig(1), logger, func(*settings.Direct, *testSource) {}, newBackend(t, "i-1", ok))
 	f.router.CountLost(lines.Dropped)
+	// The writer waits for its reader before the queue is filled: a batch that
+	// it took afterwards would leave room for a thousand lines.
+	f.router.event("filler")
+	<-reader.entered
 	// More lines than any queue holds.
 	const many = 10_000
 	for range many {
