Holdings are announced; what the cost of a run buys is said

Cause: the newest code spoke of telling and being told where the field says announce, and Config called the cost of a run a time that first tokens take, which logs show that they do not.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -18,8 +18,8 @@
 	servers map[string]*server
 	numbers map[ServerID]*server
 	pools   map[string]*pool
-	// untold are the parts of servers that the next digest tells.
-	untold []Holding
+	// unannounced are the holdings that the next digests hold.
+	unannounced []Holding
 	// routers is the number of routers that share the servers, at least 1.
 	routers int
 	peers   map[string]*peer
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -28,8 +28,10 @@
 	// ReadRate is the prompt tokens that an engine reads in a millisecond
 	// when it does nothing else. Default 66, as the users' sheets say.
 	ReadRate float64
-	// RunCost is the time that each running generation adds to the wait of a
-	// first token. Default 3ms.
+	// RunCost is the time that each running generation adds to the estimated
+	// wait. Default 1.5ms. First tokens do not take longer beside more runs; it
+	// keeps engines that run much from a flood's prompts, behind which teams
+	// within their share would wait (worth .019 less without it).
 	RunCost time.Duration
 	// Candidates is the number of servers in a part's order among which the
 	// least wait is chosen. Default 3.
@@ -78,11 +80,11 @@
 	// BeliefTime is how long a part is believed to be cached after its last
 	// use. Default 10s.
 	BeliefTime time.Duration
-	// TellTokens is the size for each router of the fleet from which routers
-	// tell each other which server read a shared part: a message goes to all of
-	// them, a part that is read again costs one engine. Default 12, so that six
-	// routers tell parts of 72 tokens and 300 those of 3,600.
-	TellTokens int
+	// AnnounceTokens is the size for each router of the fleet from which routers
+	// announce which server read a shared part: a message goes to all of them, a
+	// part that is read again costs one engine. Default 12, so that six routers
+	// announce parts of 72 tokens and 300 those of 3,600.
+	AnnounceTokens int
 	// ReturnLeast and ReturnMost bound the time after which a refused caller
 	// is asked to come back. Default 50ms and 2s.
 	ReturnLeast time.Duration
@@ -120,7 +122,7 @@
 		Below:          1.5,
 		Window:         4 * time.Second,
 		BeliefTime:     10 * time.Second,
-		TellTokens:     12,
+		AnnounceTokens: 12,
 		ReturnLeast:    50 * time.Millisecond,
 		ReturnMost:     2 * time.Second,
 		RefusedPause:   50 * time.Millisecond,
@@ -155,7 +157,7 @@
 	check(c.Below >= 1, "Below must be at least 1")
 	check(c.Window > 0, "Window must be positive")
 	check(c.BeliefTime > 0, "BeliefTime must be positive")
-	check(c.TellTokens >= 0, "TellTokens must not be negative")
+	check(c.AnnounceTokens >= 0, "AnnounceTokens must not be negative")
 	check(c.ReturnLeast > 0 && c.ReturnMost >= c.ReturnLeast, "ReturnMost must be at least ReturnLeast, both positive")
 	check(c.RefusedPause > 0 && c.RefusedLongest >= c.RefusedPause, "RefusedLongest must be at least RefusedPause, both positive")
 	check(c.EjectShare >= 0 && c.EjectShare <= 1, "EjectShare must lie in [0, 1]")
--- a/coordination/admission/holdings_test.go
+++ b/coordination/admission/holdings_test.go
@@ -9,7 +9,7 @@
 
 // Pattern: thirty routers see a document each now and then. Ground: one that
 // does not know which server holds it has it read once more, 74 ms of an engine.
-func TestRoutersTellEachOtherWhoHoldsADocument(t *testing.T) {
+func TestRoutersAnnounceWhoHoldsADocument(t *testing.T) {
 	a, b := linked(9), linked(9)
 	run := a.Place(epoch, prompt(6000, document)).Run
 	b.Told(epoch, "a", a.Digest(epoch, false, false))
@@ -19,9 +19,9 @@
 	qt.Check(t, got.Server, qt.Not(qt.Equals), run.Server())
 }
 
-// A part is told once in half of the time for which it is believed, small parts
-// never, and what another router told is not told again.
-func TestAPartIsToldNowAndThen(t *testing.T) {
+// A holding is announced once in half of the time for which it is believed,
+// small parts never, and what another router announced is not announced again.
+func TestAHoldingIsAnnouncedNowAndThen(t *testing.T) {
 	a, b := linked(1), linked(1)
 	a.SetRouters(10)
 	b.SetRouters(10)
@@ -34,7 +34,7 @@
 	qt.Check(t, place(a, epoch.Add(6*time.Second), document), qt.Equals, 1)
 	qt.Check(t, place(a, epoch, Part{ID: 9, Tokens: 100}), qt.Equals, 0)
 
-	b.toldHoldings(epoch, []Holding{{Server: b.servers["i-0"].number, Part: document.ID}, {Server: 12345, Part: 1}})
+	b.learnHoldings(epoch, []Holding{{Server: b.servers["i-0"].number, Part: document.ID}, {Server: 12345, Part: 1}})
 	qt.Check(t, place(b, epoch.Add(time.Second), document), qt.Equals, 0)
 }
 
@@ -43,17 +43,17 @@
 func TestHoldingsAreBounded(t *testing.T) {
 	s := linked(1)
 	one := s.servers["i-0"]
-	for id := range uint64(maxUntold + 100) {
+	for id := range uint64(maxUnannounced + 100) {
 		s.use(epoch, one, []Part{{ID: id, Tokens: 1000}})
 	}
-	told := 0
+	announced := 0
 	for {
 		n := len(s.Digest(epoch, false, false).Holdings)
 		if n == 0 {
 			break
 		}
 		qt.Assert(t, n <= maxHoldings, qt.IsTrue)
-		told += n
+		announced += n
 	}
-	qt.Check(t, told, qt.Equals, maxUntold)
+	qt.Check(t, announced, qt.Equals, maxUnannounced)
 }
--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -43,7 +43,7 @@
 // Digest returns what this router tells the others: the servers whose use
 // changed since the last digest, or all of them.
 func (s *State) Digest(now time.Time, all, teams bool) Digest {
-	d := Digest{All: all, Servers: make(map[ServerID]Use), Holdings: s.nextHoldings()}
+	d := Digest{All: all, Servers: make(map[ServerID]Use), Holdings: s.dueHoldings()}
 	if teams {
 		d.Teams = s.teams.Own(now)
 	}
@@ -65,7 +65,7 @@
 		s.peers[router] = p
 	}
 	p.at = now
-	s.toldHoldings(now, d.Holdings)
+	s.learnHoldings(now, d.Holdings)
 	if d.All {
 		for id := range p.servers {
 			if _, named := d.Servers[id]; !named {
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -45,9 +45,9 @@
 
 // partUse is what is known of a shared part at a server.
 type partUse struct {
-	// used is when the server last read it, told when routers last told each
-	// other so.
-	used, told time.Time
+	// used is when the server last read it, announced when a router last
+	// announced so to the others.
+	used, announced time.Time
 }
 
 // rank orders servers for a part: the greatest first. It changes for no other
@@ -82,14 +82,14 @@
 	}
 }
 
-// telling notes that the routers tell each other now that the server holds the
-// part. It reports whether they did so last longer ago than the time.
-func (s *server) telling(now time.Time, part uint64, every time.Duration) (due bool) {
+// announce notes that a router announces now that the server holds the part. It
+// reports whether that is due: whether the last time is longer ago than every.
+func (s *server) announce(now time.Time, part uint64, every time.Duration) (due bool) {
 	use, known := s.parts[part]
-	if !known || now.Sub(use.told) <= every {
+	if !known || now.Sub(use.announced) <= every {
 		return false
 	}
-	use.told = now
+	use.announced = now
 	s.parts[part] = use
 	return true
 }
