--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -41,7 +41,7 @@
 	SpillWeight float64
 	// Fetchers is the number of servers in a part's order among which the least
 	// price is chosen when a server is known from whose memory the part can be
-	// taken. Default 5: taking 5,000 tokens costs a server 7 ms, reading them
+	// taken. Default 5: taking 5,000 tokens costs a server 5 ms, reading them
 	// 80, so that more than Candidates will do; at 16 all routers chose the
 	// same idle server between two digests (worth on 21 routers .689, at 5 .702).
 	Fetchers int
--- a/coordination/admission/fetch_test.go
+++ b/coordination/admission/fetch_test.go
@@ -21,7 +21,7 @@
 
 // Pattern: a document is asked about again and again while the server that
 // holds it reads a long prompt. Ground: reading 4,870 tokens again takes an
-// engine 74 ms, taking them from the other's memory 7.
+// engine 74 ms, taking them from the other's memory 5.
 func TestADocumentIsTakenFromTheServerThatHoldsIt(t *testing.T) {
 	s := linked(9)
 	first := s.Place(epoch, prompt(6000, document))
