--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -164,7 +164,9 @@
 	a.Place(epoch, prompt(30000))
 	b.Told(epoch, "a", a.Digest(epoch, true, true))
 	qt.Check(t, b.Place(epoch, prompt(1000)).Verdict, qt.Equals, Refuse)
+	qt.Check(t, b.PeersAge(epoch.Add(40*time.Millisecond)), qt.Equals, 40*time.Millisecond)
 	b.Tick(epoch.Add(peerTime + time.Millisecond))
+	qt.Check(t, b.PeersAge(epoch.Add(2*peerTime)), qt.Equals, time.Duration(0))
 	qt.Check(t, b.Place(epoch, prompt(1000)).Verdict, qt.Equals, Send)
 
 	alone := engines(1)
--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// PeersAge is how long ago the router that is silent for the longest told
+// something; 0 without others.
+func (s *State) PeersAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, p := range s.peers {
+		oldest = max(oldest, now.Sub(p.at))
+	}
+	return oldest
+}
+
 // Tick drops the word of routers that are silent. It is to be called several
 // times a second.
 func (s *State) Tick(now time.Time) {
