--- a/state/routing/engine_test.go
+++ b/state/routing/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -14,3 +15,23 @@
 	qt.Check(t, Engine{TokenBytes: 18432}.FetchRate(), qt.Equals, 0.0)
 	qt.Check(t, Engine{LinkMbps: 370000}.FetchRate(), qt.Equals, 0.0)
 }
+
+// Only routes that may go to the service count, and those without an objective
+// do not.
+func TestTheShortestObjectiveIsThatOfTheServicesRoutes(t *testing.T) {
+	to := func(services ...string) (out []Target) {
+		for _, name := range services {
+			out = append(out, Target{Service: name, Weight: 1})
+		}
+		return out
+	}
+	c := &Config{Routes: []Route{
+		{Objective: 2 * time.Second, Targets: to("llm")},
+		{Objective: time.Second, Targets: to("other", "llm")},
+		{Objective: 150 * time.Millisecond, Targets: to("app")},
+		{Targets: to("llm")},
+	}}
+	qt.Check(t, c.ShortestObjective("llm"), qt.Equals, time.Second)
+	qt.Check(t, c.ShortestObjective("app"), qt.Equals, 150*time.Millisecond)
+	qt.Check(t, c.ShortestObjective("none"), qt.Equals, time.Duration(0))
+}
