A saturated router's timeout is no outage of the store

The router's lines show that a server which had announced its leaving at 27.8 s went only at 32.9 s, as "lapsed": the saturated router's call had run into its bound, it took that for an outage, and kept entries that were gone for the time in which they may come back. Change: a saturated router's own timeout does not count as an outage. Ruled out: the check's bound (its refusals are in the log, 33 lines), changes that came without their revision. In a true outage a saturated router may lose entries that lapsed until they are back.

--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -173,7 +173,7 @@
 	}
 	f.nextTry = time.Now().Add(retryEvery)
 	f.r.cutSince.CompareAndSwap(0, int64(bootTime()))
-	if !f.lost {
+	if !f.lost && !f.ownFault(err) {
 		f.lost = true
 		f.r.event("store_lost", "err", err)
 		f.r.mu.Lock()
@@ -188,6 +188,13 @@
 	}
 }
 
+// ownFault reports whether a timeout is most likely this router's own: a
+// saturated one reads answers seconds late. To take that for an outage of the
+// store would keep servers whose entries are gone because they left.
+func (f *follower) ownFault(err error) bool {
+	return f.r.load.saturated.Load() && errors.Is(err, context.DeadlineExceeded)
+}
+
 // worked notes that the store answered this router.
 func (f *follower) worked() {
 	f.r.cutSince.Store(0)
--- a/transport/direct/left_test.go
+++ b/transport/direct/left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -70,6 +71,22 @@
 	}
 }
 
+// Pattern: a flooded router reads the store's answer after the call's bound, while
+// a server leaves and its entry goes. Ground: seen on the users' grown site; the
+// router took its own timeout for an outage, in which entries lapse, and sent to
+// the server for four seconds more. A timeout of a router in time is an outage.
+func TestASaturatedRoutersTimeoutIsNoOutage(t *testing.T) {
+	for _, saturated := range []bool{true, false} {
+		r := unserved(newBackend(t, "i-1", ok))
+		r.load.saturated.Store(saturated)
+		f := &follower{r: r}
+		f.failed(context.Background(), fmt.Errorf("GET: %w", context.DeadlineExceeded))
+		r.replace(Snapshot{Config: testConfig(1), Revision: 2})
+		_, known := r.server("i-1")
+		qt.Check(t, known, qt.Equals, !saturated)
+	}
+}
+
 // Pattern: a flooded router takes half a second between the first look at a
 // caller and the send; the caller gave up meanwhile, after its request had lain
 // unread for seconds. Ground: seen on the users' large site, nine requests that
