Servers that start again under their ids; entries of other writers

The roster took an id for one life: a server that had announced its leaving stayed out for ever after its restart, and counts, pace, ejection and believed parts of the process before were believed of the next. One entry that could not be read made the whole reading of the store fail, so that no change was known any more.

Ruled out: an id made of id and incarnation everywhere (the order of servers for a part would change with each restart, and documents would be read again).

Before: the new tests fail (no incarnation; decode returned an error for all).

--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -32,6 +32,8 @@
 type injector struct {
 	w      *World
 	random *rand.Rand
+	// reborn adds failures of servers that keep their ids, see Plan.
+	reborn bool
 	open   sync.WaitGroup
 }
 
@@ -85,6 +87,9 @@
 		i.crash, i.crash, i.leave, i.leave, i.serverFault, i.serverFault, i.serverLink, i.serverLink,
 		i.moveRoute, i.moveRoute, i.revokeKey, i.revokeKey, i.revokeKey,
 	}
+	if i.reborn {
+		kinds = append(kinds, i.startAgain, i.startAgain, i.spoil, i.spoil)
+	}
 	return kinds[i.random.IntN(len(kinds))]()
 }
 
@@ -235,6 +240,46 @@
 	}
 }
 
+// startAgain ends a server without a word; it starts again under its id at
+// another address, knowing nothing. At times its entry lapses in between.
+func (i *injector) startAgain() failure {
+	s := i.take(true)
+	if s == nil {
+		return nothing()
+	}
+	lapses, pause := i.random.IntN(2) == 0, i.length(100*time.Millisecond, lapse)
+	return failure{kind: serverCrash, router: noRouter, server: s.ID, do: func() {
+		s.close()
+		time.Sleep(pause)
+		if lapses {
+			i.w.store.Remove(backend.Key(s.ID))
+		}
+		if err := i.w.runServer(s.ID, s.Service, "127.0.0.1:0"); err != nil {
+			i.w.Record.add(func() { i.w.Record.Exits = append(i.w.Record.Exits, "a server did not start again: "+err.Error()) })
+		}
+	}}
+}
+
+// spoil lets another writer write over a server's entry for a while.
+func (i *injector) spoil() failure {
+	s := i.take(false)
+	if s == nil {
+		return nothing()
+	}
+	texts := []string{"", "{", `{"service":7}`, `{"service":"x","state":"resting"}`}
+	text, length := texts[i.random.IntN(len(texts))], i.length(200*time.Millisecond, 3*time.Second)
+	return failure{kind: serverLink, router: noRouter, server: s.ID, do: func() {
+		i.w.store.Put(backend.Key(s.ID), []byte(text))
+		time.Sleep(length)
+		i.w.mu.Lock()
+		still := i.w.servers[s.ID] == s && !s.leaving
+		i.w.mu.Unlock()
+		if still {
+			i.w.enter(s, backend.Ready)
+		}
+	}}
+}
+
 // leave drains a server and replaces it. Every third one's entry is removed
 // without a word before.
 func (i *injector) leave() failure {
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -14,6 +14,9 @@
 	Seed uint64
 	// Failures is how long failures are made, Every the mean time between two.
 	Failures, Every time.Duration
+	// Reborn adds servers that start again under their ids and entries that
+	// others spoil. Seeds choose the same failures as ever without it.
+	Reborn bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -56,7 +59,7 @@
 		working.Go(func() { c.run(ctx) })
 	}
 	time.Sleep(warmUp)
-	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5))}
+	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn}
 	for end := time.Now().Add(plan.Failures); time.Now().Before(end); {
 		i.start(i.draw())
 		time.Sleep(time.Duration(i.random.ExpFloat64() * float64(plan.Every)))
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -87,3 +87,23 @@
 		})
 	}
 }
+
+// Servers start again under their ids, and others write over servers' entries,
+// beside everything else: watches that hear nothing, a store that is away, routers
+// that start anew.
+func TestServersThatKeepTheirIDs(t *testing.T) {
+	bin := fleet.BuildForTest(t)
+	for _, seed := range []uint64{301, 302} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
+			w, err := Start(context.Background(), bin, t.TempDir(), size)
+			if w != nil {
+				defer w.Close()
+			}
+			qt.Assert(t, err, qt.IsNil)
+			w.Run(Plan{Seed: seed, Failures: 8 * time.Second, Every: 300 * time.Millisecond, Reborn: true}, size.Callers)
+			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+		})
+	}
+}
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -213,12 +213,13 @@
 	return w.config.keys[team]
 }
 
-// server is one life of a backend server.
+// server is one process of a backend server.
 type server struct {
 	backend.Config
 	backend *backend.Server
 	link    *relay.Relay
 	http    *http.Server
+	born    time.Time
 	// leaving tells that it drains or is gone.
 	leaving bool
 }
@@ -228,17 +229,22 @@
 	_ = s.http.Close()
 }
 
-// startServer starts a backend server at the address and enters it.
+// startServer starts a backend server under a new id at the address.
 func (w *World) startServer(service, address string) error {
 	w.mu.Lock()
 	w.nextID++
 	id := serverID(w.nextID)
 	w.mu.Unlock()
+	return w.runServer(id, service, address)
+}
+
+// runServer starts a process of a backend server at the address and enters it.
+func (w *World) runServer(id, service, address string) error {
 	cfg := backend.Config{ID: id, Service: service, Slots: plainSlots, Time: plainTime}
 	if service == engineService {
 		cfg.Slots, cfg.Time, cfg.Engine = engineSlots, eventPause, true
 	}
-	s := &server{Config: cfg, backend: backend.New(cfg, w.Record)}
+	s := &server{Config: cfg, backend: backend.New(cfg, w.Record), born: time.Now()}
 	s.http = &http.Server{Handler: s.backend, ReadHeaderTimeout: time.Second}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -257,6 +263,8 @@
 
 // enter writes the server's entry.
 func (w *World) enter(s *server, state string) {
-	e := backend.Entry{Service: s.Service, Address: s.link.Addr(), Zone: "hall-pamp", Slots: s.Slots, State: state}
+	e := backend.Entry{
+		Service: s.Service, Address: s.link.Addr(), Zone: "hall-pamp", Version: "v1", Slots: s.Slots, State: state, Born: s.born.UnixMilli(),
+	}
 	w.store.Put(backend.Key(s.ID), e.Bytes())
 }
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -9,6 +9,7 @@
 
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/roster"
 )
 
 // State holds the servers and this router's runs. Invariant: the counts of a
@@ -75,16 +76,20 @@
 // SetService tells what the service's servers are.
 func (s *State) SetService(service string, traits Traits) { s.pool(service).traits = traits }
 
-// Add takes a server in.
-func (s *State) Add(id, service string, slots int) {
-	if s.servers[id] != nil {
-		return
+// Add takes an incarnation of a server in. Nothing that is known of an earlier one
+// under its id is believed of it; a later one stays.
+func (s *State) Add(id string, incarnation roster.Incarnation, service string, slots int) {
+	if before := s.servers[id]; before != nil {
+		if before.incarnation >= incarnation {
+			return
+		}
+		s.Remove(id)
 	}
 	one := &server{
-		id: id, service: service, slots: max(slots, 1),
+		id: id, incarnation: incarnation, number: ServerID(xxhash.Sum64String(roster.Identity(id, incarnation))),
+		service: service, slots: max(slots, 1),
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), parts: make(map[uint64]partUse),
 	}
-	one.number = ServerID(one.seed)
 	s.servers[id], s.numbers[one.number] = one, one
 	p := s.pool(service)
 	p.servers = append(p.servers, one)
--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -6,7 +6,7 @@
 	"goldcrestport/coordination/fairshare"
 )
 
-// ServerID names a server in messages between routers.
+// ServerID names an incarnation of a server in messages between routers.
 type ServerID uint32
 
 // Use is what one router has at one server.
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"goldcrestport/coordination/roster"
+)
 
 // Part is one part of a prompt that other requests may share.
 type Part struct {
@@ -103,3 +107,6 @@
 
 // Server returns the id of the run's server.
 func (r *Run) Server() string { return r.server.id }
+
+// Incarnation returns that of the run's server.
+func (r *Run) Incarnation() roster.Incarnation { return r.server.incarnation }
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/roster"
 )
 
 // Load is what a backend server says of itself beside an answer.
@@ -15,11 +16,16 @@
 
 // server is one backend server as this router knows it.
 type server struct {
-	id      string
-	service string
-	slots   int
-	seed    uint64
-	// number names the server in messages between routers.
+	id string
+	// incarnation of the process; runs and beliefs are of this one.
+	incarnation roster.Incarnation
+	service     string
+	slots       int
+	// seed orders the servers for a part. It is of the id: the order is the
+	// same after a restart.
+	seed uint64
+	// number names the incarnation in messages between routers, so that what
+	// they say of an earlier one is not taken for this one's.
 	number ServerID
 	// told is the use that the others know.
 	told   Use
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -6,12 +6,23 @@
 // Direct routers use it.
 package roster
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
+
+// Incarnation tells one run of a backend server's process from others under the
+// same id: the Unix millisecond of its start. The greater one is the later; 0 is
+// one that does not say.
+type Incarnation int64
 
 // Server is what a backend server says of itself in the store.
 type Server struct {
-	// ID names one life of the process.
+	// ID names the server. One that starts again may have the id that it had.
 	ID string
+	// Incarnation of the process behind the id, which knows nothing of an
+	// earlier one.
+	Incarnation Incarnation
 	// Address is IP:port. It may be used again by another server.
 	Address    string
 	Service    string
@@ -22,16 +33,35 @@
 	Draining bool
 }
 
+// Identity names one incarnation of the server, also where it is the only one
+// under its id.
+func (s Server) Identity() string { return Identity(s.ID, s.Incarnation) }
+
+// Identity names one incarnation of a server. Servers that do not say theirs are
+// named by their ids alone.
+func Identity(id string, incarnation Incarnation) string {
+	if incarnation == 0 {
+		return id
+	}
+	return id + "@" + strconv.FormatInt(int64(incarnation), 10)
+}
+
 // Config holds the times of a Roster.
 type Config struct {
 	// ReturnGrace is the time after the store's return in which entries that
 	// lapsed while it was away may still come back. The platform promises
 	// about two seconds. Default 2s.
 	ReturnGrace time.Duration
+	// FormerTime is how long the last incarnation of a server that is gone is
+	// remembered, so that a write of it that comes late does not bring it back.
+	// Default 1m: late writes take seconds.
+	FormerTime time.Duration
 }
 
 // DefaultConfig returns the documented defaults.
-func DefaultConfig() Config { return Config{ReturnGrace: 2 * time.Second} }
+func DefaultConfig() Config {
+	return Config{ReturnGrace: 2 * time.Second, FormerTime: time.Minute}
+}
 
 // entry is a server with what is known of its absence.
 type entry struct {
@@ -41,6 +71,14 @@
 	missing bool
 }
 
+// former is the last incarnation of a server that is gone.
+type former struct {
+	incarnation Incarnation
+	drained     bool
+	// until is when it is forgotten; zero before the next Tick.
+	until time.Time
+}
+
 // Change tells that a server may get work from now on, or no more.
 type Change struct {
 	Server Server
@@ -55,20 +93,28 @@
 	ReasonDraining = "draining"
 	ReasonRemoved  = "removed"
 	ReasonLapsed   = "lapsed"
+	// ReasonRestarted: a later incarnation has the id.
+	ReasonRestarted = "restarted"
+	// ReasonInvalid: what stands under the id now cannot be an entry of it.
+	ReasonInvalid = "invalid_entry"
 )
 
 // Roster holds the known servers. It must be used by one goroutine at a time.
-// Invariant: a server that said that it drains never becomes usable again.
+// Invariants: an incarnation that said that it drains never becomes usable again,
+// and none becomes usable after a later one of its id.
 type Roster struct {
 	cfg     Config
 	entries map[string]*entry
+	formers map[string]former
 	away    bool
 	// graceEnd is when missing entries count as gone.
 	graceEnd time.Time
 }
 
 // New returns a roster without servers.
-func New(cfg Config) *Roster { return &Roster{cfg: cfg, entries: make(map[string]*entry)} }
+func New(cfg Config) *Roster {
+	return &Roster{cfg: cfg, entries: make(map[string]*entry), formers: make(map[string]former)}
+}
 
 // StoreLost notes that the store does not answer.
 func (r *Roster) StoreLost() { r.away = true }
@@ -90,26 +136,53 @@
 // away.
 func (r *Roster) Settling(now time.Time) bool { return r.away || now.Before(r.graceEnd) }
 
-// Put takes a server's entry as it was written.
+// Put takes a server's entry as it was written. One of an incarnation before the
+// known one came late and changes nothing.
 func (r *Roster) Put(s Server) []Change {
+	known, drained := r.latest(s.ID)
+	if s.Incarnation == 0 {
+		s.Incarnation = known
+	}
+	if s.Incarnation < known {
+		return nil
+	}
+	var changes []Change
+	if s.Incarnation > known {
+		changes, drained = r.drop(s.ID, ReasonRestarted), false
+	}
+	return append(changes, r.put(s, drained)...)
+}
+
+// latest returns the last known incarnation under the id, and whether it said
+// that it drains.
+func (r *Roster) latest(id string) (Incarnation, bool) {
+	if e := r.entries[id]; e != nil {
+		return e.server.Incarnation, e.server.Draining
+	}
+	f := r.formers[id]
+	return f.incarnation, f.drained
+}
+
+// put takes the entry of the last incarnation, which may have drained before.
+func (r *Roster) put(s Server, drained bool) []Change {
 	e := r.entries[s.ID]
-	if e == nil {
+	joins := e == nil
+	if joins {
 		e = &entry{}
 		r.entries[s.ID] = e
-		e.server = s
-		if s.Draining {
-			return nil
-		}
-		return []Change{{Server: s, Usable: true, Reason: ReasonJoined}}
+		delete(r.formers, s.ID)
 	}
-	drained := e.server.Draining
-	e.missing = false
-	e.server = s
-	e.server.Draining = s.Draining || drained
-	if s.Draining && !drained {
+	announced := s.Draining && !drained
+	s.Draining = s.Draining || drained
+	e.missing, e.server = false, s
+	switch {
+	case joins && !s.Draining:
+		return []Change{{Server: s, Usable: true, Reason: ReasonJoined}}
+	case !joins && announced:
 		return []Change{{Server: s, Reason: ReasonDraining}}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Remove takes the removal of a server's entry. While the store is away, and
@@ -126,6 +199,10 @@
 	return r.drop(id, ReasonRemoved)
 }
 
+// Invalidate notes that what stands under the id cannot be used: unlike an entry
+// that is missing it did not lapse.
+func (r *Roster) Invalidate(id string) []Change { return r.drop(id, ReasonInvalid) }
+
 // Replace takes a whole listing of the entries.
 func (r *Roster) Replace(now time.Time, all []Server) []Change {
 	var changes []Change
@@ -144,6 +221,7 @@
 
 // Tick drops the servers that did not come back in time.
 func (r *Roster) Tick(now time.Time) []Change {
+	r.forget(now)
 	if r.Settling(now) {
 		return nil
 	}
@@ -162,9 +240,29 @@
 	return e != nil && !e.server.Draining
 }
 
+// forget drops the incarnations that are gone for long.
+func (r *Roster) forget(now time.Time) {
+	for id, f := range r.formers {
+		switch {
+		case f.until.IsZero():
+			f.until = now.Add(r.cfg.FormerTime)
+			r.formers[id] = f
+		case !now.Before(f.until):
+			delete(r.formers, id)
+		}
+	}
+}
+
+// drop forgets the server's entry but not that its incarnation was here.
 func (r *Roster) drop(id, reason string) []Change {
 	e := r.entries[id]
+	if e == nil {
+		return nil
+	}
 	delete(r.entries, id)
+	if e.server.Incarnation != 0 {
+		r.formers[id] = former{incarnation: e.server.Incarnation, drained: e.server.Draining}
+	}
 	if e.server.Draining {
 		return nil
 	}
--- a/standin/backend/entry.go
+++ b/standin/backend/entry.go
@@ -8,9 +8,15 @@
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	Version string `json:"version"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
-	Seq     int    `json:"seq"`
+	// ColdLeftMs is how much longer the server is slow after its start.
+	ColdLeftMs float64 `json:"coldLeftMs"`
+	Seq        int     `json:"seq"`
+	// Born is the Unix millisecond of the process's start; 0: an older server,
+	// which does not say it.
+	Born int64 `json:"born,omitempty"`
 }
 
 // States of an entry.
--- a/standin/cmd/standin/direct.go
+++ b/standin/cmd/standin/direct.go
@@ -74,7 +74,7 @@
 
 // enter writes the server's entry to the store.
 func (o backendOptions) enter(address, state string) error {
-	e := backend.Entry{Service: o.Service, Address: address, Zone: "hall-pamp", Slots: o.Slots, State: state}
+	e := backend.Entry{Service: o.Service, Address: address, Zone: "hall-pamp", Version: "v1", Slots: o.Slots, State: state}
 	url := "http://" + o.store + "/admin/items/" + backend.Key(o.ID)
 	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(e.Bytes()))
 	if err != nil {
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -50,8 +50,8 @@
 
 // Target names the server of an exchange.
 type Target struct {
-	// ID of the server's life. Connections are never shared between two ids,
-	// even at one address.
+	// ID of the server's incarnation. Connections are never shared between two
+	// ids, even at one address.
 	ID      string
 	Address string
 }
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -74,11 +74,26 @@
 	Incoming(h http.Header) http.Header
 }
 
+// InvalidEntry is an entry of the store that its owner cannot have written: what
+// it names is not used, and the other entries hold.
+type InvalidEntry struct {
+	// Key of the entry, and the Revision at which it was written.
+	Key      string
+	Revision uint64
+	// Server is the id of the backend server that the key names; empty for
+	// entries of another kind.
+	Server string
+	// Reason for the log.
+	Reason string
+}
+
 // Snapshot is everything that operators and backend servers wrote.
 type Snapshot struct {
 	// Config is the newest configuration; nil if there is none yet.
 	Config  *routing.Config
 	Servers []roster.Server
+	// Invalid are entries that stand in the store and cannot be used.
+	Invalid []InvalidEntry
 	// Routers are the ids and peers' addresses of the registered routers.
 	Routers map[string]string
 	// Revision to ask for changes after.
@@ -92,6 +107,8 @@
 	Servers []roster.Server
 	// Removed are the ids of servers without an entry now.
 	Removed []string
+	// Invalid are entries that changed and cannot be used.
+	Invalid []InvalidEntry
 	// Joined and Left are changes of the registered routers.
 	Joined   map[string]string
 	Left     []string
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -113,6 +113,9 @@
 	if !known {
 		return refused, errors.New("the server left")
 	}
+	if server.Incarnation != run.Incarnation() {
+		return refused, errors.New("the server started again")
+	}
 	if c.r.isLate() && c.hasLeft() {
 		// Between the first look and here a late router may take half a second,
 		// in which its caller gave up unnoticed.
@@ -126,7 +129,7 @@
 	out := c.r.dialect.Outgoing(c.req.Header, Call{
 		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.lastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
 	})
-	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.ID, Address: server.Address}, backend.Request{
+	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
 		Own: func(h http.Header) bool { return c.r.dialect.Own(h, c.meta.ID) },
 	})
--- a/transport/direct/history.go
+++ b/transport/direct/history.go
@@ -40,7 +40,10 @@
 	if h.since == 0 || revision < h.since {
 		return Delta{}, false
 	}
-	m := merged{servers: map[string]roster.Server{}, removed: map[string]bool{}, joined: map[string]string{}, left: map[string]bool{}}
+	m := merged{
+		servers: map[string]roster.Server{}, removed: map[string]bool{}, invalid: map[string]InvalidEntry{},
+		joined: map[string]string{}, left: map[string]bool{},
+	}
 	for _, d := range h.changes {
 		if d.Revision > revision {
 			m.add(d)
@@ -54,6 +57,9 @@
 	last    Delta
 	servers map[string]roster.Server
 	removed map[string]bool
+	// invalid holds the entries that cannot be used by their keys, servers' ones
+	// by the servers' ids.
+	invalid map[string]InvalidEntry
 	joined  map[string]string
 	left    map[string]bool
 }
@@ -66,11 +72,17 @@
 	for _, s := range d.Servers {
 		m.servers[s.ID] = s
 		delete(m.removed, s.ID)
+		delete(m.invalid, s.ID)
 	}
 	for _, id := range d.Removed {
 		delete(m.servers, id)
+		delete(m.invalid, id)
 		m.removed[id] = true
 	}
+	for _, one := range d.Invalid {
+		delete(m.servers, one.Server)
+		m.invalid[one.name()] = one
+	}
 	for id, address := range d.Joined {
 		m.joined[id] = address
 		delete(m.left, id)
@@ -83,6 +95,7 @@
 
 func (m *merged) delta() Delta {
 	m.last.Servers = slices.Collect(maps.Values(m.servers))
+	m.last.Invalid = slices.Collect(maps.Values(m.invalid))
 	m.last.Removed = slices.Sorted(maps.Keys(m.removed))
 	m.last.Joined = m.joined
 	m.last.Left = slices.Sorted(maps.Keys(m.left))
--- a/transport/direct/history_test.go
+++ b/transport/direct/history_test.go
@@ -30,6 +30,9 @@
 	for _, id := range d.Removed {
 		delete(k.servers, id)
 	}
+	for _, one := range d.Invalid {
+		delete(k.servers, one.Server)
+	}
 	for id, address := range d.Joined {
 		k.routers[id] = address
 	}
@@ -67,13 +70,15 @@
 			revision += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
 			d := Delta{Revision: revision, Joined: map[string]string{}}
 			name := names.Draw(t, "name")
-			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
 				d.Servers = []roster.Server{{ID: name, Slots: n}}
 			case 1:
 				d.Removed = []string{name}
 			case 2:
 				d.Joined[name] = "address"
+			case 4:
+				d.Invalid = []InvalidEntry{{Server: name, Revision: revision}}
 			case 3:
 				d.Left = []string{name}
 			default:
--- /dev/null
+++ b/transport/direct/incarnation_test.go
@@ -0,0 +1,119 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/settings"
+)
+
+// lineBuffer keeps what a router logs.
+type lineBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *lineBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// String returns all lines.
+func (b *lineBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// incarnationOf is the entry of a backend server that says when it began.
+func incarnationOf(b *backendServer, id string, incarnation roster.Incarnation) roster.Server {
+	return roster.Server{ID: id, Incarnation: incarnation, Address: b.address, Service: "app", Slots: 8}
+}
+
+// waitFor waits until the condition holds, or fails.
+func (f *fixture) waitFor(what string, holds func() bool) {
+	f.Helper()
+	for range 400 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.Fatal(what)
+}
+
+func (f *fixture) knows(id string, incarnation roster.Incarnation) bool {
+	s, known := f.router.server(id)
+	return known && s.Incarnation == incarnation
+}
+
+// A server that starts again under its id, at another address, gets the work that
+// the earlier process had, also when that one had announced its leaving; late
+// words of the earlier one change nothing, whoever tells them.
+func TestAServerThatStartsAgainUnderItsIDIsANewOne(t *testing.T) {
+	before, after := newBackend(t, "i-1", ok), newBackend(t, "i-1", ok)
+	f := startWith(t, testConfig(1), func(_ *settings.Direct, s *testSource) {
+		s.now.Servers = []roster.Server{incarnationOf(before, "i-1", 100)}
+	})
+	f.Check(f.call("/safe/", "r1").status, qt.Equals, http.StatusOK)
+	leaving := incarnationOf(before, "i-1", 100)
+	leaving.Draining = true
+	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 2}
+	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(after, "i-1", 200)}, Revision: 3}
+	f.waitFor("the later process is not known", func() bool { return f.knows("i-1", 200) })
+	f.Check(f.call("/safe/", "r2").status, qt.Equals, http.StatusOK)
+	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 4}
+	f.waitFor("the change did not come", func() bool { return f.router.known() == 4 })
+	f.router.replace(Snapshot{Servers: []roster.Server{leaving}, Routers: map[string]string{}, Revision: 5})
+	f.Check(f.call("/safe/", "r3").status, qt.Equals, http.StatusOK)
+	f.Check(before.runs(), qt.DeepEquals, []string{"r1"})
+	f.Check(after.runs(), qt.DeepEquals, []string{"r2", "r3"})
+}
+
+// An entry that another writer spoilt ends the use of its server at once, also
+// while the store is away; what runs there ends well, other servers go on, one
+// line says so, and the server is back with its next sound entry.
+func TestASpoiltEntryEndsTheUseOfItsServerOnly(t *testing.T) {
+	slow := newBackend(t, "i-1", func(w io.Writer, req *http.Request) bool {
+		time.Sleep(300 * time.Millisecond)
+		return ok(w, req)
+	})
+	other := newBackend(t, "i-2", ok)
+	lines := &lineBuffer{}
+	f := startLogged(t, testConfig(1), log.NewLogfmtLogger(lines), func(_ *settings.Direct, s *testSource) {
+		s.now.Servers = []roster.Server{incarnationOf(slow, "i-1", 100)}
+	})
+	running := make(chan reply, 1)
+	go func() { running <- f.call("/once/", "running") }()
+	f.waitFor("the request does not run", func() bool { return len(slow.runs()) == 1 })
+	spoilt := InvalidEntry{Key: "key/i-1", Server: "i-1", Revision: 2, Reason: "no JSON"}
+	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []InvalidEntry{spoilt}, Revision: 2}
+	f.waitFor("the server is still used", func() bool { _, known := f.router.server("i-1"); return !known })
+	for n := range 4 {
+		f.Check(f.call("/safe/", fmt.Sprint("r", n)).status, qt.Equals, http.StatusOK)
+	}
+	f.Check((<-running).status, qt.Equals, http.StatusOK)
+	f.Check(other.runs(), qt.HasLen, 4)
+	// The same revision read again says nothing new.
+	f.router.replace(Snapshot{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []InvalidEntry{spoilt}, Routers: map[string]string{}, Revision: 3})
+	f.Check(f.router.metrics.invalid.Value(), qt.Equals, int64(1))
+	f.Check(strings.Count(lines.String(), "event=entry_invalid key=key/i-1 revision=2"), qt.Equals, 1)
+	// Who asks this router is told of it, too.
+	answer, err := f.router.mirrored(changesRequest{})
+	f.Assert(err, qt.IsNil)
+	f.Check(answer.Whole.Invalid, qt.DeepEquals, []InvalidEntry{spoilt})
+	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(slow, "i-1", 100)}, Removed: []string{"i-2"}, Revision: 4}
+	f.waitFor("the server is not back", func() bool { return f.knows("i-1", 100) })
+	f.Check(f.call("/safe/", "last").status, qt.Equals, http.StatusOK)
+}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -19,6 +19,7 @@
 	peerReads   *expvar.Int
 	passed      *expvar.Int
 	closedIdle  *expvar.Int
+	invalid     *expvar.Int
 	latency     *observe.Times
 }
 
@@ -35,6 +36,7 @@
 		passed:      v.Int("direct_changes_passed"),
 		peerErrors:  v.Int("direct_peer_errors"),
 		closedIdle:  v.Int("direct_idle_closed"),
+		invalid:     v.Int("direct_invalid_entries"),
 		latency:     v.Times("direct_latency_us"),
 	}
 	v.Func("direct_held", func() any { return r.held.Load() })
--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -18,8 +18,10 @@
 // mirror is what the store holds, as far as this router knows: the entries
 // themselves, without what the roster makes of them.
 type mirror struct {
-	config   *routing.Config
-	servers  map[string]roster.Server
+	config  *routing.Config
+	servers map[string]roster.Server
+	// invalid holds the entries that cannot be used by their servers' ids.
+	invalid  map[string]InvalidEntry
 	revision uint64
 	history  history
 }
@@ -41,6 +43,10 @@
 	for _, one := range s.Servers {
 		m.servers[one.ID] = one
 	}
+	m.invalid = make(map[string]InvalidEntry, len(s.Invalid))
+	for _, one := range s.Invalid {
+		m.keepInvalid(one)
+	}
 	m.revision = s.Revision
 	m.history.restart(s.Revision)
 }
@@ -53,9 +59,14 @@
 	}
 	for _, one := range d.Servers {
 		m.servers[one.ID] = one
+		delete(m.invalid, one.ID)
 	}
 	for _, id := range d.Removed {
 		delete(m.servers, id)
+		delete(m.invalid, id)
+	}
+	for _, one := range d.Invalid {
+		m.keepInvalid(one)
 	}
 	m.revision = d.Revision
 }
@@ -131,7 +142,10 @@
 		answer.Changes = &d
 		return answer, nil
 	}
-	answer.Whole = &Snapshot{Servers: slices.Collect(maps.Values(r.mirror.servers)), Routers: maps.Clone(r.peers), Revision: r.mirror.revision}
+	answer.Whole = &Snapshot{
+		Servers: slices.Collect(maps.Values(r.mirror.servers)), Invalid: r.mirror.invalidEntries(),
+		Routers: maps.Clone(r.peers), Revision: r.mirror.revision,
+	}
 	if r.mirror.config.Version > want.Version {
 		answer.Whole.Config = r.mirror.config
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -72,7 +72,9 @@
 		// router that vouched for it.
 		router string
 	}
-	mirror    mirror
+	mirror mirror
+	// noted holds the revisions at which invalid entries were logged, by key.
+	noted     map[string]uint64
 	behind    chan struct{}
 	returning *returning.Tracker
 
@@ -104,6 +106,7 @@
 		servers:   make(map[string]roster.Server),
 		peers:     make(map[string]string),
 		heard:     make(map[string]uint32),
+		noted:     make(map[string]uint64),
 		behind:    make(chan struct{}, 1),
 		vouched:   make(chan struct{}, 1),
 		returning: returning.New(returning.DefaultConfig()),
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -60,6 +60,7 @@
 	}
 	r.mirror.replace(s)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
+	r.invalidate(s.Invalid)
 	r.peers = s.Routers
 	r.countRouters()
 }
@@ -79,6 +80,7 @@
 	for _, id := range d.Removed {
 		r.apply(r.roster.Remove(time.Now(), id))
 	}
+	r.invalidate(d.Invalid)
 	for id, address := range d.Joined {
 		r.peers[id] = address
 	}
@@ -99,13 +101,13 @@
 	for _, c := range changes {
 		if c.Usable {
 			r.servers[c.Server.ID] = c.Server
-			r.admission.Add(c.Server.ID, c.Server.Service, c.Server.Slots)
+			r.admission.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, c.Server.Slots)
 		} else {
 			delete(r.servers, c.Server.ID)
 			r.admission.Remove(c.Server.ID)
-			go r.pool.Forget(c.Server.ID)
+			go r.pool.Forget(c.Server.Identity())
 		}
-		r.event("backend_server", "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "usable", c.Usable, "reason", c.Reason)
+		r.event("backend_server", "server", c.Server.ID, "incarnation", c.Server.Incarnation, "service", c.Server.Service, "address", c.Server.Address, "usable", c.Usable, "reason", c.Reason)
 	}
 }
 
