Settings take every bound that the platform may give

Cause: a router's settings took the allowance of repeats as a whole number only, memory too; the small twin of the large site gives a fraction, and all routers ended at their start. A bound that is missing gave text such as "ms". A grace below the linger was refused.

What it can't run with is one line with field, value and range.

Ruled out: rounding in the template (it cannot compute).

Before: TestTheDeployedTemplateTakesEveryBound fails for fractions and missing values. After: passes.

--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -80,7 +80,7 @@
 		Backend:   backend.DefaultConfig(),
 		Repeats: repeats.Config{
 			Window: set.Repeats.Window.D(), Ratio: set.Repeats.Ratio,
-			Allowance: float64(set.Repeats.Allowance), Use: repeats.DefaultUse,
+			Allowance: set.Repeats.Allowance, Use: repeats.DefaultUse,
 		},
 		Freshness: scale(set.KeyRevocation.D(), freshnessShare),
 	}
--- /dev/null
+++ b/cmd/goldcrestd/template_test.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"goldcrestport/protocol/settings"
+)
+
+// fields are what the users' platform fills the template from, as an example.
+func fields() map[string]any {
+	return map[string]any{
+		"nodeName": "edge-hall-pamp-1", "zone": "hall-pamp", "ip": "10.1.0.33",
+		"internalPorts": []any{7400, 7415}, "seeds": []any{"10.1.0.33:8785", "10.2.0.18:8785"},
+		"listen":   map[string]any{"front": "10.1.0.33:8783", "ready": "10.1.0.33:8780", "control": "10.1.0.33:8785"},
+		"limits":   map[string]any{"memoryMb": 284},
+		"platform": map[string]any{"address": "10.200.1.7:8781"},
+		"bounds": map[string]any{
+			"revokeMs": 5000, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 52, "eventDelayMs": 120, "graceS": 8,
+		},
+	}
+}
+
+// with returns the fields with one more value of the table, or without it.
+func with(table, field string, value any) map[string]any {
+	all := fields()
+	inner := maps.Clone(all[table].(map[string]any))
+	inner[field] = value
+	if value == nil {
+		delete(inner, field)
+	}
+	all[table] = inner
+	return all
+}
+
+var (
+	section     = regexp.MustCompile(`(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/([\w.]+)\}\}`)
+	placeholder = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
+)
+
+// render fills a template as the platform's pages say: sections once for each
+// entry of a list or once for a value that is there, inverted ones where none is,
+// values as text or as JSON. Sections of one name are not nested here.
+func render(c *quicktest.C, template string, all map[string]any) string {
+	for {
+		at := section.FindStringSubmatchIndex(template)
+		if at == nil {
+			break
+		}
+		part := func(n int) string { return template[at[2*n]:at[2*n+1]] }
+		c.Assert(part(2), quicktest.Equals, part(4))
+		template = template[:at[0]] + renderSection(part(1), lookup(all, part(2)), part(3)) + template[at[1]:]
+	}
+	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
+		m := placeholder.FindStringSubmatch(text)
+		return valueText(lookup(all, m[1]), m[2] != "")
+	})
+}
+
+func renderSection(mark string, value any, body string) string {
+	there := value != nil && value != false
+	list, isList := value.([]any)
+	if mark == "^" {
+		if there {
+			return ""
+		}
+		return body
+	}
+	if !isList {
+		if there {
+			return body
+		}
+		return ""
+	}
+	var out strings.Builder
+	for i, one := range list {
+		comma := ","
+		if i == len(list)-1 {
+			comma = ""
+		}
+		out.WriteString(strings.NewReplacer("{{.|json}}", valueText(one, true), "{{.}}", valueText(one, false), "{{,}}", comma).Replace(body))
+	}
+	return out.String()
+}
+
+func lookup(all map[string]any, path string) any {
+	var at any = all
+	for _, key := range strings.Split(path, ".") {
+		switch v := at.(type) {
+		case map[string]any:
+			at = v[key]
+		case []any:
+			n, err := strconv.Atoi(key)
+			if err != nil || n >= len(v) {
+				return nil
+			}
+			at = v[n]
+		default:
+			return nil
+		}
+	}
+	return at
+}
+
+func valueText(value any, asJSON bool) string {
+	if asJSON {
+		data, _ := json.Marshal(value)
+		return string(data)
+	}
+	switch v := value.(type) {
+	case nil:
+		return ""
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+// deployed loads the settings that the deployed template gives with the fields.
+func deployed(c *quicktest.C, all map[string]any) (settings.Direct, error) {
+	template, err := os.ReadFile("../../deploy/router.json.tmpl")
+	c.Assert(err, quicktest.IsNil)
+	file := filepath.Join(c.TempDir(), "router.json")
+	c.Assert(os.WriteFile(file, []byte(render(c, string(template), all)), 0o600), quicktest.IsNil)
+	set := settings.DefaultDirect()
+	err = settings.Load(file, &set)
+	return set, err
+}
+
+func TestTheDeployedTemplateTellsWhatItIsGiven(t *testing.T) {
+	c := quicktest.New(t)
+	set, err := deployed(c, fields())
+	c.Assert(err, quicktest.IsNil)
+	c.Check(set.ID, quicktest.Equals, "edge-hall-pamp-1")
+	c.Check(set.Listen.Peers, quicktest.Equals, "10.1.0.33:7400")
+	c.Check(set.Seeds, quicktest.DeepEquals, []string{"10.1.0.33:8785", "10.2.0.18:8785"})
+	c.Check(set.KeyRevocation.D(), quicktest.Equals, 5*time.Second)
+	c.Check(set.Repeats, quicktest.Equals, settings.Repeats{Window: settings.Duration(10 * time.Second), Ratio: 0.2, Allowance: 52})
+	c.Check(set.EventDelay.D(), quicktest.Equals, 120*time.Millisecond)
+	c.Check(set.Memory, quicktest.Equals, 284*settings.MiB)
+	c.Check(set.Stop.Bound.D(), quicktest.Equals, 8*time.Second)
+	c.Check(set.Linger(), quicktest.Equals, 2700*time.Millisecond)
+}
+
+// Bounds are whole numbers, fractions, or true or false, and any may be missing:
+// a router must start with each that it can run with. A bound that is no whole
+// number once ended every router of a fleet at its start.
+func TestTheDeployedTemplateTakesEveryBound(t *testing.T) {
+	for _, field := range []string{"revokeMs", "retryRatio", "retryWindowS", "retrySlack", "eventDelayMs", "graceS"} {
+		for _, value := range []any{nil, 0.5, 1.5, 12.25, 100000, 1000000.5} {
+			if field == "revokeMs" && (value == 0.5 || value == 1.5) {
+				// Nothing can be known to be that new, see below.
+				continue
+			}
+			t.Run(fmt.Sprintf("%s %v", field, value), func(t *testing.T) {
+				c := quicktest.New(t)
+				set, err := deployed(c, with("bounds", field, value))
+				c.Assert(err, quicktest.IsNil)
+				c.Check(set.Linger() <= set.Stop.Bound.D()/2, quicktest.IsTrue)
+			})
+		}
+	}
+	for _, field := range []string{"retryRatio", "retrySlack", "eventDelayMs"} {
+		c := quicktest.New(t)
+		_, err := deployed(c, with("bounds", field, 0))
+		c.Check(err, quicktest.IsNil, quicktest.Commentf("%s 0", field))
+	}
+	for _, all := range []map[string]any{
+		with("limits", "memoryMb", nil), with("limits", "memoryMb", 184.5), with("limits", "memoryMb", 1048576), with("listen", "control", nil),
+	} {
+		c := quicktest.New(t)
+		_, err := deployed(c, all)
+		c.Check(err, quicktest.IsNil)
+	}
+	for _, seeds := range [][]any{nil, {}, {"10.1.0.33:8785"}} {
+		c := quicktest.New(t)
+		all := fields()
+		all["seeds"] = seeds
+		set, err := deployed(c, all)
+		c.Check(err, quicktest.IsNil)
+		c.Check(set.Seeds, quicktest.HasLen, len(seeds))
+	}
+}
+
+// What the product cannot run with is one line that names the setting, its value
+// and the range.
+func TestTheDeployedTemplateRefusesInOneLine(t *testing.T) {
+	for _, tc := range []struct {
+		field string
+		value any
+		want  string
+	}{
+		{"revokeMs", 0, `key_revocation: .*0ms.* 10ms .*`},
+		{"retryWindowS", 0, `repeats.window: .*0s.* 10ms .*`},
+		{"graceS", 0, `stop.bound: .*0s.* 100ms .*`},
+		{"retryRatio", -1, `repeats.ratio: .*`},
+		{"retrySlack", "many", `repeats.allowance: .*number.*`},
+	} {
+		c := quicktest.New(t)
+		_, err := deployed(c, with("bounds", tc.field, tc.value))
+		problems, ok := err.(*settings.Problems)
+		c.Assert(ok, quicktest.IsTrue, quicktest.Commentf("%s: %v", tc.field, err))
+		c.Check(problems.List, quicktest.HasLen, 1)
+		c.Check(problems.List[0].String(), quicktest.Matches, tc.want)
+	}
+}
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -46,7 +46,7 @@
 	// Ratio of repeats to requests. Default 0.2.
 	Ratio float64 `json:"ratio"`
 	// Allowance of repeats in a window beside the ratio. Default 10.
-	Allowance int `json:"allowance"`
+	Allowance float64 `json:"allowance"`
 }
 
 // Direct holds the settings of a router that calls backend servers itself.
@@ -68,10 +68,13 @@
 	EventDelay Duration `json:"event_delay"`
 	// Memory that the process may use; its soft limit lies below. Default
 	// 256 MiB.
-	Memory Size  `json:"memory"`
-	Stop   Stop  `json:"stop"`
-	Log    Log   `json:"log"`
-	Trace  Trace `json:"trace"`
+	Memory Size `json:"memory"`
+	// Stop holds the times of a graceful shutdown. Its linger is cut to
+	// LingerShare of its bound, so that a short bound leaves time to refuse and
+	// to end what runs.
+	Stop  Stop  `json:"stop"`
+	Log   Log   `json:"log"`
+	Trace Trace `json:"trace"`
 }
 
 // DefaultDirect returns a direct router's settings with every default filled
@@ -95,6 +98,15 @@
 	}
 }
 
+// LingerShare of the bound of a graceful shutdown is the longest linger of a
+// direct router.
+const LingerShare = 0.4
+
+// Linger is the time in which a router that leaves still takes new work.
+func (d *Direct) Linger() time.Duration {
+	return min(d.Stop.Linger.D(), time.Duration(LingerShare*float64(d.Stop.Bound)))
+}
+
 func (*Direct) schema() string { return directSchema }
 
 // clashes reports values that do not go together.
@@ -107,6 +119,5 @@
 		all = append(all, listener{"listen.seeds", d.Listen.Seeds})
 	}
 	checkListeners(p, all)
-	d.Stop.clashes(p)
 	d.Trace.clashes(p)
 }
--- a/protocol/settings/units.go
+++ b/protocol/settings/units.go
@@ -36,8 +36,8 @@
 	return json.Marshal(time.Duration(d).String())
 }
 
-// Size is a number of bytes, written as "8MiB" or as a plain number of bytes
-// in JSON.
+// Size is a number of bytes, written as "8MiB", "1.5GiB" or as a plain number of
+// bytes in JSON.
 type Size int64
 
 // Units of a Size.
@@ -86,7 +86,8 @@
 // MarshalJSON writes the size as a string with its unit.
 func (s Size) MarshalJSON() ([]byte, error) { return json.Marshal(s.String()) }
 
-// ParseSize reads "8MiB", "512B" or a whole number of bytes.
+// ParseSize reads "8MiB", "1.5GiB", "512B" or a number of bytes. A part of a byte
+// is left out.
 func ParseSize(text string) (Size, error) {
 	number, unit := text, Size(1)
 	for _, u := range sizeUnits {
@@ -95,9 +96,18 @@
 			break
 		}
 	}
-	n, err := strconv.ParseInt(number, 10, 64)
-	if err != nil || n < 0 || n > math.MaxInt64/int64(unit) {
-		return 0, errors.Newf("%q is no size such as \"8MiB\"", text)
+	wrong := errors.Newf("%q is no size such as \"8MiB\"", text)
+	if n, err := strconv.ParseInt(number, 10, 64); err == nil {
+		if n < 0 || n > math.MaxInt64/int64(unit) {
+			return 0, wrong
+		}
+		return Size(n) * unit, nil
+	}
+	n, err := strconv.ParseFloat(number, 64)
+	bytes := n * float64(unit)
+	// What is no number compares false.
+	if err != nil || !(bytes >= 0 && bytes < math.MaxInt64) || unit == 1 {
+		return 0, wrong
 	}
-	return Size(n) * unit, nil
+	return Size(bytes), nil
 }
--- a/transport/direct/leave.go
+++ b/transport/direct/leave.go
@@ -18,7 +18,7 @@
 	cfg := leave.DefaultConfig()
 	// Everything has ended when the bound is over, as the process is killed
 	// then.
-	cfg.Linger, cfg.Ending = r.set.Stop.Linger.D(), shutdownTimeout
+	cfg.Linger, cfg.Ending = r.set.Linger(), shutdownTimeout
 	cfg.Bound = max(r.set.Stop.Bound.D()-2*shutdownTimeout, cfg.Linger)
 	r.event("leaving", "held", r.held.Load())
 	r.unready.Store(true)
