--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays every day of bench/days, and of bench/days/pairs (every kind of trouble
+# Plays every day of deploy/days (the pairs hold every kind of trouble
 # twice, once beside an outage of the store), on the site files with the users' bench.
 # BENCH is the bench's program, the arguments are site files.
 set -euo pipefail
@@ -7,7 +7,7 @@
 : "${BENCH:?set BENCH to the program of the users bench}"
 status=0
 for site in "$@"; do
-  for day in bench/days/*.toml bench/days/pairs/*.toml; do
+  for day in deploy/days/*.toml; do
     report=$("$BENCH" run "$site" "$day" --jobs 4 --why "${WHY:-days of our own}" 2>&1 || true)
     line=$(grep -E -A1 '^day ' <<<"$report" | tail -n 1 || true)
     echo "$(basename "$site" .toml) $(basename "$day" .toml): ${line:-not played: $(tail -n 1 <<<"$report")}"
