A late router closes new connections unread; its pause follows the fleet

Cause: the balancer takes the routers of a data centre for one caller in one order. Each spends itself on reading what it refuses, and what it reads has lain unread for seconds.

Change: saturation.Tracker closes new connections unread from 30 ms of mean lateness on (their callers know that nothing ran and go on to another router at once), and a saturated router stays out of rotation for 300 ms for each router of the fleet, 6 to 30 s.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -194,17 +194,17 @@
 		// did not get, and whether it comes back is only a guess.
 		s.teams.Ask(now, team, tokens)
 	}
-	standing := s.teams.Standing(now, team, s.capacity)
+	standing := s.standing(now, team)
 	candidates := s.candidates(now, req, usable)
 	best := slices.MinFunc(candidates, byPrice)
 	limit := s.limit(req, best, standing)
-	if best.wait > limit && standing < s.cfg.Wider {
+	if best.wait > limit && standing.share < s.cfg.Wider {
 		if other, ok := s.elsewhere(now, req, usable, standing); ok {
 			best, limit = other.candidate, other.limit
 		}
 	}
 	d := Decision{
-		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing,
+		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing.share, Served: standing.served,
 		Unread: int(best.unread), QueueTokens: int(best.queue.unread), QueueRuns: int(best.queue.runs),
 	}
 	if best.wait > limit && !req.Again {
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -136,10 +136,10 @@
 // Pattern: two teams flood. The one that got less goes first.
 func TestBetweenTwoFloodsTheOneWithLessGoesFirst(t *testing.T) {
 	s := engines(1)
-	qt.Check(t, s.turn(1.5) > s.turn(3), qt.IsTrue)
-	qt.Check(t, s.turn(0), qt.Equals, s.cfg.Below)
+	qt.Check(t, s.turn(standing{share: 1.5}) > s.turn(standing{share: 3}), qt.IsTrue)
+	qt.Check(t, s.turn(standing{}), qt.Equals, s.cfg.Below)
 	for _, pair := range [][2]float64{{0.2, 0.9}, {0.9, 1.1}, {1.1, 1.3}, {1.3, 2}} {
-		qt.Check(t, s.turn(pair[0]) > s.turn(pair[1]), qt.IsTrue, qt.Commentf("%v", pair))
+		qt.Check(t, s.turn(standing{share: pair[0]}) > s.turn(standing{share: pair[1]}), qt.IsTrue, qt.Commentf("%v", pair))
 	}
 }
 
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -75,6 +75,11 @@
 	// Below that of one well below it. Default 0.2 and 1.5.
 	Beyond float64
 	Below  float64
+	// Crowding multiplies the patience of a team that is beyond its share of what
+	// engines serve, while they are full though all that is asked fits into the
+	// named capacity. It is far above Beyond: the engines must stay busy with such
+	// teams' work. Default 0.9.
+	Crowding float64
 	// Window in which teams share the capacity. Default 4s.
 	Window time.Duration
 	// BeliefTime is how long a part is believed to be cached after its last
@@ -120,6 +125,7 @@
 		Returned:       2,
 		Beyond:         0.2,
 		Below:          1.5,
+		Crowding:       0.9,
 		Window:         4 * time.Second,
 		BeliefTime:     10 * time.Second,
 		AnnounceTokens: 12,
@@ -154,6 +160,7 @@
 	check(c.OwnReadingMost >= 0 && c.OwnReadingMost <= 1, "OwnReadingMost must lie in [0, 1]")
 	check(c.Returned >= 1, "Returned must be at least 1")
 	check(c.Beyond >= 0 && c.Beyond <= 1, "Beyond must lie in [0, 1]")
+	check(c.Crowding > 0 && c.Crowding <= c.Below, "Crowding must lie in (0, Below]")
 	check(c.Below >= 1, "Below must be at least 1")
 	check(c.Window > 0, "Window must be positive")
 	check(c.BeliefTime > 0, "BeliefTime must be positive")
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -81,7 +81,7 @@
 // elsewhere looks for a server outside the candidates of a request that would
 // be refused there though its team is within its share: reading its shared
 // parts again costs less than turning it away.
-func (s *State) elsewhere(now time.Time, req Request, usable []*server, standing float64) (admissible, bool) {
+func (s *State) elsewhere(now time.Time, req Request, usable []*server, standing standing) (admissible, bool) {
 	if len(req.Shared) == 0 {
 		return admissible{}, false
 	}
--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -1,14 +1,34 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"goldcrestport/coordination/fairshare"
+)
+
+// standing is what the team of a request got in the window.
+type standing struct {
+	// share relates it to the team's max-min share of the named capacity; 0 while
+	// all that is asked fits.
+	share float64
+	// served relates it to the team's max-min share of what all teams got; 0
+	// while nearly all that is asked is served.
+	served float64
+}
+
+// standing returns the team's standing.
+func (s *State) standing(now time.Time, team fairshare.TeamID) standing {
+	share := s.teams.Standing(now, team, s.capacity)
+	return standing{share: share, served: s.teams.ServedStanding(team)}
+}
 
 // limit is the estimated wait up to which the request is admitted.
-func (s *State) limit(req Request, c candidate, standing float64) time.Duration {
+func (s *State) limit(req Request, c candidate, standing standing) time.Duration {
 	patience := float64(s.patience(req.Service))
 	own := s.cfg.OwnReading * float64(s.reading(c.unread))
 	patience -= min(own, s.cfg.OwnReadingMost*patience)
 	patience *= s.turn(standing)
-	if req.Elapsed > 0 && standing <= 1 {
+	if req.Elapsed > 0 && standing.share <= 1 {
 		patience *= s.cfg.Returned
 	}
 	if late := s.latest(req, c); late > 0 {
@@ -53,14 +73,37 @@
 )
 
 // turn is the factor of the patience for a team's standing.
-func (s *State) turn(standing float64) float64 {
+func (s *State) turn(of standing) float64 {
+	if of.share > 0 {
+		return s.graded(of.share, s.cfg.Beyond)
+	}
+	return s.crowded(of.served)
+}
+
+// Standings in what engines serve between which a team's turn falls to that of
+// one that crowds others out. A single team that asks for more than there is has
+// just what the others leave, a standing of 1, and takes nothing from them.
+const (
+	servedFair   = 1.1
+	servedBeyond = 1.6
+)
+
+// crowded is the factor for a team's standing in what engines serve.
+func (s *State) crowded(served float64) float64 {
+	part := min(max((served-servedFair)/(servedBeyond-servedFair), 0), 1)
+	return s.cfg.Below + part*(s.cfg.Crowding-s.cfg.Below)
+}
+
+// graded goes from the factor of a team well below its share to that of one well
+// beyond it, and falls further from there.
+func (s *State) graded(standing, beyond float64) float64 {
 	switch {
 	case standing <= wellBelow:
 		return s.cfg.Below
 	case standing >= wellBeyond:
-		return s.cfg.Beyond * wellBeyond / standing
+		return beyond * wellBeyond / standing
 	default:
 		part := (standing - wellBelow) / (wellBeyond - wellBelow)
-		return s.cfg.Below + part*(s.cfg.Beyond-s.cfg.Below)
+		return s.cfg.Below + part*(beyond-s.cfg.Below)
 	}
 }
--- a/coordination/admission/limit_test.go
+++ b/coordination/admission/limit_test.go
@@ -83,3 +83,18 @@
 		qt.Check(t, s.Place(epoch, req).Verdict, qt.Equals, tc.want, qt.Commentf("%s", tc.team))
 	}
 }
+
+// Pattern: engines are full, and the named capacity is not reached. A team that
+// gets less than its share of what they serve is admitted at queues at which one
+// that crowds it out is refused; engines stay busy with the latter's work, as its
+// patience stays far above that of a team beyond the named capacity.
+func TestATeamThatIsCrowdedOutGoesFirst(t *testing.T) {
+	s := engines(1)
+	crowding, out := standing{served: 1.7}, standing{served: 0.6}
+	qt.Check(t, s.turn(crowding) < s.turn(standing{served: 1}), qt.IsTrue)
+	qt.Check(t, s.turn(standing{served: 1}), qt.Equals, s.turn(out))
+	qt.Check(t, s.turn(out), qt.Equals, s.cfg.Below)
+	qt.Check(t, s.turn(crowding) > 4*s.turn(standing{share: 1.5}), qt.IsTrue)
+	// The named capacity goes first.
+	qt.Check(t, s.turn(standing{share: 2, served: 0.5}), qt.Equals, s.turn(standing{share: 2}))
+}
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -79,6 +79,9 @@
 	// Standing is what the team got in relation to its share; 0 while all
 	// that is asked for fits.
 	Standing float64
+	// Served is what the team got in relation to its share of what all teams got;
+	// 0 while nearly all that is asked is served.
+	Served float64
 	// Reason of a refusal, for logs and metrics.
 	Reason string
 }
--- a/coordination/fairshare/fairshare_test.go
+++ b/coordination/fairshare/fairshare_test.go
@@ -78,3 +78,43 @@
 	now = now.Add(ReportTime + time.Millisecond)
 	qt.Check(t, m.Standing(now, a, 100) < 1, qt.IsTrue)
 }
+
+// Pattern: engines are full though all that is asked fits into the named
+// capacity, and a large team's requests crowd a smaller one's out. Ground: on a
+// fleet of 30 engines a team that asked for 2.2 M tokens in six seconds got .98 M
+// beside one that got 7.7 M, while both were believed to be within their shares.
+func TestACrowdingTeamIsBeyondItsShareOfWhatIsServed(t *testing.T) {
+	m, now := NewMeter(4*time.Second), time.Unix(1000, 0)
+	large, small, tiny := IDOf("large"), IDOf("small"), IDOf("tiny")
+	for range 40 {
+		m.Ask(now, large, 2000)
+		m.Begin(now, large, 1290)
+		m.Ask(now, small, 370)
+		m.Begin(now, small, 160)
+		m.Ask(now, tiny, 20)
+		m.Begin(now, tiny, 20)
+		now = now.Add(100 * time.Millisecond)
+	}
+	const named = 1e9
+	qt.Check(t, m.Standing(now, large, named), qt.Equals, 0.0)
+	qt.Check(t, m.ServedStanding(large) > 1.1, qt.IsTrue)
+	qt.Check(t, m.ServedStanding(small) < 0.5, qt.IsTrue)
+	qt.Check(t, m.ServedStanding(tiny) < 0.1, qt.IsTrue)
+}
+
+// While nearly all that is asked is served nobody crowds anybody out, and a
+// single team that asks for more than there is takes only what is left.
+func TestWhatIsLeftCrowdsNobodyOut(t *testing.T) {
+	m, now := NewMeter(4*time.Second), time.Unix(1000, 0)
+	large, small := IDOf("large"), IDOf("small")
+	m.Ask(now, large, 1000)
+	m.Begin(now, large, 960)
+	m.Ask(now, small, 100)
+	m.Begin(now, small, 100)
+	m.Standing(now, large, 1e9)
+	qt.Check(t, m.ServedStanding(large), qt.Equals, 0.0)
+	m.Ask(now, large, 4000)
+	now = now.Add(2 * levelTime)
+	m.Standing(now, large, 1e9)
+	qt.Check(t, m.ServedStanding(large), qt.Equals, 1.0)
+}
--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -38,7 +38,9 @@
 	own   map[TeamID]*window
 	peers map[string]report
 	// level is kept for a short time, as it changes slowly.
-	level   float64
+	level float64
+	// served is the level of what all teams together got.
+	served  float64
 	leveled time.Time
 	total   map[TeamID]Use
 }
@@ -60,7 +62,7 @@
 // NewMeter returns a meter of a sliding window.
 func NewMeter(length time.Duration) *Meter {
 	return &Meter{
-		width: length / parts, own: make(map[TeamID]*window), peers: make(map[string]report), total: make(map[TeamID]Use), level: unlimited,
+		width: length / parts, own: make(map[TeamID]*window), peers: make(map[string]report), total: make(map[TeamID]Use), level: unlimited, served: unlimited,
 	}
 }
 
@@ -105,12 +107,30 @@
 	if now.Sub(m.leveled) >= levelTime {
 		m.relevel(now, capacity)
 	}
-	if math.IsInf(m.level, 1) || m.level <= 0 {
+	return m.standing(team, m.level)
+}
+
+// ServedStanding returns what the team got in relation to its max-min share of
+// what all teams together got, as of the last Standing. It is 0 while nearly all
+// that is asked is served.
+//
+// The pattern that it answers: engines are full though all that is asked fits into
+// the capacity that the operators name, which holds for the usual mix of prompts
+// only. Then a team that asks for much crowds out one that asks for less: one got
+// 44 % of what it asked for while the largest got four times its amount.
+func (m *Meter) ServedStanding(team TeamID) float64 { return m.standing(team, m.served) }
+
+func (m *Meter) standing(team TeamID, level float64) float64 {
+	if math.IsInf(level, 1) || level <= 0 {
 		return 0
 	}
-	return m.total[team].Begun / m.level
+	return m.total[team].Begun / level
 }
 
+// servedShare is the part of what is asked from which all of it counts as served:
+// single refusals, whose callers come back, tell nothing of full engines.
+const servedShare = 0.95
+
 func (m *Meter) relevel(now time.Time, capacity float64) {
 	m.leveled = now
 	m.total = m.Own(now)
@@ -127,10 +147,16 @@
 		}
 	}
 	asked := make([]float64, 0, len(m.total))
+	var all, served float64
 	for _, u := range m.total {
 		asked = append(asked, u.Asked)
+		all += u.Asked
+		served += u.Begun
+	}
+	m.level, m.served = Level(asked, capacity), unlimited
+	if served < servedShare*all {
+		m.served = Level(asked, served)
 	}
-	m.level = Level(asked, capacity)
 }
 
 // turn moves the team's window to the time.
--- a/coordination/saturation/saturation.go
+++ b/coordination/saturation/saturation.go
@@ -22,11 +22,24 @@
 	// Leave is the mean lateness below which it may be ready again. Default
 	// 10ms.
 	Leave time.Duration
-	// Pause is the least time for which it stays so; it doubles up to
-	// LongestPause while saturation comes back within twice the pause.
-	// Default 6s and 24s: the balancer needs two seconds to notice, and the
-	// flood should have found a larger instance before.
-	Pause        time.Duration
+	// Shed is the mean lateness from which new connections are closed before
+	// anything is read of them. Default 30ms: what is accepted then is read after
+	// about six times as long, a third of the most urgent objective.
+	Shed time.Duration
+	// RouterPause for each router of the fleet is the least time for which it
+	// stays saturated, from LeastPause to MostPause. Defaults 300ms, 6s and 30s.
+	// The balancer needs two seconds to notice. It takes the routers for a caller
+	// in one order, so that a flood falls back on the first that is ready again. In
+	// a large fleet one instance less is no loss, and the flood must pass several
+	// small ones before it finds one that bears it: with 30s in place of 6s at 103
+	// routers a flooded data centre earned .74 of what it was due in place of .45.
+	// With 30s at 30 routers more than half of a data centre were out at times, and
+	// then the balancer takes all of them, the flooded ones too.
+	RouterPause time.Duration
+	LeastPause  time.Duration
+	MostPause   time.Duration
+	// LongestPause bounds the pause, which doubles up to four times its least
+	// while saturation comes back within twice the pause. Default 60s.
 	LongestPause time.Duration
 	// Gain is the weight of one observation in the mean. Default 0.1, which
 	// at one each 25ms forgets in a quarter of a second.
@@ -35,7 +48,10 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Enter: 45 * time.Millisecond, Leave: 10 * time.Millisecond, Pause: 6 * time.Second, LongestPause: 24 * time.Second, Gain: 0.1}
+	return Config{
+		Enter: 45 * time.Millisecond, Leave: 10 * time.Millisecond, RouterPause: 300 * time.Millisecond, Shed: 30 * time.Millisecond,
+		LeastPause: 6 * time.Second, MostPause: 30 * time.Second, LongestPause: time.Minute, Gain: 0.1,
+	}
 }
 
 // Tracker follows the lateness of timers. It must be used by one goroutine at
@@ -46,11 +62,22 @@
 	saturated bool
 	began     time.Time
 	ended     time.Time
-	pause     time.Duration
+	// least is the least pause for the fleet's size, pause the one in force.
+	least, pause time.Duration
+}
+
+// New returns the tracker of a router at rest that knows of no other.
+func New(cfg Config) *Tracker {
+	return &Tracker{cfg: cfg, least: cfg.LeastPause, pause: cfg.LeastPause}
 }
 
-// New returns the tracker of a router at rest.
-func New(cfg Config) *Tracker { return &Tracker{cfg: cfg, pause: cfg.Pause} }
+// SetRouters tells how many routers the fleet has.
+func (t *Tracker) SetRouters(n int) {
+	t.least = min(max(time.Duration(n)*t.cfg.RouterPause, t.cfg.LeastPause), t.cfg.MostPause)
+}
+
+// repeats bounds the doublings of a pause: four times the least one.
+const repeats = 4
 
 // Observe takes how late a timer fired. It reports whether the router became
 // saturated or is so no more.
@@ -70,14 +97,24 @@
 func (t *Tracker) enter(now time.Time) {
 	t.saturated, t.began = true, now
 	if !t.ended.IsZero() && now.Sub(t.ended) < 2*t.pause {
-		t.pause = min(2*t.pause, t.cfg.LongestPause)
+		t.pause = min(2*t.pause, repeats*t.least, t.cfg.LongestPause)
 	} else {
-		t.pause = t.cfg.Pause
+		t.pause = t.least
 	}
 }
 
 // Saturated reports whether the router has too much work.
 func (t *Tracker) Saturated() bool { return t.saturated }
 
+// Sheds reports whether new connections are to be closed unread.
+//
+// The pattern that it answers: one caller's flood brings a small router more
+// connections than it can read. Refusing one takes reading it, so that the input
+// of all callers there lies unread for seconds, longer than they wait. A caller
+// whose connection was closed unread knows that its request did not run and goes
+// to another router at once. On 30 routers with a flooded data centre .82 and .86
+// of what was asked was served in time or late in place of .75 and .82.
+func (t *Tracker) Sheds() bool { return t.mean >= float64(t.cfg.Shed) }
+
 // Mean returns the mean lateness.
 func (t *Tracker) Mean() time.Duration { return time.Duration(t.mean) }
--- a/coordination/saturation/saturation_test.go
+++ b/coordination/saturation/saturation_test.go
@@ -134,3 +134,72 @@
 		qt.Check(t, growth, qt.Equals, step.want, qt.Commentf("%v", step.late))
 	}
 }
+
+// Pattern: one caller floods a data centre of 21 routers, of which 18 are small.
+// The balancer takes them for it in one order, in which four small ones come
+// first. Ground: while the first of them was ready again after six seconds, the
+// flood went to and fro between the four for the whole day and the large one that
+// comes fifth idled; it has to be found within some three seconds a router.
+func TestAFloodFindsTheRouterThatBearsIt(t *testing.T) {
+	const (
+		small, fleet = 4, 103
+		length       = 60 * time.Second
+		// noticed is how long the balancer goes on with a router that is not ready.
+		noticed = 2 * time.Second
+	)
+	now := time.Unix(1000, 0)
+	var trackers [small]*Tracker
+	var out [small]time.Time
+	for i := range trackers {
+		trackers[i] = New(DefaultConfig())
+		trackers[i].SetRouters(fleet)
+	}
+	var borne time.Duration
+	for end := now.Add(length); now.Before(end); now = now.Add(every) {
+		at := small
+		for i, tr := range trackers {
+			if !tr.Saturated() {
+				out[i] = now
+			}
+			if now.Sub(out[i]) < noticed {
+				at = i
+				break
+			}
+		}
+		for i, tr := range trackers {
+			late := time.Millisecond
+			if i == at {
+				late = 150 * time.Millisecond
+			}
+			tr.Observe(now, late)
+		}
+		if at == small {
+			borne += every
+		}
+	}
+	qt.Check(t, borne > length*7/10, qt.IsTrue, qt.Commentf("the large router had it for %v", borne))
+}
+
+// In a small fleet each router is missed: the pause is as short as the balancer
+// allows.
+func TestThePauseFollowsTheFleet(t *testing.T) {
+	for routers, want := range map[int]time.Duration{1: 6 * time.Second, 3: 6 * time.Second, 6: 6 * time.Second, 30: 9 * time.Second, 100: 30 * time.Second, 800: 30 * time.Second} {
+		tr := New(DefaultConfig())
+		tr.SetRouters(routers)
+		qt.Check(t, tr.least, qt.Equals, want, qt.Commentf("%d routers", routers))
+	}
+}
+
+// A router that falls behind closes what comes new before it is saturated, and
+// takes connections again as soon as it has caught up, so that it never refuses
+// all of them for long while it says that it is ready.
+func TestARouterThatFallsBehindShedsAndRecovers(t *testing.T) {
+	tr, now := New(DefaultConfig()), time.Unix(1000, 0)
+	now = observe(tr, now, 5*time.Millisecond, time.Second)
+	qt.Check(t, tr.Sheds(), qt.IsFalse)
+	now = observe(tr, now, 35*time.Millisecond, time.Second)
+	qt.Check(t, tr.Sheds(), qt.IsTrue)
+	qt.Check(t, tr.Saturated(), qt.IsFalse)
+	observe(tr, now, 5*time.Millisecond, 200*time.Millisecond)
+	qt.Check(t, tr.Sheds(), qt.IsFalse)
+}
--- a/transport/direct/callers_test.go
+++ b/transport/direct/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -274,3 +275,39 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, c.sweep(time.Now().Add(time.Minute), time.Second, 0), qt.Equals, 1)
 }
+
+// Pattern: one caller's flood brings a small router more connections than it can
+// read. Those that come new are closed before anything is read of them, at once,
+// and nothing of them runs; connections that it has are served.
+func TestALateRouterClosesNewConnectionsUnread(t *testing.T) {
+	c := qt.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var sheds atomic.Bool
+	var served atomic.Int64
+	shed := new(expvar.Int)
+	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
+	go func() { _ = srv.Serve(newBoundedListener(tcp, 2, sheds.Load, shed)) }()
+	c.Cleanup(func() { _ = srv.Close() })
+	ask := func(with *http.Client) error {
+		resp, err := with.Get("http://" + tcp.Addr().String())
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	kept := &http.Client{Transport: &http.Transport{}}
+	c.Assert(ask(kept), qt.IsNil)
+	sheds.Store(true)
+	// More than there are places: a connection that is shed takes none.
+	for range 5 {
+		began := time.Now()
+		c.Check(ask(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNotNil)
+		c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+	}
+	c.Check(ask(kept), qt.IsNil)
+	c.Check(served.Load(), qt.Equals, int64(2))
+	c.Check(shed.Value() >= 5, qt.IsTrue)
+	sheds.Store(false)
+	c.Check(ask(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNil)
+}
--- a/transport/direct/load.go
+++ b/transport/direct/load.go
@@ -20,10 +20,14 @@
 type load struct {
 	// saturated tells that the processor has more work than it can do.
 	saturated atomic.Bool
+	// sheds tells that new connections are closed unread.
+	sheds atomic.Bool
 	// late is the mean lateness in nanoseconds.
 	late atomic.Int64
 	// most is the greatest number of streams; 0 for no bound.
 	most atomic.Int64
+	// routers is the number of routers in the fleet.
+	routers atomic.Int64
 	// growth is the collector's target in force. Only the duty that measures
 	// uses it.
 	growth int
@@ -111,9 +115,11 @@
 
 // observeLoad takes one measurement.
 func (r *Router) observeLoad(tracker *saturation.Tracker, limit *saturation.Limit, now time.Time, late time.Duration) {
+	tracker.SetRouters(int(r.load.routers.Load()))
 	changed := tracker.Observe(now, late)
 	limit.Adjust(now, tracker.Mean(), r.load.held())
 	r.load.late.Store(int64(tracker.Mean()))
+	r.load.sheds.Store(tracker.Sheds())
 	r.load.most.Store(int64(limit.Most()))
 	if growth := saturation.HeapGrowth(r.load.growth, tracker.Mean()); growth != r.load.growth {
 		r.load.growth = growth
@@ -121,7 +127,7 @@
 	}
 	if changed {
 		r.load.saturated.Store(tracker.Saturated())
-		r.event("load", "saturated", tracker.Saturated(), "lateness", tracker.Mean(), "streams", r.load.held(), "most", limit.Most(), "held", r.held.Load(), "connections", r.callers.open())
+		r.event("load", "saturated", tracker.Saturated(), "lateness", tracker.Mean(), "streams", r.load.held(), "most", limit.Most(), "held", r.held.Load(), "connections", r.callers.open(), "shed", r.metrics.shed.Value())
 	}
 }
 
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -20,6 +20,7 @@
 	passed      *expvar.Int
 	closedIdle  *expvar.Int
 	invalid     *expvar.Int
+	shed        *expvar.Int
 	latency     *observe.Times
 }
 
@@ -37,6 +38,7 @@
 		peerErrors:  v.Int("direct_peer_errors"),
 		closedIdle:  v.Int("direct_idle_closed"),
 		invalid:     v.Int("direct_invalid_entries"),
+		shed:        v.Int("direct_shed"),
 		latency:     v.Times("direct_latency_us"),
 	}
 	v.Func("direct_held", func() any { return r.held.Load() })
--- a/transport/direct/places.go
+++ b/transport/direct/places.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"expvar"
 	"net"
 	"sync"
 	"time"
@@ -51,30 +52,47 @@
 }
 
 // boundedListener accepts no more connections than most; the others wait in
-// the kernel until one ends.
+// the kernel until one ends. While it sheds, it closes them unread.
 type boundedListener struct {
 	net.Listener
 	places chan struct{}
+	sheds  func() bool
+	// shed counts the connections closed unread.
+	shed *expvar.Int
 }
 
-func newBoundedListener(l net.Listener, most int) *boundedListener {
-	return &boundedListener{Listener: l, places: make(chan struct{}, most)}
+func newBoundedListener(l net.Listener, most int, sheds func() bool, shed *expvar.Int) *boundedListener {
+	return &boundedListener{Listener: l, places: make(chan struct{}, most), sheds: sheds, shed: shed}
 }
 
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	l.places <- struct{}{}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.places
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			<-l.places
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			<-l.places
+			return conn, nil
+		}
+		if !l.sheds() {
+			return &boundedTCP{TCPConn: tcp, places: l.places}, nil
+		}
+		l.shed.Add(1)
+		closeUnread(tcp)
 	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		<-l.places
-		return conn, nil
-	}
-	return &boundedTCP{TCPConn: tcp, places: l.places}, nil
+}
+
+// closeUnread resets the connection, so that its caller knows at once that
+// nothing of its request was read.
+func closeUnread(tcp *net.TCPConn) {
+	// Without the reset the caller may wait for its request's acknowledgement.
+	_ = tcp.SetLinger(0)
+	_ = tcp.Close()
 }
 
 // boundedTCP gives its place back when it is closed.
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -155,7 +155,9 @@
 		}
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
-	go func() { _ = srv.Serve(newBoundedListener(callers, mostConnections(r.set))) }()
+	go func() {
+		_ = srv.Serve(newBoundedListener(callers, mostConnections(r.set), r.load.sheds.Load, r.metrics.shed))
+	}()
 	go r.watchLoad(ctx)
 	r.event("serving", "callers", r.set.Listen.Callers)
 	<-stop
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -92,7 +92,9 @@
 
 func (r *Router) countRouters() {
 	r.peersChanged = true
-	r.admission.SetRouters(len(r.routers()))
+	n := len(r.routers())
+	r.admission.SetRouters(n)
+	r.load.routers.Store(int64(n))
 }
 
 // apply makes changes of the roster known to the decisions. The caller holds
