Lines of requests name their content

Cause: the incident's logs cannot tell a request that ends each server from one that happens to run there: no line says whether path, caller and body are those of an earlier attempt. Ruled out: the caller's id (new for each attempt); prompt sizes (a class has few).

--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/observe"
@@ -18,15 +19,18 @@
 
 // call is one request of a caller on its way.
 type call struct {
-	r        *Router
-	w        http.ResponseWriter
-	req      *http.Request
-	meta     Meta
-	table    *routing.Table
-	route    *routing.Route
-	service  string
-	team     string
-	body     []byte
+	r       *Router
+	w       http.ResponseWriter
+	req     *http.Request
+	meta    Meta
+	table   *routing.Table
+	route   *routing.Route
+	service string
+	team    string
+	body    []byte
+	// content names what is asked for, alike for every attempt of the caller;
+	// 0 until the body is read.
+	content  quarantine.Fingerprint
 	received time.Time
 	// deadline is when the caller must have its final answer.
 	deadline time.Time
@@ -110,6 +114,7 @@
 		return o
 	}
 	_ = rc.SetReadDeadline(time.Time{})
+	c.content = quarantine.Of(c.team, c.req.Method, c.req.Host, c.req.RequestURI, c.body)
 	c.service = c.route.Pick(rand.Float64())
 	c.elapsed = r.elapsed(c)
 	return nil
