A request that crashes servers is known again at every router

Cause: each attempt of a caller was new to the router that got it. No router remembered under which requests servers had ended, and none told the others, so that a caller who insists ended server after server. The class: a fault that a request carries with it was kept as a fault of the server only (ejection). Ruled out: repeats of our own (sent=1 in every line; the failing test's route may not be repeated), another reason for the crashes (one content at every server that ended, no other at more than two; the test has no other reason). The mend: coordination/quarantine puts together, over all routers, which contents ran at servers that crashed. A server that breaks an answer off is asked for a connection at once: one that refuses has crashed, one that takes it was cut off on the way; a silent one is left to the store's word. After three crashes the content gets 400, not-run, at every router; bystanders are cleared by running well, or by the refused one having been there.

--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/saturation"
@@ -75,9 +76,10 @@
 
 func directConfig(set settings.Direct) direct.Config {
 	return direct.Config{
-		Admission: admission.DefaultConfig(),
-		Roster:    roster.DefaultConfig(),
-		Backend:   backend.DefaultConfig(),
+		Admission:  admission.DefaultConfig(),
+		Roster:     roster.DefaultConfig(),
+		Backend:    backend.DefaultConfig(),
+		Quarantine: quarantine.DefaultConfig(),
 		Repeats: repeats.Config{
 			Window: set.Repeats.Window.D(), Ratio: set.Repeats.Ratio,
 			Allowance: set.Repeats.Allowance, Use: repeats.DefaultUse,
--- /dev/null
+++ b/coordination/quarantine/evidence.go
@@ -0,0 +1,288 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// crash is one end of a server, by all that is known of it in the fleet.
+type crash struct {
+	server string
+	at     time.Time
+	// suspects are the contents that ran there, with the routers that said so.
+	suspects map[Fingerprint][]string
+	// explained tells that a refused request ran there: the others did not do it.
+	explained bool
+	// own tells that this router saw it.
+	own bool
+}
+
+// Crash notes that the incarnation of a server ended without having announced it,
+// by this router's own observation.
+func (s *State) Crash(now time.Time, server string) {
+	suspects := s.suspects(now, server)
+	_, known := s.crashes[server]
+	delete(s.hosts, server)
+	if known && len(suspects) == 0 {
+		return
+	}
+	if !known {
+		s.say(Event{Kind: Crashed, Server: server, Suspects: len(suspects)})
+	}
+	c := s.crash(now, server)
+	c.own = true
+	contents := make([]Fingerprint, 0, len(suspects))
+	for content := range suspects {
+		contents = append(contents, content)
+	}
+	s.learn(now, c, s.self, contents)
+	s.news.add(c)
+}
+
+// crash returns what is known of the server's end, which was at the time by this
+// word; of several the earliest holds.
+func (s *State) crash(at time.Time, server string) *crash {
+	c := s.crashes[server]
+	if c == nil {
+		c = &crash{server: server, at: at, suspects: make(map[Fingerprint][]string)}
+		s.crashes[server] = c
+		s.order = append(s.order, c)
+		if len(s.order) > s.cfg.MostCrashes {
+			s.drop(s.order[0])
+			s.order = s.order[1:]
+		}
+		return c
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	return c
+}
+
+// learn adds contents that ran there by the router's word, and judges them anew.
+func (s *State) learn(now time.Time, c *crash, router string, contents []Fingerprint) {
+	for _, content := range contents {
+		tellers, known := c.suspects[content]
+		if !known && len(c.suspects) >= s.cfg.MostSuspects {
+			continue
+		}
+		if !slices.Contains(tellers, router) {
+			c.suspects[content] = append(tellers, router)
+		}
+		if known {
+			continue
+		}
+		r := s.record(content)
+		r.crashes = append(r.crashes, c)
+		if !r.held.IsZero() {
+			c.explained = true
+		}
+	}
+	for _, content := range contents {
+		s.judge(now, content)
+	}
+}
+
+func (s *State) record(content Fingerprint) *record {
+	r := s.records[content]
+	if r == nil {
+		r = &record{}
+		s.records[content] = r
+	}
+	return r
+}
+
+// judge refuses the content from now on if enough servers crashed under it. When
+// another one was there each time, one more crash tells them apart, or the one that
+// runs well is cleared.
+func (s *State) judge(now time.Time, content Fingerprint) {
+	r := s.records[content]
+	if r == nil || !r.held.IsZero() {
+		return
+	}
+	n := s.strikes(content, r)
+	if n < s.cfg.Crashes || n == s.cfg.Crashes && s.hasRival(content, r) {
+		return
+	}
+	s.hold(now, content, r, ByCount, s.reasons(content, r))
+}
+
+// hold refuses the content from now on.
+func (s *State) hold(at time.Time, content Fingerprint, r *record, cause Cause, reasons []Strike) {
+	if s.held >= s.cfg.MostHeld {
+		s.dropOldestHeld()
+	}
+	s.held++
+	r.held, r.reasons, r.trials = at, reasons, 0
+	s.say(Event{Kind: Confirmed, Content: content, Cause: cause, Strikes: reasons})
+	s.news.held = append(s.news.held, content)
+	for _, c := range r.crashes {
+		c.explained = true
+	}
+	s.acquit(at, content, r)
+}
+
+// acquit clears refused contents that were there only when this one was, and less
+// often: bystanders that met as many of its crashes as it takes.
+func (s *State) acquit(now time.Time, content Fingerprint, r *record) {
+	for other, o := range s.records {
+		if other == content || o.held.IsZero() || len(o.crashes) == 0 || len(o.crashes) >= len(r.crashes) {
+			continue
+		}
+		if !slices.ContainsFunc(o.crashes, func(c *crash) bool { return !slices.Contains(r.crashes, c) }) {
+			s.clear(now, other, ByOther)
+		}
+	}
+}
+
+// counted returns the crashes that count against the content: those since it was
+// last cleared that no refused request explains.
+func (s *State) counted(r *record) []*crash {
+	var out []*crash
+	for _, c := range r.crashes {
+		if c.at.After(r.cleared) && !c.explained {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// strikes is the number of crashes that count. Of several at one moment only one
+// does where further servers crashed that the request did not run at: then it was
+// something else that ended them all.
+func (s *State) strikes(content Fingerprint, r *record) int {
+	n := 0
+	var burst time.Time
+	for _, c := range s.counted(r) {
+		if n > 0 && c.at.Sub(burst) <= s.cfg.Burst && s.otherCrash(content, burst) {
+			continue
+		}
+		n++
+		burst = c.at
+	}
+	return n
+}
+
+// otherCrash reports whether a server crashed within a burst's time of the moment
+// that the content did not run at.
+func (s *State) otherCrash(content Fingerprint, at time.Time) bool {
+	return slices.ContainsFunc(s.order, func(c *crash) bool {
+		_, there := c.suspects[content]
+		return !there && c.at.Sub(at).Abs() <= s.cfg.Burst
+	})
+}
+
+// hasRival reports whether another content, neither refused nor cleared since, was
+// there at each crash that counts.
+func (s *State) hasRival(content Fingerprint, r *record) bool {
+	counted := s.counted(r)
+	if len(counted) == 0 {
+		return false
+	}
+	for rival := range counted[0].suspects {
+		other := s.records[rival]
+		if rival == content || other == nil || !other.held.IsZero() {
+			continue
+		}
+		if !slices.ContainsFunc(counted, func(c *crash) bool {
+			_, there := c.suspects[rival]
+			return !there || !c.at.After(other.cleared)
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) reasons(content Fingerprint, r *record) []Strike {
+	var out []Strike
+	for _, c := range s.counted(r) {
+		out = append(out, Strike{Server: c.server, At: c.at, Told: slices.Clone(c.suspects[content])})
+	}
+	return out
+}
+
+// clear forgets what speaks against the content up to the time.
+func (s *State) clear(at time.Time, content Fingerprint, cause Cause) {
+	r := s.records[content]
+	if r == nil || !at.After(r.cleared) {
+		return
+	}
+	counts := len(s.counted(r)) > 0 || !r.held.IsZero()
+	r.cleared = at
+	if !r.held.IsZero() {
+		if r.held.After(at) {
+			// The word of others that it is refused since then must not come back.
+			r.cleared = r.held
+		}
+		r.held, r.reasons = time.Time{}, nil
+		s.held--
+		for _, c := range r.crashes {
+			c.explained = s.hasHeld(c)
+		}
+	}
+	if !counts {
+		return
+	}
+	s.say(Event{Kind: Cleared, Content: content, Cause: cause})
+	s.news.cleared = append(s.news.cleared, content)
+	for _, c := range r.crashes {
+		for other := range c.suspects {
+			// One that was only a tie away from being refused has no rival now.
+			s.judge(at, other)
+		}
+	}
+}
+
+func (s *State) hasHeld(c *crash) bool {
+	for content := range c.suspects {
+		if r := s.records[content]; r != nil && !r.held.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops crashes that are too old, and what they said of contents.
+func (s *State) forget(now time.Time) {
+	for len(s.order) > 0 && now.Sub(s.order[0].at) > s.cfg.Memory {
+		s.drop(s.order[0])
+		s.order = s.order[1:]
+	}
+	for content, r := range s.records {
+		if len(r.crashes) == 0 && r.held.IsZero() && now.Sub(r.cleared) > s.cfg.Memory {
+			delete(s.records, content)
+		}
+	}
+}
+
+func (s *State) drop(c *crash) {
+	delete(s.crashes, c.server)
+	s.news.remove(c)
+	for content := range c.suspects {
+		r := s.records[content]
+		r.crashes = slices.DeleteFunc(r.crashes, func(other *crash) bool { return other == c })
+		if len(r.crashes) == 0 && r.held.IsZero() && r.cleared.IsZero() {
+			delete(s.records, content)
+		}
+	}
+}
+
+func (s *State) dropOldestHeld() {
+	var oldest Fingerprint
+	var since time.Time
+	for content, r := range s.records {
+		if !r.held.IsZero() && (since.IsZero() || r.held.Before(since)) {
+			oldest, since = content, r.held
+		}
+	}
+	r := s.records[oldest]
+	r.held, r.reasons = time.Time{}, nil
+	s.held--
+	if len(r.crashes) == 0 {
+		delete(s.records, oldest)
+	}
+}
+
+func (s *State) say(e Event) { s.unsaid = append(s.unsaid, e) }
--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,334 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// bad is a content that crashes servers, good one that does not.
+const (
+	bad  Fingerprint = 1
+	good Fingerprint = 2
+)
+
+// at is a moment of a test, in milliseconds.
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// crashUnder plays a crash of the server while the contents run there.
+func crashUnder(s *State, now time.Time, server string, contents ...Fingerprint) {
+	var runs []*Run
+	for _, content := range contents {
+		runs = append(runs, s.Begin(content, server))
+	}
+	for _, r := range runs {
+		s.End(now, r, Broken)
+	}
+	s.Crash(now, server)
+}
+
+func TestThreeCrashesUnderARequestAreEnough(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		qt.Check(t, s.Check(at(1000*i), bad), qt.Equals, Pass)
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), bad, Fingerprint(100+i))
+	}
+	qt.Check(t, s.Check(at(3000), bad), qt.Equals, Refuse)
+	qt.Check(t, s.Check(at(3000), 100), qt.Equals, Pass)
+	reasons := s.Reasons(bad)
+	qt.Assert(t, reasons, qt.HasLen, 3)
+	qt.Check(t, reasons[1], qt.DeepEquals, Strike{Server: "i-1", At: at(1000), Told: []string{"a"}})
+	qt.Check(t, s.Held(), qt.Equals, 1)
+	qt.Check(t, s.Suspects(), qt.Equals, 0)
+}
+
+// A crash is one however often it is noticed and whoever tells it.
+func TestOneCrashCountsOnce(t *testing.T) {
+	a, b := New(DefaultConfig(), "a"), New(DefaultConfig(), "b")
+	for i := range 5 {
+		crashUnder(a, at(100*i), "i-1", bad)
+		crashUnder(b, at(100*i+3), "i-1", bad)
+		exchange(at(100*i+5), a, b)
+	}
+	qt.Check(t, a.Check(at(1000), bad), qt.Equals, Pass)
+	qt.Check(t, b.Check(at(1000), bad), qt.Equals, Pass)
+}
+
+// exchange lets all tell all, once.
+func exchange(now time.Time, all ...*State) {
+	for _, from := range all {
+		reports := append(from.News(now), from.Standing(now)...)
+		for _, to := range all {
+			if to != from {
+				for _, one := range reports {
+					to.Told(now, from.self, one)
+				}
+			}
+		}
+	}
+}
+
+// Each crash is seen by another router; only all of them together tell.
+func TestRoutersPutTheirCrashesTogether(t *testing.T) {
+	all := []*State{New(DefaultConfig(), "a"), New(DefaultConfig(), "b"), New(DefaultConfig(), "c")}
+	for i, s := range all {
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), bad)
+		exchange(at(1000*i+1), all...)
+	}
+	late := New(DefaultConfig(), "d")
+	exchange(at(60_000), append(all, late)...)
+	for _, s := range append(all, late) {
+		qt.Check(t, s.Check(at(60_001), bad), qt.Equals, Refuse, qt.Commentf("router %s", s.self))
+		qt.Check(t, s.Reasons(bad), qt.HasLen, 3)
+	}
+}
+
+// A server that is back under its id and crashes again crashed twice.
+func TestASecondIncarnationIsASecondCrash(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		crashUnder(s, at(3000*i), fmt.Sprintf("i-1@%d", i), bad)
+	}
+	qt.Check(t, s.Check(at(9000), bad), qt.Equals, Refuse)
+}
+
+// Bystanders of a crash are sent again and may meet the culprit again. What runs
+// well is cleared, and a request that is refused explains its crashes.
+func TestBystandersAreCleared(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	crashUnder(s, at(0), "i-0", bad, good)
+	crashUnder(s, at(1000), "i-1", bad, good)
+	qt.Check(t, s.MayRepeat(good), qt.IsFalse)
+	r := s.Begin(good, "i-2")
+	qt.Check(t, s.Check(at(1500), good), qt.Equals, Wait)
+	s.End(at(1600), r, Complete)
+	s.Tick(at(1700))
+	qt.Check(t, s.MayRepeat(good), qt.IsFalse, qt.Commentf("its server may crash yet"))
+	s.Tick(at(3700))
+	qt.Check(t, s.MayRepeat(good), qt.IsTrue)
+	crashUnder(s, at(4000), "i-3", bad)
+	qt.Check(t, s.Check(at(4001), bad), qt.Equals, Refuse)
+
+	// One that met two of its crashes and did not come back yet.
+	s = New(DefaultConfig(), "a")
+	crashUnder(s, at(0), "i-0", bad, good)
+	crashUnder(s, at(1000), "i-1", bad, good)
+	crashUnder(s, at(2000), "i-2", bad)
+	crashUnder(s, at(3000), "i-3", good)
+	qt.Check(t, s.Check(at(3001), good), qt.Equals, Pass)
+	qt.Check(t, s.MayRepeat(good), qt.IsTrue, qt.Commentf("one crash counts: the others are explained"))
+}
+
+// When two were at all three crashes, one more tells them apart.
+func TestATieTakesOneMoreCrash(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), bad, good)
+	}
+	qt.Check(t, s.Check(at(2500), bad), qt.Equals, Pass)
+	qt.Check(t, s.Check(at(2500), good), qt.Equals, Pass)
+	crashUnder(s, at(3000), "i-3", bad)
+	qt.Check(t, s.Check(at(3001), bad), qt.Equals, Refuse)
+	qt.Check(t, s.Check(at(3001), good), qt.Equals, Pass)
+
+	// Or the other one runs well.
+	s = New(DefaultConfig(), "a")
+	for i := range 3 {
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), bad, good)
+	}
+	s.End(at(2500), s.Begin(good, "i-9"), Complete)
+	s.Tick(at(4501))
+	qt.Check(t, s.Check(at(4502), bad), qt.Equals, Refuse)
+	qt.Check(t, s.Check(at(4502), good), qt.Equals, Pass)
+}
+
+// A data centre with all its servers is lost: what ran at several of them at once
+// is not to blame, as others ended where it did not run.
+func TestManyServersLostAtOnceBlameNobody(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 6 {
+		contents := []Fingerprint{Fingerprint(100 + i)}
+		if i%2 == 0 {
+			contents = append(contents, good)
+		}
+		crashUnder(s, at(10*i), fmt.Sprint("i-", i), contents...)
+	}
+	qt.Check(t, s.Check(at(100), good), qt.Equals, Pass)
+	qt.Check(t, s.Held(), qt.Equals, 0)
+}
+
+// Three copies sent at one moment, before anybody knew, are three crashes.
+func TestCopiesAtOneMomentCountEach(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		crashUnder(s, at(10*i), fmt.Sprint("i-", i), bad, Fingerprint(100+i))
+	}
+	qt.Check(t, s.Check(at(100), bad), qt.Equals, Refuse)
+}
+
+// What many ask for runs everywhere, also at servers that crash for reasons of
+// their own.
+func TestWhatRunsWellElsewhereIsNoSuspect(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 4 {
+		s.End(at(3000*i), s.Begin(good, "i-9"), Complete)
+		s.Tick(at(3000*i + 2500))
+		crashUnder(s, at(3000*i+2600), fmt.Sprint("i-", i), good)
+	}
+	qt.Check(t, s.Check(at(12_000), good), qt.Equals, Pass)
+	qt.Check(t, s.MayRepeat(good), qt.IsTrue)
+}
+
+// A server may crash after it gave the answer.
+func TestACrashAfterTheAnswerCounts(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		server := fmt.Sprint("i-", i)
+		s.End(at(3000*i), s.Begin(bad, server), Complete)
+		s.Tick(at(3000*i + 1000))
+		s.Crash(at(3000*i+1500), server)
+	}
+	qt.Check(t, s.Check(at(9000), bad), qt.Equals, Refuse)
+}
+
+// A connection that is cut on its way ends no server; a crash that comes to be known
+// later, by the store's word, still counts.
+func TestCutsAreNoCrashes(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 4 {
+		server := fmt.Sprint("i-", i)
+		s.End(at(5000*i), s.Begin(good, server), Broken)
+		s.Alive(at(5000*i+2), server)
+		s.Tick(at(5000*i + 4000))
+		s.Crash(at(5000*i+4001), server)
+	}
+	qt.Check(t, s.Check(at(20_000), good), qt.Equals, Pass)
+	for i := range 3 {
+		server := fmt.Sprint("j-", i)
+		s.End(at(20_000+5000*i), s.Begin(bad, server), Broken)
+		s.Tick(at(20_000 + 5000*i + 4000))
+		s.Crash(at(20_000+5000*i+4001), server)
+	}
+	qt.Check(t, s.Check(at(40_000), bad), qt.Equals, Refuse)
+}
+
+// A refused request gets few trials, at one router; one that runs well is free, one
+// that crashes its server waits for longer.
+func TestTrialsAreFewAndAtOneRouter(t *testing.T) {
+	cfg := DefaultConfig()
+	all := []*State{New(cfg, "a"), New(cfg, "b"), New(cfg, "c")}
+	for i, s := range all {
+		s.SetRouters([]string{"a", "b", "c"})
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), bad)
+		exchange(at(1000*i+1), all...)
+	}
+	sends := 0
+	for second := 3; second < 3*3600; second += 5 {
+		now := at(1000 * second)
+		for _, s := range all {
+			s.Tick(now)
+			if s.Check(now, bad) == Pass {
+				sends++
+				crashUnder(s, now, fmt.Sprint("t-", sends), bad)
+			}
+		}
+		exchange(now, all...)
+	}
+	qt.Check(t, sends, qt.Equals, len(cfg.Trials))
+	now := at(1000 * 4 * 3600)
+	qt.Check(t, all[0].Release(now, bad), qt.IsTrue)
+	exchange(now.Add(time.Second), all...)
+	for _, s := range all {
+		qt.Check(t, s.Check(now.Add(2*time.Second), bad), qt.Equals, Pass)
+		qt.Check(t, s.Held(), qt.Equals, 0)
+	}
+}
+
+func TestASoundRequestIsFreeAfterItsTrial(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), good)
+	}
+	now := at(2000).Add(5 * time.Minute)
+	qt.Assert(t, s.Check(now, good), qt.Equals, Pass)
+	r := s.Begin(good, "i-9")
+	qt.Check(t, s.Check(now, good), qt.Equals, Refuse, qt.Commentf("one at a time"))
+	s.End(now.Add(time.Second), r, Complete)
+	s.Tick(now.Add(4 * time.Second))
+	qt.Check(t, s.Check(now.Add(4*time.Second), good), qt.Equals, Pass)
+	qt.Check(t, s.List(), qt.HasLen, 0)
+}
+
+// What is kept stays bounded, whatever crashes under whatever.
+func TestWhatIsKeptIsBounded(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MostCrashes, cfg.MostSuspects, cfg.MostHeld, cfg.MostSound = 8, 4, 3, 5
+	s := New(cfg, "a")
+	for i := range 400 {
+		contents := make([]Fingerprint, 10)
+		for j := range contents {
+			contents[j] = Fingerprint(i/4*100 + j)
+		}
+		crashUnder(s, at(500*i), fmt.Sprint("i-", i), contents...)
+		s.End(at(500*i), s.Begin(Fingerprint(1_000_000+i), "sound"), Complete)
+		s.Tick(at(500 * i))
+	}
+	qt.Check(t, len(s.crashes) <= cfg.MostCrashes, qt.IsTrue)
+	qt.Check(t, len(s.records) <= cfg.MostCrashes*cfg.MostSuspects+cfg.MostHeld, qt.IsTrue, qt.Commentf("%d", len(s.records)))
+	qt.Check(t, s.held <= cfg.MostHeld, qt.IsTrue)
+	qt.Check(t, len(s.sound.at) <= cfg.MostSound, qt.IsTrue)
+	for _, one := range append(s.News(at(0)), s.Standing(at(200_000))...) {
+		qt.Check(t, len(one.Crashes)*crashBytes <= reportBytes, qt.IsTrue)
+	}
+	s.Tick(at(200_000).Add(cfg.Memory + time.Second))
+	qt.Check(t, s.crashes, qt.HasLen, 0)
+	qt.Check(t, len(s.records), qt.Equals, s.held)
+}
+
+func TestTheDefaultsAreValid(t *testing.T) {
+	qt.Check(t, DefaultConfig().Validate(), qt.IsNil)
+	qt.Check(t, Config{}.Validate(), qt.ErrorMatches, "(?s).*Crashes must be above 1.*")
+}
+
+// Whatever order and loss the words of several routers have, they come to believe
+// the same of a request once all was told.
+func TestAnyOrderLeadsToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := []*State{New(DefaultConfig(), "a"), New(DefaultConfig(), "b"), New(DefaultConfig(), "c")}
+		now := epoch
+		for i := range rapid.IntRange(1, 12).Draw(t, "crashes") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "gap")) * time.Millisecond)
+			at := all[rapid.IntRange(0, 2).Draw(t, "router")]
+			contents := rapid.SliceOfNDistinct(rapid.Uint64Range(1, 6), 1, 4, rapid.ID).Draw(t, "contents")
+			var prints []Fingerprint
+			for _, c := range contents {
+				prints = append(prints, Fingerprint(c))
+			}
+			crashUnder(at, now, fmt.Sprint("i-", i), prints...)
+			if rapid.Bool().Draw(t, "told") {
+				to := all[rapid.IntRange(0, 2).Draw(t, "to")]
+				if to != at {
+					for _, one := range at.News(now) {
+						to.Told(now, at.self, one)
+					}
+				}
+			}
+		}
+		for range 4 {
+			exchange(now, all...)
+		}
+		for content := Fingerprint(1); content <= 6; content++ {
+			want := all[0].Check(now, content)
+			for _, s := range all[1:] {
+				if got := s.Check(now, content); got != want {
+					t.Fatalf("content %v: %v at %s, %v at a", content, got, s.self, want)
+				}
+			}
+		}
+	})
+}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -66,6 +66,8 @@
 	ReasonHeadersLarge   Reason = "headers-too-large"
 	ReasonConnections    Reason = "too-many-connections"
 	ReasonBodiesFull     Reason = "bodies-full"
+	ReasonCrashes        Reason = "crashes-backend-servers"
+	ReasonSuspect        Reason = "suspect-at-work"
 )
 
 // Outcome is how a request ended.
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -162,3 +162,14 @@
 	}
 	return p.dial(ctx, to)
 }
+
+// Probe opens a connection to the target, to see whether it takes any, and keeps
+// it for the next request.
+func (p *Pool) Probe(ctx context.Context, to Target) error {
+	c, err := p.dial(ctx, to)
+	if err != nil {
+		return err
+	}
+	p.put(c, time.Now())
+	return nil
+}
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/transport/backend"
@@ -11,10 +12,11 @@
 
 // Config holds what a Router needs beside its settings.
 type Config struct {
-	Admission admission.Config
-	Roster    roster.Config
-	Repeats   repeats.Config
-	Backend   backend.Config
+	Admission  admission.Config
+	Roster     roster.Config
+	Repeats    repeats.Config
+	Backend    backend.Config
+	Quarantine quarantine.Config
 	// Freshness is the greatest age of the knowledge that the configuration
 	// is the newest, for requests that need a key.
 	Freshness time.Duration
--- a/transport/direct/crash_test.go
+++ b/transport/direct/crash_test.go
@@ -11,17 +11,21 @@
 // more than two of them.
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/outcome"
 )
 
 // Figures of the promise: a request under which three servers ended is sent at most
@@ -35,6 +39,10 @@
 // crashBody is the body of the request that ends each server that begins it.
 const crashBody = "crash"
 
+// soundBody is that of one that any server runs well; the servers tell them apart by
+// their lengths.
+const soundBody = "no crash"
+
 // crashWay plays how a server ends under the request. It returns when it is gone.
 type crashWay func(w io.Writer, req *http.Request)
 
@@ -44,6 +52,26 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
+// atOnce: the server ends before it says anything.
+func atOnce(io.Writer, *http.Request) { time.Sleep(10 * time.Millisecond) }
+
+// inTheMiddle: the answer breaks off after two events.
+func inTheMiddle(w io.Writer, req *http.Request) {
+	events(w, req, 2, 10*time.Millisecond, true)
+}
+
+// inABody: an answer of a known length breaks off.
+func inABody(w io.Writer, req *http.Request) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: m\r\nContent-Length: 50\r\n\r\nsome", testMark)
+	time.Sleep(10 * time.Millisecond)
+}
+
+// afterTheAnswer: the answer is whole, and then the server ends.
+func afterTheAnswer(w io.Writer, req *http.Request) {
+	ok(w, req)
+	time.Sleep(20 * time.Millisecond)
+}
+
 // fleet is some routers that exchange, before servers that crash.
 type fleet struct {
 	t       *testing.T
@@ -176,6 +204,9 @@
 	return n
 }
 
+// count is the number of arrivals.
+func (f *fleet) count() int { return f.late(time.Time{}) }
+
 // insist sends the request at the routers by turns, as a new attempt each time, until
 // the fleet has had time to know it and a while longer. It returns the last answer.
 func (f *fleet) insist(path string, every, longer time.Duration) (last reply) {
@@ -198,3 +229,88 @@
 	f.insist("/stream/a", 40*time.Millisecond, 1500*time.Millisecond)
 	qt.Check(t, f.late(f.known()) <= furtherSends, qt.IsTrue, qt.Commentf("%d sends beyond the third crash, %d servers ended", f.late(f.known()), len(f.crashes)))
 }
+
+// However the server ends under it and whatever kind of request it is, its last
+// attempts get a final answer that says that they have not run, at once and with no
+// time to come back; what runs beside it is served in the end.
+func TestEveryKindOfRequestThatCrashesServersIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		way  crashWay
+	}{
+		"stream at once":            {"/stream/a", atOnce},
+		"stream in the middle":      {"/stream/a", inTheMiddle},
+		"resumable, in the middle":  {"/resume/a", inTheMiddle},
+		"resumable, after the head": {"/resume/a", afterTheHead},
+		"idempotent at once":        {"/safe/a", atOnce},
+		"idempotent, in its body":   {"/safe/a", inABody},
+		"idempotent, afterwards":    {"/safe/a", afterTheAnswer},
+		"once, at once":             {"/once/a", atOnce},
+		"once, afterwards":          {"/once/a", afterTheAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, 3, 5, c.way)
+			last := f.insist(c.path, 60*time.Millisecond, time.Second)
+			qt.Check(t, f.late(f.known()) <= furtherSends, qt.IsTrue, qt.Commentf("%d sends beyond the third crash, %d servers ended", f.late(f.known()), len(f.crashes)))
+			qt.Check(t, last.status, qt.Equals, http.StatusBadRequest)
+			qt.Check(t, last.header.Get("Retry-After"), qt.Equals, "")
+			qt.Check(t, last.header.Get(outcome.Header), qt.Equals, string(outcome.NotRun))
+			for i, router := range f.routers {
+				qt.Check(t, router.send("/stream/b", fmt.Sprint("sound-", i), soundBody).status, qt.Equals, http.StatusOK)
+			}
+		})
+	}
+}
+
+// Callers send copies at several routers at one moment, before anybody knows.
+func TestCopiesAtOneMomentAreFewAfterwards(t *testing.T) {
+	f := startFleet(t, 3, 9, afterTheHead)
+	send := func(round int) {
+		var all sync.WaitGroup
+		for i := range 2 * len(f.routers) {
+			all.Go(func() {
+				f.routers[i%len(f.routers)].send("/stream/a", fmt.Sprintf("copy-%d-%d", round, i), crashBody)
+			})
+		}
+		all.Wait()
+	}
+	for round := 0; f.known().IsZero(); round++ {
+		send(round)
+	}
+	for round := range 4 {
+		time.Sleep(time.Until(f.known()))
+		send(100 + round)
+		time.Sleep(500 * time.Millisecond)
+	}
+	qt.Check(t, f.late(f.known()) <= furtherSends, qt.IsTrue, qt.Commentf("%d sends beyond the third crash, %d servers ended", f.late(f.known()), len(f.crashes)))
+}
+
+// A router that starts after the crashes hears of them from the others, and an
+// operator's word at one router frees the request at all.
+func TestARouterThatStartsLaterKnowsWhatIsRefused(t *testing.T) {
+	f := startFleet(t, 2, 5, afterTheHead)
+	f.insist("/stream/a", 40*time.Millisecond, 0)
+	began := f.count()
+	late := startPeer(t, "late", testConfig(1))
+	for _, one := range f.routers {
+		one.meet(late)
+		late.meet(one)
+	}
+	late.waitFor("the later router did not hear of it", func() bool { return late.router.inQuarantine((*quarantine.State).Held) == 1 })
+	late.Check(late.send("/stream/a", "x", crashBody).status, qt.Equals, http.StatusBadRequest)
+	late.Check(f.count(), qt.Equals, began)
+
+	list := httptest.NewRecorder()
+	late.router.metricsHandler().ServeHTTP(list, httptest.NewRequest(http.MethodGet, "/quarantine", nil))
+	var entries []listed
+	late.Assert(json.Unmarshal(list.Body.Bytes(), &entries), qt.IsNil)
+	late.Assert(entries, qt.HasLen, 1)
+	late.Check(len(entries[0].Crashes) >= crashesToKnow, qt.IsTrue)
+	freed := httptest.NewRecorder()
+	late.router.metricsHandler().ServeHTTP(freed, httptest.NewRequest(http.MethodDelete, "/quarantine/"+entries[0].Content, nil))
+	late.Check(freed.Code, qt.Equals, http.StatusOK)
+	for _, one := range append(f.routers, late) {
+		one.waitFor("it is still refused", func() bool { return one.router.inQuarantine((*quarantine.State).Held) == 0 })
+	}
+}
--- /dev/null
+++ b/transport/direct/crashes.go
@@ -0,0 +1,218 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/quarantine"
+	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/transport/backend"
+)
+
+// suspectReturn is when to come back while another attempt of the same request is
+// at a server and servers crashed under earlier ones: about as long as a short
+// answer takes.
+const suspectReturn = 500 * time.Millisecond
+
+// isQuarantined ends the request if servers crashed under it, or may do so.
+func (c *call) isQuarantined() bool {
+	c.r.mu.Lock()
+	verdict := c.r.quarantine.Check(time.Now(), c.content)
+	c.r.mu.Unlock()
+	switch {
+	case verdict == quarantine.Pass:
+		return false
+	case c.begun:
+		c.cut("quarantined")
+	case c.reached > 0:
+		c.fail(outcome.ReasonAnswerLost, http.StatusBadGateway, "the backend server ended while it ran the request")
+	case verdict == quarantine.Wait:
+		c.refuse(*notRun(outcome.ReasonSuspect, suspectReturn, "another attempt of this request is at work, and backend servers ended under earlier ones"))
+	default:
+		// A status that callers do not repeat: it would end the same way.
+		c.refuse(outcome.Refuse(outcome.ReasonCrashes, http.StatusBadRequest, 0, "backend servers ended under each earlier attempt of this request; it has not run this time"))
+	}
+	return true
+}
+
+// sendBegins notes that the request goes to the server.
+func (r *Router) sendBegins(content quarantine.Fingerprint, server roster.Server) *quarantine.Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.Begin(content, server.Identity())
+}
+
+func (r *Router) sendEnded(run *quarantine.Run, how quarantine.Ending) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.End(time.Now(), run, how)
+}
+
+// ended notes how the send ended. When its answer broke off it returns after the
+// look at the server.
+func (c *call) ended(sent *quarantine.Run, server roster.Server, how quarantine.Ending) {
+	c.r.sendEnded(sent, how)
+	if how == quarantine.Broken {
+		c.r.lookAfterBreak(server)
+	}
+}
+
+// mayCarryOn reports whether the router may send the request to a further server
+// after it has arrived at one.
+func (c *call) mayCarryOn() bool {
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	return c.r.quarantine.MayRepeat(c.content)
+}
+
+// errAnswered marks the failure of a server that gave its whole answer.
+var errAnswered = errors.New("the server answered")
+
+// endingOf tells how a run ended whose answer was passed on, or not.
+func endingOf(ctx context.Context, next step, result health.Result, err error) quarantine.Ending {
+	switch {
+	case next == done && result != health.NoResult, errors.Is(err, errAnswered):
+		return quarantine.Complete
+	case next != done && ctx.Err() == nil && connectionEnded(err):
+		return quarantine.Broken
+	default:
+		return quarantine.Left
+	}
+}
+
+// connectionEnded reports whether the error is the end of a connection, and not
+// bytes that are no answer.
+func connectionEnded(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
+// probes are the looks at servers under which answers broke off: one for all that
+// broke off there at a moment.
+type probes struct {
+	mu   sync.Mutex
+	open map[string]chan struct{}
+}
+
+func newProbes() *probes { return &probes{open: make(map[string]chan struct{})} }
+
+// join returns the look at the server that is under way, and whether the caller is
+// to take it.
+func (p *probes) join(server string) (ended chan struct{}, mine bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ended, under := p.open[server]; under {
+		return ended, false
+	}
+	ended = make(chan struct{})
+	p.open[server] = ended
+	return ended, true
+}
+
+func (p *probes) end(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.open[server])
+	delete(p.open, server)
+}
+
+// lookAfterBreak asks whether the server under which an answer broke off still
+// takes connections: one that crashed refuses them, one that is alive was cut off
+// on the way, and a silent one is left to the store's word. It returns when that is
+// known, so that what follows goes by it, after the pool's bound for opening a
+// connection at the latest.
+func (r *Router) lookAfterBreak(server roster.Server) {
+	identity := server.Identity()
+	ended, mine := r.probes.join(identity)
+	if !mine {
+		<-ended
+		return
+	}
+	defer r.probes.end(identity)
+	err := r.pool.Probe(context.Background(), backend.Target{ID: identity, Address: server.Address})
+	switch {
+	case err == nil:
+		r.mu.Lock()
+		r.quarantine.Alive(time.Now(), identity)
+		r.mu.Unlock()
+	case isRefused(err):
+		r.crashed(server)
+	}
+}
+
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// crashed notes that the server takes no connections. One that announced that it
+// leaves, or whose entry is gone, has ended as it should.
+func (r *Router) crashed(server roster.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, is := r.servers[server.ID]
+	if !is || known.Incarnation != server.Incarnation {
+		return
+	}
+	r.quarantine.Crash(time.Now(), server.Identity())
+	r.noteQuarantine()
+}
+
+// gone notes that a server has no entry any more, or that a later incarnation has
+// its id: it ended without having said that it leaves. The caller holds mu.
+func (r *Router) gone(change roster.Change) {
+	switch change.Reason {
+	case roster.ReasonRestarted:
+		r.quarantine.Crash(time.Now(), change.Server.Identity())
+	case roster.ReasonRemoved, roster.ReasonLapsed:
+		r.quarantine.Gone(time.Now(), change.Server.Identity())
+	}
+	r.noteQuarantine()
+}
+
+// noteQuarantine writes what changed, counts it and wakes the teller. The caller
+// holds mu.
+func (r *Router) noteQuarantine() {
+	for _, e := range r.quarantine.Events() {
+		switch e.Kind {
+		case quarantine.Crashed:
+			r.metrics.crashes.Add(1)
+			r.event("backend_server_crashed", "server", e.Server, "suspects", e.Suspects)
+		case quarantine.Confirmed:
+			r.metrics.confirmed.Add(1)
+			servers, times, told := writeStrikes(e.Strikes)
+			r.event("request_quarantined", "content", e.Content, "cause", e.Cause, "servers", servers, "crashed_at", times, "told_by", told)
+		case quarantine.Cleared:
+			r.metrics.cleared.Add(1)
+			if allowed, dropped := r.failures.Allow("request_cleared", time.Now()); allowed {
+				r.event("request_cleared", "content", e.Content, "cause", e.Cause, "left_out", dropped)
+			}
+		}
+	}
+	if r.quarantine.HasNews() {
+		select {
+		case r.suspected <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// strikeTime writes times of crashes, in UTC.
+const strikeTime = "15:04:05.000"
+
+// writeStrikes lists the servers that crashed, when, and who said that the request
+// ran there.
+func writeStrikes(strikes []quarantine.Strike) (servers, times, told string) {
+	var s, t, by []string
+	for _, one := range strikes {
+		s, t, by = append(s, one.Server), append(t, one.At.UTC().Format(strikeTime)), append(by, strings.Join(one.Told, "+"))
+	}
+	return strings.Join(s, ","), strings.Join(t, ","), strings.Join(by, ",")
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -11,6 +11,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
@@ -50,6 +51,9 @@
 	}
 	var events relay
 	for {
+		if c.isQuarantined() {
+			return
+		}
 		decision := c.place()
 		c.last = decision
 		if decision.Verdict != admission.Send {
@@ -129,6 +133,7 @@
 	out := c.r.dialect.Outgoing(c.req.Header, Call{
 		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.lastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
 	})
+	sent := c.r.sendBegins(c.content, server)
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
 		Own: func(h http.Header) bool { return c.r.dialect.Own(h, c.meta.ID) },
@@ -136,11 +141,16 @@
 	if failure != nil {
 		if failure.Stage == backend.NotSent {
 			c.arrived = false
+			c.r.sendEnded(sent, quarantine.NotRun)
+			if isRefused(failure.Err) {
+				c.r.crashed(server)
+			}
 			result = c.r.unreached(ctx, failure.Err)
 			return refused, failure.Err
 		}
 		result = brokeOff(ctx)
 		c.reached++
+		c.ended(sent, server, endingOf(ctx, failed, result, failure.Err))
 		return failed, failure.Err
 	}
 	defer answer.Close()
@@ -148,6 +158,7 @@
 	reply := c.r.dialect.Reply(answer.Status, answer.Header)
 	c.r.replied(run, reply)
 	if reply.NotRun || reply.OtherServer {
+		c.r.sendEnded(sent, quarantine.NotRun)
 		if reply.OtherServer {
 			result = health.Failure
 		}
@@ -158,6 +169,7 @@
 	var err error
 	before := events.count
 	next, result, err = c.pass(ctx, answer, reply, events)
+	c.ended(sent, server, endingOf(ctx, next, result, err))
 	if next == done && result == health.Success && before == 0 {
 		c.r.generated(run, events.count*c.eventTokens())
 	}
@@ -199,6 +211,9 @@
 	if after != refused && (!c.route.MayRepeat() || c.reached >= c.route.Attempts) {
 		return false
 	}
+	if c.arrived && !c.mayCarryOn() {
+		return false
+	}
 	return !c.arrived || c.r.takeRepeat(c.service)
 }
 
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-kit/log"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
@@ -278,8 +279,8 @@
 	change(&f.set, f.source)
 	cfg := Config{
 		Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Backend: backend.DefaultConfig(),
-		Repeats:   repeats.Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 20, Use: 1},
-		Freshness: 400 * time.Millisecond,
+		Repeats:    repeats.Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 20, Use: 1},
+		Quarantine: quarantine.DefaultConfig(), Freshness: 400 * time.Millisecond,
 	}
 	f.router = New(f.set, cfg, f.source, testDialect{}, logger)
 	go func() {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/transport/observe"
 )
 
@@ -21,6 +22,9 @@
 	closedIdle  *expvar.Int
 	invalid     *expvar.Int
 	shed        *expvar.Int
+	crashes     *expvar.Int
+	confirmed   *expvar.Int
+	cleared     *expvar.Int
 	latency     *observe.Times
 }
 
@@ -39,8 +43,13 @@
 		closedIdle:  v.Int("direct_idle_closed"),
 		invalid:     v.Int("direct_invalid_entries"),
 		shed:        v.Int("direct_shed"),
+		crashes:     v.Int("direct_server_crashes"),
+		confirmed:   v.Int("direct_quarantine_confirmed"),
+		cleared:     v.Int("direct_quarantine_cleared"),
 		latency:     v.Times("direct_latency_us"),
 	}
+	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
+	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).Held) })
 	v.Func("direct_held", func() any { return r.held.Load() })
 	v.Func("direct_caller_connections", func() any { return r.callers.open() })
 	v.Func("direct_dials", func() any { return r.pool.Dials() })
@@ -53,6 +62,13 @@
 	return m
 }
 
+// inQuarantine reads a number of the quarantine's.
+func (r *Router) inQuarantine(number func(*quarantine.State) int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return number(r.quarantine)
+}
+
 // CountLost makes the number of log lines known that were lost because the
 // reader of the log stalled. It must be called before Serve.
 func (r *Router) CountLost(lost func() int64) {
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/watchduty"
+	"goldcrestport/protocol/crashreport"
 	"goldcrestport/protocol/digest"
 )
 
@@ -57,8 +58,9 @@
 	destinations map[string]netip.AddrPort
 	// watchers are those of the destinations that ask the store.
 	watchers map[string]netip.AddrPort
-	// told is when the last digest went out.
-	told time.Time
+	// told is when the last digest went out, warned when the last news of
+	// crashes did, and stood when what stands of it did.
+	told, warned, stood time.Time
 }
 
 // run sends digests in time, a new word of the store's at once, and greetings
@@ -71,6 +73,7 @@
 			return
 		case <-t.r.vouched:
 			t.tell(time.Now())
+		case <-t.r.suspected:
 		case now := <-time.After(min(every, greetEvery)):
 			if now.Sub(t.told) >= every {
 				t.tell(now)
@@ -78,6 +81,7 @@
 				t.greet()
 			}
 		}
+		t.warn(time.Now())
 	}
 }
 
@@ -165,6 +169,12 @@
 		if err != nil {
 			return
 		}
+		if crashreport.Is(buf[:n]) {
+			if err := r.warned(buf[:n]); err != nil {
+				r.metrics.peerErrors.Add(1)
+			}
+			continue
+		}
 		m, err := digest.Read(buf[:n])
 		if err != nil {
 			r.metrics.peerErrors.Add(1)
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -121,7 +121,7 @@
 		return c.passRest(ctx, answer, body)
 	}
 	if !success && answer.Status >= http.StatusInternalServerError && c.mayRepeatError() {
-		return failed, health.Failure, errors.Newf("the server answered %d", answer.Status)
+		return failed, health.Failure, errors.Mark(errors.Newf("the server answered %d", answer.Status), errAnswered)
 	}
 	c.head(answer, int64(len(body)))
 	_, _ = c.w.Write(body)
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -16,6 +16,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/freshness"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/returning"
 	"goldcrestport/coordination/roster"
@@ -47,8 +48,12 @@
 	roster    *roster.Roster
 	budgets   map[string]*repeats.Budget
 	fresh     *freshness.Tracker
-	servers   map[string]roster.Server
-	peers     map[string]string
+	// quarantine tells which requests crash servers; suspected wakes the teller
+	// when there is news of it.
+	quarantine *quarantine.State
+	suspected  chan struct{}
+	servers    map[string]roster.Server
+	peers      map[string]string
 	// peersChanged tells the teller to read peers anew.
 	peersChanged bool
 	// heard is the last message of each other router, witness the times of
@@ -78,7 +83,8 @@
 	behind    chan struct{}
 	returning *returning.Tracker
 
-	load load
+	probes *probes
+	load   load
 	// cutSince is since when the store does not answer this router, by the
 	// clock of bootTime; 0 while it does.
 	cutSince atomic.Int64
@@ -97,20 +103,23 @@
 	ending, end := context.WithCancel(context.Background())
 	r := &Router{
 		set: set, cfg: cfg, log: logger, dialect: dialect, source: source,
-		pool:      backend.NewPool(cfg.Backend),
-		tracer:    observe.NoTracer(),
-		admission: admission.New(cfg.Admission),
-		roster:    roster.New(cfg.Roster),
-		budgets:   make(map[string]*repeats.Budget),
-		fresh:     freshness.New(cfg.Freshness),
-		servers:   make(map[string]roster.Server),
-		peers:     make(map[string]string),
-		heard:     make(map[string]uint32),
-		noted:     make(map[string]uint64),
-		behind:    make(chan struct{}, 1),
-		vouched:   make(chan struct{}, 1),
-		returning: returning.New(returning.DefaultConfig()),
-		ending:    ending, end: end, abort: make(chan struct{}), callers: newCallers(),
+		pool:       backend.NewPool(cfg.Backend),
+		tracer:     observe.NoTracer(),
+		admission:  admission.New(cfg.Admission),
+		roster:     roster.New(cfg.Roster),
+		budgets:    make(map[string]*repeats.Budget),
+		fresh:      freshness.New(cfg.Freshness),
+		servers:    make(map[string]roster.Server),
+		peers:      make(map[string]string),
+		heard:      make(map[string]uint32),
+		noted:      make(map[string]uint64),
+		behind:     make(chan struct{}, 1),
+		vouched:    make(chan struct{}, 1),
+		suspected:  make(chan struct{}, 1),
+		probes:     newProbes(),
+		quarantine: quarantine.New(cfg.Quarantine, set.ID),
+		returning:  returning.New(returning.DefaultConfig()),
+		ending:     ending, end: end, abort: make(chan struct{}), callers: newCallers(),
 	}
 	r.metrics = newMetrics(r)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
@@ -130,6 +139,9 @@
 	if err := r.cfg.Admission.Validate(); err != nil {
 		return errors.Wrap(err, "admission")
 	}
+	if err := r.cfg.Quarantine.Validate(); err != nil {
+		return errors.Wrap(err, "quarantine")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers, err := net.Listen("tcp", r.set.Listen.Callers)
@@ -252,6 +264,8 @@
 	mux := http.NewServeMux()
 	observe.Health{Ready: r.ready, Vars: r.metrics.vars}.Mount(mux)
 	mux.HandleFunc("GET /metrics", r.metrics.vars.ServeText)
+	mux.HandleFunc("GET /quarantine", r.listQuarantine)
+	mux.HandleFunc("DELETE /quarantine/{content}", r.releaseQuarantined)
 	return mux
 }
 
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -92,7 +92,9 @@
 
 func (r *Router) countRouters() {
 	r.peersChanged = true
-	n := len(r.routers())
+	all := r.routers()
+	n := len(all)
+	r.quarantine.SetRouters(all)
 	r.admission.SetRouters(n)
 	r.load.routers.Store(int64(n))
 }
@@ -106,6 +108,7 @@
 			r.admission.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, c.Server.Slots)
 		} else {
 			delete(r.servers, c.Server.ID)
+			r.gone(c)
 			r.admission.Remove(c.Server.ID)
 			go r.pool.Forget(c.Server.Identity())
 		}
@@ -127,6 +130,8 @@
 			r.mu.Lock()
 			r.apply(r.roster.Tick(now))
 			r.admission.Tick(now)
+			r.quarantine.Tick(now)
+			r.noteQuarantine()
 			r.mu.Unlock()
 		}
 	}
