The soak insists on requests that crash servers; four faults of the quarantine

The soak's servers now end at once, in the middle or after the answer of chosen requests and are back under their ids; two callers insist on one each, at times as three copies at once, beside every other failure. A fifth of all requests ask for what others ask for, too.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -59,25 +59,37 @@
 	for ctx.Err() == nil {
 		kind := kinds[c.random.IntN(len(kinds))]
 		team := fmt.Sprintf("team-%d", c.random.IntN(4))
-		if after := c.attempt(kind, team); after > 0 {
+		body := c.body()
+		if after := c.attempt(kind, team, body); after > 0 {
 			time.Sleep(after)
 			c.move()
-			c.attempt(kind, team)
+			c.attempt(kind, team, body)
 		}
 		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(thinkTime)))
 	}
 }
 
+// commonEvery is how often a request asks for what all others ask for, too.
+const commonEvery = 5
+
+// body returns the body of the next request.
+func (c *caller) body() string {
+	if c.count%commonEvery == 0 {
+		return "{}"
+	}
+	return fmt.Sprintf(`{"caller":%q,"n":%d}`, c.name, c.count)
+}
+
 // attempt sends one request, keeps what came of it, and returns after how long
 // to come back, or 0.
-func (c *caller) attempt(kind Kind, team string) time.Duration {
+func (c *caller) attempt(kind Kind, team, body string) time.Duration {
 	if c.random.IntN(100) < newPart {
 		c.move()
 	}
 	c.count++
 	r := c.w.routers[c.router]
 	call := Call{
-		ID: fmt.Sprintf("%s-%d", c.name, c.count), Kind: kind, Team: team, Key: c.w.key(team, c.random.IntN(100) < oldKeyPart), Router: c.router, Life: r.lives(),
+		ID: fmt.Sprintf("%s-%d", c.name, c.count), Kind: kind, Team: team, Body: body, Crashes: backend.Crashes(body), Key: c.w.key(team, c.random.IntN(100) < oldKeyPart), Router: c.router, Life: r.lives(),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), kind.timeout()+2*time.Second)
 	defer cancel()
@@ -106,7 +118,7 @@
 	tokens := 5 + c.random.IntN(mostTokens)
 	// A reader of a type that net/http does not know keeps it from sending the
 	// request again by itself.
-	body := io.MultiReader(strings.NewReader("{}"))
+	body := io.MultiReader(strings.NewReader(call.Body))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+call.Kind.path(), body)
 	if err != nil {
 		call.Err = err.Error()
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -37,6 +37,8 @@
 	{"a final answer comes in time", lateAnswer},
 	{"a caller that left ends its run", ranOn},
 	{"repeats are bounded", tooManyRepeats},
+	{"a request that crashes servers reaches few more", crashedOn},
+	{"what crashes no server is not refused for it", blamed},
 	{"the fleet recovers", notRecovered},
 	{"processes end only when told", func(r *Record) []string { return r.Exits }},
 }
@@ -380,7 +382,7 @@
 	}
 	all, good := 0, 0
 	for _, c := range r.Calls {
-		if c.Sent.Before(r.Settled.Add(recovery)) || !c.Left.IsZero() || revoked[c.Key] {
+		if c.Sent.Before(r.Settled.Add(recovery)) || !c.Left.IsZero() || revoked[c.Key] || c.Crashes {
 			continue
 		}
 		all++
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -197,7 +197,7 @@
 	staying := map[string][]*server{}
 	var all []*server
 	for n := 1; n <= i.w.nextID; n++ {
-		s := i.w.servers[serverID(n)]
+		s := i.w.servers[i.w.serverID(n)]
 		if s != nil && !s.leaving {
 			staying[s.Service] = append(staying[s.Service], s)
 			all = append(all, s)
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -9,12 +9,15 @@
 
 // Call is one attempt of a caller.
 type Call struct {
-	ID    string
-	Kind  Kind
-	Team  string
-	Key   string
-	Sent  time.Time
-	Ended time.Time
+	ID   string
+	Kind Kind
+	Team string
+	// Body of the request, and whether it crashes each server that begins it.
+	Body    string
+	Crashes bool
+	Key     string
+	Sent    time.Time
+	Ended   time.Time
 	// Router and Life tell which process took it.
 	Router, Life int
 	// Left is when the caller gave it up, or the zero time.
@@ -71,6 +74,12 @@
 	At          time.Time
 }
 
+// Crash is the end of a backend server under a request that crashes it.
+type Crash struct {
+	Server, Body string
+	At           time.Time
+}
+
 // Record is what was seen in a run. It may be added to from any goroutine.
 type Record struct {
 	mu         sync.Mutex
@@ -80,6 +89,7 @@
 	Failures   []Failure
 	Changes    []Change
 	Departures []Departure
+	Crashes    []Crash
 	// Exits names the processes that ended by themselves.
 	Exits []string
 	// Settled is when every failure was over.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -17,6 +17,8 @@
 	// Reborn adds servers that start again under their ids and entries that
 	// others spoil. Seeds choose the same failures as ever without it.
 	Reborn bool
+	// Crashing adds callers who insist on requests that crash servers.
+	Crashing bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -30,7 +32,10 @@
 
 // DefaultPlan returns the plan of the tool.
 func DefaultPlan(seed uint64) Plan {
-	return Plan{Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1)}
+	return Plan{
+		Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1),
+		Reborn: seed%2 == 0, Crashing: true,
+	}
 }
 
 // Times of a run.
@@ -42,7 +47,7 @@
 	lastPart = 3 * time.Second
 )
 
-func serverID(n int) string { return fmt.Sprintf("i-%04d", n) }
+func (w *World) serverID(n int) string { return fmt.Sprintf("i-%s-%04d", w.tag, n) }
 
 func teamName(n int) string { return fmt.Sprintf("team-%d", n) }
 
@@ -59,6 +64,9 @@
 		working.Go(func() { c.run(ctx) })
 	}
 	time.Sleep(warmUp)
+	if plan.Crashing {
+		w.insist(ctx, &working, plan.Seed)
+	}
 	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn}
 	for end := time.Now().Add(plan.Failures); time.Now().Before(end); {
 		i.start(i.draw())
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -107,3 +107,22 @@
 		})
 	}
 }
+
+// Callers insist on requests that crash each server that begins them, at once, in the
+// middle of the answer or after it, beside everything else.
+func TestRequestsThatCrashServers(t *testing.T) {
+	bin := fleet.BuildForTest(t)
+	for _, seed := range []uint64{401, 402} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := Size{Routers: 3, Engines: 4, Plain: 3, Other: 3, Callers: 12}
+			w, err := Start(context.Background(), bin, t.TempDir(), size)
+			if w != nil {
+				defer w.Close()
+			}
+			qt.Assert(t, err, qt.IsNil)
+			w.Run(Plan{Seed: seed, Failures: 10 * time.Second, Every: 800 * time.Millisecond, Reborn: true, Crashing: true}, size.Callers)
+			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+		})
+	}
+}
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -73,7 +73,11 @@
 	routers  []*router
 	balancer balancer
 
-	mu      sync.Mutex
+	mu     sync.Mutex
+	closed bool
+	// tag keeps the ids of servers apart from those of fleets beside this one,
+	// which may get the ports that this one frees.
+	tag     string
 	servers map[string]*server
 	nextID  int
 	config  configuration
@@ -96,6 +100,10 @@
 	if err != nil {
 		return w, err
 	}
+	_, w.tag, err = net.SplitHostPort(lis.Addr().String())
+	if err != nil {
+		return w, err
+	}
 	go func() { _ = w.storeSrv.Serve(lis) }()
 	if err := w.startServers(size); err != nil {
 		return w, err
@@ -124,6 +132,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for _, s := range w.servers {
 		s.close()
 	}
@@ -220,8 +229,8 @@
 	link    *relay.Relay
 	http    *http.Server
 	born    time.Time
-	// leaving tells that it drains or is gone.
-	leaving bool
+	// leaving tells that it drains or is gone, crashed that a request ended it.
+	leaving, crashed bool
 }
 
 func (s *server) close() {
@@ -233,7 +242,7 @@
 func (w *World) startServer(service, address string) error {
 	w.mu.Lock()
 	w.nextID++
-	id := serverID(w.nextID)
+	id := w.serverID(w.nextID)
 	w.mu.Unlock()
 	return w.runServer(id, service, address)
 }
@@ -244,7 +253,9 @@
 	if service == engineService {
 		cfg.Slots, cfg.Time, cfg.Engine = engineSlots, eventPause, true
 	}
-	s := &server{Config: cfg, backend: backend.New(cfg, w.Record), born: time.Now()}
+	s := &server{Config: cfg, born: time.Now()}
+	cfg.Crash = func(body string) { w.crashed(s, body) }
+	s.backend = backend.New(cfg, w.Record)
 	s.http = &http.Server{Handler: s.backend, ReadHeaderTimeout: time.Second}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/coordination/quarantine/config.go
+++ b/coordination/quarantine/config.go
@@ -16,17 +16,26 @@
 	// the end of a server within some milliseconds of each other, and a request
 	// that crashes servers comes again after its caller saw it fail.
 	Burst time.Duration
+	// Hearing is the time from the last news of a content to its judgement, in which
+	// all routers say what ran at the server that crashed: of those that were at each
+	// crash the one that others send counts as well. Default 50ms: news takes some
+	// milliseconds.
+	Hearing time.Duration
 	// Settle is how long a server must outlive a run for the run to be sound: a
 	// server may crash after the answer. Default 2s, so that another send to the
 	// server finds it gone.
 	Settle time.Duration
+	// Outlive is the time after a run from which an answer of the server to anybody
+	// shows that it outlived the run, before Settle is over. Default 300ms: what a
+	// request leaves behind to crash its server does so when it is cleaned up.
+	Outlive time.Duration
 	// Doubt is how long an answer that broke off waits for word whether its server
 	// crashed. Default 8s: three heartbeats until an entry lapses, and the way of
 	// that word.
 	Doubt time.Duration
-	// SoundFor is how long a content counts as sound after it ran well. Default
-	// 10s: what many callers ask for runs somewhere at any moment, also on servers
-	// that crash for reasons of their own.
+	// SoundFor is how long a content counts as sound after it ran well: crashes do
+	// not count against it meanwhile. Default 10s: what many callers ask for runs
+	// somewhere at any moment, also on servers that crash for other reasons.
 	SoundFor time.Duration
 	// Memory is how long a crash is remembered. Default 10m: callers come back
 	// within seconds or minutes.
@@ -50,7 +59,7 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		Crashes: 3, Burst: 250 * time.Millisecond, Settle: 2 * time.Second, Doubt: 8 * time.Second,
+		Crashes: 3, Burst: 250 * time.Millisecond, Hearing: 50 * time.Millisecond, Settle: 2 * time.Second, Outlive: 300 * time.Millisecond, Doubt: 8 * time.Second,
 		SoundFor: 10 * time.Second, Memory: 10 * time.Minute, News: 5 * time.Second,
 		Trials:      []time.Duration{5 * time.Minute, time.Hour},
 		MostCrashes: 256, MostSuspects: 128, MostHeld: 1024, MostSound: 2048,
@@ -67,7 +76,9 @@
 	}
 	check(c.Crashes > 1, "Crashes must be above 1")
 	check(c.Burst >= 0, "Burst must not be negative")
+	check(c.Hearing >= 0, "Hearing must not be negative")
 	check(c.Settle > 0, "Settle must be positive")
+	check(c.Outlive > 0, "Outlive must be positive")
 	check(c.Doubt > 0, "Doubt must be positive")
 	check(c.SoundFor > 0, "SoundFor must be positive")
 	check(c.Memory > c.Doubt, "Memory must be above Doubt")
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -79,7 +79,27 @@
 		}
 	}
 	for _, content := range contents {
-		s.judge(now, content)
+		s.consider(now, content)
+	}
+}
+
+// consider judges the content when the other routers, if there are any, have had
+// time to say what they know.
+func (s *State) consider(now time.Time, content Fingerprint) {
+	if len(s.routers) > 1 {
+		s.due[content] = now.Add(s.cfg.Hearing)
+		return
+	}
+	s.judge(now, content)
+}
+
+// judgeDue judges the contents of which nothing new was heard for long enough.
+func (s *State) judgeDue(now time.Time) {
+	for content, at := range s.due {
+		if !now.Before(at) {
+			delete(s.due, content)
+			s.judge(now, content)
+		}
 	}
 }
 
@@ -119,20 +139,6 @@
 	for _, c := range r.crashes {
 		c.explained = true
 	}
-	s.acquit(at, content, r)
-}
-
-// acquit clears refused contents that were there only when this one was, and less
-// often: bystanders that met as many of its crashes as it takes.
-func (s *State) acquit(now time.Time, content Fingerprint, r *record) {
-	for other, o := range s.records {
-		if other == content || o.held.IsZero() || len(o.crashes) == 0 || len(o.crashes) >= len(r.crashes) {
-			continue
-		}
-		if !slices.ContainsFunc(o.crashes, func(c *crash) bool { return !slices.Contains(r.crashes, c) }) {
-			s.clear(now, other, ByOther)
-		}
-	}
 }
 
 // counted returns the crashes that count against the content: those since it was
@@ -204,13 +210,13 @@
 }
 
 // clear forgets what speaks against the content up to the time.
-func (s *State) clear(at time.Time, content Fingerprint, cause Cause) {
+func (s *State) clear(now, at time.Time, content Fingerprint, cause Cause) {
 	r := s.records[content]
 	if r == nil || !at.After(r.cleared) {
 		return
 	}
 	counts := len(s.counted(r)) > 0 || !r.held.IsZero()
-	r.cleared = at
+	r.cleared, r.clearedHere = at, cause != ByPeer
 	if !r.held.IsZero() {
 		if r.held.After(at) {
 			// The word of others that it is refused since then must not come back.
@@ -226,11 +232,13 @@
 		return
 	}
 	s.say(Event{Kind: Cleared, Content: content, Cause: cause})
-	s.news.cleared = append(s.news.cleared, content)
+	if r.clearedHere {
+		s.news.cleared = append(s.news.cleared, content)
+	}
 	for _, c := range r.crashes {
 		for other := range c.suspects {
 			// One that was only a tie away from being refused has no rival now.
-			s.judge(at, other)
+			s.consider(now, other)
 		}
 	}
 }
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -45,6 +45,8 @@
 	order   []*crash
 	records map[Fingerprint]*record
 	held    int
+	// due are the contents to be judged, and when.
+	due map[Fingerprint]time.Time
 	// unsaid are events that Events has not returned yet.
 	unsaid []Event
 	news   news
@@ -56,6 +58,9 @@
 	// cleared is when it was last known to be sound: earlier crashes do not
 	// count.
 	cleared time.Time
+	// clearedHere tells that this router found that out, or its operator: only
+	// one tells it, as each hop would make it a little later.
+	clearedHere bool
 	// held is since when it is refused; zero while it is not.
 	held time.Time
 	// reasons are the crashes that it is refused for.
@@ -77,7 +82,7 @@
 func New(cfg Config, self string) *State {
 	return &State{
 		cfg: cfg, self: self, hosts: make(map[string]*host), flying: make(map[Fingerprint]int), sound: newSoundList(cfg.MostSound),
-		crashes: make(map[string]*crash), records: make(map[Fingerprint]*record),
+		crashes: make(map[string]*crash), records: make(map[Fingerprint]*record), due: make(map[Fingerprint]time.Time),
 	}
 }
 
@@ -87,6 +92,9 @@
 
 // Check says whether the request may be sent now.
 func (s *State) Check(now time.Time, content Fingerprint) Verdict {
+	if at, is := s.due[content]; is && !now.Before(at) {
+		s.judgeDue(now)
+	}
 	r := s.records[content]
 	switch {
 	case r == nil:
@@ -181,13 +189,14 @@
 	if s.records[content] == nil {
 		return false
 	}
-	s.clear(now, content, ByOperator)
+	s.clear(now, now, content, ByOperator)
 	return true
 }
 
 // Tick forgets what is too old. It is to be called several times a second.
 func (s *State) Tick(now time.Time) {
 	s.settle(now)
+	s.judgeDue(now)
 	s.forget(now)
 }
 
@@ -215,8 +224,6 @@
 	ByPeer Cause = "peer"
 	// BySuccess: it ran well.
 	BySuccess Cause = "success"
-	// ByOther: another request that is refused was there each time.
-	ByOther Cause = "explained"
 	// ByOperator: an operator took it off the list.
 	ByOperator Cause = "operator"
 )
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -264,6 +264,109 @@
 	qt.Check(t, s.List(), qt.HasLen, 0)
 }
 
+// Word takes time, and each hop makes an age a little older or younger: a clearing
+// must not travel on and on, each time clearing more.
+func TestAClearingTravelsOnce(t *testing.T) {
+	all := []*State{New(DefaultConfig(), "a"), New(DefaultConfig(), "b"), New(DefaultConfig(), "c")}
+	for i := range 2 {
+		crashUnder(all[0], at(100*i), fmt.Sprint("i-", i), good)
+	}
+	later(at(200), all...)
+	all[1].Release(at(300), good)
+	said := 0
+	for i := range 200 {
+		later(at(400+20*i), all...)
+		for _, s := range all {
+			for _, e := range s.Events() {
+				if e.Kind == Cleared {
+					said++
+				}
+			}
+		}
+	}
+	qt.Check(t, said, qt.Equals, len(all))
+	for i := range 3 {
+		crashUnder(all[i], at(5000+500*i), fmt.Sprint("j-", i), good)
+		later(at(5000+500*i), all...)
+	}
+	for _, s := range all {
+		qt.Check(t, s.Check(at(6100), good), qt.Equals, Refuse)
+	}
+}
+
+// later lets all tell all, with 7 ms on the way.
+func later(now time.Time, all ...*State) {
+	for _, from := range all {
+		for _, one := range append(from.News(now), from.Standing(now)...) {
+			for _, to := range all {
+				if to != from {
+					to.Told(now.Add(7*time.Millisecond), from.self, one)
+				}
+			}
+		}
+	}
+}
+
+// A router that began just now does not know that a content is sound, and would
+// refuse it; those who ran it say so, and it is refused nowhere.
+func TestOthersVouchForWhatTheyRan(t *testing.T) {
+	old, fresh := New(DefaultConfig(), "old"), New(DefaultConfig(), "fresh")
+	old.End(at(0), old.Begin(good, "i-9"), Complete)
+	old.Tick(at(2500))
+	for i := range 4 {
+		crashUnder(fresh, at(3000+400*i), fmt.Sprint("i-", i), good)
+		if i == 3 {
+			qt.Check(t, fresh.Check(at(4300), good), qt.Equals, Refuse, qt.Commentf("nobody has said anything yet"))
+		}
+	}
+	later(at(4400), fresh, old)
+	later(at(4500), fresh, old)
+	for _, s := range []*State{old, fresh} {
+		qt.Check(t, s.Check(at(4600), good), qt.Equals, Pass)
+		qt.Check(t, s.Held(), qt.Equals, 0)
+	}
+}
+
+// One router sees all that ran at three servers but the request that crashed them,
+// which others sent: their word comes some milliseconds later, and then there are two
+// that were at each crash.
+func TestJudgementWaitsForTheOthersWord(t *testing.T) {
+	a, b := New(DefaultConfig(), "a"), New(DefaultConfig(), "b")
+	for _, s := range []*State{a, b} {
+		s.SetRouters([]string{"a", "b"})
+	}
+	for i := range 3 {
+		now, server := at(400*i), fmt.Sprint("i-", i)
+		crashUnder(a, now, server, good)
+		crashUnder(b, now.Add(2*time.Millisecond), server, bad)
+		qt.Check(t, a.Check(now.Add(time.Millisecond), good), qt.Equals, Pass)
+		later(now.Add(3*time.Millisecond), a, b)
+		a.Tick(now.Add(60 * time.Millisecond))
+		b.Tick(now.Add(60 * time.Millisecond))
+	}
+	qt.Check(t, a.Check(at(1000), good), qt.Equals, Pass)
+	crashUnder(b, at(1200), "i-3", bad)
+	later(at(1203), a, b)
+	for _, s := range []*State{a, b} {
+		qt.Check(t, s.Check(at(1300), bad), qt.Equals, Refuse)
+		qt.Check(t, s.Check(at(1300), good), qt.Equals, Pass)
+	}
+}
+
+// A server that answers others for a while after a run outlived it, though it
+// crashes within the time in which a silent one would be in doubt.
+func TestAServerThatAnswersOthersOutlivedARun(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 4 {
+		server := fmt.Sprint("i-", i)
+		s.End(at(800*i), s.Begin(good, server), Complete)
+		s.End(at(800*i+400), s.Begin(Fingerprint(100+i), server), Complete)
+		s.Crash(at(800*i+500), server)
+	}
+	qt.Check(t, s.Check(at(4000), good), qt.Equals, Pass)
+	qt.Check(t, s.MayRepeat(good), qt.IsTrue)
+}
+
 // What is kept stays bounded, whatever crashes under whatever.
 func TestWhatIsKeptIsBounded(t *testing.T) {
 	cfg := DefaultConfig()
--- a/coordination/quarantine/runs.go
+++ b/coordination/quarantine/runs.go
@@ -33,8 +33,13 @@
 type host struct {
 	runs map[*Run]struct{}
 	past []*Run
+	// alive is when it last answered anybody.
+	alive time.Time
 }
 
+// outlived reports whether the server is known to have outlived the run.
+func (h *host) outlived(r *Run, by time.Duration) bool { return h.alive.Sub(r.at) >= by }
+
 // Begin notes that the request is sent to the server.
 func (s *State) Begin(content Fingerprint, server string) *Run {
 	h := s.hosts[server]
@@ -74,6 +79,9 @@
 		return
 	case Broken:
 		r.until = now.Add(s.cfg.Doubt)
+	case Complete:
+		h.alive = now
+		r.until = now.Add(s.cfg.Settle)
 	default:
 		r.until = now.Add(s.cfg.Settle)
 	}
@@ -97,13 +105,14 @@
 	}
 }
 
-// Alive notes that the server takes connections: answers that broke off were cut on
-// their way, unless it crashes right now.
+// Alive notes that the server answers or takes connections: what broke off before was
+// cut on its way, unless it crashes right now.
 func (s *State) Alive(now time.Time, server string) {
 	h := s.hosts[server]
 	if h == nil {
 		return
 	}
+	h.alive = now
 	for _, r := range h.past {
 		if until := now.Add(s.cfg.Settle); r.ending == Broken && r.until.After(until) {
 			r.until = until
@@ -116,12 +125,13 @@
 	for server, h := range s.hosts {
 		keep := h.past[:0]
 		for _, r := range h.past {
+			past := !r.until.After(now)
 			switch {
-			case r.until.After(now):
-				keep = append(keep, r)
-			case r.ending == Complete:
+			case r.ending == Complete && (past || h.outlived(r, s.cfg.Outlive)):
 				s.sound.add(r.content, r.at)
-				s.clear(r.at, r.content, BySuccess)
+				s.clear(now, r.at.Add(s.cfg.SoundFor), r.content, BySuccess)
+			case !past:
+				keep = append(keep, r)
 			}
 		}
 		clear(h.past[len(keep):])
@@ -155,7 +165,7 @@
 		}
 	}
 	for _, r := range h.past {
-		if r.ending != Broken && r.until.After(now) {
+		if r.ending != Broken && r.until.After(now) && !h.outlived(r, s.cfg.Outlive) {
 			add(r.content)
 		}
 	}
@@ -183,6 +193,10 @@
 	l.at[content] = at
 }
 
+// last returns when the content ran well last; the zero time when that is not
+// known.
+func (l *soundList) last(content Fingerprint) time.Time { return l.at[content] }
+
 // since reports whether the content ran well at or after the time.
 func (l *soundList) since(content Fingerprint, from time.Time) bool {
 	at, known := l.at[content]
--- a/coordination/quarantine/told.go
+++ b/coordination/quarantine/told.go
@@ -27,7 +27,8 @@
 	Age    time.Duration
 }
 
-// ClearedReport tells until how long ago a content is known to be sound.
+// ClearedReport tells up to how long ago crashes do not count against a content;
+// the age is negative where the content is known to be sound.
 type ClearedReport struct {
 	Content Fingerprint
 	Age     time.Duration
@@ -135,7 +136,7 @@
 		s.packHeld(p, now, one.Content)
 	}
 	for content, r := range s.records {
-		if !r.cleared.IsZero() && now.Sub(r.cleared) <= s.cfg.News+s.cfg.Settle {
+		if r.clearedHere && now.Sub(r.cleared) <= s.cfg.News {
 			s.packCleared(p, now, content)
 		}
 	}
@@ -214,23 +215,39 @@
 // Told takes another router's report.
 func (s *State) Told(now time.Time, router string, report Report) {
 	for _, one := range report.Cleared {
-		s.clear(now.Add(-one.Age), one.Content, ByPeer)
+		s.clear(now, now.Add(-one.Age), one.Content, ByPeer)
 	}
 	for _, one := range report.Crashes {
 		if one.Age > s.cfg.Memory {
 			continue
 		}
-		s.learn(now, s.crash(now.Add(-one.Age), one.Server), router, s.unknownSound(now, one))
+		s.learn(now, s.crash(now.Add(-one.Age), one.Server), router, s.unvouched(now, one))
 	}
 	for _, one := range report.Held {
 		s.toldHeld(now, router, one)
 	}
 }
 
-// unknownSound leaves out what this router knows to be sound.
-func (s *State) unknownSound(now time.Time, one CrashReport) []Fingerprint {
-	from := now.Add(-one.Age - s.cfg.SoundFor)
-	return slices.DeleteFunc(slices.Clone(one.Suspects), func(content Fingerprint) bool { return s.sound.since(content, from) })
+// unvouched leaves out what this router knows to be sound, and tells that.
+func (s *State) unvouched(now time.Time, one CrashReport) []Fingerprint {
+	return slices.DeleteFunc(slices.Clone(one.Suspects), func(content Fingerprint) bool {
+		return s.vouch(now, now.Add(-one.Age), content)
+	})
+}
+
+// vouch tells the others that the content was sound at the time, if it ran well here
+// shortly before. It reports whether it did.
+func (s *State) vouch(now, at time.Time, content Fingerprint) bool {
+	until := s.sound.last(content).Add(s.cfg.SoundFor)
+	if until.Before(at) {
+		return false
+	}
+	r := s.record(content)
+	s.clear(now, until, content, BySuccess)
+	if r.clearedHere && !slices.Contains(s.news.cleared, content) {
+		s.news.cleared = append(s.news.cleared, content)
+	}
+	return true
 }
 
 // heldSkew is by how much routers may differ on since when a content is refused:
@@ -240,6 +257,9 @@
 // toldHeld refuses what another router refuses, unless it was cleared since.
 func (s *State) toldHeld(now time.Time, router string, one HeldReport) {
 	since := now.Add(-one.Age)
+	if s.vouch(now, since, one.Content) {
+		return
+	}
 	r := s.records[one.Content]
 	if r != nil && !r.cleared.IsZero() && !since.After(r.cleared.Add(heldSkew)) {
 		return
--- a/protocol/crashreport/crashreport.go
+++ b/protocol/crashreport/crashreport.go
@@ -64,9 +64,11 @@
 	return append(append(b, byte(len(name))), name...)
 }
 
-// appendAge writes whole milliseconds, which cover seven weeks.
+// appendAge writes whole milliseconds, which cover three weeks. An age is negative
+// where something holds for some time yet.
 func appendAge(b []byte, age time.Duration) []byte {
-	return binary.LittleEndian.AppendUint32(b, uint32(min(max(age.Milliseconds(), 0), math.MaxUint32)))
+	ms := min(max(age.Milliseconds(), math.MinInt32), math.MaxInt32)
+	return binary.LittleEndian.AppendUint32(b, uint32(int32(ms)))
 }
 
 // Read reads a datagram.
@@ -120,7 +122,7 @@
 func (d *decoder) name() string { return string(d.take(d.count())) }
 
 func (d *decoder) age() time.Duration {
-	return time.Duration(binary.LittleEndian.Uint32(d.take(ageSize))) * time.Millisecond
+	return time.Duration(int32(binary.LittleEndian.Uint32(d.take(ageSize)))) * time.Millisecond
 }
 
 func (d *decoder) fingerprint() quarantine.Fingerprint {
--- a/protocol/crashreport/crashreport_test.go
+++ b/protocol/crashreport/crashreport_test.go
@@ -19,7 +19,7 @@
 		Held: []quarantine.HeldReport{{Content: 7, Age: time.Hour, Trials: 1, Reasons: []quarantine.StrikeReport{
 			{Server: "i-1", Age: time.Second}, {Server: "i-2", Age: 2 * time.Second},
 		}}},
-		Cleared: []quarantine.ClearedReport{{Content: 9, Age: time.Millisecond}},
+		Cleared: []quarantine.ClearedReport{{Content: 9, Age: -9 * time.Second}},
 	}
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -40,6 +40,10 @@
 	Time time.Duration
 	// Engine tells that answers are streams.
 	Engine bool
+	// Crash ends the server; it is called with the body of the request that
+	// crashes it, and may be called again before the server is gone. Without it
+	// such a request is like any other.
+	Crash func(body string)
 }
 
 // Fault is what goes wrong with answers.
@@ -136,13 +140,18 @@
 	}
 	defer s.release()
 	// A connection's end is noticed only once the body has been read.
-	if _, status := reply.Body(w, r, maxBody); status != 0 {
+	body, status := reply.Body(w, r, maxBody)
+	if status != 0 {
 		s.refuse(w, status)
 		return
 	}
 	run := s.begin(r)
 	s.journal.Began(run)
-	run.Whole = s.answer(w, r, run, fault)
+	if way := crashWay(body); way != "" && s.cfg.Crash != nil {
+		run.Whole = s.crash(w, r, run, way, string(body))
+	} else {
+		run.Whole = s.answer(w, r, run, fault)
+	}
 	run.Ended = time.Now()
 	s.journal.Ended(run)
 }
--- a/transport/direct/runs.go
+++ b/transport/direct/runs.go
@@ -36,6 +36,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	if !reply.OtherServer {
+		r.quarantine.Alive(now, roster.Identity(run.Server(), run.Incarnation()))
+	}
 	if reply.NotRun || reply.OtherServer {
 		r.admission.Refused(now, run)
 	} else {
