--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestport/standin/backend"
 	"goldcrestport/standin/kvstore"
 )
@@ -235,7 +237,12 @@
 // replace starts a new server of the service at the address. The old one stays
 // in the map as leaving.
 func (i *injector) replace(s *server, address string) {
-	if err := i.w.startServer(s.Service, address); err != nil {
+	err := i.w.startServer(s.Service, address)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		// The kernel gave the port to a connection meanwhile.
+		err = i.w.startServer(s.Service, "127.0.0.1:0")
+	}
+	if err != nil {
 		i.w.Record.add(func() { i.w.Record.Exits = append(i.w.Record.Exits, "a server did not start: "+err.Error()) })
 	}
 }
