What is refused outlives every router

Cause: what crashes servers was known to routers only. The mend: one router of the fleet, by rendezvous hash, enters what is refused in the platform's store, under a lease of ten minutes; a router that begins reads it with everything else, and it is removed when the request is free again. Entries of other writers are told as invalid and change nothing else. Ruled out: the digests' seeds (nobody is left to ask); writing each crash (dozens of bystanders each, and a write on the way of a decision).

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if !known {
-		s.say(Event{Kind: Crashed, Server: server, Suspects: len(suspects)})
+		s.emit(Event{Kind: Crashed, Server: server, Suspects: len(suspects)})
 	}
 	c := s.crash(now, server)
 	c.own = true
@@ -129,22 +129,22 @@
 		s.due[content] = decided
 		return
 	}
-	s.hold(now, content, r, ByCount, s.reasons(content, r))
+	s.hold(now, now, content, r, ByCount, s.reasons(content, r))
 }
 
-// hold refuses the content from now on.
-func (s *State) hold(at time.Time, content Fingerprint, r *record, cause Cause, reasons []Strike) {
+// hold refuses the content from now on; since is when that began by the first word.
+func (s *State) hold(now, since time.Time, content Fingerprint, r *record, cause Cause, reasons []Strike) {
 	if s.held >= s.cfg.MostHeld {
 		s.dropOldestHeld()
 	}
 	s.held++
-	r.held, r.reasons, r.trials = at, reasons, 0
-	s.say(Event{Kind: Confirmed, Content: content, Cause: cause, Strikes: reasons})
+	r.held, r.reasons, r.trials = since, reasons, 0
+	s.emit(Event{Kind: Confirmed, Content: content, Cause: cause, Strikes: reasons})
 	s.news.held = append(s.news.held, content)
 	for _, c := range r.crashes {
 		c.explained = true
 	}
-	s.acquit(at, r)
+	s.acquit(now, r)
 }
 
 // acquit clears refused contents that were only where this one was, while it crashed
@@ -251,7 +251,7 @@
 	if !counts {
 		return
 	}
-	s.say(Event{Kind: Cleared, Content: content, Cause: cause})
+	s.emit(Event{Kind: Cleared, Content: content, Cause: cause})
 	if r.clearedHere {
 		s.news.cleared = append(s.news.cleared, content)
 	}
@@ -313,4 +313,4 @@
 	}
 }
 
-func (s *State) say(e Event) { s.unsaid = append(s.unsaid, e) }
+func (s *State) emit(e Event) { s.events = append(s.events, e) }
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -36,9 +36,9 @@
 	self    string
 	routers []string
 
-	hosts  map[string]*host
-	flying map[Fingerprint]int
-	sound  soundList
+	hosts    map[string]*host
+	inFlight map[Fingerprint]int
+	sound    soundList
 
 	crashes map[string]*crash
 	// order holds the crashes as they became known.
@@ -47,8 +47,8 @@
 	held    int
 	// due are the contents to be judged, and when.
 	due map[Fingerprint]time.Time
-	// unsaid are events that Events has not returned yet.
-	unsaid []Event
+	// events are those that Events has not returned yet.
+	events []Event
 	news   news
 }
 
@@ -67,6 +67,8 @@
 	reasons []Strike
 	// trials is the number of sends that were allowed since.
 	trials int
+	// kept is when this router entered it in the store last; zero if it did not.
+	kept time.Time
 }
 
 // Strike is a crash that counts against a request.
@@ -81,7 +83,7 @@
 // New returns the state of a router that knows nothing.
 func New(cfg Config, self string) *State {
 	return &State{
-		cfg: cfg, self: self, hosts: make(map[string]*host), flying: make(map[Fingerprint]int), sound: newSoundList(cfg.MostSound),
+		cfg: cfg, self: self, hosts: make(map[string]*host), inFlight: make(map[Fingerprint]int), sound: newSoundList(cfg.MostSound),
 		crashes: make(map[string]*crash), records: make(map[Fingerprint]*record), due: make(map[Fingerprint]time.Time),
 	}
 }
@@ -104,7 +106,7 @@
 			return Pass
 		}
 		return Refuse
-	case s.flying[content] > 0 && s.strikes(content, r) >= strikesAlone:
+	case s.inFlight[content] > 0 && s.strikes(content, r) >= strikesAlone:
 		return Wait
 	default:
 		return Pass
@@ -114,7 +116,7 @@
 // mayTry reports whether a refused request may be sent once more: at one router
 // of the fleet, and one at a time.
 func (s *State) mayTry(now time.Time, content Fingerprint, r *record) bool {
-	if r.trials >= len(s.cfg.Trials) || s.flying[content] > 0 {
+	if r.trials >= len(s.cfg.Trials) || s.inFlight[content] > 0 {
 		return false
 	}
 	return now.Sub(r.held) >= s.cfg.Trials[r.trials] && s.owner(content) == s.self
@@ -245,7 +247,7 @@
 
 // Events returns what changed since the last call.
 func (s *State) Events() []Event {
-	out := s.unsaid
-	s.unsaid = nil
+	out := s.events
+	s.events = nil
 	return out
 }
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -405,6 +405,48 @@
 	qt.Check(t, s.Check(at(1000), good), qt.Equals, Pass)
 }
 
+// One router enters what is refused in the store and removes what is free again; all
+// routers that begin later read it there, though every one was lost.
+func TestTheStoreOutlivesAllRouters(t *testing.T) {
+	const life = 10 * time.Minute
+	all := []*State{New(DefaultConfig(), "a"), New(DefaultConfig(), "b"), New(DefaultConfig(), "c")}
+	for i, s := range all {
+		s.SetRouters([]string{"a", "b", "c"})
+		crashUnder(s, at(1000*i), fmt.Sprint("i-", i), bad)
+		later(at(1000*i+1), all...)
+	}
+	for _, s := range all {
+		s.Tick(at(2100))
+	}
+	var entries []Entry
+	for _, s := range all {
+		for _, one := range s.ToKeep(at(2200), life) {
+			entries = append(entries, one)
+			s.Kept(at(2200), one.Content)
+		}
+		qt.Check(t, s.ToKeep(at(2300), life), qt.HasLen, 0)
+	}
+	qt.Assert(t, entries, qt.HasLen, 1)
+	begun := New(DefaultConfig(), "d")
+	begun.Stored(at(60_000), entries)
+	qt.Check(t, begun.Check(at(60_001), bad), qt.Equals, Refuse)
+	qt.Check(t, begun.Reasons(bad), qt.HasLen, 3)
+
+	writers := 0
+	for _, s := range all {
+		s.Release(at(70_000), bad)
+		for _, content := range s.ToDrop() {
+			writers++
+			s.Dropped(content)
+		}
+		qt.Check(t, s.ToDrop(), qt.HasLen, 0)
+		// What the store had before says nothing new.
+		s.Stored(at(70_100), entries)
+		qt.Check(t, s.Check(at(70_101), bad), qt.Equals, Pass)
+	}
+	qt.Check(t, writers, qt.Equals, 1)
+}
+
 // What is kept stays bounded, whatever crashes under whatever.
 func TestWhatIsKeptIsBounded(t *testing.T) {
 	cfg := DefaultConfig()
--- a/coordination/quarantine/runs.go
+++ b/coordination/quarantine/runs.go
@@ -52,7 +52,7 @@
 		r.trial = !known.held.IsZero()
 	}
 	h.runs[r] = struct{}{}
-	s.flying[content]++
+	s.inFlight[content]++
 	return r
 }
 
@@ -62,8 +62,8 @@
 		return
 	}
 	r.ended, r.ending, r.at = true, how, now
-	if s.flying[r.content]--; s.flying[r.content] <= 0 {
-		delete(s.flying, r.content)
+	if s.inFlight[r.content]--; s.inFlight[r.content] <= 0 {
+		delete(s.inFlight, r.content)
 	}
 	if known := s.records[r.content]; r.trial && how != NotRun && known != nil {
 		known.trials++
--- a/coordination/quarantine/told.go
+++ b/coordination/quarantine/told.go
@@ -266,7 +266,7 @@
 	}
 	r = s.record(one.Content)
 	if r.held.IsZero() {
-		s.hold(since, one.Content, r, ByPeer, told(now, router, one.Reasons))
+		s.hold(now, since, one.Content, r, ByPeer, told(now, router, one.Reasons))
 	}
 	// The earlier time and the greater number hold, so that trials are alike
 	// everywhere.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -249,12 +249,12 @@
 		body = body[:len(body)/2]
 	}
 	_, _ = w.Write([]byte(body))
-	s.spoil(w, fault, body)
+	s.spoil(w, fault, run, body)
 	return true
 }
 
 // spoil ends a broken answer, or sends a second one.
-func (s *Server) spoil(w http.ResponseWriter, fault Fault, body string) {
+func (s *Server) spoil(w http.ResponseWriter, fault Fault, run Run, body string) {
 	if fault != Breaks && fault != Doubles {
 		return
 	}
@@ -264,8 +264,9 @@
 		return
 	}
 	if fault == Doubles {
-		// The connection stays open: whoever uses it again would read this.
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: x\r\n\r\n%s", len(body), headerMark, body)
+		// The connection stays open: whoever uses it again would read this. Servers
+		// name the request in every answer.
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: x\r\n\r\n%s", len(body), headerID, run.ID, headerMark, body)
 		time.AfterFunc(doubledStays, func() { _ = conn.Close() })
 		return
 	}
--- a/standin/backend/crash.go
+++ b/standin/backend/crash.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"goldcrestport/standin/internal/reply"
 )
 
 // CrashWay says when a server ends under a request that crashes it.
@@ -62,5 +64,7 @@
 	}
 	pause(r, crashDelay)
 	end()
+	// The server may be going under another request: this answer must not end well.
+	reply.Abort(w)
 	return false
 }
--- a/transport/direct/crash_test.go
+++ b/transport/direct/crash_test.go
@@ -26,6 +26,7 @@
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/outcome"
+	"goldcrestport/protocol/settings"
 )
 
 // Figures of the promise: a request under which three servers ended is sent at most
@@ -307,10 +308,24 @@
 	late.Assert(json.Unmarshal(list.Body.Bytes(), &entries), qt.IsNil)
 	late.Assert(entries, qt.HasLen, 1)
 	late.Check(len(entries[0].Crashes) >= crashesToKnow, qt.IsTrue)
+	kept := func() (all []quarantine.Entry) {
+		for _, one := range append(f.routers, late) {
+			all = append(all, one.source.kept()...)
+		}
+		return all
+	}
+	late.waitFor("nobody entered it in the store", func() bool { return len(kept()) == 1 })
+
+	// All routers are lost; one that begins reads it in the store.
+	alone := startWith(t, testConfig(1), func(_ *settings.Direct, s *testSource) { s.now.Refused = kept() })
+	alone.waitFor("it was not read", func() bool { return alone.router.inQuarantine((*quarantine.State).Held) == 1 })
+	alone.Check(alone.send("/stream/a", "y", crashBody).status, qt.Equals, http.StatusBadRequest)
+
 	freed := httptest.NewRecorder()
 	late.router.metricsHandler().ServeHTTP(freed, httptest.NewRequest(http.MethodDelete, "/quarantine/"+entries[0].Content, nil))
 	late.Check(freed.Code, qt.Equals, http.StatusOK)
 	for _, one := range append(f.routers, late) {
 		one.waitFor("it is still refused", func() bool { return one.router.inQuarantine((*quarantine.State).Held) == 0 })
 	}
+	late.waitFor("its entry is still in the store", func() bool { return len(kept()) == 0 })
 }
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -24,10 +24,12 @@
 // answer takes.
 const suspectReturn = 500 * time.Millisecond
 
-// isQuarantined ends the request if servers crashed under it, or may do so.
-func (c *call) isQuarantined() bool {
+// endQuarantined ends the request if servers crash under it, or may do so. It reports
+// whether it did.
+func (c *call) endQuarantined() bool {
 	c.r.mu.Lock()
 	verdict := c.r.quarantine.Check(time.Now(), c.content)
+	c.r.noteQuarantine()
 	c.r.mu.Unlock()
 	switch {
 	case verdict == quarantine.Pass:
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/state/routing"
 )
@@ -96,6 +97,8 @@
 	Invalid []InvalidEntry
 	// Routers are the ids and peers' addresses of the registered routers.
 	Routers map[string]string
+	// Refused are the requests that crash servers.
+	Refused []quarantine.Entry
 	// Revision to ask for changes after.
 	Revision uint64
 }
@@ -109,6 +112,8 @@
 	Removed []string
 	// Invalid are entries that changed and cannot be used.
 	Invalid []InvalidEntry
+	// Refused are requests that crash servers and were entered.
+	Refused []quarantine.Entry
 	// Joined and Left are changes of the registered routers.
 	Joined   map[string]string
 	Left     []string
@@ -128,4 +133,8 @@
 	Register(ctx context.Context, id, address, lease string, ttl time.Duration) (string, error)
 	// Unregister ends the lease.
 	Unregister(ctx context.Context, lease string) error
+	// Keep enters a refused request for the life, or enters it anew.
+	Keep(ctx context.Context, one quarantine.Entry, life time.Duration) error
+	// Drop removes the entry of a request that is not refused any more.
+	Drop(ctx context.Context, content quarantine.Fingerprint) error
 }
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -51,7 +51,7 @@
 	}
 	var events relay
 	for {
-		if c.isQuarantined() {
+		if c.endQuarantined() {
 			return
 		}
 		decision := c.place()
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,6 +83,8 @@
 	down    bool
 	// calls counts the calls but those that keep the router's own entry.
 	calls int
+	// refused are the requests that routers entered.
+	refused []quarantine.Entry
 }
 
 func (s *testSource) counted() int {
@@ -124,6 +127,33 @@
 
 func (s *testSource) Unregister(context.Context, string) error { return nil }
 
+func (s *testSource) Keep(_ context.Context, one quarantine.Entry, _ time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnknown
+	}
+	s.refused = append(s.refused, one)
+	return nil
+}
+
+func (s *testSource) Drop(_ context.Context, content quarantine.Fingerprint) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnknown
+	}
+	s.refused = slices.DeleteFunc(s.refused, func(one quarantine.Entry) bool { return one.Content == content })
+	return nil
+}
+
+// kept returns the refused requests that were entered.
+func (s *testSource) kept() []quarantine.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refused)
+}
+
 func (s *testSource) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/transport/direct/keep.go
@@ -0,0 +1,78 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"goldcrestport/coordination/quarantine"
+)
+
+// Times of the entries in the store by which refused requests outlive all routers.
+const (
+	// keepLife is the life of an entry without a renewal: the longest that the
+	// users' store allows.
+	keepLife = 10 * time.Minute
+	// keepEvery is the time between looks at what is to be entered or removed.
+	keepEvery = time.Second
+)
+
+// takeStored takes the refused requests that the store has. The caller holds mu.
+func (r *Router) takeStored(entries []quarantine.Entry) {
+	if len(entries) > 0 {
+		r.quarantine.Stored(time.Now(), entries)
+		r.noteQuarantine()
+	}
+}
+
+// keepQuarantine enters in the store what is refused, and removes what is free again,
+// as far as it is for this router to do. What fails is tried again.
+func (r *Router) keepQuarantine(ctx context.Context) {
+	ticker := time.NewTicker(keepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.mu.Lock()
+			keep, drop := r.quarantine.ToKeep(now, keepLife), r.quarantine.ToDrop()
+			r.mu.Unlock()
+			r.enterRefused(ctx, keep)
+			r.removeFreed(ctx, drop)
+		}
+	}
+}
+
+func (r *Router) enterRefused(ctx context.Context, entries []quarantine.Entry) {
+	for _, one := range entries {
+		if !r.storeCall(ctx, func(ctx context.Context) error { return r.source.Keep(ctx, one, keepLife) }) {
+			return
+		}
+		r.mu.Lock()
+		r.quarantine.Kept(time.Now(), one.Content)
+		r.mu.Unlock()
+	}
+}
+
+func (r *Router) removeFreed(ctx context.Context, contents []quarantine.Fingerprint) {
+	for _, content := range contents {
+		if !r.storeCall(ctx, func(ctx context.Context) error { return r.source.Drop(ctx, content) }) {
+			return
+		}
+		r.mu.Lock()
+		r.quarantine.Dropped(content)
+		r.mu.Unlock()
+	}
+}
+
+// storeCall makes one bounded call and counts its failure. It reports whether it
+// succeeded.
+func (r *Router) storeCall(ctx context.Context, call func(context.Context) error) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := call(ctx); err != nil {
+		r.metrics.storeErrors.Add(1)
+		return false
+	}
+	return true
+}
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -170,7 +170,7 @@
 			return
 		}
 		if crashreport.Is(buf[:n]) {
-			if err := r.warned(buf[:n]); err != nil {
+			if err := r.takeReport(buf[:n]); err != nil {
 				r.metrics.peerErrors.Add(1)
 			}
 			continue
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -156,6 +156,7 @@
 	go r.follow(ctx)
 	go r.sweep(ctx)
 	go r.register(ctx)
+	go r.keepQuarantine(ctx)
 	go func() { _ = observe.Server(r.healthHandler()).Serve(health) }()
 	if err := r.exchange(ctx); err != nil {
 		return errors.Wrap(err, "listen.peers")
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -63,6 +63,7 @@
 	r.invalidate(s.Invalid)
 	r.peers = s.Routers
 	r.countRouters()
+	r.takeStored(s.Refused)
 }
 
 // update takes changes. They are whole up to their revision, so that what others
@@ -88,6 +89,7 @@
 		delete(r.peers, id)
 	}
 	r.countRouters()
+	r.takeStored(d.Refused)
 }
 
 func (r *Router) countRouters() {
--- a/transport/direct/warn.go
+++ b/transport/direct/warn.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// warned takes another router's report of crashes.
-func (r *Router) warned(datagram []byte) error {
+// takeReport takes another router's report of crashes.
+func (r *Router) takeReport(datagram []byte) error {
 	router, report, err := crashreport.Read(datagram)
 	if err != nil {
 		return err
