All that is refused is told, in turns; vouching is told once

Cause: read in the code: a telling has room for about 240 refused contents and took the latest ones each time, so that older ones were never told again; and a router that knows a content to be sound said so anew at each repeated word, 4 times a second. Ruled out: the store's entries (a router that begins reads all of them there). Figures: 64 in each telling, 200 known within 1 s (TestAllThatIsRefusedIsTold); one report in place of ten.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -50,6 +50,8 @@
 	// events are those that Events has not returned yet.
 	events []Event
 	news   news
+	// turn is where the next telling of refused contents begins.
+	turn int
 }
 
 // record is what is known of one content.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -447,6 +447,34 @@
 	qt.Check(t, writers, qt.Equals, 1)
 }
 
+// More contents are refused than one telling has room for: a router that begins hears
+// of all within some tellings, and vouching is told once.
+func TestAllThatIsRefusedIsTold(t *testing.T) {
+	old, fresh := New(DefaultConfig(), "old"), New(DefaultConfig(), "fresh")
+	for i := range 200 {
+		for j := range 3 {
+			crashUnder(old, at(1000*(3*i+j)), fmt.Sprintf("i-%d-%d", i, j), Fingerprint(5000+i))
+		}
+	}
+	qt.Assert(t, old.Held(), qt.Equals, 200)
+	for i := range 4 {
+		for _, one := range old.Standing(at(601_000 + 250*i)) {
+			fresh.Told(at(601_010+250*i), "old", one)
+		}
+	}
+	qt.Check(t, fresh.Held(), qt.Equals, 200)
+
+	fresh = New(DefaultConfig(), "fresh")
+	fresh.End(at(0), fresh.Begin(good, "i-9"), Complete)
+	fresh.Tick(at(2500))
+	told := 0
+	for i := range 10 {
+		fresh.Told(at(3000+250*i), "old", Report{Crashes: []CrashReport{{Server: "i-0", Age: time.Duration(250*i) * time.Millisecond, Suspects: []Fingerprint{good}}}})
+		told += len(fresh.News(at(3000 + 250*i)))
+	}
+	qt.Check(t, told, qt.Equals, 1)
+}
+
 // What is kept stays bounded, whatever crashes under whatever.
 func TestWhatIsKeptIsBounded(t *testing.T) {
 	cfg := DefaultConfig()
--- a/coordination/quarantine/told.go
+++ b/coordination/quarantine/told.go
@@ -50,6 +50,9 @@
 	// suspectsTogether and reasonsTold bound one part of a report.
 	suspectsTogether = 64
 	reasonsTold      = 5
+	// heldTogether is the number of refused contents in one telling; the others
+	// come with later ones.
+	heldTogether = 64
 	// Sizes of the parts, about as they are written, in bytes.
 	crashBytes       = 8
 	fingerprintBytes = 8
@@ -132,9 +135,11 @@
 
 // packLasting tells what is refused, and what was cleared just now.
 func (s *State) packLasting(p *packer, now time.Time) {
-	for _, one := range s.List() {
-		s.packHeld(p, now, one.Content)
+	refused := s.List()
+	for i := range min(len(refused), heldTogether) {
+		s.packHeld(p, now, refused[(s.turn+i)%len(refused)].Content)
 	}
+	s.turn += heldTogether
 	for content, r := range s.records {
 		if r.clearedHere && now.Sub(r.cleared) <= s.cfg.News {
 			s.packCleared(p, now, content)
@@ -203,8 +208,8 @@
 	p.used += bytes
 }
 
-// done returns the reports; what is beyond their greatest number comes with a
-// later telling, as what is told is sorted by age.
+// done returns the reports, up to their greatest number: what is beyond it in a storm
+// of crashes is told by other routers, or not at all.
 func (p *packer) done() []Report {
 	if p.used > 0 {
 		p.full = append(p.full, p.report)
@@ -243,8 +248,9 @@
 		return false
 	}
 	r := s.record(content)
+	before := r.cleared
 	s.clear(now, until, content, BySuccess)
-	if r.clearedHere && !slices.Contains(s.news.cleared, content) {
+	if r.cleared.After(before) && !slices.Contains(s.news.cleared, content) {
 		s.news.cleared = append(s.news.cleared, content)
 	}
 	return true
