--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -126,3 +126,26 @@
 		})
 	}
 }
+
+// longRegressions are seeds that failed once in the long plan, each with its cause.
+var longRegressions = map[uint64]string{
+	6:    "a clearing grew younger from router to router and freed a request that crashes servers",
+	1033: "three copies at once beside a crash of another cause counted as one crash",
+}
+
+func TestLongSeedsThatFailedOnce(t *testing.T) {
+	bin := fleet.BuildForTest(t)
+	for seed, cause := range longRegressions {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := DefaultSize()
+			w, err := Start(context.Background(), bin, t.TempDir(), size)
+			if w != nil {
+				defer w.Close()
+			}
+			qt.Assert(t, err, qt.IsNil)
+			w.Run(DefaultPlan(seed), size.Callers)
+			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record)))
+		})
+	}
+}
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -174,18 +174,25 @@
 	return out
 }
 
-// strikes is the number of crashes that count. Of several at one moment only one
-// does where further servers crashed that the request did not run at: then it was
+// mostOfBurst is the number of crashes at one moment that count where something else
+// ended a server, too: not enough to refuse a request by one moment, and not so few
+// that copies of a culprit sent at once beside another crash take three such moments.
+const mostOfBurst = 2
+
+// strikes is the number of crashes that count. Of several at one moment only some do
+// where further servers crashed that the request did not run at: then it may have been
 // something else that ended them all.
 func (s *State) strikes(content Fingerprint, r *record) int {
-	n := 0
+	n, ofBurst := 0, 0
 	var burst time.Time
 	for _, c := range s.counted(r) {
-		if n > 0 && c.at.Sub(burst) <= s.cfg.Burst && s.otherCrash(content, burst) {
-			continue
+		if n == 0 || c.at.Sub(burst) > s.cfg.Burst {
+			burst, ofBurst = c.at, 0
+		}
+		ofBurst++
+		if ofBurst <= mostOfBurst || !s.otherCrash(content, burst) {
+			n++
 		}
-		n++
-		burst = c.at
 	}
 	return n
 }
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -181,6 +181,19 @@
 	qt.Check(t, s.Held(), qt.Equals, 0)
 }
 
+// A culprit that crashed one server comes as three copies at the moment at which a
+// server crashes for a reason of its own.
+func TestCopiesBesideAnotherCrashAreEnough(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	crashUnder(s, at(0), "i-0", bad)
+	crashUnder(s, at(7000), "i-9")
+	crashUnder(s, at(7005), "i-9", 100)
+	for i := range 3 {
+		crashUnder(s, at(7120+5*i), fmt.Sprint("i-", i+1), bad)
+	}
+	qt.Check(t, s.Check(at(7200), bad), qt.Equals, Refuse)
+}
+
 // Three copies sent at one moment, before anybody knew, are three crashes.
 func TestCopiesAtOneMomentCountEach(t *testing.T) {
 	s := New(DefaultConfig(), "a")
