--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -12,7 +12,6 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/quarantine"
-	"goldcrestport/coordination/repeats"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
@@ -277,33 +276,6 @@
 	return err.Error()
 }
 
-// countRequest earns the service's budget of repeats.
-func (r *Router) countRequest(service string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.budget(service).Request(time.Now())
-}
-
-func (r *Router) takeRepeat(service string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	ok := r.budget(service).Take(time.Now(), r.admission.Routers())
-	if ok {
-		r.metrics.repeats.Add(1)
-	}
-	return ok
-}
-
-// budget returns the service's budget. The caller holds mu.
-func (r *Router) budget(service string) *repeats.Budget {
-	b := r.budgets[service]
-	if b == nil {
-		b = repeats.New(r.cfg.Repeats)
-		r.budgets[service] = b
-	}
-	return b
-}
-
 // eventTokens is the number of tokens in one event of the service's streams.
 func (c *call) eventTokens() int {
 	if s := c.table.Service(c.service); s != nil {
