The soak's two new checks are seen failing on records made by hand

Cause: each check of the soak has to be seen failing without a fleet. Ruled out: nothing. Figures: four sends later than contact fail, three do not; six wrong refusals fail.

--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -34,6 +34,20 @@
 	r.Calls = append(r.Calls, c)
 }
 
+// insisted fills in a request that crashed three servers and was sent so many times
+// more, from the time after the third crash on.
+func insisted(r *Record, sends, from int) {
+	for i := range crashesToKnow {
+		r.Crashes = append(r.Crashes, Crash{Server: fmt.Sprint("s", i), Body: "b", At: at(-20 + 10*i)})
+	}
+	for i := range sends {
+		c := call(Safe, from+i, from+i+1)
+		c.ID, c.Body, c.Crashes = fmt.Sprint("n", i), "b", true
+		r.Calls = append(r.Calls, c)
+		r.Arrived(plainService, c.ID, at(from+i))
+	}
+}
+
 // Each promise is seen broken, and each excuse of the pages is taken.
 func TestEachPromiseIsChecked(t *testing.T) {
 	for _, tc := range []struct {
@@ -158,6 +172,27 @@
 			c.Status = 503
 			r.Calls = []Call{c, c, c, c}
 		}},
+		{"crashes on", "a request that crashes servers", func(r *Record) { insisted(r, 4, 3100) }},
+		{"crashes on, three times", "", func(r *Record) { insisted(r, 3, 3100) }},
+		{"crashes on before routers could know", "", func(r *Record) { insisted(r, 30, 100) }},
+		{"crashes on from a router that was frozen", "", func(r *Record) {
+			insisted(r, 4, 3100)
+			r.Failures = []Failure{{Kind: "freeze", From: at(1000), Until: at(1500)}}
+		}},
+		{"refused for crashes of others", "what crashes no server", func(r *Record) {
+			for i := range 6 {
+				c := call(Safe, i, i+1)
+				c.Status = 400
+				r.Calls = append(r.Calls, c)
+			}
+		}},
+		{"refused for its own crashes", "", func(r *Record) {
+			for i := range 6 {
+				c := call(Safe, i, i+1)
+				c.Status, c.Crashes = 400, true
+				r.Calls = append(r.Calls, c)
+			}
+		}},
 		{"ends by itself", "processes end", func(r *Record) { r.Exits = []string{"router-1 has ended"} }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
