All contents that are due are judged before one is refused

The mend: all that is due is judged first; of two that nothing tells apart both are refused. Ruled out: the clock (the test has none); the store and messages.

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -83,6 +83,7 @@
 	for _, content := range added {
 		s.consider(now, content)
 	}
+	s.judgeDue(now)
 }
 
 func (s *State) record(content Fingerprint) *record {
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -8,39 +8,53 @@
 // consider judges the content when the other routers, if there are any, have had
 // time to say what they know.
 func (s *State) consider(now time.Time, content Fingerprint) {
+	hearing := s.cfg.Hearing
 	if len(s.routers) <= 1 {
-		s.judge(now, content)
-		return
+		hearing = 0
 	}
 	// Further news does not put it off: in a large fleet there is always some.
-	if due, is := s.due[content]; !is || due.After(now.Add(s.cfg.Hearing)) {
-		s.due[content] = now.Add(s.cfg.Hearing)
+	if due, is := s.due[content]; !is || due.After(now.Add(hearing)) {
+		s.due[content] = now.Add(hearing)
 	}
 }
 
-// judgeDue judges the contents of which something new was heard long enough ago.
+// judgeDue refuses those of the contents due for judgement under which enough servers
+// crashed. All are judged before one is refused: a refused one explains the crashes of
+// the others, and of two that nothing tells apart both are refused.
 func (s *State) judgeDue(now time.Time) {
+	var guilty []Fingerprint
 	for content, at := range s.due {
-		if !now.Before(at) {
-			delete(s.due, content)
-			s.judge(now, content)
+		if now.Before(at) {
+			continue
+		}
+		delete(s.due, content)
+		if s.isGuilty(now, content) {
+			guilty = append(guilty, content)
 		}
 	}
+	reasons := make([][]Strike, len(guilty))
+	for i, content := range guilty {
+		reasons[i] = s.reasons(content, s.records[content])
+	}
+	for i, content := range guilty {
+		s.hold(now, now, content, s.records[content], ByCount, reasons[i])
+	}
 }
 
-// judge refuses the content from now on if enough servers crashed under it. While
-// another one was at each of these crashes, it waits for what tells them apart.
-func (s *State) judge(now time.Time, content Fingerprint) {
+// isGuilty reports whether enough servers crashed under the content to refuse it. While
+// another one was at each of these crashes, it is judged again later, when something
+// may tell them apart.
+func (s *State) isGuilty(now time.Time, content Fingerprint) bool {
 	r := s.records[content]
 	if r == nil || !r.held.IsZero() || s.strikes(content, r) < s.cfg.Crashes {
-		return
+		return false
 	}
 	decided := s.counted(r)[s.cfg.Crashes-1].at.Add(s.cfg.TieBreak)
 	if now.Before(decided) && s.hasRival(content, r) {
 		s.due[content] = decided
-		return
+		return false
 	}
-	s.hold(now, now, content, r, ByCount, s.reasons(content, r))
+	return true
 }
 
 // hold refuses the content from now on; since is when that began by the first word.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -154,6 +154,7 @@
 	}
 	qt.Check(t, s.Check(at(3999), bad), qt.Equals, Pass)
 	qt.Check(t, s.Check(at(4000), bad), qt.Equals, Refuse)
+	qt.Check(t, s.Check(at(4000), good), qt.Equals, Refuse)
 
 	// Or the other one runs well.
 	s = New(DefaultConfig(), "a")
