A denied attempt is not forgotten for room

Cause: the table of attempts kept those that were declined on a router's question among those that ended, and forgot the oldest for room. An attempt that was offered once more after that was new, and could start though its router had been told that it would not.

In the product an attempt is offered once, so no run is known that met it.

Change: what a router is told is denied is kept for BlockFor, within MaxBlocked, with the blocked ones; without room the answer is that the table cannot tell.

--- a/state/attempts/attempts.go
+++ b/state/attempts/attempts.go
@@ -48,6 +48,9 @@
 	closed  time.Time
 	// bytes of the kept answer, or noAnswer.
 	bytes int64
+	// in is the list that holds the closed record, and at its place there.
+	in *list.List
+	at *list.Element
 }
 
 const noAnswer = -1
@@ -58,11 +61,15 @@
 // the table. So an attempt that was sent after the horizon and is not in the
 // table was never offered. The source is DESIGN's "only what is proven may be
 // called not-run".
+//
+// A router that was told that an attempt is declined or blocked runs the request
+// elsewhere, so that attempt must not run when it is offered once more: denied
+// attempts are not forgotten for room, as known ones are.
 type Table struct {
 	cfg     Config
 	records map[ID]*record
-	// blocked, known and answers hold *record, the oldest first.
-	blocked *list.List
+	// denied, known and answers hold *record, the oldest first.
+	denied  *list.List
 	known   *list.List
 	answers *list.List
 	bytes   int64
@@ -74,7 +81,7 @@
 	return &Table{
 		cfg:     cfg,
 		records: map[ID]*record{},
-		blocked: list.New(),
+		denied:  list.New(),
 		known:   list.New(),
 		answers: list.New(),
 	}
@@ -162,6 +169,9 @@
 	case r.phase == Offered:
 		t.close(now, r, Declined)
 	}
+	if r.phase == Declined && !t.deny(now, r) {
+		return Fate{Phase: Unsure}
+	}
 	return Fate{Phase: r.phase, AnswerKept: r.bytes != noAnswer}
 }
 
@@ -175,19 +185,40 @@
 }
 
 func (t *Table) block(now time.Time, id ID, age time.Duration) Fate {
-	if !now.Add(-age).After(t.horizon) || t.blocked.Len() >= t.cfg.MaxBlocked {
+	r := &record{id: id, phase: Blocked, bytes: noAnswer}
+	if !now.Add(-age).After(t.horizon) || !t.deny(now, r) {
 		return Fate{Phase: Unsure}
 	}
-	r := &record{id: id, phase: Blocked, closed: now, bytes: noAnswer}
 	t.records[id] = r
-	t.blocked.PushBack(r)
 	return Fate{Phase: Blocked}
 }
 
+// deny keeps a record that a router is about to be told of until the attempt
+// cannot be offered any more. It returns false if there is no room for it.
+func (t *Table) deny(now time.Time, r *record) bool {
+	if r.in == t.denied {
+		return true
+	}
+	if t.denied.Len() >= t.cfg.MaxBlocked {
+		return false
+	}
+	r.closed = now
+	t.move(r, t.denied)
+	return true
+}
+
 func (t *Table) close(now time.Time, r *record, p Phase) {
 	r.phase = p
 	r.closed = now
-	t.known.PushBack(r)
+	t.move(r, t.known)
+}
+
+// move puts the record at the end of the list.
+func (t *Table) move(r *record, to *list.List) {
+	if r.in != nil {
+		r.in.Remove(r.at)
+	}
+	r.in, r.at = to, to.PushBack(r)
 }
 
 // Expire returns the attempts whose answers are kept no longer: they are too
@@ -213,26 +244,33 @@
 
 // forget removes what is too old, or too much, and moves the horizon.
 func (t *Table) forget(now time.Time) {
-	for e := t.blocked.Front(); e != nil; e = t.blocked.Front() {
-		r := e.Value.(*record)
-		if now.Sub(r.closed) < t.cfg.BlockFor {
-			break
-		}
-		t.blocked.Remove(e)
-		delete(t.records, r.id)
+	for r := oldest(t.denied); r != nil && now.Sub(r.closed) >= t.cfg.BlockFor; r = oldest(t.denied) {
+		t.remove(r)
 	}
-	for e := t.known.Front(); e != nil; e = t.known.Front() {
-		r := e.Value.(*record)
+	for r := oldest(t.known); r != nil; r = oldest(t.known) {
 		if t.known.Len() <= t.cfg.MaxKnown && now.Sub(r.closed) < t.cfg.KnownFor {
 			break
 		}
-		if r.bytes != noAnswer {
-			t.Release(r.id)
-		}
-		t.known.Remove(e)
-		delete(t.records, r.id)
-		if r.offered.After(t.horizon) {
-			t.horizon = r.offered
-		}
+		t.remove(r)
+	}
+}
+
+// oldest returns the first record of the list, or nil.
+func oldest(l *list.List) *record {
+	if e := l.Front(); e != nil {
+		return e.Value.(*record)
+	}
+	return nil
+}
+
+// remove forgets a closed record.
+func (t *Table) remove(r *record) {
+	if r.bytes != noAnswer {
+		t.Release(r.id)
+	}
+	r.in.Remove(r.at)
+	delete(t.records, r.id)
+	if r.offered.After(t.horizon) {
+		t.horizon = r.offered
 	}
 }
--- a/state/attempts/attempts_test.go
+++ b/state/attempts/attempts_test.go
@@ -60,6 +60,23 @@
 	c.Assert(table.Settle(epoch.Add(cfg.BlockFor), id(2), 0).Phase, qt.Equals, attempts.Blocked)
 }
 
+// An attempt that a router was told is declined is offered again after so many
+// others ended that there is no room to remember them: it does not run.
+func TestADeniedAttemptIsNotForgottenForRoom(t *testing.T) {
+	c := qt.New(t)
+	cfg := attempts.DefaultConfig()
+	cfg.MaxKnown, cfg.MaxBlocked = 1, 1
+	table := attempts.New(cfg)
+	table.Offer(epoch, id(1))
+	c.Assert(table.Settle(epoch, id(1), 0).Phase, qt.Equals, attempts.Declined)
+	table.Offer(epoch, id(4))
+	// Without room to keep it denied, nothing is promised of it.
+	c.Assert(table.Settle(epoch, id(4), 0).Phase, qt.Equals, attempts.Unsure)
+	c.Assert(table.Offer(epoch, id(1)), qt.Equals, attempts.Declined)
+	c.Assert(table.Start(id(1)), qt.IsFalse)
+	c.Assert(table.Offer(epoch.Add(cfg.BlockFor), id(1)), qt.Equals, attempts.Unseen)
+}
+
 func TestKeptAnswersAreBounded(t *testing.T) {
 	c := qt.New(t)
 	cfg := attempts.DefaultConfig()
--- a/state/attempts/config.go
+++ b/state/attempts/config.go
@@ -15,19 +15,20 @@
 
 // Config holds the bounds of a Table.
 type Config struct {
-	// BlockFor is how long an unseen attempt stays blocked. A start that
-	// arrives later would run. A router hands a start to its kernel before it
+	// BlockFor is how long an attempt that a router was told is blocked or
+	// declined stays so. A start that arrives later would run. A router hands a start to its kernel before it
 	// asks, and closes that connection, so this must be longer than a kernel
 	// goes on sending for a closed connection (under two minutes on Linux).
 	// Default 15m.
 	BlockFor time.Duration
-	// MaxBlocked bounds the blocked attempts. When it is reached, Settle
-	// blocks no more and tells that it does not know. Default 8192.
+	// MaxBlocked bounds the attempts that a router was told are blocked or
+	// declined. When it is reached, Settle tells that it does not know.
+	// Default 8192.
 	MaxBlocked int
-	// KnownFor is how long a declined or ended attempt is remembered.
-	// Default 15m.
+	// KnownFor is how long an attempt that ended, or was declined and not
+	// asked about, is remembered. Default 15m.
 	KnownFor time.Duration
-	// MaxKnown bounds the declined and ended attempts. Default 65536.
+	// MaxKnown bounds those. Default 65536.
 	MaxKnown int
 	// AnswerFor is how long the answer of an ended attempt is kept.
 	// Default 30s.
