An evacuated data centre's servers get nothing, at every router

Cause: operators' evacuations of data centres were read by nothing.

Change: coordination/roster decides by them as by a server's own leaving, with the store's word as its only source: the key, whatever stands under it. They travel between routers with the other changes, stand in what a router that begins is told, outlast outages of the store and lapsed entries, and end with the key. What runs goes on.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -31,6 +31,11 @@
 	Slots int
 	// Draining tells that it takes no new work and will end.
 	Draining bool
+	// ColdFor is for how much longer it bears few requests, as of its entry.
+	ColdFor time.Duration
+	// Created and Revision are the store's revisions of the entry's creation and
+	// of its last write.
+	Created, Revision uint64
 }
 
 // Identity names one incarnation of the server, also where it is the only one
@@ -69,6 +74,8 @@
 	// missing tells that the store has no entry any more; the server is kept
 	// until the grace after the store's return is over.
 	missing bool
+	// usable tells that it may get work.
+	usable bool
 }
 
 // former is the last incarnation of a server that is gone.
@@ -97,16 +104,23 @@
 	ReasonRestarted = "restarted"
 	// ReasonInvalid: what stands under the id now cannot be an entry of it.
 	ReasonInvalid = "invalid_entry"
+	// ReasonEvacuated and ReasonReturned: the operators evacuated its data
+	// centre, or took that back.
+	ReasonEvacuated = "evacuated"
+	ReasonReturned  = "returned"
 )
 
 // Roster holds the known servers. It must be used by one goroutine at a time.
 // Invariants: an incarnation that said that it drains never becomes usable again,
-// and none becomes usable after a later one of its id.
+// none becomes usable after a later one of its id, and none is usable while its
+// data centre is evacuated.
 type Roster struct {
 	cfg     Config
 	entries map[string]*entry
 	formers map[string]former
-	away    bool
+	// evacuated are the data centres whose servers get nothing.
+	evacuated map[string]bool
+	away      bool
 	// graceEnd is when missing entries count as gone.
 	graceEnd time.Time
 }
@@ -166,23 +180,43 @@
 // put takes the entry of the last incarnation, which may have drained before.
 func (r *Roster) put(s Server, drained bool) []Change {
 	e := r.entries[s.ID]
-	joins := e == nil
-	if joins {
+	if e == nil {
 		e = &entry{}
 		r.entries[s.ID] = e
 		delete(r.formers, s.ID)
 	}
-	announced := s.Draining && !drained
 	s.Draining = s.Draining || drained
 	e.missing, e.server = false, s
-	switch {
-	case joins && !s.Draining:
-		return []Change{{Server: s, Usable: true, Reason: ReasonJoined}}
-	case !joins && announced:
-		return []Change{{Server: s, Reason: ReasonDraining}}
-	default:
+	if s.Draining {
+		return e.set(false, ReasonDraining)
+	}
+	return e.set(!r.evacuated[s.DataCentre], ReasonJoined)
+}
+
+// set makes the server usable or not, and returns the change if it is one.
+func (e *entry) set(usable bool, reason string) []Change {
+	if e.usable == usable {
 		return nil
 	}
+	e.usable = usable
+	return []Change{{Server: e.server, Usable: usable, Reason: reason}}
+}
+
+// Evacuate takes the data centres whose servers may get nothing from now on; those
+// that are not named any more are taken back.
+func (r *Roster) Evacuate(dataCentres map[string]bool) []Change {
+	r.evacuated = dataCentres
+	var changes []Change
+	for _, e := range r.entries {
+		switch {
+		case e.server.Draining:
+		case dataCentres[e.server.DataCentre]:
+			changes = append(changes, e.set(false, ReasonEvacuated)...)
+		default:
+			changes = append(changes, e.set(true, ReasonReturned)...)
+		}
+	}
+	return changes
 }
 
 // Remove takes the removal of a server's entry. While the store is away, and
@@ -263,8 +297,5 @@
 	if e.server.Incarnation != 0 {
 		r.formers[id] = former{incarnation: e.server.Incarnation, drained: e.server.Draining}
 	}
-	if e.server.Draining {
-		return nil
-	}
-	return []Change{{Server: e.server, Reason: reason}}
+	return e.set(false, reason)
 }
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -97,6 +97,8 @@
 	Invalid []InvalidEntry
 	// Routers are the ids and peers' addresses of the registered routers.
 	Routers map[string]string
+	// Evacuated are the data centres whose servers are to get nothing.
+	Evacuated []string
 	// Refused are the requests that crash servers.
 	Refused []quarantine.Entry
 	// Revision to ask for changes after.
@@ -115,9 +117,13 @@
 	// Refused are requests that crash servers and were entered.
 	Refused []quarantine.Entry
 	// Joined and Left are changes of the registered routers.
-	Joined   map[string]string
-	Left     []string
-	Revision uint64
+	Joined map[string]string
+	Left   []string
+	// Evacuated are data centres whose servers are to get nothing from now on,
+	// and Returned those of which that was taken back.
+	Evacuated []string
+	Returned  []string
+	Revision  uint64
 }
 
 // Source is the store as a router needs it. Implementations are safe for
--- a/transport/direct/history.go
+++ b/transport/direct/history.go
@@ -42,7 +42,7 @@
 	}
 	m := merged{
 		servers: map[string]roster.Server{}, removed: map[string]bool{}, invalid: map[string]InvalidEntry{},
-		joined: map[string]string{}, left: map[string]bool{},
+		joined: map[string]string{}, left: map[string]bool{}, evacuated: map[string]bool{},
 	}
 	for _, d := range h.changes {
 		if d.Revision > revision {
@@ -62,6 +62,8 @@
 	invalid map[string]InvalidEntry
 	joined  map[string]string
 	left    map[string]bool
+	// evacuated tells of each data centre that changed whether it is.
+	evacuated map[string]bool
 }
 
 func (m *merged) add(d Delta) {
@@ -91,6 +93,12 @@
 		delete(m.joined, id)
 		m.left[id] = true
 	}
+	for _, dataCentre := range d.Evacuated {
+		m.evacuated[dataCentre] = true
+	}
+	for _, dataCentre := range d.Returned {
+		m.evacuated[dataCentre] = false
+	}
 }
 
 func (m *merged) delta() Delta {
@@ -99,5 +107,12 @@
 	m.last.Removed = slices.Sorted(maps.Keys(m.removed))
 	m.last.Joined = m.joined
 	m.last.Left = slices.Sorted(maps.Keys(m.left))
+	for dataCentre, evacuated := range m.evacuated {
+		if evacuated {
+			m.last.Evacuated = append(m.last.Evacuated, dataCentre)
+		} else {
+			m.last.Returned = append(m.last.Returned, dataCentre)
+		}
+	}
 	return m.last
 }
--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -21,9 +21,11 @@
 	config  *routing.Config
 	servers map[string]roster.Server
 	// invalid holds the entries that cannot be used by their servers' ids.
-	invalid  map[string]InvalidEntry
-	revision uint64
-	history  history
+	invalid map[string]InvalidEntry
+	// evacuated are the data centres whose servers are to get nothing.
+	evacuated map[string]bool
+	revision  uint64
+	history   history
 }
 
 // known returns the revision up to which this router knows everything; 0: it
@@ -47,6 +49,10 @@
 	for _, one := range s.Invalid {
 		m.keepInvalid(one)
 	}
+	m.evacuated = make(map[string]bool, len(s.Evacuated))
+	for _, dataCentre := range s.Evacuated {
+		m.evacuated[dataCentre] = true
+	}
 	m.revision = s.Revision
 	m.history.restart(s.Revision)
 }
@@ -68,9 +74,24 @@
 	for _, one := range d.Invalid {
 		m.keepInvalid(one)
 	}
+	m.evacuate(d)
 	m.revision = d.Revision
 }
 
+// evacuate takes the data centres that are evacuated, or are no more. Others may
+// hold the set as it was.
+func (m *mirror) evacuate(d Delta) {
+	now := make(map[string]bool, len(m.evacuated)+len(d.Evacuated))
+	maps.Copy(now, m.evacuated)
+	m.evacuated = now
+	for _, dataCentre := range d.Evacuated {
+		m.evacuated[dataCentre] = true
+	}
+	for _, dataCentre := range d.Returned {
+		delete(m.evacuated, dataCentre)
+	}
+}
+
 // changesCall is the call by which a router asks another one for what the
 // store holds.
 const changesCall = "/goldcrest.Direct/Changes"
@@ -144,7 +165,7 @@
 	}
 	answer.Whole = &Snapshot{
 		Servers: slices.Collect(maps.Values(r.mirror.servers)), Invalid: r.mirror.invalidEntries(),
-		Routers: maps.Clone(r.peers), Revision: r.mirror.revision,
+		Routers: maps.Clone(r.peers), Evacuated: slices.Collect(maps.Keys(r.mirror.evacuated)), Revision: r.mirror.revision,
 	}
 	if r.mirror.config.Version > want.Version {
 		answer.Whole.Config = r.mirror.config
--- a/transport/direct/pass.go
+++ b/transport/direct/pass.go
@@ -46,7 +46,7 @@
 
 // isEmpty reports whether nothing of what routers follow changed.
 func (d *Delta) isEmpty() bool {
-	return d.Config == nil && len(d.Servers)+len(d.Removed)+len(d.Invalid)+len(d.Joined)+len(d.Left) == 0
+	return d.Config == nil && len(d.Servers)+len(d.Removed)+len(d.Invalid)+len(d.Joined)+len(d.Left)+len(d.Evacuated)+len(d.Returned) == 0
 }
 
 // takePassed takes the changes that came with a message, if they follow what is
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +59,9 @@
 	if s.Revision < r.mirror.revision {
 		return
 	}
+	before := r.mirror.evacuated
 	r.mirror.replace(s)
+	r.evacuate(before)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
 	r.invalidate(s.Invalid)
 	r.peers = s.Routers
@@ -74,7 +77,9 @@
 	if d.Revision <= r.mirror.revision {
 		return
 	}
+	before := r.mirror.evacuated
 	r.mirror.update(d)
+	r.evacuate(before)
 	for _, one := range d.Servers {
 		r.apply(r.roster.Put(one))
 	}
@@ -92,6 +97,26 @@
 	r.takeStored(d.Refused)
 }
 
+// evacuate puts the operators' evacuations of data centres in force; before are
+// those that were. What runs at the servers goes on. The caller holds mu.
+func (r *Router) evacuate(before map[string]bool) {
+	now := r.mirror.evacuated
+	if maps.Equal(before, now) {
+		return
+	}
+	for dataCentre := range now {
+		if !before[dataCentre] {
+			r.event("evacuation", "data_centre", dataCentre, "in_force", true, "revision", r.mirror.revision)
+		}
+	}
+	for dataCentre := range before {
+		if !now[dataCentre] {
+			r.event("evacuation", "data_centre", dataCentre, "in_force", false, "revision", r.mirror.revision)
+		}
+	}
+	r.apply(r.roster.Evacuate(now))
+}
+
 func (r *Router) countRouters() {
 	r.peersChanged = true
 	all := r.routers()
