What cold servers get is bounded over all routers, without a word between them

Change: coordination/warmup, a pure state machine. A cold server's rate is dealt out in fixed parts to the first routers of its rendezvous order over those that were registered in the store when it turned cold; a router whose own registration may have ended, or that was registered anew less than 3 s ago, uses none. Knowledge of different ages can then only leave parts unused. A part counts in 1.1 s, and a request that was not sent within .1 s of its decision is placed anew. Admission takes the next server when a cold one's part is used; when only cold ones are left it refuses at once, with the time at which one bears more. Servers are presumed cold when their data centre's evacuation is taken back, for as long as the configuration says, as their entries come later. Rate, time and bound come from the configuration and the settings; without them nothing is bounded.

Ruled out: a token that is handed round and an owner who is asked, as both need an answer in time; counting what others told, which is 145 ms old and more at 30 routers.

--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -16,6 +16,7 @@
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/saturation"
+	"goldcrestport/coordination/warmup"
 	"goldcrestport/platform"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/transport/backend"
@@ -80,6 +81,7 @@
 		Roster:     roster.DefaultConfig(),
 		Backend:    backend.DefaultConfig(),
 		Quarantine: quarantine.DefaultConfig(),
+		Warmup:     warmupConfig(set),
 		Repeats: repeats.Config{
 			Window: set.Repeats.Window.D(), Ratio: set.Repeats.Ratio,
 			Allowance: set.Repeats.Allowance, Use: repeats.DefaultUse,
@@ -88,6 +90,13 @@
 	}
 }
 
+// warmupConfig bounds cold servers as the settings say.
+func warmupConfig(set settings.Direct) warmup.Config {
+	c := warmup.DefaultConfig()
+	c.Overrun, c.Slack = set.ColdServers.Overrun, set.ColdServers.Slack
+	return c
+}
+
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
 
 // reloadEvery is the time between looks at the settings file, which may change
--- a/cmd/goldcrestd/template_test.go
+++ b/cmd/goldcrestd/template_test.go
@@ -27,6 +27,7 @@
 		"platform": map[string]any{"address": "10.200.1.7:8781"},
 		"bounds": map[string]any{
 			"revokeMs": 5000, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 52, "eventDelayMs": 120, "graceS": 8,
+			"coldOverrun": 1.5, "coldSlack": 5,
 		},
 	}
 }
@@ -147,6 +148,7 @@
 	c.Check(set.Seeds, quicktest.DeepEquals, []string{"10.1.0.33:8785", "10.2.0.18:8785"})
 	c.Check(set.KeyRevocation.D(), quicktest.Equals, 5*time.Second)
 	c.Check(set.Repeats, quicktest.Equals, settings.Repeats{Window: settings.Duration(10 * time.Second), Ratio: 0.2, Allowance: 52})
+	c.Check(set.ColdServers, quicktest.Equals, settings.ColdServers{Overrun: 1.5, Slack: 5})
 	c.Check(set.EventDelay.D(), quicktest.Equals, 120*time.Millisecond)
 	c.Check(set.Memory, quicktest.Equals, 284*settings.MiB)
 	c.Check(set.Stop.Bound.D(), quicktest.Equals, 8*time.Second)
@@ -157,7 +159,7 @@
 // a router must start with each that it can run with. A bound that is no whole
 // number once ended every router of a fleet at its start.
 func TestTheDeployedTemplateTakesEveryBound(t *testing.T) {
-	for _, field := range []string{"revokeMs", "retryRatio", "retryWindowS", "retrySlack", "eventDelayMs", "graceS"} {
+	for _, field := range []string{"revokeMs", "retryRatio", "retryWindowS", "retrySlack", "eventDelayMs", "graceS", "coldOverrun", "coldSlack"} {
 		for _, value := range []any{nil, 0.5, 1.5, 12.25, 100000, 1000000.5} {
 			if field == "revokeMs" && (value == 0.5 || value == 1.5) {
 				// Nothing can be known to be that new, see below.
@@ -171,7 +173,7 @@
 			})
 		}
 	}
-	for _, field := range []string{"retryRatio", "retrySlack", "eventDelayMs"} {
+	for _, field := range []string{"retryRatio", "retrySlack", "eventDelayMs", "coldOverrun", "coldSlack"} {
 		c := quicktest.New(t)
 		_, err := deployed(c, with("bounds", field, 0))
 		c.Check(err, quicktest.IsNil, quicktest.Commentf("%s 0", field))
@@ -205,6 +207,8 @@
 		{"retryWindowS", 0, `repeats.window: .*0s.* 10ms .*`},
 		{"graceS", 0, `stop.bound: .*0s.* 100ms .*`},
 		{"retryRatio", -1, `repeats.ratio: .*`},
+		{"coldOverrun", -1, `cold_servers.overrun: .*`},
+		{"coldSlack", "many", `cold_servers.slack: .*number.*`},
 		{"retrySlack", "many", `repeats.allowance: .*number.*`},
 	} {
 		c := quicktest.New(t)
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -10,6 +10,7 @@
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/warmup"
 )
 
 // State holds the servers and this router's runs. Invariant: the counts of a
@@ -28,6 +29,10 @@
 	others  map[ServerID]Use
 	teams   *fairshare.Meter
 	outputs outputs
+	// warmup bounds what cold servers get; warmupSeen is the number of its changes
+	// that the servers know.
+	warmup     *warmup.State
+	warmupSeen int
 	// capacity is the tokens that all engines produce in the teams' window;
 	// 0: unknown.
 	capacity float64
@@ -46,6 +51,7 @@
 	return &State{
 		cfg: cfg, servers: make(map[string]*server), numbers: make(map[ServerID]*server), pools: make(map[string]*pool), routers: 1,
 		peers: make(map[string]*peer), others: make(map[ServerID]Use), teams: fairshare.NewMeter(cfg.Window), outputs: make(outputs),
+		warmup: warmup.New(warmup.DefaultConfig(), ""),
 	}
 }
 
@@ -87,9 +93,10 @@
 	}
 	one := &server{
 		id: id, incarnation: incarnation, number: ServerID(xxhash.Sum64String(roster.Identity(id, incarnation))),
-		service: service, slots: max(slots, 1),
+		identity: roster.Identity(id, incarnation), service: service, slots: max(slots, 1),
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), parts: make(map[uint64]partUse),
 	}
+	one.cold = s.warmup.Server(one.identity)
 	s.servers[id], s.numbers[one.number] = one, one
 	p := s.pool(service)
 	p.servers = append(p.servers, one)
@@ -123,7 +130,11 @@
 // Place decides where the request goes.
 func (s *State) Place(now time.Time, req Request) Decision {
 	p := s.pool(req.Service)
-	usable := s.usable(now, p, req)
+	s.followWarmup()
+	usable, room := s.usable(now, p, req)
+	if len(usable) == 0 && room > 0 {
+		return Decision{Verdict: Refuse, Reason: ReasonCold, RetryAfter: min(max(room, s.cfg.ReturnLeast), s.cfg.ReturnMost)}
+	}
 	if len(usable) == 0 {
 		return Decision{Verdict: NoServer, Reason: ReasonNoServer, RetryAfter: s.cfg.ReturnLeast}
 	}
@@ -133,10 +144,11 @@
 	return s.placePlain(now, usable)
 }
 
-// usable returns the servers that may get work: those that are not ejected and
-// did not just refuse any, or the ones that are due first when all did.
-func (s *State) usable(now time.Time, p *pool, req Request) []*server {
-	out := make([]*server, 0, len(p.servers))
+// usable returns the servers that may get work: those that are not ejected, bear
+// more if they are cold, and did not just refuse any, or the ones that are due first
+// when all did. Room is the time until the first of those that are cold bears more.
+func (s *State) usable(now time.Time, p *pool, req Request) (out []*server, room time.Duration) {
+	out = make([]*server, 0, len(p.servers))
 	for _, one := range p.servers {
 		if slices.Contains(req.Avoid, one.id) {
 			continue
@@ -144,9 +156,15 @@
 		if one.health.Ejected() && !mayProbe(now, one, req) {
 			continue
 		}
+		if wait := s.coldWait(now, one); wait > 0 {
+			if room == 0 || wait < room {
+				room = wait
+			}
+			continue
+		}
 		out = append(out, one)
 	}
-	return willing(now, out)
+	return willing(now, out), room
 }
 
 // mayProbe reports whether the request may try an ejected server. One that may be
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -90,6 +90,7 @@
 const (
 	ReasonWait     = "estimated_wait"
 	ReasonNoServer = "no_server"
+	ReasonCold     = "cold"
 )
 
 // Run is a request that was sent to a server. It is owned by the State.
@@ -106,8 +107,14 @@
 	first    bool
 	began    time.Time
 	ended    bool
+	// sendBy is until when the request must have left; zero for no bound.
+	sendBy time.Time
 }
 
+// SendBy returns until when the request must have left for its server, which is
+// cold; zero for no bound.
+func (r *Run) SendBy() time.Time { return r.sendBy }
+
 // Server returns the id of the run's server.
 func (r *Run) Server() string { return r.server.id }
 
--- a/coordination/admission/run.go
+++ b/coordination/admission/run.go
@@ -13,6 +13,9 @@
 		one.health.ProbeSent()
 		r.probe = true
 	}
+	if one.cold != nil {
+		r.sendBy = s.takeCold(now, one)
+	}
 	one.awaiting++
 	one.unread += unread
 	s.use(now, one, shared)
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -7,6 +7,7 @@
 
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/warmup"
 )
 
 // Load is what a backend server says of itself beside an answer.
@@ -19,8 +20,12 @@
 	id string
 	// incarnation of the process; runs and beliefs are of this one.
 	incarnation roster.Incarnation
-	service     string
-	slots       int
+	// identity names the incarnation.
+	identity string
+	service  string
+	// cold is what bounds it while it may be cold, else nil.
+	cold  *warmup.Server
+	slots int
 	// seed orders the servers for a part. It is of the id: the order is the
 	// same after a restart.
 	seed uint64
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -33,9 +33,8 @@
 	Draining bool
 	// ColdFor is for how much longer it bears few requests, as of its entry.
 	ColdFor time.Duration
-	// Created and Revision are the store's revisions of the entry's creation and
-	// of its last write.
-	Created, Revision uint64
+	// Revision of the store at which the entry was written.
+	Revision uint64
 }
 
 // Identity names one incarnation of the server, also where it is the only one
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -49,6 +49,14 @@
 	Allowance float64 `json:"allowance"`
 }
 
+// ColdServers bound what a backend server that is cold gets in a second, from all
+// routers together: Overrun times the rate that its service's configuration names,
+// and Slack requests besides. Both 0, the default: nothing bounds it.
+type ColdServers struct {
+	Overrun float64 `json:"overrun"`
+	Slack   float64 `json:"slack"`
+}
+
 // Direct holds the settings of a router that calls backend servers itself.
 type Direct struct {
 	ID         string       `json:"id"`
@@ -60,6 +68,8 @@
 	Seeds   []string      `json:"seeds,omitempty"`
 	Callers DirectCallers `json:"callers"`
 	Repeats Repeats       `json:"repeats"`
+	// ColdServers bound what cold backend servers get.
+	ColdServers ColdServers `json:"cold_servers"`
 	// KeyRevocation is the time after which a key that was taken away must
 	// not work any more. Default 5s.
 	KeyRevocation Duration `json:"key_revocation"`
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -111,6 +111,10 @@
 	// Connections that one backend server takes from all routers together.
 	Connections int
 	Engine      Engine
+	// ColdFor is how long one is cold after it started, and ColdRate the requests
+	// a second that it bears meanwhile; 0: any number.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Limits bound what callers send, and tell the fleet's throughput.
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -28,6 +28,8 @@
 	// server may send an answer twice; the second one then arrives where the
 	// answer to the next request is expected.
 	Own func(http.Header) bool
+	// SendBy is until when the request may be sent; zero for no bound.
+	SendBy time.Time
 }
 
 // Stage tells how far a failed exchange came.
@@ -67,6 +69,9 @@
 	ended   bool
 }
 
+// ErrTooLate means that the request was not sent in the time in which it may be.
+var ErrTooLate = errors.New("too late to be sent")
+
 // maxStray bounds the answers to other requests that are skipped, and
 // maxStrayBytes the body of each.
 const (
@@ -85,6 +90,10 @@
 		_ = c.Close()
 		return nil, &Failure{Stage: NotSent, Err: ctx.Err()}
 	}
+	if !req.SendBy.IsZero() && time.Now().After(req.SendBy) {
+		p.put(c, time.Now())
+		return nil, &Failure{Stage: NotSent, Err: ErrTooLate}
+	}
 	a := &Answer{pool: p, conn: c, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	a.send(req)
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -7,6 +7,7 @@
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/warmup"
 	"goldcrestport/transport/backend"
 )
 
@@ -17,6 +18,7 @@
 	Repeats    repeats.Config
 	Backend    backend.Config
 	Quarantine quarantine.Config
+	Warmup     warmup.Config
 	// Freshness is the greatest age of the knowledge that the configuration
 	// is the newest, for requests that need a key.
 	Freshness time.Duration
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -88,6 +88,14 @@
 	Reason string
 }
 
+// Registration is a router's entry in the store.
+type Registration struct {
+	// Address at which other routers reach it.
+	Address string
+	// Since is the store's revision of the entry's creation.
+	Since uint64
+}
+
 // Snapshot is everything that operators and backend servers wrote.
 type Snapshot struct {
 	// Config is the newest configuration; nil if there is none yet.
@@ -95,8 +103,8 @@
 	Servers []roster.Server
 	// Invalid are entries that stand in the store and cannot be used.
 	Invalid []InvalidEntry
-	// Routers are the ids and peers' addresses of the registered routers.
-	Routers map[string]string
+	// Routers are the registered routers by their ids.
+	Routers map[string]Registration
 	// Evacuated are the data centres whose servers are to get nothing.
 	Evacuated []string
 	// Refused are the requests that crash servers.
@@ -117,7 +125,7 @@
 	// Refused are requests that crash servers and were entered.
 	Refused []quarantine.Entry
 	// Joined and Left are changes of the registered routers.
-	Joined map[string]string
+	Joined map[string]Registration
 	Left   []string
 	// Evacuated are data centres whose servers are to get nothing from now on,
 	// and Returned those of which that was taken back.
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -338,8 +338,8 @@
 	watcher.meet(follower)
 	c := testConfig(9)
 	c.Teams[0].Keys = []string{"new"}
-	watcher.source.changes <- Delta{Config: c, Revision: 50, Joined: map[string]string{
-		"follower": follower.set.Listen.Peers, "watcher": watcher.set.Listen.Peers,
+	watcher.source.changes <- Delta{Config: c, Revision: 50, Joined: map[string]Registration{
+		"follower": {Address: follower.set.Listen.Peers}, "watcher": {Address: watcher.set.Listen.Peers},
 	}}
 	follower.waitStatus("/keyed/", "new", http.StatusOK)
 	// The store stays away for longer than the bound; the watcher's word keeps
@@ -456,7 +456,7 @@
 func (f *fixture) meet(other *fixture) {
 	f.router.mu.Lock()
 	defer f.router.mu.Unlock()
-	f.router.peers[other.set.ID] = other.set.Listen.Peers
+	f.router.peers[other.set.ID] = Registration{Address: other.set.Listen.Peers}
 	f.router.countRouters()
 }
 
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -80,6 +80,9 @@
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
+	if c.r.warmup.Any() {
+		c.r.warmup.SetRegistered(c.r.member.stands(bootTime()))
+	}
 	return c.r.admission.Place(time.Now(), req)
 }
 
@@ -135,7 +138,7 @@
 	sent := c.r.sendBegins(c.content, server)
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
-		Own: func(h http.Header) bool { return c.r.dialect.Own(h, c.meta.ID) },
+		Own: func(h http.Header) bool { return c.r.dialect.Own(h, c.meta.ID) }, SendBy: run.SendBy(),
 	})
 	if failure != nil {
 		if failure.Stage == backend.NotSent {
@@ -186,7 +189,7 @@
 func (r *Router) unreached(ctx context.Context, err error) health.Result {
 	var network net.Error
 	isTimeout := errors.As(err, &network) && network.Timeout()
-	if ctx.Err() != nil || isTimeout && time.Duration(r.load.late.Load()) > leftLate {
+	if ctx.Err() != nil || errors.Is(err, backend.ErrTooLate) || isTimeout && time.Duration(r.load.late.Load()) > leftLate {
 		return health.NoResult
 	}
 	return health.Unreachable
--- a/transport/direct/evacuation_test.go
+++ b/transport/direct/evacuation_test.go
@@ -52,7 +52,7 @@
 	f.Check(f.call("/safe/", "r").status, qt.Equals, http.StatusServiceUnavailable)
 	f.Check(time.Since(sent) < time.Second, qt.IsTrue)
 	// A whole reading without them takes the evacuations back.
-	f.router.replace(Snapshot{Servers: []roster.Server{inDataCentre(east, "east")}, Routers: map[string]string{}, Revision: 4})
+	f.router.replace(Snapshot{Servers: []roster.Server{inDataCentre(east, "east")}, Routers: map[string]Registration{}, Revision: 4})
 	f.Check(f.call("/safe/", "back").status, qt.Equals, http.StatusOK)
 	f.Check(east.runs(), qt.DeepEquals, []string{"long", "back"})
 	f.Check(lines.String(), qt.Contains, "event=evacuation data_centre=east in_force=true revision=2")
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -22,6 +22,7 @@
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/warmup"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
@@ -301,7 +302,7 @@
 // startLogged runs a router that writes its lines to the logger.
 func startLogged(t testing.TB, c *routing.Config, logger log.Logger, change func(*settings.Direct, *testSource), backends ...*backendServer) *fixture {
 	f := &fixture{C: qt.New(t), stop: make(chan struct{}), ended: make(chan struct{})}
-	f.source = &testSource{now: Snapshot{Config: c, Servers: servers(backends...), Routers: map[string]string{}, Revision: 1}, changes: make(chan Delta, 16)}
+	f.source = &testSource{now: Snapshot{Config: c, Servers: servers(backends...), Routers: map[string]Registration{}, Revision: 1}, changes: make(chan Delta, 16)}
 	f.set = settings.DefaultDirect()
 	f.set.ID, f.set.Listen.Callers, f.set.Listen.Health = "router", freeAddress(f.C), freeAddress(f.C)
 	f.set.Stop = settings.Stop{Linger: settings.Duration(100 * time.Millisecond), Bound: settings.Duration(1500 * time.Millisecond)}
@@ -310,7 +311,7 @@
 	cfg := Config{
 		Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Backend: backend.DefaultConfig(),
 		Repeats:    repeats.Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 20, Use: 1},
-		Quarantine: quarantine.DefaultConfig(), Freshness: 400 * time.Millisecond,
+		Quarantine: quarantine.DefaultConfig(), Warmup: testWarmup(), Freshness: 400 * time.Millisecond,
 	}
 	f.router = New(f.set, cfg, f.source, testDialect{}, logger)
 	go func() {
@@ -327,6 +328,13 @@
 	return f
 }
 
+// testWarmup bounds cold servers to 8 requests a second at a rate of 2.
+func testWarmup() warmup.Config {
+	c := warmup.DefaultConfig()
+	c.Overrun, c.Slack = 1.5, 5
+	return c
+}
+
 // Ports of the tests lie below those that the kernel takes for outgoing
 // connections: one of these may be taken between the choice and the bind.
 const (
--- a/transport/direct/history.go
+++ b/transport/direct/history.go
@@ -42,7 +42,7 @@
 	}
 	m := merged{
 		servers: map[string]roster.Server{}, removed: map[string]bool{}, invalid: map[string]InvalidEntry{},
-		joined: map[string]string{}, left: map[string]bool{}, evacuated: map[string]bool{},
+		joined: map[string]Registration{}, left: map[string]bool{}, evacuated: map[string]bool{},
 	}
 	for _, d := range h.changes {
 		if d.Revision > revision {
@@ -60,7 +60,7 @@
 	// invalid holds the entries that cannot be used by their keys, servers' ones
 	// by the servers' ids.
 	invalid map[string]InvalidEntry
-	joined  map[string]string
+	joined  map[string]Registration
 	left    map[string]bool
 	// evacuated tells of each data centre that changed whether it is.
 	evacuated map[string]bool
@@ -85,8 +85,8 @@
 		delete(m.servers, one.Server)
 		m.invalid[one.name()] = one
 	}
-	for id, address := range d.Joined {
-		m.joined[id] = address
+	for id, one := range d.Joined {
+		m.joined[id] = one
 		delete(m.left, id)
 	}
 	for _, id := range d.Left {
--- a/transport/direct/history_test.go
+++ b/transport/direct/history_test.go
@@ -16,7 +16,7 @@
 // known is what a router makes of changes.
 type known struct {
 	servers map[string]roster.Server
-	routers map[string]string
+	routers map[string]Registration
 	version uint64
 }
 
@@ -33,8 +33,8 @@
 	for _, one := range d.Invalid {
 		delete(k.servers, one.Server)
 	}
-	for id, address := range d.Joined {
-		k.routers[id] = address
+	for id, one := range d.Joined {
+		k.routers[id] = one
 	}
 	for _, id := range d.Left {
 		delete(k.routers, id)
@@ -42,7 +42,7 @@
 }
 
 func newKnown() *known {
-	return &known{servers: map[string]roster.Server{}, routers: map[string]string{}}
+	return &known{servers: map[string]roster.Server{}, routers: map[string]Registration{}}
 }
 
 // What changed after any revision, as one change, leads to the same as the
@@ -68,7 +68,7 @@
 		revision := uint64(10)
 		for n := range rapid.IntRange(1, 2*keptChanges).Draw(t, "changes") {
 			revision += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
-			d := Delta{Revision: revision, Joined: map[string]string{}}
+			d := Delta{Revision: revision, Joined: map[string]Registration{}}
 			name := names.Draw(t, "name")
 			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
@@ -76,7 +76,7 @@
 			case 1:
 				d.Removed = []string{name}
 			case 2:
-				d.Joined[name] = "address"
+				d.Joined[name] = Registration{Address: "address", Since: revision}
 			case 4:
 				d.Invalid = []InvalidEntry{{Server: name, Revision: revision}}
 			case 3:
--- a/transport/direct/incarnation_test.go
+++ b/transport/direct/incarnation_test.go
@@ -75,7 +75,7 @@
 	f.Check(f.call("/safe/", "r2").status, qt.Equals, http.StatusOK)
 	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 4}
 	f.waitFor("the change did not come", func() bool { return f.router.known() == 4 })
-	f.router.replace(Snapshot{Servers: []roster.Server{leaving}, Routers: map[string]string{}, Revision: 5})
+	f.router.replace(Snapshot{Servers: []roster.Server{leaving}, Routers: map[string]Registration{}, Revision: 5})
 	f.Check(f.call("/safe/", "r3").status, qt.Equals, http.StatusOK)
 	f.Check(before.runs(), qt.DeepEquals, []string{"r1"})
 	f.Check(after.runs(), qt.DeepEquals, []string{"r2", "r3"})
@@ -106,7 +106,7 @@
 	f.Check((<-running).status, qt.Equals, http.StatusOK)
 	f.Check(other.runs(), qt.HasLen, 4)
 	// The same revision read again says nothing new.
-	f.router.replace(Snapshot{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []InvalidEntry{spoilt}, Routers: map[string]string{}, Revision: 3})
+	f.router.replace(Snapshot{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []InvalidEntry{spoilt}, Routers: map[string]Registration{}, Revision: 3})
 	f.Check(f.router.metrics.invalid.Value(), qt.Equals, int64(1))
 	f.Check(strings.Count(lines.String(), "event=entry_invalid key=key/i-1 revision=2"), qt.Equals, 1)
 	// Who asks this router is told of it, too.
--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -180,7 +180,7 @@
 func (f *follower) askPeer(ctx context.Context) error {
 	r := f.r
 	r.mu.Lock()
-	address, want := r.peers[r.pending.router], changesRequest{Revision: r.pending.revision, Have: r.mirror.revision}
+	address, want := r.peers[r.pending.router].Address, changesRequest{Revision: r.pending.revision, Have: r.mirror.revision}
 	r.mu.Unlock()
 	if want.Revision == 0 {
 		// What others vouched for is known here by now.
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -149,8 +149,8 @@
 		clear(t.destinations)
 		clear(t.watchers)
 		chosen := watchduty.DefaultConfig().Chosen(t.r.routers())
-		for id, address := range t.r.peers {
-			to, err := netip.ParseAddrPort(address)
+		for id, one := range t.r.peers {
+			to, err := netip.ParseAddrPort(one.Address)
 			if id != t.r.set.ID && err == nil {
 				t.destinations[id] = to
 				if slices.Contains(chosen, id) {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -20,6 +20,7 @@
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/returning"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/warmup"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
@@ -52,8 +53,12 @@
 	// when there is news of it.
 	quarantine *quarantine.State
 	suspected  chan struct{}
-	servers    map[string]roster.Server
-	peers      map[string]string
+	// warmup bounds what cold servers get; member says since when and until when
+	// this router's registration surely stands.
+	warmup  *warmup.State
+	member  membership
+	servers map[string]roster.Server
+	peers   map[string]Registration
 	// peersChanged tells the teller to read peers anew.
 	peersChanged bool
 	// heard is the last message of each other router, witness the times of
@@ -110,17 +115,19 @@
 		budgets:    make(map[string]*repeats.Budget),
 		fresh:      freshness.New(cfg.Freshness),
 		servers:    make(map[string]roster.Server),
-		peers:      make(map[string]string),
+		peers:      make(map[string]Registration),
 		heard:      make(map[string]uint32),
 		noted:      make(map[string]uint64),
 		behind:     make(chan struct{}, 1),
 		vouched:    make(chan struct{}, 1),
 		suspected:  make(chan struct{}, 1),
 		probes:     newProbes(),
+		warmup:     warmup.New(cfg.Warmup, set.ID),
 		quarantine: quarantine.New(cfg.Quarantine, set.ID),
 		returning:  returning.New(returning.DefaultConfig()),
 		ending:     ending, end: end, abort: make(chan struct{}), callers: newCallers(),
 	}
+	r.admission.SetWarmup(r.warmup)
 	r.metrics = newMetrics(r)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
 	r.failures = observe.NewLineLimitOf(r.metrics.dropped, failureLines)
@@ -142,6 +149,9 @@
 	if err := r.cfg.Quarantine.Validate(); err != nil {
 		return errors.Wrap(err, "quarantine")
 	}
+	if err := r.cfg.Warmup.Validate(); err != nil {
+		return errors.Wrap(err, "warm-up")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers, err := net.Listen("tcp", r.set.Listen.Callers)
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -9,6 +9,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/warmup"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/platform"
 )
@@ -40,6 +41,7 @@
 	r.admission.SetCapacity(c.Limits.TokensPerSecond)
 	for _, s := range c.Services {
 		r.admission.SetService(s.Name, traits(c, s))
+		r.warmup.SetService(s.Name, warmup.Service{Rate: s.ColdRate, ColdFor: s.ColdFor})
 	}
 	r.mu.Unlock()
 	r.event("configuration", "version", c.Version, "routes", len(c.Routes), "teams", len(c.Teams),
@@ -60,6 +62,7 @@
 		return
 	}
 	before := r.mirror.evacuated
+	r.warm(s.Servers)
 	r.mirror.replace(s)
 	r.evacuate(before)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
@@ -78,6 +81,7 @@
 		return
 	}
 	before := r.mirror.evacuated
+	r.warm(d.Servers)
 	r.mirror.update(d)
 	r.evacuate(before)
 	for _, one := range d.Servers {
@@ -87,8 +91,8 @@
 		r.apply(r.roster.Remove(time.Now(), id))
 	}
 	r.invalidate(d.Invalid)
-	for id, address := range d.Joined {
-		r.peers[id] = address
+	for id, one := range d.Joined {
+		r.peers[id] = one
 	}
 	for _, id := range d.Left {
 		delete(r.peers, id)
@@ -121,6 +125,7 @@
 	r.peersChanged = true
 	all := r.routers()
 	n := len(all)
+	r.warmup.SetRouters(r.registered())
 	r.quarantine.SetRouters(all)
 	r.admission.SetRouters(n)
 	r.load.routers.Store(int64(n))
@@ -132,6 +137,9 @@
 	for _, c := range changes {
 		if c.Usable {
 			r.servers[c.Server.ID] = c.Server
+			if c.Reason == roster.ReasonReturned {
+				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.revision)
+			}
 			r.admission.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, c.Server.Slots)
 		} else {
 			delete(r.servers, c.Server.ID)
@@ -157,6 +165,7 @@
 			r.mu.Lock()
 			r.apply(r.roster.Tick(now))
 			r.admission.Tick(now)
+			r.warmup.Tick(now)
 			r.quarantine.Tick(now)
 			r.noteQuarantine()
 			r.mu.Unlock()
@@ -169,10 +178,12 @@
 func (r *Router) register(ctx context.Context) {
 	lease := ""
 	for ctx.Err() == nil {
+		sent := bootTime()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Peers, lease, registerTTL)
 		cancel()
 		if err == nil {
+			r.renewed(sent, lease == "")
 			lease = got
 		} else {
 			r.metrics.storeErrors.Add(1)
