Requests stay in the regions of their route and team; lines tell of cold servers

Cause: the homes of routes and teams were read by nothing, so that a body could reach a server in another region.

Change: routes and teams carry the regions in which their requests may be handled; both bind. Settings name the region of each data centre; a server of a data centre that is not named is in no region and gets nothing that has homes. A request without a home that is left is refused at once.

Request lines tell whether a cold server's part was used, lines of servers for how much longer they are cold, and direct_cold_servers counts them.

Ruled out: routers in a region that is no home refusing such requests, as the caller connected there itself.

--- a/cmd/goldcrestd/template_test.go
+++ b/cmd/goldcrestd/template_test.go
@@ -24,6 +24,7 @@
 		"internalPorts": []any{7400, 7415}, "seeds": []any{"10.1.0.33:8785", "10.2.0.18:8785"},
 		"listen":   map[string]any{"front": "10.1.0.33:8783", "ready": "10.1.0.33:8780", "control": "10.1.0.33:8785"},
 		"limits":   map[string]any{"memoryMb": 284},
+		"zones":    map[string]any{"hall-pamp": "mu-north", "hall-south": "mu-south"},
 		"platform": map[string]any{"address": "10.200.1.7:8781"},
 		"bounds": map[string]any{
 			"revokeMs": 5000, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 52, "eventDelayMs": 120, "graceS": 8,
@@ -44,6 +45,13 @@
 	return all
 }
 
+// without returns the fields without a table.
+func without(table string) map[string]any {
+	all := fields()
+	delete(all, table)
+	return all
+}
+
 var (
 	section     = regexp.MustCompile(`(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/([\w.]+)\}\}`)
 	placeholder = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
@@ -114,7 +122,7 @@
 }
 
 func valueText(value any, asJSON bool) string {
-	if asJSON {
+	if asJSON && value != nil {
 		data, _ := json.Marshal(value)
 		return string(data)
 	}
@@ -144,6 +152,8 @@
 	set, err := deployed(c, fields())
 	c.Assert(err, quicktest.IsNil)
 	c.Check(set.ID, quicktest.Equals, "edge-hall-pamp-1")
+	c.Check(set.DataCentre, quicktest.Equals, "hall-pamp")
+	c.Check(set.Regions, quicktest.DeepEquals, map[string]string{"hall-pamp": "mu-north", "hall-south": "mu-south"})
 	c.Check(set.Listen.Peers, quicktest.Equals, "10.1.0.33:7400")
 	c.Check(set.Seeds, quicktest.DeepEquals, []string{"10.1.0.33:8785", "10.2.0.18:8785"})
 	c.Check(set.KeyRevocation.D(), quicktest.Equals, 5*time.Second)
@@ -180,6 +190,7 @@
 	}
 	for _, all := range []map[string]any{
 		with("limits", "memoryMb", nil), with("limits", "memoryMb", 184.5), with("limits", "memoryMb", 1048576), with("listen", "control", nil),
+		without("zones"),
 	} {
 		c := quicktest.New(t)
 		_, err := deployed(c, all)
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -82,9 +82,9 @@
 // SetService tells what the service's servers are.
 func (s *State) SetService(service string, traits Traits) { s.pool(service).traits = traits }
 
-// Add takes an incarnation of a server in. Nothing that is known of an earlier one
-// under its id is believed of it; a later one stays.
-func (s *State) Add(id string, incarnation roster.Incarnation, service string, slots int) {
+// Add takes an incarnation of a server in a region in. Nothing that is known of an
+// earlier one under its id is believed of it; a later one stays.
+func (s *State) Add(id string, incarnation roster.Incarnation, service, region string, slots int) {
 	if before := s.servers[id]; before != nil {
 		if before.incarnation >= incarnation {
 			return
@@ -93,7 +93,7 @@
 	}
 	one := &server{
 		id: id, incarnation: incarnation, number: ServerID(xxhash.Sum64String(roster.Identity(id, incarnation))),
-		identity: roster.Identity(id, incarnation), service: service, slots: max(slots, 1),
+		identity: roster.Identity(id, incarnation), service: service, region: region, slots: max(slots, 1),
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), parts: make(map[uint64]partUse),
 	}
 	one.cold = s.warmup.Server(one.identity)
@@ -133,15 +133,19 @@
 	s.followWarmup()
 	usable, room := s.usable(now, p, req)
 	if len(usable) == 0 && room > 0 {
-		return Decision{Verdict: Refuse, Reason: ReasonCold, RetryAfter: min(max(room, s.cfg.ReturnLeast), s.cfg.ReturnMost)}
+		return Decision{Verdict: Refuse, Reason: ReasonCold, Cold: true, RetryAfter: min(max(room, s.cfg.ReturnLeast), s.cfg.ReturnMost)}
 	}
 	if len(usable) == 0 {
 		return Decision{Verdict: NoServer, Reason: ReasonNoServer, RetryAfter: s.cfg.ReturnLeast}
 	}
+	var d Decision
 	if p.traits.Engine {
-		return s.placeEngine(now, req, usable)
+		d = s.placeEngine(now, req, usable)
+	} else {
+		d = s.placePlain(now, usable)
 	}
-	return s.placePlain(now, usable)
+	d.Cold = d.Run != nil && !d.Run.sendBy.IsZero()
+	return d
 }
 
 // usable returns the servers that may get work: those that are not ejected, bear
@@ -150,7 +154,7 @@
 func (s *State) usable(now time.Time, p *pool, req Request) (out []*server, room time.Duration) {
 	out = make([]*server, 0, len(p.servers))
 	for _, one := range p.servers {
-		if slices.Contains(req.Avoid, one.id) {
+		if slices.Contains(req.Avoid, one.id) || !one.isHome(req.Homes) {
 			continue
 		}
 		if one.health.Ejected() && !mayProbe(now, one, req) {
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -19,7 +19,7 @@
 	s := New(DefaultConfig())
 	s.SetService("llm", Traits{Engine: true})
 	for i := range n {
-		s.Add(fmt.Sprint("i-", i), 0, "llm", 64)
+		s.Add(fmt.Sprint("i-", i), 0, "llm", "", 64)
 	}
 	return s
 }
@@ -196,7 +196,7 @@
 func TestFullSlotsAreWaitedFor(t *testing.T) {
 	s := New(DefaultConfig())
 	s.SetService("llm", Traits{Engine: true})
-	s.Add("i-0", 0, "llm", 32)
+	s.Add("i-0", 0, "llm", "", 32)
 	for range 32 {
 		s.FirstByte(epoch, s.start(epoch, s.servers["i-0"], 0, nil))
 	}
@@ -231,7 +231,7 @@
 func plain(n int) *State {
 	s := New(DefaultConfig())
 	for i := range n {
-		s.Add(fmt.Sprint("i-", i), 0, "app", 6)
+		s.Add(fmt.Sprint("i-", i), 0, "app", "", 6)
 	}
 	return s
 }
@@ -299,7 +299,7 @@
 	for range 8 {
 		refuse()
 	}
-	s.Add("i-9", 0, "app", 6)
+	s.Add("i-9", 0, "app", "", 6)
 	qt.Check(t, s.Place(now, Request{Service: "app"}).Server, qt.Equals, "i-9")
 	now = now.Add(2 * time.Second)
 	d := s.Place(now, Request{Service: "app"})
@@ -325,8 +325,8 @@
 // its slots is next, and its own word counts while it is fresh.
 func TestPlainServersShareByLoad(t *testing.T) {
 	s := New(DefaultConfig())
-	s.Add("a", 0, "app", 6)
-	s.Add("b", 0, "app", 12)
+	s.Add("a", 0, "app", "", 6)
+	s.Add("b", 0, "app", "", 12)
 	count := map[string]int{}
 	for range 18 {
 		count[s.Place(epoch, Request{Service: "app"}).Server]++
--- a/coordination/admission/cold_test.go
+++ b/coordination/admission/cold_test.go
@@ -24,7 +24,7 @@
 	w.SetRegistered(true)
 	for i := range all {
 		id := fmt.Sprintf("i-%d", i)
-		s.Add(id, 0, "llm", 64)
+		s.Add(id, 0, "llm", "", 64)
 		if i < cold {
 			w.Entered(now, id, "llm", time.Minute, 2)
 		}
--- a/coordination/admission/incarnation_test.go
+++ b/coordination/admission/incarnation_test.go
@@ -17,7 +17,7 @@
 func TestNothingOfAnEarlierIncarnationIsBelieved(t *testing.T) {
 	s := New(DefaultConfig())
 	s.SetService("llm", Traits{Engine: true, FetchRate: 2500})
-	s.Add("a", 100, "llm", 64)
+	s.Add("a", 100, "llm", "", 64)
 	before := s.servers["a"]
 	document := Part{ID: 7, Tokens: 5000}
 	d := s.Place(epoch, Request{Service: "llm", Prompt: 9000, Output: 100, Shared: []Part{document}})
@@ -29,7 +29,7 @@
 	s.Refused(epoch, d.Run)
 	s.Reported(epoch, d.Run, Load{Running: 60, Waiting: 9, Slots: 64})
 
-	s.Add("a", 200, "llm", 32)
+	s.Add("a", 200, "llm", "", 32)
 	now := s.servers["a"]
 	check := func() {
 		t.Helper()
@@ -48,7 +48,7 @@
 	s.Reported(epoch, d.Run, Load{Running: 60, Waiting: 9, Slots: 64})
 	s.FirstByte(epoch, d.Run)
 	s.Ended(epoch, d.Run, health.Failure)
-	s.Add("a", 100, "llm", 64)
+	s.Add("a", 100, "llm", "", 64)
 	check()
 	// The order of servers for a part stays: documents go where they went.
 	qt.Check(t, now.rank(document.ID), qt.Equals, before.rank(document.ID))
@@ -65,6 +65,6 @@
 // product, so that a fleet of two versions counts them alike.
 func TestAServerWithoutIncarnationKeepsItsNumber(t *testing.T) {
 	s := New(DefaultConfig())
-	s.Add("i-7", 0, "llm", 64)
+	s.Add("i-7", 0, "llm", "", 64)
 	qt.Check(t, s.servers["i-7"].number, qt.Equals, ServerID(s.servers["i-7"].seed))
 }
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -32,6 +32,9 @@
 	Elapsed time.Duration
 	// Avoid names servers at which the request failed already.
 	Avoid []string
+	// Homes are lists of regions; the request may go to servers only whose region
+	// is in each of them.
+	Homes [][]string
 	// Repeatable tells that the request may run more than once.
 	Repeatable bool
 	// Sent tells that the request was sent before and is counted already.
@@ -82,6 +85,9 @@
 	// Served is what the team got in relation to its share of what all teams got;
 	// 0 while nearly all that is asked is served.
 	Served float64
+	// Cold tells that the server is cold, or, of a refusal, that only cold ones are
+	// left and their rates are used.
+	Cold bool
 	// Reason of a refusal, for logs and metrics.
 	Reason string
 }
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -23,6 +23,8 @@
 	// identity names the incarnation.
 	identity string
 	service  string
+	// region of its data centre; empty: unknown.
+	region string
 	// cold is what bounds it while it may be cold, else nil.
 	cold  *warmup.Server
 	slots int
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -61,6 +61,9 @@
 type Direct struct {
 	ID         string       `json:"id"`
 	DataCentre string       `json:"data_centre"`
+	// Regions names the region of each data centre. One that is not named is in
+	// no region: what has homes is not sent to its servers.
+	Regions map[string]string `json:"regions,omitempty"`
 	Listen     DirectListen `json:"listen"`
 	Platform   Platform     `json:"platform"`
 	// Seeds are listen.seeds of some routers, IP:port, which a router that
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -69,6 +69,8 @@
 	Attempts int
 	// Public routes need no key.
 	Public bool
+	// Homes are the regions in which a request may be handled; empty for any.
+	Homes []string
 	// Prompts tells that requests describe the parts of their prompt, so that
 	// a backend server that holds a part is preferred.
 	Prompts bool
@@ -138,6 +140,9 @@
 	// Priority of the team's requests; it goes before the route's. Negative:
 	// the team has none.
 	Priority int
+	// Homes are the regions in which the team's requests may be handled; empty
+	// for any. A route's bind besides.
+	Homes []string
 }
 
 // Config is one accepted version of the configuration.
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -50,6 +50,11 @@
 	}
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).Held) })
+	v.Func("direct_cold_servers", func() any {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.warmup.Cold(time.Now())
+	})
 	v.Func("direct_held", func() any { return r.held.Load() })
 	v.Func("direct_caller_connections", func() any { return r.callers.open() })
 	v.Func("direct_dials", func() any { return r.pool.Dials() })
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -140,14 +140,14 @@
 			if c.Reason == roster.ReasonReturned {
 				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.revision)
 			}
-			r.admission.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, c.Server.Slots)
+			r.admission.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, r.set.Regions[c.Server.DataCentre], c.Server.Slots)
 		} else {
 			delete(r.servers, c.Server.ID)
 			r.gone(c)
 			r.admission.Remove(c.Server.ID)
 			go r.pool.Forget(c.Server.Identity())
 		}
-		r.event("backend_server", "server", c.Server.ID, "incarnation", c.Server.Incarnation, "service", c.Server.Service, "address", c.Server.Address, "usable", c.Usable, "reason", c.Reason)
+		r.event("backend_server", "server", c.Server.ID, "incarnation", c.Server.Incarnation, "service", c.Server.Service, "address", c.Server.Address, "data_centre", c.Server.DataCentre, "cold_ms", c.Server.ColdFor.Milliseconds(), "usable", c.Usable, "reason", c.Reason)
 	}
 }
 
