The soak evacuates data centres and starts servers cold; the stand-in renews leases

Cause: no run of our own had an evacuation, a cold server or two data centres.

Change: the soak's servers lie in two data centres; one after the other is evacuated (whatever stands under the key) and its engines are cold afterwards, with entries that say so late; engines that start while callers are at work are cold. Two promises are checked, each seen broken and excused on records made by hand.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -39,6 +39,8 @@
 	{"repeats are bounded", tooManyRepeats},
 	{"a request that crashes servers reaches few more", crashedOn},
 	{"what crashes no server is not refused for it", blamed},
+	{"an evacuated data centre gets nothing", ranWhereEvacuated},
+	{"cold servers get no more than they bear", tooManyForCold},
 	{"the fleet recovers", notRecovered},
 	{"processes end only when told", func(r *Record) []string { return r.Exits }},
 }
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// evacuated fills in an evacuation of 8 s and a run at one of its servers.
+func evacuated(r *Record, began int) {
+	server := "s"
+	r.Evacuations = []Evacuation{{DataCentre: zoneOf(server), Acked: at(0), Until: at(8000)}}
+	r.Calls = []Call{call(Once, began-5, began+20)}
+	r.Began(run(server, plainService, began, began+10))
+}
+
+// sentToCold fills in requests that begin at a cold server within the time, each sent
+// so long before.
+func sentToCold(r *Record, n, before, within int) {
+	r.Colds = []Cold{{Server: "s", From: at(-2000), Until: at(2000)}}
+	for i := range n {
+		began := i * within / n
+		c, one := call(Stream, began-before, began+50), run("s", engineService, began, began+40)
+		c.ID, one.ID = fmt.Sprint("r", i), fmt.Sprint("r", i)
+		r.Calls = append(r.Calls, c)
+		r.Began(one)
+	}
+}
+
 // Each promise is seen broken, and each excuse of the pages is taken.
 func TestEachPromiseIsChecked(t *testing.T) {
 	for _, tc := range []struct {
@@ -193,6 +214,18 @@
 				r.Calls = append(r.Calls, c)
 			}
 		}},
+		{"runs where evacuated", "an evacuated data centre", func(r *Record) {
+			evacuated(r, 5100)
+		}},
+		{"runs where evacuated, before the bound", "", func(r *Record) { evacuated(r, 4900) }},
+		{"runs where it was evacuated", "", func(r *Record) { evacuated(r, 8100) }},
+		{"runs where evacuated, by a router that was cut off", "", func(r *Record) {
+			evacuated(r, 5100)
+			r.Failures = []Failure{{Kind: "store link", Router: 0, From: at(1000), Until: at(4000)}}
+		}},
+		{"too many for a cold server", "cold servers get no more", func(r *Record) { sentToCold(r, 12, 0, 900) }},
+		{"as many as a cold server bears", "", func(r *Record) { sentToCold(r, 11, 0, 900) }},
+		{"too many for a cold server, sent before", "", func(r *Record) { sentToCold(r, 12, 950, 900) }},
 		{"ends by itself", "processes end", func(r *Record) { r.Exits = []string{"router-1 has ended"} }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/bench/soak/config.go
+++ b/bench/soak/config.go
@@ -63,6 +63,14 @@
 	repeatSpan  = 10 * time.Second
 	repeatRatio = 0.2
 	repeatSlack = 20
+	// evacuation is the time after which an evacuated data centre gets nothing.
+	evacuation = 5 * time.Second
+	// A cold engine bears coldRate requests a second; in any second it may get
+	// coldOverrun times that and coldSlack besides.
+	coldTime    = 2 * time.Second
+	coldRate    = 4.0
+	coldOverrun = 1.5
+	coldSlack   = 5.0
 )
 
 // The operators' document, as the users' pages spell it.
@@ -86,8 +94,10 @@
 		Resumable   bool   `json:"resumable,omitempty"`
 	}
 	serviceLine struct {
-		Name   string  `json:"name"`
-		Engine *engine `json:"engine,omitempty"`
+		Name       string  `json:"name"`
+		ColdStartS float64 `json:"coldStartS"`
+		ColdPerS   float64 `json:"coldPerS"`
+		Engine     *engine `json:"engine,omitempty"`
 	}
 	engine struct {
 		Slots  int `json:"slots"`
@@ -119,7 +129,7 @@
 		d.Routes = append(d.Routes, c.line(k))
 	}
 	d.Services = []serviceLine{
-		{Name: engineService, Engine: &engine{Slots: engineSlots, Stride: 5}}, {Name: plainService}, {Name: otherService},
+		{Name: engineService, ColdStartS: coldTime.Seconds(), ColdPerS: coldRate, Engine: &engine{Slots: engineSlots, Stride: 5}}, {Name: plainService}, {Name: otherService},
 	}
 	for team, key := range c.keys {
 		d.Tenants = append(d.Tenants, teamLine{Name: team, APIKeys: []string{key}})
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -80,6 +80,19 @@
 	At           time.Time
 }
 
+// Evacuation is the operators' word that a data centre's servers get nothing.
+type Evacuation struct {
+	DataCentre string
+	// Acked is when the store took it, Until when it was taken back.
+	Acked, Until time.Time
+}
+
+// Cold is a span in which a server bears few requests.
+type Cold struct {
+	Server      string
+	From, Until time.Time
+}
+
 // Record is what was seen in a run. It may be added to from any goroutine.
 type Record struct {
 	mu         sync.Mutex
@@ -90,6 +103,9 @@
 	Changes    []Change
 	Departures []Departure
 	Crashes    []Crash
+	// Evacuations are those of data centres, Colds the spans of cold servers.
+	Evacuations []Evacuation
+	Colds       []Cold
 	// Exits names the processes that ended by themselves.
 	Exits []string
 	// Settled is when every failure was over.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -19,6 +19,9 @@
 	Reborn bool
 	// Crashing adds callers who insist on requests that crash servers.
 	Crashing bool
+	// Places adds evacuations of data centres, one after the other, whose engines
+	// are cold afterwards. They change no other choice of the seed.
+	Places bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -34,7 +37,7 @@
 func DefaultPlan(seed uint64) Plan {
 	return Plan{
 		Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1),
-		Reborn: seed%2 == 0, Crashing: true,
+		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2,
 	}
 }
 
@@ -64,10 +67,16 @@
 		working.Go(func() { c.run(ctx) })
 	}
 	time.Sleep(warmUp)
+	w.mu.Lock()
+	w.traffic = true
+	w.mu.Unlock()
 	if plan.Crashing {
 		w.insist(ctx, &working, plan.Seed)
 	}
 	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn}
+	if plan.Places {
+		i.evacuations(plan)
+	}
 	for end := time.Now().Add(plan.Failures); time.Now().Before(end); {
 		i.start(i.draw())
 		time.Sleep(time.Duration(i.random.ExpFloat64() * float64(plan.Every)))
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -127,6 +127,27 @@
 	}
 }
 
+// Data centres are evacuated one after the other and their engines are cold
+// afterwards, as are all that start, beside everything else.
+func TestEvacuatedDataCentresAndColdServers(t *testing.T) {
+	bin := fleet.BuildForTest(t)
+	for _, seed := range []uint64{501, 502} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := Size{Routers: 3, Engines: 5, Plain: 3, Other: 3, Callers: 24}
+			w, err := Start(context.Background(), bin, t.TempDir(), size)
+			if w != nil {
+				defer w.Close()
+			}
+			qt.Assert(t, err, qt.IsNil)
+			w.Run(Plan{Seed: seed, Failures: 15 * time.Second, Every: time.Second, Reborn: true, Places: true}, size.Callers)
+			qt.Check(t, w.Record.Evacuations, qt.Not(qt.HasLen), 0)
+			qt.Check(t, w.Record.Colds, qt.Not(qt.HasLen), 0)
+			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+		})
+	}
+}
+
 // longRegressions are seeds that failed once in the long plan, each with its cause.
 var longRegressions = map[uint64]string{
 	6:    "a clearing grew younger from router to router and freed a request that crashes servers",
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -80,6 +80,8 @@
 	tag     string
 	servers map[string]*server
 	nextID  int
+	// traffic tells that callers are at work: servers that start now are cold.
+	traffic bool
 	config  configuration
 	// revoked holds the keys that each team had before.
 	revoked map[string][]string
@@ -158,9 +160,10 @@
 			return err
 		}
 		set := settings.DefaultDirect()
-		set.ID, set.DataCentre = fmt.Sprintf("router-%d", i), "hall-pamp"
+		set.ID, set.DataCentre = fmt.Sprintf("router-%d", i), zones[0]
 		set.Platform.URL = "http://" + r.store.Addr()
 		set.KeyRevocation = settings.Duration(revoke)
+		set.ColdServers = settings.ColdServers{Overrun: coldOverrun, Slack: coldSlack}
 		set.Repeats = settings.Repeats{Window: settings.Duration(repeatSpan), Ratio: repeatRatio, Allowance: repeatSlack}
 		set.Stop = settings.Stop{Linger: settings.Duration(time.Second), Bound: settings.Duration(grace)}
 		if r.Process, err = w.fleet.StartDirect(set); err != nil {
@@ -229,6 +232,10 @@
 	link    *relay.Relay
 	http    *http.Server
 	born    time.Time
+	// zone is its data centre.
+	zone string
+	// coldUntil is until when it bears few requests; zero: it never was cold.
+	coldUntil time.Time
 	// leaving tells that it drains or is gone, crashed that a request ended it.
 	leaving, crashed bool
 }
@@ -253,7 +260,7 @@
 	if service == engineService {
 		cfg.Slots, cfg.Time, cfg.Engine = engineSlots, eventPause, true
 	}
-	s := &server{Config: cfg, born: time.Now()}
+	s := &server{Config: cfg, born: time.Now(), zone: zoneOf(id)}
 	cfg.Crash = func(body string) { w.crashed(s, body) }
 	s.backend = backend.New(cfg, w.Record)
 	s.http = &http.Server{Handler: s.backend, ReadHeaderTimeout: time.Second}
@@ -267,7 +274,12 @@
 	}
 	w.mu.Lock()
 	w.servers[id] = s
+	cold := w.traffic && service == engineService
 	w.mu.Unlock()
+	if cold {
+		w.turnCold(s, 0)
+		return nil
+	}
 	w.enter(s, backend.Ready)
 	return nil
 }
@@ -275,7 +287,8 @@
 // enter writes the server's entry.
 func (w *World) enter(s *server, state string) {
 	e := backend.Entry{
-		Service: s.Service, Address: s.link.Addr(), Zone: "hall-pamp", Version: "v1", Slots: s.Slots, State: state, Born: s.born.UnixMilli(),
+		Service: s.Service, Address: s.link.Addr(), Zone: s.zone, Version: "v1", Slots: s.Slots, State: state, Born: s.born.UnixMilli(),
+		ColdLeftMs: float64(max(time.Until(s.coldUntil).Milliseconds(), 0)),
 	}
 	w.store.Put(backend.Key(s.ID), e.Bytes())
 }
--- a/standin/kvstore/kvstore.go
+++ b/standin/kvstore/kvstore.go
@@ -46,6 +46,15 @@
 // maxWait bounds a watch.
 const maxWait = 30 * time.Second
 
+// lease keeps keys while it is renewed.
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// renewed returns the lease as of a renewal now.
+func (l lease) renewed() lease { return lease{l.ttl, time.Now().Add(l.ttl)} }
+
 // Server is the stand-in.
 type Server struct {
 	mux *http.ServeMux
@@ -56,7 +65,7 @@
 	history  []Item
 	// compacted is the revision up to which the history is gone.
 	compacted uint64
-	leases    map[uint64]time.Time
+	leases    map[uint64]lease
 	nextLease uint64
 	changed   chan struct{}
 	faults    Faults
@@ -65,7 +74,7 @@
 
 // New returns an empty store.
 func New() *Server {
-	s := &Server{mux: http.NewServeMux(), items: map[string]Item{}, leases: map[uint64]time.Time{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Server{mux: http.NewServeMux(), items: map[string]Item{}, leases: map[uint64]lease{}, changed: make(chan struct{}), calls: map[string]int{}}
 	s.mux.HandleFunc("GET /api/kv-key", s.key)
 	s.mux.HandleFunc("GET /api/kv-range", s.list)
 	s.mux.HandleFunc("GET /api/kv-watch", s.watch)
@@ -192,8 +201,8 @@
 
 // expire removes the keys of leases that ended. The caller holds mu.
 func (s *Server) expire() {
-	for id, ends := range s.leases {
-		if time.Now().After(ends) {
+	for id, one := range s.leases {
+		if time.Now().After(one.ends) {
 			s.dropLease(id)
 		}
 	}
@@ -350,11 +359,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
-	s.leases[s.nextLease] = time.Now().Add(time.Duration(body.TTLMs) * time.Millisecond)
+	s.leases[s.nextLease] = lease{ttl: time.Duration(body.TTLMs) * time.Millisecond}.renewed()
 	reply.JSON(w, http.StatusOK, map[string]any{"lease": s.nextLease, "ttlMs": body.TTLMs})
 }
 
-func (s *Server) keep(w http.ResponseWriter, r *http.Request) { s.onLease(w, r, func(uint64) {}) }
+func (s *Server) keep(w http.ResponseWriter, r *http.Request) {
+	s.onLease(w, r, func(id uint64) { s.leases[id] = s.leases[id].renewed() })
+}
 
 func (s *Server) end(w http.ResponseWriter, r *http.Request) { s.onLease(w, r, s.dropLease) }
 
