What left while a cut-off router was busy is gone once others reached the store

Its own call of the store succeeded 5 s later; roster counted the 2 s in which lapsed entries may come back from that answer on, and kept two servers whose entries had gone 2 s before, because they left. Requests reached them 3.6 and 3.8 s after their word (bound 3 s).

Change: the store's return is when another router says that it answered it after this one had lost it, not only this one's own next answer. When no new word of others came for 1.5 s and the store still does not answer, it counts as lost again.

Ruled out: knowledge that is too old (it was 1 to 1.9 s old, below the bound of a saturated router); changes that were passed on and not taken.

--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -59,13 +59,13 @@
 
 // Direct holds the settings of a router that calls backend servers itself.
 type Direct struct {
-	ID         string       `json:"id"`
-	DataCentre string       `json:"data_centre"`
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
 	// Regions names the region of each data centre. One that is not named is in
 	// no region: what has homes is not sent to its servers.
-	Regions map[string]string `json:"regions,omitempty"`
-	Listen     DirectListen `json:"listen"`
-	Platform   Platform     `json:"platform"`
+	Regions  map[string]string `json:"regions,omitempty"`
+	Listen   DirectListen      `json:"listen"`
+	Platform Platform          `json:"platform"`
 	// Seeds are listen.seeds of some routers, IP:port, which a router that
 	// begins asks for a configuration while the store does not answer.
 	Seeds   []string      `json:"seeds,omitempty"`
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -50,6 +50,9 @@
 	// retryEvery is the time between calls of a store that does not answer
 	// this router while others tell it what is new.
 	retryEvery = time.Second
+	// othersSilent is how long after the last new word of others that the store
+	// answers them it may be away for all: in some fleets a word comes each second.
+	othersSilent = 1500 * time.Millisecond
 	// resyncEvery is the time after which everything is read again, in case a
 	// watch missed a change. Only routers that watch do so.
 	resyncEvery = 15 * time.Second
--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -173,13 +173,7 @@
 	}
 	f.nextTry = time.Now().Add(retryEvery)
 	f.r.cutSince.CompareAndSwap(0, int64(bootTime()))
-	if !f.lost && !f.ownFault(err) {
-		f.lost = true
-		f.r.event("store_lost", "err", err)
-		f.r.mu.Lock()
-		f.r.roster.StoreLost()
-		f.r.mu.Unlock()
-	}
+	f.storeLost(err)
 	select {
 	case <-time.After(storePause):
 	case <-f.r.behind:
@@ -188,6 +182,25 @@
 	}
 }
 
+// storeLost notes that the store does not answer this router. Entries may lapse from
+// now on, unless others say that it answers them.
+func (f *follower) storeLost(err error) {
+	if f.ownFault(err) {
+		return
+	}
+	now := bootTime()
+	f.r.mu.Lock()
+	if !f.lost || now-f.r.toldAt > othersSilent {
+		f.r.lostAt = now
+		f.r.roster.StoreLost()
+	}
+	f.r.mu.Unlock()
+	if !f.lost {
+		f.lost = true
+		f.r.event("store_lost", "err", err)
+	}
+}
+
 // ownFault reports whether a timeout is most likely this router's own: a
 // saturated one reads answers seconds late. To take that for an outage of the
 // store would keep servers whose entries are gone because they left.
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -197,11 +197,22 @@
 	if at, known := r.witness.Heard(m.Heard); known {
 		if at > r.toldOf {
 			r.toldAt, r.toldOf = bootTime(), at
+			r.storeAnswersOthers(at)
 		}
 		r.trust(at, m)
 	}
 }
 
+// storeAnswersOthers notes that the store answered another router after the time.
+// One that this router has not reached since is back then: what lapsed in an outage
+// comes back from now on, and not from this router's own next answer on. The caller
+// holds mu.
+func (r *Router) storeAnswersOthers(at time.Duration) {
+	if at > r.lostAt {
+		r.roster.StoreBack(time.Now())
+	}
+}
+
 // trust notes that the message's revision was the newest at the time. The
 // caller holds mu.
 func (r *Router) trust(at time.Duration, m digest.Message) {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -71,6 +71,9 @@
 	// which the others' newest word holds.
 	toldAt, toldOf time.Duration
 	// vouched wakes the teller when there is a new word of the store's.
+	// lostAt is when the store stopped to answer this router, by the clock of
+	// bootTime.
+	lostAt time.Duration
 	vouched chan struct{}
 	// passing holds the changes that go out with the next message.
 	passing passing
