Operators of the product's own interface evacuate data centres

Cause: the users' platform lets operators evacuate a data centre; the product's own interface could drain single backend servers only.

Ruled out: one drain for each server of the data centre, as servers that start meanwhile would take work.

Before: no such command. After: TestAnEvacuationInWords; the patch's and the rebase's properties draw the list, too; TestLeavingBackendServerGetsNoNewWork has it as a fourth way (the last new start within the bound, nothing lost).

--- a/cmd/goldcrestctl/config.go
+++ b/cmd/goldcrestctl/config.go
@@ -59,6 +59,7 @@
 		return err
 	}
 	a.say("Drained: %s", orNone(strings.Join(c.Intent.Drain, " ")))
+	a.say("Evacuated: %s", orNone(strings.Join(c.Intent.Evacuate, " ")))
 	a.say("Operators: %s", strings.Join(sortedKeys(c.Intent.Operators), " "))
 	return nil
 }
--- a/cmd/goldcrestctl/drain.go
+++ b/cmd/goldcrestctl/drain.go
@@ -8,35 +8,61 @@
 
 	"github.com/spf13/cobra"
 
+	"goldcrestport/protocol/intent"
 	"goldcrestport/protocol/operator"
 )
 
 // drainAttempts bounds how often a drain is planned again because another
-// operator's change came between. The wish names one backend server only, so it
-// holds against any base.
+// operator's change came between. The wish names one backend server or data centre
+// only, so it holds against any base.
 const drainAttempts = 8
 
 func (a *app) drainCommand() *cobra.Command {
-	return a.drainLike("drain BACKEND", "Give a backend server no new work", true)
+	return a.drainLike("drain BACKEND", "Give a backend server no new work", func(in *intent.Intent, id string) {
+		in.Drain = listed(in.Drain, id, true)
+	})
 }
 
 func (a *app) undrainCommand() *cobra.Command {
-	return a.drainLike("undrain BACKEND", "Let a backend server take work again", false)
+	return a.drainLike("undrain BACKEND", "Let a backend server take work again", func(in *intent.Intent, id string) {
+		in.Drain = listed(in.Drain, id, false)
+	})
+}
+
+func (a *app) evacuateCommand() *cobra.Command {
+	var undo bool
+	cmd := a.drainLike("evacuate DATACENTRE", "Give the backend servers of a data centre no new work", func(in *intent.Intent, name string) {
+		in.Evacuate = listed(in.Evacuate, name, !undo)
+	})
+	cmd.Flags().BoolVar(&undo, "undo", false, "let them take work again")
+	return cmd
 }
 
-func (a *app) drainLike(use, text string, drained bool) *cobra.Command {
+// listed returns the list with the name, or without it.
+func listed(list []string, name string, with bool) []string {
+	list = slices.DeleteFunc(list, func(one string) bool { return one == name })
+	if with {
+		list = append(list, name)
+	}
+	return list
+}
+
+// edit changes what the operators want of the named backend server or data centre.
+type edit func(in *intent.Intent, name string)
+
+func (a *app) drainLike(use, text string, change edit) *cobra.Command {
 	var yes bool
 	var save string
 	var wait time.Duration
 	cmd := command(use, text, cobra.ExactArgs(1), func(ctx context.Context, args []string) error {
 		if !yes {
-			p, err := a.planDrain(ctx, args[0], drained)
+			p, err := a.planEdit(ctx, args[0], change)
 			if err != nil {
 				return err
 			}
 			return a.showPlan(p, save)
 		}
-		return a.drainNow(ctx, args[0], drained, wait)
+		return a.editNow(ctx, args[0], change, wait)
 	})
 	cmd.Flags().BoolVarP(&yes, "yes", "y", false, "confirm the plan at once")
 	addWait(cmd, &wait)
@@ -44,18 +70,15 @@
 	return cmd
 }
 
-// planDrain plans the newest configuration with one backend server drained or
-// not. The base is given, so that the plan can't undo a change in between.
-func (a *app) planDrain(ctx context.Context, backend string, drained bool) (*operator.PlanResponse, error) {
+// planEdit plans the newest configuration with the change. The base is given, so
+// that the plan can't undo a change in between.
+func (a *app) planEdit(ctx context.Context, name string, change edit) (*operator.PlanResponse, error) {
 	c, err := a.client().Config(ctx)
 	if err != nil {
 		return nil, err
 	}
 	in := c.Intent
-	in.Drain = slices.DeleteFunc(in.Drain, func(id string) bool { return id == backend })
-	if drained {
-		in.Drain = append(in.Drain, backend)
-	}
+	change(in, name)
 	data, err := json.Marshal(in)
 	if err != nil {
 		return nil, err
@@ -63,22 +86,22 @@
 	return a.client().Plan(ctx, data, &c.Revision)
 }
 
-func (a *app) drainNow(ctx context.Context, backend string, drained bool, wait time.Duration) error {
+func (a *app) editNow(ctx context.Context, name string, change edit, wait time.Duration) error {
 	for attempt := 1; ; attempt++ {
-		err := a.tryDrain(ctx, backend, drained, wait)
+		err := a.tryEdit(ctx, name, change, wait)
 		if !isStale(err) || attempt == drainAttempts {
 			return err
 		}
 	}
 }
 
-func (a *app) tryDrain(ctx context.Context, backend string, drained bool, wait time.Duration) error {
-	p, err := a.planDrain(ctx, backend, drained)
+func (a *app) tryEdit(ctx context.Context, name string, change edit, wait time.Duration) error {
+	p, err := a.planEdit(ctx, name, change)
 	if err != nil {
 		return err
 	}
 	if p.Plan.Empty() {
-		a.say("Nothing to change for %s.", backend)
+		a.say("Nothing to change for %s.", name)
 		return nil
 	}
 	if a.format == formatTable {
--- a/cmd/goldcrestctl/root.go
+++ b/cmd/goldcrestctl/root.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	cmd.AddCommand(a.planCommand(), a.confirmCommand(), a.settleCommand(), a.configCommand(), a.historyCommand(),
-		a.rollbackCommand(), a.statusCommand(), a.drainCommand(), a.undrainCommand(),
+		a.rollbackCommand(), a.statusCommand(), a.drainCommand(), a.undrainCommand(), a.evacuateCommand(),
 		a.validateCommand(), a.schemaCommand(), a.versionCommand(), explainCommand(), a.lossesCommand())
 	return cmd
 }
--- a/coordination/plan/compare.go
+++ b/coordination/plan/compare.go
@@ -171,6 +171,16 @@
 	c.backendNotes()
 }
 
+func (c *comparison) dataCentres() {
+	for _, name := range union(c.base.Evacuate, c.next.Evacuate) {
+		evacuated := slices.Contains(c.next.Evacuate, name)
+		if evacuated == slices.Contains(c.base.Evacuate, name) {
+			continue
+		}
+		c.plan.DataCentres = append(c.plan.DataCentres, DataCentreChange{DataCentre: name, Evacuated: evacuated})
+	}
+}
+
 func (c *comparison) operators() {
 	for _, name := range slices.Sorted(maps.Keys(c.patch.Operators)) {
 		_, before := c.base.Operators[name]
--- a/coordination/plan/notes.go
+++ b/coordination/plan/notes.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"strings"
 
 	"goldcrestport/state/config"
@@ -92,6 +93,12 @@
 			c.warn(NoteUnknownBackend, b.Backend, "no backend server %s is known", b.Backend)
 		}
 	}
+	for _, d := range c.plan.DataCentres {
+		known := slices.ContainsFunc(c.facts.Backends, func(b Backend) bool { return b.DataCentre == d.DataCentre })
+		if d.Evacuated && !known {
+			c.warn(NoteUnknownDataCentre, d.DataCentre, "no backend server is known in data centre %s", d.DataCentre)
+		}
+	}
 	c.unserved()
 }
 
@@ -100,6 +107,11 @@
 	for _, id := range c.next.Drain {
 		drained[id] = true
 	}
+	for _, b := range c.facts.Backends {
+		if slices.Contains(c.next.Evacuate, b.DataCentre) {
+			drained[b.ID] = true
+		}
+	}
 	for _, service := range sortedServices(c.next) {
 		all := c.backendsOf(service)
 		var left []string
--- a/coordination/plan/plan.go
+++ b/coordination/plan/plan.go
@@ -29,12 +29,13 @@
 	// Digest names the plan; see config.PlanDigest.
 	Digest string `json:"digest"`
 	// Summary is the plan in one line.
-	Summary   string           `json:"summary"`
-	Teams     []TeamChange     `json:"teams,omitempty"`
-	Pools     []PoolChange     `json:"pools,omitempty"`
-	Services  []ServiceChange  `json:"services,omitempty"`
-	Backends  []BackendChange  `json:"backends,omitempty"`
-	Operators []OperatorChange `json:"operators,omitempty"`
+	Summary     string             `json:"summary"`
+	Teams       []TeamChange       `json:"teams,omitempty"`
+	Pools       []PoolChange       `json:"pools,omitempty"`
+	Services    []ServiceChange    `json:"services,omitempty"`
+	Backends    []BackendChange    `json:"backends,omitempty"`
+	DataCentres []DataCentreChange `json:"data_centres,omitempty"`
+	Operators   []OperatorChange   `json:"operators,omitempty"`
 	// Refused lists the requests that will be refused from then on.
 	Refused []Note `json:"refused,omitempty"`
 	// Warnings list what the operator should look at twice.
@@ -99,6 +100,12 @@
 	Drained bool   `json:"drained"`
 }
 
+// DataCentreChange is one data centre that is evacuated or taken back.
+type DataCentreChange struct {
+	DataCentre string `json:"data_centre"`
+	Evacuated  bool   `json:"evacuated"`
+}
+
 // OperatorChange is one operator that the change names.
 type OperatorChange struct {
 	Operator string `json:"operator"`
@@ -110,19 +117,20 @@
 
 // Codes of notes.
 const (
-	NoteServiceLost    NoteCode = "service-lost"
-	NoteServiceRemoved NoteCode = "service-removed"
-	NoteTokenRemoved   NoteCode = "token-removed"
-	NoteTeamRemoved    NoteCode = "team-removed"
-	NoteBoundLowered   NoteCode = "bound-lowered"
-	NoteBodyLowered    NoteCode = "body-lowered"
-	NoteShareZero      NoteCode = "share-zero"
-	NoteNoBackends     NoteCode = "no-backend-servers"
-	NoteAllDrained     NoteCode = "all-drained"
-	NoteUnknownBackend NoteCode = "unknown-backend-server"
-	NoteQueuedWork     NoteCode = "queued-work"
-	NoteNoToken        NoteCode = "no-token"
-	NoteNoFacts        NoteCode = "facts-missing"
+	NoteServiceLost       NoteCode = "service-lost"
+	NoteServiceRemoved    NoteCode = "service-removed"
+	NoteTokenRemoved      NoteCode = "token-removed"
+	NoteTeamRemoved       NoteCode = "team-removed"
+	NoteBoundLowered      NoteCode = "bound-lowered"
+	NoteBodyLowered       NoteCode = "body-lowered"
+	NoteShareZero         NoteCode = "share-zero"
+	NoteNoBackends        NoteCode = "no-backend-servers"
+	NoteAllDrained        NoteCode = "all-drained"
+	NoteUnknownBackend    NoteCode = "unknown-backend-server"
+	NoteUnknownDataCentre NoteCode = "unknown-data-centre"
+	NoteQueuedWork        NoteCode = "queued-work"
+	NoteNoToken           NoteCode = "no-token"
+	NoteNoFacts           NoteCode = "facts-missing"
 )
 
 // Note is one effect or warning.
@@ -137,6 +145,8 @@
 type Backend struct {
 	ID      string
 	Service string
+	// DataCentre is empty if it is not known.
+	DataCentre string
 }
 
 // Queue is the waiting work of one team for one service.
@@ -160,7 +170,7 @@
 
 // Empty reports whether nothing changes.
 func (p *Plan) Empty() bool {
-	return len(p.Teams) == 0 && len(p.Services) == 0 && len(p.Backends) == 0 && len(p.Operators) == 0
+	return len(p.Teams) == 0 && len(p.Services) == 0 && len(p.Backends) == 0 && len(p.DataCentres) == 0 && len(p.Operators) == 0
 }
 
 // Compare returns the plan that leads from base to next.
@@ -174,6 +184,7 @@
 	c.teams()
 	c.pools()
 	c.services()
+	c.dataCentres()
 	c.backends()
 	c.operators()
 	c.plan.Summary = summary(c.plan)
--- a/coordination/plan/plan_test.go
+++ b/coordination/plan/plan_test.go
@@ -150,3 +150,27 @@
 		}
 	})
 }
+
+// A data centre is evacuated and another one taken back; services that nobody else
+// serves and data centres that nobody knows are told.
+func TestAnEvacuationInWords(t *testing.T) {
+	c := qt.New(t)
+	before, next := base(), base()
+	before.Evacuate = []string{"west"}
+	next.Evacuate = []string{"east", "nowhere"}
+	f := facts
+	f.SilentRouters = 0
+	f.Backends = []plan.Backend{
+		{ID: "hall-1", Service: "counsel-llm", DataCentre: "east"}, {ID: "hall-2", Service: "counsel-llm", DataCentre: "west"},
+		{ID: "book-1", Service: "ledger-app", DataCentre: "east"},
+	}
+	c.Assert(lines(c, before, next, f), qt.DeepEquals, []string{
+		"Plan against revision 12: evacuate east, nowhere; take back west",
+		"Data centre east: evacuated: its backend servers get no new work, what runs is finished",
+		"Data centre nowhere: evacuated: its backend servers get no new work, what runs is finished",
+		"Data centre west: its backend servers take work again",
+		"Warnings:",
+		"  no backend server is known in data centre nowhere",
+		"  every backend server of ledger-app is drained: book-1",
+	})
+}
--- a/coordination/plan/rebase.go
+++ b/coordination/plan/rebase.go
@@ -25,9 +25,10 @@
 	if len(both) > 0 {
 		return nil, both
 	}
-	own.Drain = nil
+	own.Drain, own.Evacuate = nil, nil
 	merged := own.Apply(newest)
-	merged.Drain = rebaseDrain(base.Drain, mine.Drain, newest.Drain)
+	merged.Drain = rebaseList(base.Drain, mine.Drain, newest.Drain)
+	merged.Evacuate = rebaseList(base.Evacuate, mine.Evacuate, newest.Evacuate)
 	return merged.Content(), nil
 }
 
@@ -43,9 +44,9 @@
 	return out
 }
 
-// rebaseDrain drains and takes back what mine does. Two changes of one backend
-// server since the same base are the same change, so they can't clash.
-func rebaseDrain(base, mine, newest []string) []string {
+// rebaseList adds and takes back what mine does. Two changes of one name since the
+// same base are the same change, so they can't clash.
+func rebaseList(base, mine, newest []string) []string {
 	out := slices.Clone(newest)
 	for _, id := range mine {
 		if !slices.Contains(base, id) {
--- a/coordination/plan/rebase_test.go
+++ b/coordination/plan/rebase_test.go
@@ -44,6 +44,7 @@
 		d.Operators[name] = "digest"
 	}
 	d.Drain = rapid.SliceOfNDistinct(names, 0, 5, rapid.ID).Draw(t, label+" drain")
+	d.Evacuate = rapid.SliceOfNDistinct(names, 0, 5, rapid.ID).Draw(t, label+" evacuate")
 	return d
 }
 
--- a/coordination/plan/render.go
+++ b/coordination/plan/render.go
@@ -58,6 +58,16 @@
 	add("services", services)
 	add("drain", drained)
 	add("undrain", back)
+	var evacuated, returned []string
+	for _, d := range p.DataCentres {
+		if d.Evacuated {
+			evacuated = append(evacuated, d.DataCentre)
+		} else {
+			returned = append(returned, d.DataCentre)
+		}
+	}
+	add("evacuate", evacuated)
+	add("take back", returned)
 	add("operators", operators)
 	if len(parts) == 0 {
 		return "no change"
@@ -105,6 +115,9 @@
 	for _, s := range p.Services {
 		out = append(out, s.lines()...)
 	}
+	for _, d := range p.DataCentres {
+		out = append(out, d.line())
+	}
 	for _, b := range p.Backends {
 		out = append(out, b.line())
 	}
@@ -179,6 +192,13 @@
 	return append(out, listLine("  backend servers: ", s.Backends)...)
 }
 
+func (d DataCentreChange) line() string {
+	if d.Evacuated {
+		return fmt.Sprintf("Data centre %s: evacuated: its backend servers get no new work, what runs is finished", d.DataCentre)
+	}
+	return fmt.Sprintf("Data centre %s: its backend servers take work again", d.DataCentre)
+}
+
 func (b BackendChange) line() string {
 	what := "takes work again"
 	if b.Drained {
--- a/protocol/intent/intent.go
+++ b/protocol/intent/intent.go
@@ -23,6 +23,8 @@
 	Services map[string]config.Service `json:"services"`
 	// Drain lists the ids of backend servers that get no new work.
 	Drain []string `json:"drain,omitempty"`
+	// Evacuate lists the data centres whose backend servers get no new work.
+	Evacuate []string `json:"evacuate,omitempty"`
 	// Operators maps an operator's name to the digest of the token.
 	Operators map[string]string `json:"operators"`
 }
@@ -84,11 +86,11 @@
 // FromDocument returns the intent that a document states.
 func FromDocument(d *config.Document) *Intent {
 	c := d.Content()
-	return &Intent{Teams: c.Teams, Services: c.Services, Drain: c.Drain, Operators: c.Operators}
+	return &Intent{Teams: c.Teams, Services: c.Services, Drain: c.Drain, Evacuate: c.Evacuate, Operators: c.Operators}
 }
 
 // Document returns the content of the document that the intent asks for.
 func (in *Intent) Document() *config.Document {
-	d := &config.Document{Teams: in.Teams, Services: in.Services, Drain: in.Drain, Operators: in.Operators}
+	d := &config.Document{Teams: in.Teams, Services: in.Services, Drain: in.Drain, Evacuate: in.Evacuate, Operators: in.Operators}
 	return d.Content()
 }
--- a/protocol/operator/status.go
+++ b/protocol/operator/status.go
@@ -65,7 +65,8 @@
 	Slots   int  `json:"slots"`
 	Free    int  `json:"free"`
 	Leaving bool `json:"leaving"`
-	// Drained tells that the configuration in force drains it.
+	// Drained tells that the configuration in force drains it, or evacuates its
+	// data centre.
 	Drained bool `json:"drained"`
 	// Revision in force at the sidecar by its last report.
 	Revision uint64 `json:"revision"`
--- a/state/config/canonical.go
+++ b/state/config/canonical.go
@@ -21,6 +21,7 @@
 		Teams:     make(map[string]Team, len(d.Teams)),
 		Services:  make(map[string]Service, len(d.Services)),
 		Drain:     sortedSet(d.Drain),
+		Evacuate:  sortedSet(d.Evacuate),
 		Operators: maps.Clone(d.Operators),
 	}
 	for name, t := range d.Teams {
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -31,6 +31,8 @@
 	Services map[string]Service `json:"services"`
 	// Drain lists the ids of backend servers that get no new work.
 	Drain []string `json:"drain,omitempty"`
+	// Evacuate lists the data centres whose backend servers get no new work.
+	Evacuate []string `json:"evacuate,omitempty"`
 	// Operators maps an operator's name to the digest of the token.
 	Operators map[string]string `json:"operators,omitempty"`
 	// Digest of the plan that made this revision.
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -29,6 +29,7 @@
 		Teams:     teams.Draw(t, label+" teams"),
 		Services:  services.Draw(t, label+" services"),
 		Drain:     lists.Draw(t, label+" drain"),
+		Evacuate:  lists.Draw(t, label+" evacuate"),
 		Operators: rapid.MapOfN(names, names, 0, 3).Draw(t, label+" operators"),
 	}
 }
--- a/state/config/patch.go
+++ b/state/config/patch.go
@@ -10,6 +10,8 @@
 	Operators map[string]*string  `json:"operators,omitempty"`
 	// Drain replaces the whole list if it is present.
 	Drain *[]string `json:"drain,omitempty"`
+	// Evacuate does the same.
+	Evacuate *[]string `json:"evacuate,omitempty"`
 }
 
 // Between returns the patch that turns the content of from into that of to.
@@ -20,13 +22,20 @@
 		Services:  between(a.Services, b.Services),
 		Operators: between(a.Operators, b.Operators),
 	}
-	if !reflect.DeepEqual(a.Drain, b.Drain) {
-		drain := append([]string{}, b.Drain...)
-		p.Drain = &drain
-	}
+	p.Drain, p.Evacuate = replaced(a.Drain, b.Drain), replaced(a.Evacuate, b.Evacuate)
 	return p
 }
 
+// replaced returns the list that takes the other one's place, nil if they are the
+// same.
+func replaced(from, to []string) *[]string {
+	if reflect.DeepEqual(from, to) {
+		return nil
+	}
+	next := append([]string{}, to...)
+	return &next
+}
+
 func between[V any](from, to map[string]V) map[string]*V {
 	out := map[string]*V{}
 	for name := range from {
@@ -57,6 +66,9 @@
 	if p.Drain != nil {
 		c.Drain = *p.Drain
 	}
+	if p.Evacuate != nil {
+		c.Evacuate = *p.Evacuate
+	}
 	return c.Content()
 }
 
@@ -72,7 +84,7 @@
 
 // Empty reports whether the patch changes nothing.
 func (p Patch) Empty() bool {
-	return len(p.Teams) == 0 && len(p.Services) == 0 && len(p.Operators) == 0 && p.Drain == nil
+	return len(p.Teams) == 0 && len(p.Services) == 0 && len(p.Operators) == 0 && p.Drain == nil && p.Evacuate == nil
 }
 
 // Equal reports whether two documents state the same.
--- a/transport/router/leave_test.go
+++ b/transport/router/leave_test.go
@@ -66,12 +66,17 @@
 }
 
 func (m *memStore) drain(t testing.TB, ids ...string) {
+	m.change(t, func(doc *config.Document) { doc.Drain = ids })
+}
+
+// change makes the next revision of the configuration.
+func (m *memStore) change(t testing.TB, edit func(*config.Document)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var doc config.Document
 	qt.Assert(t, json.Unmarshal(m.doc, &doc), qt.IsNil)
 	doc.Revision++
-	doc.Drain = ids
+	edit(&doc)
 	data, err := json.Marshal(doc)
 	qt.Assert(t, err, qt.IsNil)
 	m.doc = data
@@ -87,8 +92,11 @@
 func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	ways := map[string]func(*fleet, *node){
-		"list":   func(f *fleet, n *node) { f.store.list(n.id, platform.StateLeaving) },
-		"drain":  func(f *fleet, n *node) { f.store.drain(f.t, n.id) },
+		"list":  func(f *fleet, n *node) { f.store.list(n.id, platform.StateLeaving) },
+		"drain": func(f *fleet, n *node) { f.store.drain(f.t, n.id) },
+		"evacuation": func(f *fleet, _ *node) {
+			f.store.change(f.t, func(doc *config.Document) { doc.Evacuate = []string{"hall-east"} })
+		},
 		"signal": func(_ *fleet, n *node) { go n.leave() },
 	}
 	for way, tell := range ways {
@@ -96,7 +104,9 @@
 			c := qt.New(t)
 			var first, second starts
 			f := newFleet(t)
-			n := f.sidecar("sidecar-1", newBackend(t, first.handler(20*time.Millisecond)).URL)
+			n := f.sidecar("sidecar-1", newBackend(t, first.handler(20*time.Millisecond)).URL, func(set *settings.Sidecar) {
+				set.DataCentre = "hall-east"
+			})
 			f.sidecar("sidecar-2", newBackend(t, second.handler(20*time.Millisecond)).URL)
 			f.start()
 			end := f.load(12)
--- a/transport/router/operators.go
+++ b/transport/router/operators.go
@@ -68,7 +68,7 @@
 	sidecars, known := v.r.sidecars()
 	facts := plan.Facts{BackendsKnown: known}
 	for _, id := range slices.Sorted(maps.Keys(sidecars)) {
-		facts.Backends = append(facts.Backends, plan.Backend{ID: id, Service: sidecars[id].Service})
+		facts.Backends = append(facts.Backends, plan.Backend{ID: id, Service: sidecars[id].Service, DataCentre: sidecars[id].DataCentre})
 	}
 	if len(teams) == 0 {
 		return facts
@@ -125,7 +125,7 @@
 	var out []operator.Backend
 	for _, id := range slices.Sorted(maps.Keys(byID)) {
 		b := byID[id]
-		b.Drained = doc != nil && slices.Contains(doc.Drain, id)
+		b.Drained = doc != nil && (slices.Contains(doc.Drain, id) || slices.Contains(doc.Evacuate, b.DataCentre))
 		out = append(out, b)
 	}
 	return out
--- a/transport/sidecar/spread.go
+++ b/transport/sidecar/spread.go
@@ -47,7 +47,7 @@
 		shares[name] = t.Share
 	}
 	s.chooser.post(s.ctx, message{event: share.SharesSet{Shares: shares}})
-	s.drain.set(s.ctx, drainByConfig, slices.Contains(doc.Drain, s.set.ID))
+	s.drain.set(s.ctx, drainByConfig, slices.Contains(doc.Drain, s.set.ID) || slices.Contains(doc.Evacuate, s.set.DataCentre))
 	s.reconciler.wants(s.ctx, doc)
 }
 
