Routers of a data centre leave the balancer's rotation together

Cause: a router that has more work than it can do said that it is not ready for a time that follows the fleet's size (9 s at 30 routers), each by itself.

Profile: of a router's own time under streams 43 % are system calls (a write and a read for each event), a refusal takes 59 us on a kept connection and 120 us on a new one; no decision of ours shows. So not the cost of a request binds but where the flood falls.

Change: coordination/rotation. Digests name the data centre and for how long a router is away. A router stays away for 60 s, but never more than half of a data centre's routers are (one fewer from six on; who is silent or not ready for another reason counts as away), as the balancer would take all then; when as many are away and another one must leave, the one away for longest comes back. Data centres of up to three routers decide alone, as before. Lateness (coordination/saturation) and rotation are two things now: a router that is away and in time does not refuse for old knowledge. Digests are of version 5; routers of two versions drop each other's and ask the store.

The tests of pauses in saturation moved to rotation, with a model of the balancer, the flood and the exchange in place of one without neighbours.

--- a/protocol/digest/digest.go
+++ b/protocol/digest/digest.go
@@ -9,20 +9,23 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/fairshare"
+	"goldcrestport/coordination/rotation"
 )
 
 // version begins a datagram; others are dropped.
-const version = 4
+const version = 5
 
 // Sizes of the parts, in bytes, and the unit in which unread tokens are
 // written: a long prompt has thousands.
 const (
-	headSize    = 1 + 1 + 4 + 4 + 8
+	headSize    = 1 + 1 + 4 + 4 + 8 + 4 + 4
 	serverSize  = 4 + 2 + 2
 	teamSize    = 4 + 4 + 4
 	unreadUnit  = 16
@@ -30,6 +33,7 @@
 	flagAll     = 1
 	flagTeams   = 2
 	flagChanges = 4
+	flagLate    = 8
 	// holdingSize is the size of a server's number and a part's id.
 	holdingSize = 4 + 8
 	countLength = 2
@@ -40,6 +44,12 @@
 // ErrForm means that a datagram is not a digest of this version.
 var ErrForm = errors.New("no digest of this version")
 
+// DataCentre is a short form of a data centre's name.
+type DataCentre uint32
+
+// DataCentreOf returns the short form of the name.
+func DataCentreOf(name string) DataCentre { return DataCentre(xxhash.Sum64String(name)) }
+
 // Message is one datagram.
 type Message struct {
 	// Router is the id of the sender.
@@ -51,7 +61,10 @@
 	Heard uint32
 	// Revision of the store that was the newest then.
 	Revision uint64
-	Digest   admission.Digest
+	// DataCentre of the sender, and what it tells its neighbours there.
+	DataCentre DataCentre
+	Rotation   rotation.Word
+	Digest     admission.Digest
 	// Changes are what changed in the store after the revision After, in the
 	// sender's own form, or nil when that is left out.
 	Changes []byte
@@ -70,10 +83,15 @@
 	if m.Changes != nil {
 		flags |= flagChanges
 	}
+	if m.Rotation.Late {
+		flags |= flagLate
+	}
 	b = append(b, version, flags)
 	b = binary.LittleEndian.AppendUint32(b, m.Seq)
 	b = binary.LittleEndian.AppendUint32(b, m.Heard)
 	b = binary.LittleEndian.AppendUint64(b, m.Revision)
+	b = binary.LittleEndian.AppendUint32(b, uint32(m.DataCentre))
+	b = binary.LittleEndian.AppendUint32(b, uint32(min(m.Rotation.Away.Milliseconds(), math.MaxUint32)))
 	name := m.Router[:min(len(m.Router), maxName)]
 	b = append(b, byte(len(name)))
 	b = append(b, name...)
@@ -135,6 +153,8 @@
 	m.Seq = binary.LittleEndian.Uint32(b[2:])
 	m.Heard = binary.LittleEndian.Uint32(b[6:])
 	m.Revision = binary.LittleEndian.Uint64(b[10:])
+	m.DataCentre = DataCentre(binary.LittleEndian.Uint32(b[18:]))
+	m.Rotation = rotation.Word{Away: time.Duration(binary.LittleEndian.Uint32(b[22:])) * time.Millisecond, Late: flags&flagLate != 0}
 	name := int(b[headSize])
 	b = b[headSize+1:]
 	if len(b) < name {
--- a/transport/direct/load.go
+++ b/transport/direct/load.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"goldcrestport/coordination/rotation"
 	"goldcrestport/coordination/saturation"
 )
 
@@ -20,14 +21,14 @@
 type load struct {
 	// saturated tells that the processor has more work than it can do.
 	saturated atomic.Bool
+	// away tells that the router is out of the balancer's rotation.
+	away atomic.Bool
 	// sheds tells that new connections are closed unread.
 	sheds atomic.Bool
 	// late is the mean lateness in nanoseconds.
 	late atomic.Int64
 	// most is the greatest number of streams; 0 for no bound.
 	most atomic.Int64
-	// routers is the number of routers in the fleet.
-	routers atomic.Int64
 	// growth is the collector's target in force. Only the duty that measures
 	// uses it.
 	growth int
@@ -36,6 +37,43 @@
 	// streams is the number of streams held, of all teams and of each.
 	streams int
 	byTeam  map[string]int
+	// rotation decides, with the neighbours' word, whether the router is away.
+	rotation *rotation.State
+}
+
+// setPeriod tells how often routers hear each other.
+func (l *load) setPeriod(period time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rotation.SetPeriod(period)
+}
+
+// heard takes what a router of the same data centre told.
+func (l *load) heard(now time.Time, router string, w rotation.Word) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rotation.Heard(now, router, w)
+}
+
+// rotationWord returns what this router tells its neighbours. One that is not ready for
+// another reason than its load is away, and will not return for another one.
+func (r *Router) rotationWord(now time.Time) rotation.Word {
+	if r.ready() != nil && !r.load.away.Load() {
+		return rotation.Word{Away: time.Millisecond, Late: true}
+	}
+	r.load.mu.Lock()
+	defer r.load.mu.Unlock()
+	return r.load.rotation.Word(now)
+}
+
+// rotate takes the state of the processor. It reports whether the router left the
+// rotation or is back.
+func (l *load) rotate(now time.Time, late, calm bool) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed = l.rotation.Observe(now, late, calm)
+	l.away.Store(l.rotation.Away())
+	return changed
 }
 
 // take holds one more stream of the team if the router may.
@@ -115,8 +153,8 @@
 
 // observeLoad takes one measurement.
 func (r *Router) observeLoad(tracker *saturation.Tracker, limit *saturation.Limit, now time.Time, late time.Duration) {
-	tracker.SetRouters(int(r.load.routers.Load()))
-	changed := tracker.Observe(now, late)
+	changed := tracker.Observe(late)
+	r.load.saturated.Store(tracker.Saturated())
 	limit.Adjust(now, tracker.Mean(), r.load.held())
 	r.load.late.Store(int64(tracker.Mean()))
 	r.load.sheds.Store(tracker.Sheds())
@@ -125,8 +163,10 @@
 		r.load.growth = growth
 		debug.SetGCPercent(growth)
 	}
+	if r.load.rotate(now, tracker.Saturated(), tracker.Calm()) {
+		r.event("rotation", "away", r.load.away.Load(), "lateness", tracker.Mean())
+	}
 	if changed {
-		r.load.saturated.Store(tracker.Saturated())
 		r.event("load", "saturated", tracker.Saturated(), "lateness", tracker.Mean(), "streams", r.load.held(), "most", limit.Most(), "held", r.held.Load(), "connections", r.callers.open(), "shed", r.metrics.shed.Value())
 	}
 }
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -68,6 +68,7 @@
 func (t *teller) run(ctx context.Context) {
 	for {
 		every := max(tellEvery, time.Duration(len(t.destinations))*time.Second/tellBudget)
+		t.r.load.setPeriod(every)
 		select {
 		case <-ctx.Done():
 			return
@@ -91,7 +92,9 @@
 	r.mu.Lock()
 	t.number()
 	r.mu.Unlock()
-	t.buf = digest.Append(t.buf[:0], digest.Message{Router: r.set.ID, Seq: t.seq})
+	t.buf = digest.Append(t.buf[:0], digest.Message{
+		Router: r.set.ID, Seq: t.seq, DataCentre: digest.DataCentreOf(r.set.DataCentre), Rotation: r.rotationWord(time.Now()),
+	})
 	for id, to := range t.watchers {
 		t.send(id, to, vouching{})
 	}
@@ -113,7 +116,7 @@
 
 // tell sends one digest to every other router.
 func (t *teller) tell(now time.Time) {
-	m := digest.Message{Router: t.r.set.ID}
+	m := digest.Message{Router: t.r.set.ID, DataCentre: digest.DataCentreOf(t.r.set.DataCentre), Rotation: t.r.rotationWord(now)}
 	all, teams := !now.Before(t.nextAll), !now.Before(t.nextTeams)
 	if all {
 		t.nextAll = now.Add(allEvery)
@@ -180,6 +183,9 @@
 			r.metrics.peerErrors.Add(1)
 			continue
 		}
+		if m.DataCentre == digest.DataCentreOf(r.set.DataCentre) {
+			r.load.heard(time.Now(), m.Router, m.Rotation)
+		}
 		r.takePassed(m)
 		r.hear(m)
 	}
--- a/transport/direct/ready.go
+++ b/transport/direct/ready.go
@@ -17,7 +17,7 @@
 	if r.table.Load() == nil {
 		return errors.New("no configuration yet")
 	}
-	if r.load.saturated.Load() {
+	if r.load.away.Load() {
 		return errors.New("the processor has too much work")
 	}
 	if r.full() {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -20,6 +20,7 @@
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/returning"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/rotation"
 	"goldcrestport/coordination/warmup"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
@@ -70,10 +71,10 @@
 	// bootTime: another router's, or this one's own. toldOf is the moment for
 	// which the others' newest word holds.
 	toldAt, toldOf time.Duration
-	// vouched wakes the teller when there is a new word of the store's.
 	// lostAt is when the store stopped to answer this router, by the clock of
 	// bootTime.
 	lostAt time.Duration
+	// vouched wakes the teller when there is a new word of the store's.
 	vouched chan struct{}
 	// passing holds the changes that go out with the next message.
 	passing passing
@@ -131,6 +132,7 @@
 		ending:     ending, end: end, abort: make(chan struct{}), callers: newCallers(),
 	}
 	r.admission.SetWarmup(r.warmup)
+	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
 	r.failures = observe.NewLineLimitOf(r.metrics.dropped, failureLines)
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -128,7 +128,6 @@
 	r.warmup.SetRouters(r.registered())
 	r.quarantine.SetRouters(all)
 	r.admission.SetRouters(n)
-	r.load.routers.Store(int64(n))
 }
 
 // apply makes changes of the roster known to the decisions. The caller holds
