--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -22,16 +22,14 @@
 	"goldcrestport/coordination/health"
 )
 
-// Config holds the constants of a State. The figures come from runs on the
-// users' deployments; docs/ADMISSION.md holds the trials.
+// Config holds the constants of a State.
 type Config struct {
 	// ReadRate is the prompt tokens that an engine reads in a millisecond
-	// when it does nothing else. Default 66, as the users' sheets say.
+	// when it does nothing else. Default 66.
 	ReadRate float64
 	// RunCost is the time that each running generation adds to the estimated
-	// wait. Default 1.5ms. First tokens do not take longer beside more runs; it
-	// keeps engines that run much from a flood's prompts, behind which teams
-	// within their share would wait (worth .019 less without it).
+	// wait. Default 1.5ms: it keeps engines that run much from a flood's prompts,
+	// behind which teams within their share would wait.
 	RunCost time.Duration
 	// Candidates is the number of servers in a part's order among which the
 	// least wait is chosen. Default 3.
@@ -41,13 +39,12 @@
 	SpillWeight float64
 	// Fetchers is the number of servers in a part's order among which the least
 	// price is chosen when a server is known from whose memory the part can be
-	// taken. Default 5: taking 5,000 tokens costs a server 5 ms, reading them
-	// 80, so that more than Candidates will do; at 16 all routers chose the
-	// same idle server between two digests (worth on 21 routers .689, at 5 .702).
+	// taken, which costs far less than reading it. Default 5: with many, all
+	// routers choose the same idle server between two digests.
 	Fetchers int
 	// FetchWeight is what taking a token from another server's memory weighs
 	// against reading it: it saves the engine's time, but uses the links
-	// between servers. Default 0.4; at 0.1 a fifth more was moved, for nothing.
+	// between servers. Default 0.4.
 	FetchWeight float64
 	// PatienceShare is the part of a service's shortest objective up to which
 	// the estimated wait may come for a request to be admitted. Default 0.36.
@@ -63,7 +60,7 @@
 	Patience time.Duration
 	// OwnReading is the part of a request's own reading time that is taken
 	// off its patience, so that long prompts leave room for short ones.
-	// Default 0.25; a third starved the largest tenth.
+	// Default 0.25: more would starve the longest.
 	OwnReading float64
 	// OwnReadingMost bounds what is taken off, as a part of the patience.
 	// Default 0.6: the largest prompts of a class are not starved.
@@ -82,8 +79,7 @@
 	Crowding float64
 	// Levelling is the power of a team's standing in what engines serve by which
 	// its patience is divided when it is beyond its share of the named capacity, by
-	// LevelMost at most either way. Default 2 and 2.5: at 1.6 and .7 of what they
-	// are due, which two teams had, their patiences differ sixfold.
+	// LevelMost at most either way. Default 2 and 2.5.
 	Levelling float64
 	LevelMost float64
 	// Window in which teams share the capacity. Default 4s.
--- a/coordination/admission/fetch.go
+++ b/coordination/admission/fetch.go
@@ -7,9 +7,8 @@
 //
 // The pattern that it answers: one document is asked about again and again, and
 // the server that holds it reads another long prompt. Elsewhere the document
-// would have to be read again, 86 ms of an engine's time for 4,870 tokens; its
-// memory comes from the first server in 5 ms. So the request goes where the
-// wait is least.
+// would have to be read again; its memory comes from the first server in a small
+// part of that time. So the request goes where the wait is least.
 func (s *State) source(now time.Time, service string, part uint64, usable []*server) *server {
 	if s.cfg.Fetchers == 0 || s.pool(service).traits.FetchRate == 0 {
 		return nil
@@ -84,8 +83,7 @@
 }
 
 // fetchSetup is the time to reach the other server's memory, in addition to the
-// transfer: first tokens came 5 ms later at the median (1 to 8, by the size of
-// the prompt) where parts were fetched than where the server held them.
+// transfer.
 const fetchSetup = 5 * time.Millisecond
 
 // fetching is the time in which a server takes the tokens' memory from another.
--- a/coordination/saturation/heap.go
+++ b/coordination/saturation/heap.go
@@ -3,9 +3,8 @@
 import "time"
 
 // Heap growth targets of the collector, in percent of what lives. Memory is
-// paid for at its peak, and a calm router has processor time to spare: at 50 in
-// place of 200 a router of the users' smaller site took 3.4 GB-seconds in place
-// of 5.5 and 6 % more processor time. A late one needs the time more.
+// paid for at its peak, and a calm router has processor time to spare. A late one
+// needs the time more.
 const (
 	CalmGrowth = 60
 	LateGrowth = 200
--- a/coordination/saturation/limit.go
+++ b/coordination/saturation/limit.go
@@ -6,8 +6,8 @@
 type LimitConfig struct {
 	// High is the mean lateness above which fewer requests may be held, Low
 	// the one below which more may. Default 50ms and 20ms: a first token is
-	// delayed by a tenth of its objective. At 25ms the refusals of one
-	// caller's flood, 1,500 a second, took the places of its streams.
+	// delayed by a tenth of its objective, and refusals alone do not take the
+	// places of streams.
 	High time.Duration
 	Low  time.Duration
 	// Every is the time between two changes. Default 250ms, in which the mean
@@ -16,8 +16,8 @@
 	// Shrink and Grow are the factors of a change. Default 0.85 and 1.05.
 	Shrink float64
 	Grow   float64
-	// Least is the least number of streams. Default 64: passing them on takes
-	// a sixth of the smallest of the users' instances.
+	// Least is the least number of streams. Default 64, which the smallest
+	// instances pass on with ease.
 	Least int
 }
 
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -44,8 +44,7 @@
 	// storePause is the time between calls of a store that fails.
 	storePause = 150 * time.Millisecond
 	// startPause is the time between calls of a router that knows no
-	// configuration yet. On the users' larger site thirty routers made 350
-	// calls in their first second without it.
+	// configuration yet: whole fleets start at once.
 	startPause = 150 * time.Millisecond
 	// retryEvery is the time between calls of a store that does not answer
 	// this router while others tell it what is new.
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -12,8 +12,7 @@
 
 // failureLines is the number of lines a second that a router writes of requests
 // that were refused, failed or went to a further server. At ordinary rates none
-// is left out; 200 a second cost 2 % more processor time than 25 on the users'
-// heavy day.
+// is left out.
 const failureLines = 100
 
 // logEnd writes the line of a request that ended without a whole answer.
