--- /dev/null
+++ b/transport/direct/place.go
@@ -0,0 +1,51 @@
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/protocol/outcome"
+)
+
+// place asks where the request goes, once more if it was sent before.
+func (c *call) place() admission.Decision {
+	req := admission.Request{
+		Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
+		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Homes: c.homes(), Repeatable: c.route.MayRepeat(), Sent: c.sent > 0, Again: c.reached > 0,
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	if c.r.warmup.Any() {
+		c.r.warmup.SetRegistered(c.r.member.stands(bootTime()))
+	}
+	return c.r.admission.Place(time.Now(), req)
+}
+
+// homes are the lists of regions to which the route and the team bind the request.
+func (c *call) homes() [][]string {
+	var all [][]string
+	if len(c.route.Homes) > 0 {
+		all = append(all, c.route.Homes)
+	}
+	if team := c.table.Team(c.meta.Key); team != nil && team.Name == c.team && len(team.Homes) > 0 {
+		all = append(all, team.Homes)
+	}
+	return all
+}
+
+// unplaced ends a request for which no server was found.
+func (c *call) unplaced(d admission.Decision) {
+	switch {
+	case c.begun:
+		c.cut("no_server")
+	case c.reached > 0:
+		c.fail(outcome.ReasonBackend, http.StatusBadGateway, "the answer was lost and no further server is free")
+	case d.Verdict == admission.Refuse && d.Cold:
+		c.refuse(*notRun(outcome.ReasonQueueFull, d.RetryAfter, "the backend servers are cold and get as much as they bear"))
+	case d.Verdict == admission.Refuse:
+		c.refuse(*notRun(outcome.ReasonQueueFull, d.RetryAfter, "no backend server can begin in time"))
+	default:
+		c.refuse(*notRun(outcome.ReasonNoBackend, d.RetryAfter, "no backend server is known"))
+	}
+}
