Changed settings bound cold servers at once; a gauge for the rotation

Cause: a reload put changed bounds of keys and repeats in force, and not those of cold servers; whether a router is out of rotation stood in its log only.

Change: warmup takes other bounds while it runs, and counts what was sent before; direct_away. Ruled out: to begin anew with changed bounds, which would allow a second's rate twice. Before: none. After: TestChangedBoundsCountWhatWasSent, and two tests of what is presumed cold and of services without a rate.

--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// SetConfig changes the bounds. What was sent counts on. The config must be valid.
+func (s *State) SetConfig(cfg Config) {
+	s.cfg = cfg
+	s.epoch++
+}
+
 // SetService tells how the service's servers warm up.
 func (s *State) SetService(name string, service Service) {
 	s.services[name] = service
--- /dev/null
+++ b/coordination/warmup/warmup_test.go
@@ -0,0 +1,65 @@
+package warmup
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// alone is the state of the only router before one cold server.
+func alone() (*State, *Server, time.Time) {
+	now := time.Unix(1000, 0)
+	s := New(modelConfig(0), "router")
+	s.SetService(modelService, Service{Rate: 13, ColdFor: 3 * time.Second})
+	s.SetRouters(map[string]uint64{"router": 1})
+	s.SetRegistered(true)
+	s.Entered(now, "i-1", modelService, time.Minute, 2)
+	return s, s.Server("i-1"), now
+}
+
+// send takes as many as the server bears now and returns the number.
+func send(s *State, one *Server, now time.Time) (n int) {
+	for wait, _ := s.Wait(now, one); wait == 0; wait, _ = s.Wait(now, one) {
+		s.Take(now, one)
+		n++
+	}
+	return n
+}
+
+// The bounds change while a server is cold: what was sent before counts on.
+func TestChangedBoundsCountWhatWasSent(t *testing.T) {
+	s, one, now := alone()
+	qt.Check(t, send(s, one, now), qt.Equals, 24)
+	wider := modelConfig(0)
+	wider.Overrun = 2
+	s.SetConfig(wider)
+	qt.Check(t, send(s, one, now), qt.Equals, 7)
+	s.SetConfig(modelConfig(0))
+	qt.Check(t, send(s, one, now.Add(500*time.Millisecond)), qt.Equals, 0)
+}
+
+// A server is presumed cold although its entry says nothing, or says that it is warm:
+// it was written before.
+func TestAPresumedServerStaysColdThoughItsEntrySaysWarm(t *testing.T) {
+	s, _, now := alone()
+	s.Presume(now, "i-2", modelService, 3)
+	s.Entered(now, "i-2", modelService, 0, 4)
+	one := s.Server("i-2")
+	_, bounded := s.Wait(now.Add(2900*time.Millisecond), one)
+	qt.Check(t, bounded, qt.IsTrue)
+	_, bounded = s.Wait(now.Add(3*time.Second), one)
+	qt.Check(t, bounded, qt.IsFalse)
+}
+
+// Services without a rate and fleets without bounds bound nothing.
+func TestWithoutARateNothingIsBounded(t *testing.T) {
+	s, one, now := alone()
+	s.SetService(modelService, Service{})
+	_, bounded := s.Wait(now, one)
+	qt.Check(t, bounded, qt.IsFalse)
+	s, one, now = alone()
+	s.SetConfig(DefaultConfig())
+	_, bounded = s.Wait(now, one)
+	qt.Check(t, bounded, qt.IsFalse)
+}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -55,6 +55,12 @@
 		defer r.mu.Unlock()
 		return r.warmup.Cold(time.Now())
 	})
+	v.Func("direct_away", func() any {
+		if r.load.away.Load() {
+			return 1
+		}
+		return 0
+	})
 	v.Func("direct_held", func() any { return r.held.Load() })
 	v.Func("direct_caller_connections", func() any { return r.callers.open() })
 	v.Func("direct_dials", func() any { return r.pool.Dials() })
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -255,8 +255,10 @@
 			b.SetConfig(cfg.Repeats)
 		}
 	}
+	r.warmup.SetConfig(cfg.Warmup)
 	r.mu.Unlock()
-	r.event("reloaded", "key_revocation", set.KeyRevocation.D(), "repeat_ratio", set.Repeats.Ratio, "repeat_allowance", set.Repeats.Allowance)
+	r.event("reloaded", "key_revocation", set.KeyRevocation.D(), "repeat_ratio", set.Repeats.Ratio, "repeat_allowance", set.Repeats.Allowance,
+		"cold_overrun", set.ColdServers.Overrun, "cold_slack", set.ColdServers.Slack)
 }
 
 // Rejected notes that changed settings were wrong.
