--- a/Makefile
+++ b/Makefile
@@ -100,4 +100,4 @@
 .PHONY: slopes
 slopes: build
 	@cd bench && $(GO) build -o ../bin/ ./cmd/slopes
-	@bin/slopes --page docs/CAPACITY.md $(SLOPES_FLAGS)
+	@bin/slopes --page docs/CAPACITY-SIDECARS.md $(SLOPES_FLAGS)
--- a/bench/cmd/slopes/main.go
+++ b/bench/cmd/slopes/main.go
@@ -1,5 +1,5 @@
 // Command slopes measures what each role costs and writes the tables of
-// docs/CAPACITY.md.
+// docs/CAPACITY-SIDECARS.md.
 package main
 
 import (
--- a/bench/slopes/doc.go
+++ b/bench/slopes/doc.go
@@ -3,5 +3,5 @@
 // size to design for.
 //
 // It starts real processes on loopback, a few hundred at most, and ends by
-// itself. The tables go into docs/CAPACITY.md.
+// itself. The tables go into docs/CAPACITY-SIDECARS.md.
 package slopes
--- a/bench/slopes/report.go
+++ b/bench/slopes/report.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Marks in docs/CAPACITY.md between which the tables stand.
+// Marks in docs/CAPACITY-SIDECARS.md between which the tables stand.
 const (
 	markBegin = "<!-- slopes: begin, written by make slopes -->"
 	markEnd   = "<!-- slopes: end -->"
