--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -61,6 +61,9 @@
 	Load admission.Load
 	// Leaving tells that the server is about to end and wants no new requests.
 	Leaving bool
+	// RetryAfter is for how long a server that turned the request away wants none
+	// from this router; 0 when it does not say.
+	RetryAfter time.Duration
 }
 
 // Dialect reads and writes the headers that callers and backend servers use.
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -41,6 +41,7 @@
 	testNotRun = "X-Not-Run"
 	testPrompt = "X-Prompt"
 	testLeaves = "X-Leaves"
+	testAfter  = "X-After-Ms"
 )
 
 // testDialect implements Dialect with few headers.
@@ -67,9 +68,10 @@
 }
 
 func (testDialect) Reply(status int, h http.Header) Reply {
+	retryAfter, _ := strconv.Atoi(h.Get(testAfter))
 	return Reply{
 		NotRun: h.Get(testNotRun) != "", OtherServer: status == http.StatusMisdirectedRequest, Marked: h.Get(testMark) != "",
-		Leaving: h.Get(testLeaves) != "",
+		Leaving: h.Get(testLeaves) != "", RetryAfter: time.Duration(retryAfter) * time.Millisecond,
 	}
 }
 
