Tests that run at the same time get ports of their own

Cause: a test's address was chosen free and bound later, so that two that run at the same time could choose one port: once, TestEveryKindOfRequestThatCrashesServersIsRefused (stream in the middle) ended with 'listen.peers: address already in use' when tests were added that run beside it. Change: a port is handed out once in a process. Ruled out: by the message, the product. That this was the cause is read in the code, not shown.

--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -348,10 +348,18 @@
 	ports     = 12000
 )
 
-// freeAddress returns an address that nobody listens on.
+// handedOut are the ports that freeAddress returned: tests that run at the same time
+// choose before they bind.
+var handedOut sync.Map
+
+// freeAddress returns an address that nobody listens on, and that no other test got.
 func freeAddress(c *qt.C) string {
 	for range ports {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		port := firstPort + rand.IntN(ports)
+		if _, taken := handedOut.LoadOrStore(port, true); taken {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if lis, err := net.Listen("tcp", address); err == nil {
 			_ = lis.Close()
 			return address
