What a server says counts also while its entry comes and goes

Found by a model of 3 to 800 routers in virtual time, with the product's own decisions: a server's entry lapsed and came back while a request was there, which was turned away: what it asked for counted for the server as it had been, and the router sent on. Second: a router that knew by its own ears that a server leaves did not tell the others any more when that one's entry came back by a late write. Change: what was asked for is looked up by the process, also when its entry is away; what is recalled of a server is told again. Ruled out: the model's own bound for a request that tries a server, which counted from the end of the time and not from that request. The model fails for four of six broken builds (own word ignored, others' ignored, the shorter time counts, forgotten with the entry); the unit tests fail for the other two.

--- a/coordination/admission/backoff.go
+++ b/coordination/admission/backoff.go
@@ -68,11 +68,36 @@
 // router for the time. It reports whether the server began to ask for that.
 func (s *State) BackOff(now time.Time, r *Run, after time.Duration) (began bool) {
 	r.trial = false
-	return r.server.backoff.Asked(now, after, s.cfg.Backoff)
+	one := s.backoffOf(r.server)
+	if !s.isIn(r.server) {
+		s.parted[r.server.identity] = one
+	}
+	return one.Asked(now, after, s.cfg.Backoff)
 }
 
 // MaySend reports whether the run's server still wants requests.
-func (s *State) MaySend(now time.Time, r *Run) bool { return r.server.backoff.Accepts(now) }
+func (s *State) MaySend(now time.Time, r *Run) bool { return s.backoffOf(r.server).Accepts(now) }
+
+// Backoff returns what the run's server asked for.
+func (s *State) Backoff(r *Run) *backoff.Server { return s.backoffOf(r.server) }
+
+// isIn reports whether the server, or one that came back as the same, is known.
+func (s *State) isIn(one *server) bool {
+	now := s.servers[one.id]
+	return now != nil && now.identity == one.identity
+}
+
+// backoffOf returns what the server asked for. A run's server may have been taken out
+// since it was sent, and may be back.
+func (s *State) backoffOf(one *server) *backoff.Server {
+	if s.isIn(one) {
+		return s.servers[one.id].backoff
+	}
+	if kept := s.parted[one.identity]; kept != nil {
+		return kept
+	}
+	return one.backoff
+}
 
 // BackoffWait returns the time until the first server of the service wants requests; 0
 // while one does.
--- a/coordination/admission/backoff_test.go
+++ b/coordination/admission/backoff_test.go
@@ -129,6 +129,32 @@
 	qt.Check(t, s.parted, qt.HasLen, 0)
 }
 
+// A server's entry lapses and comes back while a request is there, which is turned away:
+// the time counts for the server as it is known now.
+func TestWhatAServerAsksForWhileItsEntryIsAwayCounts(t *testing.T) {
+	for name, steps := range map[string]func(s *State, answer func()){
+		"before it is back": func(s *State, answer func()) {
+			s.Remove("i-0")
+			answer()
+			s.Add("i-0", 100, "app", "", 4)
+		},
+		"after it is back": func(s *State, answer func()) {
+			s.Remove("i-0")
+			s.Add("i-0", 100, "app", "", 4)
+			answer()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(DefaultConfig())
+			s.Add("i-0", 100, "app", "", 4)
+			d, also := s.Place(epoch, Request{Service: "app"}), s.Place(epoch, Request{Service: "app"})
+			steps(s, func() { s.BackOff(epoch, d.Run, time.Second) })
+			qt.Check(t, s.Place(epoch, Request{Service: "app"}).Reason, qt.Equals, ReasonBackoff)
+			qt.Check(t, s.MaySend(epoch, also.Run), qt.IsFalse)
+		})
+	}
+}
+
 // What a decision costs beside 180 servers of which 60 want no requests.
 func BenchmarkPlaceBesideServersThatBackOff(b *testing.B) {
 	for _, asking := range []int{0, 60} {
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/roster"
 )
 
@@ -131,9 +130,6 @@
 // cold; zero for no bound.
 func (r *Run) SendBy() time.Time { return r.sendBy }
 
-// Backoff returns what the run's server asked for.
-func (r *Run) Backoff() *backoff.Server { return r.server.backoff }
-
 // Server returns the id of the run's server.
 func (r *Run) Server() string { return r.server.id }
 
--- a/coordination/admission/run.go
+++ b/coordination/admission/run.go
@@ -48,7 +48,7 @@
 	r.server.refusals, r.server.refusedUntil = 0, time.Time{}
 	if r.trial {
 		r.trial = false
-		resumed = r.server.backoff.Taken(now)
+		resumed = s.backoffOf(r.server).Taken(now)
 	}
 	r.server.pace.observe(now, r.estimate, now.Sub(r.sent))
 	s.begun(now, r)
@@ -76,7 +76,7 @@
 	r.ended = true
 	if r.trial {
 		r.trial = false
-		r.server.backoff.Ended()
+		s.backoffOf(r.server).Ended()
 	}
 	if result == health.Success {
 		p := s.pool(r.server.service)
--- a/coordination/roster/announced.go
+++ b/coordination/roster/announced.go
@@ -17,13 +17,23 @@
 	e := r.entries[id]
 	if e == nil || incarnation > known {
 		changes := r.drop(id, ReasonRestarted)
-		r.formers[id] = former{incarnation: incarnation, drained: true}
+		r.formers[id] = former{incarnation: incarnation, drained: true, announced: true}
 		return changes
 	}
-	e.server.Draining, e.announced = true, true
+	e.server.Draining = true
+	r.announced[id] = true
 	return e.set(false, ReasonAnnounced)
 }
 
+// recall takes up what is known of a server whose entry comes back: the others may not
+// know that it leaves.
+func (r *Roster) recall(s Server) {
+	if f := r.formers[s.ID]; f.announced && f.incarnation == s.Incarnation {
+		r.announced[s.ID] = true
+	}
+	delete(r.formers, s.ID)
+}
+
 // Told takes another router's word that the incarnation said so to it. It is believed
 // for a time, once: what one router got wrong must not keep a sound server idle.
 func (r *Roster) Told(now time.Time, id string, incarnation Incarnation) []Change {
@@ -51,10 +61,8 @@
 // yet, by their ids: what it tells the others.
 func (r *Roster) Leaving() []Server {
 	var out []Server
-	for _, e := range r.entries {
-		if e.announced {
-			out = append(out, e.server)
-		}
+	for id := range r.announced {
+		out = append(out, r.entries[id].server)
 	}
 	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	return out
--- a/coordination/roster/announced_test.go
+++ b/coordination/roster/announced_test.go
@@ -79,7 +79,8 @@
 	qt.Check(t, r.Announced("a", 200), qt.HasLen, 0)
 	r.Put(entryOf(200, false))
 	qt.Check(t, r.Has("a"), qt.IsFalse)
-	qt.Check(t, r.Leaving(), qt.HasLen, 0)
+	// The others, which see the entry come back, are told.
+	qt.Check(t, r.Leaving(), qt.HasLen, 1)
 }
 
 // A router tells the others what it heard itself, and not what they told it; it stops
@@ -93,6 +94,11 @@
 	qt.Check(t, r.Leaving(), qt.HasLen, 1)
 	r.Remove(start, "a")
 	qt.Check(t, r.Leaving(), qt.HasLen, 0)
+	// Its entry is written late: the others may not know any more.
+	r.Put(entryOf(100, false))
+	qt.Check(t, r.Leaving(), qt.HasLen, 1)
+	r.Put(entryOf(200, false))
+	qt.Check(t, r.Leaving(), qt.HasLen, 0)
 }
 
 // Another router's word keeps a server from work for a time and once, so that a wrong
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -38,9 +38,6 @@
 	missing bool
 	// usable tells that it may get work.
 	usable bool
-	// announced tells that it said itself that it leaves, in an answer to this
-	// router.
-	announced bool
 	// toldUntil is until when it gets nothing on another router's word that it
 	// leaves; zero without one. Such a word counts once.
 	toldUntil time.Time
@@ -52,6 +49,8 @@
 type former struct {
 	incarnation Incarnation
 	drained     bool
+	// announced tells that it said itself that it leaves.
+	announced bool
 	// until is when it is forgotten; zero before the next Tick.
 	until time.Time
 }
@@ -94,6 +93,9 @@
 	cfg     Config
 	entries map[string]*entry
 	formers map[string]former
+	// announced are the ids of the entries whose servers said themselves that they
+	// leave, in an answer to this router.
+	announced map[string]bool
 	// evacuated are the data centres whose servers get nothing.
 	evacuated map[string]bool
 	away      bool
@@ -103,7 +105,7 @@
 
 // New returns a roster without servers.
 func New(cfg Config) *Roster {
-	return &Roster{cfg: cfg, entries: make(map[string]*entry), formers: make(map[string]former)}
+	return &Roster{cfg: cfg, entries: make(map[string]*entry), formers: make(map[string]former), announced: make(map[string]bool)}
 }
 
 // StoreLost notes that the store does not answer.
@@ -159,7 +161,7 @@
 	if e == nil {
 		e = &entry{}
 		r.entries[s.ID] = e
-		delete(r.formers, s.ID)
+		r.recall(s)
 	}
 	s.Draining = s.Draining || drained
 	e.missing, e.server = false, s
@@ -274,9 +276,10 @@
 	if e == nil {
 		return nil
 	}
-	delete(r.entries, id)
 	if e.server.Incarnation != 0 || e.server.Draining {
-		r.formers[id] = former{incarnation: e.server.Incarnation, drained: e.server.Draining}
+		r.formers[id] = former{incarnation: e.server.Incarnation, drained: e.server.Draining, announced: r.announced[id]}
 	}
+	delete(r.entries, id)
+	delete(r.announced, id)
 	return e.set(false, reason)
 }
--- a/transport/direct/backoff.go
+++ b/transport/direct/backoff.go
@@ -15,7 +15,7 @@
 	}
 	if allowed, dropped := r.failures.Allow("backoff", now); allowed {
 		r.event("backoff", "server", run.Server(), "incarnation", run.Incarnation(), "service", r.servers[run.Server()].Service, "asked_ms", after.Milliseconds(),
-			"wait_ms", run.Backoff().Wait(now).Milliseconds(), "said_to", request, "left_out", dropped)
+			"wait_ms", r.admission.Backoff(run).Wait(now).Milliseconds(), "said_to", request, "left_out", dropped)
 	}
 }
 
@@ -23,7 +23,7 @@
 // holds mu.
 func (r *Router) resumed(now time.Time, run *admission.Run) {
 	if allowed, dropped := r.failures.Allow("backoff_ended", now); allowed {
-		lasted, times := run.Backoff().Series(now)
+		lasted, times := r.admission.Backoff(run).Series(now)
 		r.event("backoff_ended", "server", run.Server(), "incarnation", run.Incarnation(), "lasted_ms", lasted.Milliseconds(), "times", times, "left_out", dropped)
 	}
 }
