The soak's servers say that they leave, and for how long they want no requests

Change: the stand-in says both in its answers; the soak has servers that leave unheard by the store, their entries written anew as they were, and servers that turn everything away and ask for a time; two checks from the servers' side, at the product's own bounds (100 ms after an answer was passed on, whatever happened to the router but a new life; none at all from .5 s on in a time).

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -33,6 +33,8 @@
 	{"what the configuration allows is not denied", denied},
 	{"a configuration is in force in time and never goes back", oldConfiguration},
 	{"a leaving server gets no new work", ranAfterDeparture},
+	{"a server that said that it leaves gets nothing", sentToLeaving},
+	{"a server that wants no requests gets none", sentInBackoff},
 	{"a planned stop cuts nothing", cutByStop},
 	{"a final answer comes in time", lateAnswer},
 	{"a caller that left ends its run", ranOn},
--- a/bench/soak/check_repeats.go
+++ b/bench/soak/check_repeats.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"time"
+
+	"goldcrestport/standin/backend"
 )
 
 // tooManyRepeats counts the arrivals beyond the first of each request in
 // sliding windows.
 func tooManyRepeats(r *Record) []string {
-	arrivals := map[string][]Arrival{}
+	arrivals := map[string][]backend.Arrival{}
 	seen := map[string]bool{}
 	repeats := map[string][]time.Time{}
 	for _, a := range r.Arrivals {
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -44,7 +44,7 @@
 		c := call(Safe, from+i, from+i+1)
 		c.ID, c.Body, c.Crashes = fmt.Sprint("n", i), "b", true
 		r.Calls = append(r.Calls, c)
-		r.Arrived(plainService, c.ID, at(from+i))
+		r.Arrived(backend.Arrival{Service: plainService, ID: c.ID, At: at(from + i)})
 	}
 }
 
@@ -69,6 +69,18 @@
 	}
 }
 
+// said fills in an answer, passed on at 20, that says the word, and a request that the
+// router of that life sent to the server then.
+func said(r *Record, word backend.Word, sent, life int) {
+	c, next := call(Safe, 0, 20), call(Safe, sent, sent+20)
+	next.ID, next.Life = "n", life
+	r.Calls = []Call{c, next}
+	r.Began(run("s", plainService, 5, 10))
+	word.ID, word.Server, word.At = "r", "s", at(5)
+	r.Said(word)
+	r.Arrived(backend.Arrival{Service: plainService, Server: "s", ID: "n", At: at(sent + 5)})
+}
+
 // Each promise is seen broken, and each excuse of the pages is taken.
 func TestEachPromiseIsChecked(t *testing.T) {
 	for _, tc := range []struct {
@@ -182,10 +194,10 @@
 		}},
 		{"too many repeats", "repeats are bounded", func(r *Record) {
 			for i := range 40 {
-				r.Arrived(plainService, fmt.Sprint("r", i/2), at(i))
+				r.Arrived(backend.Arrival{Service: plainService, ID: fmt.Sprint("r", i/2), At: at(i)})
 			}
 			for i := range 20 {
-				r.Arrived(plainService, fmt.Sprint("r", i), at(100+i))
+				r.Arrived(backend.Arrival{Service: plainService, ID: fmt.Sprint("r", i), At: at(100 + i)})
 			}
 		}},
 		{"does not recover", "the fleet recovers", func(r *Record) {
@@ -226,6 +238,23 @@
 		{"too many for a cold server", "cold servers get no more", func(r *Record) { sentToCold(r, 12, 0, 900) }},
 		{"as many as a cold server bears", "", func(r *Record) { sentToCold(r, 11, 0, 900) }},
 		{"too many for a cold server, sent before", "", func(r *Record) { sentToCold(r, 12, 950, 900) }},
+		{"sends to a server that said that it leaves", "a server that said that it leaves", func(r *Record) {
+			said(r, backend.Word{Leaving: true}, 121, 1)
+		}},
+		{"the same at once", "", func(r *Record) { said(r, backend.Word{Leaving: true}, 110, 1) }},
+		{"the same in a later life", "", func(r *Record) { said(r, backend.Word{Leaving: true}, 121, 2) }},
+		{"the same at a later process", "", func(r *Record) { said(r, backend.Word{Leaving: true, Born: 7}, 121, 1) }},
+		{"sends to a server that wants nothing", "a server that wants no requests", func(r *Record) {
+			said(r, backend.Word{RetryAfter: time.Second}, 600, 1)
+		}},
+		{"the same at once, and afterwards", "", func(r *Record) {
+			said(r, backend.Word{RetryAfter: 500 * time.Millisecond}, 600, 1)
+		}},
+		{"the same in a later life", "", func(r *Record) { said(r, backend.Word{RetryAfter: time.Second}, 600, 2) }},
+		{"the same by a router that was frozen", "", func(r *Record) {
+			said(r, backend.Word{RetryAfter: time.Second}, 600, 1)
+			r.Failures = []Failure{{Kind: "freeze", Router: 0, From: at(100), Until: at(400)}}
+		}},
 		{"ends by itself", "processes end", func(r *Record) { r.Exits = []string{"router-1 has ended"} }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -33,7 +33,9 @@
 	random *rand.Rand
 	// reborn adds failures of servers that keep their ids, see Plan.
 	reborn bool
-	open   sync.WaitGroup
+	// announced adds failures of servers that say what they want, see Plan.
+	announced bool
+	open      sync.WaitGroup
 }
 
 // length returns a random time between least and most.
@@ -89,6 +91,9 @@
 	if i.reborn {
 		kinds = append(kinds, i.startAgain, i.startAgain, i.spoil, i.spoil)
 	}
+	if i.announced {
+		kinds = append(kinds, i.leaveUnheard, i.leaveUnheard, i.backOff, i.backOff, i.backOff)
+	}
 	return kinds[i.random.IntN(len(kinds))]()
 }
 
--- a/bench/soak/failure_server.go
+++ b/bench/soak/failure_server.go
@@ -114,24 +114,30 @@
 	}
 	silent := i.random.IntN(3) == 0
 	return failure{kind: "server leaves", router: noRouter, server: s.ID, planned: true, do: func() {
-		if silent {
-			i.w.store.Remove(backend.Key(s.ID))
-		} else {
-			i.w.enter(s, backend.Draining)
-		}
-		acked := time.Now()
-		i.w.Record.add(func() {
-			i.w.Record.Departures = append(i.w.Record.Departures, Departure{Server: s.ID, Acked: acked})
-		})
-		i.replace(s, "127.0.0.1:0")
-		// It serves for the time of draining and a little longer, and whatever
-		// it runs to its end.
-		time.Sleep(drain + time.Second + Stream.timeout())
-		i.w.store.Remove(backend.Key(s.ID))
-		s.close()
+		i.drain(s, silent)
 	}}
 }
 
+// drain lets the server leave and replaces it.
+func (i *injector) drain(s *server, silent bool) {
+	s.backend.SetSays(backend.Says{Leaving: i.announced})
+	if silent {
+		i.w.store.Remove(backend.Key(s.ID))
+	} else {
+		i.w.enter(s, backend.Draining)
+	}
+	acked := time.Now()
+	i.w.Record.add(func() {
+		i.w.Record.Departures = append(i.w.Record.Departures, Departure{Server: s.ID, Acked: acked})
+	})
+	i.replace(s, "127.0.0.1:0")
+	// It serves for the time of draining and a little longer, and whatever
+	// it runs to its end.
+	time.Sleep(drain + time.Second + Stream.timeout())
+	i.w.store.Remove(backend.Key(s.ID))
+	s.close()
+}
+
 func (i *injector) serverFault() failure {
 	s := i.take(false)
 	if s == nil {
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -68,12 +68,6 @@
 	Acked  time.Time
 }
 
-// Arrival is a request's arrival at a backend server.
-type Arrival struct {
-	Service, ID string
-	At          time.Time
-}
-
 // Crash is the end of a backend server under a request that crashes it.
 type Crash struct {
 	Server, Body string
@@ -95,10 +89,12 @@
 
 // Record is what was seen in a run. It may be added to from any goroutine.
 type Record struct {
-	mu         sync.Mutex
-	Calls      []Call
-	Runs       map[string][]backend.Run
-	Arrivals   []Arrival
+	mu       sync.Mutex
+	Calls    []Call
+	Runs     map[string][]backend.Run
+	Arrivals []backend.Arrival
+	// Words are what answers said of their servers.
+	Words      []backend.Word
 	Failures   []Failure
 	Changes    []Change
 	Departures []Departure
@@ -134,12 +130,13 @@
 }
 
 // Arrived implements backend.Journal.
-func (r *Record) Arrived(service, id string, at time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Arrivals = append(r.Arrivals, Arrival{service, id, at})
+func (r *Record) Arrived(one backend.Arrival) {
+	r.add(func() { r.Arrivals = append(r.Arrivals, one) })
 }
 
+// Said implements backend.Journal.
+func (r *Record) Said(word backend.Word) { r.add(func() { r.Words = append(r.Words, word) }) }
+
 // add changes the record under its lock.
 func (r *Record) add(change func()) {
 	r.mu.Lock()
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -22,6 +22,9 @@
 	// Places adds evacuations of data centres, one after the other, whose engines
 	// are cold afterwards. They change no other choice of the seed.
 	Places bool
+	// Announced adds servers that say in their answers that they leave, or for how
+	// long they want no requests. Without it seeds choose the same failures as ever.
+	Announced bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -31,13 +34,16 @@
 	often    = 300 * time.Millisecond
 	steps    = 5
 	failTime = 25 * time.Second
+	// firstAnnounced is the first seed whose servers say in their answers what they
+	// want.
+	firstAnnounced = 2000
 )
 
 // DefaultPlan returns the plan of the tool.
 func DefaultPlan(seed uint64) Plan {
 	return Plan{
 		Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1),
-		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2,
+		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2, Announced: seed >= firstAnnounced,
 	}
 }
 
@@ -73,7 +79,7 @@
 	if plan.Crashing {
 		w.insist(ctx, &working, plan.Seed)
 	}
-	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn}
+	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced}
 	if plan.Places {
 		i.evacuations(plan)
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -148,6 +148,26 @@
 	}
 }
 
+// Servers say in their answers that they leave, while their entries say otherwise, and
+// for how long they want no requests, beside everything else.
+func TestWhatServersSayInTheirAnswers(t *testing.T) {
+	bin := fleet.BuildForTest(t)
+	for _, seed := range []uint64{2001, 2002} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := Size{Routers: 3, Engines: 5, Plain: 4, Other: 4, Callers: 24}
+			w, err := Start(context.Background(), bin, t.TempDir(), size)
+			if w != nil {
+				defer w.Close()
+			}
+			qt.Assert(t, err, qt.IsNil)
+			w.Run(Plan{Seed: seed, Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Announced: true}, size.Callers)
+			qt.Check(t, w.Record.Words, qt.Not(qt.HasLen), 0)
+			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+		})
+	}
+}
+
 // longRegressions are seeds that failed once in the long plan, each with its cause.
 var longRegressions = map[uint64]string{
 	6:    "a clearing grew younger from router to router and freed a request that crashes servers",
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -256,11 +256,12 @@
 
 // runServer starts a process of a backend server at the address and enters it.
 func (w *World) runServer(id, service, address string) error {
-	cfg := backend.Config{ID: id, Service: service, Slots: plainSlots, Time: plainTime}
+	born := time.Now()
+	cfg := backend.Config{ID: id, Born: born.UnixMilli(), Service: service, Slots: plainSlots, Time: plainTime}
 	if service == engineService {
 		cfg.Slots, cfg.Time, cfg.Engine = engineSlots, eventPause, true
 	}
-	s := &server{Config: cfg, born: time.Now(), zone: zoneOf(id)}
+	s := &server{Config: cfg, born: born, zone: zoneOf(id)}
 	cfg.Crash = func(body string) { w.crashed(s, body) }
 	s.backend = backend.New(cfg, w.Record)
 	s.http = &http.Server{Handler: s.backend, ReadHeaderTimeout: time.Second}
--- a/standin/cmd/standin/direct.go
+++ b/standin/cmd/standin/direct.go
@@ -105,4 +105,7 @@
 func (p *printer) Ended(backend.Run) {}
 
 // Arrived implements backend.Journal.
-func (p *printer) Arrived(string, string, time.Time) {}
+func (p *printer) Arrived(backend.Arrival) {}
+
+// Said implements backend.Journal.
+func (p *printer) Said(backend.Word) {}
