explain names what servers said, by a request's id or a server's

Cause: the lines of both new decisions were there, and no command put them together. Ruled out: a new command. Before: grep.

--- a/cmd/goldcrestctl/explain.go
+++ b/cmd/goldcrestctl/explain.go
@@ -10,11 +10,11 @@
 	"goldcrestport/protocol/trail"
 )
 
-// explainCommand says the course of one request from the routers' logs.
+// explainCommand says the course of one request or server from the routers' logs.
 func explainCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:   "explain REQUEST [FILE...]",
-		Short: "Say the course of a request from the routers' logs (standard input without files)",
+		Use:   "explain ID [FILE...]",
+		Short: "Say the course of a request, or of a backend server, from the routers' logs (standard input without files)",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			in, closeAll, err := openAll(cmd.InOrStdin(), args[1:])
--- a/protocol/trail/trail.go
+++ b/protocol/trail/trail.go
@@ -1,5 +1,5 @@
-// Package trail reads the routers' log lines of one request and says its course
-// in sentences.
+// Package trail reads the routers' log lines of one request, or of one backend server,
+// and says its course in sentences.
 //
 // goldcrestctl explain uses it. The lines may come from several processes, in
 // any order, cut or with a collector's text before them.
@@ -20,18 +20,18 @@
 // Line is one log line: its keys with their values.
 type Line map[string]string
 
-// ErrUnknown means that no line names the request.
+// ErrUnknown means that no line names the request or the server.
 var ErrUnknown = errors.New("no line names the request")
 
 // maxLine bounds a line that is read, in bytes; the rest of a longer one is
 // passed over.
 const maxLine = 64 << 10
 
-// Read returns the lines that name the request, by their time, and the number
-// of lines that were read. Where it was refused for crashing servers, the line
-// that tells why comes with them.
-func Read(from io.Reader, request string) (lines []Line, read int, err error) {
-	var quarantined []Line
+// Read returns the lines that name the request or are about the server of the id, by
+// their time, and the number of lines that were read. Where a request was refused for
+// what servers did or said before, the lines that tell so come with them.
+func Read(from io.Reader, id string) (lines []Line, read int, err error) {
+	var quarantined, asked []Line
 	r := bufio.NewReaderSize(from, maxLine)
 	for {
 		text, isCut, err := r.ReadLine()
@@ -42,19 +42,23 @@
 			return nil, read, err
 		}
 		read++
-		// A request's id stands whole in its lines; others are not parsed.
-		if strings.Contains(string(text), request) {
-			if line := Parse(text); line["request"] == request {
+		// An id stands whole in its lines; others are not parsed.
+		switch {
+		case strings.Contains(string(text), id):
+			if line := Parse(text); line.names(id) {
 				lines = append(lines, line)
 			}
-		} else if strings.Contains(string(text), "event="+quarantineEvent) {
+		case strings.Contains(string(text), "event="+quarantineEvent):
 			quarantined = append(quarantined, Parse(text))
+		case strings.Contains(string(text), "event="+backoffEvent):
+			asked = append(asked, Parse(text))
 		}
 		for isCut && err == nil {
 			_, isCut, err = r.ReadLine()
 		}
 	}
 	lines = append(lines, causes(lines, quarantined)...)
+	lines = append(lines, inForce(lines, asked)...)
 	slices.SortStableFunc(lines, func(a, b Line) int { return strings.Compare(a["ts"], b["ts"]) })
 	return lines, read, nil
 }
@@ -98,18 +102,13 @@
 	return line
 }
 
-// Explain writes the course of the request.
-func Explain(to io.Writer, request string, lines []Line) error {
+// Explain writes the course of the request or the server.
+func Explain(to io.Writer, id string, lines []Line) error {
 	if len(lines) == 0 {
-		return errors.Wrap(ErrUnknown, request)
+		return errors.Wrap(ErrUnknown, id)
 	}
 	var b strings.Builder
-	first := lines[max(slices.IndexFunc(lines, func(l Line) bool { return l["request"] == request }), 0)]
-	fmt.Fprintf(&b, "Request %s came by route %s", request, orUnknown(first["route"]))
-	if team := first["team"]; team != "" {
-		fmt.Fprintf(&b, " for team %s", team)
-	}
-	fmt.Fprintf(&b, ", under version %s of the configuration.\n", orUnknown(first["version"]))
+	b.WriteString(head(id, lines))
 	for _, line := range lines {
 		fmt.Fprintf(&b, "- %s, %s: %s\n", orUnknown(line["ts"]), orUnknown(line["id"]), sentence(line))
 	}
@@ -117,6 +116,23 @@
 	return err
 }
 
+// head says what the lines are about.
+func head(id string, lines []Line) string {
+	at := slices.IndexFunc(lines, func(l Line) bool { return l["request"] == id })
+	if at < 0 && !slices.ContainsFunc(lines, func(l Line) bool { return l["server"] == id }) {
+		return fmt.Sprintf("Request %s, of which no line of its own is left.\n", id)
+	}
+	if at < 0 {
+		return fmt.Sprintf("Backend server %s, as the routers knew it.\n", id)
+	}
+	first := lines[at]
+	team := ""
+	if first["team"] != "" {
+		team = " for team " + first["team"]
+	}
+	return fmt.Sprintf("Request %s came by route %s%s, under version %s of the configuration.\n", id, orUnknown(first["route"]), team, orUnknown(first["version"]))
+}
+
 func orUnknown(text string) string {
 	if text == "" {
 		return "unknown"
@@ -136,6 +152,8 @@
 		return fmt.Sprintf("server %s did not run it (%s); it went to a further server.", l["after_server"], orUnknown(l["err"]))
 	case "request_ended":
 		return ending(l)
+	case backoffEvent, backoffEndEvent, serverEvent, invalidAnswerEvent:
+		return serverSentence(l)
 	case quarantineEvent:
 		return fmt.Sprintf("what it asks for (content %s) is refused from here on: servers %s crashed while they ran it, at %s (UTC), by the word of %s.",
 			l["content"], l["servers"], l["crashed_at"], l["told_by"])
