The events of a stream are followed in a package of their own

Cause: as for callers' connections; the follower is pure, and stood in the middle of the relay. Ruled out: a change of behaviour.

--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -13,6 +13,7 @@
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/protocol/outcome"
+	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/observe"
@@ -48,7 +49,7 @@
 		}
 		defer c.r.load.release(c.team)
 	}
-	var events relay
+	var events eventstream.Follower
 	for {
 		if c.endQuarantined() {
 			return
@@ -73,7 +74,7 @@
 }
 
 // attempt sends the request to one server and passes its answer on.
-func (c *call) attempt(ctx context.Context, run *admission.Run, events *relay) (step, error) {
+func (c *call) attempt(ctx context.Context, run *admission.Run, events *eventstream.Follower) (step, error) {
 	result := health.NoResult
 	defer func() { c.r.runEnded(run, result) }()
 	left := c.left()
@@ -105,7 +106,7 @@
 	ctx, span := c.r.tracer.Start(ctx, observe.SpanBackend, trace.SpanKindClient)
 	defer span.End()
 	out := c.r.dialect.Outgoing(c.req.Header, Call{
-		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.lastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
+		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.LastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
 	})
 	sent := c.r.sendBegins(c.content, server)
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
@@ -143,11 +144,11 @@
 	c.reached++
 	var next step
 	var err error
-	before := events.count
+	before := events.Count()
 	next, result, err = c.pass(ctx, answer, reply, events)
 	c.ended(sent, server, endingOf(ctx, next, result, err))
 	if next == done && result == health.Success && before == 0 {
-		c.r.generated(run, events.count*c.eventTokens())
+		c.r.generated(run, events.Count()*c.eventTokens())
 	}
 	return next, err
 }
--- a/transport/direct/left_test.go
+++ b/transport/direct/left_test.go
@@ -15,6 +15,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
+	"goldcrestport/state/eventstream"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/callerconn"
 )
@@ -114,7 +115,7 @@
 		c.route = c.table.Route("h", "/safe/")
 		decision := c.place()
 		qt.Assert(t, decision.Verdict, qt.Equals, admission.Send)
-		next, err := c.attempt(req.Context(), decision.Run, &relay{})
+		next, err := c.attempt(req.Context(), decision.Run, &eventstream.Follower{})
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, next, qt.Equals, done)
 		qt.Check(t, server.runs(), qt.HasLen, tc.want)
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,77 +10,13 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/health"
+	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
 )
 
-// relay follows the events of a stream, so that it can go on at another server
-// after the last one that the caller has.
-type relay struct {
-	last string
-	rest []byte
-	// count of the events that were passed on.
-	count int
-	// at is when the last of them was, and pause the longest time between two.
-	at    time.Time
-	pause time.Duration
-}
-
-// passedOn counts events that are passed on now.
-func (e *relay) passedOn(now time.Time, count int) {
-	if count == 0 {
-		return
-	}
-	if !e.at.IsZero() {
-		e.pause = max(e.pause, now.Sub(e.at))
-	}
-	e.at = now
-	e.count += count
-}
-
-// lastEvent is the id of the last whole event that was passed on.
-func (e *relay) lastEvent() string { return e.last }
-
-// eventEnd ends an event of a stream.
-var eventEnd = []byte("\n\n")
-
-// whole returns the whole events in the data, together with what was held back
-// before, and holds back the begin of one that is not whole.
-func (e *relay) whole(data []byte) []byte {
-	e.rest = append(e.rest, data...)
-	end := bytes.LastIndex(e.rest, eventEnd)
-	if end < 0 {
-		return nil
-	}
-	end += len(eventEnd)
-	out := bytes.Clone(e.rest[:end])
-	e.rest = append(e.rest[:0], e.rest[end:]...)
-	if id := lastID(out); id != "" {
-		e.last = id
-	}
-	return out
-}
-
-// idField begins the line of an event that holds its id.
-var idField = []byte("id:")
-
-// lastID returns the id of the last event in the data that has one.
-func lastID(data []byte) string {
-	for {
-		at := bytes.LastIndex(data, idField)
-		if at < 0 {
-			return ""
-		}
-		if at == 0 || data[at-1] == '\n' {
-			line, _, _ := bytes.Cut(data[at+len(idField):], []byte("\n"))
-			return string(bytes.TrimSpace(line))
-		}
-		data = data[:at]
-	}
-}
-
 // pass passes an answer on to the caller.
-func (c *call) pass(ctx context.Context, answer *backend.Answer, reply Reply, events *relay) (step, health.Result, error) {
+func (c *call) pass(ctx context.Context, answer *backend.Answer, reply Reply, events *eventstream.Follower) (step, health.Result, error) {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	switch {
 	case c.begun:
@@ -164,9 +99,9 @@
 }
 
 // passEvents passes whole events on as they arrive.
-func (c *call) passEvents(ctx context.Context, answer *backend.Answer, events *relay) (step, health.Result, error) {
+func (c *call) passEvents(ctx context.Context, answer *backend.Answer, events *eventstream.Follower) (step, health.Result, error) {
 	resumable := c.route.MayRepeat()
-	events.rest = events.rest[:0]
+	events.Restart()
 	flusher := http.NewResponseController(c.w)
 	buf := make([]byte, relayBuffer)
 	for {
@@ -174,7 +109,7 @@
 		if n > 0 {
 			out := buf[:n]
 			if resumable {
-				out = events.whole(out)
+				out = events.Whole(out)
 			}
 			if writeErr := c.forward(flusher, answer, events, out); writeErr != nil {
 				return c.lostCaller(writeErr)
@@ -213,12 +148,12 @@
 	}
 }
 
-func (c *call) forward(flusher *http.ResponseController, answer *backend.Answer, events *relay, out []byte) error {
+func (c *call) forward(flusher *http.ResponseController, answer *backend.Answer, events *eventstream.Follower, out []byte) error {
 	if len(out) == 0 {
 		return nil
 	}
-	events.passedOn(time.Now(), bytes.Count(out, eventEnd))
-	c.pause = events.pause
+	events.PassedOn(time.Now(), out)
+	c.pause = events.Pause()
 	if !c.begun {
 		c.head(answer, -1)
 	}
@@ -229,11 +164,11 @@
 }
 
 // streamEnded passes on what is left at the end of a stream.
-func (c *call) streamEnded(answer *backend.Answer, events *relay) (step, health.Result, error) {
+func (c *call) streamEnded(answer *backend.Answer, events *eventstream.Follower) (step, health.Result, error) {
 	if !c.begun {
 		c.head(answer, -1)
 	}
-	_, _ = c.w.Write(events.rest)
+	_, _ = c.w.Write(events.Rest())
 	c.completed(answer)
 	return done, health.Success, nil
 }
