--- a/transport/direct/leaving_test.go
+++ b/transport/direct/leaving_test.go
@@ -178,3 +178,38 @@
 	c.announced(one, Reply{Leaving: true})
 	qt.Check(t, r.mayBegin(d.Run, one), qt.ErrorIs, errLeft)
 }
+
+// Another server has the address, and says that it leaves and wants nothing: that is
+// nothing that the one which was meant said.
+func TestAnotherServersWordSaysNothingOfTheOneThatWasMeant(t *testing.T) {
+	var other atomic.Bool
+	other.Store(true)
+	b := newBackend(t, "i-1", func(w io.Writer, req *http.Request) bool {
+		if other.Load() {
+			return respond(w, req, http.StatusMisdirectedRequest, leavingHead+testAfter+": 60000\r\n", "")
+		}
+		return ok(w, req)
+	})
+	f := start(t, testConfig(1), b)
+	f.Check(f.call("/safe/", "r1").status, qt.Equals, http.StatusServiceUnavailable)
+	other.Store(false)
+	f.waitFor("the server that was meant gets nothing", func() bool { return f.call("/safe/", "r2").status == http.StatusOK })
+}
+
+// A server ends after it said so: that is no crash, and nothing that ran there is blamed.
+func TestTheEndOfAServerThatSaidThatItLeavesIsNoCrash(t *testing.T) {
+	for _, said := range []bool{false, true} {
+		server := newBackend(t, "i-1", ok)
+		r := unserved(server)
+		one, _ := r.server("i-1")
+		if said {
+			(&call{r: r}).announced(one, Reply{Leaving: true})
+		}
+		r.crashed(one)
+		want := int64(1)
+		if said {
+			want = 0
+		}
+		qt.Check(t, r.metrics.crashes.Value(), qt.Equals, want)
+	}
+}
