--- a/coordination/admission/backoff_test.go
+++ b/coordination/admission/backoff_test.go
@@ -163,14 +163,7 @@
 			for i := range asking {
 				s.servers[fmt.Sprintf("i-%d", 3*i)].backoff.Asked(now, 1000*time.Hour, backoff.Config{Longest: 1000 * time.Hour, TrialTime: time.Second})
 			}
-			req := Request{Service: "llm", Prompt: 1000, Output: 10, Shared: []Part{{ID: 7, Tokens: 500}}}
-			b.ReportAllocs()
-			for i := range b.N {
-				at := now.Add(time.Duration(i) * time.Millisecond)
-				if d := s.Place(at, req); d.Run != nil {
-					s.Ended(at, d.Run, 0)
-				}
-			}
+			benchmarkPlace(b, s, now)
 		})
 	}
 }
--- a/coordination/admission/cold_test.go
+++ b/coordination/admission/cold_test.go
@@ -67,14 +67,19 @@
 	for _, cold := range []int{0, 60} {
 		b.Run(fmt.Sprintf("cold=%d", cold), func(b *testing.B) {
 			s, now := coldFleet(180, cold)
-			req := Request{Service: "llm", Prompt: 1000, Output: 10, Shared: []Part{{ID: 7, Tokens: 500}}}
-			b.ReportAllocs()
-			for i := range b.N {
-				at := now.Add(time.Duration(i) * time.Millisecond)
-				if d := s.Place(at, req); d.Run != nil {
-					s.Ended(at, d.Run, 0)
-				}
-			}
+			benchmarkPlace(b, s, now)
 		})
 	}
 }
+
+// benchmarkPlace measures decisions, each of which ends at once.
+func benchmarkPlace(b *testing.B, s *State, now time.Time) {
+	req := Request{Service: "llm", Prompt: 1000, Output: 10, Shared: []Part{{ID: 7, Tokens: 500}}}
+	b.ReportAllocs()
+	for i := range b.N {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		if d := s.Place(at, req); d.Run != nil {
+			s.Ended(at, d.Run, 0)
+		}
+	}
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -26,10 +26,6 @@
 	headerNotRun = "Not-Executed"
 	headerMark   = "Replica-Stamp"
 	headerLoad   = "Replica-Load"
-	// headerLeaving is "1" in all answers of a server that leaves, headerRetryAfter
-	// the seconds for which one that turns a request away wants none.
-	headerLeaving    = "Server-Leaving"
-	headerRetryAfter = "Retry-After"
 )
 
 // Config holds what a backend server is.
@@ -114,25 +110,6 @@
 	Misdirected bool
 }
 
-// Word is what the answer to a request says of its server.
-type Word struct {
-	ID, Server string
-	Born       int64
-	// Leaving tells that it leaves, RetryAfter for how long it wants no requests.
-	Leaving    bool
-	RetryAfter time.Duration
-	At         time.Time
-}
-
-// Says is what a server says of itself in its answers.
-type Says struct {
-	// Leaving: it leaves.
-	Leaving bool
-	// RetryAfter is for how long it wants no requests of those whose requests it
-	// turns away; 0: it does not say.
-	RetryAfter time.Duration
-}
-
 // Server is one backend server.
 type Server struct {
 	cfg     Config
@@ -154,20 +131,6 @@
 	s.fault = f
 }
 
-// SetSays replaces what later answers say of the server.
-func (s *Server) SetSays(says Says) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.says = says
-}
-
-// said returns what answers say of the server.
-func (s *Server) said() Says {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.says
-}
-
 // maxBody bounds a request's body, in bytes.
 const maxBody = 4 << 20
 
@@ -177,11 +140,7 @@
 	want := r.Header.Get(headerServer)
 	isOther := want != "" && want != s.cfg.ID
 	s.journal.Arrived(Arrival{Service: s.cfg.Service, Server: s.cfg.ID, Born: s.cfg.Born, ID: id, At: time.Now(), Misdirected: isOther})
-	says := s.said()
-	if says.Leaving {
-		w.Header().Set(headerLeaving, "1")
-		s.journal.Said(Word{ID: id, Server: s.cfg.ID, Born: s.cfg.Born, Leaving: true, At: time.Now()})
-	}
+	says := s.announce(w, id)
 	if isOther {
 		s.refuse(w, http.StatusMisdirectedRequest)
 		return
@@ -216,16 +175,6 @@
 	s.journal.Ended(run)
 }
 
-// turnAway refuses a request for which there is no room, and says for how long the
-// server wants none.
-func (s *Server) turnAway(w http.ResponseWriter, id string, after time.Duration) {
-	if after > 0 {
-		w.Header().Set(headerRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
-		s.journal.Said(Word{ID: id, Server: s.cfg.ID, Born: s.cfg.Born, RetryAfter: after, At: time.Now()})
-	}
-	s.refuse(w, http.StatusServiceUnavailable)
-}
-
 // refuse answers that the request was not run.
 func (s *Server) refuse(w http.ResponseWriter, status int) {
 	w.Header().Set(headerNotRun, "1")
