The soak tells two processes of a server apart, and a process that was stopped in its start

Change: the check counts each process against its own bound, no higher than before; an exit by the signal to stop counts as told if that life never served. Ruled out: a router that sends more than its part (no process got more than 11), a stop that hangs (it logged 'stopped' after 2 s).

--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -41,7 +41,7 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	out, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrap(err, "log file")
 	}
@@ -100,6 +100,40 @@
 	return p.err == nil
 }
 
+// LogSize returns the size of the process's log, in bytes; 0 without one.
+func (p *Process) LogSize() int64 {
+	info, err := os.Stat(p.logFile())
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
+// Logged reports whether the log has the text after the first bytes.
+func (p *Process) Logged(text string, after int64) bool {
+	data, err := os.ReadFile(p.logFile())
+	return err == nil && int64(len(data)) > after && strings.Contains(string(data[after:]), text)
+}
+
+func (p *Process) logFile() string { return filepath.Join(p.dir, p.Name+".log") }
+
+// EndedBy reports whether the signal ended the process.
+func (p *Process) EndedBy(signal syscall.Signal) bool {
+	var exit *exec.ExitError
+	if !errors.As(p.Exit(), &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == signal
+}
+
+// Exit returns how the process ended, or nil: well, or not yet.
+func (p *Process) Exit() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
 // Wait waits for the end of the process, up to the bound.
 func (p *Process) Wait(bound time.Duration) bool {
 	p.mu.Lock()
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -237,6 +237,20 @@
 		}},
 		{"too many for a cold server", "cold servers get no more", func(r *Record) { sentToCold(r, 12, 0, 900) }},
 		{"as many as a cold server bears", "", func(r *Record) { sentToCold(r, 11, 0, 900) }},
+		{"too many for two processes of a server", "", func(r *Record) {
+			sentToCold(r, 12, 0, 900)
+			later := r.Runs["r11"][0]
+			later.Born = 7
+			r.Runs["r11"] = []backend.Run{later}
+		}},
+		{"too many for the later process", "cold servers get no more", func(r *Record) {
+			sentToCold(r, 12, 0, 900)
+			r.Colds[0].Born = 7
+			for id, runs := range r.Runs {
+				runs[0].Born = 7
+				r.Runs[id] = runs
+			}
+		}},
 		{"too many for a cold server, sent before", "", func(r *Record) { sentToCold(r, 12, 950, 900) }},
 		{"sends to a server that said that it leaves", "a server that said that it leaves", func(r *Record) {
 			said(r, backend.Word{Leaving: true}, 121, 1)
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -81,9 +81,10 @@
 	Acked, Until time.Time
 }
 
-// Cold is a span in which a server bears few requests.
+// Cold is a span in which a process of a server bears few requests.
 type Cold struct {
 	Server      string
+	Born        int64
 	From, Until time.Time
 }
 
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -171,6 +171,8 @@
 // longRegressions are seeds that failed once in the long plan, each with its cause.
 var longRegressions = map[uint64]string{
 	6:    "a clearing grew younger from router to router and freed a request that crashes servers",
+	2013: "the check of cold servers took two processes under one id for one",
+	2020: "the same, and a signal to stop ended a process that had not begun to serve",
 	1033: "three copies at once beside a crash of another cause counted as one crash",
 }
 
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -52,6 +52,8 @@
 	mu sync.Mutex
 	// life counts the starts of the process.
 	life int
+	// logFrom is the size of its log at the start of this life.
+	logFrom int64
 	// meant tells that the process is meant to run.
 	meant bool
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -73,8 +73,9 @@
 type Run struct {
 	// ID is the caller's id of the request, Team the one that the router named.
 	ID, Team string
-	// Server and Service are where it ran.
+	// Server and Service are where it ran, Born the server's process.
 	Server, Service string
+	Born            int64
 	Path            string
 	Began           time.Time
 	// Ended is the zero time while it runs.
@@ -209,7 +210,7 @@
 	after, _ := strconv.Atoi(r.Header.Get(headerLast))
 	left, _ := strconv.ParseInt(r.Header.Get(headerLeft), 10, 64)
 	return Run{
-		ID: r.Header.Get(headerID), Team: r.Header.Get(headerTeam), Server: s.cfg.ID, Service: s.cfg.Service, Path: r.URL.Path,
+		ID: r.Header.Get(headerID), Team: r.Header.Get(headerTeam), Server: s.cfg.ID, Born: s.cfg.Born, Service: s.cfg.Service, Path: r.URL.Path,
 		Began: time.Now(), ResumedAfter: after, TimeLeft: time.Duration(left) * time.Millisecond,
 	}
 }
