--- a/coordination/admission/announced_fleet_test.go
+++ b/coordination/admission/announced_fleet_test.go
@@ -24,8 +24,6 @@
 	fleetSlots   = 8
 	// fleetLoss is the part of messages between routers that is lost.
 	fleetLoss = 0.05
-	// obeyedWithin is the time from an answer's arrival from which it is obeyed.
-	obeyedWithin = 100 * time.Millisecond
 )
 
 // timed is something that happens in the model, in the order of time and cause.
