--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -267,12 +267,34 @@
 	})
 }
 
-// WaitReady waits until the processes take work.
+// WaitReady waits until the processes take work. One that ends before that, or is
+// late, is told with the last line of its log.
 func (f *Fleet) WaitReady(ctx context.Context, ps ...*Process) error {
 	for _, p := range ps {
-		if err := f.WaitHTTP(ctx, p.Ops, "/readyz"); err != nil {
-			return errors.Wrapf(err, "%s is not ready", p.Name)
+		if err := f.waitReady(ctx, p); err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+func (f *Fleet) waitReady(ctx context.Context, p *Process) error {
+	ready, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended := p.ended()
+	go func() {
+		select {
+		case <-ended:
+			cancel(errors.Newf("%s ended before it was ready: %v: %s", p.Name, p.Exit(), p.lastLine()))
+		case <-ready.Done():
+		}
+	}()
+	err := f.WaitHTTP(ready, p.Ops, "/readyz")
+	switch cause := context.Cause(ready); {
+	case err == nil:
+		return nil
+	case cause != nil && ctx.Err() == nil:
+		return cause
+	}
+	return errors.Wrapf(err, "%s is not ready, its last line: %s", p.Name, p.lastLine())
+}
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -115,6 +115,16 @@
 	return err == nil && int64(len(data)) > after && strings.Contains(string(data[after:]), text)
 }
 
+// lastLine returns the last line of the process's log.
+func (p *Process) lastLine() string {
+	data, err := os.ReadFile(p.logFile())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 func (p *Process) logFile() string { return filepath.Join(p.dir, p.Name+".log") }
 
 // EndedBy reports whether the signal ended the process.
@@ -134,11 +144,16 @@
 	return p.err
 }
 
+// ended returns a channel that closes when the process ends; nil before its start.
+func (p *Process) ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
 // Wait waits for the end of the process, up to the bound.
 func (p *Process) Wait(bound time.Duration) bool {
-	p.mu.Lock()
-	done := p.done
-	p.mu.Unlock()
+	done := p.ended()
 	if done == nil {
 		return true
 	}
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -341,11 +341,12 @@
 	return c
 }
 
-// Ports of the tests lie below those that the kernel takes for outgoing
-// connections: one of these may be taken between the choice and the bind.
+// Ports of the tests lie below those that the kernel takes for outgoing connections,
+// one of which may be taken between the choice and the bind, and below those of the
+// fleets of bench/fleet, which may run beside.
 const (
-	firstPort = 20000
-	ports     = 12000
+	firstPort = 10000
+	ports     = 10000
 )
 
 // handedOut are the ports that freeAddress returned: tests that run at the same time
