Digests and the store's words cross to a data centre by routers that pass them on

Cause of the worth lost in large fleets: each router told each other one, and each of the two watchers told every router each change of the store.

coordination/telling plans each digest: the own data centre, the routers that watch, small data centres and those never heard are told directly; another data centre gets it once, by a router that passes it on and that differs by sender and round; what vouches for the store goes by two. A router that is late or leaves says that it passes nothing on; one of an earlier version never says that it does. What a vouching says to each receiver travels beside the message and is put in by who passes it on, so receivers see what they saw before. Of two messages the older, or the same one by another way, is no news.

TestARepeatedWordIsNoNewOne numbers its messages, as every sender does; without numbers they are copies of one message now.

--- a/protocol/digest/digest.go
+++ b/protocol/digest/digest.go
@@ -35,6 +35,9 @@
 	flagChanges = 4
 	flagLate    = 8
 	flagLeaving = 16
+	// flagPassesOn is that the sender passes messages on. One that does not say so is
+	// not asked to.
+	flagPassesOn = 32
 	// holdingSize is the size of a server's number and a part's id.
 	holdingSize = 4 + 8
 	// numberSize is the size of a server's number.
@@ -67,7 +70,9 @@
 	// DataCentre of the sender, and what it tells its neighbours there.
 	DataCentre DataCentre
 	Rotation   rotation.Word
-	Digest     admission.Digest
+	// PassesOn tells that the sender passes messages on to its data centre.
+	PassesOn bool
+	Digest   admission.Digest
 	// Changes are what changed in the store after the revision After, in the
 	// sender's own form, or nil when that is left out.
 	Changes []byte
@@ -92,6 +97,9 @@
 	if len(m.Digest.Leaving) > 0 {
 		flags |= flagLeaving
 	}
+	if m.PassesOn {
+		flags |= flagPassesOn
+	}
 	b = append(b, version, flags)
 	b = binary.LittleEndian.AppendUint32(b, m.Seq)
 	b = binary.LittleEndian.AppendUint32(b, m.Heard)
@@ -174,6 +182,7 @@
 	m.Revision = binary.LittleEndian.Uint64(b[10:])
 	m.DataCentre = DataCentre(binary.LittleEndian.Uint32(b[18:]))
 	m.Rotation = rotation.Word{Away: time.Duration(binary.LittleEndian.Uint32(b[22:])) * time.Millisecond, Late: flags&flagLate != 0}
+	m.PassesOn = flags&flagPassesOn != 0
 	name := int(b[headSize])
 	b = b[headSize+1:]
 	if len(b) < name {
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -390,8 +390,10 @@
 	set := settings.DefaultDirect()
 	set.ID = "follower"
 	r := New(set, Config{Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Freshness: time.Second}, &testSource{}, testDialect{}, log.NewNopLogger())
+	seq := uint32(0)
 	tell := func(heard uint32) time.Duration {
-		r.hear(digest.Message{Router: "watcher", Heard: heard, Revision: 1})
+		seq++
+		r.hear(digest.Message{Router: "watcher", Seq: seq, Heard: heard, Revision: 1})
 		return r.toldAt
 	}
 	r.witness.Sent(7, bootTime())
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -19,6 +19,7 @@
 	peerErrors  *expvar.Int
 	peerReads   *expvar.Int
 	passed      *expvar.Int
+	passedOn    *expvar.Int
 	closedIdle  *expvar.Int
 	invalid     *expvar.Int
 	shed        *expvar.Int
@@ -43,6 +44,7 @@
 		dropped:        v.Int("log_lines_dropped"),
 		peerReads:      v.Int("direct_peer_reads"),
 		passed:         v.Int("direct_changes_passed"),
+		passedOn:       v.Int("direct_messages_passed_on"),
 		peerErrors:     v.Int("direct_peer_errors"),
 		closedIdle:     v.Int("direct_idle_closed"),
 		invalid:        v.Int("direct_invalid_entries"),
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/coordination/telling"
 	"goldcrestport/coordination/watchduty"
 	"goldcrestport/protocol/crashreport"
 	"goldcrestport/protocol/digest"
@@ -33,6 +34,9 @@
 	// teamsEvery is the time between digests that name the teams. Their shares
 	// are of the last seconds.
 	teamsEvery = 250 * time.Millisecond
+	// vouchCopies is the number of routers of another data centre that pass a word of
+	// the store's on: one of them may have failed, and nobody know it yet.
+	vouchCopies = 2
 	// maxDatagram bounds a message, in bytes, below what UDP takes. Changes that
 	// find no room beside the digest are asked for.
 	maxDatagram = 60 << 10
@@ -51,13 +55,19 @@
 	conn *net.UDPConn
 	// seq starts anywhere, so that words about an earlier life of this router
 	// are not taken for this one's.
-	seq          uint32
-	buf          []byte
+	seq uint32
+	buf []byte
+	// crossing holds the message to pass on that is written.
+	crossing     []byte
 	nextAll      time.Time
 	nextTeams    time.Time
 	destinations map[string]netip.AddrPort
-	// watchers are those of the destinations that ask the store.
+	// watchers are those of the destinations that ask the store; watches tells that
+	// this router does.
 	watchers map[string]netip.AddrPort
+	watches  bool
+	// period is the time between digests.
+	period time.Duration
 	// told is when the last digest went out, warned when the last news of
 	// crashes did, and stood when what stands of it did.
 	told, warned, stood time.Time
@@ -68,16 +78,17 @@
 func (t *teller) run(ctx context.Context) {
 	for {
 		every := max(tellEvery, time.Duration(len(t.destinations))*time.Second/tellBudget)
+		t.period = every
 		t.r.load.setPeriod(every)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.r.vouched:
-			t.tell(time.Now())
+			t.tell(time.Now(), true)
 		case <-t.r.suspected:
 		case now := <-time.After(min(every, greetEvery)):
 			if now.Sub(t.told) >= every {
-				t.tell(now)
+				t.tell(now, t.watches)
 			} else {
 				t.greet()
 			}
@@ -93,13 +104,17 @@
 	t.number()
 	r.mu.Unlock()
 	t.buf = digest.Append(t.buf[:0], digest.Message{
-		Router: r.set.ID, Seq: t.seq, DataCentre: digest.DataCentreOf(r.set.DataCentre), Rotation: r.rotationWord(time.Now()),
+		Router: r.set.ID, Seq: t.seq, DataCentre: digest.DataCentreOf(r.set.DataCentre), PassesOn: r.passesOn(), Rotation: r.rotationWord(time.Now()),
 	})
 	for id, to := range t.watchers {
 		t.send(id, to, vouching{})
 	}
 }
 
+// passesOn reports whether this router is to be asked to pass messages on: others hear
+// sooner by one that is not late.
+func (r *Router) passesOn() bool { return !r.load.saturated.Load() && !r.leaving.Load() }
+
 // number gives the next message its number. The caller holds the router's lock.
 func (t *teller) number() {
 	t.seq = max(t.seq+1, 1)
@@ -114,9 +129,10 @@
 	}
 }
 
-// tell sends one digest to every other router.
-func (t *teller) tell(now time.Time) {
-	m := digest.Message{Router: t.r.set.ID, DataCentre: digest.DataCentreOf(t.r.set.DataCentre), Rotation: t.r.rotationWord(now)}
+// tell makes one digest known to every other router. One that vouches for what the
+// store answered goes by more than one router of each other data centre.
+func (t *teller) tell(now time.Time, vouches bool) {
+	m := digest.Message{Router: t.r.set.ID, DataCentre: digest.DataCentreOf(t.r.set.DataCentre), PassesOn: t.r.passesOn(), Rotation: t.r.rotationWord(now)}
 	all, teams := !now.Before(t.nextAll), !now.Before(t.nextTeams)
 	if all {
 		t.nextAll = now.Add(allEvery)
@@ -131,17 +147,46 @@
 	m.Digest = r.admission.Digest(now, all, teams)
 	m.Digest.Leaving = r.leavingServers()
 	vouch := r.vouch
+	plan := t.plan(now, vouches)
 	m.Changes, m.After = r.passing.take()
 	t.number()
 	r.mu.Unlock()
 	m.Seq = t.seq
 	t.buf = digest.Append(t.buf[:0], m)
-	if len(t.buf) > maxDatagram {
+	if len(t.buf)+digest.PassOnSize(len(t.destinations)) > maxDatagram {
 		m.Changes = nil
 		t.buf = digest.Append(t.buf[:0], m)
 	}
-	for id, to := range t.destinations {
-		t.send(id, to, vouch)
+	for _, id := range plan.Direct {
+		t.send(id, t.destinations[id], vouch)
+	}
+	for _, crossing := range plan.Crossings {
+		t.cross(crossing, vouch)
+	}
+}
+
+// plan returns who gets the next digest. The caller holds the router's lock.
+func (t *teller) plan(now time.Time, vouches bool) telling.Plan {
+	round := telling.Round{Period: t.period, Copies: 1, Direct: func(id string) bool { _, ok := t.watchers[id]; return ok }}
+	if vouches {
+		round.Copies = vouchCopies
+	}
+	return t.r.fleet.Next(now, slices.Collect(maps.Keys(t.destinations)), round)
+}
+
+// cross sends the written message to another data centre.
+func (t *teller) cross(crossing telling.Crossing, vouch vouching) {
+	p := digest.PassOn{Revision: vouch.revision, Heard: make(map[digest.Router]uint32, len(crossing.To)), Message: t.buf}
+	for _, id := range crossing.To {
+		if seq := vouch.heard[id]; seq != 0 {
+			p.Heard[digest.RouterOf(id)] = seq
+		}
+	}
+	t.crossing = digest.AppendPassOn(t.crossing[:0], p)
+	for _, id := range crossing.By {
+		if _, err := t.conn.WriteToUDPAddrPort(t.crossing, t.destinations[id]); err != nil {
+			t.r.metrics.peerErrors.Add(1)
+		}
 	}
 }
 
@@ -153,6 +198,8 @@
 		clear(t.destinations)
 		clear(t.watchers)
 		chosen := watchduty.DefaultConfig().Chosen(t.r.routers())
+		t.watches = slices.Contains(chosen, t.r.set.ID)
+		t.r.fleet.Keep(func(id string) bool { _, ok := t.r.peers[id]; return ok })
 		for id, one := range t.r.peers {
 			to, err := netip.ParseAddrPort(one.Address)
 			if id != t.r.set.ID && err == nil {
@@ -173,30 +220,74 @@
 		if err != nil {
 			return
 		}
-		if crashreport.Is(buf[:n]) {
-			if err := r.takeReport(buf[:n]); err != nil {
-				r.metrics.peerErrors.Add(1)
-			}
-			continue
+		if err := r.takeDatagram(conn, buf[:n]); err != nil {
+			r.metrics.peerErrors.Add(1)
 		}
-		m, err := digest.Read(buf[:n])
+	}
+}
+
+// takeDatagram takes what another router sent.
+func (r *Router) takeDatagram(conn *net.UDPConn, datagram []byte) error {
+	if crashreport.Is(datagram) {
+		return r.takeReport(datagram)
+	}
+	if digest.IsPassOn(datagram) {
+		p, err := digest.ReadPassOn(datagram)
 		if err != nil {
+			return err
+		}
+		r.passOn(conn, p)
+		p.Address(r.set.ID)
+		datagram = p.Message
+	}
+	m, err := digest.Read(datagram)
+	if err != nil {
+		return err
+	}
+	if m.DataCentre == digest.DataCentreOf(r.set.DataCentre) {
+		r.load.heard(time.Now(), m.Router, m.Rotation)
+	}
+	r.takePassed(m)
+	r.hear(m)
+	return nil
+}
+
+// passOn sends a message on to the other routers of this data centre.
+func (r *Router) passOn(conn *net.UDPConn, p digest.PassOn) {
+	r.metrics.passedOn.Add(1)
+	for id, to := range r.neighbours() {
+		p.Address(id)
+		if _, err := conn.WriteToUDPAddrPort(p.Message, to); err != nil {
 			r.metrics.peerErrors.Add(1)
+		}
+	}
+}
+
+// neighbours returns the addresses of the other routers of this data centre.
+func (r *Router) neighbours() map[string]netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]netip.AddrPort)
+	for id, one := range r.peers {
+		if id == r.set.ID || !r.fleet.Neighbour(id) {
 			continue
 		}
-		if m.DataCentre == digest.DataCentreOf(r.set.DataCentre) {
-			r.load.heard(time.Now(), m.Router, m.Rotation)
+		if to, err := netip.ParseAddrPort(one.Address); err == nil {
+			out[id] = to
 		}
-		r.takePassed(m)
-		r.hear(m)
 	}
+	return out
 }
 
 // hear takes one message of another router.
 func (r *Router) hear(m digest.Message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.admission.Told(time.Now(), m.Router, m.Digest)
+	now := time.Now()
+	if !r.fleet.Heard(now, telling.Message{Router: m.Router, DataCentre: telling.DataCentre(m.DataCentre), Seq: m.Seq, PassesOn: m.PassesOn}) {
+		return
+	}
+	r.admission.Told(now, m.Router, m.Digest)
 	r.toldLeaving(m.Router, m.Digest.Leaving)
 	r.heard[m.Router] = m.Seq
 	if m.Heard == 0 {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -21,7 +21,9 @@
 	"goldcrestport/coordination/returning"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/rotation"
+	"goldcrestport/coordination/telling"
 	"goldcrestport/coordination/warmup"
+	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
@@ -67,7 +69,9 @@
 	// this one's.
 	heard   map[string]uint32
 	witness freshness.Witness
-	vouch   vouching
+	// fleet decides to whom this router's digests go.
+	fleet *telling.Fleet
+	vouch vouching
 	// toldAt is when a new word of the store's came last, by the clock of
 	// bootTime: another router's, or this one's own. toldOf is the moment for
 	// which the others' newest word holds.
@@ -122,6 +126,7 @@
 		servers:    make(map[string]roster.Server),
 		peers:      make(map[string]Registration),
 		heard:      make(map[string]uint32),
+		fleet:      telling.New(telling.DefaultConfig(), set.ID, telling.DataCentre(digest.DataCentreOf(set.DataCentre))),
 		noted:      make(map[string]uint64),
 		behind:     make(chan struct{}, 1),
 		vouched:    make(chan struct{}, 1),
