Changes and answers between routers travel packed

Cause: when much changes at once, a data centre lost say, the changes do not fit beside a digest; then each of hundreds of routers asks the watcher, and gets some 250 bytes a server, mostly the names of the fields.

Records of a kilobyte and more go through compress/zlib, a fifth of the size or less; the watcher keeps the last packed answer, as all ask for the same at that moment.

--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -105,6 +105,8 @@
 	// Have is the revision up to which it knows everything; 0: it knows
 	// nothing.
 	Have uint64 `json:"have"`
+	// Packs tells that it takes packed answers.
+	Packs bool `json:"packs,omitempty"`
 }
 
 // changesAnswer is what the asked router has: what changed after the revision
@@ -115,6 +117,8 @@
 	// Settling tells that servers may be missing only because the store was
 	// away.
 	Settling bool `json:"settling,omitempty"`
+	// Packed is the answer itself, in place of the other fields.
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // revision up to which the answer tells everything.
@@ -145,6 +149,11 @@
 	if err != nil {
 		return err
 	}
+	if want.Packs {
+		if have, err = r.answers.pack(want, have); err != nil {
+			return err
+		}
+	}
 	return stream.MsgSend(have, link.Records{})
 }
 
@@ -214,10 +223,14 @@
 	r := f.r
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
+	want.Packs = true
 	var got changesAnswer
 	if err := link.Call(ctx, address, changesCall, want, &got); err != nil {
 		return err
 	}
+	if err := got.unpack(); err != nil {
+		return err
+	}
 	if got.revision() < want.Revision || got.revision() == 0 {
 		return errBehind
 	}
--- /dev/null
+++ b/transport/direct/pack_test.go
@@ -0,0 +1,58 @@
+package direct
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/coordination/roster"
+	"goldcrestport/state/routing"
+)
+
+// manyServers is a third of the servers of a large fleet, which come back at once.
+func manyServers(n int) []roster.Server {
+	var out []roster.Server
+	for i := range n {
+		out = append(out, roster.Server{ID: fmt.Sprintf("i-%08x", i*2654435761), Address: fmt.Sprintf("10.128.%d.%d:8080", i/250, i%250), Service: "engines", Slots: 64, DataCentre: "west"})
+	}
+	return out
+}
+
+// Pattern: a data centre of a thousand servers is lost and comes back, and each of
+// hundreds of routers takes the changes of one watcher.
+func TestTheChangesOfALostDataCentreTravelPacked(t *testing.T) {
+	c := qt.New(t)
+	d := Delta{Revision: 9, Servers: manyServers(1000)}
+	answer := &changesAnswer{Changes: &d, Settling: true}
+	plain, err := json.Marshal(answer)
+	c.Assert(err, qt.IsNil)
+
+	var answers packedAnswers
+	packed, err := answers.pack(changesRequest{Have: 3}, answer)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(packed.Packed) < len(plain)/5, qt.IsTrue, qt.Commentf("%d of %d bytes", len(packed.Packed), len(plain)))
+	c.Assert(packed.unpack(), qt.IsNil)
+	c.Check(packed.Changes.Servers, qt.DeepEquals, d.Servers)
+	c.Check(packed.Settling, qt.IsTrue)
+
+	// Who has other changes already gets what it asks for.
+	newer := &changesAnswer{Whole: &Snapshot{Config: &routing.Config{Version: 2}, Revision: 9}}
+	packed, err = answers.pack(changesRequest{Have: 1}, newer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(packed.unpack(), qt.IsNil)
+	c.Check(packed.Changes, qt.IsNil)
+	c.Check(packed.Whole.Config.Version, qt.Equals, uint64(2))
+}
+
+func TestWhatIsNoRecordIsRefused(t *testing.T) {
+	c := qt.New(t)
+	for _, data := range []string{"", "x", "\x78\x01junk"} {
+		_, err := unpack([]byte(data))
+		c.Check(err, qt.IsNotNil, qt.Commentf("%q", data))
+	}
+	long := pack(make([]byte, maxUnpacked+1))
+	_, err := unpack(long)
+	c.Check(err, qt.ErrorIs, errTooLong)
+}
--- a/transport/direct/pass.go
+++ b/transport/direct/pass.go
@@ -6,7 +6,7 @@
 	"goldcrestport/protocol/digest"
 )
 
-// passMost bounds the changes that go out with a message, in bytes: with the
+// passMost bounds the changes that go out with a message, packed, in bytes: with the
 // digest they fit into a datagram. Larger ones, such as a configuration of
 // hundreds of routes, are asked for.
 const passMost = 20 << 10
@@ -36,7 +36,7 @@
 		r.event("changes_not_passed", "err", err)
 		return
 	}
-	if len(data) > passMost {
+	if data = pack(data); len(data) > passMost {
 		return
 	}
 	r.mu.Lock()
@@ -55,8 +55,12 @@
 	if m.Changes == nil || m.After != r.known() {
 		return
 	}
+	record, err := unpack(m.Changes)
 	var d Delta
-	if err := json.Unmarshal(m.Changes, &d); err != nil {
+	if err == nil {
+		err = json.Unmarshal(record, &d)
+	}
+	if err != nil {
 		r.metrics.peerErrors.Add(1)
 		return
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -92,6 +92,8 @@
 		router string
 	}
 	mirror mirror
+	// answers are what other routers were told of it last.
+	answers packedAnswers
 	// noted holds the revisions at which invalid entries were logged, by key.
 	noted     map[string]uint64
 	behind    chan struct{}
