--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -51,6 +51,7 @@
 	f.StringVar(&o.bin, "bin", "bin", "folder with goldcrestd")
 	f.StringVar(&o.out, "out", "out/soak", "folder for logs")
 	f.IntVar(&o.size.Routers, "routers", o.size.Routers, "number of routers")
+	f.BoolVar(&o.size.Spread, "spread", false, "routers in two data centres")
 	f.IntVar(&o.size.Callers, "callers", o.size.Callers, "number of callers")
 	f.DurationVar(&o.failures, "failures", soak.DefaultPlan(1).Failures, "how long failures are made")
 	return cmd
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -168,6 +168,25 @@
 	}
 }
 
+// Routers in two data centres, more than are told directly in each: what they tell each
+// other is passed on by routers that are killed, frozen and stopped, beside everything else.
+func TestRoutersOfTwoDataCentres(t *testing.T) {
+	bin := fleet.BuildForTest(t)
+	for _, seed := range []uint64{3001, 3002} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := Size{Routers: 10, Engines: 5, Plain: 4, Other: 4, Callers: 24, Spread: true}
+			w, err := Start(context.Background(), bin, t.TempDir(), size)
+			if w != nil {
+				defer w.Close()
+			}
+			qt.Assert(t, err, qt.IsNil)
+			w.Run(Plan{Seed: seed, Failures: 10 * time.Second, Every: 300 * time.Millisecond, Reborn: true, Announced: true}, size.Callers)
+			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+		})
+	}
+}
+
 // longRegressions are seeds that failed once in the long plan, each with its cause.
 var longRegressions = map[uint64]string{
 	6:    "a clearing grew younger from router to router and freed a request that crashes servers",
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -37,6 +37,17 @@
 	Routers, Engines, Plain, Other int
 	// Callers is the number of callers, each with one connection.
 	Callers int
+	// Spread puts the routers into the servers' data centres by turns; otherwise all
+	// are in one.
+	Spread bool
+}
+
+// dataCentre returns that of a router.
+func (s Size) dataCentre(router int) string {
+	if s.Spread {
+		return zones[router%len(zones)]
+	}
+	return zones[0]
 }
 
 // DefaultSize is the size for the tool.
@@ -116,7 +127,7 @@
 	if err := w.configure(func(*configuration) {}); err != nil {
 		return w, err
 	}
-	if err := w.startRouters(size.Routers, lis.Addr().String()); err != nil {
+	if err := w.startRouters(size, lis.Addr().String()); err != nil {
 		return w, err
 	}
 	for _, r := range w.routers {
@@ -154,15 +165,15 @@
 	return nil
 }
 
-func (w *World) startRouters(n int, store string) error {
-	for i := range n {
+func (w *World) startRouters(size Size, store string) error {
+	for i := range size.Routers {
 		r := &router{number: i, life: 1, meant: true}
 		var err error
 		if r.store, err = relay.Listen("127.0.0.1:0", store); err != nil {
 			return err
 		}
 		set := settings.DefaultDirect()
-		set.ID, set.DataCentre = fmt.Sprintf("router-%d", i), zones[0]
+		set.ID, set.DataCentre = fmt.Sprintf("router-%d", i), size.dataCentre(i)
 		set.Platform.URL = "http://" + r.store.Addr()
 		set.KeyRevocation = settings.Duration(revoke)
 		set.ColdServers = settings.ColdServers{Overrun: coldOverrun, Slack: coldSlack}
