--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -140,17 +140,17 @@
 func (s *State) Place(now time.Time, req Request) Decision {
 	p := s.pool(req.Service)
 	s.followWarmup()
-	usable, held := s.usable(now, p, req)
+	usable, others := s.usable(now, p, req)
 	var d Decision
 	switch {
 	case len(usable) == 0:
-		d = s.placeNowhere(held)
+		d = s.placeNowhere(others)
 	case p.traits.Engine:
 		d = s.placeEngine(now, req, usable)
 	default:
 		d = s.placePlain(now, usable)
 	}
-	d.BackingOff, d.SinceBackoff = held.backingOff, -time.Millisecond
+	d.BackingOff, d.SinceBackoff = others.backingOff, -time.Millisecond
 	if d.Run != nil {
 		d.Cold = !d.Run.sendBy.IsZero()
 		d.SinceBackoff = d.Run.server.backoff.Age(now)
@@ -160,31 +160,31 @@
 
 // usable returns the servers that may get work: those that are not ejected, want
 // requests, bear more if they are cold, and did not just refuse any, or the ones that
-// are due first when all did. Held tells what keeps the others from it.
-func (s *State) usable(now time.Time, p *pool, req Request) (out []*server, held held) {
+// are due first when all did, and what keeps the others from it.
+func (s *State) usable(now time.Time, p *pool, req Request) (out []*server, others held) {
 	out = make([]*server, 0, len(p.servers))
 	for _, one := range p.servers {
 		if !one.isHome(req.Homes) {
 			continue
 		}
 		if wait := one.backoff.Wait(now); wait > 0 {
-			held.backsOff(wait)
+			others.backsOff(wait)
 			continue
 		}
 		if slices.Contains(req.Avoid, one.id) {
-			held.avoided(max(one.refusedUntil.Sub(now), s.cfg.ReturnLeast))
+			others.avoided(max(one.refusedUntil.Sub(now), s.cfg.ReturnLeast))
 			continue
 		}
 		if one.health.Ejected() && !mayProbe(now, one, req) {
 			continue
 		}
 		if wait := s.coldWait(now, one); wait > 0 {
-			held.isCold(wait)
+			others.isCold(wait)
 			continue
 		}
 		out = append(out, one)
 	}
-	return willing(now, out), held
+	return willing(now, out), others
 }
 
 // mayProbe reports whether the request may try an ejected server. One that may be
