--- a/coordination/telling/telling_test.go
+++ b/coordination/telling/telling_test.go
@@ -250,3 +250,21 @@
 	// A third is told directly; of the rest three of four messages arrive.
 	c.Check(heard > 0.8, qt.IsTrue, qt.Commentf("%.2f heard", heard))
 }
+
+// What a plan costs under the router's lock, by the size of the fleet.
+func BenchmarkNext(b *testing.B) {
+	for _, size := range []int{3, 30, 103, 300, 800} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f, ids := New(DefaultConfig(), "self", 0), []string{}
+			for i := range size {
+				id := fmt.Sprintf("router-%d", i)
+				ids = append(ids, id)
+				f.Heard(start, Message{Router: id, DataCentre: DataCentre(i % 3), Seq: 1, PassesOn: true})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				f.Next(start, ids, everyone)
+			}
+		})
+	}
+}
