The soak's tests start and check a fleet in one place

Seven tests had the same ten lines to start a fleet, play a plan and check the promises; they call one function now, with the same sizes, plans, seeds and checks.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -62,6 +62,19 @@
 	return false
 }
 
+// play makes the failures of the plan in a fleet of its own, and wants every promise kept.
+// Cause is what the seed found once.
+func play(t *testing.T, bin string, size Size, plan Plan, cause string) *Record {
+	w, err := Start(context.Background(), bin, t.TempDir(), size)
+	if w != nil {
+		defer w.Close()
+	}
+	qt.Assert(t, err, qt.IsNil)
+	w.Run(plan, size.Callers)
+	qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record)))
+	return w.Record
+}
+
 // TestShortSoak plays a short run of a few seeds and every seed that ever
 // failed. The whole soak is run by hand: make soak.
 func TestShortSoak(t *testing.T) {
@@ -77,13 +90,7 @@
 			together <- struct{}{}
 			defer func() { <-together }()
 			size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(Plan{Seed: seed, Failures: 6 * time.Second, Every: 500 * time.Millisecond}, size.Callers)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record)))
+			play(t, bin, size, Plan{Seed: seed, Failures: 6 * time.Second, Every: 500 * time.Millisecond}, cause)
 		})
 	}
 }
@@ -97,13 +104,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(Plan{Seed: seed, Failures: 8 * time.Second, Every: 300 * time.Millisecond, Reborn: true}, size.Callers)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+			play(t, bin, size, Plan{Seed: seed, Failures: 8 * time.Second, Every: 300 * time.Millisecond, Reborn: true}, "")
 		})
 	}
 }
@@ -116,13 +117,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := Size{Routers: 3, Engines: 4, Plain: 3, Other: 3, Callers: 12}
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(Plan{Seed: seed, Failures: 10 * time.Second, Every: 800 * time.Millisecond, Reborn: true, Crashing: true}, size.Callers)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+			play(t, bin, size, Plan{Seed: seed, Failures: 10 * time.Second, Every: 800 * time.Millisecond, Reborn: true, Crashing: true}, "")
 		})
 	}
 }
@@ -135,15 +130,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := Size{Routers: 3, Engines: 5, Plain: 3, Other: 3, Callers: 24}
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(Plan{Seed: seed, Failures: 15 * time.Second, Every: time.Second, Reborn: true, Places: true}, size.Callers)
-			qt.Check(t, w.Record.Evacuations, qt.Not(qt.HasLen), 0)
-			qt.Check(t, w.Record.Colds, qt.Not(qt.HasLen), 0)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+			record := play(t, bin, size, Plan{Seed: seed, Failures: 15 * time.Second, Every: time.Second, Reborn: true, Places: true}, "")
+			qt.Check(t, record.Evacuations, qt.Not(qt.HasLen), 0)
+			qt.Check(t, record.Colds, qt.Not(qt.HasLen), 0)
 		})
 	}
 }
@@ -156,14 +145,8 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := Size{Routers: 3, Engines: 5, Plain: 4, Other: 4, Callers: 24}
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(Plan{Seed: seed, Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Announced: true}, size.Callers)
-			qt.Check(t, w.Record.Words, qt.Not(qt.HasLen), 0)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+			record := play(t, bin, size, Plan{Seed: seed, Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Announced: true}, "")
+			qt.Check(t, record.Words, qt.Not(qt.HasLen), 0)
 		})
 	}
 }
@@ -176,13 +159,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := Size{Routers: 10, Engines: 5, Plain: 4, Other: 4, Callers: 24, Spread: true}
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(Plan{Seed: seed, Failures: 10 * time.Second, Every: 300 * time.Millisecond, Reborn: true, Announced: true}, size.Callers)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s", Summary(w.Record)))
+			play(t, bin, size, Plan{Seed: seed, Failures: 10 * time.Second, Every: 300 * time.Millisecond, Reborn: true, Announced: true}, "")
 		})
 	}
 }
@@ -201,13 +178,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := DefaultSize()
-			w, err := Start(context.Background(), bin, t.TempDir(), size)
-			if w != nil {
-				defer w.Close()
-			}
-			qt.Assert(t, err, qt.IsNil)
-			w.Run(DefaultPlan(seed), size.Callers)
-			qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record)))
+			play(t, bin, size, DefaultPlan(seed), cause)
 		})
 	}
 }
