One package compresses records, for configurations and for what routers tell each other

Tests: those of the codec and of packed answers unchanged in what they ask; a record that is too long or cut short is tested in the new package.

--- a/protocol/digest/digest.go
+++ b/protocol/digest/digest.go
@@ -17,6 +17,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/rotation"
+	"goldcrestport/coordination/telling"
 )
 
 // version begins a datagram; others are dropped.
@@ -50,11 +51,10 @@
 // ErrForm means that a datagram is not a digest of this version.
 var ErrForm = errors.New("no digest of this version")
 
-// DataCentre is a short form of a data centre's name.
-type DataCentre uint32
-
 // DataCentreOf returns the short form of the name.
-func DataCentreOf(name string) DataCentre { return DataCentre(xxhash.Sum64String(name)) }
+func DataCentreOf(name string) telling.DataCentre {
+	return telling.DataCentre(xxhash.Sum64String(name))
+}
 
 // Message is one datagram.
 type Message struct {
@@ -68,7 +68,7 @@
 	// Revision of the store that was the newest then.
 	Revision uint64
 	// DataCentre of the sender, and what it tells its neighbours there.
-	DataCentre DataCentre
+	DataCentre telling.DataCentre
 	Rotation   rotation.Word
 	// PassesOn tells that the sender passes messages on to its data centre.
 	PassesOn bool
@@ -180,7 +180,7 @@
 	m.Seq = binary.LittleEndian.Uint32(b[2:])
 	m.Heard = binary.LittleEndian.Uint32(b[6:])
 	m.Revision = binary.LittleEndian.Uint64(b[10:])
-	m.DataCentre = DataCentre(binary.LittleEndian.Uint32(b[18:]))
+	m.DataCentre = telling.DataCentre(binary.LittleEndian.Uint32(b[18:]))
 	m.Rotation = rotation.Word{Away: time.Duration(binary.LittleEndian.Uint32(b[22:])) * time.Millisecond, Late: flags&flagLate != 0}
 	m.PassesOn = flags&flagPassesOn != 0
 	name := int(b[headSize])
--- a/protocol/document/codec.go
+++ b/protocol/document/codec.go
@@ -4,12 +4,11 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/protocol/packed"
 	"goldcrestport/state/config"
 )
 
@@ -28,38 +27,28 @@
 	ErrNotDocument = errors.New("not a configuration document")
 )
 
-// gzipMagic starts a compressed document; JSON never starts with it.
-var gzipMagic = []byte{0x1f, 0x8b}
-
 // Encode returns the document as it is stored on the platform: JSON,
 // compressed.
 func Encode(d *config.Document) ([]byte, error) {
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	if err := json.NewEncoder(w).Encode(d); err != nil {
-		return nil, errors.Wrap(err, "encode configuration")
-	}
-	if err := w.Close(); err != nil {
+	record, err := json.Marshal(d)
+	if err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
 	}
-	if out.Len() > MaxEncoded {
-		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, %d allowed", out.Len(), MaxEncoded)
+	data := packed.Pack(record, packed.Small)
+	if len(data) > MaxEncoded {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, %d allowed", len(data), MaxEncoded)
 	}
-	return out.Bytes(), nil
+	return data, nil
 }
 
 // Decode reads a document that is compressed or plain JSON.
 func Decode(data []byte) (*config.Document, error) {
-	var in io.Reader = bytes.NewReader(data)
-	if bytes.HasPrefix(data, gzipMagic) {
-		unpacked, err := gzip.NewReader(in)
-		if err != nil {
-			return nil, errors.Mark(err, ErrNotDocument)
-		}
-		in = io.LimitReader(unpacked, maxDecoded)
+	record, err := packed.Unpack(data, maxDecoded)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotDocument)
 	}
 	var d config.Document
-	if err := json.NewDecoder(in).Decode(&d); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(record)).Decode(&d); err != nil {
 		return nil, errors.Mark(err, ErrNotDocument)
 	}
 	return &d, nil
--- /dev/null
+++ b/protocol/packed/packed_test.go
@@ -0,0 +1,28 @@
+package packed
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+func TestARecordIsReadAsWritten(t *testing.T) {
+	c := qt.New(t)
+	record := bytes.Repeat([]byte(`{"id":"i-1"}`), 1000)
+	for _, level := range []int{Small, Fast} {
+		data := Pack(record, level)
+		c.Check(len(data) < len(record)/5, qt.IsTrue)
+		got, err := Unpack(data, len(record))
+		c.Assert(err, qt.IsNil)
+		c.Check(got, qt.DeepEquals, record)
+		_, err = Unpack(data, len(record)-1)
+		c.Check(err, qt.ErrorIs, ErrTooLong)
+		_, err = Unpack(data[:len(data)/2], len(record))
+		c.Check(errors.Is(err, ErrBroken), qt.IsTrue)
+	}
+	got, err := Unpack(record, 1)
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.DeepEquals, record, qt.Commentf("a plain record is bounded by who read it"))
+}
--- a/transport/direct/pack.go
+++ b/transport/direct/pack.go
@@ -1,13 +1,12 @@
 package direct
 
 import (
-	"bytes"
-	"compress/zlib"
 	"encoding/json"
-	"io"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestport/protocol/packed"
 )
 
 // Records of the store's entries are packed before they go to another router: they
@@ -19,39 +18,21 @@
 	maxUnpacked = 32 << 20
 )
 
-// errTooLong means that a packed record is longer than any that routers send.
-var errTooLong = errors.New("a packed record is too long")
-
 // pack returns the record as it travels.
 func pack(record []byte) []byte {
 	if len(record) < packFrom {
 		return record
 	}
-	var b bytes.Buffer
-	w, _ := zlib.NewWriterLevel(&b, zlib.BestSpeed)
-	// A buffer takes all.
-	_, _ = w.Write(record)
-	_ = w.Close()
-	return b.Bytes()
+	return packed.Pack(record, packed.Fast)
 }
 
-// unpack returns the record that was sent, packed or not.
-func unpack(data []byte) ([]byte, error) {
-	if len(data) > 0 && data[0] == '{' {
-		return data, nil
-	}
-	r, err := zlib.NewReader(bytes.NewReader(data))
+// unpack reads a record that was sent, packed or not.
+func unpack(data []byte, into any) error {
+	record, err := packed.Unpack(data, maxUnpacked)
 	if err != nil {
-		return nil, errors.Wrap(err, "packed record")
-	}
-	record, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
-	switch {
-	case err != nil:
-		return nil, errors.Wrap(err, "packed record")
-	case len(record) > maxUnpacked:
-		return nil, errTooLong
+		return err
 	}
-	return record, nil
+	return errors.Wrap(json.Unmarshal(record, into), "record of another router")
 }
 
 // packedAnswers keeps the last packed answer: when much changes at once, all other
@@ -88,10 +69,7 @@
 	if len(a.Packed) == 0 {
 		return nil
 	}
-	record, err := unpack(a.Packed)
-	if err != nil {
-		return err
-	}
+	data := a.Packed
 	*a = changesAnswer{}
-	return errors.Wrap(json.Unmarshal(record, a), "packed answer")
+	return unpack(data, a)
 }
--- a/transport/direct/pack_test.go
+++ b/transport/direct/pack_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/packed"
 	"goldcrestport/state/routing"
 )
 
@@ -48,11 +49,9 @@
 
 func TestWhatIsNoRecordIsRefused(t *testing.T) {
 	c := qt.New(t)
-	for _, data := range []string{"", "x", "\x78\x01junk"} {
-		_, err := unpack([]byte(data))
-		c.Check(err, qt.IsNotNil, qt.Commentf("%q", data))
+	var d Delta
+	for _, data := range []string{"", "x", "\x1f\x8bjunk"} {
+		c.Check(unpack([]byte(data), &d), qt.IsNotNil, qt.Commentf("%q", data))
 	}
-	long := pack(make([]byte, maxUnpacked+1))
-	_, err := unpack(long)
-	c.Check(err, qt.ErrorIs, errTooLong)
+	c.Check(unpack(pack(make([]byte, maxUnpacked+1)), &d), qt.ErrorIs, packed.ErrTooLong)
 }
--- a/transport/direct/pass.go
+++ b/transport/direct/pass.go
@@ -55,12 +55,8 @@
 	if m.Changes == nil || m.After != r.known() {
 		return
 	}
-	record, err := unpack(m.Changes)
 	var d Delta
-	if err == nil {
-		err = json.Unmarshal(record, &d)
-	}
-	if err != nil {
+	if err := unpack(m.Changes, &d); err != nil {
 		r.metrics.peerErrors.Add(1)
 		return
 	}
