Duties at fixed times share one loop; the digests' period is kept once

Two duties of a direct router had the same loop around a ticker, and the teller kept its period in a variable and a field. A line each says who recovers the two panics by which net/http lets an answer be broken off. Behaviour unchanged.

--- a/transport/direct/keep.go
+++ b/transport/direct/keep.go
@@ -27,20 +27,13 @@
 // keepQuarantine enters in the store what is refused, and removes what is free again,
 // as far as it is for this router to do. What fails is tried again.
 func (r *Router) keepQuarantine(ctx context.Context) {
-	ticker := time.NewTicker(keepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			r.mu.Lock()
-			keep, drop := r.quarantine.ToKeep(now, keepLife), r.quarantine.ToDrop()
-			r.mu.Unlock()
-			r.enterRefused(ctx, keep)
-			r.removeFreed(ctx, drop)
-		}
-	}
+	each(ctx, keepEvery, func(now time.Time) {
+		r.mu.Lock()
+		keep, drop := r.quarantine.ToKeep(now, keepLife), r.quarantine.ToDrop()
+		r.mu.Unlock()
+		r.enterRefused(ctx, keep)
+		r.removeFreed(ctx, drop)
+	})
 }
 
 func (r *Router) enterRefused(ctx context.Context, entries []quarantine.Entry) {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -128,7 +128,7 @@
 		servers:    make(map[string]roster.Server),
 		peers:      make(map[string]Registration),
 		heard:      make(map[string]uint32),
-		fleet:      telling.New(telling.DefaultConfig(), set.ID, telling.DataCentre(digest.DataCentreOf(set.DataCentre))),
+		fleet:      telling.New(telling.DefaultConfig(), set.ID, digest.DataCentreOf(set.DataCentre)),
 		noted:      make(map[string]uint64),
 		behind:     make(chan struct{}, 1),
 		vouched:    make(chan struct{}, 1),
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -152,22 +152,29 @@
 
 // sweep looks after idle connections and servers that lapsed.
 func (r *Router) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
+	each(ctx, sweepEvery, func(now time.Time) {
+		r.pool.Sweep(now)
+		r.sweepCallers(now)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.apply(r.roster.Tick(now))
+		r.admission.Tick(now)
+		r.warmup.Tick(now)
+		r.quarantine.Tick(now)
+		r.noteQuarantine()
+	})
+}
+
+// each calls a duty in each period until ctx ends.
+func each(ctx context.Context, period time.Duration, duty func(now time.Time)) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			r.pool.Sweep(now)
-			r.sweepCallers(now)
-			r.mu.Lock()
-			r.apply(r.roster.Tick(now))
-			r.admission.Tick(now)
-			r.warmup.Tick(now)
-			r.quarantine.Tick(now)
-			r.noteQuarantine()
-			r.mu.Unlock()
+			duty(now)
 		}
 	}
 }
--- a/transport/direct/tell.go
+++ b/transport/direct/tell.go
@@ -48,17 +48,16 @@
 // to the routers that ask the store in between.
 func (t *teller) run(ctx context.Context) {
 	for {
-		every := max(tellEvery, time.Duration(len(t.destinations))*time.Second/tellBudget)
-		t.period = every
-		t.r.load.setPeriod(every)
+		t.period = max(tellEvery, time.Duration(len(t.destinations))*time.Second/tellBudget)
+		t.r.load.setPeriod(t.period)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.r.vouched:
 			t.tell(time.Now(), true)
 		case <-t.r.suspected:
-		case now := <-time.After(min(every, greetEvery)):
-			if now.Sub(t.told) >= every {
+		case now := <-time.After(min(t.period, greetEvery)):
+			if now.Sub(t.told) >= t.period {
 				t.tell(now, t.watches)
 			} else {
 				t.greet()
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -128,6 +128,7 @@
 		return
 	}
 	if c.relay.wrote {
+		// net/http's way to break an answer off; its server recovers it.
 		panic(http.ErrAbortHandler)
 	}
 	outcome.Write(w, c.id, o)
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -59,6 +59,7 @@
 		}
 		_ = conn.Close()
 	}
+	// The server of net/http takes it from here.
 	panic(cause)
 }
 
