Three models of fleets share the queue of what happens

The models' sizes, seeds and checks are the same; the numbers of attempts in the model of shares count attempts alone now.

--- a/coordination/admission/announced_fleet_test.go
+++ b/coordination/admission/announced_fleet_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/internal/virtualtime"
 	"goldcrestport/coordination/roster"
 )
 
@@ -26,30 +26,6 @@
 	fleetLoss = 0.05
 )
 
-// timed is something that happens in the model, in the order of time and cause.
-type timed struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type agenda []timed
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].order < a[j].order
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(timed)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // modelServer is one process of a server. What it says is decided by the fates.
 type modelServer struct {
 	entry roster.Server
@@ -82,11 +58,9 @@
 
 // modelFleet is the fleet with what went wrong.
 type modelFleet struct {
-	t       *testing.T
-	r       *rand.Rand
-	now     time.Time
-	agenda  agenda
-	order   int
+	t *testing.T
+	r *rand.Rand
+	virtualtime.Queue
 	routers []*modelRouter
 	servers map[string]*modelServer
 	// stored is what the store holds; deaf tells that it answers nobody.
@@ -99,18 +73,13 @@
 	sent, served, refused, late, resting, idle, untold int
 }
 
-func (f *modelFleet) after(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.agenda, timed{f.now.Add(d), f.order, do})
-}
-
 func (f *modelFleet) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(f.r.Int64N(int64(high-low)))
 }
 
 func newModelFleet(t *testing.T, seed uint64, routers, servers int, allShed bool) *modelFleet {
 	f := &modelFleet{
-		t: t, r: rand.New(rand.NewPCG(seed, 7)), now: epoch, servers: map[string]*modelServer{}, stored: map[string]roster.Server{},
+		t: t, r: rand.New(rand.NewPCG(seed, 7)), Queue: virtualtime.Queue{Now: epoch}, servers: map[string]*modelServer{}, stored: map[string]roster.Server{},
 		allShed: allShed, period: max(20*time.Millisecond, time.Duration(routers)*time.Second/200),
 	}
 	for i := range servers {
@@ -120,27 +89,27 @@
 		m := &modelRouter{}
 		f.routers = append(f.routers, m)
 		f.startRouter(m)
-		f.after(f.between(0, f.period), func() { f.tell(m) })
-		f.after(f.between(0, time.Second), func() { f.ask(m) })
-		f.after(f.between(0, 200*time.Millisecond), func() { f.tick(m) })
+		f.After(f.between(0, f.period), func() { f.tell(m) })
+		f.After(f.between(0, time.Second), func() { f.ask(m) })
+		f.After(f.between(0, 200*time.Millisecond), func() { f.tick(m) })
 	}
-	f.after(3*time.Second, func() { f.setDeaf(true) })
-	f.after(7*time.Second, func() { f.setDeaf(false) })
-	f.after(time.Second, f.flap)
+	f.After(3*time.Second, func() { f.setDeaf(true) })
+	f.After(7*time.Second, func() { f.setDeaf(false) })
+	f.After(time.Second, f.flap)
 	return f
 }
 
 // flap lets one entry lapse at all routers and come back, with what is known of it.
 func (f *modelFleet) flap() {
-	f.after(f.between(0, 300*time.Millisecond), f.flap)
+	f.After(f.between(0, 300*time.Millisecond), f.flap)
 	all := f.listing()
 	if f.deaf || len(all) == 0 {
 		return
 	}
 	entry := all[f.r.IntN(len(all))]
 	for _, m := range f.routers {
-		f.apply(m, m.roster.Remove(f.now, entry.ID))
-		f.after(f.between(0, 20*time.Millisecond), func() { f.apply(m, m.roster.Put(entry)) })
+		f.apply(m, m.roster.Remove(f.Now, entry.ID))
+		f.After(f.between(0, 20*time.Millisecond), func() { f.apply(m, m.roster.Put(entry)) })
 	}
 }
 
@@ -154,10 +123,10 @@
 	}
 	switch fate {
 	case 0:
-		one.leaves = f.now.Add(f.between(0, fleetTime))
-		f.after(one.leaves.Sub(f.now)+f.between(0, 4*time.Second), func() { f.leave(one) })
+		one.leaves = f.Now.Add(f.between(0, fleetTime))
+		f.After(one.leaves.Sub(f.Now)+f.between(0, 4*time.Second), func() { f.leave(one) })
 	case 1:
-		for at := f.now.Add(f.between(0, 4*time.Second)); at.Before(f.now.Add(fleetTime)); at = at.Add(f.between(2*time.Second, 8*time.Second)) {
+		for at := f.Now.Add(f.between(0, 4*time.Second)); at.Before(f.Now.Add(fleetTime)); at = at.Add(f.between(2*time.Second, 8*time.Second)) {
 			one.sheds = append(one.sheds, [2]time.Time{at, at.Add(f.between(0, 2*time.Second))})
 		}
 	}
@@ -167,12 +136,12 @@
 // store writes an entry, which nobody can while the store is deaf.
 func (f *modelFleet) store(entry roster.Server) {
 	if f.deaf {
-		f.after(500*time.Millisecond, func() { f.store(entry) })
+		f.After(500*time.Millisecond, func() { f.store(entry) })
 		return
 	}
 	f.stored[entry.ID] = entry
 	for _, m := range f.routers {
-		f.after(f.between(fleetHop, 50*time.Millisecond), func() { f.apply(m, m.roster.Put(entry)) })
+		f.After(f.between(fleetHop, 50*time.Millisecond), func() { f.apply(m, m.roster.Put(entry)) })
 	}
 }
 
@@ -183,14 +152,14 @@
 	if !f.deaf {
 		delete(f.stored, one.entry.ID)
 		for _, m := range f.routers {
-			f.after(f.between(fleetHop, 50*time.Millisecond), func() { f.apply(m, m.roster.Remove(f.now, one.entry.ID)) })
+			f.After(f.between(fleetHop, 50*time.Millisecond), func() { f.apply(m, m.roster.Remove(f.Now, one.entry.ID)) })
 		}
 	}
 	switch {
 	case one.entry.Incarnation != 0 && f.r.IntN(2) == 0:
 		f.startServer(one.entry.ID, one.entry.Incarnation+100)
 	case f.r.IntN(2) == 0:
-		f.after(f.between(0, 2*time.Second), func() { f.store(one.entry) })
+		f.After(f.between(0, 2*time.Second), func() { f.store(one.entry) })
 	}
 }
 
@@ -203,9 +172,9 @@
 			m.roster.StoreLost()
 			continue
 		}
-		m.roster.StoreBack(f.now)
+		m.roster.StoreBack(f.Now)
 		listed := slices.DeleteFunc(f.listing(), func(roster.Server) bool { return f.r.IntN(4) == 0 })
-		f.apply(m, m.roster.Replace(f.now, listed))
+		f.apply(m, m.roster.Replace(f.Now, listed))
 	}
 }
 
@@ -228,7 +197,7 @@
 func (f *modelFleet) apply(m *modelRouter, changes []roster.Change) {
 	for _, c := range changes {
 		if c.Usable {
-			m.joined[c.Server.Identity()] = f.now
+			m.joined[c.Server.Identity()] = f.Now
 			m.state.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, "", c.Server.Slots)
 		} else {
 			m.state.Remove(c.Server.ID)
@@ -241,14 +210,14 @@
 	if f.r.IntN(200) == 0 {
 		f.startRouter(m)
 	}
-	f.apply(m, m.roster.Tick(f.now))
-	m.state.Tick(f.now)
-	f.after(200*time.Millisecond, func() { f.tick(m) })
+	f.apply(m, m.roster.Tick(f.Now))
+	m.state.Tick(f.Now)
+	f.After(200*time.Millisecond, func() { f.tick(m) })
 }
 
 // tell sends the router's word on servers that leave to all others.
 func (f *modelFleet) tell(m *modelRouter) {
-	f.after(f.period, func() { f.tell(m) })
+	f.After(f.period, func() { f.tell(m) })
 	var words []ServerID
 	for _, one := range m.roster.Leaving() {
 		words = append(words, NumberOf(one.ID, one.Incarnation))
@@ -256,7 +225,7 @@
 	maps.DeleteFunc(m.telling, func(number ServerID, _ time.Time) bool { return !slices.Contains(words, number) })
 	for _, number := range words {
 		if _, tells := m.telling[number]; !tells {
-			m.telling[number] = f.now
+			m.telling[number] = f.Now
 		}
 	}
 	if len(words) == 0 {
@@ -264,7 +233,7 @@
 	}
 	for _, other := range f.routers {
 		if other != m && f.r.Float64() >= fleetLoss {
-			f.after(fleetHop, func() { f.told(other, words) })
+			f.After(fleetHop, func() { f.told(other, words) })
 		}
 	}
 }
@@ -272,15 +241,15 @@
 func (f *modelFleet) told(m *modelRouter, words []ServerID) {
 	for _, number := range words {
 		if id, incarnation, known := m.state.Numbered(number); known {
-			f.apply(m, m.roster.Told(f.now, id, incarnation))
+			f.apply(m, m.roster.Told(f.Now, id, incarnation))
 		}
 	}
 }
 
 // ask places one request, and the next one a moment later.
 func (f *modelFleet) ask(m *modelRouter) {
-	f.after(f.between(0, 400*time.Millisecond), func() { f.ask(m) })
-	d := m.state.Place(f.now, Request{Service: fleetService})
+	f.After(f.between(0, 400*time.Millisecond), func() { f.ask(m) })
+	d := m.state.Place(f.Now, Request{Service: fleetService})
 	if d.Verdict != Send {
 		f.refused++
 		f.checkRefusal(m, d)
@@ -289,11 +258,11 @@
 	one := f.servers[roster.Identity(d.Run.Server(), d.Run.Incarnation())]
 	f.checkSend(m, one)
 	if heard := m.heard[one.entry.Identity()]; heard != nil && d.SinceBackoff >= 0 {
-		heard.trial, heard.tried = d.Run, f.now
+		heard.trial, heard.tried = d.Run, f.Now
 	}
 	f.sent++
 	life := m.life
-	f.after(fleetHop, func() { f.arrive(m, life, one, d.Run) })
+	f.After(fleetHop, func() { f.arrive(m, life, one, d.Run) })
 }
 
 // checkSend looks whether the router sends what it should not.
@@ -302,17 +271,17 @@
 	if heard == nil {
 		if f.wasTold(m, one) {
 			f.untold++
-			f.t.Errorf("%v: a server gets work of which others say that it leaves", f.now.Sub(epoch))
+			f.t.Errorf("%v: a server gets work of which others say that it leaves", f.Now.Sub(epoch))
 		}
 		return
 	}
 	if !heard.leaving.IsZero() {
 		f.late++
-		f.t.Errorf("%v: a server that left gets work, %v after it said so", f.now.Sub(epoch), f.now.Sub(heard.leaving))
+		f.t.Errorf("%v: a server that left gets work, %v after it said so", f.Now.Sub(epoch), f.Now.Sub(heard.leaving))
 	}
-	if f.now.Before(heard.end) {
+	if f.Now.Before(heard.end) {
 		f.resting++
-		f.t.Errorf("%v: a server gets work, %v before the end of its time", f.now.Sub(epoch), heard.end.Sub(f.now))
+		f.t.Errorf("%v: a server gets work, %v before the end of its time", f.Now.Sub(epoch), heard.end.Sub(f.Now))
 	}
 }
 
@@ -323,7 +292,7 @@
 // wasTold reports whether another router has been saying for long that the server
 // leaves.
 func (f *modelFleet) wasTold(m *modelRouter, one *modelServer) bool {
-	bound := f.now.Add(-toldWithin * f.period)
+	bound := f.Now.Add(-toldWithin * f.period)
 	if m.joined[one.entry.Identity()].After(bound) {
 		return false
 	}
@@ -341,9 +310,9 @@
 func (f *modelFleet) checkRefusal(m *modelRouter, d Decision) {
 	for id, one := range m.state.servers {
 		heard := m.heard[one.identity]
-		if heard == nil || !f.now.Before(heard.end) && (heard.trial == nil || f.now.Sub(heard.tried) >= m.state.cfg.Backoff.TrialTime) {
+		if heard == nil || !f.Now.Before(heard.end) && (heard.trial == nil || f.Now.Sub(heard.tried) >= m.state.cfg.Backoff.TrialTime) {
 			f.idle++
-			f.t.Errorf("%v: refused (%s), though nothing is known against %s", f.now.Sub(epoch), d.Reason, id)
+			f.t.Errorf("%v: refused (%s), though nothing is known against %s", f.Now.Sub(epoch), d.Reason, id)
 		}
 	}
 }
@@ -353,13 +322,13 @@
 	took := f.between(5*time.Millisecond, 60*time.Millisecond)
 	sheds := false
 	for _, span := range one.sheds {
-		sheds = sheds || !f.now.Before(span[0]) && f.now.Before(span[1])
+		sheds = sheds || !f.Now.Before(span[0]) && f.Now.Before(span[1])
 	}
-	leaves := !one.leaves.IsZero() && !f.now.Before(one.leaves)
+	leaves := !one.leaves.IsZero() && !f.Now.Before(one.leaves)
 	if one.gone {
 		took = 0
 	}
-	f.after(took+fleetHop, func() {
+	f.After(took+fleetHop, func() {
 		if m.life == life {
 			f.answer(m, one, run, leaves && !one.gone, sheds)
 		}
@@ -378,32 +347,25 @@
 	}
 	if leaves {
 		if heard.leaving.IsZero() {
-			heard.leaving = f.now
+			heard.leaving = f.Now
 		}
 		f.apply(m, m.roster.Announced(one.entry.ID, one.entry.Incarnation))
 	}
 	if sheds {
 		asked := f.between(50*time.Millisecond, 4*time.Second)
-		m.state.BackOff(f.now, run, asked)
-		if end := f.now.Add(asked); end.After(heard.end) {
+		m.state.BackOff(f.Now, run, asked)
+		if end := f.Now.Add(asked); end.After(heard.end) {
 			heard.end = end
 		}
 		heard.trial = nil
 	} else if !one.gone {
-		m.state.FirstByte(f.now, run)
+		m.state.FirstByte(f.Now, run)
 		f.served++
 	}
-	m.state.Ended(f.now, run, 0)
+	m.state.Ended(f.Now, run, 0)
 }
 
-func (f *modelFleet) run() {
-	end := epoch.Add(fleetTime)
-	for len(f.agenda) > 0 && f.agenda[0].at.Before(end) {
-		next := heap.Pop(&f.agenda).(timed)
-		f.now = next.at
-		next.do()
-	}
-}
+func (f *modelFleet) run() { f.RunUntil(epoch.Add(fleetTime)) }
 
 // Fleets of any size before servers that leave unheard by the store, turn requests away
 // for a time again and again, start again under their ids, and whose entries are listed
--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -1,13 +1,14 @@
 package quarantine
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/coordination/internal/virtualtime"
 )
 
 // The fleet of these tests is a model in virtual time: routers that tell each other
@@ -48,31 +49,6 @@
 	wrongShare = 500
 )
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // modelServer is one server with its present incarnation.
 type modelServer struct {
 	id    int
@@ -86,10 +62,8 @@
 
 // model is one run.
 type model struct {
-	random  *rand.Rand
-	now     time.Time
-	queue   events
-	order   int
+	random *rand.Rand
+	virtualtime.Queue
 	routers []*State
 	servers []*modelServer
 	cut     map[[2]int]bool
@@ -104,7 +78,7 @@
 }
 
 func newModel(size fleetSize, seed uint64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 3)), now: epoch, end: epoch.Add(size.span), cut: make(map[[2]int]bool)}
+	m := &model{random: rand.New(rand.NewPCG(seed, 3)), Queue: virtualtime.Queue{Now: epoch}, end: epoch.Add(size.span), cut: make(map[[2]int]bool)}
 	ids := make([]string, size.routers)
 	for i := range ids {
 		ids[i] = fmt.Sprint("r-", i)
@@ -117,7 +91,7 @@
 			m.cut[[2]int{i, j}] = m.random.IntN(100) < cutPercent
 		}
 		m.every(tickEvery, func() { m.tick(i) })
-		m.every(max(standLeast, time.Duration(size.routers)*time.Second/standBudget), func() { m.tell(i, m.routers[i].Standing(m.now)) })
+		m.every(max(standLeast, time.Duration(size.routers)*time.Second/standBudget), func() { m.tell(i, m.routers[i].Standing(m.Now)) })
 	}
 	for i := range size.servers {
 		m.servers = append(m.servers, &modelServer{id: i, alive: true, runs: make(map[*Run]*State)})
@@ -125,41 +99,27 @@
 	return m
 }
 
-func (m *model) after(d time.Duration, do func()) {
-	m.order++
-	heap.Push(&m.queue, event{at: m.now.Add(d), order: m.order, do: do})
-}
-
 // every repeats until the end, from a random moment of the period on.
 func (m *model) every(period time.Duration, do func()) {
 	var again func()
 	again = func() {
 		do()
-		m.after(period, again)
+		m.After(period, again)
 	}
-	m.after(time.Duration(m.random.Int64N(int64(period))), again)
+	m.After(time.Duration(m.random.Int64N(int64(period))), again)
 }
 
-func (m *model) run() {
-	for len(m.queue) > 0 {
-		e := heap.Pop(&m.queue).(event)
-		if e.at.After(m.end) {
-			return
-		}
-		m.now = e.at
-		e.do()
-	}
-}
+func (m *model) run() { m.RunUntil(m.end) }
 
 func (m *model) tick(i int) {
-	m.routers[i].Tick(m.now)
+	m.routers[i].Tick(m.Now)
 	m.news(i)
 }
 
 // news tells what is new at the router, if anything.
 func (m *model) news(i int) {
 	if s := m.routers[i]; s.HasNews() {
-		m.tell(i, s.News(m.now))
+		m.tell(i, s.News(m.Now))
 	}
 }
 
@@ -172,8 +132,8 @@
 				continue
 			}
 			m.datagram++
-			m.after(time.Duration(1+m.random.IntN(9))*time.Millisecond, func() {
-				m.routers[to].Told(m.now, m.routers[from].self, one)
+			m.After(time.Duration(1+m.random.IntN(9))*time.Millisecond, func() {
+				m.routers[to].Told(m.Now, m.routers[from].self, one)
 				m.news(to)
 			})
 		}
@@ -202,20 +162,20 @@
 	}
 	for range copies {
 		router, server := m.routers[m.random.IntN(len(m.routers))], m.server()
-		if server == nil || router.Check(m.now, bad) != Pass {
+		if server == nil || router.Check(m.Now, bad) != Pass {
 			continue
 		}
-		m.sends = append(m.sends, m.now)
+		m.sends = append(m.sends, m.Now)
 		server.runs[router.Begin(bad, server.name())] = router
 		life := server.life
-		m.after(m.between(20*time.Millisecond, 150*time.Millisecond), func() {
+		m.After(m.between(20*time.Millisecond, 150*time.Millisecond), func() {
 			if server.alive && server.life == life {
 				m.crash(server)
-				m.crashes = append(m.crashes, m.now)
+				m.crashes = append(m.crashes, m.Now)
 			}
 		})
 	}
-	m.after(m.between(insistGap/2, 2*insistGap), func() { m.insist(n + 1) })
+	m.After(m.between(insistGap/2, 2*insistGap), func() { m.insist(n + 1) })
 }
 
 // crash ends the server: each router sees its own answers break off.
@@ -224,18 +184,18 @@
 	server.alive, server.runs = false, make(map[*Run]*State)
 	seen := make(map[*State]bool)
 	for run, router := range runs {
-		router.End(m.now, run, Broken)
+		router.End(m.Now, run, Broken)
 		seen[router] = true
 	}
 	for i, router := range m.routers {
 		if seen[router] {
-			m.after(m.between(time.Millisecond, 4*time.Millisecond), func() {
-				router.Crash(m.now, name)
+			m.After(m.between(time.Millisecond, 4*time.Millisecond), func() {
+				router.Crash(m.Now, name)
 				m.news(i)
 			})
 		}
 	}
-	m.after(m.between(awayLeast, awayMost), func() { server.life, server.alive = server.life+1, true })
+	m.After(m.between(awayLeast, awayMost), func() { server.life, server.alive = server.life+1, true })
 }
 
 // serve sends a sound request, up to as often as a router and its caller repeat it.
@@ -244,22 +204,22 @@
 	if server == nil || tries == 0 {
 		return
 	}
-	switch router.Check(m.now, content) {
+	switch router.Check(m.Now, content) {
 	case Refuse:
 		m.wrong++
 		return
 	case Wait:
-		m.after(500*time.Millisecond, func() { m.serve(content, tries-1) })
+		m.After(500*time.Millisecond, func() { m.serve(content, tries-1) })
 		return
 	}
 	m.sound++
 	run := router.Begin(content, server.name())
 	server.runs[run] = router
 	life := server.life
-	m.after(m.between(20*time.Millisecond, 3*time.Second), func() {
+	m.After(m.between(20*time.Millisecond, 3*time.Second), func() {
 		if server.alive && server.life == life {
 			delete(server.runs, run)
-			router.End(m.now, run, Complete)
+			router.End(m.Now, run, Complete)
 			return
 		}
 		// It broke off: the router repeats it, or its caller comes back.
@@ -274,7 +234,7 @@
 		content = Fingerprint(100 + m.random.IntN(20))
 	}
 	m.serve(content, 4)
-	m.after(time.Duration(m.random.ExpFloat64()*float64(soundGap)), func() { m.load(n + 1) })
+	m.After(time.Duration(m.random.ExpFloat64()*float64(soundGap)), func() { m.load(n + 1) })
 }
 
 // late counts the sends later than the time of contact after the third crash.
@@ -294,7 +254,7 @@
 func play(size fleetSize, seed uint64) *model {
 	m := newModel(size, seed)
 	m.load(0)
-	m.after(3*time.Second, func() { m.insist(0) })
+	m.After(3*time.Second, func() { m.insist(0) })
 	m.run()
 	return m
 }
@@ -337,7 +297,7 @@
 				ended = 5
 			}
 			for range ended {
-				if one := m.server(); one != nil && m.now.After(epoch.Add(3*time.Second)) {
+				if one := m.server(); one != nil && m.Now.After(epoch.Add(3*time.Second)) {
 					crashes++
 					m.crash(one)
 				}
--- a/coordination/share/fault_test.go
+++ b/coordination/share/fault_test.go
@@ -41,11 +41,11 @@
 		},
 		"a third of the sidecars restart": func(f *fleet, sc scenario) {
 			for i := range 4 {
-				f.at(time.Duration(40+10*i)*time.Second, func() { f.restart(i, sc) })
+				f.After(time.Duration(40+10*i)*time.Second, func() { f.restart(i, sc) })
 			}
 		},
 		"no exchange for 10 s": func(f *fleet, _ scenario) {
-			from, to := f.now.Add(50*time.Second), f.now.Add(60*time.Second)
+			from, to := f.Now.Add(50*time.Second), f.Now.Add(60*time.Second)
 			f.cut = func(_, _ int, now time.Time) bool { return now.After(from) && now.Before(to) }
 		},
 	}
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -1,21 +1,22 @@
 package share
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
+
+	"goldcrestport/coordination/internal/virtualtime"
 )
 
 // fleet drives share cores and one arrival generator by a fake clock. A heavy
 // team always has work; a light one has Poisson arrivals.
 type fleet struct {
-	now    time.Time
-	cores  []*State
-	events eventHeap
+	virtualtime.Queue
+	cores []*State
+	// seq numbers the attempts.
 	seq    uint64
 	teams  []*source
 	byName map[string]*source
@@ -56,30 +57,6 @@
 	start time.Time
 }
 
-type simEvent struct {
-	at  time.Time
-	seq uint64
-	do  func()
-}
-
-type eventHeap []simEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // scenario is what a run of the fleet varies.
 type scenario struct {
 	cores, slots int
@@ -99,7 +76,7 @@
 
 func newFleet(sc scenario) *fleet {
 	f := &fleet{
-		now:      time.Unix(0, 0),
+		Queue:    virtualtime.Queue{Now: time.Unix(0, 0)},
 		byName:   map[string]*source{},
 		runs:     map[uint64]*simRun{},
 		delay:    500 * time.Microsecond,
@@ -123,9 +100,9 @@
 
 func (f *fleet) addCore(i int, sc scenario) {
 	f.cores = append(f.cores, New(coreConfig(i, "1", sc)))
-	f.at(time.Duration(f.rng.IntN(int(simTick))), func() { f.tick(i) })
+	f.After(time.Duration(f.rng.IntN(int(simTick))), func() { f.tick(i) })
 	if f.exchange > 0 {
-		f.at(time.Duration(f.rng.Int64N(int64(f.exchange))), func() { f.gossip(i) })
+		f.After(time.Duration(f.rng.Int64N(int64(f.exchange))), func() { f.gossip(i) })
 	}
 }
 
@@ -135,7 +112,7 @@
 	for id, r := range f.runs {
 		if r.core == i {
 			if !r.start.IsZero() {
-				r.from.served += f.now.Sub(r.start).Seconds()
+				r.from.served += f.Now.Sub(r.start).Seconds()
 			}
 			delete(f.runs, id)
 		}
@@ -177,10 +154,10 @@
 	f.teams = append(f.teams, s)
 	f.byName[name] = s
 	if period > 0 {
-		f.at(time.Duration(s.rng.ExpFloat64()*float64(period)), func() { f.arrive(s) })
+		f.After(time.Duration(s.rng.ExpFloat64()*float64(period)), func() { f.arrive(s) })
 		return
 	}
-	f.at(0, func() { f.register(s, 1000) })
+	f.After(0, func() { f.register(s, 1000) })
 }
 
 // cost is a long-tailed cost with the team's mean, capped at 60.
@@ -192,21 +169,8 @@
 	return min(60, s.mean*math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2))
 }
 
-func (f *fleet) at(after time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.events, simEvent{at: f.now.Add(after), seq: f.seq, do: do})
-}
-
-// run lets the time pass until the end.
-func (f *fleet) run(last time.Duration) {
-	end := f.now.Add(last)
-	for len(f.events) > 0 && !f.events[0].at.After(end) {
-		e := heap.Pop(&f.events).(simEvent)
-		f.now = e.at
-		e.do()
-	}
-	f.now = end
-}
+// run lets the time pass.
+func (f *fleet) run(last time.Duration) { f.RunUntil(f.Now.Add(last)) }
 
 func (f *fleet) register(s *source, count int) {
 	for _, i := range s.seen {
@@ -215,20 +179,20 @@
 }
 
 func (f *fleet) arrive(s *source) {
-	s.queue = append(s.queue, f.now)
+	s.queue = append(s.queue, f.Now)
 	if len(s.queue) == 1 {
 		f.register(s, 1)
 	}
-	f.at(time.Duration(s.rng.ExpFloat64()*float64(s.period)), func() { f.arrive(s) })
+	f.After(time.Duration(s.rng.ExpFloat64()*float64(s.period)), func() { f.arrive(s) })
 }
 
 func (f *fleet) step(i int, ev Event) {
-	actions := append([]Action(nil), f.cores[i].Step(f.now, ev)...)
+	actions := append([]Action(nil), f.cores[i].Step(f.Now, ev)...)
 	f.after(i)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Pull:
-			f.at(f.delay, func() { f.pulled(i, a) })
+			f.After(f.delay, func() { f.pulled(i, a) })
 		case Start:
 			f.start(i, a.Attempt)
 		}
@@ -239,12 +203,12 @@
 	s := f.byName[p.Team]
 	if s.period > 0 {
 		if len(s.queue) == 0 {
-			f.at(f.delay, func() { f.step(i, PullEmpty{Pull: p.ID}) })
+			f.After(f.delay, func() { f.step(i, PullEmpty{Pull: p.ID}) })
 			return
 		}
 		arrived := s.queue[0]
 		s.queue = s.queue[1:]
-		s.waits = append(s.waits, f.now.Sub(arrived).Seconds())
+		s.waits = append(s.waits, f.Now.Sub(arrived).Seconds())
 		if len(s.queue) == 0 {
 			f.register(s, 0)
 		}
@@ -252,7 +216,7 @@
 	f.seq++
 	attempt := f.seq
 	f.runs[attempt] = &simRun{core: i, from: s, cost: s.cost()}
-	f.at(f.delay, func() {
+	f.After(f.delay, func() {
 		if f.runs[attempt] == nil {
 			return
 		}
@@ -262,8 +226,8 @@
 
 func (f *fleet) start(i int, attempt uint64) {
 	r := f.runs[attempt]
-	r.start = f.now
-	f.at(time.Duration(r.cost*float64(time.Second)), func() {
+	r.start = f.Now
+	f.After(time.Duration(r.cost*float64(time.Second)), func() {
 		if f.runs[attempt] == nil {
 			return
 		}
@@ -282,13 +246,13 @@
 	}
 	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
 	for _, id := range ids {
-		f.step(i, Progressed{Attempt: id, Cost: f.now.Sub(f.runs[id].start).Seconds()})
+		f.step(i, Progressed{Attempt: id, Cost: f.Now.Sub(f.runs[id].start).Seconds()})
 	}
 	f.step(i, Ticked{})
 	if i == 0 {
 		f.worst = max(f.worst, f.gap())
 	}
-	f.at(simTick, func() { f.tick(i) })
+	f.After(simTick, func() { f.tick(i) })
 }
 
 // gap is the largest difference of service per share between always
@@ -297,7 +261,7 @@
 	given := map[*source]float64{}
 	for _, r := range f.runs {
 		if !r.start.IsZero() {
-			given[r.from] += f.now.Sub(r.start).Seconds()
+			given[r.from] += f.Now.Sub(r.start).Seconds()
 		}
 	}
 	least, most := math.Inf(1), math.Inf(-1)
@@ -321,13 +285,13 @@
 		}
 		j := f.rounds[i][0]
 		f.rounds[i] = f.rounds[i][1:]
-		if j == i || f.cut(i, j, f.now) {
+		if j == i || f.cut(i, j, f.Now) {
 			continue
 		}
 		f.tell(i, j)
 		f.tell(j, i)
 	}
-	f.at(f.exchange, func() { f.gossip(i) })
+	f.After(f.exchange, func() { f.gossip(i) })
 }
 
 func (f *fleet) tell(from, to int) {
