--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -62,9 +62,28 @@
 	return false
 }
 
+// fleets bounds the fleets that run at the same time.
+var fleets = make(chan struct{}, 4)
+
+// playEach plays the plan with each seed, and looks at the records.
+func playEach(t *testing.T, seeds []uint64, size Size, plan Plan, look func(*testing.T, *Record)) {
+	t.Parallel()
+	bin := fleet.BuildForTest(t)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			plan := plan
+			plan.Seed = seed
+			look(t, play(t, bin, size, plan, ""))
+		})
+	}
+}
+
 // play makes the failures of the plan in a fleet of its own, and wants every promise kept.
 // Cause is what the seed found once.
 func play(t *testing.T, bin string, size Size, plan Plan, cause string) *Record {
+	fleets <- struct{}{}
+	defer func() { <-fleets }()
 	w, err := Start(context.Background(), bin, t.TempDir(), size)
 	if w != nil {
 		defer w.Close()
@@ -78,17 +97,15 @@
 // TestShortSoak plays a short run of a few seeds and every seed that ever
 // failed. The whole soak is run by hand: make soak.
 func TestShortSoak(t *testing.T) {
+	t.Parallel()
 	bin := fleet.BuildForTest(t)
 	seeds := map[uint64]string{101: "", 102: ""}
 	for seed, cause := range regressions {
 		seeds[seed] = cause
 	}
-	together := make(chan struct{}, 2)
 	for seed, cause := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			together <- struct{}{}
-			defer func() { <-together }()
 			size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
 			play(t, bin, size, Plan{Seed: seed, Failures: 6 * time.Second, Every: 500 * time.Millisecond}, cause)
 		})
@@ -99,69 +116,46 @@
 // beside everything else: watches that hear nothing, a store that is away, routers
 // that start anew.
 func TestServersThatKeepTheirIDs(t *testing.T) {
-	bin := fleet.BuildForTest(t)
-	for _, seed := range []uint64{301, 302} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
-			play(t, bin, size, Plan{Seed: seed, Failures: 8 * time.Second, Every: 300 * time.Millisecond, Reborn: true}, "")
-		})
-	}
+	size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
+	plan := Plan{Failures: 8 * time.Second, Every: 300 * time.Millisecond, Reborn: true}
+	playEach(t, []uint64{301, 302}, size, plan, func(*testing.T, *Record) {})
 }
 
 // Callers insist on requests that crash each server that begins them, at once, in the
 // middle of the answer or after it, beside everything else.
 func TestRequestsThatCrashServers(t *testing.T) {
-	bin := fleet.BuildForTest(t)
-	for _, seed := range []uint64{401, 402} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			size := Size{Routers: 3, Engines: 4, Plain: 3, Other: 3, Callers: 12}
-			play(t, bin, size, Plan{Seed: seed, Failures: 10 * time.Second, Every: 800 * time.Millisecond, Reborn: true, Crashing: true}, "")
-		})
-	}
+	size := Size{Routers: 3, Engines: 4, Plain: 3, Other: 3, Callers: 12}
+	plan := Plan{Failures: 10 * time.Second, Every: 800 * time.Millisecond, Reborn: true, Crashing: true}
+	playEach(t, []uint64{401, 402}, size, plan, func(*testing.T, *Record) {})
 }
 
 // Data centres are evacuated one after the other and their engines are cold
 // afterwards, as are all that start, beside everything else.
 func TestEvacuatedDataCentresAndColdServers(t *testing.T) {
-	bin := fleet.BuildForTest(t)
-	for _, seed := range []uint64{501, 502} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			size := Size{Routers: 3, Engines: 5, Plain: 3, Other: 3, Callers: 24}
-			record := play(t, bin, size, Plan{Seed: seed, Failures: 15 * time.Second, Every: time.Second, Reborn: true, Places: true}, "")
-			qt.Check(t, record.Evacuations, qt.Not(qt.HasLen), 0)
-			qt.Check(t, record.Colds, qt.Not(qt.HasLen), 0)
-		})
-	}
+	size := Size{Routers: 3, Engines: 5, Plain: 3, Other: 3, Callers: 24}
+	plan := Plan{Failures: 15 * time.Second, Every: time.Second, Reborn: true, Places: true}
+	playEach(t, []uint64{501, 502}, size, plan, func(t *testing.T, record *Record) {
+		qt.Check(t, record.Evacuations, qt.Not(qt.HasLen), 0)
+		qt.Check(t, record.Colds, qt.Not(qt.HasLen), 0)
+	})
 }
 
 // Servers say in their answers that they leave, while their entries say otherwise, and
 // for how long they want no requests, beside everything else.
 func TestWhatServersSayInTheirAnswers(t *testing.T) {
-	bin := fleet.BuildForTest(t)
-	for _, seed := range []uint64{2001, 2002} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			size := Size{Routers: 3, Engines: 5, Plain: 4, Other: 4, Callers: 24}
-			record := play(t, bin, size, Plan{Seed: seed, Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Announced: true}, "")
-			qt.Check(t, record.Words, qt.Not(qt.HasLen), 0)
-		})
-	}
+	size := Size{Routers: 3, Engines: 5, Plain: 4, Other: 4, Callers: 24}
+	plan := Plan{Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Announced: true}
+	playEach(t, []uint64{2001, 2002}, size, plan, func(t *testing.T, record *Record) {
+		qt.Check(t, record.Words, qt.Not(qt.HasLen), 0)
+	})
 }
 
 // Routers in two data centres, more than are told directly in each: what they tell each
 // other is passed on by routers that are killed, frozen and stopped, beside everything else.
 func TestRoutersOfTwoDataCentres(t *testing.T) {
-	bin := fleet.BuildForTest(t)
-	for _, seed := range []uint64{3001, 3002} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			size := Size{Routers: 10, Engines: 5, Plain: 4, Other: 4, Callers: 24, Spread: true}
-			play(t, bin, size, Plan{Seed: seed, Failures: 10 * time.Second, Every: 300 * time.Millisecond, Reborn: true, Announced: true}, "")
-		})
-	}
+	size := Size{Routers: 10, Engines: 5, Plain: 4, Other: 4, Callers: 24, Spread: true}
+	plan := Plan{Failures: 10 * time.Second, Every: 300 * time.Millisecond, Reborn: true, Announced: true}
+	playEach(t, []uint64{3001, 3002}, size, plan, func(*testing.T, *Record) {})
 }
 
 // longRegressions are seeds that failed once in the long plan, each with its cause.
@@ -173,12 +167,12 @@
 }
 
 func TestLongSeedsThatFailedOnce(t *testing.T) {
+	t.Parallel()
 	bin := fleet.BuildForTest(t)
 	for seed, cause := range longRegressions {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			size := DefaultSize()
-			play(t, bin, size, DefaultPlan(seed), cause)
+			play(t, bin, DefaultSize(), DefaultPlan(seed), cause)
 		})
 	}
 }
