--- /dev/null
+++ b/coordination/quarantine/small_test.go
@@ -0,0 +1,167 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The pattern of these tests: a service of three servers, two callers who each insist on
+// a request that crashes servers, and routers that start anew, one after the other. All
+// servers may be away at once, the two are at the same servers, a bystander meets three
+// crashes in a second, and who knew it to be sound may have forgotten it. What is
+// refused wrongly then is what all callers ask for.
+
+// Figures of the small service.
+const (
+	smallSpan  = 16 * time.Second
+	smallGap   = 12 * time.Millisecond
+	smallRun   = 200 * time.Millisecond
+	smallAgain = time.Second
+	// commonEvery is how often a request asks for one of the commonContents that
+	// others ask for, too.
+	commonEvery    = 5
+	commonContents = 20
+	// insistedOn is the number of contents that crash servers.
+	insistedOn   = 2
+	restartMost  = 8 * time.Second
+	insistFrom   = 3 * time.Second
+	smallInsist  = 250 * time.Millisecond
+	smallCopies  = 3
+	smallCrashIn = 60 * time.Millisecond
+)
+
+// smallService is a run of the model, and what it counts by content.
+type smallService struct {
+	*model
+	ended, sent map[Fingerprint][]time.Time
+}
+
+func playSmall(seed uint64) *smallService {
+	s := &smallService{
+		model: newModel(fleetSize{routers: 3, servers: 3, span: smallSpan}, seed),
+		ended: make(map[Fingerprint][]time.Time), sent: make(map[Fingerprint][]time.Time),
+	}
+	clear(s.cut)
+	s.load(0)
+	for n := range insistedOn {
+		s.After(insistFrom, func() { s.insist(bad+Fingerprint(n), 0) })
+	}
+	for i := range s.routers {
+		s.After(s.between(time.Second, restartMost), func() { s.restart(i) })
+	}
+	s.run()
+	return s
+}
+
+// restart has the router forget all.
+func (s *smallService) restart(i int) {
+	old := s.routers[i]
+	for _, server := range s.servers {
+		for run, router := range server.runs {
+			if router == old {
+				delete(server.runs, run)
+			}
+		}
+	}
+	s.routers[i] = New(DefaultConfig(), old.self)
+	s.routers[i].SetRouters(old.routers)
+}
+
+// load sends sound requests.
+func (s *smallService) load(n int) {
+	content := Fingerprint(1000 + n)
+	if n%commonEvery == 0 {
+		content = Fingerprint(100 + s.random.IntN(commonContents))
+	}
+	s.serve(content, 4)
+	s.After(time.Duration(s.random.ExpFloat64()*float64(smallGap)), func() { s.load(n + 1) })
+}
+
+// serve sends a sound request; one whose answer broke off comes again.
+func (s *smallService) serve(content Fingerprint, tries int) {
+	if tries == 0 {
+		return
+	}
+	router, server := s.routers[s.random.IntN(len(s.routers))], s.server()
+	if server == nil {
+		return
+	}
+	switch router.Check(s.Now, content) {
+	case Refuse:
+		s.wrong++
+		return
+	case Wait:
+		s.After(smallAgain/2, func() { s.serve(content, tries-1) })
+		return
+	}
+	s.sound++
+	run, life := router.Begin(content, server.name()), server.life
+	server.runs[run] = router
+	s.After(s.between(0, smallRun), func() {
+		if server.alive && server.life == life {
+			delete(server.runs, run)
+			router.End(s.Now, run, Complete)
+			return
+		}
+		s.After(s.between(0, smallAgain), func() { s.serve(content, tries-1) })
+	})
+}
+
+// insist sends a request that crashes servers, at times as several copies.
+func (s *smallService) insist(content Fingerprint, n int) {
+	copies := 1
+	if n%commonEvery == 0 {
+		copies = smallCopies
+	}
+	for range copies {
+		router, server := s.routers[s.random.IntN(len(s.routers))], s.server()
+		if server == nil || router.Check(s.Now, content) != Pass {
+			continue
+		}
+		s.sent[content] = append(s.sent[content], s.Now)
+		server.runs[router.Begin(content, server.name())] = router
+		life := server.life
+		s.After(s.between(0, smallCrashIn), func() {
+			if server.alive && server.life == life {
+				s.crash(server)
+				s.ended[content] = append(s.ended[content], s.Now)
+			}
+		})
+	}
+	s.After(s.between(smallInsist/2, 2*smallInsist), func() { s.insist(content, n+1) })
+}
+
+// mostLate is the greatest number of sends of one content later than the time of contact
+// after the third crash under it.
+func (s *smallService) mostLate() int {
+	most := 0
+	for content, ended := range s.ended {
+		late := 0
+		for _, at := range s.sent[content] {
+			if len(ended) >= 3 && at.After(ended[2].Add(contact)) {
+				late++
+			}
+		}
+		most = max(most, late)
+	}
+	return most
+}
+
+// Each of the two is sent three times at most once it is known, and no more sound
+// requests are refused than the users bear.
+func TestASmallServiceKnowsTwoRequestsThatCrashIt(t *testing.T) {
+	servers, wrong, sound := 0, 0, 0
+	for seed := range uint64(400) {
+		s := playSmall(seed)
+		for _, ended := range s.ended {
+			servers += len(ended)
+		}
+		wrong, sound = wrong+s.wrong, sound+s.sound
+		what := qt.Commentf("seed %d: %d late, %d of %d refused wrongly", seed, s.mostLate(), s.wrong, s.sound)
+		qt.Check(t, s.mostLate() <= 3, qt.IsTrue, what)
+		qt.Check(t, s.wrong <= wrongSlack+s.sound/wrongShare, qt.IsTrue, what)
+	}
+	t.Logf("%d servers ended, %d of %d refused wrongly", servers, wrong, sound)
+}
