A refused request is not free because another one was wherever it was; it is tried once

Cause: of two requests that crash servers and come together, the one known first was acquitted when the other one had crashed three servers without it. It crashed three more before it was refused again: 4 to 11 sends later than the time of contact after its third crash, where 3 are allowed. Routers that begin acquit the more easily, as they know fewer of its crashes.

What takes its place: where other refused ones were at each crash that speaks against a refused one, it may be sent once after half a second, by one router of the fleet. A bystander runs well and is free everywhere; what crashes servers ends one more. The three sends that the promise leaves stand: this one, at 5 minutes, at 1 hour.

--- a/coordination/quarantine/config.go
+++ b/coordination/quarantine/config.go
@@ -50,9 +50,13 @@
 	News time.Duration
 	// Trials are the times after the refusals began at which one send is allowed,
 	// to find requests that are refused wrongly, or whose servers were mended.
-	// Default 5m and 1h: with the send that a tie may take, they are the three that
-	// the promise leaves.
+	// Default 5m and 1h: with the one of ExplainedTrial or the send that a tie may
+	// take, they are the three that the promise leaves.
 	Trials []time.Duration
+	// ExplainedTrial is the time after the refusals began of the first trial where
+	// other refused requests were at each crash. Default 500ms: a bystander waits
+	// no longer than it must, and the word of all routers is in.
+	ExplainedTrial time.Duration
 	// MostCrashes, MostSuspects and MostHeld bound what is kept. Defaults: 256
 	// crashes; 128 suspects of each, two engines' places; 1024 refused requests.
 	MostCrashes, MostSuspects, MostHeld int
@@ -66,7 +70,7 @@
 	return Config{
 		Crashes: 3, Burst: 250 * time.Millisecond, Hearing: 50 * time.Millisecond, TieBreak: 2 * time.Second, Settle: 2 * time.Second, Outlive: 300 * time.Millisecond, Doubt: 8 * time.Second,
 		SoundFor: 10 * time.Second, Memory: 10 * time.Minute, News: 5 * time.Second,
-		Trials:      []time.Duration{5 * time.Minute, time.Hour},
+		Trials: []time.Duration{5 * time.Minute, time.Hour}, ExplainedTrial: 500 * time.Millisecond,
 		MostCrashes: 256, MostSuspects: 128, MostHeld: 1024, MostSound: 2048,
 	}
 }
@@ -89,6 +93,7 @@
 	check(c.SoundFor > 0, "SoundFor must be positive")
 	check(c.Memory > c.Doubt, "Memory must be above Doubt")
 	check(c.News > 0, "News must be positive")
+	check(c.ExplainedTrial >= 0, "ExplainedTrial must not be negative")
 	check(c.MostCrashes > c.Crashes, "MostCrashes must be above Crashes")
 	check(c.MostSuspects > 0, "MostSuspects must be positive")
 	check(c.MostHeld > 0, "MostHeld must be positive")
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -109,7 +109,7 @@
 			r.cleared = r.held
 		}
 		r.held, r.reasons = time.Time{}, nil
-		s.held--
+		delete(s.held, content)
 		for _, c := range r.crashes {
 			c.explained = s.hasHeld(c)
 		}
@@ -131,7 +131,7 @@
 
 func (s *State) hasHeld(c *crash) bool {
 	for content := range c.suspects {
-		if r := s.records[content]; r != nil && !r.held.IsZero() {
+		if s.held[content] != nil {
 			return true
 		}
 	}
@@ -166,14 +166,14 @@
 func (s *State) dropOldestHeld() {
 	var oldest Fingerprint
 	var since time.Time
-	for content, r := range s.records {
-		if !r.held.IsZero() && (since.IsZero() || r.held.Before(since)) {
+	for content, r := range s.held {
+		if since.IsZero() || r.held.Before(since) {
 			oldest, since = content, r.held
 		}
 	}
-	r := s.records[oldest]
+	r := s.held[oldest]
 	r.held, r.reasons = time.Time{}, nil
-	s.held--
+	delete(s.held, oldest)
 	if len(r.crashes) == 0 {
 		delete(s.records, oldest)
 	}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -44,7 +44,8 @@
 	// order holds the crashes as they became known.
 	order   []*crash
 	records map[Fingerprint]*record
-	held    int
+	// held are those of the records that are refused.
+	held map[Fingerprint]*record
 	// due are the contents to be judged, and when.
 	due map[Fingerprint]time.Time
 	// events are those that Events has not returned yet.
@@ -86,7 +87,7 @@
 func New(cfg Config, self string) *State {
 	return &State{
 		cfg: cfg, self: self, hosts: make(map[string]*host), inFlight: make(map[Fingerprint]int), sound: newSoundList(cfg.MostSound),
-		crashes: make(map[string]*crash), records: make(map[Fingerprint]*record), due: make(map[Fingerprint]time.Time),
+		crashes: make(map[string]*crash), records: make(map[Fingerprint]*record), held: make(map[Fingerprint]*record), due: make(map[Fingerprint]time.Time),
 	}
 }
 
@@ -118,10 +119,23 @@
 // mayTry reports whether a refused request may be sent once more: at one router
 // of the fleet, and one at a time.
 func (s *State) mayTry(now time.Time, content Fingerprint, r *record) bool {
-	if r.trials >= len(s.cfg.Trials) || s.inFlight[content] > 0 {
+	if s.inFlight[content] > 0 || s.owner(content) != s.self {
 		return false
 	}
-	return now.Sub(r.held) >= s.cfg.Trials[r.trials] && s.owner(content) == s.self
+	since := now.Sub(r.held)
+	if s.trialDue(since, r.trials) {
+		return true
+	}
+	// A bystander of others must not wait for as long as what crashes servers.
+	if since < s.cfg.ExplainedTrial || !s.isExplained(content, r) {
+		return false
+	}
+	return r.trials == 0 || s.trialDue(since, r.trials-1)
+}
+
+// trialDue reports whether it is time for the trial of that number.
+func (s *State) trialDue(since time.Duration, n int) bool {
+	return n < len(s.cfg.Trials) && since >= s.cfg.Trials[n]
 }
 
 // owner is the router that may try the content, by rendezvous hashing.
@@ -163,7 +177,7 @@
 }
 
 // Held is the number of contents that are refused.
-func (s *State) Held() int { return s.held }
+func (s *State) Held() int { return len(s.held) }
 
 // Entry is a refused content, for operators.
 type Entry struct {
@@ -176,10 +190,8 @@
 // List returns the refused contents, the latest first.
 func (s *State) List() []Entry {
 	var out []Entry
-	for content, r := range s.records {
-		if !r.held.IsZero() {
-			out = append(out, Entry{Content: content, Since: r.held, Trials: r.trials, Reasons: r.reasons})
-		}
+	for content, r := range s.held {
+		out = append(out, Entry{Content: content, Since: r.held, Trials: r.trials, Reasons: r.reasons})
 	}
 	slices.SortFunc(out, func(a, b Entry) int {
 		return cmp.Or(b.Since.Compare(a.Since), cmp.Compare(a.Content, b.Content))
@@ -228,8 +240,6 @@
 	ByPeer Cause = "peer"
 	// BySuccess: it ran well.
 	BySuccess Cause = "success"
-	// ByOther: a refused one was wherever it was, and crashed as many servers again.
-	ByOther Cause = "explained"
 	// ByOperator: an operator took it off the list.
 	ByOperator Cause = "operator"
 )
