What a refused request is refused for explains these crashes at routers that begin, too

Cause: a router told others for which crashes a request is refused, and they took that as a text for operators only. One that began after them heard of the same crashes from those who saw others run there, counted them, and refused a content that many ask for beside the request that had done it.

TestARouterThatBeginsKnowsWhatExplainsCrashes fails before.

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -86,6 +86,22 @@
 	s.judgeDue(now)
 }
 
+// learnReasons adds that the refused content ran where it is refused for.
+func (s *State) learnReasons(now time.Time, content Fingerprint, router string, reasons []Strike) {
+	for _, reason := range reasons {
+		c := s.crashes[reason.Server]
+		if now.Sub(reason.At) > s.cfg.Memory || c == nil && len(s.order) >= s.cfg.MostCrashes {
+			continue
+		}
+		if c == nil {
+			c = s.crash(reason.At, reason.Server)
+		}
+		if c.suspects[content] == nil {
+			s.learn(now, c, router, []Fingerprint{content})
+		}
+	}
+}
+
 func (s *State) record(content Fingerprint) *record {
 	r := s.records[content]
 	if r == nil {
--- a/coordination/quarantine/small_test.go
+++ b/coordination/quarantine/small_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -165,3 +166,23 @@
 	}
 	t.Logf("%d servers ended, %d of %d refused wrongly", servers, wrong, sound)
 }
+
+// A router that begins hears what is refused and why, and what crashed earlier: what a
+// refused request did is not counted against the others there.
+func TestARouterThatBeginsKnowsWhatExplainsCrashes(t *testing.T) {
+	old, fresh := New(DefaultConfig(), "old"), New(DefaultConfig(), "fresh")
+	for i := range 3 {
+		crashUnder(old, at(600*i), fmt.Sprint("i-", i), bad)
+	}
+	for i := range 3 {
+		suspects := []Fingerprint{good}
+		fresh.Told(at(2000), "third", Report{Crashes: []CrashReport{{Server: fmt.Sprint("i-", i), Age: time.Duration(2000-600*i) * time.Millisecond, Suspects: suspects}}})
+		for _, one := range old.Standing(at(2000)) {
+			// Of these only why it is refused came through.
+			fresh.Told(at(2000), "old", Report{Held: one.Held})
+		}
+	}
+	fresh.Tick(at(5000))
+	qt.Check(t, fresh.Check(at(5000), bad), qt.Equals, Refuse)
+	qt.Check(t, fresh.Check(at(5000), good), qt.Equals, Pass)
+}
--- a/coordination/quarantine/told.go
+++ b/coordination/quarantine/told.go
@@ -274,6 +274,8 @@
 	if r.held.IsZero() {
 		s.hold(now, since, one.Content, r, ByPeer, told(now, router, one.Reasons))
 	}
+	// They explain these crashes for who begins, too.
+	s.learnReasons(now, one.Content, router, told(now, router, one.Reasons))
 	// The earlier time and the greater number hold, so that trials are alike
 	// everywhere.
 	if since.Before(r.held) {
