A refusal looks for its router last; what is refused without reasons is not explained

Cause: whether this router is the one that tries a refused request was asked first, for each refusal: 800 hashes. And a request refused by another's word without reasons, as the store may hold it, counted as explained by others.

TestWhatIsRefusedWithoutReasonsIsNotExplained fails before.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -85,7 +85,7 @@
 			return false
 		}
 	}
-	return true
+	return len(r.reasons) > 0
 }
 
 // hasOtherHeld reports whether another refused content was at the server when it crashed,
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -119,18 +119,16 @@
 // mayTry reports whether a refused request may be sent once more: at one router
 // of the fleet, and one at a time.
 func (s *State) mayTry(now time.Time, content Fingerprint, r *record) bool {
-	if s.inFlight[content] > 0 || s.owner(content) != s.self {
+	if s.inFlight[content] > 0 {
 		return false
 	}
 	since := now.Sub(r.held)
-	if s.trialDue(since, r.trials) {
-		return true
+	due := s.trialDue(since, r.trials)
+	if !due && (r.trials == 0 || s.trialDue(since, r.trials-1)) {
+		// A bystander of others must not wait for as long as what crashes servers.
+		due = since >= s.cfg.ExplainedTrial && s.isExplained(content, r)
 	}
-	// A bystander of others must not wait for as long as what crashes servers.
-	if since < s.cfg.ExplainedTrial || !s.isExplained(content, r) {
-		return false
-	}
-	return r.trials == 0 || s.trialDue(since, r.trials-1)
+	return due && s.owner(content) == s.self
 }
 
 // trialDue reports whether it is time for the trial of that number.
--- a/coordination/quarantine/small_test.go
+++ b/coordination/quarantine/small_test.go
@@ -199,3 +199,35 @@
 	qt.Check(t, fresh.Check(at(5000), bad), qt.Equals, Refuse)
 	qt.Check(t, fresh.Check(at(5000), good), qt.Equals, Pass)
 }
+
+// Nothing explains a request of whose crashes nothing is known.
+func TestWhatIsRefusedWithoutReasonsIsNotExplained(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	s.Told(at(0), "b", Report{Held: []HeldReport{{Content: good}, {Content: bad}}})
+	qt.Check(t, s.Check(at(1000), good), qt.Equals, Refuse)
+	qt.Check(t, s.Check(at(1000), bad), qt.Equals, Refuse)
+}
+
+// The cost of a refusal at 800 routers.
+func BenchmarkRefusals(b *testing.B) {
+	for _, held := range []int{1, 32, 1024} {
+		b.Run(fmt.Sprint(held, " refused"), func(b *testing.B) {
+			s := New(DefaultConfig(), "a")
+			var routers []string
+			for i := range 800 {
+				routers = append(routers, fmt.Sprint("r-", i))
+			}
+			s.SetRouters(routers)
+			for content := range held {
+				var reasons []StrikeReport
+				for i := range 3 {
+					reasons = append(reasons, StrikeReport{Server: fmt.Sprint("i-", content, "-", i)})
+				}
+				s.Told(at(0), "b", Report{Held: []HeldReport{{Content: Fingerprint(content), Reasons: reasons}}})
+			}
+			for b.Loop() {
+				s.Check(at(1000), 0)
+			}
+		})
+	}
+}
