A failed soak test shows what the routers decided

Seen with the bound of wrong refusals set out of reach for one run: up to 60 lines of each router, of servers that crashed or were ejected, of requests refused and cleared, and of the store. Runs that pass write nothing.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -84,16 +85,42 @@
 func play(t *testing.T, bin string, size Size, plan Plan, cause string) *Record {
 	fleets <- struct{}{}
 	defer func() { <-fleets }()
-	w, err := Start(context.Background(), bin, t.TempDir(), size)
+	dir := t.TempDir()
+	w, err := Start(context.Background(), bin, dir, size)
 	if w != nil {
 		defer w.Close()
 	}
 	qt.Assert(t, err, qt.IsNil)
 	w.Run(plan, size.Callers)
-	qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record)))
+	if !qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record))) {
+		showDecisions(t, dir)
+	}
 	return w.Record
 }
 
+// shownEvents are the routers' events by which a broken promise is traced, and shownLines
+// bounds the lines of each router: the logs go with the test's folder.
+var shownEvents = []string{"serving", "store_lost", "store_back", "ejection", "backend_server_crashed", "request_quarantined", "request_cleared"}
+
+const shownLines = 60
+
+// showDecisions writes what the routers logged of servers and refused requests.
+func showDecisions(t *testing.T, dir string) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	qt.Check(t, err, qt.IsNil)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		qt.Check(t, err, qt.IsNil)
+		shown := 0
+		for line := range strings.Lines(string(data)) {
+			if shown < shownLines && slices.ContainsFunc(shownEvents, func(e string) bool { return strings.Contains(line, "event="+e+" ") }) {
+				shown++
+				t.Logf("%s: %s", filepath.Base(file), strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // TestShortSoak plays a short run of a few seeds and every seed that ever
 // failed. The whole soak is run by hand: make soak.
 func TestShortSoak(t *testing.T) {
