The soak builds its programs once, before the first fleet

Cause: since its tests run side by side each of them built the programs for itself, seven builds at a time, while the first fleets ran.

Ruled out: the product. Counted in a run of the package: ten links at once, and four of them still at work when the processes of the first fleets had begun.

--- a/bench/soak/reborn_test.go
+++ b/bench/soak/reborn_test.go
@@ -8,7 +8,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"goldcrestport/bench/fleet"
 	"goldcrestport/standin/backend"
 	"goldcrestport/standin/kvstore"
 )
@@ -20,7 +19,7 @@
 func TestAServerStartsAgainBesideARestartedStore(t *testing.T) {
 	c := qt.New(t)
 	size := Size{Routers: 3, Engines: 1, Plain: 1, Other: 1}
-	w, err := Start(context.Background(), fleet.BuildForTest(t), c.TempDir(), size)
+	w, err := Start(context.Background(), bin, c.TempDir(), size)
 	if w != nil {
 		defer w.Close()
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -23,13 +23,33 @@
 	25: "the same, and a key that was taken away went on to work",
 }
 
+// bin is the folder of the programs, which are built once, before the first fleet starts:
+// builds beside fleets take their processors for seconds.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "soak")
+	if err == nil {
+		defer os.RemoveAll(dir)
+		err = fleet.Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	bin = dir
+	return m.Run()
+}
+
 // A hang-up puts changed settings in force and ends neither the process nor a
 // request; what the process says last is in its log.
 func TestAHangUpReloadsAndAStopIsLogged(t *testing.T) {
 	c := qt.New(t)
 	dir := c.TempDir()
 	size := Size{Routers: 1, Engines: 1, Plain: 1, Other: 1, Callers: 1}
-	w, err := Start(context.Background(), fleet.BuildForTest(t), dir, size)
+	w, err := Start(context.Background(), bin, dir, size)
 	if w != nil {
 		defer w.Close()
 	}
@@ -69,20 +89,19 @@
 // playEach plays the plan with each seed, and looks at the records.
 func playEach(t *testing.T, seeds []uint64, size Size, plan Plan, look func(*testing.T, *Record)) {
 	t.Parallel()
-	bin := fleet.BuildForTest(t)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			plan := plan
 			plan.Seed = seed
-			look(t, play(t, bin, size, plan, ""))
+			look(t, play(t, size, plan, ""))
 		})
 	}
 }
 
 // play makes the failures of the plan in a fleet of its own, and wants every promise kept.
 // Cause is what the seed found once.
-func play(t *testing.T, bin string, size Size, plan Plan, cause string) *Record {
+func play(t *testing.T, size Size, plan Plan, cause string) *Record {
 	fleets <- struct{}{}
 	defer func() { <-fleets }()
 	dir := t.TempDir()
@@ -125,7 +144,6 @@
 // failed. The whole soak is run by hand: make soak.
 func TestShortSoak(t *testing.T) {
 	t.Parallel()
-	bin := fleet.BuildForTest(t)
 	seeds := map[uint64]string{101: "", 102: ""}
 	for seed, cause := range regressions {
 		seeds[seed] = cause
@@ -134,7 +152,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
-			play(t, bin, size, Plan{Seed: seed, Failures: 6 * time.Second, Every: 500 * time.Millisecond}, cause)
+			play(t, size, Plan{Seed: seed, Failures: 6 * time.Second, Every: 500 * time.Millisecond}, cause)
 		})
 	}
 }
@@ -195,11 +213,10 @@
 
 func TestLongSeedsThatFailedOnce(t *testing.T) {
 	t.Parallel()
-	bin := fleet.BuildForTest(t)
 	for seed, cause := range longRegressions {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, bin, DefaultSize(), DefaultPlan(seed), cause)
+			play(t, DefaultSize(), DefaultPlan(seed), cause)
 		})
 	}
 }
