What teams ask of each router and get, by second; goldcrestctl fairness

Change: state/teamuse counts by team (asked, begun, delivered, refused by reason, streams, closed unread by the caller's address and the team that it told before), transport/teamlog writes a line a second for each team and metrics; goldcrestctl fairness tells for each six seconds each team's share, where it came in, the margin, and what bound it. No decision changes; the admission state gives read access only. Ruled out: a line for each closed connection (thousands a second at a late router).

--- a/cmd/goldcrestctl/root.go
+++ b/cmd/goldcrestctl/root.go
@@ -86,7 +86,7 @@
 	}
 	cmd.AddCommand(a.planCommand(), a.confirmCommand(), a.settleCommand(), a.configCommand(), a.historyCommand(),
 		a.rollbackCommand(), a.statusCommand(), a.drainCommand(), a.undrainCommand(), a.evacuateCommand(),
-		a.validateCommand(), a.schemaCommand(), a.versionCommand(), explainCommand(), a.lossesCommand())
+		a.validateCommand(), a.schemaCommand(), a.versionCommand(), explainCommand(), a.lossesCommand(), a.fairnessCommand())
 	return cmd
 }
 
--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -23,6 +23,21 @@
 	return standing{share: share, served: s.teams.ServedStanding(team)}
 }
 
+// TeamStanding returns what the team got in relation to its share of the named capacity
+// and of what engines serve, and that share in tokens; 0 while all that is asked fits.
+func (s *State) TeamStanding(now time.Time, team string) (share, served, level float64) {
+	of := s.standing(now, fairshare.IDOf(team))
+	return of.share, of.served, s.teams.Level()
+}
+
+// Tokens returns the size of a request as shares count it: 0 for plain services.
+func (s *State) Tokens(req Request) float64 {
+	if !s.pool(req.Service).traits.Engine {
+		return 0
+	}
+	return s.tokens(req)
+}
+
 // limit is the estimated wait up to which the request is admitted.
 func (s *State) limit(req Request, c candidate, standing standing) time.Duration {
 	patience := float64(s.patience(req.Service))
--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -110,6 +110,15 @@
 	return m.standing(team, m.level)
 }
 
+// Level returns the max-min share of the capacity as of the last Standing, in tokens;
+// 0 while all that is asked fits.
+func (m *Meter) Level() float64 {
+	if math.IsInf(m.level, 1) {
+		return 0
+	}
+	return m.level
+}
+
 // ServedStanding returns what the team got in relation to its max-min share of
 // what all teams together got, as of the last Standing. It is 0 while nearly all
 // that is asked is served.
--- /dev/null
+++ b/protocol/fairness/read.go
@@ -0,0 +1,111 @@
+package fairness
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/protocol/outcome"
+	"goldcrestport/protocol/trail"
+)
+
+// Event is the event of the lines that are read.
+const Event = "team_use"
+
+// ErrNoLog means that no line tells what a team asked and got.
+var ErrNoLog = errors.New("no line tells what a team asked and got")
+
+// maxLine bounds a line that is read, in bytes; a longer one counts as broken.
+const maxLine = 64 << 10
+
+// Read takes the lines that tell what teams asked and got.
+func Read(from io.Reader) (*Log, error) {
+	l := &Log{}
+	in := bufio.NewReaderSize(from, maxLine)
+	for {
+		text, isCut, err := in.ReadLine()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		l.Lines++
+		for isCut && err == nil {
+			_, isCut, err = in.ReadLine()
+		}
+		if len(text) == maxLine {
+			l.Broken++
+			continue
+		}
+		l.line(string(text))
+	}
+	if len(l.counts) == 0 {
+		return nil, ErrNoLog
+	}
+	return l, nil
+}
+
+func (l *Log) line(text string) {
+	if !strings.Contains(text, "event="+Event+" ") {
+		return
+	}
+	line := trail.Parse([]byte(text))
+	at, err := time.Parse(time.RFC3339Nano, line["ts"])
+	if err != nil || line["left_out"] == "" {
+		l.Broken++
+		return
+	}
+	l.add(count{
+		// The line is written at the end of the second that it tells of.
+		second: at.Unix() - 1, team: line["team"], place: Place{DataCentre: line["data_centre"], Router: line["id"]},
+		use: Use{
+			Asked: number(line["asked"]), Begun: number(line["begun"]), Delivered: number(line["delivered"]),
+			Requests: int(number(line["requests"])), Unread: int(number(line["unread"])), Refused: refused(line["refused"], number(line["standing"])),
+		},
+	})
+}
+
+// refused reads counts written as reason:count.
+func refused(text string, standing float64) map[Bound]int {
+	if text == "" {
+		return nil
+	}
+	out := make(map[Bound]int)
+	for _, part := range strings.Split(text, ",") {
+		reason, n, _ := strings.Cut(part, ":")
+		out[boundOfReason(outcome.Reason(reason), standing)] += int(number(n))
+	}
+	return out
+}
+
+// boundOfReason tells what bound a refusal. One for the queues of the servers is the
+// share's when the team was beyond it.
+func boundOfReason(reason outcome.Reason, standing float64) Bound {
+	switch reason {
+	case outcome.ReasonQueueFull:
+		if standing > 1 {
+			return ByShare
+		}
+		return ByServer
+	case outcome.ReasonConnections:
+		return ByStreams
+	case outcome.ReasonLeaving, outcome.ReasonPlatform, outcome.ReasonNoConfig:
+		return ByRouter
+	default:
+		return ByServer
+	}
+}
+
+// number reads a figure; what is none counts as 0.
+func number(text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
--- /dev/null
+++ b/state/teamuse/teamuse.go
@@ -0,0 +1,142 @@
+// Package teamuse counts what the teams asked of one router and got from it, and which
+// team's callers connect from which address.
+//
+// The pattern that it answers: a team gets far less than others, and nobody can say
+// whether it was refused for its share, for lack of streams, or never heard, because
+// its connections were closed unread.
+//
+// Its tables are bounded. A Table is safe for concurrent use. Direct routers use it.
+package teamuse
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Use is what one team asked of the router and got, since a moment.
+type Use struct {
+	// Requests are the tries whose head was read, and Asked their tokens.
+	Requests int
+	Asked    float64
+	// Begun are the tokens of the requests that were sent to a backend server, and
+	// Delivered those of the requests that were answered whole.
+	Begun, Delivered float64
+	// Refused counts the refusals by their reason.
+	Refused map[string]int
+	// Unread are the connections that were closed before anything was read of them.
+	Unread int
+	// Streams are those that the team holds now.
+	Streams int
+}
+
+// isQuiet reports whether nothing happened.
+func (u *Use) isQuiet() bool {
+	return u.Requests == 0 && u.Begun == 0 && u.Delivered == 0 && u.Unread == 0 && len(u.Refused) == 0
+}
+
+// Row is the use of a named team.
+type Row struct {
+	Team string
+	Use
+}
+
+// Unknown is the team of callers of whom nothing was read yet.
+const Unknown = ""
+
+// Others is the name under which teams are counted beyond the bound.
+const Others = "(others)"
+
+// Table holds the counts of the current interval.
+type Table struct {
+	mu    sync.Mutex
+	most  int
+	teams map[string]*Use
+}
+
+// NewTable returns a table of at most that many teams; more count as Others.
+func NewTable(most int) *Table { return &Table{most: most, teams: make(map[string]*Use)} }
+
+// use returns the team's counts. The caller holds mu.
+func (t *Table) use(team string) *Use {
+	u := t.teams[team]
+	if u == nil && len(t.teams) >= t.most {
+		team = Others
+		u = t.teams[team]
+	}
+	if u == nil {
+		u = &Use{}
+		t.teams[team] = u
+	}
+	return u
+}
+
+// Asked counts a request that was read.
+func (t *Table) Asked(team string, tokens float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.use(team)
+	u.Requests++
+	u.Asked += tokens
+}
+
+// Begun counts a request that was sent to a backend server for the first time.
+func (t *Table) Begun(team string, tokens float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.use(team).Begun += tokens
+}
+
+// Delivered counts a request that was answered whole.
+func (t *Table) Delivered(team string, tokens float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.use(team).Delivered += tokens
+}
+
+// Refused counts a refusal.
+func (t *Table) Refused(team, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.use(team)
+	if u.Refused == nil {
+		u.Refused = make(map[string]int)
+	}
+	u.Refused[reason]++
+}
+
+// Unread counts a connection that was closed unread.
+func (t *Table) Unread(team string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.use(team).Unread++
+}
+
+// Stream counts one stream more of the team, or with -1 one less.
+func (t *Table) Stream(team string, by int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.use(team).Streams += by
+}
+
+// Take returns the teams of which something was counted since the last call, those
+// that asked for most first, and begins anew. Streams go on.
+func (t *Table) Take() []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []Row
+	for _, team := range slices.Sorted(maps.Keys(t.teams)) {
+		u := t.teams[team]
+		if !u.isQuiet() {
+			rows = append(rows, Row{team, *u})
+		}
+		if u.Streams == 0 {
+			delete(t.teams, team)
+		} else {
+			*u = Use{Streams: u.Streams}
+		}
+	}
+	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(b.Asked, a.Asked) })
+	return rows
+}
--- a/transport/callerconn/callerconn_test.go
+++ b/transport/callerconn/callerconn_test.go
@@ -1,7 +1,6 @@
 package callerconn
 
 import (
-	"expvar"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -143,9 +142,9 @@
 	c.Assert(err, qt.IsNil)
 	var sheds atomic.Bool
 	var served atomic.Int64
-	shed := new(expvar.Int)
+	var shed atomic.Int64
 	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
-	go func() { _ = srv.Serve(NewListener(tcp, 2, sheds.Load, shed)) }()
+	go func() { _ = srv.Serve(NewListener(tcp, 2, sheds.Load, func(net.Addr) { shed.Add(1) })) }()
 	c.Cleanup(func() { _ = srv.Close() })
 	ask := func(with *http.Client) error {
 		resp, err := with.Get("http://" + tcp.Addr().String())
@@ -165,7 +164,7 @@
 	}
 	c.Check(ask(kept), qt.IsNil)
 	c.Check(served.Load(), qt.Equals, int64(2))
-	c.Check(shed.Value() >= 5, qt.IsTrue)
+	c.Check(shed.Load() >= 5, qt.IsTrue)
 	sheds.Store(false)
 	c.Check(ask(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNil)
 }
--- a/transport/callerconn/listener.go
+++ b/transport/callerconn/listener.go
@@ -1,7 +1,6 @@
 package callerconn
 
 import (
-	"expvar"
 	"net"
 	"sync"
 )
@@ -12,13 +11,13 @@
 	net.Listener
 	places chan struct{}
 	sheds  func() bool
-	// shed counts the connections closed unread.
-	shed *expvar.Int
+	// shed is told of each connection that was closed unread.
+	shed func(from net.Addr)
 }
 
 // NewListener returns a listener that holds most connections at once, closes new ones
-// unread while sheds says so, and counts these in shed.
-func NewListener(l net.Listener, most int, sheds func() bool, shed *expvar.Int) *Listener {
+// unread while sheds says so, and tells shed of these.
+func NewListener(l net.Listener, most int, sheds func() bool, shed func(from net.Addr)) *Listener {
 	return &Listener{Listener: l, places: make(chan struct{}, most), sheds: sheds, shed: shed}
 }
 
@@ -39,8 +38,9 @@
 		if !l.sheds() {
 			return &boundConn{TCPConn: tcp, places: l.places}, nil
 		}
-		l.shed.Add(1)
+		from := tcp.RemoteAddr()
 		closeUnread(tcp)
+		l.shed(from)
 	}
 }
 
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -38,6 +38,7 @@
 // dispatch sends the request to servers until it has its final answer.
 func (c *call) dispatch(ctx context.Context) {
 	c.r.countRequest(c.service)
+	c.ask()
 	if c.r.isBlind() {
 		c.refuse(*notRun(outcome.ReasonPlatform, staleReturn, "this router has too much work to know which backend servers leave"))
 		return
@@ -47,7 +48,11 @@
 			c.refuse(*notRun(outcome.ReasonConnections, busyReturn, "this router passes on as many streams as it can"))
 			return
 		}
-		defer c.r.load.release(c.team)
+		c.r.teams.Stream(c.team, 1)
+		defer func() {
+			c.r.load.release(c.team)
+			c.r.teams.Stream(c.team, -1)
+		}()
 	}
 	var events eventstream.Follower
 	for {
@@ -60,6 +65,9 @@
 			c.unplaced(decision)
 			return
 		}
+		if c.sent == 0 && c.tokens > 0 {
+			c.r.teams.Begun(c.team, c.tokens)
+		}
 		next, err := c.attempt(ctx, decision.Run, &events)
 		switch {
 		case next == done:
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -201,6 +201,9 @@
 
 func (c *call) completed(answer *backend.Answer) {
 	c.r.metrics.completed(c)
+	if c.tokens > 0 && answer.Status < http.StatusBadRequest {
+		c.r.teams.Delivered(c.team, c.tokens)
+	}
 	c.logCompleted(answer.Status)
 }
 
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -29,6 +29,7 @@
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/observe"
+	"goldcrestport/transport/teamlog"
 )
 
 // Router is the process.
@@ -111,7 +112,9 @@
 	end      context.CancelFunc
 	abort    chan struct{}
 	callers  *callerconn.Set
-	once     sync.Once
+	// teams counts what each team asks of this router and gets.
+	teams *teamlog.Recorder
+	once  sync.Once
 }
 
 // New returns a router that has not bound anything yet.
@@ -142,6 +145,7 @@
 	r.admission.SetWarmup(r.warmup)
 	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
+	r.teams = teamlog.New(set.DataCentre, r.metrics.vars, r.event, r.teamStanding)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
 	r.failures = observe.NewLineLimitOf(r.metrics.dropped, failureLines)
 	return r
@@ -192,9 +196,10 @@
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
 	go func() {
-		_ = srv.Serve(callerconn.NewListener(callers, mostConnections(r.set), r.load.sheds.Load, r.metrics.shed))
+		_ = srv.Serve(callerconn.NewListener(callers, mostConnections(r.set), r.load.sheds.Load, r.closedUnread))
 	}()
 	go r.watchLoad(ctx)
+	go r.teams.Run(ctx)
 	r.event("serving", "callers", r.set.Listen.Callers)
 	<-stop
 	r.leave(srv)
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -49,6 +49,8 @@
 	arrived bool
 	avoid   []string
 	last    admission.Decision
+	// tokens is the size of the request; 0 for plain services.
+	tokens float64
 	// begun tells that a part of the answer was passed on.
 	begun bool
 }
@@ -134,6 +136,7 @@
 		return c.unknown(outcome.ReasonUnauthorized, http.StatusUnauthorized, "no team has this key")
 	}
 	c.team = team.Name
+	c.r.teams.Seen(remoteOf(c.conn()), c.team)
 	if !c.r.isFresh() {
 		return c.stale()
 	}
@@ -219,6 +222,9 @@
 	o.Fractional = true
 	c.logEnd(string(o.Reason), o.Status, o.RetryAfter)
 	c.r.metrics.outcomes.Add(string(o.Kind)+"/"+string(o.Reason), 1)
+	if c.tokens > 0 {
+		c.r.teams.Refused(c.team, string(o.Reason))
+	}
 	if c.r.crowded() {
 		// A refused caller comes back on another connection; this one would
 		// hold a descriptor in vain.
--- /dev/null
+++ b/transport/direct/teams.go
@@ -0,0 +1,42 @@
+package direct
+
+import (
+	"net"
+	"time"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/transport/teamlog"
+)
+
+// ask counts the request for its team.
+func (c *call) ask() {
+	c.r.mu.Lock()
+	c.tokens = c.r.admission.Tokens(admission.Request{Service: c.service, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output})
+	c.r.mu.Unlock()
+	if c.tokens > 0 {
+		c.r.teams.Asked(c.team, c.tokens)
+	}
+}
+
+// closedUnread notes that a connection was closed before anything was read of it.
+func (r *Router) closedUnread(from net.Addr) {
+	r.metrics.shed.Add(1)
+	r.teams.ClosedUnread(from)
+}
+
+// teamStanding tells where a team stands among all, as this router knows it.
+func (r *Router) teamStanding(team string) teamlog.Standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	share, served, level := r.admission.TeamStanding(now, team)
+	return teamlog.Standing{Share: share, Served: served, Level: level, PeersAge: r.admission.PeersAge(now)}
+}
+
+// remoteOf returns the far end of the connection, or nil without one.
+func remoteOf(conn net.Conn) net.Addr {
+	if conn == nil {
+		return nil
+	}
+	return conn.RemoteAddr()
+}
--- /dev/null
+++ b/transport/teamlog/teamlog.go
@@ -0,0 +1,153 @@
+// Package teamlog makes known what each team asked of a router and got: as one log line
+// a second for each team of which there is something to tell, and as metrics.
+//
+// Direct routers use it.
+package teamlog
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"goldcrestport/state/teamuse"
+	"goldcrestport/transport/observe"
+)
+
+// Bounds of a Recorder.
+const (
+	// mostTeams is the number of teams that are counted by name.
+	mostTeams = 512
+	// mostCallers is the number of callers' addresses whose team is remembered.
+	mostCallers = 8192
+	// linesEach is the number of lines a second; teams that asked for less are left
+	// out, which is told.
+	linesEach = 40
+	// every is the time between two lines of a team.
+	every = time.Second
+)
+
+// Standing is where a team stands among all, as the router knows it.
+type Standing struct {
+	// Share and Served are the team's standings, see admission.Decision.
+	Share, Served float64
+	// Level is the team's share of the named capacity in its window, in tokens; 0:
+	// all that is asked fits.
+	Level float64
+	// PeersAge is the age of the oldest word of another router that it rests on.
+	PeersAge time.Duration
+}
+
+// Recorder counts for one router.
+type Recorder struct {
+	*teamuse.Table
+	dataCentre string
+	callers    *teamuse.Callers
+	event      func(name string, keyvals ...any)
+	// standing tells where a team stands.
+	standing func(team string) Standing
+	totals   totals
+}
+
+// totals are the sums since the start, by team.
+type totals struct {
+	asked, begun, delivered, refused, unread *expvar.Map
+}
+
+// New returns the recorder of a router in the data centre, which writes lines by event
+// and whose sums are vars'.
+func New(dataCentre string, vars *observe.Vars, event func(name string, keyvals ...any), standing func(team string) Standing) *Recorder {
+	return &Recorder{
+		dataCentre: dataCentre, Table: teamuse.NewTable(mostTeams), callers: teamuse.NewCallers(mostCallers), event: event, standing: standing,
+		totals: totals{
+			asked: vars.Map("direct_team_asked_tokens"), begun: vars.Map("direct_team_begun_tokens"), delivered: vars.Map("direct_team_delivered_tokens"),
+			refused: vars.Map("direct_team_refused"), unread: vars.Map("direct_team_unread"),
+		},
+	}
+}
+
+// Seen notes the team of a caller's address.
+func (r *Recorder) Seen(from net.Addr, team string) {
+	if address, ok := addressOf(from); ok && team != teamuse.Unknown {
+		r.callers.Seen(address, team)
+	}
+}
+
+// TeamOf returns the team of a caller's address, or teamuse.Unknown.
+func (r *Recorder) TeamOf(from net.Addr) string {
+	address, ok := addressOf(from)
+	if !ok {
+		return teamuse.Unknown
+	}
+	return r.callers.Team(address)
+}
+
+// ClosedUnread counts a connection that was closed before anything was read of it.
+func (r *Recorder) ClosedUnread(from net.Addr) { r.Unread(r.TeamOf(from)) }
+
+func addressOf(a net.Addr) (netip.Addr, bool) {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}, false
+	}
+	return tcp.AddrPort().Addr().Unmap(), true
+}
+
+// Run writes lines until ctx ends.
+func (r *Recorder) Run(ctx context.Context) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.write()
+		}
+	}
+}
+
+// write makes known what was counted since the last call.
+func (r *Recorder) write() {
+	rows := r.Take()
+	for i, row := range rows {
+		r.totals.add(row)
+		if i >= linesEach {
+			continue
+		}
+		s := r.standing(row.Team)
+		r.event("team_use", "data_centre", r.dataCentre, "team", row.Team, "requests", row.Requests, "asked", whole(row.Asked), "begun", whole(row.Begun), "delivered", whole(row.Delivered),
+			"refused", reasons(row.Refused), "unread", row.Unread, "streams", row.Streams,
+			"standing", decimals(s.Share), "served", decimals(s.Served), "level", whole(s.Level), "peers_age_ms", s.PeersAge.Milliseconds(),
+			"left_out", max(len(rows)-linesEach, 0))
+	}
+}
+
+func (t totals) add(row teamuse.Row) {
+	t.asked.Add(row.Team, whole(row.Asked))
+	t.begun.Add(row.Team, whole(row.Begun))
+	t.delivered.Add(row.Team, whole(row.Delivered))
+	t.unread.Add(row.Team, int64(row.Unread))
+	for _, n := range row.Refused {
+		t.refused.Add(row.Team, int64(n))
+	}
+}
+
+func whole(tokens float64) int64 { return int64(tokens) }
+
+// decimals writes a standing with two of them.
+func decimals(v float64) string { return strconv.FormatFloat(v, 'f', 2, 64) }
+
+// reasons writes counts as reason:count, in the order of the reasons.
+func reasons(counts map[string]int) string {
+	parts := make([]string, 0, len(counts))
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, reason+":"+strconv.Itoa(counts[reason]))
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/transport/teamlog/teamlog_test.go
@@ -0,0 +1,47 @@
+package teamlog
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/transport/observe"
+)
+
+// recorded returns a recorder and the lines that it writes.
+func recorded() (*Recorder, *[]string) {
+	var lines []string
+	r := New("dc", observe.NewVars(), func(name string, keyvals ...any) {
+		lines = append(lines, fmt.Sprint(append([]any{name}, keyvals...)...))
+	},
+		func(string) Standing { return Standing{Share: 1.5, Level: 1000} })
+	return r, &lines
+}
+
+// A team whose connections were closed unread is named, once an earlier request told
+// whose callers they are.
+func TestUnreadConnectionsAreCountedForTheirTeam(t *testing.T) {
+	r, lines := recorded()
+	from := &net.TCPAddr{IP: net.IPv4(10, 0, 0, 7), Port: 4000}
+	r.ClosedUnread(from)
+	r.Seen(from, "a")
+	r.ClosedUnread(&net.TCPAddr{IP: net.IPv4(10, 0, 0, 7), Port: 4001})
+	r.write()
+	qt.Check(t, *lines, qt.HasLen, 2)
+	qt.Check(t, r.totals.unread.Get("a").String(), qt.Equals, "1")
+	qt.Check(t, r.totals.unread.Get("").String(), qt.Equals, "1")
+}
+
+// Lines are bounded: teams that asked for least are left out, and counted.
+func TestLinesAreBounded(t *testing.T) {
+	r, lines := recorded()
+	for i := range 2 * linesEach {
+		r.Asked(fmt.Sprint("t", i), float64(i))
+	}
+	r.write()
+	qt.Check(t, *lines, qt.HasLen, linesEach)
+	qt.Check(t, (*lines)[0], qt.Contains, fmt.Sprint("left_out", linesEach))
+	qt.Check(t, r.totals.asked.Get("t3").String(), qt.Equals, "3")
+}
