A test of a late router that goes by its own flood, which fails

Cause: seen in a play of two floods with counts by team: a flooded router of .144 cores, .4 to .6 s late, had heard of no other router (peers_age_ms 0, level 0), refused 355 of 355 requests of the least served team in a second as queue-full and began none, while servers began 1.1 M tokens a second of 2. It takes the silence that it hears by its own lateness for the others' and presumes that all 30 have what it has. Ruled out: a full queue at the servers (other routers began requests in that second).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -42,6 +42,8 @@
 	// capacity is the tokens that all engines produce in the teams' window;
 	// 0: unknown.
 	capacity float64
+	// late tells that this router reads its input late.
+	late bool
 }
 
 // pool holds the servers of one service.
--- /dev/null
+++ b/coordination/admission/deaf_test.go
@@ -0,0 +1,47 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a flooded router that reads late, takes its own deafness for the others'
+// silence, presumes that they have as much as it does, and refuses all beside idle
+// servers.
+func TestALateRouterGoesByWhatOthersToldLast(t *testing.T) {
+	const routers, servers = 30, 50
+	s := engines(servers)
+	s.SetRouters(routers)
+	now := epoch
+	tell := func() {
+		for i := range routers - 1 {
+			s.Told(now, fmt.Sprint("r-", i), Digest{All: true})
+		}
+	}
+	tell()
+	s.SetLate(true)
+	sent := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		s.Tick(now)
+		for i := range 10 {
+			req := prompt(2000, Part{ID: uint64(1000*sent + i), Tokens: 100})
+			if d := s.Place(now, req); d.Verdict == Send {
+				sent++
+				s.FirstByte(now, d.Run)
+			}
+		}
+	}
+	qt.Check(t, sent, qt.Equals, 200, qt.Commentf("of 200 requests that 50 idle servers can begin at once"))
+	qt.Check(t, s.PeersAge(now), qt.Equals, 2*time.Second)
+	// What is older than a flood says nothing any more, and in time again the usual bound holds.
+	s.Tick(now.Add(deafTime))
+	qt.Check(t, s.PeersAge(now.Add(deafTime)), qt.Equals, time.Duration(0))
+	tell()
+	s.SetLate(false)
+	s.Tick(now.Add(peerTime + time.Millisecond))
+	qt.Check(t, s.PeersAge(now.Add(peerTime+time.Millisecond)), qt.Equals, time.Duration(0))
+}
--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -45,6 +45,12 @@
 // is presumed to be like the others.
 const peerTime = time.Second
 
+// deafTime is how long it counts at a router that reads late.
+const deafTime = 10 * time.Second
+
+// SetLate tells whether this router reads its input late.
+func (s *State) SetLate(late bool) { s.late = late }
+
 // Digest returns what this router tells the others: the servers whose use
 // changed since the last digest, or all of them.
 func (s *State) Digest(now time.Time, all, teams bool) Digest {
