--- a/coordination/saturation/saturation_test.go
+++ b/coordination/saturation/saturation_test.go
@@ -67,6 +67,25 @@
 	qt.Check(t, l.Most() > 5*before, qt.IsTrue)
 }
 
+// Guards against a router that forgets in a quiet moment what it can pass on, so that the
+// next wave of a flood makes it late once more.
+func TestAQuietMomentDoesNotUndoTheLimit(t *testing.T) {
+	l, now := NewLimit(DefaultLimitConfig()), time.Unix(1000, 0)
+	l.Adjust(now, 80*time.Millisecond, 200)
+	before := l.Most()
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		l.Adjust(now, time.Millisecond, 10)
+	}
+	qt.Check(t, l.Most() >= before && l.Most() < before*13/10, qt.IsTrue, qt.Commentf("%d after %d", l.Most(), before))
+	// In half a minute more it is forgotten all the same.
+	for range 240 {
+		now = now.Add(250 * time.Millisecond)
+		l.Adjust(now, time.Millisecond, 10)
+	}
+	qt.Check(t, l.Most() > 2*before, qt.IsTrue)
+}
+
 // A team that floods the router does not push the small ones out.
 func TestAFloodLeavesRoomForOthers(t *testing.T) {
 	for _, tc := range []struct {
