A late router goes by what the others told last

What callers saw: at a flooded router every request of a team was refused for a second and more as if servers were full, while they were not. Cause: a router that reads late hears nothing; after a second it dropped the others' words and presumed that all have what it has, its own flood. Mend: while it reads late, their last words count for ten seconds. Ruled out: a greater time for all routers (a router that is gone is noticed by it).

--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -45,11 +45,15 @@
 // is presumed to be like the others.
 const peerTime = time.Second
 
-// deafTime is how long it counts at a router that reads late.
+// deafTime is how long it counts at a router that reads late: that hears nothing whoever
+// speaks, and a flood's router is like no other.
 const deafTime = 10 * time.Second
 
 // SetLate tells whether this router reads its input late.
-func (s *State) SetLate(late bool) { s.late = late }
+func (s *State) SetLate(late bool) {
+	s.late = late
+	s.teams.SetLate(late)
+}
 
 // Digest returns what this router tells the others: the servers whose use
 // changed since the last digest, or all of them.
@@ -138,8 +142,12 @@
 // out. It is to be called several times a second.
 func (s *State) Tick(now time.Time) {
 	s.forgetParted(now)
+	most := peerTime
+	if s.late {
+		most = deafTime
+	}
 	for router, p := range s.peers {
-		if now.Sub(p.at) <= peerTime {
+		if now.Sub(p.at) <= most {
 			continue
 		}
 		for id := range p.servers {
--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -43,6 +43,8 @@
 	served  float64
 	leveled time.Time
 	total   map[TeamID]Use
+	// late tells that this router reads its input late.
+	late bool
 }
 
 // report is what another router told.
@@ -55,6 +57,13 @@
 // longest period between two of them.
 const ReportTime = 2 * time.Second
 
+// deafTime is how long it counts at a router that reads late, which hears nothing
+// whoever speaks.
+const deafTime = 10 * time.Second
+
+// SetLate tells whether this router reads its input late.
+func (m *Meter) SetLate(late bool) { m.late = late }
+
 // levelTime is how long a computed level is used. A slice of the window is
 // half a second, so that a tenth of it changes little.
 const levelTime = 50 * time.Millisecond
@@ -143,8 +152,12 @@
 func (m *Meter) relevel(now time.Time, capacity float64) {
 	m.leveled = now
 	m.total = m.Own(now)
+	most := ReportTime
+	if m.late {
+		most = deafTime
+	}
 	for router, r := range m.peers {
-		if now.Sub(r.at) > ReportTime {
+		if now.Sub(r.at) > most {
 			delete(m.peers, router)
 			continue
 		}
--- a/transport/direct/load.go
+++ b/transport/direct/load.go
@@ -29,9 +29,10 @@
 	late atomic.Int64
 	// most is the greatest number of streams; 0 for no bound.
 	most atomic.Int64
-	// growth is the collector's target in force. Only the duty that measures
-	// uses it.
-	growth int
+	// growth is the collector's target in force, and hearsLate what the decisions know
+	// of the lateness. Only the duty that measures uses them.
+	growth    int
+	hearsLate bool
 
 	mu sync.Mutex
 	// streams is the number of streams held, of all teams and of each.
@@ -158,6 +159,7 @@
 	limit.Adjust(now, tracker.Mean(), r.load.held())
 	r.load.late.Store(int64(tracker.Mean()))
 	r.load.sheds.Store(tracker.Sheds())
+	r.hearsLate(!tracker.Calm())
 	r.load.most.Store(int64(limit.Most()))
 	if growth := saturation.HeapGrowth(r.load.growth, tracker.Mean()); growth != r.load.growth {
 		r.load.growth = growth
@@ -171,6 +173,17 @@
 	}
 }
 
+// hearsLate tells the decisions whether what others tell may lie unread here.
+func (r *Router) hearsLate(late bool) {
+	if late == r.load.hearsLate {
+		return
+	}
+	r.load.hearsLate = late
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admission.SetLate(late)
+}
+
 // blindAge is the age of a saturated router's knowledge from which it sends
 // nothing: servers that announced their leaving less than the users' shortest
 // bound of 2 s ago may still get work, and a flooded instance takes seconds to
