What is refused for streams or closed unread counts as asked for

What callers saw: a team was refused 753 of 932 requests in a second for lack of streams and counted as asking for the rest only; the others' share rose for it. Cause: a request counted as asked for when its server was chosen, after the bound of streams; what was closed unread never. Mend: it counts when it was read; what is closed unread counts with the mean size of its team's requests, where an earlier request told whose address it is. Ruled out: counting by requests (teams' requests differ fivefold in tokens).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -229,7 +229,7 @@
 // the wait there is within its patience.
 func (s *State) placeEngine(now time.Time, req Request, usable []*server) Decision {
 	team, tokens := fairshare.IDOf(req.Team), s.tokens(req)
-	if !req.Sent {
+	if !req.Sent && !req.Asked {
 		// A request that comes back counts again: its team asks for what it
 		// did not get, and whether it comes back is only a guess.
 		s.teams.Ask(now, team, tokens)
--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -30,12 +30,19 @@
 	return of.share, of.served, s.teams.Level()
 }
 
-// Tokens returns the size of a request as shares count it: 0 for plain services.
-func (s *State) Tokens(req Request) float64 {
+// Ask counts a request as asked for and returns its size, 0 for plain services.
+func (s *State) Ask(now time.Time, req Request) (tokens float64) {
 	if !s.pool(req.Service).traits.Engine {
 		return 0
 	}
-	return s.tokens(req)
+	tokens = s.tokens(req)
+	s.teams.Ask(now, fairshare.IDOf(req.Team), tokens)
+	return tokens
+}
+
+// AskUnread counts a request of the team that was turned away unread.
+func (s *State) AskUnread(now time.Time, team string) {
+	s.teams.AskUnread(now, fairshare.IDOf(team))
 }
 
 // limit is the estimated wait up to which the request is admitted.
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -39,6 +39,8 @@
 	Repeatable bool
 	// Sent tells that the request was sent before and is counted already.
 	Sent bool
+	// Asked tells that it was counted as asked for when it came.
+	Asked bool
 	// Again tells that a server may have run it: it goes on at a further one
 	// whatever the wait.
 	Again bool
--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -23,6 +23,8 @@
 	asked, begun [parts]float64
 	// turned is the number of the newest slice.
 	turned int64
+	// mean is the mean size of the team's requests lately, in tokens.
+	mean float64
 }
 
 // TeamID names a team in messages between routers.
@@ -77,12 +79,28 @@
 
 // Ask counts a request of the team, whatever becomes of it.
 func (m *Meter) Ask(now time.Time, team TeamID, tokens float64) {
-	m.turn(now, team).asked[0] += tokens
+	w := m.turn(now, team)
+	w.asked[0] += tokens
+	if w.mean == 0 {
+		w.mean = tokens
+	}
+	w.mean += meanGain * (tokens - w.mean)
 	u := m.total[team]
 	u.Asked += tokens
 	m.total[team] = u
 }
 
+// meanGain is the weight of one request in the mean size of a team's.
+const meanGain = 0.05
+
+// AskUnread counts a request of the team that was turned away unread: of the mean size of
+// those that were read. A team of which none was asks for what nobody knows.
+func (m *Meter) AskUnread(now time.Time, team TeamID) {
+	if w := m.own[team]; w != nil && w.mean > 0 {
+		m.Ask(now, team, w.mean)
+	}
+}
+
 // Begin counts a request of the team that was sent to a server.
 func (m *Meter) Begin(now time.Time, team TeamID, tokens float64) {
 	m.turn(now, team).begun[0] += tokens
@@ -191,7 +209,7 @@
 	}
 	for ; w.turned < n; w.turned++ {
 		if n-w.turned > parts {
-			*w = window{turned: n}
+			*w = window{turned: n, mean: w.mean}
 			return w
 		}
 		copy(w.asked[1:], w.asked[:])
--- a/transport/direct/place.go
+++ b/transport/direct/place.go
@@ -12,7 +12,7 @@
 func (c *call) place() admission.Decision {
 	req := admission.Request{
 		Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output, Shared: c.meta.Shared,
-		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Homes: c.homes(), Repeatable: c.route.MayRepeat(), Sent: c.sent > 0, Again: c.reached > 0,
+		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Homes: c.homes(), Repeatable: c.route.MayRepeat(), Sent: c.sent > 0, Asked: c.tokens > 0, Again: c.reached > 0,
 	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
--- a/transport/direct/teams.go
+++ b/transport/direct/teams.go
@@ -5,23 +5,30 @@
 	"time"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/teamlog"
 )
 
-// ask counts the request for its team.
+// ask counts the request for its team, whatever becomes of it.
 func (c *call) ask() {
 	c.r.mu.Lock()
-	c.tokens = c.r.admission.Tokens(admission.Request{Service: c.service, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output})
+	c.tokens = c.r.admission.Ask(time.Now(), admission.Request{Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output})
 	c.r.mu.Unlock()
 	if c.tokens > 0 {
 		c.r.teams.Asked(c.team, c.tokens)
 	}
 }
 
-// closedUnread notes that a connection was closed before anything was read of it.
+// closedUnread notes that a connection was closed before anything was read of it: its
+// team asked for what it did not get.
 func (r *Router) closedUnread(from net.Addr) {
 	r.metrics.shed.Add(1)
 	r.teams.ClosedUnread(from)
+	if team := r.teams.TeamOf(from); team != teamuse.Unknown {
+		r.mu.Lock()
+		r.admission.AskUnread(time.Now(), team)
+		r.mu.Unlock()
+	}
 }
 
 // teamStanding tells where a team stands among all, as this router knows it.
