Nothing is sent on after its deadline or its caller's end

What callers saw: nothing; servers worked for callers who had left. Mend: a request arrived when its bytes did, by the kernel's word (TCP_INFO) or, where that says nothing, since its connection was taken, as far as the router's lateness explains it; what is over is refused as not run. Right before the first byte the time, the caller's end and the server are asked, whatever the lateness. Evidence: both tests failed before (a request whose 300 ms passed in 600 ms was sent and answered 200; one whose caller had left was sent). Ruled out: the context of the request (it ends when the runtime reads the connection's end, which a late router does late).

--- a/transport/callerconn/set.go
+++ b/transport/callerconn/set.go
@@ -40,6 +40,8 @@
 	closed bool
 	// requests counts those that came on it.
 	requests int
+	// accepted is when the connection was taken.
+	accepted time.Time
 }
 
 // NewSet returns a set without connections.
@@ -51,7 +53,7 @@
 	defer c.mu.Unlock()
 	one := c.all[conn]
 	if one == nil {
-		one = &caller{}
+		one = &caller{accepted: time.Now()}
 		c.all[conn] = one
 	}
 	switch state {
@@ -85,6 +87,18 @@
 	return one != nil && one.requests <= 1
 }
 
+// SinceAccepted returns how long ago the connection was taken, if it has its first
+// request; else 0.
+func (c *Set) SinceAccepted(conn net.Conn, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	one := c.all[conn]
+	if one == nil || one.requests > 1 {
+		return 0
+	}
+	return now.Sub(one.accepted)
+}
+
 // Told notes whether the answer that goes out names a short life.
 func (c *Set) Told(conn net.Conn, short bool) {
 	c.mu.Lock()
--- a/transport/direct/announced.go
+++ b/transport/direct/announced.go
@@ -8,6 +8,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/transport/callerconn"
 )
 
 // Reasons for which a request that was placed is not sent any more.
@@ -15,11 +16,26 @@
 	errTooLate = errors.New("too late for a cold server")
 	errLeft    = errors.New("the server left")
 	errBackoff = errors.New("the server wants no requests for a time")
+	errOver    = errors.New("the time limit passed")
+	// errCallerLeft is of the caller, not of the server.
+	errCallerLeft = errors.New("the caller left")
 )
 
-// mayBegin returns why the request must not go to the server after all, or nil. Between
-// the decision and the first byte a connection is opened, and a flooded router runs
-// other requests: what was heard of the server meanwhile counts.
+// mayBegin returns why the request must not be sent after all, or nil. Between the
+// decision and the first byte a connection is opened, and a flooded router runs other
+// requests: what became of the caller and the server meanwhile counts.
+func (c *call) mayBegin(run *admission.Run, server roster.Server) error {
+	switch {
+	case c.left() <= 0:
+		return errOver
+	case callerconn.HasEnded(c.conn()):
+		return errCallerLeft
+	default:
+		return c.r.mayBegin(run, server)
+	}
+}
+
+// mayBegin returns why a request must not go to the server after all, or nil.
 func (r *Router) mayBegin(run *admission.Run, server roster.Server) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -87,7 +87,7 @@
 	defer func() { c.r.runEnded(run, result) }()
 	left := c.left()
 	if left <= 0 {
-		return failed, context.DeadlineExceeded
+		return refused, errOver
 	}
 	c.sent++
 	if c.team != "" && !c.r.isFresh() {
@@ -103,12 +103,6 @@
 	if server.Incarnation != run.Incarnation() {
 		return refused, errors.New("the server started again")
 	}
-	if c.r.isLate() && c.hasLeft() {
-		// Between the first look and here a late router may take half a second,
-		// in which its caller gave up unnoticed.
-		c.callerLeft()
-		return done, nil
-	}
 	c.arrived = true
 	c.avoid = append(c.avoid, server.ID)
 	ctx, span := c.r.tracer.Start(ctx, observe.SpanBackend, trace.SpanKindClient)
@@ -120,12 +114,16 @@
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
 		Head:  func(status int, h http.Header) bool { return c.headOf(server, status, h) },
-		Begin: func() error { return c.r.mayBegin(run, server) },
+		Begin: func() error { return c.mayBegin(run, server) },
 	})
 	if failure != nil {
 		if failure.Stage == backend.NotSent {
 			c.arrived = false
 			c.r.sendEnded(sent, quarantine.NotRun)
+			if errors.Is(failure.Err, errCallerLeft) {
+				c.callerLeft()
+				return done, nil
+			}
 			if isRefused(failure.Err) {
 				c.r.crashed(server)
 			}
@@ -209,6 +207,8 @@
 		c.callerLeft()
 	case c.begun:
 		c.cut(errText(err))
+	case c.reached == 0 && after == refused && c.left() <= 0:
+		c.refuse(*tooLate())
 	case c.reached == 0 && after == refused:
 		c.refuse(*notRun(outcome.ReasonNoBackend, c.returnAfter(), "no backend server took the request"))
 	case ctx.Err() != nil && c.r.ending.Err() != nil:
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -14,6 +14,7 @@
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
+	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/observe"
 )
 
@@ -30,8 +31,11 @@
 	body    []byte
 	// content names what is asked for, alike for every attempt of the caller;
 	// 0 until the body is read.
-	content  quarantine.Fingerprint
+	content quarantine.Fingerprint
+	// received is when the request arrived, whether or not it was read at once.
 	received time.Time
+	// unread is how long it lay at this router before it was read.
+	unread time.Duration
 	// deadline is when the caller must have its final answer.
 	deadline time.Time
 
@@ -64,6 +68,8 @@
 	defer span.End()
 	req = req.WithContext(traced)
 	c := &call{r: r, w: w, req: req, meta: r.dialect.Meta(req.Header), received: time.Now()}
+	c.unread = c.lay()
+	c.received = c.received.Add(-c.unread)
 	if r.unready.Load() {
 		// Idle connections stay open until the end: one that is closed while
 		// a caller sends on it leaves the caller in doubt.
@@ -90,6 +96,19 @@
 	return &o
 }
 
+// lay returns how long the request lay at this router before it was read: by the kernel's
+// word, or, where it says nothing, since the connection was taken, as far as the router's
+// lateness explains it. A caller may open its connection before it needs it.
+func (c *call) lay() time.Duration {
+	late := unreadPerLate * time.Duration(c.r.load.late.Load())
+	return max(callerconn.SinceData(c.conn()), min(c.r.callers.SinceAccepted(c.conn(), c.received), late))
+}
+
+// tooLate refuses a request whose caller waits no longer; nothing of it ran.
+func tooLate() *outcome.Outcome {
+	return notRun(outcome.ReasonDeadline, 0, "the time limit passed before the request was sent to a backend server")
+}
+
 // admit finds the route and the team, and reads the body.
 func (c *call) admit() *outcome.Outcome {
 	r := c.r
@@ -109,6 +128,9 @@
 		return notRun(outcome.ReasonLeaving, staleReturn, "this router is leaving")
 	}
 	c.deadline = c.received.Add(c.timeLeft())
+	if c.left() <= 0 {
+		return tooLate()
+	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
 	_ = rc.SetWriteDeadline(c.deadline.Add(outcomeSlack))
