The limit of streams begins low, grows fast until the first lateness, and stays in quiet moments

What callers saw: a flooded small router took 120 to 280 streams at once, could pass on about 100, was late for 4 to 8 s and closed all that came meanwhile; again with each wave. Cause: nothing bound streams until the mean lateness was 50 ms, and the limit of 67 that followed grew by 5 % each 250 ms while nothing tested it, to 260 to 450 in ten seconds. Mend: 128 at first, 1.6 times each 250 ms while three quarters are used and the router is in time, until it is late once; after that 5 %, and .5 % while few are held. Test: a check of TestTheLimitSettlesAtWhatTheProcessorCanDo asked that the limit rises fivefold in ten seconds with ten streams, which is the fault. It is replaced by two as strict: fivefold in ten seconds while the streams use it, and, in TestAQuietMomentDoesNotUndoTheLimit (seen failing: 1,196 after 170), less than 1.3 times with ten, twice in a minute more.

--- a/coordination/saturation/limit.go
+++ b/coordination/saturation/limit.go
@@ -16,15 +16,22 @@
 	// Shrink and Grow are the factors of a change. Default 0.85 and 1.05.
 	Shrink float64
 	Grow   float64
+	// Forget is the factor of a change while few streams are held, which tell nothing of
+	// how many more could be. Default 1.005: the limit doubles in half a minute.
+	Forget float64
 	// Least is the least number of streams. Default 64, which the smallest
 	// instances pass on with ease.
 	Least int
+	// First is the number of streams at the start, and Start the factor of a change
+	// until the router was late for the first time. Defaults 128 and 1.6.
+	First int
+	Start float64
 }
 
 // DefaultLimitConfig returns the documented defaults.
 func DefaultLimitConfig() LimitConfig {
 	return LimitConfig{
-		High: 50 * time.Millisecond, Low: 20 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Least: 64,
+		High: 50 * time.Millisecond, Low: 20 * time.Millisecond, Every: 250 * time.Millisecond, Shrink: 0.85, Grow: 1.05, Forget: 1.005, Least: 64, First: 128, Start: 1.6,
 	}
 }
 
@@ -36,10 +43,17 @@
 	cfg     LimitConfig
 	most    float64
 	changed time.Time
+	// settled tells that the router was late once.
+	settled bool
 }
 
-// NewLimit returns a limit that bounds nothing until the router is late.
-func NewLimit(cfg LimitConfig) *Limit { return &Limit{cfg: cfg} }
+// NewLimit returns a limit that grows fast until the router is late: a flood that comes
+// all at once brings more streams than it can pass on before it is.
+func NewLimit(cfg LimitConfig) *Limit { return &Limit{cfg: cfg, most: float64(cfg.First)} }
+
+// usedShare is the part of the limit from which the streams held show whether more can
+// be.
+const usedShare = 0.75
 
 // Adjust takes the mean lateness and the number of requests held.
 func (l *Limit) Adjust(now time.Time, late time.Duration, held int) {
@@ -47,16 +61,17 @@
 		return
 	}
 	switch {
-	case late > l.cfg.High && l.most > 0 && float64(held) < l.most/2:
+	case late > l.cfg.High && float64(held) < l.most/2:
 		// What makes the router late is not the streams.
 		return
 	case late > l.cfg.High:
-		from := float64(held)
-		if l.most > 0 {
-			from = min(from, l.most)
-		}
-		l.most = max(from*l.cfg.Shrink, float64(l.cfg.Least))
-	case late < l.cfg.Low && l.most > 0:
+		l.settled = true
+		l.most = max(min(float64(held), l.most)*l.cfg.Shrink, float64(l.cfg.Least))
+	case late < l.cfg.Low && float64(held) < usedShare*l.most:
+		l.most *= l.cfg.Forget
+	case late < l.cfg.Low && !l.settled:
+		l.most *= l.cfg.Start
+	case late < l.cfg.Low:
 		l.most *= l.cfg.Grow
 	default:
 		return
@@ -64,7 +79,7 @@
 	l.changed = now
 }
 
-// Most returns the greatest number of requests, 0 for no bound.
+// Most returns the greatest number of streams.
 func (l *Limit) Most() int { return int(l.most) }
 
 // Figures of Admits.
