--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -46,7 +46,8 @@
 	leveled time.Time
 	total   map[TeamID]Use
 	// late tells that this router reads its input late.
-	late bool
+	late   bool
+	holder holder
 }
 
 // report is what another router told.
@@ -73,7 +74,7 @@
 // NewMeter returns a meter of a sliding window.
 func NewMeter(length time.Duration) *Meter {
 	return &Meter{
-		width: length / parts, own: make(map[TeamID]*window), peers: make(map[string]report), total: make(map[TeamID]Use), level: unlimited, served: unlimited,
+		width: length / parts, own: make(map[TeamID]*window), peers: make(map[string]report), total: make(map[TeamID]Use), level: unlimited, served: unlimited, holder: holder{least: unlimited},
 	}
 }
 
@@ -197,6 +198,13 @@
 	if served < servedShare*all {
 		m.served = Level(asked, served)
 	}
+	m.holder.observe(m)
+}
+
+// Holds reports whether the team got more than its share and more than the factor of what
+// the least served team that asks for more got, as of the last Standing.
+func (m *Meter) Holds(team TeamID, factor float64) bool {
+	return m.holder.holds(m, team, factor)
 }
 
 // turn moves the team's window to the time.
--- /dev/null
+++ b/coordination/intake/intake_test.go
@@ -0,0 +1,144 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestConfigNamesWhatIsWrong(t *testing.T) {
+	qt.Check(t, DefaultConfig().Validate(), qt.IsNil)
+	bad := DefaultConfig()
+	bad.Pressed, bad.Least = 100, 0
+	qt.Check(t, bad.Validate(), qt.ErrorMatches, "(?s).*Pressed.*")
+}
+
+// flow is the connections of a team in a second.
+type flow struct {
+	team   string
+	perSec int
+	beyond bool
+}
+
+// play lets connections come, from a moment on for a time, at a router that decides on so
+// many a second, and returns how many were read of each team in the last half.
+func play(s *State, from, span time.Duration, bears float64, flows ...flow) map[string]float64 {
+	const step = 5 * time.Millisecond
+	now := time.Unix(1000, 0).Add(from)
+	read, due := make(map[string]float64), make(map[string]float64)
+	var backlog []string
+	decides := 0.0
+	for at := time.Duration(0); at < span; at += step {
+		now = now.Add(step)
+		for _, f := range flows {
+			due[f.team] += float64(f.perSec) * step.Seconds()
+			for ; due[f.team] >= 1; due[f.team]-- {
+				if !s.Dealing() && !s.HasRoom() {
+					continue // it waits in the kernel, and goes
+				}
+				if s.Takes(now, f.team, f.beyond) {
+					backlog = append(backlog, f.team)
+					if at >= span/2 {
+						read[f.team] += 1 / (span / 2).Seconds()
+					}
+				}
+			}
+		}
+		decides = min(decides+bears*step.Seconds(), 5)
+		for ; len(backlog) > 0 && decides >= 1; decides-- {
+			s.Decided(backlog[0])
+			backlog = backlog[1:]
+		}
+		if (at/step)%5 == 0 {
+			s.Observe(now, 0, false)
+		}
+	}
+	for _, team := range backlog {
+		s.Decided(team)
+	}
+	return read
+}
+
+// Guards against a flooded router that closes all that comes for seconds: it goes on to
+// read about what it can.
+func TestALateRouterReadsWhatItCan(t *testing.T) {
+	got := play(New(DefaultConfig()), 0, 10*time.Second, 200, flow{team: "flood", perSec: 3000})
+	qt.Check(t, got["flood"] > 140 && got["flood"] < 230, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// Guards against callers who are closed unread beside another team's flood.
+func TestAFloodDoesNotCloseTheOthersConnections(t *testing.T) {
+	got := play(New(DefaultConfig()), 0, 10*time.Second, 200, flow{team: "flood", perSec: 3000}, flow{team: "a", perSec: 30}, flow{team: "b", perSec: 40})
+	qt.Check(t, got["a"] > 28, qt.IsTrue, qt.Commentf("%v", got))
+	qt.Check(t, got["b"] > 38, qt.IsTrue, qt.Commentf("%v", got))
+	qt.Check(t, got["flood"] > 80, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// Guards against a team that has had its share taking the places of one that has not.
+func TestATeamBelowItsShareIsReadFirst(t *testing.T) {
+	got := play(New(DefaultConfig()), 0, 10*time.Second, 200, flow{"had", 2000, true}, flow{"below", 1000, false})
+	qt.Check(t, got["below"] > 120, qt.IsTrue, qt.Commentf("%v", got))
+	qt.Check(t, got["had"] < 40, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// When a flood is over, everything is read again.
+func TestAfterAFloodAllIsRead(t *testing.T) {
+	s := New(DefaultConfig())
+	play(s, 0, 5*time.Second, 200, flow{team: "flood", perSec: 3000})
+	qt.Check(t, s.Dealing(), qt.IsTrue)
+	got := play(s, 5*time.Second, 6*time.Second, 200, flow{team: "a", perSec: 100})
+	qt.Check(t, s.Dealing(), qt.IsFalse)
+	qt.Check(t, got["a"] > 98, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// A router whose streams are full reads few requests, which it would refuse.
+func TestWhatWouldBeReadInVainIsNotRead(t *testing.T) {
+	s := New(DefaultConfig())
+	play(s, 0, 5*time.Second, 200, flow{team: "flood", perSec: 3000})
+	now, read := time.Unix(1005, 0), 0
+	s.Observe(now, 0, true)
+	for range 100 {
+		for range 100 {
+			if s.Takes(now, "flood", false) {
+				read++
+				s.Decided("flood")
+			}
+		}
+		now = now.Add(50 * time.Millisecond)
+		s.Observe(now, 0, true)
+	}
+	qt.Check(t, float64(read) < 1.5*5*DefaultConfig().Least, qt.IsTrue, qt.Commentf("%d in 5 s", read))
+}
+
+// No more connections are undecided than there are places, however many come.
+func TestFewConnectionsAreUndecided(t *testing.T) {
+	s, now := New(DefaultConfig()), time.Unix(1000, 0)
+	for i := range 400 {
+		now = now.Add(5 * time.Millisecond)
+		for range 50 {
+			if s.Dealing() || s.HasRoom() {
+				s.Takes(now, "flood", false)
+			}
+		}
+		s.Observe(now, 0, false)
+		qt.Assert(t, s.undecided <= DefaultConfig().Calm, qt.IsTrue)
+		if i > 20 && s.undecided > DefaultConfig().Pressed-4 {
+			for range 4 {
+				s.Decided("flood")
+			}
+		}
+		if i > 100 {
+			qt.Assert(t, s.undecided <= DefaultConfig().Pressed, qt.IsTrue, qt.Commentf("%d", i))
+		}
+	}
+}
+
+// Names are bounded, whoever calls.
+func TestTeamsAreBounded(t *testing.T) {
+	s := New(DefaultConfig())
+	for i := range 2000 {
+		s.Takes(time.Unix(1000, 0), string(rune('a'+i)), false)
+	}
+	qt.Check(t, len(s.teams) <= DefaultConfig().Teams+1, qt.IsTrue)
+}
