A late router deals out which connections it reads

What callers saw: at a flooded small router one team's tries, and those of others there, were closed unread for seconds: 84 to 90 of 100 of the least served team's. Cause: a bound by arrival. All connections were accepted at once, and what was accepted and not decided on kept the processor from streams, from what other routers tell (refused as platform-unavailable: 816 of 816 in one second) and from closing; then all were closed. A refused request closes its connection meanwhile.

--- a/transport/callerconn/callerconn_test.go
+++ b/transport/callerconn/callerconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,6 +134,26 @@
 	qt.Check(t, c.Sweep(time.Now().Add(time.Minute), time.Second, 0), qt.Equals, 1)
 }
 
+// testGate takes everything, or nothing.
+type testGate struct {
+	closes atomic.Bool
+	closed atomic.Int64
+	// decided counts the connections that gave their place before a decision back.
+	decided atomic.Int64
+}
+
+func (g *testGate) Chooses() bool { return g.closes.Load() }
+
+func (g *testGate) Wait() {}
+
+func (g *testGate) Takes(netip.Addr) (func(), bool) {
+	if g.closes.Load() {
+		g.closed.Add(1)
+		return nil, false
+	}
+	return func() { g.decided.Add(1) }, true
+}
+
 // Pattern: one caller's flood brings a small router more connections than it can
 // read. Those that come new are closed before anything is read of them, at once,
 // and nothing of them runs; connections that it has are served.
@@ -140,11 +161,10 @@
 	c := qt.New(t)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	var sheds atomic.Bool
+	gate := &testGate{}
 	var served atomic.Int64
-	var shed atomic.Int64
 	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
-	go func() { _ = srv.Serve(NewListener(tcp, 2, sheds.Load, func(net.Addr) { shed.Add(1) })) }()
+	go func() { _ = srv.Serve(NewListener(tcp.(*net.TCPListener), 2, gate)) }()
 	c.Cleanup(func() { _ = srv.Close() })
 	ask := func(with *http.Client) error {
 		resp, err := with.Get("http://" + tcp.Addr().String())
@@ -155,7 +175,7 @@
 	}
 	kept := &http.Client{Transport: &http.Transport{}}
 	c.Assert(ask(kept), qt.IsNil)
-	sheds.Store(true)
+	gate.closes.Store(true)
 	// More than there are places: a connection that is shed takes none.
 	for range 5 {
 		began := time.Now()
@@ -164,7 +184,16 @@
 	}
 	c.Check(ask(kept), qt.IsNil)
 	c.Check(served.Load(), qt.Equals, int64(2))
-	c.Check(shed.Load() >= 5, qt.IsTrue)
-	sheds.Store(false)
+	c.Check(gate.closed.Load() >= 5, qt.IsTrue)
+	gate.closes.Store(false)
 	c.Check(ask(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNil)
+	// Each connection gives the place before its decision back once.
+	kept.CloseIdleConnections()
+	for range 100 {
+		if gate.decided.Load() == 2 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Check(gate.decided.Load(), qt.Equals, int64(2))
 }
--- a/transport/direct/callers.go
+++ b/transport/direct/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -11,6 +12,14 @@
 // conn is the connection of the call, or nil.
 func (c *call) conn() net.Conn { return callerconn.Of(c.req.Context()) }
 
+// from returns the caller's address, or none.
+func (c *call) from() netip.Addr {
+	if conn := c.conn(); conn != nil {
+		return callerconn.AddressOf(conn.RemoteAddr())
+	}
+	return netip.Addr{}
+}
+
 // isSwept reports whether this router closed the call's connection as idle.
 func (c *call) isSwept() bool { return c.r.callers.Swept(c.conn()) }
 
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -16,6 +16,7 @@
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
+	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/observe"
 )
 
@@ -61,6 +62,7 @@
 		}
 		decision := c.place()
 		c.last = decision
+		callerconn.Decided(c.conn())
 		if decision.Verdict != admission.Send {
 			c.unplaced(decision)
 			return
--- a/transport/direct/load.go
+++ b/transport/direct/load.go
@@ -23,8 +23,6 @@
 	saturated atomic.Bool
 	// away tells that the router is out of the balancer's rotation.
 	away atomic.Bool
-	// sheds tells that new connections are closed unread.
-	sheds atomic.Bool
 	// late is the mean lateness in nanoseconds.
 	late atomic.Int64
 	// most is the greatest number of streams; 0 for no bound.
@@ -158,7 +156,10 @@
 	r.load.saturated.Store(tracker.Saturated())
 	limit.Adjust(now, tracker.Mean(), r.load.held())
 	r.load.late.Store(int64(tracker.Mean()))
-	r.load.sheds.Store(tracker.Sheds())
+	held := r.load.held()
+	if r.gate.Observe(now, late, held >= limit.Most()) {
+		r.event("intake", "chooses", r.gate.Chooses(), "lateness", tracker.Mean(), "streams", held, "most", limit.Most())
+	}
 	r.hearsLate(!tracker.Calm())
 	r.load.most.Store(int64(limit.Most()))
 	if growth := saturation.HeapGrowth(r.load.growth, tracker.Mean()); growth != r.load.growth {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -16,6 +16,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/freshness"
+	"goldcrestport/coordination/intake"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/returning"
@@ -28,6 +29,7 @@
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/callerconn"
+	"goldcrestport/transport/callergate"
 	"goldcrestport/transport/observe"
 	"goldcrestport/transport/teamlog"
 )
@@ -114,7 +116,9 @@
 	callers  *callerconn.Set
 	// teams counts what each team asks of this router and gets.
 	teams *teamlog.Recorder
-	once  sync.Once
+	// gate decides which new connections are read.
+	gate *callergate.Gate
+	once sync.Once
 }
 
 // New returns a router that has not bound anything yet.
@@ -146,6 +150,7 @@
 	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
 	r.teams = teamlog.New(set.DataCentre, r.metrics.vars, r.event, r.teamStanding)
+	r.gate = callergate.New(intake.DefaultConfig(), r.teams.TeamOf, r.isBeyond, r.closedUnread)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
 	r.failures = observe.NewLineLimitOf(r.metrics.dropped, failureLines)
 	return r
@@ -196,7 +201,7 @@
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
 	go func() {
-		_ = srv.Serve(callerconn.NewListener(callers, mostConnections(r.set), r.load.sheds.Load, r.closedUnread))
+		_ = srv.Serve(callerconn.NewListener(callers.(*net.TCPListener), mostConnections(r.set), r.gate))
 	}()
 	go r.watchLoad(ctx)
 	go r.teams.Run(ctx)
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -158,7 +158,7 @@
 		return c.unknown(outcome.ReasonUnauthorized, http.StatusUnauthorized, "no team has this key")
 	}
 	c.team = team.Name
-	c.r.teams.Seen(remoteOf(c.conn()), c.team)
+	c.r.teams.Seen(c.from(), c.team)
 	if !c.r.isFresh() {
 		return c.stale()
 	}
@@ -242,12 +242,13 @@
 // refuse gives the caller its final answer.
 func (c *call) refuse(o outcome.Outcome) {
 	o.Fractional = true
+	callerconn.Decided(c.conn())
 	c.logEnd(string(o.Reason), o.Status, o.RetryAfter)
 	c.r.metrics.outcomes.Add(string(o.Kind)+"/"+string(o.Reason), 1)
 	if c.tokens > 0 {
 		c.r.teams.Refused(c.team, string(o.Reason))
 	}
-	if c.r.crowded() {
+	if c.r.crowded() || c.r.gate.Chooses() {
 		// A refused caller comes back on another connection; this one would
 		// hold a descriptor in vain.
 		c.w.Header().Set("Connection", "close")
--- a/transport/direct/teams.go
+++ b/transport/direct/teams.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"net"
 	"time"
 
 	"goldcrestport/coordination/admission"
@@ -21,16 +20,19 @@
 
 // closedUnread notes that a connection was closed before anything was read of it: its
 // team asked for what it did not get.
-func (r *Router) closedUnread(from net.Addr) {
+func (r *Router) closedUnread(team string) {
 	r.metrics.shed.Add(1)
-	r.teams.ClosedUnread(from)
-	if team := r.teams.TeamOf(from); team != teamuse.Unknown {
+	r.teams.Unread(team)
+	if team != teamuse.Unknown {
 		r.mu.Lock()
 		r.admission.AskUnread(time.Now(), team)
 		r.mu.Unlock()
 	}
 }
 
+// isBeyond reports whether the team got more than its share.
+func (r *Router) isBeyond(team string) bool { return r.teamStanding(team).Share > 1 }
+
 // teamStanding tells where a team stands among all, as this router knows it.
 func (r *Router) teamStanding(team string) teamlog.Standing {
 	r.mu.Lock()
@@ -39,11 +41,3 @@
 	share, served, level := r.admission.TeamStanding(now, team)
 	return teamlog.Standing{Share: share, Served: served, Level: level, PeersAge: r.admission.PeersAge(now)}
 }
-
-// remoteOf returns the far end of the connection, or nil without one.
-func remoteOf(conn net.Conn) net.Addr {
-	if conn == nil {
-		return nil
-	}
-	return conn.RemoteAddr()
-}
--- a/transport/teamlog/teamlog.go
+++ b/transport/teamlog/teamlog.go
@@ -8,7 +8,6 @@
 	"context"
 	"expvar"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -72,31 +71,14 @@
 }
 
 // Seen notes the team of a caller's address.
-func (r *Recorder) Seen(from net.Addr, team string) {
-	if address, ok := addressOf(from); ok && team != teamuse.Unknown {
-		r.callers.Seen(address, team)
+func (r *Recorder) Seen(from netip.Addr, team string) {
+	if from.IsValid() && team != teamuse.Unknown {
+		r.callers.Seen(from, team)
 	}
 }
 
 // TeamOf returns the team of a caller's address, or teamuse.Unknown.
-func (r *Recorder) TeamOf(from net.Addr) string {
-	address, ok := addressOf(from)
-	if !ok {
-		return teamuse.Unknown
-	}
-	return r.callers.Team(address)
-}
-
-// ClosedUnread counts a connection that was closed before anything was read of it.
-func (r *Recorder) ClosedUnread(from net.Addr) { r.Unread(r.TeamOf(from)) }
-
-func addressOf(a net.Addr) (netip.Addr, bool) {
-	tcp, ok := a.(*net.TCPAddr)
-	if !ok {
-		return netip.Addr{}, false
-	}
-	return tcp.AddrPort().Addr().Unmap(), true
-}
+func (r *Recorder) TeamOf(from netip.Addr) string { return r.callers.Team(from) }
 
 // Run writes lines until ctx ends.
 func (r *Recorder) Run(ctx context.Context) {
--- a/transport/teamlog/teamlog_test.go
+++ b/transport/teamlog/teamlog_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -24,10 +24,10 @@
 // whose callers they are.
 func TestUnreadConnectionsAreCountedForTheirTeam(t *testing.T) {
 	r, lines := recorded()
-	from := &net.TCPAddr{IP: net.IPv4(10, 0, 0, 7), Port: 4000}
-	r.ClosedUnread(from)
+	from := netip.MustParseAddr("10.0.0.7")
+	r.Unread(r.TeamOf(from))
 	r.Seen(from, "a")
-	r.ClosedUnread(&net.TCPAddr{IP: net.IPv4(10, 0, 0, 7), Port: 4001})
+	r.Unread(r.TeamOf(from))
 	r.write()
 	qt.Check(t, *lines, qt.HasLen, 2)
 	qt.Check(t, r.totals.unread.Get("a").String(), qt.Equals, "1")
