Teams beyond their share are held to 1.5 times the least served

What callers saw: one team got 4.8 M tokens in six seconds, 2.6 times its share, while one that asked for as much got 2.1 M. Cause: servers' queues are short while routers bind, so that the admissible wait of a team beyond its share holds nobody back. Mend: a team beyond its share gets nothing more while it has over 1.5 times of what the least served one got that asks for its share at least and gets less than .7 of what it asks; never below its share.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -247,8 +247,9 @@
 		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing.share, Served: standing.served,
 		Unread: int(best.unread), QueueTokens: int(best.queue.unread), QueueRuns: int(best.queue.runs),
 	}
-	if best.wait > limit && !req.Again {
-		d.Verdict, d.Reason = Refuse, ReasonWait
+	held := s.teams.Holds(team, s.cfg.Hold)
+	if (best.wait > limit || held) && !req.Again {
+		d.Verdict, d.Reason, d.Held = Refuse, ReasonWait, held
 		d.RetryAfter = min(max(best.wait-limit, s.cfg.ReturnLeast), s.cfg.ReturnMost)
 		return d
 	}
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -83,6 +83,10 @@
 	// LevelMost at most either way. Default 2 and 2.5.
 	Levelling float64
 	LevelMost float64
+	// Hold is the factor of what the least served team got that asks for more beyond
+	// which a team that is beyond its share gets nothing; 0: teams are not held. Default
+	// 1.5.
+	Hold float64
 	// Window in which teams share the capacity. Default 4s.
 	Window time.Duration
 	// BeliefTime is how long a part is believed to be cached after its last
@@ -133,6 +137,7 @@
 		Crowding:       0.9,
 		Levelling:      2,
 		LevelMost:      2.5,
+		Hold:           1.5,
 		Window:         4 * time.Second,
 		BeliefTime:     10 * time.Second,
 		AnnounceTokens: 12,
@@ -172,6 +177,7 @@
 	check(c.Levelling >= 0, "Levelling must not be negative")
 	check(c.LevelMost >= 1, "LevelMost must be at least 1")
 	check(c.Below >= 1, "Below must be at least 1")
+	check(c.Hold == 0 || c.Hold >= 1, "Hold must be 0 or at least 1")
 	check(c.Window > 0, "Window must be positive")
 	check(c.BeliefTime > 0, "BeliefTime must be positive")
 	check(c.AnnounceTokens >= 0, "AnnounceTokens must not be negative")
