Teams are held less where the least served is near its share; late callers' places are for who comes

(2) A test with callers who send nothing, and one router: they took all places before a known team's callers came. Places: beyond their share while three quarters are free, else an even part with one more counted for who comes.

--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -84,8 +84,8 @@
 	Levelling float64
 	LevelMost float64
 	// Hold is the factor of what the least served team got that asks for more beyond
-	// which a team that is beyond its share gets nothing; 0: teams are not held. Default
-	// 1.5.
+	// which a team that is well beyond its share gets nothing; 0: teams are not held.
+	// Default 1.5.
 	Hold float64
 	// Window in which teams share the capacity. Default 4s.
 	Window time.Duration
--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -201,7 +201,7 @@
 	m.holder.observe(m)
 }
 
-// Holds reports whether the team got more than its share and more than the factor of what
+// Holds reports whether the team got well more than its share and more than the factor of what
 // the least served team that asks for more got, as of the last Standing.
 func (m *Meter) Holds(team TeamID, factor float64) bool {
 	return m.holder.holds(m, team, factor)
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -7,8 +7,8 @@
 // seconds, and hits the few connections of others as it hits the flood. So only a few
 // connections are between their acceptance and the decision on their request at any
 // time, and while these places are taken the next connections are closed unread. Half of
-// the places go to whoever comes, the others evenly to teams within their share of the
-// servers' capacity.
+// the places go to teams within their share of the servers' capacity as they come, the
+// others evenly to them, and those beyond it get one while most are free.
 //
 // A State is pure. Direct routers use it.
 package intake
@@ -88,6 +88,8 @@
 	// change.
 	came    float64
 	arrived int
+	// beyond tells that it is beyond its share.
+	beyond bool
 }
 
 // State is the intake of one router. It must be used by one goroutine at a time.
@@ -96,7 +98,7 @@
 	teams map[string]*team
 	// undecided is the number of connections whose request is not decided on.
 	undecided int
-	// holders is the number of teams that called lately, at least 1.
+	// holders is the number of teams within their share that called lately, at least 1.
 	holders int
 	// pressed is since when half of the places were taken; zero while most are free.
 	pressed time.Time
@@ -152,15 +154,21 @@
 	return true
 }
 
-// freePart is the part of the places that any team gets; the others are dealt out evenly,
-// to teams within their share.
-const freePart = 0.5
+// freePart is the part of the places that any team gets that is within its share, and
+// beyondPart that of teams beyond it. The others are dealt out evenly, to teams within their
+// share, of which one may come that did not call lately.
+const (
+	freePart   = 0.5
+	beyondPart = 0.25
+)
 
 // isDealt reports whether the team gets a place.
 func (s *State) isDealt(t *team, beyond bool) bool {
-	free := float64(s.undecided) < freePart*s.places
+	t.beyond = beyond
+	taken := float64(s.undecided) / s.places
+	isEven := t.undecided < max(int(s.places)/(s.holders+1), 1)
 	switch {
-	case !s.HasRoom() || !free && (beyond || t.undecided >= max(int(s.places)/s.holders, 1)):
+	case !s.HasRoom() || beyond && taken >= beyondPart || taken >= freePart && !isEven:
 		return false
 	case !s.full || t.came < s.cfg.Least && !beyond:
 		return true
@@ -228,7 +236,7 @@
 		if t.came < quiet && t.undecided <= 0 {
 			delete(s.teams, name)
 		}
-		if t.came >= holds {
+		if t.came >= holds && !t.beyond {
 			s.holders++
 		}
 	}
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -98,8 +98,12 @@
 
 // lay returns how long the request lay at this router before it was read: by the kernel's
 // word, or, where it says nothing, since the connection was taken, as far as the router's
-// lateness explains it. A caller may open its connection before it needs it.
+// lateness explains it. A caller may open its connection before it needs it. A later
+// request of a connection lies as long as the router is late.
 func (c *call) lay() time.Duration {
+	if !c.r.isLate() && !c.r.callers.IsFirst(c.conn()) {
+		return 0
+	}
 	late := unreadPerLate * time.Duration(c.r.load.late.Load())
 	return max(callerconn.SinceData(c.conn()), min(c.r.callers.SinceAccepted(c.conn(), c.received), late))
 }
