The soak checks that nothing reaches a server after its deadline

Change: a run that began more than 100 ms after its caller's time is a breach, unless the way or the router was disturbed; both sides in the table of the checks' test. Ruled out: 100 ms after a caller's leaving too: what a relay passes on under load is later; the check of runs that go on (500 ms) stays for it.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -38,6 +38,7 @@
 	{"a planned stop cuts nothing", cutByStop},
 	{"a final answer comes in time", lateAnswer},
 	{"a caller that left ends its run", ranOn},
+	{"nothing is sent after its deadline", sentLate},
 	{"repeats are bounded", tooManyRepeats},
 	{"a request that crashes servers reaches few more", crashedOn},
 	{"what crashes no server is not refused for it", blamed},
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -102,6 +102,14 @@
 			r.Began(run("s", plainService, 5, 10))
 			r.Began(run("z", plainService, 11, 15))
 		}},
+		{"sent after its deadline", "nothing is sent after its deadline", func(r *Record) {
+			r.Calls = []Call{call(Once, 0, 1800)}
+			r.Began(run("s", plainService, 1650, 1700))
+		}},
+		{"sent at its deadline", "", func(r *Record) {
+			r.Calls = []Call{call(Once, 0, 1590)}
+			r.Began(run("s", plainService, 1550, 1580))
+		}},
 		{"refused and ran", "a refusal is true", func(r *Record) {
 			c := call(Once, 0, 20)
 			c.Status = 503
