What closed connections by lateness alone is gone from saturation

Cause: nothing asks Tracker.Sheds any more since connections are dealt out. Change: removed with its constant; its test moves to the intake as TestARouterThatFallsBehindChoosesAndRecovers, as strict: from 35 ms on it chooses, before it is saturated; it takes connections all the while (the old one: none until it had caught up), and chooses no more when it has. Ruled out: keeping it for the model, which names the lateness itself. Conclusion: no behaviour changes.

--- a/coordination/intake/fleet_test.go
+++ b/coordination/intake/fleet_test.go
@@ -244,7 +244,7 @@
 
 func (f *modelFleet) take(r *modelRouter, a attempt) {
 	team := a.flow.team
-	closes := r.tracker.Sheds()
+	closes := r.tracker.Mean() >= DefaultConfig().Late
 	if f.design.deals {
 		closes = !r.in.Takes(at(f.now), team, f.standing(team) > 1)
 	}
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -82,6 +82,29 @@
 	qt.Check(t, got["had"] < 40, qt.IsTrue, qt.Commentf("%v", got))
 }
 
+// A router that falls behind closes some of what comes new before it is saturated, and
+// takes connections all the while, so that it never refuses all of them while it says that
+// it is ready.
+func TestARouterThatFallsBehindChoosesAndRecovers(t *testing.T) {
+	s, now := New(DefaultConfig()), time.Unix(1000, 0)
+	observe := func(late, span time.Duration) {
+		for range span / (25 * time.Millisecond) {
+			now = now.Add(25 * time.Millisecond)
+			s.Observe(now, late, false)
+		}
+	}
+	observe(5*time.Millisecond, time.Second)
+	qt.Check(t, s.Dealing(), qt.IsFalse)
+	observe(35*time.Millisecond, time.Second)
+	qt.Check(t, s.Dealing(), qt.IsTrue)
+	qt.Check(t, s.Takes(now, "a", false), qt.IsTrue)
+	s.Decided("a")
+	observe(5*time.Millisecond, 200*time.Millisecond)
+	qt.Check(t, s.Takes(now, "a", false), qt.IsTrue)
+	observe(5*time.Millisecond, 2*time.Second)
+	qt.Check(t, s.Dealing(), qt.IsFalse)
+}
+
 // When a flood is over, everything is read again.
 func TestAfterAFloodAllIsRead(t *testing.T) {
 	s := New(DefaultConfig())
--- a/coordination/saturation/saturation.go
+++ b/coordination/saturation/saturation.go
@@ -3,9 +3,9 @@
 //
 // The pattern that it answers: the balancer chooses a router by a hash of the
 // caller, so that one caller who sends many times its usual falls on one small
-// instance, while others idle. A router that has too much closes new connections
-// unread, bounds its streams, sends nothing on old knowledge and, by
-// coordination/rotation, leaves the balancer's rotation.
+// instance, while others idle. A router that has too much bounds its streams, sends
+// nothing on old knowledge and, by coordination/rotation, leaves the balancer's rotation;
+// which new connections it reads is coordination/intake's.
 //
 // A Tracker is pure.
 //
@@ -22,10 +22,6 @@
 	Enter time.Duration
 	// Leave is the mean lateness below which it is calm again. Default 10ms.
 	Leave time.Duration
-	// Shed is the mean lateness from which new connections are closed before
-	// anything is read of them. Default 30ms: what is accepted then is read after
-	// about six times as long, a third of the most urgent objective.
-	Shed time.Duration
 	// Gain is the weight of one observation in the mean. Default 0.1, which
 	// at one each 25ms forgets in a quarter of a second.
 	Gain float64
@@ -33,7 +29,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Enter: 45 * time.Millisecond, Leave: 10 * time.Millisecond, Shed: 30 * time.Millisecond, Gain: 0.1}
+	return Config{Enter: 45 * time.Millisecond, Leave: 10 * time.Millisecond, Gain: 0.1}
 }
 
 // Tracker follows the lateness of input. It must be used by one goroutine at a
@@ -68,14 +64,5 @@
 // Calm reports whether input is read in time.
 func (t *Tracker) Calm() bool { return t.mean < float64(t.cfg.Leave) }
 
-// Sheds reports whether new connections are to be closed unread.
-//
-// The pattern that it answers: one caller's flood brings a small router more
-// connections than it can read. Refusing one takes reading it, so that the input
-// of all callers there lies unread for seconds, longer than they wait. A caller
-// whose connection was closed unread knows that its request did not run and goes
-// to another router at once.
-func (t *Tracker) Sheds() bool { return t.mean >= float64(t.cfg.Shed) }
-
 // Mean returns the mean lateness.
 func (t *Tracker) Mean() time.Duration { return time.Duration(t.mean) }
--- a/coordination/saturation/saturation_test.go
+++ b/coordination/saturation/saturation_test.go
@@ -148,17 +148,3 @@
 		qt.Check(t, growth, qt.Equals, step.want, qt.Commentf("%v", step.late))
 	}
 }
-
-// A router that falls behind closes what comes new before it is saturated, and
-// takes connections again as soon as it has caught up, so that it never refuses
-// all of them for long while it says that it is ready.
-func TestARouterThatFallsBehindShedsAndRecovers(t *testing.T) {
-	tr := New(DefaultConfig())
-	observe(tr, 5*time.Millisecond, time.Second)
-	qt.Check(t, tr.Sheds(), qt.IsFalse)
-	observe(tr, 35*time.Millisecond, time.Second)
-	qt.Check(t, tr.Sheds(), qt.IsTrue)
-	qt.Check(t, tr.Saturated(), qt.IsFalse)
-	observe(tr, 5*time.Millisecond, 200*time.Millisecond)
-	qt.Check(t, tr.Sheds(), qt.IsFalse)
-}
