--- a/state/teamuse/teamuse.go
+++ b/state/teamuse/teamuse.go
@@ -5,14 +5,14 @@
 // whether it was refused for its share, for lack of streams, or never heard, because
 // its connections were closed unread.
 //
-// Its tables are bounded. A Table is safe for concurrent use. Direct routers use it.
+// Its tables are bounded; each must be used by one goroutine at a time. Direct routers use
+// it, through transport/teamlog.
 package teamuse
 
 import (
 	"cmp"
 	"maps"
 	"slices"
-	"sync"
 )
 
 // Use is what one team asked of the router and got, since a moment.
@@ -50,7 +50,6 @@
 
 // Table holds the counts of the current interval.
 type Table struct {
-	mu    sync.Mutex
 	most  int
 	teams map[string]*Use
 }
@@ -58,7 +57,7 @@
 // NewTable returns a table of at most that many teams; more count as Others.
 func NewTable(most int) *Table { return &Table{most: most, teams: make(map[string]*Use)} }
 
-// use returns the team's counts. The caller holds mu.
+// use returns the team's counts.
 func (t *Table) use(team string) *Use {
 	u := t.teams[team]
 	if u == nil && len(t.teams) >= t.most {
@@ -74,8 +73,6 @@
 
 // Asked counts a request that was read.
 func (t *Table) Asked(team string, tokens float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	u := t.use(team)
 	u.Requests++
 	u.Asked += tokens
@@ -83,22 +80,16 @@
 
 // Begun counts a request that was sent to a backend server for the first time.
 func (t *Table) Begun(team string, tokens float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.use(team).Begun += tokens
 }
 
 // Delivered counts a request that was answered whole.
 func (t *Table) Delivered(team string, tokens float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.use(team).Delivered += tokens
 }
 
 // Refused counts a refusal.
 func (t *Table) Refused(team, reason string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	u := t.use(team)
 	if u.Refused == nil {
 		u.Refused = make(map[string]int)
@@ -108,23 +99,17 @@
 
 // Unread counts a connection that was closed unread.
 func (t *Table) Unread(team string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.use(team).Unread++
 }
 
 // Stream counts one stream more of the team, or with -1 one less.
 func (t *Table) Stream(team string, by int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.use(team).Streams += by
 }
 
 // Take returns the teams of which something was counted since the last call, those
 // that asked for most first, and begins anew. Streams go on.
 func (t *Table) Take() []Row {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	var rows []Row
 	for _, team := range slices.Sorted(maps.Keys(t.teams)) {
 		u := t.teams[team]
--- a/state/teamuse/teamuse_test.go
+++ b/state/teamuse/teamuse_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -50,16 +49,14 @@
 	qt.Check(t, sum, qt.Equals, 10.0)
 }
 
-func address(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}) }
-
 // The team of an address is known while it calls, whatever number of others do.
 func TestAnAddressThatCallsIsRemembered(t *testing.T) {
-	c := NewCallers(20)
-	c.Seen(address(0), "a")
+	c := NewCallers[int](20)
+	c.Seen(0, "a")
 	for i := range 1000 {
-		c.Seen(address(i+1), "b")
-		qt.Assert(t, c.Team(address(0)), qt.Equals, "a")
+		c.Seen(i+1, "b")
+		qt.Assert(t, c.Team(0), qt.Equals, "a")
 	}
 	qt.Check(t, len(c.now)+len(c.before) <= 20, qt.IsTrue)
-	qt.Check(t, c.Team(address(1)), qt.Equals, Unknown)
+	qt.Check(t, c.Team(1), qt.Equals, Unknown)
 }
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -15,6 +15,7 @@
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
+	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/observe"
@@ -49,10 +50,10 @@
 			c.refuse(*notRun(outcome.ReasonConnections, busyReturn, "this router passes on as many streams as it can"))
 			return
 		}
-		c.r.teams.Stream(c.team, 1)
+		c.r.teams.Count(func(t *teamuse.Table) { t.Stream(c.team, 1) })
 		defer func() {
 			c.r.load.release(c.team)
-			c.r.teams.Stream(c.team, -1)
+			c.r.teams.Count(func(t *teamuse.Table) { t.Stream(c.team, -1) })
 		}()
 	}
 	var events eventstream.Follower
@@ -68,7 +69,7 @@
 			return
 		}
 		if c.sent == 0 && c.tokens > 0 {
-			c.r.teams.Begun(c.team, c.tokens)
+			c.r.teams.Count(func(t *teamuse.Table) { t.Begun(c.team, c.tokens) })
 		}
 		next, err := c.attempt(ctx, decision.Run, &events)
 		switch {
--- a/transport/direct/load.go
+++ b/transport/direct/load.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -11,13 +9,10 @@
 
 	"goldcrestport/coordination/rotation"
 	"goldcrestport/coordination/saturation"
+	"goldcrestport/transport/lateness"
 )
 
-// probeEvery is the time between two measurements of how late input is read.
-const probeEvery = 25 * time.Millisecond
-
-// load follows how late this process reads its input. Timers do not tell: the
-// runtime looks at them before it looks at connections.
+// load follows how late this process reads its input.
 type load struct {
 	// saturated tells that the processor has more work than it can do.
 	saturated atomic.Bool
@@ -108,45 +103,12 @@
 	return l.streams
 }
 
-// watchLoad measures until ctx ends: the time of sending goes through a pipe,
-// and its way takes as long as that of any input.
+// watchLoad measures until ctx ends.
 func (r *Router) watchLoad(ctx context.Context) {
-	out, in, err := os.Pipe()
+	tracker, limit := saturation.New(saturation.DefaultConfig()), saturation.NewLimit(saturation.DefaultLimitConfig())
+	err := lateness.Watch(ctx, func(now time.Time, late time.Duration) { r.observeLoad(tracker, limit, now, late) })
 	if err != nil {
 		r.event("load_unknown", "err", err)
-		return
-	}
-	begin := time.Now()
-	go probe(ctx, in, begin)
-	defer out.Close()
-	tracker, limit := saturation.New(saturation.DefaultConfig()), saturation.NewLimit(saturation.DefaultLimitConfig())
-	var b [8]byte
-	for {
-		if _, err := out.Read(b[:]); err != nil {
-			return
-		}
-		now := time.Now()
-		late := now.Sub(begin) - time.Duration(binary.LittleEndian.Uint64(b[:]))
-		r.observeLoad(tracker, limit, now, late)
-	}
-}
-
-// probe writes the time since begin into the pipe, again and again.
-func probe(ctx context.Context, in *os.File, begin time.Time) {
-	defer in.Close()
-	ticker := time.NewTicker(probeEvery)
-	defer ticker.Stop()
-	var b [8]byte
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		binary.LittleEndian.PutUint64(b[:], uint64(time.Since(begin)))
-		if _, err := in.Write(b[:]); err != nil {
-			return
-		}
 	}
 }
 
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -12,6 +12,7 @@
 	"goldcrestport/coordination/health"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
+	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/backend"
 )
 
@@ -202,7 +203,7 @@
 func (c *call) completed(answer *backend.Answer) {
 	c.r.metrics.completed(c)
 	if c.tokens > 0 && answer.Status < http.StatusBadRequest {
-		c.r.teams.Delivered(c.team, c.tokens)
+		c.r.teams.Count(func(t *teamuse.Table) { t.Delivered(c.team, c.tokens) })
 	}
 	c.logCompleted(answer.Status)
 }
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -14,6 +14,7 @@
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
+	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/observe"
 )
@@ -250,7 +251,7 @@
 	c.logEnd(string(o.Reason), o.Status, o.RetryAfter)
 	c.r.metrics.outcomes.Add(string(o.Kind)+"/"+string(o.Reason), 1)
 	if c.tokens > 0 {
-		c.r.teams.Refused(c.team, string(o.Reason))
+		c.r.teams.Count(func(t *teamuse.Table) { t.Refused(c.team, string(o.Reason)) })
 	}
 	if c.r.crowded() || c.r.gate.Chooses() {
 		// A refused caller comes back on another connection; this one would
--- a/transport/direct/teams.go
+++ b/transport/direct/teams.go
@@ -14,7 +14,7 @@
 	c.tokens = c.r.admission.Ask(time.Now(), admission.Request{Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output})
 	c.r.mu.Unlock()
 	if c.tokens > 0 {
-		c.r.teams.Asked(c.team, c.tokens)
+		c.r.teams.Count(func(t *teamuse.Table) { t.Asked(c.team, c.tokens) })
 	}
 }
 
@@ -22,7 +22,7 @@
 // team asked for what it did not get.
 func (r *Router) closedUnread(team string) {
 	r.metrics.shed.Add(1)
-	r.teams.Unread(team)
+	r.teams.Count(func(t *teamuse.Table) { t.Unread(team) })
 	if team != teamuse.Unknown {
 		r.mu.Lock()
 		r.admission.AskUnread(time.Now(), team)
--- a/transport/teamlog/teamlog.go
+++ b/transport/teamlog/teamlog.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"goldcrestport/state/teamuse"
@@ -42,15 +43,17 @@
 	PeersAge time.Duration
 }
 
-// Recorder counts for one router.
+// Recorder counts for one router. It is safe for concurrent use.
 type Recorder struct {
-	*teamuse.Table
 	dataCentre string
-	callers    *teamuse.Callers
 	event      func(name string, keyvals ...any)
 	// standing tells where a team stands.
 	standing func(team string) Standing
 	totals   totals
+
+	mu      sync.Mutex
+	table   *teamuse.Table
+	callers *teamuse.Callers[netip.Addr]
 }
 
 // totals are the sums since the start, by team.
@@ -62,7 +65,7 @@
 // and whose sums are vars'.
 func New(dataCentre string, vars *observe.Vars, event func(name string, keyvals ...any), standing func(team string) Standing) *Recorder {
 	return &Recorder{
-		dataCentre: dataCentre, Table: teamuse.NewTable(mostTeams), callers: teamuse.NewCallers(mostCallers), event: event, standing: standing,
+		dataCentre: dataCentre, table: teamuse.NewTable(mostTeams), callers: teamuse.NewCallers[netip.Addr](mostCallers), event: event, standing: standing,
 		totals: totals{
 			asked: vars.Map("direct_team_asked_tokens"), begun: vars.Map("direct_team_begun_tokens"), delivered: vars.Map("direct_team_delivered_tokens"),
 			refused: vars.Map("direct_team_refused"), unread: vars.Map("direct_team_unread"),
@@ -72,13 +75,34 @@
 
 // Seen notes the team of a caller's address.
 func (r *Recorder) Seen(from netip.Addr, team string) {
-	if from.IsValid() && team != teamuse.Unknown {
-		r.callers.Seen(from, team)
+	if !from.IsValid() || team == teamuse.Unknown {
+		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.callers.Seen(from, team)
 }
 
 // TeamOf returns the team of a caller's address, or teamuse.Unknown.
-func (r *Recorder) TeamOf(from netip.Addr) string { return r.callers.Team(from) }
+func (r *Recorder) TeamOf(from netip.Addr) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.callers.Team(from)
+}
+
+// Count changes the counts of the current second.
+func (r *Recorder) Count(change func(*teamuse.Table)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r.table)
+}
+
+// take returns what was counted since the last call.
+func (r *Recorder) take() []teamuse.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Take()
+}
 
 // Run writes lines until ctx ends.
 func (r *Recorder) Run(ctx context.Context) {
@@ -96,7 +120,7 @@
 
 // write makes known what was counted since the last call.
 func (r *Recorder) write() {
-	rows := r.Take()
+	rows := r.take()
 	for i, row := range rows {
 		r.totals.add(row)
 		if i >= linesEach {
--- a/transport/teamlog/teamlog_test.go
+++ b/transport/teamlog/teamlog_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/observe"
 )
 
@@ -25,9 +26,11 @@
 func TestUnreadConnectionsAreCountedForTheirTeam(t *testing.T) {
 	r, lines := recorded()
 	from := netip.MustParseAddr("10.0.0.7")
-	r.Unread(r.TeamOf(from))
+	closed := r.TeamOf(from)
+	r.Count(func(t *teamuse.Table) { t.Unread(closed) })
 	r.Seen(from, "a")
-	r.Unread(r.TeamOf(from))
+	closed = r.TeamOf(from)
+	r.Count(func(t *teamuse.Table) { t.Unread(closed) })
 	r.write()
 	qt.Check(t, *lines, qt.HasLen, 2)
 	qt.Check(t, r.totals.unread.Get("a").String(), qt.Equals, "1")
@@ -38,7 +41,7 @@
 func TestLinesAreBounded(t *testing.T) {
 	r, lines := recorded()
 	for i := range 2 * linesEach {
-		r.Asked(fmt.Sprint("t", i), float64(i))
+		r.Count(func(t *teamuse.Table) { t.Asked(fmt.Sprint("t", i), float64(i)) })
 	}
 	r.write()
 	qt.Check(t, *lines, qt.HasLen, linesEach)
