Places before a decision are given back under the name of their taking

Cause, read in the code: beyond 256 teams at one router those that came later count as one; one that got a name of its own while its connection was undecided gave its place back under that, so that the others' count stayed too high for good, and unknown callers found fewer places. Change: the intake says under which name it took a connection. Evidence: TestPlacesAreGivenBackUnderTheNameOfTheirTaking; it could not be run on the code before, whose calls differ. Ruled out: a greater bound (2,100 teams are the size to design for; names take memory).

--- a/coordination/intake/fleet_test.go
+++ b/coordination/intake/fleet_test.go
@@ -246,7 +246,8 @@
 	team := a.flow.team
 	closes := r.tracker.Mean() >= DefaultConfig().Late
 	if f.design.deals {
-		closes = !r.in.Takes(at(f.now), team, f.standing(team) > 1)
+		_, taken := r.in.Takes(at(f.now), team, f.standing(team) > 1)
+		closes = !taken
 	}
 	if f.design.counts {
 		f.meter.Ask(at(f.now), fairshare.IDOf(team), modelTokens)
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -136,22 +136,22 @@
 	return s.undecided < s.cfg.Calm
 }
 
-// Takes reports whether a new connection of the team is to be read. Beyond tells that the
-// team got more than its share of the servers' capacity. Callers whose team is not known
-// count as one team.
-func (s *State) Takes(now time.Time, name string, beyond bool) bool {
-	t := s.team(name)
+// Takes reports whether a new connection of the team is to be read, and the name under
+// which Decided is to be told of it. Beyond tells that the team got more than its share of
+// the servers' capacity. Callers whose team is not known count as one team.
+func (s *State) Takes(now time.Time, name string, beyond bool) (as string, taken bool) {
+	t, as := s.team(name)
 	t.arrived++
 	if s.dealing && !s.isDealt(t, beyond) {
 		s.closedAt = now
-		return false
+		return as, false
 	}
 	t.undecided++
 	s.undecided++
 	if s.pressed.IsZero() && s.undecided >= s.cfg.Calm/2 {
 		s.pressed = now
 	}
-	return true
+	return as, true
 }
 
 // freePart is the part of the places that any team gets that is within its share, and
@@ -180,10 +180,10 @@
 	}
 }
 
-// Decided takes that the request of a connection of the team was decided on, or that none
-// came.
-func (s *State) Decided(name string) {
-	if t := s.known(name); t != nil {
+// Decided takes that the request of a connection that was taken under the name was decided
+// on, or that none came.
+func (s *State) Decided(as string) {
+	if t := s.teams[as]; t != nil {
 		t.undecided--
 	}
 	s.undecided--
@@ -192,25 +192,18 @@
 	}
 }
 
-// known returns the team, or that of callers who are not told apart, or nil.
-func (s *State) known(name string) *team {
-	if t := s.teams[name]; t != nil {
-		return t
-	}
-	return s.teams[""]
-}
-
-func (s *State) team(name string) *team {
-	t := s.teams[name]
-	if t == nil && len(s.teams) >= s.cfg.Teams {
+// team returns the team and the name under which it is counted: with too many that of
+// callers who are not told apart.
+func (s *State) team(name string) (*team, string) {
+	if s.teams[name] == nil && len(s.teams) >= s.cfg.Teams {
 		name = ""
-		t = s.teams[name]
 	}
+	t := s.teams[name]
 	if t == nil {
 		t = &team{}
 		s.teams[name] = t
 	}
-	return t
+	return t, name
 }
 
 // Observe takes how late input was read, several times between two changes, and whether
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -37,7 +37,7 @@
 				if !s.Dealing() && !s.HasRoom() {
 					continue // it waits in the kernel, and goes
 				}
-				if s.Takes(now, f.team, f.beyond) {
+				if _, taken := s.Takes(now, f.team, f.beyond); taken {
 					backlog = append(backlog, f.team)
 					if at >= span/2 {
 						read[f.team] += 1 / (span / 2).Seconds()
@@ -97,10 +97,12 @@
 	qt.Check(t, s.Dealing(), qt.IsFalse)
 	observe(35*time.Millisecond, time.Second)
 	qt.Check(t, s.Dealing(), qt.IsTrue)
-	qt.Check(t, s.Takes(now, "a", false), qt.IsTrue)
+	_, taken := s.Takes(now, "a", false)
+	qt.Check(t, taken, qt.IsTrue)
 	s.Decided("a")
 	observe(5*time.Millisecond, 200*time.Millisecond)
-	qt.Check(t, s.Takes(now, "a", false), qt.IsTrue)
+	_, taken = s.Takes(now, "a", false)
+	qt.Check(t, taken, qt.IsTrue)
 	observe(5*time.Millisecond, 2*time.Second)
 	qt.Check(t, s.Dealing(), qt.IsFalse)
 }
@@ -123,7 +125,7 @@
 	s.Observe(now, 0, true)
 	for range 100 {
 		for range 100 {
-			if s.Takes(now, "flood", false) {
+			if _, taken := s.Takes(now, "flood", false); taken {
 				read++
 				s.Decided("flood")
 			}
@@ -165,3 +167,24 @@
 	}
 	qt.Check(t, len(s.teams) <= DefaultConfig().Teams+1, qt.IsTrue)
 }
+
+// Guards against places that are never given back, as a team without a name of its own got
+// one while its connection was undecided.
+func TestPlacesAreGivenBackUnderTheNameOfTheirTaking(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Teams = 1
+	s, now := New(cfg), time.Unix(1000, 0)
+	first, _ := s.Takes(now, "a", false)
+	second, _ := s.Takes(now, "b", false)
+	s.Decided(first)
+	for range 200 {
+		now = now.Add(cfg.Every)
+		s.Observe(now, 0, false)
+	}
+	third, _ := s.Takes(now, "b", false)
+	s.Decided(second)
+	s.Decided(third)
+	for name, one := range s.teams {
+		qt.Check(t, one.undecided, qt.Equals, 0, qt.Commentf("%q", name))
+	}
+}
--- a/transport/callergate/callergate.go
+++ b/transport/callergate/callergate.go
@@ -60,19 +60,19 @@
 func (g *Gate) Takes(from netip.Addr) (decided func(), taken bool) {
 	team := g.teamOf(from)
 	g.mu.Lock()
-	taken = g.intake.Takes(time.Now(), team, g.beyond[team])
+	as, taken := g.intake.Takes(time.Now(), team, g.beyond[team])
 	g.mu.Unlock()
 	if !taken {
 		g.closed(team)
 		return nil, false
 	}
-	return func() { g.decided(team) }, true
+	return func() { g.decided(as) }, true
 }
 
-func (g *Gate) decided(team string) {
+func (g *Gate) decided(as string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.intake.Decided(team)
+	g.intake.Decided(as)
 	g.room.Signal()
 }
 
