One loop reads the lines of logs

Cause: trail, losses and the new fairness each read lines with a bound by a loop of their own. Change: trail.EachLine; the test of a line that is too long names its length itself (200 KiB, a little more than the three bounds of before). Ruled out: a package of its own for twenty lines. Conclusion: no behaviour changes.

--- a/protocol/fairness/read.go
+++ b/protocol/fairness/read.go
@@ -1,7 +1,6 @@
 package fairness
 
 import (
-	"bufio"
 	"io"
 	"strconv"
 	"strings"
@@ -19,30 +18,19 @@
 // ErrNoLog means that no line tells what a team asked and got.
 var ErrNoLog = errors.New("no line tells what a team asked and got")
 
-// maxLine bounds a line that is read, in bytes; a longer one counts as broken.
-const maxLine = 64 << 10
-
 // Read takes the lines that tell what teams asked and got.
 func Read(from io.Reader) (*Log, error) {
 	l := &Log{}
-	in := bufio.NewReaderSize(from, maxLine)
-	for {
-		text, isCut, err := in.ReadLine()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, err
-		}
+	err := trail.EachLine(from, func(text []byte, isCut bool) {
 		l.Lines++
-		for isCut && err == nil {
-			_, isCut, err = in.ReadLine()
-		}
-		if len(text) == maxLine {
+		if isCut {
 			l.Broken++
-			continue
+			return
 		}
 		l.line(string(text))
+	})
+	if err != nil {
+		return nil, err
 	}
 	if len(l.counts) == 0 {
 		return nil, ErrNoLog
--- a/protocol/losses/losses_test.go
+++ b/protocol/losses/losses_test.go
@@ -66,7 +66,7 @@
 
 // A line longer than the bound counts as broken, and the next one is read.
 func TestLongLinesArePassedOver(t *testing.T) {
-	got, err := Read(strings.NewReader(line("01", strings.Repeat("x", 3*maxLine))+line("02", "")), []Dimension{ByOutcome})
+	got, err := Read(strings.NewReader(line("01", strings.Repeat("x", 200<<10))+line("02", "")), []Dimension{ByOutcome})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got.Broken, qt.Equals, 1)
 	qt.Check(t, got.Requests, qt.Equals, 1)
--- a/protocol/losses/read.go
+++ b/protocol/losses/read.go
@@ -1,7 +1,6 @@
 package losses
 
 import (
-	"bufio"
 	"io"
 	"strconv"
 	"strings"
@@ -15,30 +14,19 @@
 // ErrNoLog means that no line of the input is a router's log line.
 var ErrNoLog = errors.New("no line is a router's log line")
 
-// maxLine bounds a line that is read, in bytes; a longer one counts as broken.
-const maxLine = 64 << 10
-
-// Read counts the requests that the lines tell of.
+// Read counts the requests that the lines tell of. A line that is too long counts as broken.
 func Read(from io.Reader, by []Dimension) (*Tally, error) {
 	t, logs := newTally(by), 0
-	in := bufio.NewReaderSize(from, maxLine)
-	for {
-		text, isCut, err := in.ReadLine()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, err
-		}
+	err := trail.EachLine(from, func(text []byte, isCut bool) {
 		t.Lines++
-		for isCut && err == nil {
-			_, isCut, err = in.ReadLine()
-		}
-		if len(text) == maxLine {
+		if isCut {
 			t.Broken++
-			continue
+			return
 		}
 		logs += t.line(text)
+	})
+	if err != nil {
+		return nil, err
 	}
 	if logs == 0 {
 		return nil, ErrNoLog
--- a/protocol/trail/trail.go
+++ b/protocol/trail/trail.go
@@ -6,7 +6,6 @@
 package trail
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"slices"
@@ -23,24 +22,12 @@
 // ErrUnknown means that no line names the request or the server.
 var ErrUnknown = errors.New("no line names the request")
 
-// maxLine bounds a line that is read, in bytes; the rest of a longer one is
-// passed over.
-const maxLine = 64 << 10
-
 // Read returns the lines that name the request or are about the server of the id, by
 // their time, and the number of lines that were read. Where a request was refused for
 // what servers did or said before, the lines that tell so come with them.
 func Read(from io.Reader, id string) (lines []Line, read int, err error) {
 	var quarantined, asked []Line
-	r := bufio.NewReaderSize(from, maxLine)
-	for {
-		text, isCut, err := r.ReadLine()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, read, err
-		}
+	err = EachLine(from, func(text []byte, _ bool) {
 		read++
 		// An id stands whole in its lines; others are not parsed.
 		switch {
@@ -53,9 +40,9 @@
 		case strings.Contains(string(text), "event="+backoffEvent):
 			asked = append(asked, Parse(text))
 		}
-		for isCut && err == nil {
-			_, isCut, err = r.ReadLine()
-		}
+	})
+	if err != nil {
+		return nil, read, err
 	}
 	lines = append(lines, causes(lines, quarantined)...)
 	lines = append(lines, inForce(lines, asked)...)
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -99,8 +99,8 @@
 
 // lay returns how long the request lay at this router before it was read: by the kernel's
 // word, or, where it says nothing, since the connection was taken, as far as the router's
-// lateness explains it. A caller may open its connection before it needs it. A later
-// request of a connection lies as long as the router is late.
+// lateness explains it: a caller may open its connection before it needs it. Later requests
+// of a connection are read at once by a router in time.
 func (c *call) lay() time.Duration {
 	if !c.r.isLate() && !c.r.callers.IsFirst(c.conn()) {
 		return 0
