--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -220,3 +220,10 @@
 		})
 	}
 }
+
+// Guards against a request that crashes servers and is sent on long after the third crash:
+// 26 sends from 12 s after it on, at two routers.
+func TestASeedInWhichACrashingRequestWentOn(t *testing.T) {
+	t.Parallel()
+	play(t, DefaultSize(), DefaultPlan(7232), "not traced")
+}
