--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -225,5 +225,5 @@
 // 26 sends from 12 s after it on, at two routers.
 func TestASeedInWhichACrashingRequestWentOn(t *testing.T) {
 	t.Parallel()
-	play(t, DefaultSize(), DefaultPlan(7232), "not traced")
+	play(t, DefaultSize(), DefaultPlan(7232), "a run that ended well cleared the request, and its server crashed after it")
 }
