--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -251,6 +251,17 @@
 	return changes
 }
 
+// Missing returns the number of servers that are kept though they have no entry.
+func (r *Roster) Missing() int {
+	n := 0
+	for _, e := range r.entries {
+		if e.missing {
+			n++
+		}
+	}
+	return n
+}
+
 // Has reports whether the server is known and not draining.
 func (r *Roster) Has(id string) bool {
 	e := r.entries[id]
--- a/protocol/trail/trail.go
+++ b/protocol/trail/trail.go
@@ -139,6 +139,8 @@
 		return fmt.Sprintf("server %s did not run it (%s); it went to a further server.", l["after_server"], orUnknown(l["err"]))
 	case "request_ended":
 		return ending(l)
+	case abandonedEvent:
+		return abandonedSentence(l)
 	case backoffEvent, backoffEndEvent, serverEvent, invalidAnswerEvent:
 		return serverSentence(l)
 	case quarantineEvent:
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -32,10 +32,18 @@
 
 // Close closes the connection once.
 func (c *conn) Close() error {
+	c.close()
+	return nil
+}
+
+// close closes the connection and reports whether it was open.
+func (c *conn) close() bool {
 	if c.closed.Swap(true) {
-		return nil
+		return false
 	}
-	return c.Conn.Close()
+	// The error tells nothing that the exchange does not know.
+	_ = c.Conn.Close()
+	return true
 }
 
 // dialer opens connections that notice a dead path by themselves.
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,9 @@
 	// there: an error means that the request is not to be sent any more. Nil: it
 	// may be sent.
 	Begin func() error
+	// Abandoned is told when the exchange is given up after the first byte left, once, on
+	// any goroutine. Nil: nobody is told.
+	Abandoned func(Abandoned)
 }
 
 func (r Request) begin() error {
@@ -76,6 +80,14 @@
 	written chan error
 	stop    func() bool
 	ended   bool
+	// failed is what broke the answer off.
+	failed error
+
+	// began is when the first byte of the request was written, answered tells that the head
+	// of its answer arrived, and abandoned is told when the exchange is given up.
+	began     time.Time
+	answered  atomic.Bool
+	abandoned func(Abandoned)
 }
 
 // ErrWithdrawn marks the errors of requests that were not to be sent any more when
@@ -104,11 +116,12 @@
 		p.put(c, time.Now())
 		return nil, &Failure{Stage: NotSent, Err: errors.Mark(err, ErrWithdrawn)}
 	}
-	a := &Answer{pool: p, conn: c, written: make(chan error, 1)}
-	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a := &Answer{pool: p, conn: c, written: make(chan error, 1), began: time.Now(), abandoned: req.Abandoned}
+	a.stop = context.AfterFunc(ctx, func() { a.giveUp(Closed, nil) })
 	a.send(req)
 	if err := a.readHead(req); err != nil {
-		a.abandon()
+		a.stop()
+		a.giveUp(Ended, err)
 		return nil, &Failure{Stage: MaybeRun, Err: err}
 	}
 	return a, nil
@@ -197,6 +210,7 @@
 }
 
 func (a *Answer) take(resp *http.Response) {
+	a.answered.Store(true)
 	a.resp, a.body = resp, resp.Body
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 }
@@ -204,8 +218,11 @@
 // Read reads the body. It returns io.EOF only at the announced end.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		a.ended = true
+	case err != nil:
+		a.failed = err
 	}
 	return n, err
 }
@@ -218,7 +235,8 @@
 // it otherwise, which tells the server to stop its work.
 func (a *Answer) Close() {
 	if !a.reusable() {
-		a.abandon()
+		a.stop()
+		a.end()
 		return
 	}
 	a.conn.expires = idleEnd(a.Header, time.Now())
@@ -244,9 +262,22 @@
 	return a.stop()
 }
 
-func (a *Answer) abandon() {
-	a.stop()
-	_ = a.conn.Close()
+// end closes the connection after the answer, which is given up unless it was whole.
+func (a *Answer) end() {
+	if a.ended {
+		_ = a.conn.Close()
+		return
+	}
+	a.giveUp(Closed, a.failed)
+}
+
+// giveUp closes the connection and tells so, unless it is closed already.
+func (a *Answer) giveUp(how Way, err error) {
+	unacked := a.conn.unacked()
+	if !a.conn.close() || a.abandoned == nil {
+		return
+	}
+	a.abandoned(Abandoned{Began: a.began, Answered: a.answered.Load(), Unacked: unacked, How: how, Err: err})
 }
 
 // idleEnd reads the server's idle timeout, whole seconds in Keep-Alive.
--- /dev/null
+++ b/transport/direct/abandoned.go
@@ -0,0 +1,76 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/roster"
+	"goldcrestport/transport/backend"
+)
+
+// abandonedLines bounds the lines a second of attempts that were given up. They have a bound
+// of their own, so that refusals do not crowd them out.
+const abandonedLines = 1000
+
+// Reasons for which attempts are given up, beside the errors of their exchanges.
+const (
+	whyCallerLeft = "caller_left"
+	whyDeadline   = "deadline"
+	whyStopping   = "router_stops"
+	whyUnwanted   = "not_wanted"
+)
+
+// sending is one attempt whose first byte was written.
+type sending struct {
+	server roster.Server
+	// attempt is its number among those of its request.
+	attempt int
+	// knowledge is how old the knowledge of who leaves was when the first byte was written;
+	// negative: there was none.
+	knowledge time.Duration
+}
+
+// knowledgeAge is the name of the histogram's one series.
+const knowledgeAge = "first_byte"
+
+// firstByteOf notes what is known when the first byte of an attempt is written.
+func (c *call) firstByteOf(s *sending) {
+	s.knowledge = c.r.configAge()
+	c.r.metrics.knowledge.Record(knowledgeAge, time.Now(), s.knowledge)
+}
+
+// abandoned notes an attempt that was given up after its first byte was written.
+func (c *call) abandoned(ctx context.Context, s *sending, a backend.Abandoned) {
+	c.r.metrics.abandoned.Add(1)
+	if a.Unacked > 0 {
+		c.r.metrics.abandonedUnacked.Add(1)
+	}
+	now := time.Now()
+	allowed, dropped := c.r.attempts.Allow("attempt_abandoned", now)
+	if !allowed {
+		return
+	}
+	_, usable := c.r.server(s.server.ID)
+	c.r.event("attempt_abandoned", "request", c.meta.ID, "server", s.server.ID, "incarnation", s.server.Incarnation, "address", s.server.Address,
+		"attempt", s.attempt, "began", a.Began.UTC().Format(time.RFC3339Nano), "after_ms", now.Sub(a.Began).Milliseconds(),
+		"knowledge_age_ms", s.knowledge.Milliseconds(), "usable", usable, "why", c.whyAbandoned(ctx, a), "how", string(a.How),
+		"answered", a.Answered, "unacked", a.Unacked, "left_out", dropped)
+}
+
+// whyAbandoned says why the attempt was given up.
+func (c *call) whyAbandoned(ctx context.Context, a backend.Abandoned) string {
+	switch {
+	case ctx.Err() == nil && a.Err == nil:
+		return whyUnwanted
+	case ctx.Err() == nil:
+		return a.Err.Error()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return whyDeadline
+	case c.r.ending.Err() != nil:
+		return whyStopping
+	default:
+		return whyCallerLeft
+	}
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -111,10 +111,15 @@
 		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.LastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
 	})
 	sent := c.r.sendBegins(c.content, server)
+	one := &sending{server: server, attempt: c.sent}
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
-		Head:  func(status int, h http.Header) bool { return c.headOf(server, status, h) },
-		Begin: func() error { return c.mayBegin(run, server) },
+		Head: func(status int, h http.Header) bool { return c.headOf(server, status, h) },
+		Begin: func() error {
+			c.firstByteOf(one)
+			return c.mayBegin(run, server)
+		},
+		Abandoned: func(a backend.Abandoned) { c.abandoned(ctx, one, a) },
 	})
 	if failure != nil {
 		if failure.Stage == backend.NotSent {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -31,6 +31,12 @@
 	confirmed      *expvar.Int
 	cleared        *expvar.Int
 	latency        *observe.Times
+	// abandoned counts attempts that were given up after their first byte, abandonedUnacked
+	// those of them with bytes on their way; knowledge holds how old the knowledge of who
+	// leaves was at first bytes.
+	abandoned        *expvar.Int
+	abandonedUnacked *expvar.Int
+	knowledge        *observe.Times
 }
 
 func newMetrics(r *Router) *metrics {
@@ -55,6 +61,10 @@
 		confirmed:      v.Int("direct_quarantine_confirmed"),
 		cleared:        v.Int("direct_quarantine_cleared"),
 		latency:        v.Times("direct_latency_us"),
+
+		abandoned:        v.Int("direct_attempts_abandoned"),
+		abandonedUnacked: v.Int("direct_attempts_abandoned_unacked"),
+		knowledge:        v.Times("direct_knowledge_age_us"),
 	}
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).Held) })
@@ -73,6 +83,11 @@
 		defer r.mu.Unlock()
 		return r.roster.Drained()
 	})
+	v.Func("direct_servers_in_grace", func() any {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.roster.Missing()
+	})
 	v.Func("direct_away", func() any {
 		if r.load.away.Load() {
 			return 1
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -39,9 +39,10 @@
 	set settings.Direct
 	cfg Config
 	log log.Logger
-	// lines bounds the lines of answers that were whole, failures those of
-	// all others.
+	// lines bounds the lines of answers that were whole, attempts those of attempts that
+	// were given up, failures those of all others.
 	lines    *observe.LineLimit
+	attempts *observe.LineLimit
 	failures *observe.LineLimit
 	dialect  Dialect
 	source   Source
@@ -153,6 +154,7 @@
 	r.gate = callergate.New(intake.DefaultConfig(), r.teams.TeamOf, r.isBeyond, r.closedUnread)
 	r.lines = observe.NewLineLimit(r.metrics.dropped)
 	r.failures = observe.NewLineLimitOf(r.metrics.dropped, failureLines)
+	r.attempts = observe.NewLineLimitOf(r.metrics.dropped, abandonedLines)
 	return r
 }
 
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -34,9 +34,18 @@
 	c.line(c.r.failures, "request_again", "after_server", d.Server, "ran", after != refused, "err", errText(err))
 }
 
+// lineKey is the kind of line that counts for its bound: those of requests that were sent to
+// a server count apart, so that refusals do not crowd them out.
+func (c *call) lineKey(event string) string {
+	if c.sent == 0 {
+		return event
+	}
+	return event + " sent"
+}
+
 // line writes one line about the request with the inputs of its decision.
 func (c *call) line(limit *observe.LineLimit, event string, keyvals ...any) {
-	allowed, dropped := limit.Allow(event, time.Now())
+	allowed, dropped := limit.Allow(c.lineKey(event), time.Now())
 	if !allowed {
 		return
 	}
