Tests of what may reach a server that left, which fail

Four of them are of bytes that outlive the attempt (caller's end, deadline, want of progress, stop of the router), with a path that holds them acknowledged and one that leaves them in the sender's kernel; the kernel's time-out lets them through on a real kernel, too. The relay of the bench goes to standin/, where tests of the product may use it, and is true to a path between hosts: a reset is passed on, and what was held of a connection that its sender reset is lost; a tight relay acknowledges little. Not failing by reading: memory fetched from a server that left (its address is asked for with the headers, 200 ms before the first byte at most, and is empty for a server that may get nothing); so there is no test of it.

--- a/bench/prove/world.go
+++ b/bench/prove/world.go
@@ -13,8 +13,8 @@
 
 	"goldcrestport/bench/fleet"
 	"goldcrestport/bench/history"
-	"goldcrestport/bench/relay"
 	"goldcrestport/protocol/settings"
+	"goldcrestport/standin/relay"
 	"goldcrestport/state/config"
 	"goldcrestport/transport/platform"
 )
--- a/bench/soak/router.go
+++ b/bench/soak/router.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"goldcrestport/bench/fleet"
-	"goldcrestport/bench/relay"
 	"goldcrestport/protocol/settings"
+	"goldcrestport/standin/relay"
 )
 
 // router is one router process.
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/bench/fleet"
-	"goldcrestport/bench/relay"
 	"goldcrestport/standin/backend"
 	"goldcrestport/standin/kvstore"
+	"goldcrestport/standin/relay"
 )
 
 // Sizes and times of the fleet.
--- /dev/null
+++ b/coordination/roster/kept_test.go
@@ -0,0 +1,34 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a server that gets work for a bound after it left: one time-out of a router's
+// own looked like an outage of the store, and an entry that the store still had afterwards was
+// taken for one that had lapsed in it.
+func TestAnEntryThatOutlastedAnOutageIsNotKept(t *testing.T) {
+	r := New(DefaultConfig())
+	r.Put(entryOf(100, false))
+	r.StoreLost()
+	r.StoreBack(after(time.Second))
+	r.Replace(after(time.Second), []Server{entryOf(100, false)})
+	qt.Check(t, one(r.Remove(after(1100*time.Millisecond), "a")), qt.Equals, ReasonRemoved)
+	qt.Check(t, r.Has("a"), qt.IsFalse)
+}
+
+// Guards against a leaving server that gets work again while it still drains: the time of
+// another router's word ended, though that router goes on to say so.
+func TestAWordThatIsRepeatedHolds(t *testing.T) {
+	cfg := DefaultConfig()
+	r := New(cfg)
+	r.Put(entryOf(100, false))
+	for since := time.Duration(0); since < 2*cfg.WordTime; since += time.Second {
+		r.Told(after(since), "a", 100)
+		r.Tick(after(since))
+		qt.Assert(t, r.entries["a"].usable, qt.IsFalse, qt.Commentf("after %v", since))
+	}
+}
--- a/bench/relay/relay.go
+++ b/standin/relay/relay.go
@@ -1,14 +1,19 @@
 // Package relay is a TCP relay between two processes whose connections can be
-// reset, held (both ways or one), delayed and healed. The proving tool and the
+// reset, held (both ways or one), delayed and healed. Tests, the proving tool and the
 // soak use it to make partitions and lost or slow links.
+//
+// Bytes that are held are lost if their sender resets the connection, as on a path between
+// two hosts; a connection that its sender closed goes on with all that was sent.
 package relay
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // mode is what the relay does with connections.
@@ -45,9 +50,28 @@
 
 // Listen starts a relay at an address towards a target.
 func Listen(addr, target string) (*Relay, error) {
-	lis, err := net.Listen("tcp", addr)
+	return listen(net.ListenConfig{}, addr, target)
+}
+
+// tightBuffer is the receive buffer of connections to a tight relay, in bytes.
+const tightBuffer = 4 << 10
+
+// ListenTight starts a relay that acknowledges little of what it holds: most of a long
+// request stays with the sender's kernel.
+func ListenTight(addr, target string) (*Relay, error) {
+	return listen(net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var set error
+		err := raw.Control(func(fd uintptr) {
+			set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, tightBuffer)
+		})
+		return errors.Join(err, set)
+	}}, addr, target)
+}
+
+func listen(cfg net.ListenConfig, addr, target string) (*Relay, error) {
+	lis, err := cfg.Listen(context.Background(), "tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "relay")
+		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r := &Relay{target: target, listener: lis, changed: make(chan struct{}), pairs: map[*pair]bool{}}
 	go r.accept()
@@ -204,7 +228,7 @@
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buf)
-		if r.wait(back) != nil {
+		if r.wait(back) != nil || wasReset(from) || errors.Is(err, syscall.ECONNRESET) {
 			reset(to)
 			return
 		}
@@ -221,6 +245,25 @@
 	}
 }
 
+// wasReset reports whether the other end reset the connection, which reads tell only after
+// what came before.
+func wasReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	wasReset := false
+	_ = raw.Control(func(fd uintptr) {
+		pending, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		wasReset = err == nil && syscall.Errno(pending) == syscall.ECONNRESET
+	})
+	return wasReset
+}
+
 func closeWrite(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
--- a/bench/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -140,3 +140,44 @@
 	c.Assert(exchange(conn, time.Second), qt.IsNil)
 	c.Check(time.Since(began) < 50*time.Millisecond, qt.IsTrue)
 }
+
+// received returns what a server behind the relay gets of a connection that its sender ends
+// while the relay holds it.
+func received(c *qt.C, listen func(addr, target string) (*Relay, error), size int, end func(*net.TCPConn)) (n int64, err error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer lis.Close()
+	r, err := listen("127.0.0.1:0", lis.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer r.Close()
+	conn := dial(c, r).(*net.TCPConn)
+	far, err := lis.Accept()
+	c.Assert(err, qt.IsNil)
+	defer far.Close()
+	r.Hold()
+	_, err = conn.Write(make([]byte, size))
+	c.Assert(err, qt.IsNil)
+	time.Sleep(20 * time.Millisecond)
+	end(conn)
+	time.Sleep(20 * time.Millisecond)
+	r.Heal()
+	_ = far.SetReadDeadline(time.Now().Add(2 * time.Second))
+	return io.Copy(io.Discard, far)
+}
+
+// Held bytes go on their way when their sender closed the connection, and are lost when it
+// reset it, whether the relay or the sender's kernel holds them.
+func TestHeldBytesAreLostByAReset(t *testing.T) {
+	for name, listen := range map[string]func(addr, target string) (*Relay, error){"relay": Listen, "sender's kernel": ListenTight} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			const size = 200_000
+			n, err := received(c, listen, size, func(conn *net.TCPConn) { _ = conn.Close() })
+			c.Check(err, qt.IsNil)
+			c.Check(n, qt.Equals, int64(size))
+			n, err = received(c, listen, size, func(conn *net.TCPConn) { reset(conn) })
+			c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(n < size, qt.IsTrue, qt.Commentf("%d", n))
+		})
+	}
+}
--- /dev/null
+++ b/transport/backend/held_test.go
@@ -0,0 +1,97 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/standin/relay"
+)
+
+// links hold what is sent to a server: acknowledged, or in the sender's kernel.
+var links = map[string]func(addr, target string) (*relay.Relay, error){
+	"acknowledged by the path": relay.Listen,
+	"in the sender's kernel":   relay.ListenTight,
+}
+
+// heldBody is larger than what a tight link acknowledges while it holds, in bytes.
+const heldBody = 200_000
+
+// healTime is the time that held bytes have to arrive once the path is whole.
+const healTime = 300 * time.Millisecond
+
+// heldRequest sends a request on a kept connection whose path holds what is sent, heals the
+// path once the exchange is over, and returns the failure and how many requests the server
+// got by then.
+func heldRequest(c *qt.C, listen func(addr, target string) (*relay.Relay, error), ctx context.Context, wait time.Duration) (*Failure, int64) {
+	var got atomic.Int64
+	s := serve(c, func(conn net.Conn, r *bufio.Reader) {
+		for id := read(r); id != ""; id = read(r) {
+			got.Add(1)
+			_, _ = conn.Write([]byte(answer(id, "")))
+		}
+	})
+	link, err := listen("127.0.0.1:0", s.target.Address)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(link.Close)
+	p := NewPool(DefaultConfig())
+	to := Target{ID: "i-1", Address: link.Addr()}
+	_, err = get(p, to, "r0")
+	c.Assert(err, qt.IsNil)
+	link.Hold()
+	req := request("r1")
+	req.Body = make([]byte, heldBody)
+	_, failure := p.Do(ctx, to, req)
+	time.Sleep(wait)
+	link.Heal()
+	time.Sleep(healTime)
+	return failure, got.Load() - 1
+}
+
+// Guards against a request that runs after its caller left: its bytes were held on the path
+// and went on when that was whole again.
+func TestTheBytesOfACancelledRequestDoNotArriveLater(t *testing.T) {
+	for name, listen := range links {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(100*time.Millisecond, cancel)
+			failure, got := heldRequest(c, listen, ctx, 20*time.Millisecond)
+			c.Check(failure, qt.IsNotNil)
+			c.Check(got, qt.Equals, int64(0))
+		})
+	}
+}
+
+// Guards against a request that runs after its deadline: its bytes were held on the path and
+// went on when that was whole again.
+func TestTheBytesOfARequestPastItsDeadlineDoNotArriveLater(t *testing.T) {
+	for name, listen := range links {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			failure, got := heldRequest(c, listen, ctx, 20*time.Millisecond)
+			c.Check(failure, qt.IsNotNil)
+			c.Check(got, qt.Equals, int64(0))
+		})
+	}
+}
+
+// Guards against a request that runs at a server after it was given up for want of progress,
+// and was sent to another one: its bytes lay in the sender's kernel.
+func TestTheBytesOfARequestWithoutProgressDoNotArriveLater(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	began := time.Now()
+	failure, got := heldRequest(c, relay.ListenTight, ctx, 0)
+	c.Assert(failure, qt.IsNotNil)
+	c.Check(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	c.Check(got, qt.Equals, int64(0))
+}
--- /dev/null
+++ b/transport/direct/held_test.go
@@ -0,0 +1,107 @@
+package direct
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/coordination/roster"
+	"goldcrestport/standin/relay"
+)
+
+// healTime is the time that held bytes have to arrive once the path is whole.
+const healTime = 300 * time.Millisecond
+
+// behindLink puts a relay before the backend server and returns the server as routers know it.
+func behindLink(t *testing.T, b *backendServer) (*relay.Relay, *backendServer) {
+	link, err := relay.Listen("127.0.0.1:0", b.address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(link.Close)
+	return link, &backendServer{id: b.id, address: link.Addr()}
+}
+
+// sendHeld sends a request whose bytes the link to its server holds.
+func sendHeld(f *fixture, link *relay.Relay, path string) <-chan reply {
+	f.Assert(f.call(path, "before", testLeft, "3000").status, qt.Equals, http.StatusOK)
+	link.Hold()
+	got := make(chan reply, 1)
+	go func() { got <- f.call(path, "held", testLeft, "3000") }()
+	time.Sleep(100 * time.Millisecond)
+	return got
+}
+
+// Guards against a request that reaches a server after it has left: the path to the server
+// held it, acknowledged, and the server left, by the store, before it answered. A request that
+// may be repeated goes on elsewhere instead, in the time in which leaving servers may get any.
+func TestAnAttemptAtAServerThatLeavesGoesOnElsewhere(t *testing.T) {
+	leaving, other := newBackend(t, "i-1", ok), newBackend(t, "i-2", ok)
+	link, known := behindLink(t, leaving)
+	f := start(t, testConfig(1), known)
+	got := sendHeld(f, link, "/safe/")
+	f.source.changes <- Delta{Servers: servers(other), Revision: 2}
+	f.source.changes <- Delta{Servers: []roster.Server{{ID: "i-1", Address: known.address, Service: "app", Slots: 8, Draining: true}}, Revision: 3}
+	r := <-got
+	qt.Check(t, r.status, qt.Equals, http.StatusOK)
+	qt.Check(t, other.runs(), qt.Contains, "held")
+	link.Heal()
+	time.Sleep(healTime)
+	qt.Check(t, leaving.runs(), qt.Not(qt.Contains), "held")
+}
+
+// Guards against a request that runs after the router that sent it has stopped: the path to
+// the server held it, and the router closed its connection.
+func TestARouterThatStopsLeavesNoRequestOnItsWay(t *testing.T) {
+	server := newBackend(t, "i-1", ok)
+	link, known := behindLink(t, server)
+	f := start(t, testConfig(1), known)
+	got := sendHeld(f, link, "/once/")
+	f.end()
+	<-got
+	link.Heal()
+	time.Sleep(healTime)
+	qt.Check(t, server.runs(), qt.Not(qt.Contains), "held")
+}
+
+// Guards against a server that gets work for a bound after the router heard, late, that the
+// store is back: the time for entries to come back counts from the store's answer.
+func TestAGraceBeginsWithTheStoresAnswer(t *testing.T) {
+	r := unserved(newBackend(t, "i-1", ok))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, late := time.Now(), 1900*time.Millisecond
+	r.lostAt = bootTime() - 4*time.Second
+	r.roster.StoreLost()
+	r.storeAnswersOthers(bootTime() - late)
+	r.apply(r.roster.Replace(now, nil))
+	r.apply(r.roster.Tick(now.Add(roster.DefaultConfig().ReturnGrace - late + 10*time.Millisecond)))
+	qt.Check(t, r.servers, qt.HasLen, 0)
+}
+
+// sendBy sends a request through a router whose knowledge of who leaves has the age.
+func sendBy(t *testing.T, r *Router, age time.Duration) *httptest.ResponseRecorder {
+	r.fresh.Confirm(bootTime() - age)
+	req := httptest.NewRequest(http.MethodPost, "/safe/", http.NoBody)
+	w := httptest.NewRecorder()
+	c := &call{
+		r: r, w: w, req: req, meta: Meta{ID: "a1"}, table: r.table.Load(), service: "app",
+		received: time.Now(), deadline: time.Now().Add(3 * time.Second),
+	}
+	c.route = c.table.Route("h", "/safe/")
+	c.dispatch(req.Context())
+	return w
+}
+
+// Guards against a request at a server that left while its router, which is in time, knew
+// nothing newer than the bound on leaving servers: the store is there, and only its word is
+// late. The caller is refused at once and comes back.
+func TestKnowledgeOlderThanTheBoundSendsNothing(t *testing.T) {
+	server := newBackend(t, "i-1", ok)
+	r := unserved(server)
+	w := sendBy(t, r, 2100*time.Millisecond)
+	qt.Check(t, server.runs(), qt.HasLen, 0)
+	qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+}
