An attempt that is given up is reset, and watched until its bytes have arrived

What callers saw: a request ran at a server seconds after it was given up, also at one that had left, and was answered elsewhere meanwhile. Cause: a decision to send ended at the first byte; closing let the bytes go on, and the kernel's time-out (1.2 s) ended the socket first, without a word. Now each connection is opened so that its end, and that of the process, is a reset; only a clean end sets that back. Bytes without progress for 1 s are ours to revoke; the kernel has no time-out for them. Keep-alive finds a dead path from 5 s on, in place of 1 s.

Ruled out: a reset where the exchange is abandoned and all else as it was (the kernel comes first).

--- a/transport/backend/abandoned.go
+++ b/transport/backend/abandoned.go
@@ -12,8 +12,8 @@
 
 // Ways in which connections end.
 const (
-	// Closed: what lay unsent may still go on its way.
-	Closed Way = "closed"
+	// Reset: what was sent and has not arrived never does.
+	Reset Way = "reset"
 	// Ended: its other end or the kernel had ended it before.
 	Ended Way = "ended"
 )
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -19,8 +19,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// owner is the server's id for which the connection was opened.
+	// owner is the server's id for which the connection was opened, and peer what is known
+	// of that server.
 	owner string
+	peer  *peer
 	// expires is when the server may close it for being idle; zero if it did
 	// not say.
 	expires time.Time
@@ -30,47 +32,68 @@
 	closed atomic.Bool
 }
 
-// Close closes the connection once.
+// Close closes a connection that carries no exchange, once.
 func (c *conn) Close() error {
-	c.close()
-	return nil
+	if c.closed.Swap(true) {
+		return nil
+	}
+	c.setLinger(kernelsLinger)
+	return c.Conn.Close()
 }
 
-// close closes the connection and reports whether it was open.
-func (c *conn) close() bool {
+// reset ends a connection that carries an exchange, and reports whether it was open.
+func (c *conn) reset() bool {
 	if c.closed.Swap(true) {
 		return false
 	}
-	// The error tells nothing that the exchange does not know.
+	// It resets: nothing that it carries goes on. The error tells nothing that the exchange
+	// does not know.
 	_ = c.Conn.Close()
 	return true
 }
 
-// dialer opens connections that notice a dead path by themselves.
-func dialer(cfg Config) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         cfg.DialTimeout,
-		KeepAliveConfig: cfg.KeepAlive,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var set error
-			err := raw.Control(func(fd uintptr) {
-				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cfg.UnackedTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return set
-		},
+// Values of setLinger, in seconds.
+const (
+	// noLinger lets the end of a connection be a reset, the end of the process with it.
+	noLinger = 0
+	// kernelsLinger lets what was written go on its way.
+	kernelsLinger = -1
+)
+
+// setLinger sets what becomes of bytes that are on their way when the connection ends. One
+// that the kernel has ended already takes no setting, and needs none.
+func (c *conn) setLinger(seconds int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds)
 	}
 }
 
+// Read implements io.Reader and notes that the server was heard.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.peer.heard.Store(sinceEpoch())
+	}
+	return n, err
+}
+
+// dialer opens connections that notice a dead path by themselves while an answer is awaited.
+// Bytes on their way are not the kernel's to give up: it would do so without a word to the
+// other end.
+func dialer(cfg Config) *net.Dialer {
+	return &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: cfg.KeepAlive}
+}
+
 func (p *Pool) dial(ctx context.Context, to Target) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		return nil, err
 	}
 	p.dials.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), owner: to.ID}, nil
+	c := &conn{Conn: raw, owner: to.ID, peer: p.peerOf(to.ID)}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	c.setLinger(noLinger)
+	return c, nil
 }
 
 // quiet reports whether an idle connection is still open and has nothing to
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -33,6 +33,9 @@
 	// there: an error means that the request is not to be sent any more. Nil: it
 	// may be sent.
 	Begin func() error
+	// Movable tells that the request may be sent to another server after this one may have
+	// run it.
+	Movable bool
 	// Abandoned is told when the exchange is given up after the first byte left, once, on
 	// any goroutine. Nil: nobody is told.
 	Abandoned func(Abandoned)
@@ -88,6 +91,15 @@
 	began     time.Time
 	answered  atomic.Bool
 	abandoned func(Abandoned)
+
+	// size is that of the whole request in bytes, and handed what of it was given to the
+	// kernel; arrived tells that the other end acknowledged all. Only looks use arrived.
+	size    int
+	handed  atomic.Int64
+	arrived bool
+	movable bool
+	// revoked is why the exchange was given up while its context lasted.
+	revoked atomic.Pointer[error]
 }
 
 // ErrWithdrawn marks the errors of requests that were not to be sent any more when
@@ -102,7 +114,8 @@
 )
 
 // Do sends the request and returns the head of the answer, or a failure. The
-// connection is closed as soon as ctx is done.
+// connection is reset as soon as ctx is done, or when what was sent makes no progress, or
+// when the server leaves and is silent.
 func (p *Pool) Do(ctx context.Context, to Target, req Request) (*Answer, *Failure) {
 	c, err := p.get(ctx, to)
 	if err != nil {
@@ -116,11 +129,14 @@
 		p.put(c, time.Now())
 		return nil, &Failure{Stage: NotSent, Err: errors.Mark(err, ErrWithdrawn)}
 	}
-	a := &Answer{pool: p, conn: c, written: make(chan error, 1), began: time.Now(), abandoned: req.Abandoned}
-	a.stop = context.AfterFunc(ctx, func() { a.giveUp(Closed, nil) })
-	a.send(req)
+	data := encode(req)
+	a := &Answer{pool: p, conn: c, written: make(chan error, 1), began: time.Now(), abandoned: req.Abandoned, size: len(data), movable: req.Movable}
+	a.stop = context.AfterFunc(ctx, func() { a.giveUp(Reset, nil) })
+	p.flights.add(a)
+	a.send(data)
 	if err := a.readHead(req); err != nil {
 		a.stop()
+		err = a.cause(err)
 		a.giveUp(Ended, err)
 		return nil, &Failure{Stage: MaybeRun, Err: err}
 	}
@@ -132,17 +148,29 @@
 // read the whole body.
 const inlineBody = 2048
 
-func (a *Answer) send(req Request) {
-	data := encode(req)
+// writeSize is how much of a request is written at once, in bytes: what the kernel has of it
+// is known in these steps.
+const writeSize = 16 << 10
+
+// send writes the request.
+func (a *Answer) send(data []byte) {
 	if len(data) <= inlineBody {
-		_, err := a.conn.Write(data)
-		a.written <- err
+		a.written <- a.write(data)
 		return
 	}
-	go func() {
-		_, err := a.conn.Write(data)
-		a.written <- err
-	}()
+	go func() { a.written <- a.write(data) }()
+}
+
+func (a *Answer) write(data []byte) error {
+	for len(data) > 0 {
+		n, err := a.conn.Write(data[:min(len(data), writeSize)])
+		a.handed.Add(int64(n))
+		if err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
 }
 
 // encode writes the request as HTTP/1.1.
@@ -222,6 +250,7 @@
 	case errors.Is(err, io.EOF):
 		a.ended = true
 	case err != nil:
+		err = a.cause(err)
 		a.failed = err
 	}
 	return n, err
@@ -239,6 +268,7 @@
 		a.end()
 		return
 	}
+	a.pool.flights.remove(a)
 	a.conn.expires = idleEnd(a.Header, time.Now())
 	a.pool.put(a.conn, time.Now())
 }
@@ -262,19 +292,26 @@
 	return a.stop()
 }
 
-// end closes the connection after the answer, which is given up unless it was whole.
+// end closes the connection after the answer, which is given up unless it was whole and
+// nothing of the request is left to write.
 func (a *Answer) end() {
-	if a.ended {
+	if a.ended && a.wrote() {
+		a.pool.flights.remove(a)
 		_ = a.conn.Close()
 		return
 	}
-	a.giveUp(Closed, a.failed)
+	a.giveUp(Reset, a.failed)
 }
 
-// giveUp closes the connection and tells so, unless it is closed already.
+// wrote reports whether the whole request was written.
+func (a *Answer) wrote() bool { return int(a.handed.Load()) == a.size }
+
+// giveUp ends an exchange that is not over, unless that is done already: its connection is
+// reset, so that what was sent and has not arrived never does.
 func (a *Answer) giveUp(how Way, err error) {
+	a.pool.flights.remove(a)
 	unacked := a.conn.unacked()
-	if !a.conn.close() || a.abandoned == nil {
+	if !a.conn.reset() || a.abandoned == nil {
 		return
 	}
 	a.abandoned(Abandoned{Began: a.began, Answered: a.answered.Load(), Unacked: unacked, How: how, Err: err})
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"goldcrestport/coordination/inflight"
 )
 
 // Config holds the times of a Pool.
@@ -20,11 +22,11 @@
 	// handshake takes some milliseconds; a lost opening packet is sent again
 	// after a second, when another server is the better choice.
 	DialTimeout time.Duration
-	// UnackedTimeout ends a connection whose sent bytes are not acknowledged.
-	// Default 1200ms: three retransmissions.
-	UnackedTimeout time.Duration
+	// InFlight bounds what is on its way to a server.
+	InFlight inflight.Config
 	// KeepAlive finds a dead path while an answer is awaited. Default: first
-	// probe after 1s, then each second, two lost ones end it.
+	// probe after 5s, then each second, three lost ones end it: a path that is whole again
+	// by then costs no answer.
 	KeepAlive net.KeepAliveConfig
 	// IdleTime bounds the time that a connection is kept without an exchange.
 	// Default 20s.
@@ -39,12 +41,12 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:    200 * time.Millisecond,
-		UnackedTimeout: 1200 * time.Millisecond,
-		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		IdleTime:       20 * time.Second,
-		IdleMargin:     500 * time.Millisecond,
-		IdlePerServer:  64,
+		DialTimeout:   200 * time.Millisecond,
+		InFlight:      inflight.DefaultConfig(),
+		KeepAlive:     net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3},
+		IdleTime:      20 * time.Second,
+		IdleMargin:    500 * time.Millisecond,
+		IdlePerServer: 64,
 	}
 }
 
@@ -62,18 +64,52 @@
 	dialer *net.Dialer
 	dials  atomic.Int64
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	flights flights
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	peers map[string]*peer
 }
 
-// NewPool returns a pool without connections.
+// NewPool returns a pool without connections. The config must be valid.
 func NewPool(cfg Config) *Pool {
-	return &Pool{cfg: cfg, dialer: dialer(cfg), idle: make(map[string][]*conn)}
+	return &Pool{
+		cfg: cfg, dialer: dialer(cfg), idle: make(map[string][]*conn), peers: make(map[string]*peer),
+		flights: flights{cfg: cfg.InFlight, all: make(map[*Answer]*inflight.Attempt)},
+	}
+}
+
+// peerOf returns what is known of the server.
+func (p *Pool) peerOf(id string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.peers[id]
+	if one == nil {
+		one = &peer{}
+		p.peers[id] = one
+	}
+	return one
+}
+
+// Heard returns when the server was heard last; the zero time: never.
+func (p *Pool) Heard(id string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.peers[id]; one != nil {
+		return timeOf(&one.heard)
+	}
+	return time.Time{}
 }
 
+// Returned notes that a server may get work, also one that was known to leave.
+func (p *Pool) Returned(id string) { p.peerOf(id).left.Store(0) }
+
 // Dials returns the number of connections opened so far.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
+// Left notes that a server leaves or is gone.
+func (p *Pool) Left(id string) { p.peerOf(id).left.CompareAndSwap(0, sinceEpoch()) }
+
 // Forget closes the idle connections to a server that is gone.
 func (p *Pool) Forget(id string) {
 	p.mu.Lock()
@@ -100,12 +136,26 @@
 		}
 		p.idle[id] = keep
 	}
+	p.forget()
 	p.mu.Unlock()
 	for _, c := range old {
 		_ = c.Close()
 	}
 }
 
+// peerTime is how long a server that left is remembered, longer than exchanges last.
+const peerTime = time.Minute
+
+// forget drops the servers that left long ago. The caller holds mu.
+func (p *Pool) forget() {
+	for id, one := range p.peers {
+		if left := one.left.Load(); left != 0 && sinceEpoch()-left > int64(peerTime) {
+			delete(p.peers, id)
+			delete(p.idle, id)
+		}
+	}
+}
+
 func (p *Pool) usable(c *conn, now time.Time) bool {
 	if now.Sub(c.idle) > p.cfg.IdleTime {
 		return false
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -37,9 +37,9 @@
 }
 
 // brokeOff judges a run whose answer broke off: a caller who left says nothing
-// about the server.
-func brokeOff(ctx context.Context) health.Result {
-	if ctx.Err() != nil {
+// about the server, nor does one that leaves.
+func brokeOff(ctx context.Context, err error) health.Result {
+	if ctx.Err() != nil || errors.Is(err, backend.ErrServerLeft) {
 		return health.NoResult
 	}
 	return health.Failure
@@ -49,7 +49,7 @@
 func (c *call) passWhole(ctx context.Context, answer *backend.Answer, success bool) (step, health.Result, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeBody))
 	if err != nil {
-		return failed, brokeOff(ctx), err
+		return failed, brokeOff(ctx, err), err
 	}
 	if len(body) == wholeBody && answer.Length != wholeBody {
 		c.head(answer, -1)
@@ -94,7 +94,7 @@
 			return done, health.Success, nil
 		}
 		if err != nil {
-			return broken, brokeOff(ctx), err
+			return broken, brokeOff(ctx, err), err
 		}
 	}
 }
@@ -124,9 +124,9 @@
 		}
 		if err != nil {
 			if c.begun {
-				return broken, brokeOff(ctx), err
+				return broken, brokeOff(ctx, err), err
 			}
-			return failed, brokeOff(ctx), err
+			return failed, brokeOff(ctx, err), err
 		}
 	}
 }
