An attempt at a server that leaves and is silent goes on elsewhere

What callers saw: a request whose path held its bytes, acknowledged, waited for a server that had left until its deadline, and ran there when the path was whole. Cause: what became known of a server changed nothing for attempts under way there. Now the pool knows which servers leave: an attempt whose server was not heard since, on any connection, is reset 1 s after that and goes on elsewhere where it may be repeated; one that may not is left to its deadline (docs/design/attempts-and-their-bytes.md says why). Its bytes without progress are revoked after .25 s. What it costs a slow server that drains in good order: nothing while it is heard on any connection.

--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -136,6 +136,7 @@
 	for _, c := range changes {
 		if c.Usable {
 			r.servers[c.Server.ID] = c.Server
+			r.pool.Returned(c.Server.Identity())
 			if c.Reason == roster.ReasonReturned {
 				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.revision)
 			}
@@ -145,6 +146,7 @@
 			delete(r.servers, c.Server.ID)
 			r.gone(c)
 			r.admission.Remove(c.Server.ID)
+			r.pool.Left(c.Server.Identity())
 			go r.pool.Forget(c.Server.Identity())
 		}
 		r.event("backend_server", append([]any{"server", c.Server.ID, "incarnation", c.Server.Incarnation, "service", c.Server.Service, "address", c.Server.Address, "data_centre", c.Server.DataCentre, "cold_ms", c.Server.ColdFor.Milliseconds(), "usable", c.Usable, "reason", c.Reason}, keyvals...)...)
