An entry that the store still had after an outage is not kept when it goes

What callers may see: a server gets work for up to 2 s after it left, as one time-out of a router's own (800 ms) looked like an outage in which entries lapse. Cause: every entry that went in the 2 s after the store's return counted as lapsed, also one that the store had shown after it. Now those go at once.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -36,6 +36,9 @@
 	// missing tells that the store has no entry any more; the server is kept
 	// until the grace after the store's return is over.
 	missing bool
+	// outlasted tells that the store had the entry after its last outage: what is gone
+	// then did not lapse in that.
+	outlasted bool
 	// usable tells that it may get work.
 	usable bool
 	// toldUntil is until when it gets nothing on another router's word that it
@@ -109,7 +112,12 @@
 }
 
 // StoreLost notes that the store does not answer.
-func (r *Roster) StoreLost() { r.away = true }
+func (r *Roster) StoreLost() {
+	r.away = true
+	for _, e := range r.entries {
+		e.outlasted = false
+	}
+}
 
 // StoreBack notes that the store answers again.
 func (r *Roster) StoreBack(now time.Time) {
@@ -167,7 +175,7 @@
 		r.recall(s)
 	}
 	s.Draining = s.Draining || drained
-	e.missing, e.server = false, s
+	e.missing, e.outlasted, e.server = false, !r.away, s
 	if s.Draining {
 		return e.set(false, ReasonDraining)
 	}
@@ -212,7 +220,7 @@
 	if e == nil {
 		return nil
 	}
-	if !e.server.Draining && r.Settling(now) {
+	if !e.server.Draining && !e.outlasted && r.Settling(now) {
 		e.missing = true
 		return nil
 	}
