The time for entries to come back counts from the store's answer

What callers may see: a server that left gets work for 2 s after its router heard, late, that the store is back: a bound of 2 s spent inside a bound of 2 s. Cause: the grace began with the clock of the hearer. Now it begins with the moment at which the store answered: the sending of the call, by this router or the one that vouches. Ruled out as a cost by reading: it is up to a word's age (1 to 2 s) shorter, and the platform's promise counts from the store's return.

--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	f.worked()
+	f.worked(sent)
 	f.r.replace(s)
 	f.r.confirm(s.Config, sent, vouching{heard, s.Revision})
 	f.loaded = time.Now()
@@ -160,7 +160,7 @@
 		f.loaded = time.Time{}
 		return err
 	}
-	f.worked()
+	f.worked(sent)
 	f.r.update(d)
 	f.r.pass(after, d)
 	f.r.confirm(d.Config, sent, vouching{heard, d.Revision})
@@ -216,15 +216,17 @@
 	return f.r.load.saturated.Load() && errors.Is(err, context.DeadlineExceeded)
 }
 
-// worked notes that the store answered this router.
-func (f *follower) worked() {
+// worked notes that the store answered a call of this router that was sent at the reading of
+// bootTime.
+func (f *follower) worked(sent time.Duration) {
 	f.r.cutSince.Store(0)
-	f.storeBack(false)
+	f.storeBack(false, sent)
 }
 
 // storeBack notes that what the store holds is known again, from it or from
-// another router, which may know that it was sound all the while.
-func (f *follower) storeBack(sound bool) {
+// another router, which may know that it was sound all the while. It answered at the reading
+// of bootTime.
+func (f *follower) storeBack(sound bool, at time.Duration) {
 	if !f.lost {
 		return
 	}
@@ -235,6 +237,6 @@
 	if sound {
 		f.r.roster.StoreSound()
 	} else {
-		f.r.roster.StoreBack(time.Now())
+		f.r.roster.StoreBack(wallTime(at))
 	}
 }
--- a/transport/direct/hear.go
+++ b/transport/direct/hear.go
@@ -103,11 +103,11 @@
 
 // storeAnswersOthers notes that the store answered another router after the time.
 // One that this router has not reached since is back then: what lapsed in an outage
-// comes back from now on, and not from this router's own next answer on. The caller
-// holds mu.
+// comes back from the time on, and not from when the word of it came, or from this router's
+// own next answer. The caller holds mu.
 func (r *Router) storeAnswersOthers(at time.Duration) {
 	if at > r.lostAt {
-		r.roster.StoreBack(time.Now())
+		r.roster.StoreBack(wallTime(at))
 	}
 }
 
--- a/transport/direct/mirror.go
+++ b/transport/direct/mirror.go
@@ -224,6 +224,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	want.Packs = true
+	sent := bootTime()
 	var got changesAnswer
 	if err := link.Call(ctx, address, changesCall, want, &got); err != nil {
 		return err
@@ -234,7 +235,7 @@
 	if got.revision() < want.Revision || got.revision() == 0 {
 		return errBehind
 	}
-	f.storeBack(!got.Settling)
+	f.storeBack(!got.Settling, sent)
 	if got.Changes != nil {
 		r.take(got.Changes.Config)
 		r.update(*got.Changes)
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -244,6 +244,9 @@
 	return time.Duration(ts.Nano())
 }
 
+// wallTime returns the moment of a reading of bootTime.
+func wallTime(at time.Duration) time.Time { return time.Now().Add(at - bootTime()) }
+
 // isFresh reports whether requests that need a key may be served now.
 func (r *Router) isFresh() bool {
 	now := bootTime()
