Another router's word that a server leaves holds while it is said

What callers may see: a server that drains for longer than 30 s, and whose entry does not say so, gets work again from every router but those that it told itself. Cause: the word ended 30 s after the first one, though it goes on to be said with each message. Now it holds on, up to two minutes, as it may be wrong; one that is not said any more ends as before. Ruled out: no end at all, as one router's error would keep a sound server idle at all of them; the test of that stays as it is, and TestARepeatedWordEnds bounds the new case.

--- a/coordination/roster/announced.go
+++ b/coordination/roster/announced.go
@@ -35,21 +35,35 @@
 }
 
 // Told takes another router's word that the incarnation said so to it. It is believed
-// for a time, once: what one router got wrong must not keep a sound server idle.
+// for a time, longer while it goes on to be said, and once: what one router got wrong must
+// not keep a sound server idle.
 func (r *Roster) Told(now time.Time, id string, incarnation Incarnation) []Change {
 	e := r.entries[id]
-	if e == nil || e.server.Draining || e.server.Incarnation != incarnation || !e.toldUntil.IsZero() {
+	if e == nil || e.server.Draining || e.server.Incarnation != incarnation {
 		return nil
 	}
-	e.told, e.toldUntil = true, now.Add(r.cfg.WordTime)
+	if !e.toldUntil.IsZero() {
+		if now.Sub(e.toldLast) <= r.cfg.WordGap {
+			e.toldLast = now
+		}
+		return nil
+	}
+	e.told, e.toldLast = true, now
+	e.toldUntil, e.toldMost = now.Add(r.cfg.WordTime), now.Add(r.cfg.WordMost)
 	return e.set(false, ReasonTold)
 }
 
+// wordEnds reports whether the word of another router counts no longer.
+func (r *Roster) wordEnds(now time.Time, e *entry) bool {
+	goesOn := now.Sub(e.toldLast) <= r.cfg.WordGap && now.Before(e.toldMost)
+	return !now.Before(e.toldUntil) && !goesOn
+}
+
 // endWords ends the time in which other routers' words count.
 func (r *Roster) endWords(now time.Time) []Change {
 	var changes []Change
 	for _, e := range r.entries {
-		if e.told && !now.Before(e.toldUntil) {
+		if e.told && r.wordEnds(now, e) {
 			e.told = false
 			changes = append(changes, e.set(r.isFree(e), ReasonUnconfirmed)...)
 		}
--- a/coordination/roster/kept_test.go
+++ b/coordination/roster/kept_test.go
@@ -32,3 +32,25 @@
 		qt.Assert(t, r.entries["a"].usable, qt.IsFalse, qt.Commentf("after %v", since))
 	}
 }
+
+// However long a word is said, a wrong one costs a bounded time; one that is not said any more
+// ends soon.
+func TestARepeatedWordEnds(t *testing.T) {
+	cfg := DefaultConfig()
+	for name, tc := range map[string]struct{ said, ends time.Duration }{
+		"for ever":         {time.Hour, cfg.WordMost},
+		"for a short time": {10 * time.Second, cfg.WordTime},
+		"for longer":       {time.Minute, time.Minute + cfg.WordGap},
+	} {
+		r := New(cfg)
+		r.Put(entryOf(100, false))
+		var since time.Duration
+		for ; since < 2*cfg.WordMost && (since == 0 || !r.entries["a"].usable); since += 500 * time.Millisecond {
+			if since < tc.said {
+				r.Told(after(since), "a", 100)
+			}
+			r.Tick(after(since))
+		}
+		qt.Check(t, since-500*time.Millisecond >= tc.ends-time.Second && since <= tc.ends+time.Second, qt.IsTrue, qt.Commentf("%s: %v", name, since))
+	}
+}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -21,13 +21,19 @@
 	FormerTime time.Duration
 	// WordTime is for how long a server gets nothing because another router said
 	// that it leaves; whether it does is heard from itself then. Default 30s:
-	// servers that leave are gone by then.
+	// most servers that leave are gone by then.
 	WordTime time.Duration
+	// WordGap is the longest time between two words of one that goes on to be said: such a
+	// word holds on after WordTime, up to WordMost. Default 5s: routers of the largest
+	// fleets tell each other each 4 s.
+	WordGap time.Duration
+	// WordMost bounds a word that goes on to be said, as it may be wrong. Default 2m.
+	WordMost time.Duration
 }
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{ReturnGrace: 2 * time.Second, FormerTime: time.Minute, WordTime: 30 * time.Second}
+	return Config{ReturnGrace: 2 * time.Second, FormerTime: time.Minute, WordTime: 30 * time.Second, WordGap: 5 * time.Second, WordMost: 2 * time.Minute}
 }
 
 // entry is a server with what is known of its absence.
@@ -44,6 +50,8 @@
 	// toldUntil is until when it gets nothing on another router's word that it
 	// leaves; zero without one. Such a word counts once.
 	toldUntil time.Time
+	// toldMost is until when it may hold on, toldLast when it was said last without a gap.
+	toldMost, toldLast time.Time
 	// told tells that it gets nothing for that now.
 	told bool
 }
