What may run once is revoked at a silent server that left, too

Cause: such attempts were left to their deadline, for an answer that might come. Nothing was heard of the server on any connection since the request was sent, for 1 s after it was known to leave: no answer is likely, and one bound goes for all. Its caller is told at once that it may have run. An attempt that was answered and whose text nobody needs has no line.

--- a/coordination/inflight/inflight.go
+++ b/coordination/inflight/inflight.go
@@ -26,7 +26,7 @@
 	// packet lost and sent again.
 	LeavingStall time.Duration
 	// Silence is the time from when a server is known to leave in which it must be heard,
-	// or attempts that may go elsewhere are revoked. Default 1s: half of the users' shortest
+	// or attempts there are revoked. Default 1s: half of the users' shortest
 	// bound on requests that reach a server after its leaving.
 	Silence time.Duration
 	// Way bounds the time that an answer takes on its way. What is heard so soon after an
@@ -84,8 +84,6 @@
 	Heard time.Time
 	// Left is since when the server is known to leave or to be gone; zero: it is not.
 	Left time.Time
-	// Movable tells that the request may be sent to another server.
-	Movable bool
 }
 
 // Attempt is one attempt whose first byte was written. It must be used by one goroutine at a
@@ -142,11 +140,9 @@
 }
 
 // isForsaken reports whether the server leaves and nothing speaks for the attempt: nothing
-// was heard of the server since it was sent. What may not be sent elsewhere waits for its
-// answer all the same, up to its deadline: to revoke it would make a failure of what may have
-// run.
+// was heard of the server since it was sent.
 func (a *Attempt) isForsaken(now time.Time, l Look) bool {
-	if l.Left.IsZero() || !l.Movable || l.Heard.After(a.began.Add(a.cfg.Way)) {
+	if l.Left.IsZero() || l.Heard.After(a.began.Add(a.cfg.Way)) {
 		return false
 	}
 	since := l.Left
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"goldcrestport/transport/revocable"
 )
 
 // readBuffer is the size of a connection's read buffer, in bytes. It holds the
@@ -37,7 +39,7 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
-	c.setLinger(kernelsLinger)
+	revocable.Settle(c.Conn)
 	return c.Conn.Close()
 }
 
@@ -52,22 +54,6 @@
 	return true
 }
 
-// Values of setLinger, in seconds.
-const (
-	// noLinger lets the end of a connection be a reset, the end of the process with it.
-	noLinger = 0
-	// kernelsLinger lets what was written go on its way.
-	kernelsLinger = -1
-)
-
-// setLinger sets what becomes of bytes that are on their way when the connection ends. One
-// that the kernel has ended already takes no setting, and needs none.
-func (c *conn) setLinger(seconds int) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds)
-	}
-}
-
 // Read implements io.Reader and notes that the server was heard.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -85,14 +71,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, to Target) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", to.Address)
+	raw, err := revocable.Dial(ctx, p.dialer, to.Address)
 	if err != nil {
 		return nil, err
 	}
 	p.dials.Add(1)
 	c := &conn{Conn: raw, owner: to.ID, peer: p.peerOf(to.ID)}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
-	c.setLinger(noLinger)
 	return c, nil
 }
 
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -33,9 +33,6 @@
 	// there: an error means that the request is not to be sent any more. Nil: it
 	// may be sent.
 	Begin func() error
-	// Movable tells that the request may be sent to another server after this one may have
-	// run it.
-	Movable bool
 	// Abandoned is told when the exchange is given up after the first byte left, once, on
 	// any goroutine. Nil: nobody is told.
 	Abandoned func(Abandoned)
@@ -97,7 +94,6 @@
 	size    int
 	handed  atomic.Int64
 	arrived bool
-	movable bool
 	// revoked is why the exchange was given up while its context lasted.
 	revoked atomic.Pointer[error]
 }
@@ -130,7 +126,7 @@
 		return nil, &Failure{Stage: NotSent, Err: errors.Mark(err, ErrWithdrawn)}
 	}
 	data := encode(req)
-	a := &Answer{pool: p, conn: c, written: make(chan error, 1), began: time.Now(), abandoned: req.Abandoned, size: len(data), movable: req.Movable}
+	a := &Answer{pool: p, conn: c, written: make(chan error, 1), began: time.Now(), abandoned: req.Abandoned, size: len(data)}
 	a.stop = context.AfterFunc(ctx, func() { a.giveUp(Reset, nil) })
 	p.flights.add(a)
 	a.send(data)
--- a/transport/backend/flights.go
+++ b/transport/backend/flights.go
@@ -130,7 +130,7 @@
 // seen is what is seen of the exchange now.
 func (a *Answer) seen() inflight.Look {
 	return inflight.Look{
-		Pending: a.pending(), Answered: a.answered.Load(), Movable: a.movable,
+		Pending: a.pending(), Answered: a.answered.Load(),
 		Heard: timeOf(&a.conn.peer.heard), Left: timeOf(&a.conn.peer.left),
 	}
 }
--- a/transport/direct/abandoned.go
+++ b/transport/direct/abandoned.go
@@ -19,7 +19,6 @@
 	whyCallerLeft = "caller_left"
 	whyDeadline   = "deadline"
 	whyStopping   = "router_stops"
-	whyUnwanted   = "not_wanted"
 )
 
 // sending is one attempt whose first byte was written.
@@ -41,8 +40,12 @@
 	c.r.metrics.knowledge.Record(knowledgeAge, time.Now(), s.knowledge)
 }
 
-// abandoned notes an attempt that was given up after its first byte was written.
+// abandoned notes an attempt that was given up after its first byte was written. Of one that
+// was answered, as by a refusal whose text nobody needs, there is nothing to note.
 func (c *call) abandoned(ctx context.Context, s *sending, a backend.Abandoned) {
+	if a.Answered && a.Err == nil && ctx.Err() == nil {
+		return
+	}
 	c.r.metrics.abandoned.Add(1)
 	if a.Unacked > 0 {
 		c.r.metrics.abandonedUnacked.Add(1)
@@ -62,10 +65,8 @@
 // whyAbandoned says why the attempt was given up.
 func (c *call) whyAbandoned(ctx context.Context, a backend.Abandoned) string {
 	switch {
-	case ctx.Err() == nil && a.Err == nil:
-		return whyUnwanted
 	case ctx.Err() == nil:
-		return a.Err.Error()
+		return errText(a.Err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return whyDeadline
 	case c.r.ending.Err() != nil:
--- a/transport/direct/held_test.go
+++ b/transport/direct/held_test.go
@@ -51,6 +51,21 @@
 	qt.Check(t, leaving.runs(), qt.Not(qt.Contains), "held")
 }
 
+// Guards against the same of a request that may run once: it may not go on elsewhere, so that
+// its caller is told that it may have run.
+func TestARequestThatMayRunOnceDoesNotReachAServerThatLeft(t *testing.T) {
+	leaving := newBackend(t, "i-1", ok)
+	link, known := behindLink(t, leaving)
+	f := start(t, testConfig(1), known)
+	got := sendHeld(f, link, "/once/")
+	f.source.changes <- Delta{Removed: []string{"i-1"}, Revision: 2}
+	r := <-got
+	qt.Check(t, r.status, qt.Equals, http.StatusBadGateway)
+	link.Heal()
+	time.Sleep(healTime)
+	qt.Check(t, leaving.runs(), qt.Not(qt.Contains), "held")
+}
+
 // Guards against a request that runs after the router that sent it has stopped: the path to
 // the server held it, and the router closed its connection.
 func TestARouterThatStopsLeavesNoRequestOnItsWay(t *testing.T) {
--- a/transport/link/records.go
+++ b/transport/link/records.go
@@ -8,6 +8,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
+
+	"goldcrestport/transport/revocable"
 )
 
 // Records encodes the messages of calls whose form is a Go record, as JSON.
@@ -23,7 +25,7 @@
 // Call makes one call of a record to the address, on a connection of its own.
 func Call(ctx context.Context, addr, rpc string, in, out any) error {
 	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := revocable.Dial(ctx, &d, addr)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/transport/revocable/revocable.go
@@ -0,0 +1,41 @@
+// Package revocable opens connections whose end is a reset: what was sent on them and has not
+// arrived when they end, or when the process does, never does. Who gives up a call by closing
+// its connection so takes it back as far as that can be done.
+//
+// platform, transport/backend and transport/link call it.
+package revocable
+
+import (
+	"context"
+	"net"
+)
+
+// Values of a connection's linger time, in seconds.
+const (
+	// noLinger lets the end of a connection be a reset.
+	noLinger = 0
+	// kernelsLinger lets what was written go on its way.
+	kernelsLinger = -1
+)
+
+// Dial opens a TCP connection by the dialer.
+func Dial(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	setLinger(conn, noLinger)
+	return conn, nil
+}
+
+// Settle lets what was written go on its way when the connection ends: nothing is to be taken
+// back any more.
+func Settle(conn net.Conn) { setLinger(conn, kernelsLinger) }
+
+// setLinger sets what becomes of bytes that are on their way when the connection ends. One
+// that the kernel has ended already takes no setting, and needs none.
+func setLinger(conn net.Conn, seconds int) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds)
+	}
+}
