The soak: servers leave while the way to them holds what is sent

Two promises: nothing runs 1 s after it ended for its caller, and nothing that was on its way begins at a server later than the bound after its leaving; that links held the bytes excuses neither. Why the older soak missed it: its relay turned a reset into a good end and delivered what it held, and every check excused runs at servers whose link was disturbed.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -39,6 +39,8 @@
 	{"a final answer comes in time", lateAnswer},
 	{"a caller that left ends its run", ranOn},
 	{"nothing is sent after its deadline", sentLate},
+	{"nothing runs after it ended for its caller", ranAfterEnd},
+	{"nothing of what was on its way reaches a server that left", arrivedAfterDeparture},
 	{"repeats are bounded", tooManyRepeats},
 	{"a request that crashes servers reaches few more", crashedOn},
 	{"what crashes no server is not refused for it", blamed},
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -110,6 +110,32 @@
 			r.Calls = []Call{call(Once, 0, 1590)}
 			r.Began(run("s", plainService, 1550, 1580))
 		}},
+		{"answered elsewhere, and began once more", "nothing runs after it ended", func(r *Record) {
+			r.Failures = []Failure{{Kind: serverLink, Router: noRouter, Server: "s", From: at(0), Until: at(1900)}}
+			r.Calls = []Call{call(Safe, 0, 900)}
+			r.Began(run("z", plainService, 800, 890))
+			r.Began(run("s", plainService, 1950, 1960))
+		}},
+		{"the same, of a caller that a frozen router did not hear", "", func(r *Record) {
+			r.Failures = []Failure{{Kind: freeze, Router: 0, From: at(0), Until: at(1900)}}
+			r.Calls = []Call{call(Safe, 0, 900)}
+			r.Began(run("s", plainService, 1950, 1960))
+		}},
+		{"held on its way to a server that left", "nothing of what was on its way", func(r *Record) {
+			r.Failures = []Failure{
+				{Kind: serverLink, Router: noRouter, Server: "s", From: at(0), Until: at(2300)},
+				{Kind: "store link", From: at(0), Until: at(500)},
+			}
+			r.Departures = []Departure{{Server: "s", Acked: at(100)}}
+			r.Calls = []Call{call(Safe, 50, 1600)}
+			r.Began(run("s", plainService, 2350, 2360))
+		}},
+		{"held on its way for a short time", "", func(r *Record) {
+			r.Failures = []Failure{{Kind: serverLink, Router: noRouter, Server: "s", From: at(0), Until: at(1300)}}
+			r.Departures = []Departure{{Server: "s", Acked: at(100)}}
+			r.Calls = []Call{call(Safe, 50, 1600)}
+			r.Began(run("s", plainService, 1350, 1360))
+		}},
 		{"refused and ran", "a refusal is true", func(r *Record) {
 			c := call(Once, 0, 20)
 			c.Status = 503
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -16,6 +16,12 @@
 	serverLink  = "server link"
 )
 
+// Kinds of failures in which a caller's end does not reach its router at once.
+const (
+	callersHeld    = "callers held"
+	callersDelayed = "callers delayed"
+)
+
 // failure is one kind of failure on a target.
 type failure struct {
 	kind string
@@ -36,7 +42,9 @@
 	reborn bool
 	// announced adds failures of servers that say what they want, see Plan.
 	announced bool
-	open      sync.WaitGroup
+	// held adds servers that leave while the way to them holds what is sent, see Plan.
+	held bool
+	open sync.WaitGroup
 }
 
 // length returns a random time between least and most.
@@ -62,6 +70,9 @@
 	})
 }
 
+// heldOneIn is how often a server leaves while the way to it holds, see Plan.Held.
+const heldOneIn = 4
+
 // draw returns a random failure. Signals and cuts of routers come in series
 // and overlap, as nothing keeps them apart.
 func (i *injector) draw() failure {
@@ -76,9 +87,9 @@
 		func() failure { return i.onLink(r, "store reset", r.store.Cut, r.store.Heal, 4*time.Second) },
 		func() failure { return i.onLink(r, "store one way", r.store.Silence, r.store.Heal, 4*time.Second) },
 		func() failure { return i.onLink(r, "callers reset", r.callers.Reset, func() {}, time.Millisecond) },
-		func() failure { return i.onLink(r, "callers held", r.callers.Hold, r.callers.Heal, 2*time.Second) },
+		func() failure { return i.onLink(r, callersHeld, r.callers.Hold, r.callers.Heal, 2*time.Second) },
 		func() failure {
-			return i.onLink(r, "callers delayed", func() { r.callers.Delay(40 * time.Millisecond) }, r.callers.Heal, 3*time.Second)
+			return i.onLink(r, callersDelayed, func() { r.callers.Delay(40 * time.Millisecond) }, r.callers.Heal, 3*time.Second)
 		},
 		func() failure { return i.onStore("store down", kvstore.Faults{Status: 503}) },
 		func() failure { return i.onStore("store refuses", kvstore.Faults{Status: 429}) },
@@ -95,6 +106,9 @@
 	if i.announced {
 		kinds = append(kinds, i.leaveUnheard, i.leaveUnheard, i.backOff, i.backOff, i.backOff)
 	}
+	if i.held && i.random.IntN(heldOneIn) == 0 {
+		return i.leaveHeld()
+	}
 	return kinds[i.random.IntN(len(kinds))]()
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -25,6 +25,9 @@
 	// Announced adds servers that say in their answers that they leave, or for how
 	// long they want no requests. Without it seeds choose the same failures as ever.
 	Announced bool
+	// Held adds servers that leave while the way to them holds what is sent. Without it
+	// seeds choose the same failures as ever.
+	Held bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -37,13 +40,15 @@
 	// firstAnnounced is the first seed whose servers say in their answers what they
 	// want.
 	firstAnnounced = 2000
+	// firstHeld is the first seed in which servers leave while the way to them holds.
+	firstHeld = 8000
 )
 
 // DefaultPlan returns the plan of the tool.
 func DefaultPlan(seed uint64) Plan {
 	return Plan{
 		Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1),
-		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2, Announced: seed >= firstAnnounced,
+		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2, Announced: seed >= firstAnnounced, Held: seed >= firstHeld,
 	}
 }
 
@@ -79,7 +84,7 @@
 	if plan.Crashing {
 		w.insist(ctx, &working, plan.Seed)
 	}
-	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced}
+	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held}
 	if plan.Places {
 		i.evacuations(plan)
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -195,6 +195,14 @@
 	})
 }
 
+// Servers leave while the way to them holds what is sent, and heals before they are gone,
+// beside everything else.
+func TestServersThatLeaveWhileTheWayHolds(t *testing.T) {
+	size := Size{Routers: 3, Engines: 6, Plain: 5, Other: 4, Callers: 24}
+	plan := Plan{Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Announced: true, Held: true}
+	playEach(t, []uint64{8001, 8002}, size, plan, func(*testing.T, *Record) {})
+}
+
 // Routers in two data centres, more than are told directly in each: what they tell each
 // other is passed on by routers that are killed, frozen and stopped, beside everything else.
 func TestRoutersOfTwoDataCentres(t *testing.T) {
