--- a/coordination/inflight/inflight.go
+++ b/coordination/inflight/inflight.go
@@ -89,7 +89,7 @@
 // Attempt is one attempt whose first byte was written. It must be used by one goroutine at a
 // time.
 type Attempt struct {
-	cfg   Config
+	cfg   *Config
 	began time.Time
 	// looked is the time of the last look, pending what was on its way then.
 	looked  time.Time
@@ -99,9 +99,9 @@
 }
 
 // Begin returns an attempt of so many bytes whose first one is written now. The config must
-// be valid.
-func Begin(cfg Config, now time.Time, size int) *Attempt {
-	return &Attempt{cfg: cfg, began: now, looked: now, pending: size}
+// be valid, and is the caller's to keep as it is.
+func Begin(cfg *Config, now time.Time, size int) Attempt {
+	return Attempt{cfg: cfg, began: now, looked: now, pending: size}
 }
 
 // Look takes what is seen of the attempt and returns what becomes of it.
--- a/coordination/inflight/inflight_test.go
+++ b/coordination/inflight/inflight_test.go
@@ -8,7 +8,10 @@
 	"pgregory.net/rapid"
 )
 
-var start = time.Unix(1000, 0)
+var (
+	start    = time.Unix(1000, 0)
+	defaults = DefaultConfig()
+)
 
 func after(d time.Duration) time.Time { return start.Add(d) }
 
@@ -18,7 +21,7 @@
 // course looks at an attempt until it is not kept or until the end, and returns the verdict
 // and when it fell.
 func course(size int, until time.Duration, look func(since time.Duration) Look) (Verdict, time.Duration) {
-	a := Begin(DefaultConfig(), start, size)
+	a := Begin(&defaults, start, size)
 	for since := every; since <= until; since += every {
 		if v := a.Look(after(since), look(since)); v != Keep {
 			return v, since
@@ -80,7 +83,7 @@
 // A router that did not run for 5 s has seen no want of progress: what was sent before is not
 // revoked by the first look.
 func TestAPausedRouterLooksAgainFirst(t *testing.T) {
-	a := Begin(DefaultConfig(), start, 100)
+	a := Begin(&defaults, start, 100)
 	qt.Check(t, a.Look(after(every), Look{Pending: 100}), qt.Equals, Keep)
 	qt.Check(t, a.Look(after(5*time.Second), Look{Pending: 100}), qt.Equals, Keep)
 	qt.Check(t, a.Look(after(5*time.Second+every), Look{Answered: true}), qt.Equals, Settled)
@@ -99,7 +102,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
 		pending := rapid.IntRange(1, 1000).Draw(t, "size")
-		a, now, moved, counted := Begin(cfg, start, pending), start, start, time.Duration(0)
+		a, now, moved, counted := Begin(&cfg, start, pending), start, start, time.Duration(0)
 		for range 40 {
 			step := time.Duration(rapid.IntRange(10, 2000).Draw(t, "ms")) * time.Millisecond
 			now = now.Add(step)
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/inflight"
 )
 
 // Request is one request as the server gets it.
@@ -89,8 +91,10 @@
 	answered  atomic.Bool
 	abandoned func(Abandoned)
 
-	// size is that of the whole request in bytes, and handed what of it was given to the
-	// kernel; arrived tells that the other end acknowledged all. Only looks use arrived.
+	// attempt decides when the exchange is revoked. size is that of the whole request in
+	// bytes, and handed what of it was given to the kernel; arrived tells that the other end
+	// acknowledged all. Only looks use attempt and arrived.
+	attempt inflight.Attempt
 	size    int
 	handed  atomic.Int64
 	arrived bool
--- a/transport/backend/flights.go
+++ b/transport/backend/flights.go
@@ -50,16 +50,16 @@
 	cfg inflight.Config
 
 	mu      sync.Mutex
-	all     map[*Answer]*inflight.Attempt
+	all     map[*Answer]struct{}
 	looking bool
 }
 
 // add takes an exchange whose first byte is written now.
 func (f *flights) add(a *Answer) {
-	attempt := inflight.Begin(f.cfg, a.began, a.size)
+	a.attempt = inflight.Begin(&f.cfg, a.began, a.size)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.all[a] = attempt
+	f.all[a] = struct{}{}
 	if !f.looking {
 		f.looking = true
 		go f.run()
@@ -100,8 +100,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var revoked map[*Answer]error
-	for a, attempt := range f.all {
-		verdict := attempt.Look(now, a.seen())
+	for a := range f.all {
+		verdict := a.attempt.Look(now, a.seen())
 		if verdict == inflight.Keep {
 			continue
 		}
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -75,7 +75,7 @@
 func NewPool(cfg Config) *Pool {
 	return &Pool{
 		cfg: cfg, dialer: dialer(cfg), idle: make(map[string][]*conn), peers: make(map[string]*peer),
-		flights: flights{cfg: cfg.InFlight, all: make(map[*Answer]*inflight.Attempt)},
+		flights: flights{cfg: cfg.InFlight, all: make(map[*Answer]struct{})},
 	}
 }
 
