A sidecar's run that is given up is reset

What callers may see: a run at a backend server seconds after its sidecar gave it up. Cause: http.Transport closes in good order. Its connections are revocable now; it has no watch of progress, as the way is one within an instance.

--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/revocable"
 )
 
 // hopHeaders are not passed on to routers. Content-Length is: it lets the
@@ -64,8 +65,8 @@
 		IdleConnTimeout:     backendIdleTime,
 		DisableCompression:  true,
 		DisableKeepAlives:   once,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			raw, err := d.DialContext(ctx, network, addr)
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			raw, err := revocable.Dial(ctx, d, addr)
 			if err != nil {
 				return nil, err
 			}
