An operator's call that timed out is reset

What operators may see: a configuration that is confirmed after goldcrestctl said that its outcome is not known. It is bound to its base revision, so no other one is lost by it; but it came late.

--- a/transport/operatorclient/client.go
+++ b/transport/operatorclient/client.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -19,6 +20,7 @@
 
 	"goldcrestport/protocol/operator"
 	"goldcrestport/protocol/outcome"
+	"goldcrestport/transport/revocable"
 )
 
 // maxAnswer bounds what is read of an answer, in bytes.
@@ -46,9 +48,14 @@
 }
 
 // New returns a client of the routers' operators' addresses, "IP:port" or
-// URLs. The timeout bounds the call of one router.
+// URLs. The timeout bounds the call of one router; one that ends by it is taken back as far
+// as that can be done.
 func New(routers []string, token string, timeout time.Duration) *Client {
-	c := &Client{token: token, http: &http.Client{Timeout: timeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return revocable.Dial(ctx, &net.Dialer{}, address)
+	}
+	c := &Client{token: token, http: &http.Client{Timeout: timeout, Transport: transport}}
 	for _, r := range routers {
 		if !strings.Contains(r, "://") {
 			r = "http://" + r
