A server's answer speaks for when its request was sent

By reading: an answer that the path held told, when it came, that its server had not left, by a word seconds old. Now it counts from the sending of its request. The age of knowledge is counted of first bytes only, not of attempts that were withdrawn. Two tests share how they send.

--- a/coordination/staleness/staleness.go
+++ b/coordination/staleness/staleness.go
@@ -53,7 +53,7 @@
 	// outage of the store may be its own lateness.
 	Saturated bool
 	// Answered tells that the server has answered a request without saying that it leaves,
-	// SinceAnswer how long ago.
+	// SinceAnswer how long ago that was sent.
 	Answered    bool
 	SinceAnswer time.Duration
 }
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -296,3 +296,23 @@
 	c.Check(p.idle["i-1"], qt.HasLen, 0)
 	p.mu.Unlock()
 }
+
+// What an answer says of its server holds for when its request was sent: the answer may have
+// been held on its way.
+func TestAnAnswerSpeaksForTheTimeOfItsRequest(t *testing.T) {
+	c := qt.New(t)
+	const thinks = 100 * time.Millisecond
+	s := serve(c, func(conn net.Conn, r *bufio.Reader) {
+		for id := read(r); id != ""; id = read(r) {
+			time.Sleep(thinks)
+			_, _ = io.WriteString(conn, answer(id, ""))
+		}
+	})
+	p := NewPool(DefaultConfig())
+	c.Check(p.Answered(s.target.ID).IsZero(), qt.IsTrue)
+	before := time.Now()
+	_, err := get(p, s.target, "r1")
+	c.Assert(err, qt.IsNil)
+	at := p.Answered(s.target.ID)
+	c.Check(!at.Before(before) && at.Before(before.Add(thinks)), qt.IsTrue, qt.Commentf("%v", at.Sub(before)))
+}
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -195,7 +195,7 @@
 		if err != nil {
 			return err
 		}
-		a.conn.peer.answered.Store(sinceEpoch())
+		a.conn.peer.answers(a.began)
 		if req.Head(resp.StatusCode, resp.Header) {
 			a.take(resp)
 			return nil
--- a/transport/backend/flights.go
+++ b/transport/backend/flights.go
@@ -27,7 +27,8 @@
 // peer is what all connections to one server know of it. Times are nanoseconds since epoch;
 // 0: never.
 type peer struct {
-	// heard is when bytes of it arrived last, answered the head of an answer.
+	// heard is when bytes of it arrived last, answered when the youngest request was sent of
+	// which the head of an answer arrived: the answer itself may have been held on its way.
 	heard    atomic.Int64
 	answered atomic.Int64
 	// left is since when it is known to leave or to be gone.
@@ -44,6 +45,14 @@
 	return time.Time{}
 }
 
+// answers notes that the head of an answer arrived to a request that was sent at the time.
+func (p *peer) answers(sent time.Time) {
+	at := max(1, int64(sent.Sub(epoch)))
+	if at > p.answered.Load() {
+		p.answered.Store(at)
+	}
+}
+
 // flights are the exchanges whose requests may be on their way yet. One goroutine looks at
 // them while there are any.
 type flights struct {
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -91,8 +91,8 @@
 	return one
 }
 
-// Answered returns when the head of an answer of the server arrived last; the zero time:
-// none did.
+// Answered returns when the youngest request was sent that the server has answered; the zero
+// time: it has answered none.
 func (p *Pool) Answered(id string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/direct/abandoned.go
+++ b/transport/direct/abandoned.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/transport/backend"
 )
@@ -34,10 +35,15 @@
 // knowledgeAge is the name of the histogram's one series.
 const knowledgeAge = "first_byte"
 
-// firstByteOf notes what is known when the first byte of an attempt is written.
-func (c *call) firstByteOf(s *sending) {
+// begins returns why the attempt must not be sent after all, or notes what is known when its
+// first byte is written.
+func (c *call) begins(run *admission.Run, s *sending) error {
+	if err := c.mayBegin(run, s.server); err != nil {
+		return err
+	}
 	s.knowledge = c.r.configAge()
 	c.r.metrics.knowledge.Record(knowledgeAge, time.Now(), s.knowledge)
+	return nil
 }
 
 // abandoned notes an attempt that was given up after its first byte was written. Of one that
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -115,11 +115,8 @@
 	one := &sending{server: server, attempt: c.sent}
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
-		Head: func(status int, h http.Header) bool { return c.headOf(server, status, h) },
-		Begin: func() error {
-			c.firstByteOf(one)
-			return c.mayBegin(run, server)
-		},
+		Head:      func(status int, h http.Header) bool { return c.headOf(server, status, h) },
+		Begin:     func() error { return c.begins(run, one) },
 		Abandoned: func(a backend.Abandoned) { c.abandoned(ctx, one, a) },
 	})
 	if failure != nil {
--- a/transport/direct/held_test.go
+++ b/transport/direct/held_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -95,27 +94,13 @@
 	qt.Check(t, r.servers, qt.HasLen, 0)
 }
 
-// sendBy sends a request through a router whose knowledge of who leaves has the age.
-func sendBy(t *testing.T, r *Router, age time.Duration) *httptest.ResponseRecorder {
-	r.fresh.Confirm(bootTime() - age)
-	req := httptest.NewRequest(http.MethodPost, "/safe/", http.NoBody)
-	w := httptest.NewRecorder()
-	c := &call{
-		r: r, w: w, req: req, meta: Meta{ID: "a1"}, table: r.table.Load(), service: "app",
-		received: time.Now(), deadline: time.Now().Add(3 * time.Second),
-	}
-	c.route = c.table.Route("h", "/safe/")
-	c.dispatch(req.Context())
-	return w
-}
-
 // Guards against a request at a server that left while its router, which is in time, knew
 // nothing newer than the bound on leaving servers: the store is there, and only its word is
 // late. The caller is refused at once and comes back.
 func TestKnowledgeOlderThanTheBoundSendsNothing(t *testing.T) {
 	server := newBackend(t, "i-1", ok)
 	r := unserved(server)
-	w := sendBy(t, r, 2100*time.Millisecond)
+	w := sendBy(r, 2100*time.Millisecond)
 	qt.Check(t, server.runs(), qt.HasLen, 0)
 	qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
 	qt.Check(t, w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
--- a/transport/direct/left_test.go
+++ b/transport/direct/left_test.go
@@ -51,6 +51,20 @@
 	return r
 }
 
+// sendBy sends a request through a router whose knowledge of who leaves has the age.
+func sendBy(r *Router, age time.Duration) *httptest.ResponseRecorder {
+	r.fresh.Confirm(bootTime() - age)
+	req := httptest.NewRequest(http.MethodPost, "/safe/", http.NoBody)
+	w := httptest.NewRecorder()
+	c := &call{
+		r: r, w: w, req: req, meta: Meta{ID: "a1"}, table: r.table.Load(), service: "app",
+		received: time.Now(), deadline: time.Now().Add(3 * time.Second),
+	}
+	c.route = c.table.Route("h", "/safe/")
+	c.dispatch(req.Context())
+	return w
+}
+
 // Pattern: a flood makes a small router read the others' messages three seconds
 // late, while servers are replaced one after the other. Ground: seen on the
 // users' grown site; requests went to servers that had announced their leaving
@@ -69,16 +83,8 @@
 		if tc.away {
 			r.roster.StoreLost()
 		}
-		r.fresh.Confirm(bootTime() - tc.age)
 		r.load.saturated.Store(tc.saturated)
-		req := httptest.NewRequest(http.MethodPost, "/safe/", http.NoBody)
-		w := httptest.NewRecorder()
-		c := &call{
-			r: r, w: w, req: req, meta: Meta{ID: "a1"}, table: r.table.Load(), service: "app",
-			received: time.Now(), deadline: time.Now().Add(3 * time.Second),
-		}
-		c.route = c.table.Route("h", "/safe/")
-		c.dispatch(req.Context())
+		w := sendBy(r, tc.age)
 		qt.Check(t, server.runs(), qt.HasLen, tc.want, qt.Commentf("%+v", tc))
 		if tc.want == 0 {
 			qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
