The kernel's keep-alive ends no connection with bytes on their way

Cause: keep-alive ran on all the time, and its 8 s began in the idle time, so that it came before the look at 1 s. It is turned on now once a request has arrived and turned off when its connection is kept: two calls more for exchanges longer than .1 s, one more for each new connection. Ruled out: a longer keep-alive for all, which finds no dead path.

TestTheKernelGivesUpNoBytesOnTheirWay fails on the commit before.

--- a/transport/backend/flights.go
+++ b/transport/backend/flights.go
@@ -153,7 +153,9 @@
 	}
 	unwritten := a.size - int(a.handed.Load())
 	pending := unwritten + max(0, a.conn.unacked())
-	a.arrived = pending == 0
+	if a.arrived = pending == 0; a.arrived {
+		a.conn.setProbing(true)
+	}
 	return pending
 }
 
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -24,7 +24,7 @@
 	DialTimeout time.Duration
 	// InFlight bounds what is on its way to a server.
 	InFlight inflight.Config
-	// KeepAlive finds a dead path while an answer is awaited. Default: first
+	// KeepAlive finds a dead path while an answer is awaited to a request that has arrived. Default: first
 	// probe after 5s, then each second, three lost ones end it: a path that is whole again
 	// by then costs no answer.
 	KeepAlive net.KeepAliveConfig
@@ -194,6 +194,7 @@
 
 // put keeps a connection whose exchange ended cleanly.
 func (p *Pool) put(c *conn, now time.Time) {
+	c.setProbing(false)
 	c.idle, c.used = now, true
 	p.mu.Lock()
 	full := len(p.idle[c.owner]) >= p.cfg.IdlePerServer
