The kernel ends no connection to a server by a time-out of its own

So there is none. A dead server is known by the store, which drops its entry; an answer that has begun is given up when its server left and was silent for 5 s.

TestTheKernelGivesUpNoBytesOnTheirWay asks for none of the kernel's time-outs now, in place of a keep-alive only for what has arrived: it is stricter.

--- a/coordination/inflight/inflight.go
+++ b/coordination/inflight/inflight.go
@@ -29,6 +29,9 @@
 	// or attempts there are revoked. Default 1s: half of the users' shortest
 	// bound on requests that reach a server after its leaving.
 	Silence time.Duration
+	// Dead is the same for answers that have begun: a server's silence alone is no reason to
+	// end one, and the store drops the entry of a server that is dead. Default 5s.
+	Dead time.Duration
 	// Way bounds the time that an answer takes on its way. What is heard so soon after an
 	// attempt was sent does not speak for it. Default 100ms.
 	Way time.Duration
@@ -39,7 +42,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Stall: time.Second, LeavingStall: 250 * time.Millisecond, Silence: time.Second, Way: 100 * time.Millisecond, Gap: 300 * time.Millisecond}
+	return Config{Stall: time.Second, LeavingStall: 250 * time.Millisecond, Silence: time.Second, Dead: 5 * time.Second, Way: 100 * time.Millisecond, Gap: 300 * time.Millisecond}
 }
 
 // Validate returns an error that names each field out of range.
@@ -53,6 +56,7 @@
 	check(c.Stall > 0, "Stall must be positive")
 	check(c.LeavingStall > 0 && c.LeavingStall <= c.Stall, "LeavingStall must lie in (0, Stall]")
 	check(c.Silence > 0, "Silence must be positive")
+	check(c.Dead >= c.Silence, "Dead must be at least Silence")
 	check(c.Way >= 0, "Way must not be negative")
 	check(c.Gap > 0 && c.Gap < c.Stall, "Gap must lie in (0, Stall)")
 	return err
@@ -63,13 +67,11 @@
 
 // Verdicts.
 const (
-	// Keep: it goes on, and needs another look.
+	// Keep: it goes on.
 	Keep Verdict = iota
-	// Settled: all of it arrived and its answer has begun; it needs no further look.
-	Settled
 	// Stalled: revoke it, what was sent makes no progress.
 	Stalled
-	// ServerLeft: revoke it, its server leaves and was not heard since.
+	// ServerLeft: revoke it, its server leaves and is silent.
 	ServerLeft
 )
 
@@ -112,9 +114,9 @@
 		return Stalled
 	case l.Pending > 0:
 		return Keep
-	case l.Answered:
-		return Settled
-	case a.isForsaken(now, l):
+	case l.Answered && silence(now, l.Left, l.Heard) >= a.cfg.Dead:
+		return ServerLeft
+	case !l.Answered && a.isForsaken(now, l):
 		return ServerLeft
 	default:
 		return Keep
@@ -142,12 +144,17 @@
 // isForsaken reports whether the server leaves and nothing speaks for the attempt: nothing
 // was heard of the server since it was sent.
 func (a *Attempt) isForsaken(now time.Time, l Look) bool {
-	if l.Left.IsZero() || l.Heard.After(a.began.Add(a.cfg.Way)) {
+	if l.Heard.After(a.began.Add(a.cfg.Way)) {
 		return false
 	}
-	since := l.Left
-	if a.began.After(since) {
-		since = a.began
+	return silence(now, l.Left, a.began) >= a.cfg.Silence
+}
+
+// silence is the time since a server is known to leave and since the other moment, whichever
+// is shorter; 0 for one that is not known to leave.
+func silence(now, left, other time.Time) time.Duration {
+	if left.IsZero() {
+		return 0
 	}
-	return now.Sub(since) >= a.cfg.Silence
+	return min(now.Sub(left), now.Sub(other))
 }
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -29,8 +29,6 @@
 	// not say.
 	expires time.Time
 	idle    time.Time
-	// probing tells that the kernel's keep-alive is on.
-	probing bool
 	// used tells that an exchange went over it before.
 	used   bool
 	closed atomic.Bool
@@ -56,20 +54,6 @@
 	return true
 }
 
-// setProbing turns the kernel's keep-alive on or off, if it is not so already. It is on only
-// while an answer is awaited to a request that has arrived: it ends a connection without a
-// word to the other end, which must not happen to bytes on their way.
-func (c *conn) setProbing(on bool) {
-	if c.probing == on {
-		return
-	}
-	c.probing = on
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// It fails on a connection that has ended, which needs none.
-		_ = tcp.SetKeepAlive(on)
-	}
-}
-
 // Read implements io.Reader and notes that the server was heard.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -79,10 +63,14 @@
 	return n, err
 }
 
-// dialer opens connections with the times of the keep-alive. Bytes on their way are not the
-// kernel's to give up: it would do so without a word to the other end.
+// noKeepAlive is net.Dialer's word for none.
+const noKeepAlive = -1
+
+// dialer opens connections without time-outs of the kernel's: it would end them without a word
+// to the other end, and what was on its way would live on. What it finds, looks at exchanges
+// find.
 func dialer(cfg Config) *net.Dialer {
-	return &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: cfg.KeepAlive}
+	return &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: noKeepAlive}
 }
 
 func (p *Pool) dial(ctx context.Context, to Target) (*conn, error) {
@@ -91,8 +79,7 @@
 		return nil, err
 	}
 	p.dials.Add(1)
-	c := &conn{Conn: raw, owner: to.ID, peer: p.peerOf(to.ID), probing: p.cfg.KeepAlive.Enable}
-	c.setProbing(false)
+	c := &conn{Conn: raw, owner: to.ID, peer: p.peerOf(to.ID)}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
--- a/transport/backend/flights.go
+++ b/transport/backend/flights.go
@@ -153,9 +153,7 @@
 	}
 	unwritten := a.size - int(a.handed.Load())
 	pending := unwritten + max(0, a.conn.unacked())
-	if a.arrived = pending == 0; a.arrived {
-		a.conn.setProbing(true)
-	}
+	a.arrived = pending == 0
 	return pending
 }
 
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -24,10 +24,6 @@
 	DialTimeout time.Duration
 	// InFlight bounds what is on its way to a server.
 	InFlight inflight.Config
-	// KeepAlive finds a dead path while an answer is awaited to a request that has arrived. Default: first
-	// probe after 5s, then each second, three lost ones end it: a path that is whole again
-	// by then costs no answer.
-	KeepAlive net.KeepAliveConfig
 	// IdleTime bounds the time that a connection is kept without an exchange.
 	// Default 20s.
 	IdleTime time.Duration
@@ -43,7 +39,6 @@
 	return Config{
 		DialTimeout:   200 * time.Millisecond,
 		InFlight:      inflight.DefaultConfig(),
-		KeepAlive:     net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3},
 		IdleTime:      20 * time.Second,
 		IdleMargin:    500 * time.Millisecond,
 		IdlePerServer: 64,
@@ -194,7 +189,6 @@
 
 // put keeps a connection whose exchange ended cleanly.
 func (p *Pool) put(c *conn, now time.Time) {
-	c.setProbing(false)
 	c.idle, c.used = now, true
 	p.mu.Lock()
 	full := len(p.idle[c.owner]) >= p.cfg.IdlePerServer
