An answer that nobody reads is no silence of its server

By reading: the answer of a leaving server whose caller is slow, so that nothing is read of it for 5 s, would have been cut as if the server were silent. Silence counts only while bytes are awaited. TestAnAnswerThatNobodyReadsIsNotSilence fails without that.

--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -32,6 +32,8 @@
 	// used tells that an exchange went over it before.
 	used   bool
 	closed atomic.Bool
+	// reading tells that bytes of the server are awaited.
+	reading atomic.Bool
 }
 
 // Close closes a connection that carries no exchange, once.
@@ -56,7 +58,9 @@
 
 // Read implements io.Reader and notes that the server was heard.
 func (c *conn) Read(b []byte) (int, error) {
+	c.reading.Store(true)
 	n, err := c.Conn.Read(b)
+	c.reading.Store(false)
 	if n > 0 {
 		c.peer.heard.Store(sinceEpoch())
 	}
--- a/transport/backend/flights.go
+++ b/transport/backend/flights.go
@@ -110,7 +110,7 @@
 	defer f.mu.Unlock()
 	var revoked map[*Answer]error
 	for a := range f.all {
-		verdict := a.attempt.Look(now, a.seen())
+		verdict := a.attempt.Look(now, a.seen(now))
 		if verdict == inflight.Keep {
 			continue
 		}
@@ -137,11 +137,16 @@
 }
 
 // seen is what is seen of the exchange now.
-func (a *Answer) seen() inflight.Look {
-	return inflight.Look{
+func (a *Answer) seen(now time.Time) inflight.Look {
+	l := inflight.Look{
 		Pending: a.pending(), Answered: a.answered.Load(),
 		Heard: timeOf(&a.conn.peer.heard), Left: timeOf(&a.conn.peer.left),
 	}
+	if l.Answered && !a.conn.reading.Load() {
+		// It is the caller who is slow: there may be bytes to hear.
+		l.Heard = now
+	}
+	return l
 }
 
 // pending returns how many bytes of the request the other end has not acknowledged. Once it
--- a/transport/backend/held_test.go
+++ b/transport/backend/held_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,3 +122,25 @@
 		c.Check(bound, qt.Equals, 0)
 	}), qt.IsNil)
 }
+
+// Guards against an answer that is cut for a caller on a slow path: a server that leaves is not
+// silent while nobody reads what it sends.
+func TestAnAnswerThatNobodyReadsIsNotSilence(t *testing.T) {
+	const size = 8 << 20
+	c := qt.New(t)
+	s := serve(c, func(conn net.Conn, r *bufio.Reader) {
+		id := read(r)
+		_, _ = conn.Write([]byte(answer(id, strings.Repeat("x", size))))
+	})
+	cfg := DefaultConfig()
+	cfg.InFlight.Silence, cfg.InFlight.Dead = 200*time.Millisecond, 200*time.Millisecond
+	p := NewPool(cfg)
+	a, failure := p.Do(context.Background(), s.target, request("r1"))
+	c.Assert(failure, qt.IsNil)
+	defer a.Close()
+	p.Left(s.target.ID)
+	time.Sleep(600 * time.Millisecond)
+	n, err := io.Copy(io.Discard, a)
+	c.Check(err, qt.IsNil)
+	c.Check(n, qt.Equals, int64(size))
+}
