A request waits some milliseconds for younger knowledge before it is refused

Knowledge is up to 2.2 s old on a calm fleet and the bound less the way is 1.8 s; the store was asked when a request found it old, and that request refused beside. Now it waits for the store's answer, 150 ms at the most, and the call for it waits 5 ms for changes in place of 50.

--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -40,6 +40,8 @@
 	// call, which has something to tell at once.
 	catchUpDelay = 150 * time.Millisecond
 	catchUpWait  = 50 * time.Millisecond
+	// wantedWait is the wait of a call for which a request waits.
+	wantedWait = 5 * time.Millisecond
 	// callTimeout bounds a call of the store beyond its wait. On the users'
 	// slow days an answer takes 250 ms.
 	callTimeout = 800 * time.Millisecond
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -102,7 +102,7 @@
 	}
 	c.arrived = false
 	c.avoid = append(c.avoid, server.ID)
-	if !c.r.mayRelyOn(server) {
+	if !c.awaitKnowledge(ctx, server) {
 		return refused, errStale
 	}
 	c.arrived = true
--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -114,7 +114,7 @@
 	}
 	if f.wanted {
 		f.wanted = false
-		return f.changes(ctx, catchUpWait)
+		return f.changes(ctx, wantedWait)
 	}
 	return f.changes(ctx, f.patience())
 }
--- a/transport/direct/held_test.go
+++ b/transport/direct/held_test.go
@@ -105,3 +105,20 @@
 	qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
 	qt.Check(t, w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
 }
+
+// Guards against a refusal of the first request after a quiet time: knowledge had grown old
+// while there was nothing to send, and the store tells what is new in some milliseconds.
+func TestTheFirstRequestAfterAQuietTimeWaitsForTheStore(t *testing.T) {
+	server := newBackend(t, "i-1", ok)
+	r := unserved(server)
+	go func() {
+		<-r.wanted
+		time.Sleep(20 * time.Millisecond)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.fresh.Confirm(bootTime())
+	}()
+	w := sendBy(r, 2100*time.Millisecond)
+	qt.Check(t, w.Code, qt.Equals, http.StatusOK)
+	qt.Check(t, server.runs(), qt.HasLen, 1)
+}
--- a/transport/direct/knowledge.go
+++ b/transport/direct/knowledge.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,26 @@
 	return r.cfg.Staleness.IsBlind(r.knowledge())
 }
 
+// knowledgeWait bounds the time for which a request waits for younger knowledge, which the store
+// usually gives in some milliseconds; knowledgeStep is the time between two looks at it.
+const (
+	knowledgeWait = 150 * time.Millisecond
+	knowledgeStep = 5 * time.Millisecond
+)
+
+// awaitKnowledge reports whether the server may be sent the request by what is known of who
+// leaves. A router that had nothing to send for a while may have to ask the store first.
+func (c *call) awaitKnowledge(ctx context.Context, server roster.Server) bool {
+	end := time.Now().Add(min(knowledgeWait, c.left()))
+	for !c.r.mayRelyOn(server) {
+		if ctx.Err() != nil || c.r.isBlind() || time.Now().After(end) {
+			return false
+		}
+		time.Sleep(knowledgeStep)
+	}
+	return true
+}
+
 // mayRelyOn is mayRely for who does not hold mu.
 func (r *Router) mayRelyOn(server roster.Server) bool {
 	r.mu.Lock()
