--- a/bench/soak/check_held.go
+++ b/bench/soak/check_held.go
@@ -8,8 +8,8 @@
 	"goldcrestport/standin/backend"
 )
 
-// endSlack is the time after the end of a call up to which a run of it may still begin: it is
-// longer than any attempt is given up before.
+// endSlack is the time after the end of a call up to which a run of it may still begin: its
+// router has heard of the end and given every attempt up by then.
 const endSlack = time.Second
 
 // eachLateRun hands each run that began after the moment to take, of calls whose router ran
