--- a/protocol/losses/losses_test.go
+++ b/protocol/losses/losses_test.go
@@ -81,3 +81,26 @@
 	qt.Check(t, tally.groups, qt.HasLen, maxGroups)
 	qt.Check(t, tally.Beyond, qt.Equals, 10)
 }
+
+// A stream that its server broke off is a cause of its own, also where its caller was told
+// that it is whole.
+func TestBrokenStreamsAreACauseOfTheirOwn(t *testing.T) {
+	const ended = "event=request_ended route=a why=\"cut: unexpected EOF\" status=0"
+	for name, tc := range map[string]struct {
+		line    string
+		outcome Outcome
+		reason  string
+	}{
+		"inside an event":  {ended + " answer=connection/closed inside_event=true", Cut, "broke off: connection/closed inside an event"},
+		"chunks, closed":   {ended + " answer=chunks/closed inside_event=false", Cut, "broke off: chunks/closed"},
+		"by the router":    {ended + " answer=chunks/given-up inside_event=true", Cut, "cut"},
+		"before the sight": {ended, Cut, "cut"},
+		"told as whole":    {"event=request_completed route=a status=200 answer=connection/closed inside_event=true", Cut, "broke off: connection/closed inside an event, told as whole"},
+		"whole":            {"event=request_completed route=a status=200 answer=connection/closed inside_event=false", Served, ""},
+	} {
+		got, err := Read(strings.NewReader("ts=2026-01-01T00:00:01Z id=r1 left_out=0 "+tc.line+"\n"), []Dimension{ByOutcome, ByReason})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.Groups, qt.HasLen, 1, qt.Commentf(name))
+		qt.Check(t, got.Groups[0].Values, qt.DeepEquals, []string{string(tc.outcome), tc.reason}, qt.Commentf(name))
+	}
+}
--- a/protocol/losses/read.go
+++ b/protocol/losses/read.go
@@ -97,6 +97,8 @@
 	status := int(number(l["status"]))
 	if l["event"] == "request_completed" {
 		switch {
+		case l["inside_event"] == "true":
+			return Cut, brokeOff(l) + ", told as whole"
 		case status >= 500:
 			return Failed, "status " + l["status"]
 		case l["late"] != "":
@@ -108,7 +110,7 @@
 	why := l["why"]
 	switch {
 	case strings.HasPrefix(why, "cut:"):
-		return Cut, "cut"
+		return Cut, cutReason(l)
 	case strings.HasPrefix(why, "caller_"):
 		return Left, strings.SplitN(why, ":", 2)[0]
 	case status == 503 || status == 429 || status == 408 || status == 421:
@@ -120,6 +122,24 @@
 	}
 }
 
+// cutReason says why an answer was cut.
+func cutReason(l trail.Line) string {
+	_, end, told := strings.Cut(l["answer"], "/")
+	if !told || end == "marked" && l["inside_event"] != "true" || end == "given-up" {
+		return "cut"
+	}
+	return brokeOff(l)
+}
+
+// brokeOff says how a server broke its answer off.
+func brokeOff(l trail.Line) string {
+	text := "broke off: " + l["answer"]
+	if l["inside_event"] == "true" {
+		return text + " inside an event"
+	}
+	return text
+}
+
 // value returns the request's value of the dimension.
 func (r request) value(d Dimension) string {
 	switch d {
--- a/protocol/trail/trail.go
+++ b/protocol/trail/trail.go
@@ -131,7 +131,7 @@
 func sentence(l Line) string {
 	switch l["event"] {
 	case "request_completed":
-		return fmt.Sprintf("answered with %s by server %s after %s ms (first byte after %s ms).", l["status"], l["server"], l["took_ms"], l["first_ms"])
+		return fmt.Sprintf("answered with %s by server %s after %s ms (first byte after %s ms).", l["status"], l["server"], l["took_ms"], l["first_ms"]) + endSentence(l)
 	case "request_again":
 		if l["ran"] == "true" {
 			return fmt.Sprintf("server %s may have run it and gave no whole answer (%s); it went to a further server.", l["after_server"], orUnknown(l["err"]))
@@ -141,6 +141,8 @@
 		return ending(l)
 	case abandonedEvent:
 		return abandonedSentence(l)
+	case brokenEvent:
+		return brokenSentence(l)
 	case backoffEvent, backoffEndEvent, serverEvent, invalidAnswerEvent:
 		return serverSentence(l)
 	case quarantineEvent:
@@ -182,7 +184,7 @@
 	if !known {
 		text = "ended: " + orUnknown(l["why"])
 	}
-	text += inputs(l)
+	text += inputs(l) + endSentence(l)
 	if after := l["retry_after_ms"]; after != "" && after != "0" {
 		text += fmt.Sprintf(" The caller was asked to come back after %s ms.", after)
 	}
--- a/state/eventstream/eventstream.go
+++ b/state/eventstream/eventstream.go
@@ -11,6 +11,11 @@
 
 // Follower is one stream towards a caller. The zero value is one without events.
 type Follower struct {
+	// position is that of the bytes of the stream that came, passed on or not, and before
+	// the number of events of the streams that this one goes on after.
+	position Position
+	before   int
+
 	last string
 	rest []byte
 	// count of the events that were passed on.
@@ -46,7 +51,28 @@
 func (f *Follower) LastEvent() string { return f.last }
 
 // Restart forgets what was held back: another server goes on after the last event.
-func (f *Follower) Restart() { f.rest = f.rest[:0] }
+func (f *Follower) Restart() {
+	f.rest = f.rest[:0]
+	f.position.restart()
+	f.before = f.position.Count()
+}
+
+// Arrived notes data of the stream that came.
+func (f *Follower) Arrived(data []byte) { f.position.Advance(data) }
+
+// Events returns the number of whole events that came since the last restart.
+func (f *Follower) Events() int { return f.position.Count() - f.before }
+
+// LastID returns the id of the last whole event that came, or nothing if it had none.
+func (f *Follower) LastID() string {
+	if last := f.position.Last(); last.IsNamed {
+		return string(last.ID)
+	}
+	return ""
+}
+
+// IsInside reports whether what came ends inside an event.
+func (f *Follower) IsInside() bool { return f.position.IsInside() }
 
 // Rest returns what is held back.
 func (f *Follower) Rest() []byte { return f.rest }
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/inflight"
 )
 
@@ -82,8 +84,9 @@
 	written chan error
 	stop    func() bool
 	ended   bool
-	// failed is what broke the answer off.
+	// failed is what broke the answer off, and bytes what was read of its body.
 	failed error
+	bytes  int64
 
 	// began is when the first byte of the request was written, answered tells that the head
 	// of its answer arrived, and abandoned is told when the exchange is given up.
@@ -244,9 +247,11 @@
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 }
 
-// Read reads the body. It returns io.EOF only at the announced end.
+// Read reads the body. io.EOF is the end of its framing, which is no mark where the body
+// ends with its connection: End tells.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
+	a.bytes += int64(n)
 	switch {
 	case errors.Is(err, io.EOF):
 		a.ended = true
@@ -257,9 +262,41 @@
 	return n, err
 }
 
-// Framed reports whether the end of the body is marked: a body without length
-// ends with its connection.
-func (a *Answer) Framed() bool { return a.Length >= 0 || len(a.resp.TransferEncoding) > 0 }
+// Framing returns how the answer tells where its body ends.
+func (a *Answer) Framing() completeness.Framing {
+	switch {
+	case a.body == http.NoBody && a.Length <= 0:
+		return completeness.NoBody
+	case a.Length >= 0:
+		return completeness.Length
+	case len(a.resp.TransferEncoding) > 0:
+		return completeness.Chunks
+	default:
+		return completeness.Connection
+	}
+}
+
+// Bytes returns the number of bytes of the body that were read.
+func (a *Answer) Bytes() int64 { return a.bytes }
+
+// End returns how the reading of the answer ended.
+func (a *Answer) End() completeness.End {
+	var network net.Error
+	switch {
+	case a.ended && a.Framing() == completeness.Connection:
+		return completeness.Closed
+	case a.ended, a.Length >= 0 && a.bytes == a.Length:
+		return completeness.Marked
+	case a.failed == nil, errors.Is(a.failed, net.ErrClosed):
+		return completeness.GivenUp
+	case errors.Is(a.failed, io.ErrUnexpectedEOF):
+		return completeness.Closed
+	case errors.Is(a.failed, ErrStalled), errors.Is(a.failed, ErrServerLeft), errors.As(a.failed, &network):
+		return completeness.Reset
+	default:
+		return completeness.Invalid
+	}
+}
 
 // Close gives the connection back when the exchange ended cleanly, and closes
 // it otherwise, which tells the server to stop its work.
@@ -279,7 +316,7 @@
 	if !a.ended && a.Length == 0 {
 		a.ended = true
 	}
-	if !a.ended || a.resp.Close || !a.Framed() || a.conn.reader.Buffered() > 0 {
+	if !a.ended || a.resp.Close || a.Framing() == completeness.Connection || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -100,7 +100,7 @@
 	if server.Incarnation != run.Incarnation() {
 		return refused, errors.New("the server started again")
 	}
-	c.arrived = false
+	c.arrived, c.server = false, server
 	c.avoid = append(c.avoid, server.ID)
 	if !c.awaitKnowledge(ctx, server) {
 		return refused, errStale
@@ -250,6 +250,7 @@
 // cut closes the caller's connection, so that an answer that is not whole does
 // not look so.
 func (c *call) cut(why string) {
+	c.told = toldCut
 	c.logEnd("cut: "+why, 0, 0)
 	c.r.metrics.outcomes.Add("cut", 1)
 	c.closeConnection()
--- /dev/null
+++ b/transport/direct/ending.go
@@ -0,0 +1,103 @@
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"goldcrestport/coordination/completeness"
+	"goldcrestport/state/eventstream"
+	"goldcrestport/state/routing"
+	"goldcrestport/transport/backend"
+)
+
+// answerEnd is how the answer of an attempt was framed and ended.
+type answerEnd struct {
+	completeness.Answer
+	verdict completeness.Verdict
+	// bytes of the body that came.
+	bytes int64
+	// lastEvent is the id of the last whole event; empty for none.
+	lastEvent string
+}
+
+// noAnswer is written of a request without any answer of a server.
+const noAnswer = "none"
+
+// framed says how the answer was framed and ended.
+func (e *answerEnd) framed() string {
+	if e == nil {
+		return noAnswer
+	}
+	return e.Framing.String() + "/" + e.End.String()
+}
+
+// toldWhole and toldCut are what a caller can be told of an answer that began.
+const (
+	toldWhole = "whole"
+	toldCut   = "cut"
+)
+
+// endOf returns how the answer ended as far as it was read.
+func (c *call) endOf(answer *backend.Answer, events *eventstream.Follower) answerEnd {
+	e := answerEnd{Answer: completeness.Answer{Framing: answer.Framing(), End: answer.End()}, bytes: answer.Bytes()}
+	if c.isStream(answer) {
+		e.IsStream, e.Events, e.IsInside, e.lastEvent = true, events.Events(), events.IsInside(), events.LastID()
+	}
+	e.verdict = completeness.Judge(e.Answer)
+	return e
+}
+
+// isStream reports whether the answer is a stream of events.
+func (c *call) isStream(answer *backend.Answer) bool {
+	return c.route.Kind == routing.Streaming && isSuccess(answer.Status)
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// concluded notes how the answer ended, once no more of it is read: it counts it, and writes
+// a line of one that its server broke off.
+func (c *call) concluded(answer *backend.Answer, events *eventstream.Follower) {
+	e := c.endOf(answer, events)
+	c.answer = &e
+	c.r.metrics.answers.Add(e.framed()+"/"+e.verdict.String(), 1)
+	if e.verdict != completeness.Broken || e.End == completeness.GivenUp {
+		return
+	}
+	now := time.Now()
+	allowed, dropped := c.r.attempts.Allow("answer_broken", now)
+	if !allowed {
+		return
+	}
+	line := []any{
+		"request", c.meta.ID, "route", c.route.Name, "attempt", c.sent, "server", c.server.ID, "incarnation", c.server.Incarnation,
+		"address", c.server.Address, "after_ms", now.Sub(c.received).Milliseconds(),
+	}
+	c.r.event("answer_broken", append(append(line, c.endKeyvals()...), "left_out", dropped)...)
+}
+
+// endKeyvals are the parts of a line about the end of the last answer and what the caller
+// was told of it.
+func (c *call) endKeyvals() []any {
+	e := c.answer
+	if e == nil {
+		e = &answerEnd{}
+	}
+	return []any{
+		"answer", c.answer.framed(), "answer_bytes", e.bytes, "events", e.Events, "last_event", e.lastEvent, "inside_event", e.IsInside,
+		"told", c.told, "told_by", c.toldBy,
+	}
+}
+
+// framingTold is the framing by which the caller gets a body of the length; -1: not known.
+func (c *call) framingTold(length int64) string {
+	switch {
+	case length >= 0:
+		return completeness.Length.String()
+	case c.req.ProtoAtLeast(1, 1):
+		return completeness.Chunks.String()
+	default:
+		return completeness.Connection.String()
+	}
+}
--- /dev/null
+++ b/transport/direct/ending_test.go
@@ -0,0 +1,64 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"goldcrestport/protocol/settings"
+	"goldcrestport/protocol/trail"
+)
+
+// logLines takes a router's lines.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// of returns the lines of the event about the request.
+func (l *logLines) of(event, request string) []trail.Line {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []trail.Line
+	for _, text := range strings.Split(l.text.String(), "\n") {
+		if one := trail.Parse([]byte(text)); one["event"] == event && one["request"] == request {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+// From a request's id to how its answer was framed and ended, and what its caller was told:
+// without that nobody can tell a broken answer from a whole one afterwards.
+func TestTheEndOfAnAnswerIsLogged(t *testing.T) {
+	run := func(w io.Writer, _ *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: m\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid: 7\n\ndata:\r\n", testMark)
+		return false
+	}
+	var lines logLines
+	f := startLogged(t, testConfig(1), log.NewLogfmtLogger(&lines), func(*settings.Direct, *testSource) {}, newBackend(t, "i-1", run))
+	f.Check(f.call("/stream/", "r").err, qt.IsNotNil)
+	f.waitFor("the lines", func() bool { return len(lines.of("request_ended", "r")) > 0 })
+	want := map[string]string{"answer": "chunks/closed", "events": "1", "last_event": "7", "inside_event": "true"}
+	for _, event := range []string{"answer_broken", "request_ended"} {
+		f.Assert(lines.of(event, "r"), qt.HasLen, 1, qt.Commentf(event))
+		for key, value := range want {
+			f.Check(lines.of(event, "r")[0][key], qt.Equals, value, qt.Commentf("%s of %s", key, event))
+		}
+	}
+	f.Check(lines.of("request_ended", "r")[0]["told"], qt.Equals, toldCut)
+	f.Check(lines.of("request_ended", "r")[0]["told_by"], qt.Equals, "chunks")
+	f.Check(f.router.metrics.answers.Get("chunks/closed/broken").String(), qt.Equals, "1")
+}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -37,6 +37,8 @@
 	abandoned        *expvar.Int
 	abandonedUnacked *expvar.Int
 	knowledge        *observe.Times
+	// answers counts the answers of servers by framing, end and what that means.
+	answers *expvar.Map
 }
 
 func newMetrics(r *Router) *metrics {
@@ -65,6 +67,7 @@
 		abandoned:        v.Int("direct_attempts_abandoned"),
 		abandonedUnacked: v.Int("direct_attempts_abandoned_unacked"),
 		knowledge:        v.Times("direct_knowledge_age_us"),
+		answers:          v.Map("direct_answers"),
 	}
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).Held) })
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -18,7 +18,7 @@
 
 // pass passes an answer on to the caller.
 func (c *call) pass(ctx context.Context, answer *backend.Answer, reply Reply, events *eventstream.Follower) (step, health.Result, error) {
-	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	success := isSuccess(answer.Status)
 	switch {
 	case c.begun:
 		if !success || !reply.Marked {
@@ -49,12 +49,14 @@
 func (c *call) passWhole(ctx context.Context, answer *backend.Answer, success bool) (step, health.Result, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeBody))
 	if err != nil {
+		c.concluded(answer, nil)
 		return failed, brokeOff(ctx, err), err
 	}
 	if len(body) == wholeBody && answer.Length != wholeBody {
 		c.head(answer, -1)
 		return c.passRest(ctx, answer, body)
 	}
+	c.concluded(answer, nil)
 	if !success && answer.Status >= http.StatusInternalServerError && c.mayRepeatError() {
 		return failed, health.Failure, errors.Mark(errors.Newf("the server answered %d", answer.Status), errAnswered)
 	}
@@ -89,6 +91,9 @@
 				return c.lostCaller(writeErr)
 			}
 		}
+		if err != nil {
+			c.concluded(answer, nil)
+		}
 		if errors.Is(err, io.EOF) {
 			c.completed(answer)
 			return done, health.Success, nil
@@ -108,6 +113,7 @@
 	for {
 		n, err := answer.Read(buf)
 		if n > 0 {
+			events.Arrived(buf[:n])
 			out := buf[:n]
 			if resumable {
 				out = events.Whole(out)
@@ -119,6 +125,9 @@
 				c.gather(ctx)
 			}
 		}
+		if err != nil {
+			c.concluded(answer, events)
+		}
 		if errors.Is(err, io.EOF) {
 			return c.streamEnded(answer, events)
 		}
@@ -196,11 +205,12 @@
 		h["Content-Type"] = nil
 	}
 	c.keepAlive()
-	c.begun = true
+	c.begun, c.toldBy = true, c.framingTold(length)
 	c.w.WriteHeader(answer.Status)
 }
 
 func (c *call) completed(answer *backend.Answer) {
+	c.told = toldWhole
 	c.r.metrics.completed(c)
 	if c.tokens > 0 && answer.Status < http.StatusBadRequest {
 		c.r.teams.Count(func(t *teamuse.Table) { t.Delivered(c.team, c.tokens) })
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -12,6 +12,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/quarantine"
+	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
 	"goldcrestport/state/teamuse"
@@ -60,6 +61,13 @@
 	counted bool
 	// begun tells that a part of the answer was passed on.
 	begun bool
+	// server is the one that it was sent to last.
+	server roster.Server
+	// answer is how the last answer of a server ended; nil before there was one.
+	answer *answerEnd
+	// told is what the caller was told of the answer that it got, and toldBy by which
+	// framing; empty before it began.
+	told, toldBy string
 }
 
 // serve brings one request to its final answer.
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -63,9 +63,11 @@
 		"standing", roundTo(c.last.Standing, standingDigits), "served", roundTo(c.last.Served, standingDigits), "throttled", c.last.Throttled, "rank", c.last.Rank, "cold", c.last.Cold, "backing_off", c.last.BackingOff, "since_backoff_ms", c.last.SinceBackoff.Milliseconds(), "elapsed_ms", c.elapsed.Milliseconds(),
 		"first_ms", c.firstMillis(), "pause_ms", c.pause.Milliseconds(), "late", c.lateness(), "config_age_ms", c.r.configAge().Milliseconds(), "peers_age_ms", c.r.peersAge().Milliseconds(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output, "body_bytes", len(c.body),
 		"unread", c.last.Unread, "queue_tokens", c.last.QueueTokens, "queue_runs", c.last.QueueRuns,
-		"lay_ms", c.unread.Milliseconds(), "took_ms", time.Since(c.received).Milliseconds(), "left_out", dropped,
+		"lay_ms", c.unread.Milliseconds(), "took_ms", time.Since(c.received).Milliseconds(),
 	}
-	c.r.event(event, append(all, keyvals...)...)
+	all = append(all, c.endKeyvals()...)
+	all = append(all, keyvals...)
+	c.r.event(event, append(all, "left_out", dropped)...)
 }
 
 // peersAge is the age of the oldest digest that decisions go by now.
