Streams are followed by the standard's line ends, and passed on in whole events

What callers saw: events that end by CR or CRLF came all at once at the end of a stream that may be resumed, and one that broke off began anew; half an event on routes that may not be resumed. Cause: an event's end was two LF, and streams that may not be resumed were not followed. Pieces of 1 to 12 bytes in each line end: as before.

--- a/state/eventstream/eventstream_test.go
+++ b/state/eventstream/eventstream_test.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -10,40 +11,68 @@
 
 var start = time.Unix(1000, 0)
 
+// pass takes the data and passes on what comes of it.
+func (f *Follower) pass(now time.Time, data string) string {
+	out := string(f.Take([]byte(data)))
+	f.PassedOn(now)
+	return out
+}
+
 func TestTheLongestPauseIsThatBetweenEvents(t *testing.T) {
 	var f Follower
-	f.PassedOn(start, []byte("id: 1\n\n"))
-	f.PassedOn(start.Add(time.Second), []byte(": no event\n"))
-	f.PassedOn(start.Add(3*time.Second), []byte("id: 2\n\nid: 3\n\n"))
-	f.PassedOn(start.Add(4*time.Second), []byte("id: 4\n\n"))
+	f.pass(start, "id: 1\n\n")
+	f.pass(start.Add(time.Second), ": no event\n")
+	f.pass(start.Add(3*time.Second), "id: 2\n\nid: 3\n\n")
+	f.pass(start.Add(4*time.Second), "id: 4\n\n")
 	qt.Check(t, f.Pause(), qt.Equals, 3*time.Second)
 	qt.Check(t, f.Count(), qt.Equals, 4)
 }
 
 func TestAnEventThatIsNotWholeIsHeldBack(t *testing.T) {
 	var f Follower
-	qt.Check(t, string(f.Whole([]byte("id: 1\ndata: id: 9\n\nid: 2\nda"))), qt.Equals, "id: 1\ndata: id: 9\n\n")
+	qt.Check(t, f.pass(start, "id: 1\ndata: id: 9\n\nid: 2\nda"), qt.Equals, "id: 1\ndata: id: 9\n\n")
 	qt.Check(t, f.LastEvent(), qt.Equals, "1")
 	qt.Check(t, string(f.Rest()), qt.Equals, "id: 2\nda")
-	qt.Check(t, string(f.Whole([]byte("ta: x\n"))), qt.Equals, "")
+	qt.Check(t, f.pass(start, "ta: x\n"), qt.Equals, "")
 	f.Restart()
-	qt.Check(t, string(f.Whole([]byte("id: 2\n\n"))), qt.Equals, "id: 2\n\n")
+	qt.Check(t, f.pass(start, "id: 2\n\n"), qt.Equals, "id: 2\n\n")
 	qt.Check(t, f.LastEvent(), qt.Equals, "2")
 }
 
-// However a stream is cut into pieces, its events come whole and in order.
+// However a stream is cut into pieces, its events come whole and in order, by each line end of
+// the standard.
 func TestPiecesMakeWholeEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 33\ndata: c\n\n"
+		const plain = "id: 1\ndata: a\n\n: comment\nid: 2\ndata: b\ndata: c\n\nid: 33\ndata: d\n\n"
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
+		stream := strings.ReplaceAll(plain, "\n", lineEnd)
 		var f Follower
 		got := ""
 		for at := 0; at < len(stream); {
 			n := min(rapid.IntRange(1, 12).Draw(t, "piece"), len(stream)-at)
-			got += string(f.Whole([]byte(stream[at : at+n])))
+			part := f.pass(start, stream[at:at+n])
+			if part != "" && f.IsInside() != (len(f.Rest()) > 0) {
+				t.Fatalf("inside %v, rest %q", f.IsInside(), f.Rest())
+			}
+			got += part
 			at += n
 		}
-		if got != stream || f.LastEvent() != "33" || len(f.Rest()) != 0 {
+		if got != stream || f.LastEvent() != "33" || len(f.Rest()) != 0 || f.Count() != 3 {
 			t.Fatalf("%q, last %q, rest %q", got, f.LastEvent(), f.Rest())
 		}
 	})
 }
+
+// An event of any length takes bounded memory, and is passed on whole.
+func TestALongEventIsPassedOnInPieces(t *testing.T) {
+	var f Follower
+	event := "id: 1\ndata: " + strings.Repeat("x", 3*mostHeld) + "\n\nid: 2\n\n"
+	got := ""
+	for at := 0; at < len(event); at += 1000 {
+		got += f.pass(start, event[at:min(at+1000, len(event))])
+		qt.Assert(t, len(f.Rest()) <= mostHeld, qt.IsTrue)
+	}
+	qt.Check(t, got == event, qt.IsTrue)
+	qt.Check(t, f.Count(), qt.Equals, 2)
+	qt.Check(t, f.LastEvent(), qt.Equals, "2")
+}
--- a/state/eventstream/position_test.go
+++ b/state/eventstream/position_test.go
@@ -45,11 +45,11 @@
 	} {
 		for cut := range len(tc.stream) + 1 {
 			var f Follower
-			f.Arrived([]byte(tc.stream[:cut]))
-			f.Arrived([]byte(tc.stream[cut:]))
+			f.Take([]byte(tc.stream[:cut]))
+			f.Take([]byte(tc.stream[cut:]))
 			comment := qt.Commentf("%.40q cut at %d", tc.stream, cut)
 			qt.Assert(t, f.Events(), qt.Equals, tc.events, comment)
-			qt.Assert(t, f.LastID(), qt.Equals, tc.last, comment)
+			qt.Assert(t, f.LastEvent(), qt.Equals, tc.last, comment)
 			qt.Assert(t, f.IsInside(), qt.Equals, tc.inside, comment)
 		}
 	}
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -106,19 +106,13 @@
 
 // passEvents passes whole events on as they arrive.
 func (c *call) passEvents(ctx context.Context, answer *backend.Answer, events *eventstream.Follower) (step, health.Result, error) {
-	resumable := c.route.MayRepeat()
 	events.Restart()
 	flusher := http.NewResponseController(c.w)
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := answer.Read(buf)
 		if n > 0 {
-			events.Arrived(buf[:n])
-			out := buf[:n]
-			if resumable {
-				out = events.Whole(out)
-			}
-			if writeErr := c.forward(flusher, answer, events, out); writeErr != nil {
+			if writeErr := c.forward(flusher, answer, events, events.Take(buf[:n])); writeErr != nil {
 				return c.lostCaller(writeErr)
 			}
 			if err == nil {
@@ -162,7 +156,7 @@
 	if len(out) == 0 {
 		return nil
 	}
-	events.PassedOn(time.Now(), out)
+	events.PassedOn(time.Now())
 	c.pause = events.Pause()
 	if !c.begun {
 		c.head(answer, -1)
