A stream that ends inside an event, or before its first, has been broken off

What callers saw: half of a stream in a frame that says it is whole. Cause: the end of the transport was taken for that of the message; the reader says io.EOF for a connection that closed as for a marked end, and the relay, health, the quarantine, the team's count and the log each went by the absence of an error. Now one machine (coordination/completeness) says what the end means, and the relay's step carries its verdict to all of them: such an attempt failed, goes on elsewhere where it may, and is cut otherwise; its server failed.

--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -92,11 +92,11 @@
 	}
 }
 
-// connectionEnded reports whether the error is the end of a connection, or of the way to
-// the server, and not bytes that are no answer.
+// connectionEnded reports whether the error is the end of a connection or an answer, or of the
+// way to the server, and not bytes that are no answer.
 func connectionEnded(err error) bool {
 	var network net.Error
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, backend.ErrStalled) || errors.As(err, &network)
+	return errors.Is(err, errNotWhole) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, backend.ErrStalled) || errors.As(err, &network)
 }
 
 // probes are the looks at servers under which answers broke off: one for all that
--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -56,15 +56,20 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-// concluded notes how the answer ended, once no more of it is read: it counts it, and writes
-// a line of one that its server broke off.
-func (c *call) concluded(answer *backend.Answer, events *eventstream.Follower) {
+// concluded decides what the answer's end means, once no more of it is read. It counts it, and
+// writes a line of one that its server broke off.
+func (c *call) concluded(answer *backend.Answer, events *eventstream.Follower) completeness.Verdict {
 	e := c.endOf(answer, events)
 	c.answer = &e
 	c.r.metrics.answers.Add(e.framed()+"/"+e.verdict.String(), 1)
-	if e.verdict != completeness.Broken || e.End == completeness.GivenUp {
-		return
+	if e.verdict == completeness.Broken && e.End != completeness.GivenUp {
+		c.logBroken()
 	}
+	return e.verdict
+}
+
+// logBroken writes the line of an answer that its server broke off.
+func (c *call) logBroken() {
 	now := time.Now()
 	allowed, dropped := c.r.attempts.Allow("answer_broken", now)
 	if !allowed {
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/health"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
@@ -45,6 +46,21 @@
 	return health.Failure
 }
 
+// errNotWhole is the failure of an answer that ended without an error and is not whole.
+var errNotWhole = errors.New("the answer ended before it was whole")
+
+// brokeOff returns what follows an answer that is not whole, and the error that it met: io.EOF
+// where it met none.
+func (c *call) brokeOff(ctx context.Context, err error) (step, health.Result, error) {
+	if errors.Is(err, io.EOF) {
+		err = errNotWhole
+	}
+	if c.begun {
+		return broken, brokeOff(ctx, err), err
+	}
+	return failed, brokeOff(ctx, err), err
+}
+
 // passWhole reads the answer to its end before any of it is passed on.
 func (c *call) passWhole(ctx context.Context, answer *backend.Answer, success bool) (step, health.Result, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeBody))
@@ -120,16 +136,7 @@
 			}
 		}
 		if err != nil {
-			c.concluded(answer, events)
-		}
-		if errors.Is(err, io.EOF) {
-			return c.streamEnded(answer, events)
-		}
-		if err != nil {
-			if c.begun {
-				return broken, brokeOff(ctx, err), err
-			}
-			return failed, brokeOff(ctx, err), err
+			return c.streamEnded(ctx, answer, events, err)
 		}
 	}
 }
@@ -167,8 +174,11 @@
 	return flusher.Flush()
 }
 
-// streamEnded passes on what is left at the end of a stream.
-func (c *call) streamEnded(answer *backend.Answer, events *eventstream.Follower) (step, health.Result, error) {
+// streamEnded ends a stream that is whole.
+func (c *call) streamEnded(ctx context.Context, answer *backend.Answer, events *eventstream.Follower, err error) (step, health.Result, error) {
+	if c.concluded(answer, events) == completeness.Broken {
+		return c.brokeOff(ctx, err)
+	}
 	if !c.begun {
 		c.head(answer, -1)
 	}
