The server is looked at after an answer whose end says nothing

What callers saw: a stream without framing that a crash had closed between two events, or a plain answer without framing that it had closed anywhere, as whole. Cause: the end of a connection says nothing there, and nothing else was looked at. The router opens a connection right after, which the next request uses; a server that refuses it and is not known to leave has crashed, and its answer is broken. One that lives and closes early between two events cannot be known, and is believed. Ruled out: fewer tokens than asked for (engines stop earlier at any time); a second server's word (a repeat for each such stream).

--- a/coordination/completeness/completeness.go
+++ b/coordination/completeness/completeness.go
@@ -110,6 +110,9 @@
 	Refuses
 )
 
+// String implements fmt.Stringer.
+func (s Sign) String() string { return [...]string{"", "takes", "refuses"}[s] }
+
 // Settle decides on an unmarked end by what the server shows right after it.
 func (v Verdict) Settle(s Sign) Verdict {
 	switch {
--- a/protocol/losses/losses_test.go
+++ b/protocol/losses/losses_test.go
@@ -93,6 +93,7 @@
 	}{
 		"inside an event":  {ended + " answer=connection/closed inside_event=true", Cut, "broke off: connection/closed inside an event"},
 		"chunks, closed":   {ended + " answer=chunks/closed inside_event=false", Cut, "broke off: chunks/closed"},
+		"a server is gone": {ended + " answer=connection/closed inside_event=false server_then=refuses", Cut, "broke off: connection/closed, server gone"},
 		"by the router":    {ended + " answer=chunks/given-up inside_event=true", Cut, "cut"},
 		"before the sight": {ended, Cut, "cut"},
 		"told as whole":    {"event=request_completed route=a status=200 answer=connection/closed inside_event=true", Cut, "broke off: connection/closed inside an event, told as whole"},
--- a/protocol/losses/read.go
+++ b/protocol/losses/read.go
@@ -134,8 +134,11 @@
 // brokeOff says how a server broke its answer off.
 func brokeOff(l trail.Line) string {
 	text := "broke off: " + l["answer"]
-	if l["inside_event"] == "true" {
+	switch {
+	case l["inside_event"] == "true":
 		return text + " inside an event"
+	case l["server_then"] == "refuses":
+		return text + ", server gone"
 	}
 	return text
 }
--- a/protocol/trail/answer.go
+++ b/protocol/trail/answer.go
@@ -44,10 +44,16 @@
 	"connection": "neither length nor chunks",
 }
 
+// signs say what a server showed after an end that says nothing.
+var signs = map[string]string{
+	"takes":   " (the server took a connection right after)",
+	"refuses": " (the server refused a connection right after)",
+}
+
 // came says how the answer was framed and ended, and what came of it.
 func came(l Line) string {
 	framing, end, _ := strings.Cut(l["answer"], "/")
-	text := fmt.Sprintf("it came with %s, and after %s bytes %s", named(framings, framing), l["answer_bytes"], named(ends, end))
+	text := fmt.Sprintf("it came with %s, and after %s bytes %s", named(framings, framing), l["answer_bytes"], named(ends, end)) + signs[l["server_then"]]
 	if l["events"] == "" || l["events"] == "0" && l["inside_event"] != "true" {
 		return text
 	}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -136,7 +136,7 @@
 			result = c.r.unreached(ctx, failure.Err)
 			return refused, failure.Err
 		}
-		result = brokeOff(ctx, failure.Err)
+		result = resultAfter(ctx, failure.Err)
 		c.reached++
 		c.ended(sent, server, endingOf(ctx, failed, result, failure.Err))
 		return failed, failure.Err
--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -1,10 +1,12 @@
 package direct
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"goldcrestport/coordination/completeness"
+	"goldcrestport/coordination/roster"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
@@ -14,6 +16,8 @@
 type answerEnd struct {
 	completeness.Answer
 	verdict completeness.Verdict
+	// sign is what the server showed after an end that says nothing.
+	sign completeness.Sign
 	// bytes of the body that came.
 	bytes int64
 	// lastEvent is the id of the last whole event; empty for none.
@@ -59,8 +63,12 @@
 
 // concluded decides what the answer's end means, once no more of it is read. It counts it, and
 // writes a line of one that its server broke off.
-func (c *call) concluded(answer *backend.Answer, events *eventstream.Follower) completeness.Verdict {
+func (c *call) concluded(ctx context.Context, answer *backend.Answer, events *eventstream.Follower) completeness.Verdict {
 	e := c.endOf(answer, events)
+	if e.verdict == completeness.Unmarked {
+		e.sign = c.r.signOf(ctx, c.server)
+		e.verdict = e.verdict.Settle(e.sign)
+	}
 	c.answer = &e
 	c.r.metrics.answers.Add(e.framed()+"/"+e.verdict.String(), 1)
 	if e.verdict == completeness.Broken && e.End != completeness.GivenUp {
@@ -69,6 +77,23 @@
 	return e.verdict
 }
 
+// signOf looks whether the server takes connections right after the end of an answer. The one
+// that is opened serves the next request.
+func (r *Router) signOf(ctx context.Context, server roster.Server) completeness.Sign {
+	if known, is := r.server(server.ID); !is || known.Incarnation != server.Incarnation {
+		return completeness.Silent
+	}
+	err := r.pool.Probe(ctx, backend.Target{ID: server.Identity(), Address: server.Address})
+	switch {
+	case err == nil:
+		return completeness.Takes
+	case isRefused(err):
+		return completeness.Refuses
+	default:
+		return completeness.Silent
+	}
+}
+
 // logBroken writes the line of an answer that its server broke off.
 func (c *call) logBroken() {
 	now := time.Now()
@@ -92,7 +117,7 @@
 	}
 	return []any{
 		"answer", c.answer.framed(), "answer_bytes", e.bytes, "events", e.Events, "last_event", e.lastEvent, "inside_event", e.IsInside,
-		"told", c.told, "told_by", c.toldBy,
+		"server_then", e.sign.String(), "told", c.told, "told_by", c.toldBy,
 	}
 }
 
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -38,9 +38,9 @@
 	}
 }
 
-// brokeOff judges a run whose answer broke off: a caller who left says nothing
-// about the server, nor does one that leaves.
-func brokeOff(ctx context.Context, err error) health.Result {
+// resultAfter judges a server whose answer broke off: a caller who left says nothing
+// about it, nor does its leaving.
+func resultAfter(ctx context.Context, err error) health.Result {
 	if ctx.Err() != nil || errors.Is(err, backend.ErrServerLeft) {
 		return health.NoResult
 	}
@@ -57,23 +57,25 @@
 		err = errNotWhole
 	}
 	if c.begun {
-		return broken, brokeOff(ctx, err), err
+		return broken, resultAfter(ctx, err), err
 	}
-	return failed, brokeOff(ctx, err), err
+	return failed, resultAfter(ctx, err), err
 }
 
 // passWhole reads the answer to its end before any of it is passed on.
 func (c *call) passWhole(ctx context.Context, answer *backend.Answer, success bool) (step, health.Result, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeBody))
 	if err != nil {
-		c.concluded(answer, nil)
-		return failed, brokeOff(ctx, err), err
+		c.concluded(ctx, answer, nil)
+		return c.brokeOff(ctx, err)
 	}
 	if len(body) == wholeBody && answer.Length != wholeBody {
 		c.head(answer, -1)
 		return c.passRest(ctx, answer, body)
 	}
-	c.concluded(answer, nil)
+	if c.concluded(ctx, answer, nil) == completeness.Broken {
+		return c.brokeOff(ctx, io.EOF)
+	}
 	if !success && answer.Status >= http.StatusInternalServerError && c.mayRepeatError() {
 		return failed, health.Failure, errors.Mark(errors.Newf("the server answered %d", answer.Status), errAnswered)
 	}
@@ -108,16 +110,14 @@
 				return c.lostCaller(writeErr)
 			}
 		}
-		if err != nil {
-			c.concluded(answer, nil)
-		}
-		if errors.Is(err, io.EOF) {
-			c.completed(answer)
-			return done, health.Success, nil
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			return broken, brokeOff(ctx, err), err
+		if c.concluded(ctx, answer, nil) == completeness.Broken {
+			return c.brokeOff(ctx, err)
 		}
+		c.completed(answer)
+		return done, health.Success, nil
 	}
 }
 
@@ -134,7 +134,7 @@
 				return c.lostCaller(writeErr)
 			}
 			if notNext != nil {
-				c.concluded(answer, events)
+				c.concluded(ctx, answer, events)
 				return c.brokeOff(ctx, notNext)
 			}
 			if err == nil {
@@ -182,7 +182,7 @@
 
 // streamEnded ends a stream that is whole.
 func (c *call) streamEnded(ctx context.Context, answer *backend.Answer, events *eventstream.Follower, err error) (step, health.Result, error) {
-	if c.concluded(answer, events) == completeness.Broken {
+	if c.concluded(ctx, answer, events) == completeness.Broken {
 		return c.brokeOff(ctx, err)
 	}
 	if !c.begun {
