A continuation that leaves events out is not joined

What a caller would see: a piece missing, unseen. Cause: the mend before asked for a greater id only. Where the ids of at least two events went up by one each time, the first event of the continuation must have the next number. Ruled out: the same without such a row (ids need only increase).

--- a/state/eventstream/eventstream.go
+++ b/state/eventstream/eventstream.go
@@ -32,6 +32,8 @@
 	continues, resumes bool
 	// isFirst tells that nothing of the stream was passed on since the last restart.
 	isFirst bool
+	// isSparse tells that the ids of the events did not go up by one each time.
+	isSparse bool
 
 	// last is the event that was passed on last, count the number of them, and taken that of
 	// those that Take returned last.
@@ -138,13 +140,24 @@
 		return true
 	case !event.IsNamed:
 		return !f.continues
+	case !isNumber(event.ID) || !isGreater(event.ID, f.last.ID):
+		return false
 	default:
-		return isNumber(event.ID) && isGreater(event.ID, f.last.ID)
+		return !f.isJoint() || isSuccessor(event.ID, f.last.ID)
 	}
 }
 
+// isJoint reports whether the event that ended is the first of a continuation, of a stream
+// whose ids went up by one each time: a greater step leaves events out.
+func (f *Follower) isJoint() bool {
+	return f.continues && !f.isSparse && f.count > 1 && f.Events() == 1
+}
+
 // ended notes that an event ended.
 func (f *Follower) ended() {
+	if !f.isSparse && f.count+f.taken > 0 {
+		f.isSparse = !isSuccessor(f.position.last.ID, f.last.ID)
+	}
 	f.taken++
 	f.last.ID = append(f.last.ID[:0], f.position.last.ID...)
 	f.last.IsNamed = f.position.last.IsNamed
--- a/state/eventstream/eventstream_test.go
+++ b/state/eventstream/eventstream_test.go
@@ -86,6 +86,9 @@
 	}{
 		"the next":                   {"id: 9\n\n", "id: 10\n\nid: 11\n\n", "id: 10\n\nid: 11\n\n", nil},
 		"a later one":                {"id: 9\n\n", "id: 12\n\n", "id: 12\n\n", nil},
+		"the next of a row":          {"id: 8\n\nid: 9\n\n", "id: 10\n\nid: 12\n\n", "id: 10\n\nid: 12\n\n", nil},
+		"a gap in a row":             {"id: 8\n\nid: 9\n\n", "id: 11\n\n", "", ErrNotContinued},
+		"a step of no row":           {"id: 7\n\nid: 9\n\n", "id: 11\n\n", "id: 11\n\n", nil},
 		"the same":                   {"id: 9\n\n", "id: 9\n\nid: 10\n\n", "", ErrNotContinued},
 		"the same with a zero":       {"id: 9\n\n", "id: 09\n\n", "", ErrNotContinued},
 		"the first":                  {"id: 9\n\n", "id: 1\n\n", "", ErrNotContinued},
--- a/state/eventstream/ids.go
+++ b/state/eventstream/ids.go
@@ -1,6 +1,9 @@
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // isNumber reports whether the id is a decimal number. Others cannot be told apart by order.
 func isNumber(id []byte) bool {
@@ -20,3 +23,14 @@
 	}
 	return bytes.Compare(a, b) > 0
 }
+
+// isSuccessor reports whether the number a is by one greater than b. Numbers beyond 64 bits
+// have none.
+func isSuccessor(a, b []byte) bool {
+	next, err := strconv.ParseUint(string(a), 10, 64)
+	if err != nil {
+		return false
+	}
+	before, err := strconv.ParseUint(string(b), 10, 64)
+	return err == nil && next == before+1 && next > 0
+}
--- a/transport/direct/framing_test.go
+++ b/transport/direct/framing_test.go
@@ -274,6 +274,11 @@
 	checkJoining(t, answerPlan{framing: byChunks, body: eventsText(3, streamEvents)})
 }
 
+// A server that was to go on left events out, and the caller never got them.
+func TestAContinuationThatLeavesEventsOutIsNotJoined(t *testing.T) {
+	checkJoining(t, answerPlan{framing: byChunks, body: eventsText(5, streamEvents)})
+}
+
 // A server that was to go on sent no event, and the caller took the stream for whole.
 func TestAContinuationWithoutAnEventIsNotJoined(t *testing.T) {
 	for _, framing := range []string{byChunks, byLength, byConnection} {
