--- a/protocol/packed/packed_test.go
+++ b/protocol/packed/packed_test.go
@@ -26,3 +26,13 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(got, qt.DeepEquals, record, qt.Commentf("a plain record is bounded by who read it"))
 }
+
+// A packed record that was cut anywhere is not taken for a shorter one.
+func TestARecordThatIsCutIsNotBelieved(t *testing.T) {
+	record := bytes.Repeat([]byte(`{"id":"i-1"}`), 20)
+	data := Pack(record, Small)
+	for at := len(magic); at < len(data); at++ {
+		_, err := Unpack(data[:at], len(record))
+		qt.Check(t, errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%d of %d bytes", at, len(data)))
+	}
+}
--- a/transport/router/framing_test.go
+++ b/transport/router/framing_test.go
@@ -98,3 +98,55 @@
 		qt.Check(t, whole, qt.IsFalse, qt.Commentf("%s: %q", proto, got))
 	}
 }
+
+// A server that crashed closed its connection in an answer without framing, and callers of routers
+// with sidecars took it for whole.
+func TestAnAnswerThatACrashClosedIsNotWholeWithSidecars(t *testing.T) {
+	t.Parallel()
+	for _, text := range []string{eventStreamHead + "\r\nid: 1\ndata: a\n\n", "HTTP/1.1 200 OK\r\n\r\npla"} {
+		var b *backend
+		b = newBackend(t, warm(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, text)
+			_ = b.Listener.Close()
+			_ = conn.Close()
+		}))
+		f := newFleet(t)
+		f.sidecar("sidecar-1", b.URL)
+		f.start()
+		whole, got := f.looksWhole("HTTP/1.1", plainPath)
+		qt.Check(t, whole, qt.IsFalse, qt.Commentf("%q", got))
+	}
+}
+
+// The kernel of a router with sidecars that is gone, or a panic, would close a caller's
+// connection in good order: on HTTP/1.0 that is the end of a whole answer.
+func TestAnAnswerUnderWayEndsByAResetForACallerWithoutChunks(t *testing.T) {
+	t.Parallel()
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	b := newBackend(t, warm(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "a part")
+		_ = http.NewResponseController(w).Flush()
+		close(begun)
+		<-goOn
+	}))
+	f := newFleet(t)
+	f.sidecar("sidecar-1", b.URL)
+	f.start()
+	defer close(goOn)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n{}", plainPath, testToken)
+	qt.Assert(t, err, qt.IsNil)
+	<-begun
+	_, err = io.ReadFull(conn, make([]byte, 12))
+	qt.Assert(t, err, qt.IsNil)
+	f.stopNow()
+	f.done <- nil
+	_, err = io.ReadAll(conn)
+	qt.Check(t, err, qt.IsNotNil)
+}
