Sidecars judge the end of an answer as direct routers do

What callers saw: half an event, or what a crash had closed, as a whole answer. Cause: copyAnswer took io.EOF for completed. The sidecar follows a stream's events and asks the same machine; an unmarked end is settled by a look whether its server takes connections. A stream with a length is passed on without it: a caller that has all its bytes could not be told that it broke off. Framing and end of an answer are read in one place now (transport/framing), and the counters of "\n\n" for tokens and their times are gone for the follower's.

--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/inflight"
+	"goldcrestport/transport/framing"
 )
 
 // Request is one request as the server gets it.
@@ -263,38 +263,20 @@
 }
 
 // Framing returns how the answer tells where its body ends.
-func (a *Answer) Framing() completeness.Framing {
-	switch {
-	case a.body == http.NoBody && a.Length <= 0:
-		return completeness.NoBody
-	case a.Length >= 0:
-		return completeness.Length
-	case len(a.resp.TransferEncoding) > 0:
-		return completeness.Chunks
-	default:
-		return completeness.Connection
-	}
-}
+func (a *Answer) Framing() completeness.Framing { return framing.Of(a.resp) }
 
 // Bytes returns the number of bytes of the body that were read.
 func (a *Answer) Bytes() int64 { return a.bytes }
 
 // End returns how the reading of the answer ended.
 func (a *Answer) End() completeness.End {
-	var network net.Error
 	switch {
-	case a.ended && a.Framing() == completeness.Connection:
-		return completeness.Closed
 	case a.ended, a.Length >= 0 && a.bytes == a.Length:
-		return completeness.Marked
-	case a.failed == nil, errors.Is(a.failed, net.ErrClosed):
-		return completeness.GivenUp
-	case errors.Is(a.failed, io.ErrUnexpectedEOF):
-		return completeness.Closed
-	case errors.Is(a.failed, ErrStalled), errors.Is(a.failed, ErrServerLeft), errors.As(a.failed, &network):
+		return framing.End(a.Framing(), io.EOF)
+	case errors.Is(a.failed, ErrStalled), errors.Is(a.failed, ErrServerLeft):
 		return completeness.Reset
 	default:
-		return completeness.Invalid
+		return framing.End(a.Framing(), a.failed)
 	}
 }
 
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -7,12 +7,15 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/coordination/completeness"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/transport/revocable"
 )
@@ -222,3 +225,29 @@
 	}
 	return h
 }
+
+// signTimeout bounds the look whether the backend server takes connections.
+const signTimeout = 200 * time.Millisecond
+
+// sign looks whether the backend server takes connections.
+func (b *backend) sign(ctx context.Context) completeness.Sign {
+	at, err := url.Parse(b.base)
+	if err != nil {
+		return completeness.Silent
+	}
+	port := at.Port()
+	if port == "" {
+		port = at.Scheme
+	}
+	d := net.Dialer{Timeout: signTimeout}
+	conn, err := d.DialContext(ctx, "tcp", net.JoinHostPort(at.Hostname(), port))
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return completeness.Takes
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return completeness.Refuses
+	default:
+		return completeness.Silent
+	}
+}
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -74,13 +74,22 @@
 		// What follows is another protocol, or no answer of HTTP.
 		return &wire.End{Outcome: string(outcome.Failed), Reason: string(outcome.ReasonBackend)}
 	}
-	a.answer.setHead(headOf(resp, a.runs.incarnation), resp.ContentLength)
+	length := resp.ContentLength
+	if isStream(resp) {
+		// A stream that keeps its length may break off all the same, which a caller who
+		// knows the length could not be told.
+		length = -1
+		resp.Header.Del("Content-Length")
+	}
+	a.answer.setHead(headOf(resp, a.runs.incarnation), length)
 	a.status = resp.StatusCode
-	return copyAnswer(ctx, a, s.limits.timed(resp, began))
+	answer := follow(resp)
+	end := copyAnswer(ctx, a, s.limits.timed(answer, began))
+	s.checkWhole(ctx, end, answer)
+	return end
 }
 
-// copyAnswer reads the body into the answer. An answer that the backend
-// server cut short ends as failed, never as completed.
+// copyAnswer reads the body into the answer. One whose reading met an error ends as failed.
 func copyAnswer(ctx context.Context, a *attempt, body io.Reader) *wire.End {
 	end := &wire.End{Outcome: string(outcome.Completed)}
 	sum := xxhash.New()
--- a/transport/sidecar/limit_test.go
+++ b/transport/sidecar/limit_test.go
@@ -113,7 +113,7 @@
 	const pause = 50 * time.Millisecond
 	body := &parts{[]string{"data: 1\n\n", "data: 2\n\ndata: 3\n\n", "data", ": 4\n\n"}, pause}
 	resp := &http.Response{Header: http.Header{"Content-Type": {eventStream}}, Body: io.NopCloser(body)}
-	_, err := io.ReadAll(l.timed(resp, time.Now().Add(-time.Second)))
+	_, err := io.ReadAll(l.timed(follow(resp), time.Now().Add(-time.Second)))
 	c.Assert(err, qt.IsNil)
 	c.Assert(l.samples, qt.HasLen, 3)
 	first, two, split := <-l.samples, <-l.samples, <-l.samples
@@ -121,7 +121,7 @@
 	c.Check(two.n == 2 && two.time >= pause/2 && two.time < split.time, qt.IsTrue, qt.Commentf("%v", two))
 	c.Check(split.n == 1 && split.time >= 2*pause, qt.IsTrue, qt.Commentf("%v", split))
 	whole := &http.Response{Header: http.Header{}, Body: io.NopCloser(strings.NewReader("{}\n\n"))}
-	_, _ = io.ReadAll(l.timed(whole, time.Now()))
+	_, _ = io.ReadAll(l.timed(follow(whole), time.Now()))
 	c.Check(l.samples, qt.HasLen, 0)
 }
 
--- a/transport/sidecar/meter.go
+++ b/transport/sidecar/meter.go
@@ -7,38 +7,19 @@
 	"time"
 
 	"goldcrestport/state/config"
+	"goldcrestport/state/eventstream"
 )
 
 // eventSeparator ends a server-sent event.
 var eventSeparator = []byte("\n\n")
 
-// events counts the events of a stream that comes in parts.
-type events struct {
-	// half tells that the last part ended within a separator.
-	half bool
-}
-
-// count returns the number of events that end in the next part.
-func (e *events) count(part []byte) int64 {
-	if len(part) == 0 {
-		return 0
-	}
-	var n int64
-	if e.half && part[0] == eventSeparator[0] {
-		n, part = 1, part[1:]
-	}
-	text := bytes.TrimRight(part, "\n")
-	e.half = (len(part)-len(text))%len(eventSeparator) == 1
-	return n + int64(bytes.Count(part, eventSeparator))
-}
-
 // meter counts the cost of one attempt while it runs.
 type meter struct {
 	kind         config.ServiceKind
 	promptWeight float64
 	started      atomic.Int64
 	tokens       atomic.Int64
-	events       events
+	events       eventstream.Position
 	final        atomic.Pointer[float64]
 }
 
@@ -67,7 +48,8 @@
 // read counts a part of a streamed answer.
 func (m *meter) read(part []byte) {
 	if m.kind == config.KindModel {
-		m.tokens.Add(m.events.count(part))
+		m.events.Advance(part)
+		m.tokens.Store(int64(m.events.Count()))
 	}
 }
 
--- a/transport/sidecar/timing.go
+++ b/transport/sidecar/timing.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"goldcrestport/coordination/limit"
@@ -13,35 +12,31 @@
 	"goldcrestport/transport/duty"
 )
 
-// eventStream is the media type of a streamed answer.
-const eventStream = "text/event-stream"
-
 // timedBody measures when the tokens of a streamed answer come. Only the time
 // in Read counts, so that a slow caller does not look like a slow engine.
 type timedBody struct {
-	io.Reader
+	*followed
 	limits *limits
-	events events
 	// waited since the last token.
 	waited time.Duration
 	any    bool
 }
 
 // timed returns the answer's body with its tokens timed if it is streamed.
-func (l *limits) timed(resp *http.Response, began time.Time) io.Reader {
-	if !strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) {
-		return resp.Body
+func (l *limits) timed(answer *followed, began time.Time) io.Reader {
+	if !answer.isStream {
+		return answer
 	}
-	return &timedBody{Reader: resp.Body, limits: l, waited: time.Since(began)}
+	return &timedBody{followed: answer, limits: l, waited: time.Since(began)}
 }
 
 // Read implements io.Reader.
 func (t *timedBody) Read(p []byte) (int, error) {
-	began := time.Now()
-	n, err := t.Reader.Read(p)
+	began, before := time.Now(), t.position.Count()
+	n, err := t.followed.Read(p)
 	t.waited += time.Since(began)
-	if tokens := t.events.count(p[:n]); tokens > 0 {
-		t.tokens(tokens)
+	if tokens := t.position.Count() - before; tokens > 0 {
+		t.tokens(int64(tokens))
 	}
 	return n, err
 }
