A killed router with sidecars leaves no answer that looks whole on HTTP/1.0

Cause: only a panic reset the connection; the kernel of a process that is gone closes it in good order. As in direct routers the connection is set to end by a reset before the first byte of an answer without a length, and set back once it was written whole; the handler of panics is gone with it. Evidence: the test with a killed process failed before; that of an aborted answer passes as before.

--- a/transport/router/connections.go
+++ b/transport/router/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"goldcrestport/transport/callerconn"
 )
 
 // spareConnections is the number of connections beyond the bound that are
@@ -69,7 +71,9 @@
 // overLimit marks the context of a connection beyond the bound.
 type overLimit struct{}
 
+// markOver puts the connection into its context, and marks one beyond the bound.
 func markOver(ctx context.Context, c net.Conn) context.Context {
+	ctx = callerconn.WithConn(ctx, c)
 	if counted, ok := c.(*countedConn); ok && counted.over {
 		return context.WithValue(ctx, overLimit{}, true)
 	}
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/leave"
+	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/duty"
 )
 
@@ -33,34 +34,19 @@
 		defer cancel(nil)
 		stop := context.AfterFunc(r.ending, func() { cancel(errLeaving) })
 		defer stop()
-		if !req.ProtoAtLeast(1, 1) {
-			defer resetAborted(w)
-		}
 		if r.unready.Load() {
 			// Idle connections stay open until the end: one that is closed
 			// while a caller sends on it leaves the caller in doubt.
 			w.Header().Set("Connection", "close")
 		}
-		h.ServeHTTP(w, req.WithContext(ctx))
-	})
-}
-
-// resetAborted resets the connection of an aborted answer. In HTTP/1.0 the end
-// of the connection is the end of an answer without a length, so that a plain
-// close would make a cut answer look whole.
-func resetAborted(w http.ResponseWriter) {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-		if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
-			_ = tcp.SetLinger(0)
+		if req.ProtoAtLeast(1, 1) {
+			h.ServeHTTP(w, req.WithContext(ctx))
+			return
 		}
-		_ = conn.Close()
-	}
-	// The server of net/http takes it from here.
-	panic(cause)
+		held := &heldWriter{ResponseWriter: w, conn: callerconn.Of(ctx)}
+		h.ServeHTTP(held, req.WithContext(ctx))
+		held.whole()
+	})
 }
 
 // leave refuses new work, waits for what is held and returns when the process
