The soak: answers in every framing, broken off in every way, before callers on HTTP/1.1 and 1.0

Stand-ins answer in all three framings and end in every way that can be known, servers crash in good order or by resets, each fourth caller is on HTTP/1.0, and a clean end counts as the word that the answer is whole. Seeds from 9000 on; others choose as ever.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,13 @@
 	done
 	@if [ -n '$(RED)' ]; then echo 'passed over, known to fail (KNOWN-RED.txt):'; cat KNOWN-RED.txt; fi
 
+# fuzz lets the fuzzer look for streams that the follower of events reads otherwise than a
+# slow reader does; FUZZ is for how long.
+FUZZ ?= 10s
+.PHONY: fuzz
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzPieces -fuzztime $(FUZZ) ./state/eventstream
+
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
 	if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -40,6 +40,8 @@
 	client *http.Client
 	router int
 	count  int
+	// isOld tells that the caller speaks HTTP/1.0.
+	isOld bool
 }
 
 func newCaller(w *World, name string, seed uint64) *caller {
@@ -129,7 +131,7 @@
 	req.Header.Set("Credential", call.Key)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(call.Kind.timeout().Milliseconds(), 10))
 	req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", 100+c.random.IntN(2000), tokens))
-	resp, err := c.client.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		call.Err = err.Error()
 		c.move()
@@ -186,9 +188,10 @@
 	lines := bufio.NewReader(r)
 	for n := 1; ; n++ {
 		event, err := readEvent(lines)
-		if err == io.EOF && event == "" {
-			if n != last+1 {
-				call.Problem = fmt.Sprintf("the stream ended as whole after event %d of %d", n-1, last)
+		if err == io.EOF {
+			// An end in good order says that the stream is whole.
+			if n != last+1 || event != "" {
+				call.Problem = fmt.Sprintf("the stream ended as whole after event %d of %d and %q", n-1, last, event)
 			}
 			return nil
 		}
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -44,7 +44,9 @@
 	announced bool
 	// held adds servers that leave while the way to them holds what is sent, see Plan.
 	held bool
-	open sync.WaitGroup
+	// framed lets servers that crash close their connections in good order, see Plan.
+	framed bool
+	open   sync.WaitGroup
 }
 
 // length returns a random time between least and most.
--- a/bench/soak/failure_server.go
+++ b/bench/soak/failure_server.go
@@ -31,6 +31,9 @@
 	return s
 }
 
+// endsInOrder reports whether a server that crashes closes its connections in good order.
+func (i *injector) endsInOrder() bool { return i.framed && i.random.IntN(2) == 0 }
+
 // nothing is a failure that found no target.
 func nothing() failure {
 	return failure{kind: "none", router: noRouter, planned: true, do: func() {}}
@@ -43,8 +46,9 @@
 	if s == nil {
 		return nothing()
 	}
+	inOrder := i.endsInOrder()
 	return failure{kind: serverCrash, router: noRouter, server: s.ID, do: func() {
-		s.close()
+		s.crash(inOrder)
 		time.Sleep(lapse)
 		i.w.store.Remove(backend.Key(s.ID))
 		time.Sleep(reuse)
@@ -72,9 +76,10 @@
 	if s == nil {
 		return nothing()
 	}
+	inOrder := i.endsInOrder()
 	lapses, pause := i.random.IntN(2) == 0, i.length(100*time.Millisecond, lapse)
 	return failure{kind: serverCrash, router: noRouter, server: s.ID, do: func() {
-		s.close()
+		s.crash(inOrder)
 		time.Sleep(pause)
 		if lapses {
 			i.w.store.Remove(backend.Key(s.ID))
--- a/bench/soak/insist.go
+++ b/bench/soak/insist.go
@@ -89,7 +89,7 @@
 		w.Record.Crashes = append(w.Record.Crashes, Crash{Server: s.ID, Body: body, At: now})
 		w.Record.Failures = append(w.Record.Failures, Failure{Kind: serverCrash, Router: noRouter, Server: s.ID, From: now, Until: now.Add(away)})
 	})
-	s.close()
+	s.crash(w.endsInOrder(body))
 	if leaving {
 		return
 	}
@@ -106,6 +106,14 @@
 	})
 }
 
+// endsInOrder reports whether a server that the request crashes closes its connections in good
+// order.
+func (w *World) endsInOrder(body string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.framed && len(body)%2 == 0
+}
+
 // crashedOn finds requests that were sent on, from routers in touch, after they had
 // crashed three servers and there was time to know.
 func crashedOn(r *Record) []string {
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -28,6 +28,10 @@
 	// Held adds servers that leave while the way to them holds what is sent. Without it
 	// seeds choose the same failures as ever.
 	Held bool
+	// Framed lets answers come in chunks, with a length or with neither, and servers end in
+	// good order or not, before callers on HTTP/1.1 and 1.0. Without it seeds choose the same
+	// failures as ever.
+	Framed bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -42,13 +46,15 @@
 	firstAnnounced = 2000
 	// firstHeld is the first seed in which servers leave while the way to them holds.
 	firstHeld = 8000
+	// firstFramed is the first seed whose answers come in every framing.
+	firstFramed = 9000
 )
 
 // DefaultPlan returns the plan of the tool.
 func DefaultPlan(seed uint64) Plan {
 	return Plan{
 		Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1),
-		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2, Announced: seed >= firstAnnounced, Held: seed >= firstHeld,
+		Reborn: seed%2 == 0, Crashing: true, Places: seed%3 == 2, Announced: seed >= firstAnnounced, Held: seed >= firstHeld, Framed: seed >= firstFramed,
 	}
 }
 
@@ -75,16 +81,18 @@
 	var working sync.WaitGroup
 	for n := range callers {
 		c := newCaller(w, fmt.Sprintf("c%d", n), plan.Seed*1000+uint64(n))
+		c.isOld = plan.Framed && n%oldEvery == 0
 		working.Go(func() { c.run(ctx) })
 	}
 	time.Sleep(warmUp)
 	w.mu.Lock()
 	w.traffic = true
 	w.mu.Unlock()
+	w.frame(plan.Framed)
 	if plan.Crashing {
 		w.insist(ctx, &working, plan.Seed)
 	}
-	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held}
+	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held, framed: plan.Framed}
 	if plan.Places {
 		i.evacuations(plan)
 	}
@@ -100,6 +108,19 @@
 	working.Wait()
 }
 
+// frame lets the answers of all servers come in every framing.
+func (w *World) frame(framed bool) {
+	if !framed {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.framed = true
+	for _, s := range w.servers {
+		s.backend.SetShapes(true)
+	}
+}
+
 // exits notes processes that ended by themselves.
 func (w *World) exits() {
 	for _, r := range w.routers {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -203,6 +203,15 @@
 	playEach(t, []uint64{8001, 8002}, size, plan, func(*testing.T, *Record) {})
 }
 
+// Answers come in chunks, with a length or with neither, and servers break them off or crash under
+// them in every way, before callers on HTTP/1.1 and 1.0 who check each event, beside everything
+// else: no broken answer looks whole, and no event is missing or comes twice.
+func TestAnswersInEveryFraming(t *testing.T) {
+	size := Size{Routers: 3, Engines: 5, Plain: 4, Other: 4, Callers: 24}
+	plan := Plan{Failures: 12 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Crashing: true, Framed: true}
+	playEach(t, []uint64{9101, 9102}, size, plan, func(*testing.T, *Record) {})
+}
+
 // Routers in two data centres, more than are told directly in each: what they tell each
 // other is passed on by routers that are killed, frozen and stopped, beside everything else.
 func TestRoutersOfTwoDataCentres(t *testing.T) {
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -71,7 +71,9 @@
 	nextID  int
 	// traffic tells that callers are at work: servers that start now are cold.
 	traffic bool
-	config  configuration
+	// framed tells that answers come in every framing and end in every way, see Plan.
+	framed bool
+	config configuration
 	// revoked holds the keys that each team had before.
 	revoked map[string][]string
 }
@@ -209,6 +211,20 @@
 	_ = s.http.Close()
 }
 
+// orderlyEnd is how long the ends of a crashed server's connections take to arrive.
+const orderlyEnd = 100 * time.Millisecond
+
+// crash ends the server's process: its connections are reset, or, as by the kernel of a host
+// that lives, closed in good order.
+func (s *server) crash(inOrder bool) {
+	if inOrder {
+		s.link.Refuse()
+		_ = s.http.Close()
+		time.Sleep(orderlyEnd)
+	}
+	s.close()
+}
+
 // startServer starts a backend server under a new id at the address.
 func (w *World) startServer(service, address string) error {
 	w.mu.Lock()
@@ -228,6 +244,9 @@
 	s := &server{Config: cfg, born: born, zone: zoneOf(id)}
 	cfg.Crash = func(body string) { w.crashed(s, body) }
 	s.backend = backend.New(cfg, w.Record)
+	w.mu.Lock()
+	s.backend.SetShapes(w.framed)
+	w.mu.Unlock()
 	s.http = &http.Server{Handler: s.backend, ReadHeaderTimeout: time.Second}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/standin/backend/answer.go
+++ b/standin/backend/answer.go
@@ -59,7 +59,7 @@
 	}
 	body := Body(run.ID)
 	s.head(w, run)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.plainFraming(run, fault).headers(w, len(body))
 	if fault == Breaks {
 		body = body[:len(body)/2]
 	}
@@ -68,6 +68,15 @@
 	return true
 }
 
+// plainFraming is that of a plain answer. One that a living server breaks off has a length:
+// nobody could tell one without from a whole answer.
+func (s *Server) plainFraming(run Run, fault Fault) shape {
+	if !s.hasShapes() || fault != Sound {
+		return shape{framing: length}
+	}
+	return s.shapeOf(run)
+}
+
 // spoil ends a broken answer, or sends a second one.
 func (s *Server) spoil(w http.ResponseWriter, fault Fault, run Run, body string) {
 	if fault != Breaks && fault != Doubles {
@@ -105,18 +114,22 @@
 	_, output, _ := strings.Cut(r.Header.Get(headerTokens), ",")
 	tokens, _ := strconv.Atoi(output)
 	last := Events(tokens)
+	look, breaksAt := s.shapeOf(run), last+1
+	if fault == Breaks {
+		breaksAt = max(last/2, run.ResumedAfter+1)
+	}
 	s.head(w, run)
 	w.Header().Set("Content-Type", "text/event-stream")
+	look.headers(w, streamSize(look, run, last, breaksAt))
 	flusher := http.NewResponseController(w)
 	for n := run.ResumedAfter + 1; n <= last; n++ {
 		if !pause(r, s.cfg.Time) {
 			return false
 		}
 		event := Event(run.ID, n)
-		if fault == Breaks && n >= last/2 {
-			_, _ = w.Write([]byte(event[:len(event)/2]))
-			_ = flusher.Flush()
-			reply.Abort(w)
+		if n == breaksAt {
+			_, _ = w.Write([]byte(look.cutOf(event)))
+			look.breakOff(w)
 			return false
 		}
 		if _, err := w.Write([]byte(event)); err != nil {
@@ -126,3 +139,17 @@
 	}
 	return true
 }
+
+// streamSize is the length that a stream announces: that of all its events, or of what comes of
+// them where it marks an end before.
+func streamSize(look shape, run Run, last, breaksAt int) int {
+	size := 0
+	for n := run.ResumedAfter + 1; n <= last; n++ {
+		event := Event(run.ID, n)
+		if n == breaksAt && look.end == marks {
+			return size + len(look.cutOf(event))
+		}
+		size += len(event)
+	}
+	return size
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -119,6 +119,7 @@
 	running int
 	fault   Fault
 	says    Says
+	shapes  bool
 }
 
 // New returns a sound server.
@@ -131,6 +132,21 @@
 	s.fault = f
 }
 
+// SetShapes lets later answers come in chunks, with a length or with neither, and break off in
+// every way, by their requests. Before, all come as net/http frames them.
+func (s *Server) SetShapes(shapes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shapes = shapes
+}
+
+// hasShapes reports whether answers come in every framing.
+func (s *Server) hasShapes() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shapes
+}
+
 // maxBody bounds a request's body, in bytes.
 const maxBody = 4 << 20
 
--- a/standin/backend/crash.go
+++ b/standin/backend/crash.go
@@ -50,11 +50,17 @@
 	case InTheMiddle:
 		s.head(w, run)
 		if s.cfg.Engine {
+			look := s.shapeOf(run)
 			w.Header().Set("Content-Type", "text/event-stream")
-			_, _ = w.Write([]byte(Event(run.ID, run.ResumedAfter+1)))
+			event := Event(run.ID, run.ResumedAfter+1)
+			look.headers(w, 2*len(event))
+			_, _ = w.Write([]byte(event))
+			if s.hasShapes() {
+				_, _ = w.Write([]byte(look.cutOf(event)))
+			}
 		} else {
 			answer := Body(run.ID)
-			w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+			s.plainFraming(run, Sound).headers(w, len(answer))
 			_, _ = w.Write([]byte(answer[:len(answer)/2]))
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -125,6 +125,10 @@
 	r.set(passing)
 }
 
+// Refuse ends the listener: new connections are refused, as by a host without the process;
+// those there are go on.
+func (r *Relay) Refuse() { _ = r.listener.Close() }
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
