A single JSON value on a streaming route is a plain answer

Cause: a fault of this work, seen by reading it: a success on a streaming route that is one JSON value has no event, and would have counted as broken off inside a line. It is judged as a plain answer now.

--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"mime"
 	"net/http"
 	"time"
 
@@ -52,9 +53,14 @@
 	return e
 }
 
-// isStream reports whether the answer is a stream of events.
+// isStream reports whether the answer is a stream of events: each success on a streaming route,
+// but for one that says that it is a single JSON value.
 func (c *call) isStream(answer *backend.Answer) bool {
-	return c.route.Kind == routing.Streaming && isSuccess(answer.Status)
+	if c.route.Kind != routing.Streaming || !isSuccess(answer.Status) {
+		return false
+	}
+	media, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	return err != nil || media != "application/json"
 }
 
 func isSuccess(status int) bool {
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -12,7 +12,6 @@
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/health"
 	"goldcrestport/state/eventstream"
-	"goldcrestport/state/routing"
 	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/revocable"
@@ -29,7 +28,7 @@
 		return c.passEvents(ctx, answer, events)
 	case success && !reply.Marked:
 		return failed, health.Failure, errors.New("a success without the server's mark")
-	case success && c.route.Kind == routing.Streaming:
+	case c.isStream(answer):
 		return c.passEvents(ctx, answer, events)
 	case answer.Length <= wholeBody:
 		return c.passWhole(ctx, answer, success)
