--- a/protocol/losses/losses_test.go
+++ b/protocol/losses/losses_test.go
@@ -105,3 +105,15 @@
 		qt.Check(t, got.Groups[0].Values, qt.DeepEquals, []string{string(tc.outcome), tc.reason}, qt.Commentf(name))
 	}
 }
+
+// The last line of a log that is being written, cut before its last key, is no request.
+func TestALineThatIsCutIsNoRequest(t *testing.T) {
+	whole := "ts=2026-01-01T00:00:01Z id=r1 event=request_completed route=a answer=chunks/marked status=200 left_out=0\n"
+	cut := strings.Index(whole, "left_out=") + len("left_out=")
+	for at := strings.Index(whole, "event=") + len("event=request_completed "); at <= cut; at++ {
+		got, err := Read(strings.NewReader(line("00", "")+whole[:at]), []Dimension{ByOutcome})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got.Requests, qt.Equals, 1, qt.Commentf("%q", whole[:at]))
+		qt.Check(t, got.Broken, qt.Equals, 1, qt.Commentf("%q", whole[:at]))
+	}
+}
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -211,3 +211,15 @@
 		}
 	})
 }
+
+// A settings file that is read while it is being written, cut at any byte, is refused.
+func TestSettingsThatAreCutAreRefused(t *testing.T) {
+	c := quicktest.New(t)
+	data, err := os.ReadFile(examples + "direct.json")
+	c.Assert(err, quicktest.IsNil)
+	text := strings.TrimSpace(string(data))
+	for at := range text {
+		direct := DefaultDirect()
+		c.Check(load(c, []byte(text[:at]), &direct), quicktest.Not(quicktest.HasLen), 0, quicktest.Commentf("%d of %d bytes", at, len(text)))
+	}
+}
