One place resets the callers on HTTP/1.0 whose answers are not whole, for both kinds of router

Cause: direct routers and routers with sidecars had it each in their own form, one beside the relay and one as a writer. It is a handler around theirs now (callerconn.ResetUnlessWhole); what a caller sees is as before, but that the router's own refusals on HTTP/1.0, which are small, end with their connection and no length. Tried and reverted: a length in each refusal (3 allocations more for each, on the path of a flood; time within noise). Tests as before, with killed processes too. Nothing of it is on the path of HTTP/1.1.

--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -138,7 +138,3 @@
 		return completeness.Connection.String()
 	}
 }
-
-// endsByConnection reports whether the caller knows the end of its answer by that of its
-// connection only, so that each end but that of a whole answer must be a reset.
-func (c *call) endsByConnection() bool { return c.toldBy == completeness.Connection.String() }
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -14,7 +14,6 @@
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/backend"
-	"goldcrestport/transport/revocable"
 )
 
 // pass passes an answer on to the caller.
@@ -215,18 +214,12 @@
 	}
 	c.keepAlive()
 	c.begun, c.toldBy = true, c.framingTold(length)
-	if c.endsByConnection() {
-		revocable.Hold(c.conn())
-	}
 	c.w.WriteHeader(answer.Status)
 }
 
 // completed ends an answer that is whole and was written.
 func (c *call) completed(answer *backend.Answer) {
 	c.told = toldWhole
-	if c.endsByConnection() && http.NewResponseController(c.w).Flush() == nil {
-		revocable.Settle(c.conn())
-	}
 	c.r.metrics.completed(c)
 	if c.tokens > 0 && answer.Status < http.StatusBadRequest {
 		c.r.teams.Count(func(t *teamuse.Table) { t.Delivered(c.team, c.tokens) })
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -224,7 +224,7 @@
 // callerServer bounds what a caller's connection may take.
 func (r *Router) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(r.serve),
+		Handler:           callerconn.ResetUnlessWhole(http.HandlerFunc(r.serve)),
 		ReadHeaderTimeout: r.set.Callers.HeaderTimeout.D(),
 		IdleTimeout:       r.set.Callers.IdleTimeout.D(),
 		ConnState:         r.callers.Changed,
--- a/transport/revocable/revocable.go
+++ b/transport/revocable/revocable.go
@@ -3,7 +3,7 @@
 // and its other end does not take the end for that of what it reads. Who gives up a call by
 // closing its connection so takes it back as far as that can be done.
 //
-// platform, transport/backend, transport/link, transport/direct and transport/router call it.
+// platform, transport/backend, transport/callerconn and transport/link call it.
 package revocable
 
 import (
--- a/transport/router/connections.go
+++ b/transport/router/connections.go
@@ -86,7 +86,7 @@
 func (r *Router) callerServer() *http.Server {
 	limits := r.set.Limits
 	return &http.Server{
-		Handler:           r.holding(r.callerHandler()),
+		Handler:           callerconn.ResetUnlessWhole(r.holding(r.callerHandler())),
 		ReadHeaderTimeout: limits.HeaderTimeout.D(),
 		IdleTimeout:       limits.IdleTimeout.D(),
 		MaxHeaderBytes:    int(limits.Headers.Bytes()) + headerSlack,
--- a/transport/router/leave.go
+++ b/transport/router/leave.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/leave"
-	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/duty"
 )
 
@@ -39,13 +38,7 @@
 			// while a caller sends on it leaves the caller in doubt.
 			w.Header().Set("Connection", "close")
 		}
-		if req.ProtoAtLeast(1, 1) {
-			h.ServeHTTP(w, req.WithContext(ctx))
-			return
-		}
-		held := &heldWriter{ResponseWriter: w, conn: callerconn.Of(ctx)}
-		h.ServeHTTP(held, req.WithContext(ctx))
-		held.whole()
+		h.ServeHTTP(w, req.WithContext(ctx))
 	})
 }
 
