A continuation that is not joined has its line, too

One line for each stream that broke: an answer that the router itself gave up, as its events do not come next, had none but request_again. No logic changed; the tests of joining look for it. What it checks is as before.

--- a/transport/direct/framing_test.go
+++ b/transport/direct/framing_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"goldcrestport/protocol/settings"
 )
 
 // insideAnEvent are bodies of streams that end inside an event.
@@ -254,8 +257,11 @@
 func checkJoining(t *testing.T, liar answerPlan) {
 	var n atomic.Int32
 	run := inTurn(&n, plan(answerPlan{framing: byChunks, body: eventsText(1, 3), noEnd: true, end: closes}), plan(liar), goesOn)
-	f := start(t, testConfig(1), newBackend(t, "i-1", run), newBackend(t, "i-2", run), newBackend(t, "i-3", run))
+	var lines lineBuffer
+	f := startLogged(t, testConfig(1), log.NewLogfmtLogger(&lines), func(*settings.Direct, *testSource) {},
+		newBackend(t, "i-1", run), newBackend(t, "i-2", run), newBackend(t, "i-3", run))
 	got := f.once(http11, "/resume/", "r")
+	f.Check(lines.of("answer_broken", "r"), qt.HasLen, 2)
 	f.Check(got.looksWhole(), qt.IsTrue, qt.Commentf("%q %v", got.body, got.broken))
 	f.Check(strings.ReplaceAll(got.body, noEvent, ""), qt.Equals, eventsText(1, streamEvents))
 	f.Check(n.Load(), qt.Equals, int32(3))
@@ -421,7 +427,8 @@
 		for _, p := range []answerPlan{
 			{framing: byConnection}, {framing: byChunks}, {framing: byChunks, noEnd: true}, {framing: byLength}, {framing: byLength, noEnd: true},
 		} {
-			p.body, p.end = stream[:cut], closes
+			// A marked end keeps the connection: a close right after it would meet the next request.
+			p.body = stream[:cut]
 			isMarked := p.framing != byConnection && !p.noEnd
 			isKnown := isMarked || p.framing == byConnection && cut > 0
 			// Nobody can know that an end between two events is not the last one.
@@ -429,7 +436,7 @@
 			for _, proto := range []string{http11, http10} {
 				comment := qt.Commentf("%+v, %s", p, proto)
 				got := ask(p, proto, "/stream/")
-				f.Assert(cut < len(eventsText(1, 1)) || got.status == http.StatusOK, qt.IsTrue, comment)
+				f.Assert(cut < len(eventsText(1, 1)) || got.status == http.StatusOK, qt.IsTrue, qt.Commentf("%+v, %s: %+v", p, proto, got))
 				f.Assert(got.looksWhole() && !mayLookWhole, qt.IsFalse, comment)
 				f.Assert(got.status != http.StatusOK || strings.HasPrefix(stream, got.body), qt.IsTrue, comment)
 				got = ask(p, proto, "/resume/")
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -133,6 +133,7 @@
 			}
 			if notNext != nil {
 				c.concluded(ctx, answer, events)
+				c.logBroken()
 				return c.brokeOff(ctx, notNext)
 			}
 			if err == nil {
