An event without id is not taken for the one that broke off before it

Found by reading the diff: the id of an event that broke off stayed with the place in the next server's stream, so that its first event, if it had no id, bore it and was joined. The test of what a stream may go on with breaks off behind a whole id field now, in place of inside one, and failed before (one case of 17); as strict otherwise.

--- a/state/eventstream/eventstream_test.go
+++ b/state/eventstream/eventstream_test.go
@@ -104,7 +104,7 @@
 		for _, size := range []int{1, 7, 4096} {
 			var f Follower
 			f.Restart()
-			f.pass(start, tc.had+"id: 99")
+			f.pass(start, tc.had+"id: 99\nda")
 			f.Restart()
 			var err error
 			passed := ""
--- a/state/eventstream/position.go
+++ b/state/eventstream/position.go
@@ -61,7 +61,8 @@
 
 // restart puts the position at the begin of another stream that goes on after this one.
 func (p *Position) restart() {
-	p.line, p.size, p.afterReturn, p.begun, p.fields = p.line[:0], 0, false, false, 0
+	p.line, p.size, p.afterReturn, p.begun = p.line[:0], 0, false, false
+	p.fields, p.id, p.isNamed = 0, p.id[:0], false
 }
 
 // Advance moves over all of the data.
