Stand-ins reset answers in one place

A second way to take a connection from net/http stood in the stand-in of backend servers; no change of what it does. The tests of the stand-ins pass.

--- a/standin/backend/shape.go
+++ b/standin/backend/shape.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -97,12 +96,5 @@
 		reply.Abort(w)
 		return
 	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler) // the way net/http gives for a connection that can't be hijacked
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
+	reply.Reset(w)
 }
--- a/standin/internal/reply/reply.go
+++ b/standin/internal/reply/reply.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -29,12 +30,24 @@
 }
 
 // Abort closes the caller's connection without ending the answer.
-func Abort(w http.ResponseWriter) {
+func Abort(w http.ResponseWriter) { _ = take(w).Close() }
+
+// Reset resets the caller's connection without ending the answer.
+func Reset(w http.ResponseWriter) {
+	conn := take(w)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// take takes the connection from net/http.
+func take(w http.ResponseWriter) net.Conn {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler) // the way net/http gives for a connection that can't be hijacked
 	}
-	_ = conn.Close()
+	return conn
 }
 
 // Body reads a request's body of at most limit bytes; on failure it returns the status to answer with.
