--- a/standin/backend/shape.go
+++ b/standin/backend/shape.go
@@ -88,13 +88,12 @@
 // breakOff ends the answer after a part of it.
 func (sh shape) breakOff(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).Flush()
-	if sh.end == marks || sh.end == closes && sh.framing == connection {
+	switch {
+	case sh.end == marks || sh.end == closes && sh.framing == connection:
 		// net/http ends the framing, or the connection in good order, when the handler returns.
-		return
-	}
-	if sh.end == closes {
+	case sh.end == resets:
+		reply.Reset(w)
+	default:
 		reply.Abort(w)
-		return
 	}
-	reply.Reset(w)
 }
