A JSON value is not joined to a stream that broke off

Found by reading the diff: whether an answer is a stream was asked of its media type at its end, also of a continuation, so that a JSON value there counted as a plain answer and was written behind the events. What passes events on says now that they are events. The test failed before.

--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -42,10 +42,10 @@
 	toldCut   = "cut"
 )
 
-// endOf returns how the answer ended as far as it was read.
+// endOf returns how the answer ended as far as it was read; events is nil for a plain one.
 func (c *call) endOf(answer *backend.Answer, events *eventstream.Follower) answerEnd {
 	e := answerEnd{Answer: completeness.Answer{Framing: answer.Framing(), End: answer.End()}, bytes: answer.Bytes()}
-	if c.isStream(answer) {
+	if events != nil {
 		e.IsStream, e.Events, e.IsInside, e.Continues = true, events.Events(), events.IsInside(), events.Continues()
 		e.lastEvent = events.LastEvent()
 	}
--- a/transport/direct/framing_test.go
+++ b/transport/direct/framing_test.go
@@ -290,6 +290,20 @@
 	checkJoining(t, answerPlan{framing: byChunks, body: noEvent})
 }
 
+// A server that was to go on answered with a JSON value, which was joined to the events that the
+// caller had.
+func TestAContinuationThatIsNoStreamIsNotJoined(t *testing.T) {
+	var n atomic.Int32
+	value := func(w io.Writer, req *http.Request) bool {
+		return respond(w, req, http.StatusOK, testMark+": m\r\nContent-Type: application/json\r\n", `{"text":"x"}`)
+	}
+	run := inTurn(&n, plan(answerPlan{framing: byChunks, body: eventsText(1, 3), noEnd: true, end: closes}), value, goesOn)
+	f := start(t, testConfig(1), newBackend(t, "i-1", run), newBackend(t, "i-2", run), newBackend(t, "i-3", run))
+	got := f.once(http11, "/resume/", "r")
+	f.Check(got.looksWhole(), qt.IsTrue, qt.Commentf("%q %v", got.body, got.broken))
+	f.Check(got.body, qt.Equals, eventsText(1, streamEvents))
+}
+
 // A stream whose events have no ids was asked for anew after it broke off, and joined to what
 // the caller had.
 func TestAStreamWithoutIdsIsNotJoined(t *testing.T) {
