--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -36,6 +36,11 @@
 	return e.Framing.String() + "/" + e.End.String()
 }
 
+// isBelieved reports whether nothing marked the end of an answer that is taken for whole.
+func (e *answerEnd) isBelieved() bool {
+	return e != nil && e.verdict == completeness.Whole && e.End != completeness.Marked
+}
+
 // toldWhole and toldCut are what a caller can be told of an answer that began.
 const (
 	toldWhole = "whole"
--- a/transport/direct/ending_test.go
+++ b/transport/direct/ending_test.go
@@ -47,3 +47,20 @@
 	f.Check(lines.of("request_ended", "r")[0]["told_by"], qt.Equals, "chunks")
 	f.Check(f.router.metrics.answers.Get("chunks/closed/broken").String(), qt.Equals, "1")
 }
+
+// An answer whose end nobody marked, and that was believed, has its line: it is the one of which
+// one must be able to say later why its caller was told that it is whole.
+func TestEachAnswerThatIsBelievedHasALine(t *testing.T) {
+	var lines lineBuffer
+	believed := plan(answerPlan{framing: byConnection, body: eventsText(1, 2)})
+	f := startLogged(t, testConfig(1), log.NewLogfmtLogger(&lines), func(*settings.Direct, *testSource) {}, newBackend(t, "i-1", believed))
+	for i := range 20 {
+		f.Check(f.once(http11, "/stream/", numbered("r", i)).looksWhole(), qt.IsTrue)
+	}
+	for i := range 20 {
+		f.waitFor("the line", func() bool { return len(lines.of("request_completed", numbered("r", i))) == 1 })
+		one := lines.of("request_completed", numbered("r", i))[0]
+		f.Check(one["answer"], qt.Equals, "connection/closed")
+		f.Check(one["server_then"], qt.Equals, "takes")
+	}
+}
--- a/transport/direct/trail.go
+++ b/transport/direct/trail.go
@@ -23,8 +23,11 @@
 // logCompleted writes the line of a request that was answered.
 func (c *call) logCompleted(status int) {
 	limit := c.r.lines
-	if status >= http.StatusInternalServerError {
+	switch {
+	case status >= http.StatusInternalServerError:
 		limit = c.r.failures
+	case c.answer.isBelieved():
+		limit = c.r.attempts
 	}
 	c.line(limit, "request_completed", "status", status)
 }
