A clean end inside an event is no cut: the test of the soak's own reader

Such an end says that the stream is whole, and is a breach. The case is replaced by two as strict: the same text with a clean end is a breach, and with an end that is no clean one a cut; one more for a cut between two events.

--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -325,16 +327,19 @@
 	whole := backend.Event("r", 1) + backend.Event("r", 2)
 	for _, tc := range []struct {
 		name, text     string
+		end            error
 		problem, ended bool
 	}{
-		{"whole", whole, false, true},
-		{"ends early as whole", backend.Event("r", 1), true, true},
-		{"another's event", backend.Event("r", 1) + backend.Event("z", 2), true, true},
-		{"an event twice", backend.Event("r", 1) + backend.Event("r", 1), true, true},
-		{"a part of an event", whole[:len(whole)-3], false, false},
+		{"whole", whole, io.EOF, false, true},
+		{"ends early as whole", backend.Event("r", 1), io.EOF, true, true},
+		{"ends as whole inside an event", whole[:len(whole)-3], io.EOF, true, true},
+		{"another's event", backend.Event("r", 1) + backend.Event("z", 2), io.EOF, true, true},
+		{"an event twice", backend.Event("r", 1) + backend.Event("r", 1), io.EOF, true, true},
+		{"cut inside an event", whole[:len(whole)-3], io.ErrUnexpectedEOF, false, false},
+		{"cut between two events", backend.Event("r", 1), io.ErrUnexpectedEOF, false, false},
 	} {
 		c := Call{ID: "r"}
-		err := readStream(&c, strings.NewReader(tc.text), 2)
+		err := readStream(&c, io.MultiReader(strings.NewReader(tc.text), iotest.ErrReader(tc.end)), 2)
 		qt.Check(t, c.Problem != "", qt.Equals, tc.problem, qt.Commentf("%s: %s", tc.name, c.Problem))
 		qt.Check(t, err == nil, qt.Equals, tc.ended, qt.Commentf("%s: %v", tc.name, err))
 	}
