An exchange that was given up is over once its connection is reset

What a caller could see: a request given up at one server and sent to another while its bytes at the first could arrive yet, so that it ran twice.

Cause: the end of a connection wakes its reader before the kernel has closed it, as a write that is under way holds it open until its goroutine has run. Do told the failure from that read; the reset went out when the writer had its turn. What was sent meanwhile was let go by the path.

Ruled out: the relay of the tests (it reads the state of the connection after each hold, and there was no reset yet); the other ways to give up, which the tests let 20 ms pass after; the shape of the test, which counts a head: no byte is to come.

Conclusion: whoever ends a connection second waits for the first, so an exchange is over when nothing of it is in the kernel. A sync.Once says just that.

--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,30 +31,34 @@
 	expires time.Time
 	idle    time.Time
 	// used tells that an exchange went over it before.
-	used   bool
-	closed atomic.Bool
+	used  bool
+	ended sync.Once
 	// reading tells that bytes of the server are awaited.
 	reading atomic.Bool
 }
 
 // Close closes a connection that carries no exchange, once.
 func (c *conn) Close() error {
-	if c.closed.Swap(true) {
-		return nil
-	}
-	revocable.Settle(c.Conn)
-	return c.Conn.Close()
+	var err error
+	c.ended.Do(func() {
+		revocable.Settle(c.Conn)
+		err = c.Conn.Close()
+	})
+	return err
 }
 
-// reset ends a connection that carries an exchange, and reports whether it was open.
+// reset ends a connection that carries an exchange, and reports whether it was open. Once it
+// returns, nothing of the exchange is in the kernel any more, whoever ended it: a Read that the
+// end woke may be over before.
 func (c *conn) reset() bool {
-	if c.closed.Swap(true) {
-		return false
-	}
-	// It resets: nothing that it carries goes on. The error tells nothing that the exchange
-	// does not know.
-	_ = c.Conn.Close()
-	return true
+	wasOpen := false
+	c.ended.Do(func() {
+		wasOpen = true
+		// It resets: nothing that it carries goes on. The error tells nothing that the
+		// exchange does not know.
+		_ = c.Conn.Close()
+	})
+	return wasOpen
 }
 
 // Read implements io.Reader and notes that the server was heard.
--- a/transport/backend/held_test.go
+++ b/transport/backend/held_test.go
@@ -99,6 +99,41 @@
 	c.Check(got, qt.Equals, int64(0))
 }
 
+// slowToReset is a connection whose end wakes its reader some time before its reset is out, as
+// the end of one that is being written to does on a busy host.
+type slowToReset struct {
+	net.Conn
+	isOut atomic.Bool
+}
+
+func (s *slowToReset) Close() error {
+	_ = s.SetReadDeadline(time.Unix(1, 0))
+	time.Sleep(50 * time.Millisecond)
+	s.isOut.Store(true)
+	return s.Conn.Close()
+}
+
+// Guards against a request that is sent to another server while its bytes at the first can
+// arrive yet: the exchange was over before its connection was reset.
+func TestAnExchangeThatWasGivenUpIsOverOnceItsConnectionIsReset(t *testing.T) {
+	c := qt.New(t)
+	s := serve(c, func(_ net.Conn, r *bufio.Reader) {
+		for read(r) != "" {
+		}
+	})
+	p := NewPool(DefaultConfig())
+	opened, err := p.dial(context.Background(), s.target)
+	c.Assert(err, qt.IsNil)
+	slow := &slowToReset{Conn: opened.Conn}
+	opened.Conn = slow
+	p.put(opened, time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, failure := p.Do(ctx, s.target, request("r1"))
+	c.Assert(failure, qt.IsNotNil)
+	c.Check(slow.isOut.Load(), qt.IsTrue)
+}
+
 // Guards against a request that runs at a server after the kernel ended its connection without
 // a word to the other end: neither its keep-alive nor a bound on unacknowledged bytes may be on.
 func TestTheKernelGivesUpNoBytesOnTheirWay(t *testing.T) {
