A server is alive if a connection to it lasts: a plain answer was taken for whole while its server's process ended

What callers saw: a plain answer without framing that a crash had broken off, as if it were whole.

Cause: after an end that says nothing the router looks whether the server takes connections. A process that crashes may close that of the answer a moment before its listener; the kernel took the look's connection meanwhile, and nobody accepted it. The look after an answer that broke off, by which crashes are counted, went by the same.

Ruled out: a stale connection in the pool (the look opens its own); another incarnation (it is compared before); the verdict itself (completeness is as it was).

Before: TestAPlainAnswerThatWasClosedShortlyBeforeTheCrashIsNotWhole fails 12 of 12 answers. The four ways to crash with the connection first, new in TestEveryKindOfRequestThatCrashesServersIsRefused, pass before and after: what comes later tells, too.

Conclusion: what the look opens must last; one that is ended is followed by another. Sidecars looked the same way; both go by transport/probe now.

--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"goldcrestport/coordination/inflight"
+	"goldcrestport/transport/probe"
 )
 
 // Config holds the times of a Pool.
@@ -210,9 +211,9 @@
 }
 
 // Probe opens a connection to the target, to see whether it takes any, and keeps
-// it for the next request.
+// it for the next request. Its errors are those of transport/probe.
 func (p *Pool) Probe(ctx context.Context, to Target) error {
-	c, err := p.dial(ctx, to)
+	c, err := probe.Open(ctx, func(ctx context.Context) (*conn, error) { return p.dial(ctx, to) })
 	if err != nil {
 		return err
 	}
--- a/transport/direct/crash_test.go
+++ b/transport/direct/crash_test.go
@@ -73,6 +73,13 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
+// itsConnectionFirst: the request's connection ends a moment before the process does.
+func itsConnectionFirst(w io.Writer, req *http.Request) {
+	inTheMiddle(w, req)
+	_ = w.(net.Conn).Close()
+	time.Sleep(5 * time.Millisecond)
+}
+
 // fleet is some routers that exchange, before servers that crash.
 type fleet struct {
 	t       *testing.T
@@ -248,6 +255,11 @@
 		"idempotent, afterwards":    {"/safe/a", afterTheAnswer},
 		"once, at once":             {"/once/a", atOnce},
 		"once, afterwards":          {"/once/a", afterTheAnswer},
+		// Guards against a crash that is missed as the server took connections yet.
+		"stream, its connection first":     {"/stream/a", itsConnectionFirst},
+		"resumable, its connection first":  {"/resume/a", itsConnectionFirst},
+		"idempotent, its connection first": {"/safe/a", itsConnectionFirst},
+		"once, its connection first":       {"/once/a", itsConnectionFirst},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -12,11 +12,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/transport/backend"
+	"goldcrestport/transport/probe"
 )
 
 // suspectReturn is when to come back while another attempt of the same request is
@@ -141,13 +143,12 @@
 		return
 	}
 	defer r.probes.end(identity)
-	err := r.pool.Probe(context.Background(), backend.Target{ID: identity, Address: server.Address})
-	switch {
-	case err == nil:
+	switch probe.Sign(r.pool.Probe(context.Background(), backend.Target{ID: identity, Address: server.Address})) {
+	case completeness.Takes:
 		r.mu.Lock()
 		r.quarantine.Alive(time.Now(), identity)
 		r.mu.Unlock()
-	case isRefused(err):
+	case completeness.Refuses:
 		r.crashed(server)
 	}
 }
--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -11,6 +11,7 @@
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
+	"goldcrestport/transport/probe"
 )
 
 // answerEnd is how the answer of an attempt was framed and ended.
@@ -94,15 +95,7 @@
 	if known, is := r.server(server.ID); !is || known.Incarnation != server.Incarnation {
 		return completeness.Silent
 	}
-	err := r.pool.Probe(ctx, backend.Target{ID: server.Identity(), Address: server.Address})
-	switch {
-	case err == nil:
-		return completeness.Takes
-	case isRefused(err):
-		return completeness.Refuses
-	default:
-		return completeness.Silent
-	}
+	return probe.Sign(r.pool.Probe(ctx, backend.Target{ID: server.Identity(), Address: server.Address}))
 }
 
 // logBroken writes the line of an answer that its server broke off.
--- a/transport/direct/framing_test.go
+++ b/transport/direct/framing_test.go
@@ -361,7 +361,10 @@
 }
 
 // crashing serves one answer at a server that takes no connection after it.
-func crashing(t *testing.T, answer string) *backendServer {
+func crashing(t *testing.T, answer string) *backendServer { return crashingIn(t, answer, 0) }
+
+// crashingIn is a server whose process is gone the time after it closed the connection.
+func crashingIn(t *testing.T, answer string, later time.Duration) *backendServer {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	b := &backendServer{id: "i-1", address: lis.Addr().String()}
@@ -373,7 +376,11 @@
 		}
 		b.serve(conn, func(w io.Writer, _ *http.Request) bool {
 			_, _ = io.WriteString(w, answer)
-			once.Do(func() { _ = lis.Close() })
+			if later == 0 {
+				once.Do(func() { _ = lis.Close() })
+			} else {
+				time.AfterFunc(later, func() { once.Do(func() { _ = lis.Close() }) })
+			}
 			return false
 		})
 	}()
@@ -413,6 +420,17 @@
 	}
 }
 
+// Guards against a plain answer that a crash broke off and that looks whole: its connection was
+// closed a moment before the process took no more of them.
+func TestAPlainAnswerThatWasClosedShortlyBeforeTheCrashIsNotWhole(t *testing.T) {
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: m\r\n\r\nhel", testMark)
+	for range 4 {
+		f := start(t, testConfig(1), crashingIn(t, answer, 5*time.Millisecond))
+		got := f.once(http11, "/once/", "r")
+		f.Check(got.looksWhole(), qt.IsFalse, qt.Commentf("%q", got.body))
+	}
+}
+
 // A stream is broken off at each byte, in each framing and way: no piece of it looks whole, and
 // one that may go on comes whole, each event once.
 func TestAStreamBrokenOffAtAnyByte(t *testing.T) {
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -10,13 +10,13 @@
 	"net/url"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/probe"
 	"goldcrestport/transport/revocable"
 )
 
@@ -240,14 +240,11 @@
 		port = at.Scheme
 	}
 	d := net.Dialer{Timeout: signTimeout}
-	conn, err := d.DialContext(ctx, "tcp", net.JoinHostPort(at.Hostname(), port))
-	switch {
-	case err == nil:
+	conn, err := probe.Open(ctx, func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", net.JoinHostPort(at.Hostname(), port))
+	})
+	if err == nil {
 		_ = conn.Close()
-		return completeness.Takes
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return completeness.Refuses
-	default:
-		return completeness.Silent
 	}
+	return probe.Sign(err)
 }
