A router that registers between a return and its entry's word is counted by all who deal a cold server's rate out

What was seen: nothing yet that is shown to be this.

Cause: a cold server's rate is dealt out to the routers that had registered when it turned cold. Routers that presumed that, as its data centre came back, took the revision of the return; those that did not know of the return took that of its entry, some tenths of a second later. A router that registered between the two counted itself, and the others did not count it: after its settling time it used a part beside all the others'.

Ruled out for this test: registrations that end (each stands), windows (one moment).

Conclusion: the first entry that says cold gives the revision, for all. What a server was presumed to be lasts as long as before.

--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -88,7 +88,9 @@
 		}
 		return
 	}
-	if one == nil || !s.cold(now, one) {
+	if one == nil || !now.Before(one.told) {
+		// All routers deal its rate out by this revision: one that registered after the server
+		// was presumed to be cold may go by it alone.
 		one = s.turn(id, service, revision)
 	}
 	one.told = now.Add(coldFor)
@@ -108,7 +110,7 @@
 func (s *State) turn(id, service string, revision uint64) *Server {
 	one := &Server{id: id, service: service, since: revision, epoch: -1}
 	if before := s.servers[id]; before != nil {
-		one.sent = before.sent
+		one.sent, one.presumed = before.sent, before.presumed
 	}
 	s.servers[id] = one
 	s.changes++
--- a/coordination/warmup/warmup_test.go
+++ b/coordination/warmup/warmup_test.go
@@ -63,3 +63,25 @@
 	_, bounded = s.Wait(now, one)
 	qt.Check(t, bounded, qt.IsFalse)
 }
+
+// Guards against a cold server that gets more than it bears from routers of which one registered
+// between its data centre's return and its entry's word: those that presumed that it was cold
+// dealt its rate out without that router, and that router with itself.
+func TestARouterThatRegistersBeforeTheEntrySaysColdIsCountedByAll(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registered := map[string]uint64{"router-0": 1, "router-1": 2, "router-2": 101}
+	total := 0
+	for i, id := range []string{"router-0", "router-1", "router-2"} {
+		s := New(modelConfig(0), id)
+		s.SetService(modelService, Service{Rate: 13, ColdFor: 10 * time.Second})
+		s.SetRouters(registered)
+		s.SetRegistered(true)
+		if i < 2 {
+			s.Presume(now, "i-1", modelService, 100)
+		}
+		s.Entered(now.Add(600*time.Millisecond), "i-1", modelService, 9*time.Second, 103)
+		s.Entered(now.Add(1200*time.Millisecond), "i-1", modelService, 8400*time.Millisecond, 107)
+		total += send(s, s.Server("i-1"), now.Add(4*time.Second))
+	}
+	qt.Check(t, total, qt.Equals, int(allowedRate))
+}
