What a router knows of the store is a package of its own: coordination/mirror

The JSON that routers exchange is the same.

Ruled out: state/ as its place, as it knows servers and quarantine entries, which are coordination's.

TestAStreamBrokenOffAtAnyByte takes 38 s since a connection must last to show that a server lives (each of its unframed answers waits 20 ms); it runs beside others now.

--- a/transport/direct/history.go
+++ b/coordination/mirror/history.go
@@ -1,4 +1,4 @@
-package direct
+package mirror
 
 import (
 	"maps"
@@ -83,7 +83,7 @@
 	}
 	for _, one := range d.Invalid {
 		delete(m.servers, one.Server)
-		m.invalid[one.name()] = one
+		m.invalid[one.Name()] = one
 	}
 	for id, one := range d.Joined {
 		m.joined[id] = one
--- a/transport/direct/history_test.go
+++ b/coordination/mirror/history_test.go
@@ -1,4 +1,4 @@
-package direct
+package mirror
 
 import (
 	"maps"
--- a/transport/direct/callers_test.go
+++ b/transport/direct/callers_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/protocol/settings"
 )
 
@@ -87,7 +88,7 @@
 	f.Check(send(), qt.Equals, "")
 	f.Check(f.router.callers.ShortLived(), qt.Equals, 0)
 	// A refusal is an answer, too.
-	f.source.changes <- Delta{Removed: []string{"i-1"}, Revision: 2}
+	f.source.changes <- mirror.Delta{Removed: []string{"i-1"}, Revision: 2}
 	f.waitFor("the server is still known", func() bool { return f.router.known() == 2 })
 	f.Check(send(), qt.Equals, "")
 	f.Check(f.router.callers.ShortLived(), qt.Equals, 0)
--- a/transport/direct/mirror.go
+++ b/transport/direct/changes.go
@@ -4,92 +4,22 @@
 	"context"
 	"maps"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
-	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/link"
 )
 
-// mirror is what the store holds, as far as this router knows: the entries
-// themselves, without what the roster makes of them.
-type mirror struct {
-	config  *routing.Config
-	servers map[string]roster.Server
-	// invalid holds the entries that cannot be used by their servers' ids.
-	invalid map[string]InvalidEntry
-	// evacuated are the data centres whose servers are to get nothing.
-	evacuated map[string]bool
-	revision  uint64
-	history   history
-}
-
 // known returns the revision up to which this router knows everything; 0: it
 // must read everything.
 func (r *Router) known() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.mirror.revision
-}
-
-// replace takes a whole reading.
-func (m *mirror) replace(s Snapshot) {
-	if s.Config != nil {
-		m.config = s.Config
-	}
-	m.servers = make(map[string]roster.Server, len(s.Servers))
-	for _, one := range s.Servers {
-		m.servers[one.ID] = one
-	}
-	m.invalid = make(map[string]InvalidEntry, len(s.Invalid))
-	for _, one := range s.Invalid {
-		m.keepInvalid(one)
-	}
-	m.evacuated = make(map[string]bool, len(s.Evacuated))
-	for _, dataCentre := range s.Evacuated {
-		m.evacuated[dataCentre] = true
-	}
-	m.revision = s.Revision
-	m.history.restart(s.Revision)
-}
-
-// update takes the changes after those that are known.
-func (m *mirror) update(d Delta) {
-	m.history.add(d)
-	if d.Config != nil {
-		m.config = d.Config
-	}
-	for _, one := range d.Servers {
-		m.servers[one.ID] = one
-		delete(m.invalid, one.ID)
-	}
-	for _, id := range d.Removed {
-		delete(m.servers, id)
-		delete(m.invalid, id)
-	}
-	for _, one := range d.Invalid {
-		m.keepInvalid(one)
-	}
-	m.evacuate(d)
-	m.revision = d.Revision
-}
-
-// evacuate takes the data centres that are evacuated, or are no more. Others may
-// hold the set as it was.
-func (m *mirror) evacuate(d Delta) {
-	now := make(map[string]bool, len(m.evacuated)+len(d.Evacuated))
-	maps.Copy(now, m.evacuated)
-	m.evacuated = now
-	for _, dataCentre := range d.Evacuated {
-		m.evacuated[dataCentre] = true
-	}
-	for _, dataCentre := range d.Returned {
-		delete(m.evacuated, dataCentre)
-	}
+	return r.mirror.Revision()
 }
 
 // changesCall is the call by which a router asks another one for what the
@@ -112,8 +42,8 @@
 // changesAnswer is what the asked router has: what changed after the revision
 // that the asking one has, or everything.
 type changesAnswer struct {
-	Changes *Delta    `json:"changes,omitempty"`
-	Whole   *Snapshot `json:"whole,omitempty"`
+	Changes *mirror.Delta    `json:"changes,omitempty"`
+	Whole   *mirror.Snapshot `json:"whole,omitempty"`
 	// Settling tells that servers may be missing only because the store was
 	// away.
 	Settling bool `json:"settling,omitempty"`
@@ -161,23 +91,22 @@
 func (r *Router) mirrored(want changesRequest) (*changesAnswer, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.mirror.revision < want.Revision || r.mirror.config == nil {
+	if r.mirror.Revision() < want.Revision || r.mirror.Config() == nil {
 		return nil, errBehind
 	}
 	answer := &changesAnswer{Settling: r.roster.Settling(time.Now())}
-	if d, known := r.mirror.history.after(want.Have); known && want.Have > 0 && d.Revision > want.Have {
+	if d, known := r.mirror.After(want.Have); known && want.Have > 0 && d.Revision > want.Have {
 		if d.Config != nil && d.Config.Version <= want.Version {
 			d.Config = nil
 		}
 		answer.Changes = &d
 		return answer, nil
 	}
-	answer.Whole = &Snapshot{
-		Servers: slices.Collect(maps.Values(r.mirror.servers)), Invalid: r.mirror.invalidEntries(),
-		Routers: maps.Clone(r.peers), Evacuated: slices.Collect(maps.Keys(r.mirror.evacuated)), Revision: r.mirror.revision,
-	}
-	if r.mirror.config.Version > want.Version {
-		answer.Whole.Config = r.mirror.config
+	whole := r.mirror.Whole()
+	whole.Routers = maps.Clone(r.peers)
+	answer.Whole = &whole
+	if r.mirror.Config().Version > want.Version {
+		answer.Whole.Config = r.mirror.Config()
 	}
 	return answer, nil
 }
@@ -189,7 +118,7 @@
 func (f *follower) askPeer(ctx context.Context) error {
 	r := f.r
 	r.mu.Lock()
-	address, want := r.peers[r.pending.router].Address, changesRequest{Revision: r.pending.revision, Have: r.mirror.revision}
+	address, want := r.peers[r.pending.router].Address, changesRequest{Revision: r.pending.revision, Have: r.mirror.Revision()}
 	r.mu.Unlock()
 	if want.Revision == 0 {
 		// What others vouched for is known here by now.
--- a/transport/direct/cold.go
+++ b/transport/direct/cold.go
@@ -53,7 +53,7 @@
 func (r *Router) warm(entries []roster.Server) {
 	now := time.Now()
 	for _, one := range entries {
-		if known, is := r.mirror.servers[one.ID]; is && known.Revision == one.Revision && one.Revision > 0 {
+		if known, is := r.mirror.Server(one.ID); is && known.Revision == one.Revision && one.Revision > 0 {
 			continue
 		}
 		r.warmup.Entered(now, one.Identity(), one.Service, one.ColdFor, one.Revision)
--- a/transport/direct/cold_test.go
+++ b/transport/direct/cold_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 )
@@ -20,20 +21,20 @@
 	c := testConfig(1)
 	c.Services[0].ColdRate, c.Services[0].ColdFor = 2, time.Minute
 	f := startWith(t, c, func(set *settings.Direct, s *testSource) {
-		s.now.Routers = map[string]Registration{set.ID: {Since: 1}}
+		s.now.Routers = map[string]mirror.Registration{set.ID: {Since: 1}}
 		s.now.Servers = servers(warm)
 	})
 	f.settle()
 	joins := servers(cold)[0]
 	joins.ColdFor, joins.Revision = time.Minute, 2
-	f.source.changes <- Delta{Servers: []roster.Server{joins}, Revision: 2}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{joins}, Revision: 2}
 	f.waitFor("the server is not known", func() bool { return f.router.known() == 2 })
 	for i := range 40 {
 		f.Check(f.call("/safe/", fmt.Sprint("r", i)).status, qt.Equals, http.StatusOK)
 	}
 	f.Check(len(cold.runs()) > 0, qt.IsTrue)
 	f.Check(len(cold.runs()) <= 8, qt.IsTrue, qt.Commentf("%d runs", len(cold.runs())))
-	f.source.changes <- Delta{Removed: []string{"i-warm"}, Revision: 3}
+	f.source.changes <- mirror.Delta{Removed: []string{"i-warm"}, Revision: 3}
 	f.waitFor("the server is still known", func() bool { return f.router.known() == 3 })
 	for range 10 {
 		if got := f.call("/safe/", "late"); got.status != http.StatusOK {
@@ -53,13 +54,13 @@
 	c := testConfig(1)
 	c.Services[0].ColdRate, c.Services[0].ColdFor = 2, 700*time.Millisecond
 	f := startWith(t, c, func(set *settings.Direct, s *testSource) {
-		s.now.Routers = map[string]Registration{set.ID: {Since: 1}}
+		s.now.Routers = map[string]mirror.Registration{set.ID: {Since: 1}}
 		s.now.Servers, s.now.Evacuated = []roster.Server{inDataCentre(east, "east")}, []string{"east"}
 	})
 	f.router.mu.Lock()
 	f.router.member = membership{}
 	f.router.mu.Unlock()
-	f.source.changes <- Delta{Returned: []string{"east"}, Revision: 2}
+	f.source.changes <- mirror.Delta{Returned: []string{"east"}, Revision: 2}
 	f.waitFor("the return is not known", func() bool { return f.router.known() == 2 })
 	f.Check(f.call("/safe/", "r1").status, qt.Equals, http.StatusServiceUnavailable)
 	f.Check(east.runs(), qt.HasLen, 0)
--- a/transport/direct/crash_test.go
+++ b/transport/direct/crash_test.go
@@ -23,6 +23,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/outcome"
@@ -167,7 +168,7 @@
 	f.mu.Unlock()
 	known := roster.Server{ID: id, Incarnation: roster.Incarnation(time.Now().UnixMilli()), Address: b.address, Service: "app", Slots: 8}
 	for _, one := range f.routers {
-		one.router.update(Delta{Servers: []roster.Server{known}, Revision: revision})
+		one.router.update(mirror.Delta{Servers: []roster.Server{known}, Revision: revision})
 	}
 }
 
--- a/transport/direct/cut_test.go
+++ b/transport/direct/cut_test.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/digest"
 )
@@ -36,14 +37,14 @@
 	o.router.mu.Lock()
 	o.seq++
 	o.router.witness.Sent(o.seq, bootTime())
-	revision := o.router.mirror.revision
+	revision := o.router.mirror.Revision()
 	o.router.mu.Unlock()
 	o.router.hear(digest.Message{Router: "other", Seq: o.seq, Heard: o.seq, Revision: revision})
 }
 
 // remove takes the server's entry away.
 func (o *outage) remove() {
-	o.router.update(Delta{Removed: []string{"i-1"}, Revision: o.router.known() + 1})
+	o.router.update(mirror.Delta{Removed: []string{"i-1"}, Revision: o.router.known() + 1})
 }
 
 func (o *outage) uses() bool { _, known := o.router.server("i-1"); return known }
--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -22,6 +22,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/staleness"
 	"goldcrestport/coordination/watchduty"
@@ -111,9 +112,9 @@
 	f := start(t, testConfig(5), newBackend(t, "i-1", ok))
 	c := testConfig(9)
 	c.Teams[0].Keys = []string{"other"}
-	f.source.changes <- Delta{Config: c, Revision: 2}
+	f.source.changes <- mirror.Delta{Config: c, Revision: 2}
 	f.waitStatus("/keyed/", "other", http.StatusOK)
-	f.source.changes <- Delta{Config: testConfig(7), Revision: 3}
+	f.source.changes <- mirror.Delta{Config: testConfig(7), Revision: 3}
 	time.Sleep(100 * time.Millisecond)
 	f.Check(f.call("/keyed/", "x", testKey, "key").status, qt.Equals, http.StatusUnauthorized)
 }
@@ -271,13 +272,13 @@
 	f := start(t, testConfig(1), a, b)
 	leaving := servers(a)[0]
 	leaving.Draining = true
-	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 2}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{leaving}, Revision: 2}
 	time.Sleep(100 * time.Millisecond)
 	for i := range 6 {
 		f.Check(f.call("/safe/", fmt.Sprint("r", i)).status, qt.Equals, http.StatusOK)
 	}
 	f.Check(a.runs(), qt.HasLen, 0)
-	f.source.changes <- Delta{Removed: []string{"i-2"}, Revision: 3}
+	f.source.changes <- mirror.Delta{Removed: []string{"i-2"}, Revision: 3}
 	time.Sleep(100 * time.Millisecond)
 	f.Check(f.call("/safe/", "last").status, qt.Equals, http.StatusServiceUnavailable)
 }
@@ -339,7 +340,7 @@
 	watcher.meet(follower)
 	c := testConfig(9)
 	c.Teams[0].Keys = []string{"new"}
-	watcher.source.changes <- Delta{Config: c, Revision: 50, Joined: map[string]Registration{
+	watcher.source.changes <- mirror.Delta{Config: c, Revision: 50, Joined: map[string]mirror.Registration{
 		"follower": {Address: follower.set.Listen.Peers}, "watcher": {Address: watcher.set.Listen.Peers},
 	}}
 	follower.waitStatus("/keyed/", "new", http.StatusOK)
@@ -376,7 +377,7 @@
 	before := follower.source.counted()
 	const changes = 10
 	for n := range uint64(changes) {
-		watcher.source.changes <- Delta{Config: testConfig(n + 2), Revision: 10 + n}
+		watcher.source.changes <- mirror.Delta{Config: testConfig(n + 2), Revision: 10 + n}
 		time.Sleep(120 * time.Millisecond)
 	}
 	follower.waitVersion(changes + 1)
@@ -417,7 +418,7 @@
 	follower.source.setDown(true)
 	watcher.meet(follower)
 	follower.meet(watcher)
-	watcher.source.changes <- Delta{Revision: 10, Servers: []roster.Server{{ID: "i-1", Address: b.address, Service: "app", Slots: 8, Draining: true}}}
+	watcher.source.changes <- mirror.Delta{Revision: 10, Servers: []roster.Server{{ID: "i-1", Address: b.address, Service: "app", Slots: 8, Draining: true}}}
 	for n := 0; follower.router.metrics.passed.Value() == 0 && n < 100; n++ {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -425,7 +426,7 @@
 	follower.Check(follower.call("/safe/", "r").status, qt.Equals, http.StatusServiceUnavailable)
 	follower.Check(follower.router.metrics.peerReads.Value(), qt.Equals, int64(0))
 	// What is older than what is known changes nothing.
-	follower.router.update(Delta{Revision: 9, Servers: servers(b)})
+	follower.router.update(mirror.Delta{Revision: 9, Servers: servers(b)})
 	follower.Check(follower.call("/safe/", "r2").status, qt.Equals, http.StatusServiceUnavailable)
 }
 
@@ -459,7 +460,7 @@
 func (f *fixture) meet(other *fixture) {
 	f.router.mu.Lock()
 	defer f.router.mu.Unlock()
-	f.router.peers[other.set.ID] = Registration{Address: other.set.Listen.Peers}
+	f.router.peers[other.set.ID] = mirror.Registration{Address: other.set.Listen.Peers}
 	f.router.countRouters()
 }
 
--- a/transport/direct/evacuation_test.go
+++ b/transport/direct/evacuation_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 )
@@ -37,7 +38,7 @@
 	long := make(chan reply, 1)
 	go func() { long <- f.call("/safe/", "long") }()
 	<-begun
-	f.source.changes <- Delta{Evacuated: []string{"east"}, Servers: []roster.Server{inDataCentre(west, "west")}, Revision: 2}
+	f.source.changes <- mirror.Delta{Evacuated: []string{"east"}, Servers: []roster.Server{inDataCentre(west, "west")}, Revision: 2}
 	f.waitFor("the evacuation is not known", func() bool { return f.router.known() == 2 })
 	for range 5 {
 		f.Check(f.call("/safe/", "r").status, qt.Equals, http.StatusOK)
@@ -46,13 +47,13 @@
 	close(end)
 	f.Check((<-long).status, qt.Equals, http.StatusOK)
 	// The last data centre, too: what cannot be served is refused at once.
-	f.source.changes <- Delta{Evacuated: []string{"west"}, Revision: 3}
+	f.source.changes <- mirror.Delta{Evacuated: []string{"west"}, Revision: 3}
 	f.waitFor("the evacuation is not known", func() bool { return f.router.known() == 3 })
 	sent := time.Now()
 	f.Check(f.call("/safe/", "r").status, qt.Equals, http.StatusServiceUnavailable)
 	f.Check(time.Since(sent) < time.Second, qt.IsTrue)
 	// A whole reading without them takes the evacuations back.
-	f.router.replace(Snapshot{Servers: []roster.Server{inDataCentre(east, "east")}, Routers: map[string]Registration{}, Revision: 4})
+	f.router.replace(mirror.Snapshot{Servers: []roster.Server{inDataCentre(east, "east")}, Routers: map[string]mirror.Registration{}, Revision: 4})
 	f.Check(f.call("/safe/", "back").status, qt.Equals, http.StatusOK)
 	f.Check(east.runs(), qt.DeepEquals, []string{"long", "back"})
 	f.Check(lines.String(), qt.Contains, "event=evacuation data_centre=east in_force=true revision=2")
@@ -62,8 +63,8 @@
 // A router that begins by another one's word knows what is evacuated.
 func TestAnEvacuationIsToldToRoutersThatBegin(t *testing.T) {
 	f := start(t, testConfig(1))
-	f.source.changes <- Delta{Evacuated: []string{"east", "west"}, Revision: 2}
-	f.source.changes <- Delta{Returned: []string{"west"}, Revision: 3}
+	f.source.changes <- mirror.Delta{Evacuated: []string{"east", "west"}, Revision: 2}
+	f.source.changes <- mirror.Delta{Returned: []string{"west"}, Revision: 3}
 	f.waitFor("the changes did not come", func() bool { return f.router.known() == 3 })
 	whole, err := f.router.mirrored(changesRequest{Revision: 3})
 	f.Assert(err, qt.IsNil)
--- a/transport/direct/framing_test.go
+++ b/transport/direct/framing_test.go
@@ -434,6 +434,7 @@
 // A stream is broken off at each byte, in each framing and way: no piece of it looks whole, and
 // one that may go on comes whole, each event once.
 func TestAStreamBrokenOffAtAnyByte(t *testing.T) {
+	t.Parallel()
 	stream := eventsText(1, 2) + ": comment\n\nid: 3\r\ndata: e3\r\ndata: more\r\n\r\n" + eventsText(4, 4)
 	rest := map[string]string{"": stream, "1": stream[len(eventsText(1, 1)):], "2": stream[len(eventsText(1, 2)):], "3": eventsText(4, 4)}
 	var mu sync.Mutex
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
@@ -89,8 +90,8 @@
 // testSource implements Source from memory.
 type testSource struct {
 	mu      sync.Mutex
-	now     Snapshot
-	changes chan Delta
+	now     mirror.Snapshot
+	changes chan mirror.Delta
 	down    bool
 	// calls counts the calls but those that keep the router's own entry.
 	calls int
@@ -104,31 +105,31 @@
 	return s.calls
 }
 
-func (s *testSource) Load(context.Context) (Snapshot, error) {
+func (s *testSource) Load(context.Context) (mirror.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return Snapshot{}, platform.ErrUnknown
+		return mirror.Snapshot{}, platform.ErrUnknown
 	}
 	return s.now, nil
 }
 
-func (s *testSource) Changes(ctx context.Context, after uint64, wait time.Duration) (Delta, error) {
+func (s *testSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error) {
 	s.mu.Lock()
 	down := s.down
 	s.calls++
 	s.mu.Unlock()
 	if down {
-		return Delta{}, platform.ErrUnknown
+		return mirror.Delta{}, platform.ErrUnknown
 	}
 	select {
 	case d := <-s.changes:
 		return d, nil
 	case <-time.After(min(wait, 50*time.Millisecond)):
-		return Delta{Revision: after}, nil
+		return mirror.Delta{Revision: after}, nil
 	case <-ctx.Done():
-		return Delta{}, ctx.Err()
+		return mirror.Delta{}, ctx.Err()
 	}
 }
 
@@ -312,7 +313,7 @@
 // startLogged runs a router that writes its lines to the logger.
 func startLogged(t testing.TB, c *routing.Config, logger log.Logger, change func(*settings.Direct, *testSource), backends ...*backendServer) *fixture {
 	f := &fixture{C: qt.New(t), stop: make(chan struct{}), ended: make(chan struct{})}
-	f.source = &testSource{now: Snapshot{Config: c, Servers: servers(backends...), Routers: map[string]Registration{}, Revision: 1}, changes: make(chan Delta, 16)}
+	f.source = &testSource{now: mirror.Snapshot{Config: c, Servers: servers(backends...), Routers: map[string]mirror.Registration{}, Revision: 1}, changes: make(chan mirror.Delta, 16)}
 	f.set = settings.DefaultDirect()
 	f.set.ID, f.set.Listen.Callers, f.set.Listen.Health = "router", freeAddress(f.C), freeAddress(f.C)
 	f.set.Stop = settings.Stop{Linger: settings.Duration(100 * time.Millisecond), Bound: settings.Duration(1500 * time.Millisecond)}
--- a/transport/direct/hear.go
+++ b/transport/direct/hear.go
@@ -114,7 +114,7 @@
 // trust notes that the message's revision was the newest at the time. The
 // caller holds mu.
 func (r *Router) trust(at time.Duration, m digest.Message) {
-	if r.mirror.revision >= m.Revision && r.table.Load() != nil {
+	if r.mirror.Revision() >= m.Revision && r.table.Load() != nil {
 		r.fresh.Confirm(at)
 		return
 	}
@@ -128,7 +128,7 @@
 // reached notes what other routers vouched for, once this router knows it. The
 // caller holds mu.
 func (r *Router) reached() {
-	if r.pending.revision != 0 && r.mirror.revision >= r.pending.revision && r.table.Load() != nil {
+	if r.pending.revision != 0 && r.mirror.Revision() >= r.pending.revision && r.table.Load() != nil {
 		r.fresh.Confirm(r.pending.at)
 		r.pending.revision = 0
 	}
--- a/transport/direct/held_test.go
+++ b/transport/direct/held_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/standin/relay"
 )
@@ -41,8 +42,8 @@
 	link, known := behindLink(t, leaving)
 	f := start(t, testConfig(1), known)
 	got := sendHeld(f, link, "/safe/")
-	f.source.changes <- Delta{Servers: servers(other), Revision: 2}
-	f.source.changes <- Delta{Servers: []roster.Server{{ID: "i-1", Address: known.address, Service: "app", Slots: 8, Draining: true}}, Revision: 3}
+	f.source.changes <- mirror.Delta{Servers: servers(other), Revision: 2}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{{ID: "i-1", Address: known.address, Service: "app", Slots: 8, Draining: true}}, Revision: 3}
 	r := <-got
 	qt.Check(t, r.status, qt.Equals, http.StatusOK)
 	qt.Check(t, other.runs(), qt.Contains, "held")
@@ -67,12 +68,12 @@
 	go func() { got <- f.call("/resume/", "held", testLeft, "3000") }()
 	f.waitFor("the stream has begun", func() bool { return len(first.runs()) == 1 })
 	link.Hold()
-	f.source.changes <- Delta{Servers: servers(known), Removed: []string{"i-1"}, Revision: 2}
+	f.source.changes <- mirror.Delta{Servers: servers(known), Removed: []string{"i-1"}, Revision: 2}
 	f.waitFor("the second server is known", func() bool { return f.router.known() == 2 })
 	close(goOn)
 	time.Sleep(100 * time.Millisecond)
-	f.source.changes <- Delta{Servers: servers(third), Revision: 3}
-	f.source.changes <- Delta{Servers: []roster.Server{{ID: "i-2", Address: known.address, Service: "app", Slots: 8, Draining: true}}, Revision: 4}
+	f.source.changes <- mirror.Delta{Servers: servers(third), Revision: 3}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{{ID: "i-2", Address: known.address, Service: "app", Slots: 8, Draining: true}}, Revision: 4}
 	r := <-got
 	qt.Check(t, r.err, qt.IsNil)
 	qt.Check(t, r.body, qt.Equals, eventsText(1, streamEvents))
@@ -89,7 +90,7 @@
 	link, known := behindLink(t, leaving)
 	f := start(t, testConfig(1), known)
 	got := sendHeld(f, link, "/once/")
-	f.source.changes <- Delta{Removed: []string{"i-1"}, Revision: 2}
+	f.source.changes <- mirror.Delta{Removed: []string{"i-1"}, Revision: 2}
 	r := <-got
 	qt.Check(t, r.status, qt.Equals, http.StatusBadGateway)
 	link.Heal()
--- a/transport/direct/homes_test.go
+++ b/transport/direct/homes_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 )
@@ -36,7 +37,7 @@
 	for _, id := range north.runs() {
 		f.Check(id, qt.Equals, "r2")
 	}
-	f.source.changes <- Delta{Removed: []string{"i-south"}, Revision: 2}
+	f.source.changes <- mirror.Delta{Removed: []string{"i-south"}, Revision: 2}
 	f.waitFor("the server is still known", func() bool { return f.router.known() == 2 })
 	f.Check(f.call("/keyed/", "r3", testKey, "key").status, qt.Equals, http.StatusServiceUnavailable)
 	f.Check(f.call("/safe/", "r4").status, qt.Equals, http.StatusOK)
--- a/transport/direct/incarnation_test.go
+++ b/transport/direct/incarnation_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 )
@@ -69,13 +70,13 @@
 	f.Check(f.call("/safe/", "r1").status, qt.Equals, http.StatusOK)
 	leaving := incarnationOf(before, "i-1", 100)
 	leaving.Draining = true
-	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 2}
-	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(after, "i-1", 200)}, Revision: 3}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{leaving}, Revision: 2}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{incarnationOf(after, "i-1", 200)}, Revision: 3}
 	f.waitFor("the later process is not known", func() bool { return f.knows("i-1", 200) })
 	f.Check(f.call("/safe/", "r2").status, qt.Equals, http.StatusOK)
-	f.source.changes <- Delta{Servers: []roster.Server{leaving}, Revision: 4}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{leaving}, Revision: 4}
 	f.waitFor("the change did not come", func() bool { return f.router.known() == 4 })
-	f.router.replace(Snapshot{Servers: []roster.Server{leaving}, Routers: map[string]Registration{}, Revision: 5})
+	f.router.replace(mirror.Snapshot{Servers: []roster.Server{leaving}, Routers: map[string]mirror.Registration{}, Revision: 5})
 	f.Check(f.call("/safe/", "r3").status, qt.Equals, http.StatusOK)
 	f.Check(before.runs(), qt.DeepEquals, []string{"r1"})
 	f.Check(after.runs(), qt.DeepEquals, []string{"r2", "r3"})
@@ -97,8 +98,8 @@
 	running := make(chan reply, 1)
 	go func() { running <- f.call("/once/", "running") }()
 	f.waitFor("the request does not run", func() bool { return len(slow.runs()) == 1 })
-	spoilt := InvalidEntry{Key: "key/i-1", Server: "i-1", Revision: 2, Reason: "no JSON"}
-	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []InvalidEntry{spoilt}, Revision: 2}
+	spoilt := mirror.InvalidEntry{Key: "key/i-1", Server: "i-1", Revision: 2, Reason: "no JSON"}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []mirror.InvalidEntry{spoilt}, Revision: 2}
 	f.waitFor("the server is still used", func() bool { _, known := f.router.server("i-1"); return !known })
 	for n := range 4 {
 		f.Check(f.call("/safe/", fmt.Sprint("r", n)).status, qt.Equals, http.StatusOK)
@@ -106,14 +107,14 @@
 	f.Check((<-running).status, qt.Equals, http.StatusOK)
 	f.Check(other.runs(), qt.HasLen, 4)
 	// The same revision read again says nothing new.
-	f.router.replace(Snapshot{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []InvalidEntry{spoilt}, Routers: map[string]Registration{}, Revision: 3})
+	f.router.replace(mirror.Snapshot{Servers: []roster.Server{incarnationOf(other, "i-2", 100)}, Invalid: []mirror.InvalidEntry{spoilt}, Routers: map[string]mirror.Registration{}, Revision: 3})
 	f.Check(f.router.metrics.invalid.Value(), qt.Equals, int64(1))
 	f.Check(strings.Count(lines.String(), "event=entry_invalid key=key/i-1 revision=2"), qt.Equals, 1)
 	// Who asks this router is told of it, too.
 	answer, err := f.router.mirrored(changesRequest{})
 	f.Assert(err, qt.IsNil)
-	f.Check(answer.Whole.Invalid, qt.DeepEquals, []InvalidEntry{spoilt})
-	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(slow, "i-1", 100)}, Removed: []string{"i-2"}, Revision: 4}
+	f.Check(answer.Whole.Invalid, qt.DeepEquals, []mirror.InvalidEntry{spoilt})
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{incarnationOf(slow, "i-1", 100)}, Removed: []string{"i-2"}, Revision: 4}
 	f.waitFor("the server is not back", func() bool { return f.knows("i-1", 100) })
 	f.Check(f.call("/safe/", "last").status, qt.Equals, http.StatusOK)
 }
--- a/transport/direct/leaving_test.go
+++ b/transport/direct/leaving_test.go
@@ -20,6 +20,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/settings"
 )
@@ -93,11 +94,11 @@
 			before := len(leaves.runs())
 			f.loadFor(300 * time.Millisecond)
 			f.source.setDown(false)
-			f.source.changes <- Delta{Servers: servers(leaves), Revision: 2}
+			f.source.changes <- mirror.Delta{Servers: servers(leaves), Revision: 2}
 			f.waitFor("the entry did not come", func() bool { return f.router.known() == 2 })
 			f.loadFor(200 * time.Millisecond)
-			f.source.changes <- Delta{Removed: []string{"i-1"}, Revision: 3}
-			f.source.changes <- Delta{Servers: servers(leaves), Revision: 4}
+			f.source.changes <- mirror.Delta{Removed: []string{"i-1"}, Revision: 3}
+			f.source.changes <- mirror.Delta{Servers: servers(leaves), Revision: 4}
 			f.waitFor("the entry did not come back", func() bool { return f.router.known() == 4 })
 			f.loadFor(200 * time.Millisecond)
 			f.Check(len(leaves.runs())-before, qt.Equals, 0)
@@ -145,7 +146,7 @@
 	f.Check(f.call("/safe/", "r1").status, qt.Equals, http.StatusOK)
 	f.Check(f.call("/safe/", "r2").status, qt.Equals, http.StatusServiceUnavailable)
 	later.Store(true)
-	f.source.changes <- Delta{Servers: []roster.Server{incarnationOf(one, "i-1", 200)}, Revision: 2}
+	f.source.changes <- mirror.Delta{Servers: []roster.Server{incarnationOf(one, "i-1", 200)}, Revision: 2}
 	f.waitFor("the later process is not known", func() bool { return f.knows("i-1", 200) })
 	f.Check(f.call("/safe/", "r3").status, qt.Equals, http.StatusOK)
 }
--- a/transport/direct/left_test.go
+++ b/transport/direct/left_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/staleness"
 	"goldcrestport/protocol/settings"
@@ -40,7 +41,7 @@
 	cfg := Config{Admission: admission.DefaultConfig(), Roster: roster.DefaultConfig(), Backend: backend.DefaultConfig(), Staleness: staleness.DefaultConfig(), Freshness: 5 * time.Second}
 	r := New(settings.DefaultDirect(), cfg, nil, testDialect{}, log.NewNopLogger())
 	r.adopt(testConfig(1))
-	r.replace(Snapshot{Config: testConfig(1), Servers: servers(server), Revision: 1})
+	r.replace(mirror.Snapshot{Config: testConfig(1), Servers: servers(server), Revision: 1})
 	return r
 }
 
@@ -103,7 +104,7 @@
 		r.load.saturated.Store(saturated)
 		f := &follower{r: r}
 		f.failed(context.Background(), fmt.Errorf("GET: %w", context.DeadlineExceeded))
-		r.replace(Snapshot{Config: testConfig(1), Revision: 2})
+		r.replace(mirror.Snapshot{Config: testConfig(1), Revision: 2})
 		_, known := r.server("i-1")
 		qt.Check(t, known, qt.Equals, !saturated)
 	}
--- a/transport/direct/pack_test.go
+++ b/transport/direct/pack_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/packed"
 	"goldcrestport/state/routing"
@@ -25,7 +26,7 @@
 // hundreds of routers takes the changes of one watcher.
 func TestTheChangesOfALostDataCentreTravelPacked(t *testing.T) {
 	c := qt.New(t)
-	d := Delta{Revision: 9, Servers: manyServers(1000)}
+	d := mirror.Delta{Revision: 9, Servers: manyServers(1000)}
 	answer := &changesAnswer{Changes: &d, Settling: true}
 	plain, err := json.Marshal(answer)
 	c.Assert(err, qt.IsNil)
@@ -39,7 +40,7 @@
 	c.Check(packed.Settling, qt.IsTrue)
 
 	// Who has other changes already gets what it asks for.
-	newer := &changesAnswer{Whole: &Snapshot{Config: &routing.Config{Version: 2}, Revision: 9}}
+	newer := &changesAnswer{Whole: &mirror.Snapshot{Config: &routing.Config{Version: 2}, Revision: 9}}
 	packed, err = answers.pack(changesRequest{Have: 1}, newer)
 	c.Assert(err, qt.IsNil)
 	c.Assert(packed.unpack(), qt.IsNil)
@@ -49,7 +50,7 @@
 
 func TestWhatIsNoRecordIsRefused(t *testing.T) {
 	c := qt.New(t)
-	var d Delta
+	var d mirror.Delta
 	for _, data := range []string{"", "x", "\x1f\x8bjunk"} {
 		c.Check(unpack([]byte(data), &d), qt.IsNotNil, qt.Commentf("%q", data))
 	}
--- a/transport/direct/pass.go
+++ b/transport/direct/pass.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/protocol/digest"
 )
 
@@ -27,8 +28,8 @@
 }
 
 // pass makes known what the store told this router, for the others.
-func (r *Router) pass(after uint64, d Delta) {
-	if d.Revision <= after || d.isEmpty() {
+func (r *Router) pass(after uint64, d mirror.Delta) {
+	if d.Revision <= after || d.IsEmpty() {
 		return
 	}
 	data, err := json.Marshal(d)
@@ -44,18 +45,13 @@
 	r.passing = passing{after: after, changes: data}
 }
 
-// isEmpty reports whether nothing of what routers follow changed.
-func (d *Delta) isEmpty() bool {
-	return d.Config == nil && len(d.Servers)+len(d.Removed)+len(d.Invalid)+len(d.Joined)+len(d.Left)+len(d.Evacuated)+len(d.Returned) == 0
-}
-
 // takePassed takes the changes that came with a message, if they follow what is
 // known here. Others are asked for when their revision is vouched for.
 func (r *Router) takePassed(m digest.Message) {
 	if m.Changes == nil || m.After != r.known() {
 		return
 	}
-	var d Delta
+	var d mirror.Delta
 	if err := unpack(m.Changes, &d); err != nil {
 		r.metrics.peerErrors.Add(1)
 		return
--- a/transport/direct/passon_test.go
+++ b/transport/direct/passon_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/watchduty"
 	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/settings"
@@ -57,18 +58,18 @@
 func playNeighbours(t *testing.T, ids ...string) (*fixture, map[string]*neighbour) {
 	c := qt.New(t)
 	all := map[string]*neighbour{}
-	joined := map[string]Registration{}
+	joined := map[string]mirror.Registration{}
 	for _, id := range ids {
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { _ = conn.Close() })
 		all[id] = &neighbour{id, conn}
-		joined[id] = Registration{Address: conn.LocalAddr().String()}
+		joined[id] = mirror.Registration{Address: conn.LocalAddr().String()}
 	}
 	f := startWith(t, testConfig(1), func(set *settings.Direct, _ *testSource) {
 		set.ID, set.Listen.Peers, set.DataCentre = "self", freeAddress(c), "here"
 	}, newBackend(t, "i-1", ok))
-	f.source.changes <- Delta{Revision: 2, Joined: joined}
+	f.source.changes <- mirror.Delta{Revision: 2, Joined: joined}
 	return f, all
 }
 
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -16,6 +16,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/freshness"
 	"goldcrestport/coordination/intake"
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/returning"
@@ -65,7 +66,7 @@
 	warmup  *warmup.State
 	member  membership
 	servers map[string]roster.Server
-	peers   map[string]Registration
+	peers   map[string]mirror.Registration
 	// peersChanged tells the teller to read peers anew.
 	peersChanged bool
 	// heard is the last message of each other router, witness the times of
@@ -96,7 +97,7 @@
 		// router that vouched for it.
 		router string
 	}
-	mirror mirror
+	mirror mirror.Mirror
 	// answers are what other routers were told of it last.
 	answers packedAnswers
 	// noted holds the revisions at which invalid entries were logged, by key.
@@ -135,7 +136,7 @@
 		budgets:    make(map[string]*repeats.Budget),
 		fresh:      freshness.New(cfg.Freshness),
 		servers:    make(map[string]roster.Server),
-		peers:      make(map[string]Registration),
+		peers:      make(map[string]mirror.Registration),
 		heard:      make(map[string]uint32),
 		fleet:      telling.New(telling.DefaultConfig(), set.ID, digest.DataCentreOf(set.DataCentre)),
 		noted:      make(map[string]uint64),
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/warmup"
 	"goldcrestport/state/routing"
@@ -55,15 +56,15 @@
 
 // replace takes a whole reading, unless others told of later changes since it
 // began.
-func (r *Router) replace(s Snapshot) {
+func (r *Router) replace(s mirror.Snapshot) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.Revision < r.mirror.revision {
+	if s.Revision < r.mirror.Revision() {
 		return
 	}
-	before := r.mirror.evacuated
+	before := r.mirror.Evacuated()
 	r.warm(s.Servers)
-	r.mirror.replace(s)
+	r.mirror.Replace(s)
 	r.evacuate(before)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
 	r.invalidate(s.Invalid)
@@ -74,15 +75,15 @@
 
 // update takes changes. They are whole up to their revision, so that what others
 // told meanwhile is in them; older ones are known already.
-func (r *Router) update(d Delta) {
+func (r *Router) update(d mirror.Delta) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if d.Revision <= r.mirror.revision {
+	if d.Revision <= r.mirror.Revision() {
 		return
 	}
-	before := r.mirror.evacuated
+	before := r.mirror.Evacuated()
 	r.warm(d.Servers)
-	r.mirror.update(d)
+	r.mirror.Update(d)
 	r.evacuate(before)
 	for _, one := range d.Servers {
 		r.apply(r.roster.Put(one))
@@ -104,18 +105,18 @@
 // evacuate puts the operators' evacuations of data centres in force; before are
 // those that were. What runs at the servers goes on. The caller holds mu.
 func (r *Router) evacuate(before map[string]bool) {
-	now := r.mirror.evacuated
+	now := r.mirror.Evacuated()
 	if maps.Equal(before, now) {
 		return
 	}
 	for dataCentre := range now {
 		if !before[dataCentre] {
-			r.event("evacuation", "data_centre", dataCentre, "in_force", true, "revision", r.mirror.revision)
+			r.event("evacuation", "data_centre", dataCentre, "in_force", true, "revision", r.mirror.Revision())
 		}
 	}
 	for dataCentre := range before {
 		if !now[dataCentre] {
-			r.event("evacuation", "data_centre", dataCentre, "in_force", false, "revision", r.mirror.revision)
+			r.event("evacuation", "data_centre", dataCentre, "in_force", false, "revision", r.mirror.Revision())
 		}
 	}
 	r.apply(r.roster.Evacuate(now))
@@ -138,7 +139,7 @@
 			r.servers[c.Server.ID] = c.Server
 			r.pool.Returned(c.Server.Identity())
 			if c.Reason == roster.ReasonReturned {
-				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.revision)
+				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.Revision())
 			}
 			r.admission.Add(c.Server.ID, c.Server.Incarnation, c.Server.Service, r.set.Regions[c.Server.DataCentre], c.Server.Slots)
 			r.admission.SetDataCentre(c.Server.ID, c.Server.DataCentre)
