The tests of servers that end a moment later go by connections, not by timers

Cause: they let a listener close 5 ms later and wanted that within the 20 ms of a look; a host that gives the process no time in between would break them. The server ends with the look's own connection now, and the probe's dial ends it before it returns.

Ruled out: a weaker check; each asks what it asked.

--- a/transport/direct/framing_test.go
+++ b/transport/direct/framing_test.go
@@ -361,10 +361,11 @@
 }
 
 // crashing serves one answer at a server that takes no connection after it.
-func crashing(t *testing.T, answer string) *backendServer { return crashingIn(t, answer, 0) }
+func crashing(t *testing.T, answer string) *backendServer { return crashingAfter(t, answer, 0) }
 
-// crashingIn is a server whose process is gone the time after it closed the connection.
-func crashingIn(t *testing.T, answer string, later time.Duration) *backendServer {
+// crashingAfter is a server whose process takes some connections more after it closed that of
+// the answer, and ends with them.
+func crashingAfter(t *testing.T, answer string, more int) *backendServer {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	b := &backendServer{id: "i-1", address: lis.Addr().String()}
@@ -376,13 +377,19 @@
 		}
 		b.serve(conn, func(w io.Writer, _ *http.Request) bool {
 			_, _ = io.WriteString(w, answer)
-			if later == 0 {
+			if more == 0 {
 				once.Do(func() { _ = lis.Close() })
-			} else {
-				time.AfterFunc(later, func() { once.Do(func() { _ = lis.Close() }) })
 			}
 			return false
 		})
+		for range more {
+			taken, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			defer taken.Close()
+		}
+		once.Do(func() { _ = lis.Close() })
 	}()
 	t.Cleanup(func() { once.Do(func() { _ = lis.Close() }) })
 	return b
@@ -425,7 +432,7 @@
 func TestAPlainAnswerThatWasClosedShortlyBeforeTheCrashIsNotWhole(t *testing.T) {
 	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: m\r\n\r\nhel", testMark)
 	for range 4 {
-		f := start(t, testConfig(1), crashingIn(t, answer, 5*time.Millisecond))
+		f := start(t, testConfig(1), crashingAfter(t, answer, 1))
 		got := f.once(http11, "/once/", "r")
 		f.Check(got.looksWhole(), qt.IsFalse, qt.Commentf("%q", got.body))
 	}
--- a/transport/probe/probe_test.go
+++ b/transport/probe/probe_test.go
@@ -54,8 +54,11 @@
 func TestAServerThatEndsAMomentLaterRefuses(t *testing.T) {
 	c := qt.New(t)
 	dial, lis := server(c, nil)
-	time.AfterFunc(Time/4, func() { _ = lis.Close() })
-	_, err := Open(context.Background(), dial)
+	_, err := Open(context.Background(), func(ctx context.Context) (net.Conn, error) {
+		conn, err := dial(ctx)
+		_ = lis.Close()
+		return conn, err
+	})
 	c.Check(Sign(err), qt.Equals, completeness.Refuses, qt.Commentf("%v", err))
 }
 
@@ -63,8 +66,14 @@
 // lives nor that it is gone.
 func TestAServerThatKeepsNothingShowsNothing(t *testing.T) {
 	c := qt.New(t)
-	dial, _ := server(c, func(conn net.Conn) { _ = conn.Close() })
-	_, err := Open(context.Background(), dial)
+	dial, lis := server(c, nil)
+	_, err := Open(context.Background(), func(ctx context.Context) (net.Conn, error) {
+		conn, err := dial(ctx)
+		c.Assert(err, qt.IsNil)
+		far, err := lis.Accept()
+		c.Assert(err, qt.IsNil)
+		return conn, far.Close()
+	})
 	c.Check(err, qt.Equals, ErrNotKept)
 	c.Check(Sign(err), qt.Equals, completeness.Silent)
 }
