The soak's tests start their fleets in one place

Behaviour is the same; a place among the fleets at one time is kept until the fleet has ended, as before.

--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -19,14 +18,10 @@
 
 // Guards the soak's own servers: one that a request ended closed the connections of other copies
 // in good order while it still took new ones, as no process that crashes does, so that nobody
-// could tell their broken answers from whole ones (seed 9072).
+// could tell their broken answers from whole ones.
 func TestAServerThatCrashesTakesNoConnectionOnceOneEnds(t *testing.T) {
 	c := qt.New(t)
-	w, err := Start(context.Background(), bin, c.TempDir(), Size{Routers: 1, Engines: 1, Plain: 1, Other: 1})
-	if w != nil {
-		defer w.Close()
-	}
-	c.Assert(err, qt.IsNil)
+	w := startFleet(c, c.TempDir(), Size{Routers: 1, Engines: 1, Plain: 1, Other: 1})
 	w.frame(true)
 	for n := range 20 {
 		w.mu.Lock()
--- a/bench/soak/killed_test.go
+++ b/bench/soak/killed_test.go
@@ -16,11 +16,7 @@
 // of its connection as that of the stream.
 func TestAKilledRouterLeavesNoAnswerThatLooksWhole(t *testing.T) {
 	c := qt.New(t)
-	w, err := Start(context.Background(), bin, c.TempDir(), Size{Routers: 1, Engines: 1, Plain: 1, Other: 1})
-	if w != nil {
-		defer w.Close()
-	}
-	c.Assert(err, qt.IsNil)
+	w := startFleet(c, c.TempDir(), Size{Routers: 1, Engines: 1, Plain: 1, Other: 1})
 	r := w.routers[0]
 	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		conn, err := net.Dial("tcp", r.Addr)
--- a/bench/soak/reborn_test.go
+++ b/bench/soak/reborn_test.go
@@ -19,11 +19,7 @@
 func TestAServerStartsAgainBesideARestartedStore(t *testing.T) {
 	c := qt.New(t)
 	size := Size{Routers: 3, Engines: 1, Plain: 1, Other: 1}
-	w, err := Start(context.Background(), bin, c.TempDir(), size)
-	if w != nil {
-		defer w.Close()
-	}
-	c.Assert(err, qt.IsNil)
+	w := startFleet(c, c.TempDir(), size)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w.balancer.watch(ctx, w.routers)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -43,17 +43,23 @@
 	return m.Run()
 }
 
+// startFleet starts a fleet, which ends with the test.
+func startFleet(t testing.TB, dir string, size Size) *World {
+	w, err := Start(context.Background(), bin, dir, size)
+	if w != nil {
+		t.Cleanup(w.Close)
+	}
+	qt.Assert(t, err, qt.IsNil)
+	return w
+}
+
 // A hang-up puts changed settings in force and ends neither the process nor a
 // request; what the process says last is in its log.
 func TestAHangUpReloadsAndAStopIsLogged(t *testing.T) {
 	c := qt.New(t)
 	dir := c.TempDir()
 	size := Size{Routers: 1, Engines: 1, Plain: 1, Other: 1, Callers: 1}
-	w, err := Start(context.Background(), bin, dir, size)
-	if w != nil {
-		defer w.Close()
-	}
-	c.Assert(err, qt.IsNil)
+	w := startFleet(c, dir, size)
 	r := w.routers[0]
 	file := filepath.Join(dir, r.Name+".json")
 	data, err := os.ReadFile(file)
@@ -103,13 +109,9 @@
 // Cause is what the seed found once.
 func play(t *testing.T, size Size, plan Plan, cause string) *Record {
 	fleets <- struct{}{}
-	defer func() { <-fleets }()
+	t.Cleanup(func() { <-fleets })
 	dir := t.TempDir()
-	w, err := Start(context.Background(), bin, dir, size)
-	if w != nil {
-		defer w.Close()
-	}
-	qt.Assert(t, err, qt.IsNil)
+	w := startFleet(t, dir, size)
 	w.Run(plan, size.Callers)
 	if !qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record))) {
 		showDecisions(t, dir)
