--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -10,7 +10,6 @@
 package origin
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -98,6 +97,8 @@
 	// toldNear and toldFar are when it was last announced, tellings how often beyond the data centre.
 	toldNear, toldFar time.Time
 	tellings          int
+	// isJournaled means that Due returned it for the store.
+	isJournaled bool
 }
 
 // NewTable returns the empty table of the router.
@@ -123,7 +124,7 @@
 	if e == nil || !e.doubted {
 		return
 	}
-	e.doubted, e.toldNear, e.tellings = false, time.Time{}, 0
+	e.doubted, e.toldNear, e.tellings, e.isJournaled = false, time.Time{}, 0, false
 	t.fresh = append(t.fresh, id)
 }
 
@@ -141,11 +142,38 @@
 // Told records what another router announced about a stream.
 func (t *Table) Told(now time.Time, from string, r Record) { t.put(now, r, from) }
 
+// Stored records what the store has of a stream. Unlike an announcement it does not prolong the
+// life of a record that is known, as the same entry may be read again and again.
+func (t *Table) Stored(now time.Time, from string, r Record) {
+	until := time.Time{}
+	if e := t.records[r.ID]; e != nil && !t.isExpired(now, e) {
+		until = e.until
+	}
+	if e := t.put(now, r, from); e != nil && !until.IsZero() {
+		e.until = until
+	}
+}
+
+// All returns the records that are certain or doubted, but not conflicting, which others may need
+// when this router ends.
+func (t *Table) All(now time.Time) []Record {
+	out := make([]Record, 0, len(t.records))
+	for id, e := range t.records {
+		if !e.conflicting && !t.isExpired(now, e) {
+			out = append(out, Record{id, e.Origin, e.doubted})
+		}
+	}
+	return out
+}
+
+// isExpired reports whether the record is kept no longer.
+func (t *Table) isExpired(now time.Time, e *entry) bool { return e.runs == 0 && now.After(e.until) }
+
 // put adds the origin of the stream, and returns nil if the table is full. What is certain stays so
 // when another router doubts it, and settles an earlier doubt.
 func (t *Table) put(now time.Time, r Record, by string) *entry {
 	e := t.records[r.ID]
-	if e == nil || now.After(e.until) && e.runs == 0 {
+	if e == nil || t.isExpired(now, e) {
 		if e == nil && len(t.records) >= t.cfg.Max {
 			return nil
 		}
@@ -161,7 +189,7 @@
 // Lookup returns what is known of the stream.
 func (t *Table) Lookup(now time.Time, id ID) (Known, bool) {
 	e := t.records[id]
-	if e == nil || now.After(e.until) && e.runs == 0 {
+	if e == nil || t.isExpired(now, e) {
 		return Known{}, false
 	}
 	return Known{Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted}, true
@@ -174,20 +202,34 @@
 // also finds those of a service that has got a second version.
 const lookInterval = 100 * time.Millisecond
 
-// Due returns the records to be announced now: near, in the data centre, and far, beyond it. Only
-// streams that run here are announced, and only those of services that are mixed, whose routes have
-// several services, or whose origin is doubted.
-func (t *Table) Due(now time.Time, isMixed func(service string) bool) (near, far []Record) {
+// Due is what has to be announced and written now.
+type Due struct {
+	// Near are the records to be announced in the data centre, Far those beyond it.
+	Near, Far []Record
+	// Store are those that the store does not have yet.
+	Store []Record
+}
+
+// Due returns the records to be announced and written now. Only streams that run here, or did since
+// the last call, are among them, and only those of services that are mixed, whose routes have several
+// services, or whose origin is doubted. In a small fleet those beyond the data centre are told again
+// as well as those in it.
+func (t *Table) Due(now time.Time, isMixed func(service string) bool, isSmall bool) Due {
+	var due Due
 	look := func(id ID) {
 		e := t.records[id]
-		if e == nil || e.runs == 0 || e.conflicting || !e.isSplit && !e.doubted && !isMixed(e.Service) {
+		if e == nil || e.conflicting || !e.isSplit && !e.doubted && !isMixed(e.Service) {
 			return
 		}
-		if e.toldNear.IsZero() || now.Sub(e.toldNear) >= t.cfg.Refresh {
-			near, e.toldNear = append(near, Record{id, e.Origin, e.doubted}), now
+		record := Record{id, e.Origin, e.doubted}
+		if !e.isJournaled {
+			due.Store, e.isJournaled = append(due.Store, record), true
+		}
+		if e.toldNear.IsZero() || e.runs > 0 && now.Sub(e.toldNear) >= t.cfg.Refresh {
+			due.Near, e.toldNear = append(due.Near, record), now
 		}
-		if e.tellings == 0 || e.tellings == 1 && now.Sub(e.toldFar) >= t.cfg.Repeat {
-			far, e.toldFar = append(far, Record{id, e.Origin, e.doubted}), now
+		if t.isFarDue(now, e, isSmall) {
+			due.Far, e.toldFar = append(due.Far, record), now
 			e.tellings++
 		}
 	}
@@ -197,11 +239,27 @@
 	t.fresh = t.fresh[:0]
 	if now.Sub(t.looked) >= lookInterval {
 		t.looked = now
-		for id := range t.records {
-			look(id)
+		for id, e := range t.records {
+			if e.runs > 0 {
+				look(id)
+			}
 		}
 	}
-	return near, far
+	return due
+}
+
+// isFarDue reports whether the record has to be announced beyond the data centre.
+func (t *Table) isFarDue(now time.Time, e *entry, isSmall bool) bool {
+	switch {
+	case e.tellings == 0:
+		return true
+	case e.runs == 0:
+		return false
+	case e.tellings == 1:
+		return now.Sub(e.toldFar) >= t.cfg.Repeat
+	default:
+		return isSmall && now.Sub(e.toldFar) >= t.cfg.Refresh
+	}
 }
 
 // Tick drops expired records.
@@ -211,79 +269,8 @@
 	}
 	t.dropped = now
 	for id, e := range t.records {
-		if e.runs == 0 && now.After(e.until) {
+		if t.isExpired(now, e) {
 			delete(t.records, id)
 		}
 	}
 }
-
-// Fleet is the other routers as one router knows them.
-type Fleet struct {
-	// Near are those of its data centre, Far all others.
-	Near, Far []string
-}
-
-// Numbers of routers that are asked in a large fleet. The first by rank are those that were informed,
-// unless routers came or went since; askAll is the size up to which all are asked.
-const (
-	askNear = 2
-	askFar  = 2
-	askAny  = 3
-	askAll  = 8
-)
-
-// Owners returns the routers that are informed of the stream: near and far. Where the router is alone
-// in its data centre, or there is no other one, two of the same kind are informed.
-func (f Fleet) Owners(id ID) (near, far []string) {
-	near, far = top(f.Near, id, 1), top(f.Far, id, 1)
-	switch {
-	case len(near) == 0:
-		far = top(f.Far, id, 2)
-	case len(far) == 0:
-		near = top(f.Near, id, 2)
-	}
-	return near, far
-}
-
-// Holders returns the routers that may have been informed of the stream, by whichever router.
-func (f Fleet) Holders(id ID) []string {
-	all := slices.Concat(f.Near, f.Far)
-	if len(all) <= askAll {
-		return all
-	}
-	out := append(top(f.Near, id, askNear), top(f.Far, id, askFar)...)
-	for _, one := range top(all, id, askAny) {
-		if !slices.Contains(out, one) {
-			out = append(out, one)
-		}
-	}
-	return out
-}
-
-// top returns the first n routers by rank for the stream.
-func top(routers []string, id ID, n int) []string {
-	out, ranks := make([]string, 0, n+1), make([]uint64, 0, n+1)
-	for _, router := range routers {
-		rank := rankOf(router, id)
-		at := len(out)
-		for at > 0 && ranks[at-1] > rank {
-			at--
-		}
-		if at >= n {
-			continue
-		}
-		out, ranks = slices.Insert(out, at, router), slices.Insert(ranks, at, rank)
-		if len(out) > n {
-			out, ranks = out[:n], ranks[:n]
-		}
-	}
-	return out
-}
-
-// rankOf returns the rank of the router for the stream, which does not depend on other routers.
-func rankOf(router string, id ID) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(uint64(id))
-	_, _ = d.WriteString(router)
-	return d.Sum64()
-}
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -53,7 +53,8 @@
 	table.Began(start, Record{ID: 1, Origin: v2}, false)
 	got, _ = table.Lookup(start, 1)
 	qt.Check(t, got.Uncertain, qt.IsTrue)
-	near, far := table.Due(start, always)
+	due := table.Due(start, always, false)
+	near, far := due.Near, due.Far
 	qt.Check(t, near, qt.HasLen, 0)
 	qt.Check(t, far, qt.HasLen, 0)
 }
@@ -63,11 +64,13 @@
 func TestOriginsAreToldWhileVersionsAreMixed(t *testing.T) {
 	table := NewTable(DefaultConfig(), "self")
 	table.Began(start, Record{ID: 1, Origin: v1}, false)
-	near, far := table.Due(start, never)
+	due := table.Due(start, never, false)
+	near, far := due.Near, due.Far
 	qt.Check(t, len(near)+len(far), qt.Equals, 0)
 	tellings := map[string]int{}
 	for ms := 100; ms <= 10_000; ms += 100 {
-		near, far = table.Due(after(time.Duration(ms)*time.Millisecond), always)
+		due = table.Due(after(time.Duration(ms)*time.Millisecond), always, false)
+		near, far = due.Near, due.Far
 		tellings["near"] += len(near)
 		tellings["far"] += len(far)
 		if ms == 100 {
@@ -77,7 +80,7 @@
 	}
 	qt.Check(t, tellings, qt.DeepEquals, map[string]int{"near": 5, "far": 2})
 	table.Ended(after(10*time.Second), 1)
-	near, _ = table.Due(after(20*time.Second), always)
+	near = table.Due(after(20*time.Second), always, false).Near
 	qt.Check(t, near, qt.HasLen, 0)
 }
 
@@ -87,7 +90,7 @@
 func TestADoubtedOriginIsToldUntilItIsSettled(t *testing.T) {
 	table, other := NewTable(DefaultConfig(), "self"), NewTable(DefaultConfig(), "other")
 	table.Began(start, Record{ID: 1, Origin: v1, Doubted: true}, false)
-	near, _ := table.Due(start, never)
+	near := table.Due(start, never, false).Near
 	qt.Assert(t, near, qt.DeepEquals, []Record{{ID: 1, Origin: v1, Doubted: true}})
 	other.Told(start, "self", near[0])
 	for _, one := range []*Table{table, other} {
@@ -95,7 +98,7 @@
 		qt.Check(t, got.Uncertain, qt.IsTrue)
 	}
 	table.Settled(1)
-	near, _ = table.Due(start, always)
+	near = table.Due(start, always, false).Near
 	qt.Assert(t, near, qt.DeepEquals, []Record{{ID: 1, Origin: v1}})
 	other.Told(start, "self", near[0])
 	for _, one := range []*Table{table, other} {
@@ -112,7 +115,7 @@
 func TestOriginsOfSplitRoutesAreTold(t *testing.T) {
 	table := NewTable(DefaultConfig(), "self")
 	table.Began(start, Record{ID: 1, Origin: v1}, true)
-	near, _ := table.Due(start, never)
+	near := table.Due(start, never, false).Near
 	qt.Check(t, near, qt.HasLen, 1)
 }
 
--- a/transport/direct/origins.go
+++ b/transport/direct/origins.go
@@ -116,7 +116,8 @@
 	mixed := o.r.mixedServices(now)
 	o.mu.Lock()
 	o.table.Tick(now)
-	near, far := o.table.Due(now, func(service string) bool { return slices.Contains(mixed, service) })
+	due := o.table.Due(now, func(service string) bool { return slices.Contains(mixed, service) }, false)
+	near, far := due.Near, due.Far
 	o.mu.Unlock()
 	if len(near)+len(far) == 0 {
 		return
