Origins of streams are written to the store while versions are mixed, and read by routers that begin

Cause: what routers know of streams is in their memory only. Ruled out: a write for each stream, and a lookup when nobody knows: a router that begins reads all entries anyway. Changes that concern no server are attached to digests, too, as routers would else fetch each of these revisions by a call.

--- a/coordination/mirror/entries.go
+++ b/coordination/mirror/entries.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/versions"
@@ -51,6 +52,9 @@
 	Refused []quarantine.Entry
 	// Served are the records of versions that served side by side.
 	Served []versions.Served
+	// Origins are those of streams that routers wrote for routers that begin; they are not passed on
+	// from router to router.
+	Origins []origin.Stored `json:"-"`
 	// Revision after which to ask for changes.
 	Revision uint64
 }
@@ -68,6 +72,8 @@
 	Refused []quarantine.Entry
 	// Served are records of versions that were written.
 	Served []versions.Served
+	// Origins are those of streams that routers wrote; they are not passed on from router to router.
+	Origins []origin.Stored `json:"-"`
 	// Joined and Left are the routers that registered, and those whose registration ended.
 	Joined map[string]Registration
 	Left   []string
@@ -77,8 +83,3 @@
 	Returned  []string
 	Revision  uint64
 }
-
-// IsEmpty reports whether nothing changed that routers follow.
-func (d *Delta) IsEmpty() bool {
-	return d.Config == nil && len(d.Servers)+len(d.Removed)+len(d.Invalid)+len(d.Joined)+len(d.Left)+len(d.Evacuated)+len(d.Returned) == 0
-}
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -79,7 +79,7 @@
 	b = appendName(append(b, version, byte(m.Kind)), m.Router)
 	switch m.Kind {
 	case Tells:
-		return appendRecords(b, m.Records)
+		return AppendRecords(b, m.Records)
 	case Asks:
 		b = binary.LittleEndian.AppendUint32(b, m.Number)
 		b = binary.LittleEndian.AppendUint64(b, uint64(m.ID))
@@ -89,8 +89,8 @@
 	}
 }
 
-// appendRecords appends the records grouped by their origins.
-func appendRecords(b []byte, records []origin.Record) []byte {
+// AppendRecords appends the records grouped by their origins.
+func AppendRecords(b []byte, records []origin.Record) []byte {
 	type group struct {
 		origin.Origin
 		isDoubted bool
@@ -161,6 +161,16 @@
 	return m, nil
 }
 
+// ReadRecords decodes what AppendRecords appended.
+func ReadRecords(b []byte) ([]origin.Record, error) {
+	d := decoder{rest: b}
+	records := d.records()
+	if d.failed || len(d.rest) > 0 {
+		return nil, ErrForm
+	}
+	return records, nil
+}
+
 // decoder reads fields in order. After the first truncated field, all reads return zero values.
 type decoder struct {
 	rest   []byte
--- a/transport/direct/attach.go
+++ b/transport/direct/attach.go
@@ -29,7 +29,7 @@
 
 // attachChanges queues changes that the store sent this router, for the other routers.
 func (r *Router) attachChanges(after uint64, d mirror.Delta) {
-	if d.Revision <= after || d.IsEmpty() {
+	if d.Revision <= after {
 		return
 	}
 	data, err := json.Marshal(d)
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -13,6 +13,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/mirror"
+	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/versions"
 )
@@ -103,4 +104,7 @@
 	Drop(ctx context.Context, content quarantine.Fingerprint) error
 	// KeepServed writes the record of versions that serve side by side, with the given lifetime.
 	KeepServed(ctx context.Context, record versions.Served, life time.Duration) error
+	// KeepOrigins writes the origins of streams that began at the router, under the lease that was
+	// returned before for the segment, or under a new one of the given lifetime if it is empty.
+	KeepOrigins(ctx context.Context, router string, segment origin.Segment, lease string, life time.Duration) (string, error)
 }
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -20,6 +20,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/mirror"
+	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
@@ -117,7 +118,11 @@
 	if s.down {
 		return mirror.Snapshot{}, platform.ErrUnknown
 	}
-	return s.now, nil
+	now := s.now
+	if s.origins != nil {
+		now.Origins = []origin.Stored{{Router: "r", Records: s.origins.all()}}
+	}
+	return now, nil
 }
 
 func (s *testSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error) {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -41,9 +41,11 @@
 	answers *expvar.Map
 	// resumed counts streams that go on at a server, or were to, by what became of them.
 	resumed *expvar.Map
-	// originsTold counts the origins of streams that were announced to other routers, and originAskTime
+	// originsTold counts the origins of streams that were announced to other routers, originsStored the
+	// entries with such origins that were written to the store, and originAskTime
 	// holds the times for which others were asked.
 	originsTold   *expvar.Int
+	originsStored *expvar.Int
 	originAskTime *observe.Times
 }
 
@@ -76,6 +78,7 @@
 		answers:          v.Map("direct_answers"),
 		resumed:          v.Map("direct_streams_resumed"),
 		originsTold:      v.Int("direct_origins_told"),
+		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
 	}
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
--- a/transport/direct/origins.go
+++ b/transport/direct/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -37,8 +38,12 @@
 	// begun wakes the task that announces origins.
 	begun chan struct{}
 
-	mu    sync.Mutex
-	table *origin.Table
+	// writer writes to the store what begins here.
+	writer originWriter
+
+	mu      sync.Mutex
+	table   *origin.Table
+	journal *origin.Journal
 	// number is that of the last asking, and asking holds those that await answers.
 	number uint32
 	asking map[uint32]chan originmsg.Message
@@ -50,9 +55,14 @@
 }
 
 func newOrigins(r *Router) *origins {
-	return &origins{
-		r: r, begun: make(chan struct{}, 1), table: origin.NewTable(origin.DefaultConfig(), r.set.ID), asking: make(map[uint32]chan originmsg.Message),
+	o := &origins{
+		r: r, begun: make(chan struct{}, 1), asking: make(map[uint32]chan originmsg.Message),
+		table: origin.NewTable(origin.DefaultConfig(), r.set.ID),
+		// The segments of an earlier process of this router are kept.
+		journal: origin.NewJournal(journalConfig, rand.Uint64()>>1),
 	}
+	o.writer.o = o
+	return o
 }
 
 // began records that this router relays a stream. It is announced to others at once if that is needed.
@@ -118,25 +128,32 @@
 	o.mu.Lock()
 	o.table.Tick(now)
 	due := o.table.Due(now, func(service string) bool { return slices.Contains(mixed, service) }, fleet.IsSmall())
-	near, far := due.Near, due.Far
+	o.journal.Add(due.Store)
 	o.mu.Unlock()
-	if len(near)+len(far) == 0 {
-		return
-	}
-	batches := make(map[string][]origin.Record)
-	for _, one := range near {
+	out := batches{}
+	for _, one := range due.Near {
 		owners, _ := fleet.Owners(one.ID)
-		for _, id := range owners {
-			batches[id] = append(batches[id], one)
-		}
+		out.add(owners, one)
 	}
-	for _, one := range far {
+	for _, one := range due.Far {
 		_, owners := fleet.Owners(one.ID)
-		for _, id := range owners {
-			batches[id] = append(batches[id], one)
-		}
+		out.add(owners, one)
 	}
-	for id, records := range batches {
+	o.sendBatches(out, addresses)
+}
+
+// batches are the records to be sent, by the routers that get them.
+type batches map[string][]origin.Record
+
+func (b batches) add(routers []string, one origin.Record) {
+	for _, id := range routers {
+		b[id] = append(b[id], one)
+	}
+}
+
+// sendBatches sends the records to the routers.
+func (o *origins) sendBatches(all batches, addresses map[string]netip.AddrPort) {
+	for id, records := range all {
 		for part := range slices.Chunk(records, maxTold) {
 			o.r.metrics.originsTold.Add(int64(len(part)))
 			o.send(addresses[id], originmsg.Message{Kind: originmsg.Tells, Records: part})
--- a/transport/direct/restart_harness_test.go
+++ b/transport/direct/restart_harness_test.go
@@ -28,8 +28,8 @@
 	writes  int
 }
 
-// KeepOrigins writes a batch of the origins of streams, under the lease if there is one.
-func (s *testSource) KeepOrigins(_ context.Context, key string, records []origin.Record, lease string, _ time.Duration) (string, error) {
+// KeepOrigins implements Source.
+func (s *testSource) KeepOrigins(_ context.Context, router string, segment origin.Segment, _ string, _ time.Duration) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down || s.origins == nil {
@@ -37,7 +37,7 @@
 	}
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
-	s.origins.batches[key] = slices.Clone(records)
+	s.origins.batches[fmt.Sprint(router, "/", segment.Number)] = slices.Clone(segment.Records)
 	s.origins.writes++
 	return "1", nil
 }
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -64,6 +64,7 @@
 // replace applies a whole snapshot, unless other routers sent later changes after its reading
 // started.
 func (r *Router) replace(s mirror.Snapshot) {
+	r.origins.stored(s.Origins)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.Revision < r.mirror.Revision() {
@@ -84,6 +85,7 @@
 // update applies changes. They are complete up to their revision, so they include what other
 // routers sent meanwhile; older ones are ignored.
 func (r *Router) update(d mirror.Delta) {
+	r.origins.stored(d.Origins)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d.Revision <= r.mirror.Revision() {
