A caller with time left waits up to 150 ms for routers that may know its stream

Callers saw 503 where a router without processor time knew their stream and answered after 25 ms; one who comes back once is lost then. Cause: the time for answers did not depend on the caller's. Ruled out: asking more routers. A router that does not answer at all costs as much, but only of streams that nobody else knows: an eighth of the time left at most. Conclusion: 25 to 150 ms, asked again after 8 ms and each 40 ms.

--- a/transport/direct/originask.go
+++ b/transport/direct/originask.go
@@ -10,6 +10,19 @@
 	"goldcrestport/protocol/originmsg"
 )
 
+// Limits of how long answers are awaited: a share of the time that the caller has left, as a router
+// without processor time answers late.
+const (
+	askShare    = 8
+	minAskLimit = 25 * time.Millisecond
+	maxAskLimit = 150 * time.Millisecond
+)
+
+// askLimit returns how long answers are awaited for a caller that has so much time left.
+func askLimit(left time.Duration) time.Duration {
+	return min(max(left/askShare, minAskLimit), maxAskLimit)
+}
+
 // asked is the result of asking other routers for the origin of a stream.
 type asked struct {
 	known   origin.Known
@@ -21,11 +34,12 @@
 }
 
 // ask asks the routers that may know where the stream began; unless one of them does, and the service
-// is known to have several versions, also all others of the data centre.
-func (o *origins) ask(ctx context.Context, id origin.ID, service string, isMixed bool) asked {
+// is known to have several versions, also all others of the data centre. Answers are awaited for the
+// limit each time.
+func (o *origins) ask(ctx context.Context, id origin.ID, service string, isMixed bool, limit time.Duration) asked {
 	fleet, addresses := o.others(time.Now())
 	holders := fleet.Holders(id)
-	got := o.askRouters(ctx, id, service, holders, addresses)
+	got := o.askRouters(ctx, id, service, holders, addresses, limit)
 	if got.isKnown || !isMixed && !got.isMixed || got.answered < got.routers {
 		return got
 	}
@@ -33,14 +47,14 @@
 	if len(rest) == 0 {
 		return got
 	}
-	more := o.askRouters(ctx, id, service, rest, addresses)
+	more := o.askRouters(ctx, id, service, rest, addresses, limit)
 	more.routers, more.answered, more.isMixed = more.routers+got.routers, more.answered+got.answered, more.isMixed || got.isMixed
 	return more
 }
 
 // askRouters asks the routers, and returns when one knows the origin, all have answered, or it takes
 // too long.
-func (o *origins) askRouters(ctx context.Context, id origin.ID, service string, routers []string, addresses map[string]netip.AddrPort) asked {
+func (o *origins) askRouters(ctx context.Context, id origin.ID, service string, routers []string, addresses map[string]netip.AddrPort, await time.Duration) asked {
 	got := asked{routers: len(routers)}
 	if len(routers) == 0 {
 		return got
@@ -66,7 +80,7 @@
 		}
 	}
 	sendAll()
-	again, limit := time.NewTimer(askAgain), time.NewTimer(askLimit)
+	again, limit := time.NewTimer(askAgain), time.NewTimer(await)
 	defer again.Stop()
 	defer limit.Stop()
 	for len(open) > 0 {
@@ -83,6 +97,7 @@
 			}
 		case <-again.C:
 			sendAll()
+			again.Reset(askInterval)
 		case <-limit.C:
 			return got
 		case <-ctx.Done():
--- a/transport/direct/origins.go
+++ b/transport/direct/origins.go
@@ -20,10 +20,10 @@
 	// the interval of the checks for those to be announced again.
 	gatherOrigins = 5 * time.Millisecond
 	lookOrigins   = 100 * time.Millisecond
-	// askAgain is after which an asking is repeated to routers that have not answered, and askLimit
-	// how long answers are awaited in all.
-	askAgain = 8 * time.Millisecond
-	askLimit = 25 * time.Millisecond
+	// askAgain is after which an asking is repeated to routers that have not answered, and askInterval
+	// that after which it is from then on.
+	askAgain    = 8 * time.Millisecond
+	askInterval = 40 * time.Millisecond
 	// fleetLife is for how long the list of the other routers is kept.
 	fleetLife = 500 * time.Millisecond
 	// maxTold bounds the records in one datagram.
