The connection of an answer to HEAD without a length is not used again

Callers saw 502 for a request that was sent on it: its server ended the connection, as an answer without framing says. Cause: an answer without a body counted as delimited, whether or not it had a length. Ruled out: load. Conclusion: as for any answer without framing.

--- a/transport/backend/answer.go
+++ b/transport/backend/answer.go
@@ -113,7 +113,7 @@
 	if !a.bodyEnded && a.Length == 0 {
 		a.bodyEnded = true
 	}
-	if !a.bodyEnded || a.resp.Close || a.Framing() == completeness.Connection || a.conn.reader.Buffered() > 0 {
+	if !a.bodyEnded || a.resp.Close || a.endsWithConnection() || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
@@ -127,6 +127,13 @@
 	return a.stop()
 }
 
+// endsWithConnection reports whether the response has no framing: its end is that of the connection, also
+// where it has no body, as to HEAD.
+func (a *Answer) endsWithConnection() bool {
+	f := a.Framing()
+	return f == completeness.Connection || f == completeness.NoBody && a.resp.ContentLength < 0
+}
+
 // closeConn closes the connection. The exchange counts as abandoned unless the response was
 // complete and the whole request was written.
 func (a *Answer) closeConn() {
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -315,3 +315,25 @@
 	at := p.Answered(s.target.ID)
 	c.Check(!at.Before(before) && at.Before(before.Add(responseDelay)), qt.IsTrue, qt.Commentf("%v", at.Sub(before)))
 }
+
+// Guards against a request that is lost on a connection that its server ends: an answer to HEAD without a
+// length ends with its connection, as any answer without framing, though it has no body.
+func TestConnectionIsNotReusedAfterAnUnframedAnswerToHead(t *testing.T) {
+	c := qt.New(t)
+	s := serve(c, func(conn net.Conn, r *bufio.Reader) {
+		for id := read(r); id != ""; id = read(r) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n", idHeader, id)
+		}
+	})
+	p := NewPool(DefaultConfig())
+	for range 2 {
+		r := request("r1")
+		r.Method, r.Body, r.HasBody = http.MethodHead, nil, false
+		a, failure := p.Do(context.Background(), s.target, r)
+		c.Assert(failure, qt.IsNil)
+		_, err := io.ReadAll(a)
+		c.Assert(err, qt.IsNil)
+		a.Close()
+	}
+	c.Check(s.conns.Load(), qt.Equals, int64(2))
+}
