Why resumed streams do not go on, and beside them new ones: pure part

Cause: a stream that is refused gets 421 or 503, and neither logs nor metrics tell which of the ways to be refused it was, whether routers doubt its origin or know different ones, why servers of its version were left out, nor whether new streams of its route fare as badly at the same time.

A build that does not know the flag reads the message as before. No decision changes.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -165,7 +165,7 @@
 	default:
 		d = s.placePlain(now, usable)
 	}
-	d.BackingOff, d.SinceBackoff = excluded.backingOff, -time.Millisecond
+	d.Fitness, d.BackingOff, d.SinceBackoff = excluded.fitness, excluded.fitness.BackingOff, -time.Millisecond
 	if d.Run != nil {
 		d.Cold = !d.Run.sendBy.IsZero()
 		d.SinceBackoff = d.Run.server.backoff.Age(now)
@@ -183,15 +183,18 @@
 		if !srv.isInRegions(req.Homes) || !req.Bound.allows(srv) {
 			continue
 		}
+		excluded.fitness.Known++
 		if wait := srv.backoff.Wait(now); wait > 0 {
 			excluded.addBackoff(wait)
 			continue
 		}
 		if slices.Contains(req.Avoid, srv.id) {
+			excluded.fitness.Avoided++
 			excluded.addAvoided(max(srv.refusedUntil.Sub(now), s.cfg.RetryAfterMin))
 			continue
 		}
 		if srv.health.Ejected() && !mayProbe(now, srv, req) {
+			excluded.fitness.Ejected++
 			continue
 		}
 		if wait := s.coldWait(now, srv); wait > 0 {
@@ -199,6 +202,7 @@
 			continue
 		}
 		if !req.Bound.trusts(srv) {
+			excluded.fitness.Untrusted++
 			excluded.addAvoided(s.cfg.RetryAfterMin)
 			continue
 		}
@@ -288,14 +292,3 @@
 	d.Run.class, d.Run.output, d.Run.estimate = req.Class, req.Output, best.estimate
 	return d
 }
-
-// retryAfter limits the time after which a refused caller is asked to come back. The
-// callers of a throttled team get different times, so that they do not all come back
-// at once.
-func (s *State) retryAfter(after time.Duration, throttled bool) time.Duration {
-	after = max(after, s.cfg.RetryAfterMin)
-	if throttled {
-		after += s.nextSpread()
-	}
-	return min(after, s.cfg.RetryAfterMax)
-}
--- a/coordination/admission/backoff.go
+++ b/coordination/admission/backoff.go
@@ -13,8 +13,8 @@
 	// firstWait is the time until the first excluded server may get a request; 0:
 	// unknown.
 	firstWait time.Duration
-	// backingOff counts the servers that requested a back-off.
-	backingOff int
+	// fitness counts the servers by why they were excluded.
+	fitness Fitness
 	// firstIsCold and firstBacksOff say which of the two excludes the server of
 	// firstWait: its rate limit as a cold server, or a back-off that it requested.
 	firstIsCold, firstBacksOff bool
@@ -24,13 +24,14 @@
 }
 
 func (e *exclusions) addBackoff(wait time.Duration) {
-	e.backingOff++
+	e.fitness.BackingOff++
 	if e.firstWait == 0 || wait < e.firstWait {
 		e.firstWait, e.firstIsCold, e.firstBacksOff = wait, false, true
 	}
 }
 
 func (e *exclusions) addCold(wait time.Duration) {
+	e.fitness.Cold++
 	if e.firstWait == 0 || wait < e.firstWait {
 		e.firstWait, e.firstIsCold, e.firstBacksOff = wait, true, false
 	}
@@ -59,6 +60,17 @@
 	}
 }
 
+// retryAfter limits the time after which a refused caller is asked to come back. The
+// callers of a throttled team get different times, so that they do not all come back
+// at once.
+func (s *State) retryAfter(after time.Duration, throttled bool) time.Duration {
+	after = max(after, s.cfg.RetryAfterMin)
+	if throttled {
+		after += s.nextSpread()
+	}
+	return min(after, s.cfg.RetryAfterMax)
+}
+
 // nextSpread returns an offset within retrySpread. Successive offsets are evenly
 // distributed over it, however many there are.
 func (s *State) nextSpread() time.Duration {
--- a/coordination/admission/bound_test.go
+++ b/coordination/admission/bound_test.go
@@ -70,3 +70,21 @@
 	qt.Check(t, resumed, qt.Equals, 16)
 	qt.Check(t, fresh, qt.Equals, 0)
 }
+
+// Guards against a refusal that does not say why servers of the version were left out.
+func TestADecisionSaysWhyServersWereLeftOut(t *testing.T) {
+	s := releaseFleet(9, 0)
+	bound := &Bound{Version: "v1", Trusts: func(identity string) bool { return identity == "i-1" }}
+	req := Request{Service: "app", Prompt: 600, Avoid: []string{"i-1"}, Bound: bound}
+	want := Fitness{Known: 2, Avoided: 1, Untrusted: 1}
+	qt.Check(t, s.Survey(epoch, req), qt.Equals, want)
+	d := s.Place(epoch, req)
+	qt.Check(t, d.Verdict, qt.Equals, NoServer)
+	qt.Check(t, d.Fitness, qt.Equals, want)
+	qt.Check(t, d.Fitness.Usable(), qt.Equals, 0)
+	s.servers["i-0"].health.Eject(epoch)
+	d = s.Place(epoch, Request{Service: "app", Prompt: 600, Bound: bound})
+	qt.Check(t, d.Server, qt.Equals, "i-1")
+	qt.Check(t, d.Fitness, qt.Equals, Fitness{Known: 2, Ejected: 1})
+	qt.Check(t, d.Fitness.Usable(), qt.Equals, 1)
+}
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -121,6 +121,8 @@
 	// BackingOff is the number of servers of the service that requested a back-off
 	// which still lasts.
 	BackingOff int
+	// Fitness says why servers were excluded.
+	Fitness Fitness
 	// SinceBackoff is the time since the chosen server last requested a back-off, if
 	// it has accepted no request since; else -1ms.
 	SinceBackoff time.Duration
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -68,6 +68,8 @@
 	For time.Duration
 	// Uncertain means that two origins are known, or that it is doubted: none is certain.
 	Uncertain bool
+	// Conflicting means that two origins are known.
+	Conflicting bool
 }
 
 // Table holds the origins that one router knows. It must not be used concurrently.
@@ -164,7 +166,7 @@
 	if e == nil || now.After(e.until) && e.runs == 0 {
 		return Known{}, false
 	}
-	return Known{Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted}, true
+	return Known{Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted, Conflicting: e.conflicting}, true
 }
 
 // Len returns the number of records.
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -45,6 +45,8 @@
 	flagKnown     = 1
 	flagUncertain = 2
 	flagMixed     = 4
+	// flagConflicting is not read by builds that do not know it: they see that the origin is uncertain.
+	flagConflicting = 8
 )
 
 // flagDoubted is the flag of a group of records.
@@ -124,6 +126,9 @@
 	if m.Known.Uncertain {
 		flags |= flagUncertain
 	}
+	if m.Known.Conflicting {
+		flags |= flagConflicting
+	}
 	if m.Mixed {
 		flags |= flagMixed
 	}
@@ -204,6 +209,7 @@
 	m.Number = d.number()
 	flags := d.next(1)[0]
 	m.IsKnown, m.Known.Uncertain, m.Mixed = flags&flagKnown != 0, flags&flagUncertain != 0, flags&flagMixed != 0
+	m.Known.Conflicting = flags&flagConflicting != 0
 	m.Known.Service, m.Known.Version, m.Known.By = d.name(), roster.Version(d.name()), d.name()
 	m.Known.For = time.Duration(d.number()) * time.Millisecond
 }
--- a/protocol/originmsg/originmsg_test.go
+++ b/protocol/originmsg/originmsg_test.go
@@ -24,6 +24,7 @@
 	{Kind: Asks, Router: "r2", Number: 7, ID: 1 << 63, Service: "app"},
 	{Kind: Answers, Router: "r3", Number: 7, IsKnown: true, Known: origin.Known{Origin: origin.Origin{Service: "app", Version: "v1"}, By: "r1", For: 1500 * time.Millisecond}, Mixed: true},
 	{Kind: Answers, Router: "r3", Number: 8, IsKnown: true, Known: origin.Known{Uncertain: true}},
+	{Kind: Answers, Router: "r3", Number: 9, IsKnown: true, Known: origin.Known{Uncertain: true, Conflicting: true}},
 	{Kind: Answers, Router: "r3", Number: 9},
 }
 
