Each resumed stream's door in logs and metrics

Cause: what is known of streams that were resumed and did not go on could not tell apart whether nobody knew them, they were doubted, others did not answer in time, there was no place, no connection was trusted, or the router itself refused.

stream_resumed has the door, the route, whether the origin is doubted or conflicting, how many routers were asked and answered, the servers of the version that are known, usable and trusted, and new and resumed streams of the route in this second and the one before. Requests that are refused before their origin is looked for, or that end after they were sent without an event, get a line as well. Lines about streams that go on nowhere have a limit of their own. No decision changes: IsTrusted looks at connections without concluding anything.

Ruled out: counting the servers anew for the line of a stream that is sent. The server that it is sent to is left out by then (its test saw 1 of 2 usable); the line has those of the decision.

--- a/protocol/trail/stream.go
+++ b/protocol/trail/stream.go
@@ -63,9 +63,26 @@
 	}
 	text += fmt.Sprintf(", as of %s ms before", orUnknown(l["config_age_ms"]))
 	if l["server"] == "" {
-		return text + fmt.Sprintf("; it goes on nowhere: %s.", orUnknown(l["how"]))
+		return text + fmt.Sprintf("; it goes on nowhere: %s.", orUnknown(l["how"])) + doorSentence(l)
 	}
-	return text + fmt.Sprintf("; it goes on at server %s, of software version %s.", l["server"], orUnknown(l["software"]))
+	return text + fmt.Sprintf("; it goes on at server %s, of software version %s.", l["server"], orUnknown(l["software"])) + doorSentence(l)
+}
+
+// doorSentence says what the stream met on its way, and how new streams of its route fared; empty for
+// lines of routers that do not tell.
+func doorSentence(l Line) string {
+	if l["door"] == "" {
+		return ""
+	}
+	text := fmt.Sprintf(" Door: %s; %s of %s routers that were asked answered; %s servers of its version, %s usable, %s of these trusted",
+		l["door"], l["answered"], l["asked"], l["servers"], l["servers_usable"], l["servers_trusted"])
+	switch {
+	case l["conflicting"] == "true":
+		text += "; routers know different origins"
+	case l["uncertain"] == "true":
+		text += "; its origin is doubted"
+	}
+	return text + fmt.Sprintf(". On its route then: %s of %s new streams began, %s of %s resumed ones went on.", l["new_began"], l["new_came"], l["resumed_went_on"], l["resumed_came"])
 }
 
 // knownSentence says which version began a stream, and who knew it.
--- a/protocol/trail/stream_test.go
+++ b/protocol/trail/stream_test.go
@@ -46,3 +46,14 @@
 	qt.Check(t, b.String(), qt.Contains, "edge-1: its first event came")
 	qt.Check(t, b.String(), qt.Contains, "edge-2: request aa02: the caller came back")
 }
+
+// Guards against a door that is in the log and that the explanation leaves out.
+func TestExplainSaysTheDoor(t *testing.T) {
+	const refused = `ts=2026-11-20T10:00:05.000Z id=edge-3 event=stream_resumed request=aa03 stream=aa01 service=app after=9 within=false route=chat door=doubted began=v1 known_by=edge-1 known_ms=4000 uncertain=true conflicting=false asked_us=300 asked=2 answered=1 servers=3 servers_usable=2 servers_trusted=0 new_came=9 new_began=8 resumed_came=4 resumed_went_on=1 versions=v1+v2 recent=v1+v2 config_age_ms=20 server= software= how=uncertain
+`
+	lines, _, err := Read(strings.NewReader(refused), "aa03")
+	qt.Assert(t, err, qt.IsNil)
+	var b strings.Builder
+	qt.Assert(t, Explain(&b, "aa03", lines), qt.IsNil)
+	qt.Check(t, b.String(), qt.Contains, "it goes on nowhere: uncertain. Door: doubted; 1 of 2 routers that were asked answered; 3 servers of its version, 2 usable, 0 of these trusted; its origin is doubted. On its route then: 8 of 9 new streams began, 1 of 4 resumed ones went on.")
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -12,6 +12,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/quarantine"
+	"goldcrestport/coordination/resumption"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
@@ -46,6 +47,7 @@
 	c.r.creditRetryBudget(c.service)
 	c.countDemand()
 	if c.r.isBlind() {
+		c.stream.door = resumption.Blind
 		c.refuse(*notRun(outcome.ReasonPlatform, staleRetryAfter, "this router has too much work to know which backend servers leave"))
 		return
 	}
@@ -98,7 +100,7 @@
 	}
 	c.sent++
 	if c.team != "" && !c.r.isFresh() {
-		return refused, errors.New("the configuration cannot be shown to be current")
+		return refused, errOldConfig
 	}
 	server, known := c.r.server(run.Server())
 	if !known {
@@ -234,6 +236,7 @@
 	case c.reached == 0 && after == refused && c.left() <= 0:
 		c.refuse(*tooLate())
 	case c.reached == 0 && after == refused:
+		c.stream.door = doorAfter(err)
 		c.refuse(*notRun(outcome.ReasonNoBackend, c.retryAfter(), "no backend server took the request"))
 	case ctx.Err() != nil && c.r.ending.Err() != nil:
 		c.fail(outcome.ReasonLeaving, http.StatusBadGateway, "this router stopped before the answer was whole")
@@ -270,6 +273,7 @@
 // callerLeft ends a request whose caller disconnected. If the connection were not closed,
 // net/http would answer with an empty success.
 func (c *call) callerLeft() {
+	c.stream.door = resumption.CallerLeft
 	c.logEnd(reasonCallerLeft, 0, 0)
 	if c.tokens > 0 && !c.countedStarted {
 		c.r.teams.Count(func(t *teamuse.Table) { t.Refused(c.team, reasonCallerLeft) })
--- a/transport/direct/freshinfo.go
+++ b/transport/direct/freshinfo.go
@@ -10,6 +10,9 @@
 	"goldcrestport/coordination/staleness"
 )
 
+// errOldConfig means that a newer configuration may have taken the caller's key away.
+var errOldConfig = errors.New("the configuration cannot be shown to be current")
+
 // errStale means that this router's information is too old to send to the server.
 var errStale = errors.New("the information about draining servers is too old")
 
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -41,6 +41,8 @@
 	answers *expvar.Map
 	// resumed counts streams that go on at a server, or were to, by what became of them.
 	resumed *expvar.Map
+	// doors counts resumed streams by why they did not go on.
+	doors *expvar.Map
 	// originsTold counts the origins of streams that were announced to other routers, and originAskTime
 	// holds the times for which others were asked.
 	originsTold   *expvar.Int
@@ -75,9 +77,11 @@
 		infoAge:          v.Times("direct_knowledge_age_us"),
 		answers:          v.Map("direct_answers"),
 		resumed:          v.Map("direct_streams_resumed"),
+		doors:            v.Map("direct_streams_resumed_doors"),
 		originsTold:      v.Int("direct_origins_told"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
 	}
+	r.rates.register(m)
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).RefusedCount) })
 	v.Func("direct_cold_servers", func() any {
--- a/transport/direct/place.go
+++ b/transport/direct/place.go
@@ -39,7 +39,7 @@
 
 // refuseUnplaced ends a request for which no server was found.
 func (c *call) refuseUnplaced(d admission.Decision) {
-	c.goesOnNowhere(noServer)
+	c.goesOnNowhere(noServer, c.doorOfPlacement(d))
 	switch {
 	case c.answerBegun:
 		c.abortAnswer("no_server")
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -12,6 +12,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/resumption"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/backend"
@@ -179,7 +180,11 @@
 	if _, err := c.w.Write(out); err != nil {
 		return err
 	}
-	return flusher.Flush()
+	if err := flusher.Flush(); err != nil {
+		return err
+	}
+	c.countRelayed()
+	return nil
 }
 
 // streamEnded completes a stream that is whole, or handles one that broke off.
@@ -191,11 +196,15 @@
 		c.head(answer, -1)
 	}
 	_, _ = c.w.Write(events.Rest())
+	if isSuccess(answer.Status) {
+		c.countRelayed()
+	}
 	c.answerCompleted(answer)
 	return done, health.Success, nil
 }
 
 func (c *call) callerLost(err error) (step, health.Result, error) {
+	c.stream.door = resumption.CallerLeft
 	c.logEnd("caller_lost: "+err.Error(), 0, 0)
 	c.r.metrics.outcomes.Add("caller_lost", 1)
 	c.closeConnection()
--- a/transport/direct/resume.go
+++ b/transport/direct/resume.go
@@ -7,6 +7,7 @@
 
 	"goldcrestport/coordination/continuation"
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/resumption"
 	"goldcrestport/protocol/outcome"
 )
 
@@ -26,7 +27,7 @@
 		c.service = d.Bound.Service
 	}
 	if d.Reason != continuation.ReasonNone {
-		c.goesOnNowhere(string(d.Reason))
+		c.goesOnNowhere(string(d.Reason), resumption.OfReason(d.Reason, c.stream.isConflicting))
 		return refuseStream(d.Reason)
 	}
 	c.stream.isBound, c.stream.isCertain = true, true
@@ -77,7 +78,7 @@
 		isMixed := c.r.versions.IsMixed(begin, c.service)
 		c.r.mu.Unlock()
 		got := c.r.origins.ask(ctx, id, c.service, isMixed || len(s.Services) > 1)
-		c.stream.asked = time.Since(begin)
+		c.stream.asked, c.stream.askedRouters, c.stream.answered = time.Since(begin), got.routers, got.answered
 		c.r.metrics.originAskTime.Record(c.service, time.Now(), c.stream.asked)
 		s.MixedElsewhere = got.isMixed
 		switch {
@@ -91,6 +92,7 @@
 		}
 	}
 	c.stream.knownBy, c.stream.knownFor = known.By, known.For
+	c.stream.found, c.stream.isUncertain, c.stream.isConflicting = known.Origin, known.Uncertain, known.Conflicting
 	s.Origin = known.Origin
 	if known.Uncertain {
 		return continuation.Uncertain
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -51,6 +51,7 @@
 	source         Source
 	pool           *backend.Pool
 	metrics        *metrics
+	rates          *streamRates
 	tracer         *observe.Tracer
 	table          atomic.Pointer[routing.Table]
 
@@ -154,6 +155,7 @@
 		infoWanted:     make(chan struct{}, 1),
 		reportsReady:   make(chan struct{}, 1),
 		probes:         newProbes(),
+		rates:          newStreamRates(),
 		warmup:         warmup.New(cfg.Warmup, set.ID),
 		quarantine:     quarantine.New(cfg.Quarantine, set.ID),
 		returning:      returning.New(returning.DefaultConfig()),
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -57,6 +57,8 @@
 	last    admission.Decision
 	// tokens is the size of the request; 0 for plain services.
 	tokens float64
+	// refusedFor is the reason of the refusal, if the request was refused.
+	refusedFor outcome.Reason
 	// countedStarted means that the request was counted as started for its team.
 	countedStarted bool
 	// answerBegun means that a part of the answer was relayed.
@@ -88,6 +90,7 @@
 		// would leave the caller with an unknown outcome.
 		w.Header().Set("Connection", "close")
 	}
+	defer c.endResumed()
 	if o := c.admit(); o != nil {
 		c.refuse(*o)
 		return
@@ -167,6 +170,7 @@
 	if c.route == nil {
 		return c.refuseUnknown(outcome.ReasonUnknownPath, http.StatusNotFound, "no route for this host and path")
 	}
+	c.countStream()
 	if c.route.Public || c.table.Teams() == 0 {
 		return nil
 	}
@@ -258,7 +262,7 @@
 
 // refuse sends the caller its final answer.
 func (c *call) refuse(o outcome.Outcome) {
-	o.Fractional = true
+	o.Fractional, c.refusedFor = true, o.Reason
 	callerconn.Decided(c.conn())
 	c.logEnd(string(o.Reason), o.Status, o.RetryAfter)
 	c.r.metrics.outcomes.Add(string(o.Kind)+"/"+string(o.Reason), 1)
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -7,6 +7,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/resumption"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
@@ -29,8 +30,20 @@
 	// has been known to the router that said so; knownBy is empty if nobody knew it.
 	knownBy  string
 	knownFor time.Duration
-	// asked is how long other routers were asked.
-	asked time.Duration
+	// asked is how long other routers were asked; askedRouters is their number, and answered that of those
+	// that answered.
+	asked                  time.Duration
+	askedRouters, answered int
+	// found is the origin that was found, also if the stream may not go on there. It is of no use if
+	// isUncertain, which is because routers know different ones if isConflicting.
+	found                      origin.Origin
+	isUncertain, isConflicting bool
+	// cameAt is when the request was counted, and hasRelayed means that an event of it was relayed.
+	cameAt     time.Time
+	hasRelayed bool
+	// door is why the stream does not go on, if that is known; isDoorLogged means that it is logged.
+	door         resumption.Door
+	isDoorLogged bool
 }
 
 // streamID returns the id of the caller's attempt that brought the first event of the stream:
@@ -149,31 +162,47 @@
 		return
 	}
 	c.r.metrics.resumed.Add(wentOn, 1)
-	c.logResumed(server, events.Count() > 0, events.LastEvent(), wentOn)
+	c.logResumed(server, events.Count() > 0, events.LastEvent(), wentOn, resumption.Sent)
 }
 
 // goesOnNowhere records that a stream does not go on.
-func (c *call) goesOnNowhere(how string) {
+func (c *call) goesOnNowhere(how string, door resumption.Door) {
+	c.stream.door = door
 	if c.route.Kind != routing.Streaming || !c.answerBegun && !c.resumesEarlier() {
 		return
 	}
 	c.r.metrics.resumed.Add(how, 1)
-	c.logResumed(roster.Server{}, c.answerBegun, c.meta.LastEvent, how)
+	c.stream.isDoorLogged = true
+	c.logResumed(roster.Server{}, c.answerBegun, c.meta.LastEvent, how, door)
+}
+
+// resumedKey returns the key for the limit of lines about resumed streams: those that go on nowhere have
+// a limit of their own, so that lines about others cannot starve them.
+func resumedKey(door resumption.Door) string {
+	if door == resumption.Sent {
+		return "stream_resumed"
+	}
+	return "stream_resumed nowhere"
 }
 
 // logResumed logs what was decided about a stream that goes on after an event. The server is the
 // zero value if it goes on nowhere.
-func (c *call) logResumed(server roster.Server, within bool, after, how string) {
+func (c *call) logResumed(server roster.Server, within bool, after, how string, door resumption.Door) {
 	now := time.Now()
-	allowed, dropped := c.r.streamLines.Allow("stream_resumed", now)
+	allowed, dropped := c.r.streamLines.Allow(resumedKey(door), now)
 	if !allowed {
 		return
 	}
 	c.r.mu.Lock()
 	serving, recent := c.r.versions.Serving(c.service), c.r.versions.Recent(now, c.service)
+	servers := c.survey(now)
 	c.r.mu.Unlock()
+	rates := c.r.rates.near(now, c.route.Name)
 	c.r.event("stream_resumed", "request", c.meta.ID, "stream", c.streamID(), "service", c.service, "after", after, "within", within,
-		"began", c.stream.bound.Version, "known_by", c.stream.knownBy, "known_ms", c.stream.knownFor.Milliseconds(), "asked_us", c.stream.asked.Microseconds(),
+		"route", c.route.Name, "door", string(door), "began", c.origin().Version, "known_by", c.stream.knownBy, "known_ms", c.stream.knownFor.Milliseconds(), "uncertain", c.stream.isUncertain, "conflicting", c.stream.isConflicting,
+		"asked_us", c.stream.asked.Microseconds(), "asked", c.stream.askedRouters, "answered", c.stream.answered,
+		"servers", servers.Known, "servers_usable", servers.Usable()+servers.Untrusted, "servers_trusted", servers.Usable(),
+		"new_came", rates.Came, "new_began", rates.Began, "resumed_came", rates.Resumed, "resumed_went_on", rates.WentOn,
 		"versions", joinVersions(serving), "recent", joinVersions(recent), "config_age_ms", c.r.configAge().Milliseconds(),
 		"server", server.ID, "software", server.Version, "how", how, "left_out", dropped)
 }
