--- /dev/null
+++ b/bench/soak/rows_resumed_test.go
@@ -0,0 +1,207 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestport/standin/backend"
+	"goldcrestport/standin/kvstore"
+)
+
+// resumedStreams is the number of streams of a row of resumed streams, and restartPause how long a
+// killed router is away.
+const (
+	resumedStreams = 24
+	restartPause   = 500 * time.Millisecond
+)
+
+// resumedRow is trouble beside callers who break their streams off and come back once, to another
+// router.
+type resumedRow struct {
+	size Size
+	// span is the time in which the streams begin, one after the other, and lead the time from the
+	// first of them to the trouble.
+	span, lead time.Duration
+	// least and most bound the time after which a stream is taken up.
+	least, most time.Duration
+	trouble     func(*rowFleet)
+}
+
+// resumedCounts is what came of the streams of a row.
+type resumedCounts struct {
+	mu             sync.Mutex
+	fresh, resumed tally
+	refused        map[string]int
+}
+
+// addFresh counts an attempt at a new stream.
+func (c *resumedCounts) addFresh(got Call) bool {
+	began := len(got.Versions) > 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fresh.add(began)
+	c.addRefused("new", began, got)
+	return began
+}
+
+// addResumed counts a stream that was taken up.
+func (c *resumedCounts) addResumed(goesOn bool, got Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resumed.add(goesOn)
+	c.addRefused("resumed", goesOn, got)
+}
+
+// addRefused counts what an attempt got instead of events. The caller must hold mu.
+func (c *resumedCounts) addRefused(kind string, good bool, got Call) {
+	if !good {
+		c.refused[fmt.Sprintf("%s: %d %s", kind, got.Status, got.Err)]++
+	}
+}
+
+// play plays the row: no stream goes on at another version, and the share of resumed streams that
+// go on is at least half of that of the new ones that begin beside them.
+func (row resumedRow) play(t *testing.T) {
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	f := startRowFleetOf(t, row.size)
+	counts := &resumedCounts{refused: map[string]int{}}
+	var working sync.WaitGroup
+	for n := range resumedStreams {
+		working.Go(func() {
+			time.Sleep(row.span * time.Duration(n) / resumedStreams)
+			f.resumeOnce(counts, n, row.least+(row.most-row.least)*time.Duration(n%7)/6)
+		})
+	}
+	time.Sleep(row.lead)
+	row.trouble(f)
+	working.Wait()
+	said := qt.Commentf("%d of %d resumed went on, %d of %d new began, %v", counts.resumed.good, counts.resumed.all, counts.fresh.good, counts.fresh.all, counts.refused)
+	f.Log(said)
+	f.Check(counts.resumed.all >= leastResumed, qt.IsTrue, said)
+	f.Check(counts.resumed.share() >= leastShare*counts.fresh.share(), qt.IsTrue, said)
+}
+
+// resumeOnce begins a stream and breaks it off after four events, takes it up at another router
+// after the pause, and begins a new one there.
+func (f *rowFleet) resumeOnce(counts *resumedCounts, n int, pause time.Duration) {
+	routers := len(f.w.routers)
+	first := f.ask(n%routers, "", 0, true)
+	if !counts.addFresh(first) {
+		return
+	}
+	time.Sleep(pause)
+	other := (n + 1 + n/routers%(routers-1)) % routers
+	got := f.ask(other, first.ID, first.Last, false)
+	goesOn := len(got.Versions) == 1 && got.Versions[0] == first.Versions[0]
+	f.Check(goesOn || len(got.Versions) == 0, qt.IsTrue, qt.Commentf("joined: %+v goes on as %+v", first, got))
+	counts.addResumed(goesOn, got)
+	counts.addFresh(f.ask(other, "", 0, false))
+}
+
+// killAndStart kills the first routers at once and starts them again after a while.
+func killAndStart(n int) func(*rowFleet) {
+	return func(f *rowFleet) {
+		for _, r := range f.w.routers[:n] {
+			r.Kill()
+		}
+		time.Sleep(restartPause)
+		for _, r := range f.w.routers[:n] {
+			f.Assert(r.Start(), qt.IsNil)
+		}
+	}
+}
+
+// eachEngine calls do with each engine that stays.
+func (f *rowFleet) eachEngine(do func(*server)) {
+	for _, zone := range zones {
+		for _, s := range f.w.engines(zone) {
+			do(s)
+		}
+	}
+}
+
+// smallSite is three routers in three data centres.
+func smallSite() Size { return Size{Routers: 3, Engines: 2, Plain: 1, Other: 1, Apart: true} }
+
+// Guards against streams that nobody knows any more after all routers were killed at once.
+func TestStreamsGoOnAfterAllRoutersOfASmallSiteWereKilled(t *testing.T) {
+	resumedRow{size: smallSite(), span: 2 * time.Second, lead: 2 * time.Second,
+		least: 4 * time.Second, most: 7 * time.Second, trouble: killAndStart(3)}.play(t)
+}
+
+// Guards against streams that nobody knows any more after each router was stopped and started again.
+func TestStreamsGoOnAfterARollingRestartOfASmallSite(t *testing.T) {
+	resumedRow{size: smallSite(), span: 2 * time.Second, lead: 2 * time.Second,
+		least: 10 * time.Second, most: 14 * time.Second, trouble: func(f *rowFleet) {
+			for _, r := range f.w.routers {
+				f.Check(r.Stop(grace+time.Second), qt.IsTrue)
+				f.Assert(r.Start(), qt.IsNil)
+				f.Assert(f.w.fleet.WaitReady(context.Background(), r.Process), qt.IsNil)
+			}
+		}}.play(t)
+}
+
+// Guards against streams that are refused after most, not all, routers that knew them were killed.
+func TestStreamsGoOnAfterThreeOfFiveRoutersWereKilled(t *testing.T) {
+	size := smallSite()
+	size.Routers = 5
+	resumedRow{size: size, span: 2 * time.Second, lead: 2 * time.Second,
+		least: 4 * time.Second, most: 7 * time.Second, trouble: killAndStart(3)}.play(t)
+}
+
+// Guards against the same at a small site, where one router is left that knows.
+func TestStreamsGoOnAfterTwoOfThreeRoutersWereKilled(t *testing.T) {
+	resumedRow{size: smallSite(), span: 2 * time.Second, lead: 2 * time.Second,
+		least: time.Second, most: 4 * time.Second, trouble: killAndStart(2)}.play(t)
+}
+
+// Guards against streams that stay refused because they began over connections that nothing vouched
+// for, while the store was away: each answer ends with its connection.
+func TestStreamsGoOnAfterTheStoreWasAway(t *testing.T) {
+	const away = 7 * time.Second
+	resumedRow{size: smallSite(), span: 9 * time.Second, lead: time.Second, least: 2 * time.Second, most: 5 * time.Second, trouble: func(f *rowFleet) {
+		f.eachEngine(func(s *server) { s.backend.SetUntilClose() })
+		f.w.store.SetFaults(kvstore.Faults{Silent: true})
+		time.Sleep(away)
+		f.eachEngine(func(s *server) { f.w.store.Remove(backend.Key(s.ID)) })
+		f.w.store.SetFaults(kvstore.Faults{})
+		time.Sleep(restartPause)
+		f.eachEngine(func(s *server) { f.w.enter(s, backend.Ready) })
+	}}.play(t)
+}
+
+// Guards against streams that are refused because routers without processor time are asked and
+// answer late, beside a release.
+func TestStreamsGoOnAtRoutersThatRunAThirdOfTheTime(t *testing.T) {
+	const turn, runs, length = 100 * time.Millisecond, 30 * time.Millisecond, 8 * time.Second
+	size := smallSite()
+	size.Engines = 3
+	resumedRow{size: size, span: 5 * time.Second, lead: time.Second, least: 500 * time.Millisecond, most: 3 * time.Second, trouble: func(f *rowFleet) {
+		i := &injector{w: f.w, random: rand.New(rand.NewPCG(1, 5))}
+		leaving := i.takeEngine()
+		i.open.Go(func() { i.drainFor(leaving, false, "v2") })
+		var running sync.WaitGroup
+		end := time.Now().Add(length)
+		for n, r := range f.w.routers {
+			running.Go(func() {
+				time.Sleep(turn * time.Duration(n) / time.Duration(len(f.w.routers)))
+				for time.Now().Before(end) {
+					r.Freeze()
+					time.Sleep(turn - runs)
+					r.Wake()
+					time.Sleep(runs)
+				}
+			})
+		}
+		running.Wait()
+		i.open.Wait()
+	}}.play(t)
+}
--- a/bench/soak/versions_test.go
+++ b/bench/soak/versions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,23 +18,30 @@
 	rowTokens = 60
 )
 
-// rowFleet is three routers before two engines of each of two versions.
+// rowFleet is routers before two engines of each of two versions.
 type rowFleet struct {
 	*qt.C
 	w *World
-	c *caller
+	// count numbers the attempts.
+	count atomic.Int64
 }
 
+// startRowFleet starts three routers of one data centre.
 func startRowFleet(t *testing.T) *rowFleet {
+	return startRowFleetOf(t, Size{Routers: 3, Engines: 2, Plain: 1, Other: 1})
+}
+
+// startRowFleetOf starts a fleet of the size and two engines of the second version.
+func startRowFleetOf(t *testing.T, size Size) *rowFleet {
 	c := qt.New(t)
-	w := startFleet(c, c.TempDir(), Size{Routers: 3, Engines: 2, Plain: 1, Other: 1})
+	w := startFleet(c, c.TempDir(), size)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	w.balancer.watch(ctx, w.routers)
 	for range 2 {
 		c.Assert(w.startServer(engineService, "v2", "127.0.0.1:0"), qt.IsNil)
 	}
-	f := &rowFleet{C: c, w: w, c: &caller{w: w, name: "row", random: rand.New(rand.NewPCG(1, 7))}}
+	f := &rowFleet{C: c, w: w}
 	for n := range w.routers {
 		f.waitForVersions(n)
 	}
@@ -51,16 +59,18 @@
 // ask sends one attempt at the router on a connection of its own. It is broken off in the middle if
 // it breaks.
 func (f *rowFleet) ask(n int, resumes string, after int, breaks bool) Call {
-	f.c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	f.c.router = n
-	f.c.count++
-	call := Call{Kind: Resumable, Team: teamName(0), Body: fmt.Sprintf(`{"row":%d}`, f.c.count), Resumes: resumes, After: after, Broke: breaks}
+	count := f.count.Add(1)
+	c := &caller{
+		w: f.w, name: "row", random: rand.New(rand.NewPCG(uint64(count), 7)), router: n,
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	call := Call{Kind: Resumable, Team: teamName(0), Body: fmt.Sprintf(`{"row":%d}`, count), Resumes: resumes, After: after, Broke: breaks}
 	// The same parts would lead each attempt to the same engine.
-	call.Parts = fmt.Sprintf("%x:900,%x:100", f.c.random.Uint64(), f.c.random.Uint64())
-	call.ID, call.Key = fmt.Sprintf("row-%d", f.c.count), f.w.key(call.Team, false)
+	call.Parts = fmt.Sprintf("%x:900,%x:100", c.random.Uint64(), c.random.Uint64())
+	call.ID, call.Key = fmt.Sprintf("row-%d", count), f.w.key(call.Team, false)
 	ctx, cancel := context.WithTimeout(context.Background(), call.Kind.timeout())
 	defer cancel()
-	f.c.exchange(ctx, &call, rowTokens, f.w.routers[n].Addr)
+	c.exchange(ctx, &call, rowTokens, f.w.routers[n].Addr)
 	return call
 }
 
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -39,10 +39,18 @@
 	// Spread puts the routers into the servers' data centres by turns; otherwise all
 	// are in one.
 	Spread bool
+	// Apart puts each router into a data centre of its own.
+	Apart bool
 }
 
 // dataCentre returns that of a router.
 func (s Size) dataCentre(router int) string {
+	if s.Apart && router >= len(zones) {
+		return fmt.Sprintf("hall-%d", router)
+	}
+	if s.Apart {
+		return zones[router]
+	}
 	if s.Spread {
 		return zones[router%len(zones)]
 	}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -124,6 +124,8 @@
 	fault   Fault
 	state   Says
 	shapes  bool
+	// closing is set if all streams end when their connection closes.
+	closing bool
 }
 
 // New returns a server that injects no fault.
@@ -144,6 +146,20 @@
 	s.shapes = shapes
 }
 
+// SetUntilClose makes later streams end when their connection closes, with no other mark of their end.
+func (s *Server) SetUntilClose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
+// endsByClose reports whether streams end when their connection closes.
+func (s *Server) endsByClose() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
 // hasShapes reports whether responses vary in their framing.
 func (s *Server) hasShapes() bool {
 	s.mu.Lock()
--- a/standin/backend/shape.go
+++ b/standin/backend/shape.go
@@ -46,6 +46,9 @@
 
 // shapeOf returns the shape of the response to the run.
 func (s *Server) shapeOf(run Run) shape {
+	if s.endsByClose() {
+		return shape{framing: untilClose, end: resetsConnection, cut: 2}
+	}
 	if !s.hasShapes() {
 		return shape{framing: chunked, end: closesConnection, cut: 2}
 	}
