The soak checks while it runs that streams go on

Cause: the share of resumed streams that go on was compared with that of new ones once, at the end of a run: streams that were lost for some seconds vanished in the rest, and a breach had no time, router or reason.

Now any ten seconds are compared, each second while the run goes on, and a breach is told at once with its span, the routers and what the refusals said. Not counted are streams that nobody could know: all routers were killed while the store was disturbed from within 2 s of their begin.

Ruled out: asking checks that need the end of what they look at (repeats are compared with requests that may still be under way).

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -102,6 +102,7 @@
 	}
 	plan := soak.DefaultPlan(seed)
 	plan.Failures = o.failures
+	w.Report = func(broken string) { fmt.Printf("seed=%d %s\n", seed, broken) }
 	w.Run(plan, o.size.Callers)
 	return result{seed: seed, record: w.Record, violations: soak.Check(w.Record)}
 }
--- a/bench/soak/check_versions.go
+++ b/bench/soak/check_versions.go
@@ -47,35 +47,64 @@
 	servedFor    = time.Second
 )
 
-// lostStreams compares the share of resumed streams that go on, at routers that are calm and while
-// two servers of their version serve, with that of new streams that begin.
-func lostStreams(r *Record) []string {
-	versions := map[string]string{}
+// judged is an attempt at a stream that counts for the promise that streams go on.
+type judged struct {
+	Call
+	resumed bool
+}
+
+// judgedStreams returns the attempts that count, in the order of their ends: at routers that are calm,
+// and of the resumed ones those for whose version two servers serve and that somebody could know.
+func judgedStreams(r *Record) []judged {
+	firsts := map[string]Call{}
 	for _, c := range r.Calls {
 		if c.Resumes == "" && len(c.Versions) > 0 {
-			versions[c.ID] = c.Versions[0]
+			firsts[c.ID] = c
 		}
 	}
-	var resumed, fresh tally
-	var lost []string
+	var out []judged
 	for _, c := range r.Calls {
 		if c.Kind != Resumable || !c.Left.IsZero() && c.Status == 0 || !r.undisturbed(c.Router, c.Sent, c.Ended) || r.keyRefused(c) {
 			continue
 		}
-		switch version := versions[c.Resumes]; {
+		first, began := firsts[c.Resumes]
+		switch {
 		case c.Resumes == "":
+			out = append(out, judged{Call: c})
+		case began && r.servedBy(first.Versions[0], c.Sent) >= 2 && !r.forgotten(first, c.Sent):
+			out = append(out, judged{c, true})
+		}
+	}
+	return out
+}
+
+// lostOf compares the share of resumed streams that go on with that of new ones that begin, and
+// tells what is lost if it is too small.
+func lostOf(streams []judged) (string, bool) {
+	var resumed, fresh tally
+	var lost []string
+	for _, c := range streams {
+		if !c.resumed {
 			fresh.add(c.Status == 200)
-		case r.servedBy(version, c.Sent) >= 2:
-			resumed.add(c.Status == 200)
-			if c.Status != 200 {
-				lost = append(lost, fmt.Sprintf("%s at router %d: %d %s", c.ID, c.Router, c.Status, c.Err))
-			}
+			continue
+		}
+		resumed.add(c.Status == 200)
+		if c.Status != 200 {
+			lost = append(lost, fmt.Sprintf("%s at router %d: %d %s%s", c.ID, c.Router, c.Status, c.Err, c.Why))
 		}
 	}
 	if resumed.all < leastResumed || resumed.share() >= leastShare*fresh.share() {
-		return nil
+		return "", false
 	}
-	return []string{fmt.Sprintf("%d of %d resumed streams went on, and %d of %d new ones began; lost: %v", resumed.good, resumed.all, fresh.good, fresh.all, lost[:min(len(lost), shownLost)])}
+	return fmt.Sprintf("%d of %d resumed streams went on, and %d of %d new ones began; lost: %v", resumed.good, resumed.all, fresh.good, fresh.all, lost[:min(len(lost), shownLost)]), true
+}
+
+// lostStreams finds that too few of all resumed streams went on.
+func lostStreams(r *Record) []string {
+	if what, broken := lostOf(judgedStreams(r)); broken {
+		return []string{what}
+	}
+	return nil
 }
 
 // shownLost is the number of lost streams that are named.
@@ -109,3 +138,33 @@
 	}
 	return n
 }
+
+// toldWithin is the time after which what a router knows of its streams is known beyond the routers,
+// unless the store is disturbed.
+const toldWithin = 2 * time.Second
+
+// forgotten reports whether nobody could know at the time where the stream began: all routers were
+// killed since, while the store had been disturbed ever since it began.
+func (r *Record) forgotten(first Call, at time.Time) bool {
+	killed, last := map[int]bool{}, first.Sent
+	for _, f := range r.Failures {
+		if f.Kind == kill && f.From.After(first.Sent) && f.From.Before(at) {
+			killed[f.Router] = true
+			last = latest(last, f.From)
+		}
+	}
+	if len(killed) == 0 || len(killed) < r.Routers {
+		return false
+	}
+	return slices.ContainsFunc(r.Failures, func(f Failure) bool {
+		return f.Router == everyRouter && f.From.Before(first.Ended.Add(toldWithin)) && (f.Until.IsZero() || f.Until.Add(toldWithin).After(last))
+	})
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -16,6 +16,12 @@
 	serverLink  = "server link"
 )
 
+// Kinds of failures of routers and of the store that checks ask for.
+const (
+	kill       = "kill"
+	storeQuiet = "store silent"
+)
+
 // Kinds of failures in which a caller's end does not reach its router at once.
 const (
 	callersHeld    = "callers held"
@@ -97,7 +103,7 @@
 		},
 		func() failure { return i.onStore("store down", kvstore.Faults{Status: 503}) },
 		func() failure { return i.onStore("store refuses", kvstore.Faults{Status: 429}) },
-		func() failure { return i.onStore("store silent", kvstore.Faults{Silent: true}) },
+		func() failure { return i.onStore(storeQuiet, kvstore.Faults{Silent: true}) },
 		func() failure { return i.onStore("answers lost", kvstore.Faults{LoseAnswers: true}) },
 		func() failure { return i.onStore("late writes", kvstore.Faults{Late: time.Second}) },
 		i.forgetHistory,
@@ -122,7 +128,7 @@
 // kill ends the process at once; it starts again with no memory.
 func (i *injector) kill(r *router) failure {
 	pause := i.length(100*time.Millisecond, time.Second)
-	return failure{kind: "kill", router: r.number, do: func() {
+	return failure{kind: kill, router: r.number, do: func() {
 		if !r.claim() {
 			return
 		}
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -28,6 +28,8 @@
 	// with its bytes.
 	Whole   bool
 	Problem string
+	// Why is the reason that a refusal gives, and what it says besides; empty for none.
+	Why string
 	// Err is how the connection ended without an answer.
 	Err string
 	// Resumes is the attempt that brought the first event of the stream that this one resumes,
@@ -108,7 +110,9 @@
 
 // Record is what was seen in a run. It may be added to from any goroutine.
 type Record struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// Routers is the number of routers.
+	Routers  int
 	Calls    []Call
 	Runs     map[string][]backend.Run
 	Arrivals []backend.Arrival
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -85,6 +85,9 @@
 	defer cancel()
 	w.balancer.watch(ctx, w.routers)
 	var working sync.WaitGroup
+	if w.Report != nil {
+		working.Go(func() { w.checkLive(ctx) })
+	}
 	for n := range callers {
 		c := newCaller(w, fmt.Sprintf("c%d", n), plan.Seed*1000+uint64(n))
 		c.isOld = plan.Framed && n%oldEvery == 0
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -112,6 +112,7 @@
 	t.Cleanup(func() { <-fleets })
 	dir := t.TempDir()
 	w := startFleet(t, dir, size)
+	w.Report = func(broken string) { t.Log(broken) }
 	w.Run(plan, size.Callers)
 	if !qt.Check(t, Check(w.Record), qt.HasLen, 0, qt.Commentf("%s %s", cause, Summary(w.Record))) {
 		showDecisions(t, dir)
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -63,6 +63,9 @@
 // World is a running fleet and what stands around it.
 type World struct {
 	Record *Record
+	// Report gets promises that are broken as soon as a check finds them, while the run goes on; nil
+	// leaves them to Check.
+	Report func(string)
 
 	fleet    *fleet.Fleet
 	store    *kvstore.Server
@@ -100,6 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startBound)
 	defer cancel()
 	w := &World{Record: NewRecord(), fleet: f, store: kvstore.New(), servers: map[string]*server{}, revoked: map[string][]string{}}
+	w.Record.Routers = size.Routers
 	w.storeSrv = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
