--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"goldcrestport/protocol/outcome"
 	"goldcrestport/standin/backend"
 )
 
@@ -32,6 +34,8 @@
 	mostTokens = 200
 	// returnMost bounds the pause before a refused caller comes back.
 	returnMost = time.Second
+	// otherEvery is how often a caller asks for what others do, where most take up streams.
+	otherEvery = 4
 )
 
 // caller sends one request after the other over a connection that it keeps.
@@ -44,6 +48,10 @@
 	count  int
 	// isOld tells that the caller speaks HTTP/1.0.
 	isOld bool
+	// resumes tells that the caller asks for streams only, each of which it takes up once, after a
+	// pause.
+	resumes bool
+	pause   span
 }
 
 func newCaller(w *World, name string, seed uint64) *caller {
@@ -64,7 +72,9 @@
 		kind := kinds[c.random.IntN(len(kinds))]
 		team := fmt.Sprintf("team-%d", c.random.IntN(4))
 		body := c.body()
-		if kind == Resumable && c.w.resumesStreams() {
+		if c.resumes {
+			c.resumeOnce(team, body)
+		} else if kind == Resumable && c.w.resumesStreams() {
 			c.resumeUntilWhole(team, body)
 		} else if after := c.attempt(kind, team, body); after > 0 {
 			time.Sleep(after)
@@ -159,14 +169,23 @@
 		defer c.move()
 	}
 	if resp.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, resp.Body)
-		call.Whole = err == nil
+		body, err := io.ReadAll(resp.Body)
+		call.Whole, call.Why = err == nil, whyRefused(body)
 		return retryAfter(resp)
 	}
 	c.read(call, resp, tokens)
 	return 0
 }
 
+// whyRefused returns the reason of a refusal and its text, or "" if the body names none.
+func whyRefused(body []byte) string {
+	var p outcome.Problem
+	if json.Unmarshal(body, &p) != nil || p.Reason == "" {
+		return ""
+	}
+	return string(p.Reason) + " (" + p.Detail + ")"
+}
+
 // retryAfter returns when the caller is asked to come back, or 0.
 func retryAfter(resp *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -16,6 +16,12 @@
 	serverLink  = "server link"
 )
 
+// Kinds of failures of routers and of the store that checks ask for.
+const (
+	kill       = "kill"
+	storeQuiet = "store silent"
+)
+
 // Kinds of failures in which a caller's end does not reach its router at once.
 const (
 	callersHeld    = "callers held"
@@ -57,20 +63,21 @@
 }
 
 // start makes the failure in the background.
-func (i *injector) start(f failure) {
-	i.open.Go(func() {
-		made := Failure{Kind: f.kind, Router: f.router, Server: f.server, Planned: f.planned, From: time.Now()}
-		// It is known from its begin on: checks must not take a request for
-		// calm because its failure has not ended.
-		i.w.Record.add(func() { i.w.Record.Failures = append(i.w.Record.Failures, made) })
-		f.do()
-		i.w.Record.add(func() {
-			for n, one := range i.w.Record.Failures {
-				if one == made {
-					i.w.Record.Failures[n].Until = time.Now()
-				}
+func (i *injector) start(f failure) { i.open.Go(func() { i.make(f) }) }
+
+// make makes the failure and returns when it is over.
+func (i *injector) make(f failure) {
+	made := Failure{Kind: f.kind, Router: f.router, Server: f.server, Planned: f.planned, From: time.Now()}
+	// It is known from its begin on: checks must not take a request for
+	// calm because its failure has not ended.
+	i.w.Record.add(func() { i.w.Record.Failures = append(i.w.Record.Failures, made) })
+	f.do()
+	i.w.Record.add(func() {
+		for n, one := range i.w.Record.Failures {
+			if one == made {
+				i.w.Record.Failures[n].Until = time.Now()
 			}
-		})
+		}
 	})
 }
 
@@ -97,7 +104,7 @@
 		},
 		func() failure { return i.onStore("store down", kvstore.Faults{Status: 503}) },
 		func() failure { return i.onStore("store refuses", kvstore.Faults{Status: 429}) },
-		func() failure { return i.onStore("store silent", kvstore.Faults{Silent: true}) },
+		func() failure { return i.onStore(storeQuiet, kvstore.Faults{Silent: true}) },
 		func() failure { return i.onStore("answers lost", kvstore.Faults{LoseAnswers: true}) },
 		func() failure { return i.onStore("late writes", kvstore.Faults{Late: time.Second}) },
 		i.forgetHistory,
@@ -122,7 +129,7 @@
 // kill ends the process at once; it starts again with no memory.
 func (i *injector) kill(r *router) failure {
 	pause := i.length(100*time.Millisecond, time.Second)
-	return failure{kind: "kill", router: r.number, do: func() {
+	return failure{kind: kill, router: r.number, do: func() {
 		if !r.claim() {
 			return
 		}
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -39,10 +39,18 @@
 	// Spread puts the routers into the servers' data centres by turns; otherwise all
 	// are in one.
 	Spread bool
+	// Apart puts each router into a data centre of its own.
+	Apart bool
 }
 
 // dataCentre returns that of a router.
 func (s Size) dataCentre(router int) string {
+	if s.Apart && router >= len(zones) {
+		return fmt.Sprintf("hall-%d", router)
+	}
+	if s.Apart {
+		return zones[router]
+	}
 	if s.Spread {
 		return zones[router%len(zones)]
 	}
@@ -55,6 +63,9 @@
 // World is a running fleet and what stands around it.
 type World struct {
 	Record *Record
+	// Report gets promises that are broken as soon as a check finds them, while the run goes on; nil
+	// leaves them to Check.
+	Report func(string)
 
 	fleet    *fleet.Fleet
 	store    *kvstore.Server
@@ -92,6 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startBound)
 	defer cancel()
 	w := &World{Record: NewRecord(), fleet: f, store: kvstore.New(), servers: map[string]*server{}, revoked: map[string][]string{}}
+	w.Record.Routers = size.Routers
 	w.storeSrv = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
