Doubted streams that have ended are settled once their process is known

Callers of a stream whose first event came over a connection that was not vouched for got 421 for as long as it was remembered, at each router: doubt could end only while the answer was relayed.

Cause: nothing was kept of the process once the answer's connection was closed, and others were not told of the end of a doubt where the stream had ended or its service had one version.

The router that relayed it keeps the evidence: the server's entry, since when the process is known and when it was last known to live, 4,096 streams at most. A witness is opened at once, so that connections to that process follow each other. A review of the connections five times a second settles the doubt if the process lives when the entries are confirmed EntryLag after it began; the others are told twice.

Ruled out: settling by later confirmations alone.

--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -90,6 +90,8 @@
 	conflicting bool
 	// doubted is set while the process that sent the first event is not known.
 	doubted bool
+	// hasNews is set while others are to be told what became of the doubt, also after the stream has ended.
+	hasNews bool
 	// runs is the number of answers of this router that relay the stream now.
 	runs int
 	// isSplit means that the stream's route has several services, so that its service must be
@@ -117,16 +119,6 @@
 	t.fresh = append(t.fresh, r.ID)
 }
 
-// Settled records that the origin of a stream that this router relays, which was doubted, is certain.
-func (t *Table) Settled(id ID) {
-	e := t.records[id]
-	if e == nil || !e.doubted {
-		return
-	}
-	e.doubted, e.toldNear, e.tellings = false, time.Time{}, 0
-	t.fresh = append(t.fresh, id)
-}
-
 // Ended records that this router relays the stream no more. Its caller may not have got all that was
 // sent, and may still come back.
 func (t *Table) Ended(now time.Time, id ID) {
@@ -176,14 +168,15 @@
 
 // Due returns the records to be announced now: near, in the data centre, and far, beyond it. Only
 // streams that run here are announced, and only those of services that are mixed, whose routes have
-// several services, or whose origin is doubted.
+// several services, or whose origin is doubted; what became of a doubt is announced twice, also later.
 func (t *Table) Due(now time.Time, isMixed func(service string) bool) (near, far []Record) {
 	look := func(id ID) {
 		e := t.records[id]
-		if e == nil || e.runs == 0 || e.conflicting || !e.isSplit && !e.doubted && !isMixed(e.Service) {
+		if e == nil || e.runs == 0 && !e.hasNews || e.conflicting || !e.isSplit && !e.doubted && !e.hasNews && !isMixed(e.Service) {
 			return
 		}
 		if e.toldNear.IsZero() || now.Sub(e.toldNear) >= t.cfg.Refresh {
+			e.hasNews = e.hasNews && e.toldNear.IsZero()
 			near, e.toldNear = append(near, Record{id, e.Origin, e.doubted}), now
 		}
 		if e.tellings == 0 || e.tellings == 1 && now.Sub(e.toldFar) >= t.cfg.Repeat {
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -108,6 +108,27 @@
 	qt.Check(t, got.Uncertain, qt.IsFalse)
 }
 
+// Guards against routers that were told of a doubt and never of its end, as the stream has ended by then
+// or its service has one version: they are told twice.
+func TestASettledOriginIsToldAfterItsStreamHasEnded(t *testing.T) {
+	table, tellings := NewTable(DefaultConfig(), "self"), map[string]int{}
+	table.Began(start, Record{ID: 1, Origin: v1, Doubted: true}, false)
+	table.Due(start, never)
+	table.Ended(after(100*time.Millisecond), 1)
+	near, far := table.Due(after(5*time.Second), never)
+	qt.Check(t, len(near)+len(far), qt.Equals, 0)
+	table.Settled(1)
+	for ms := 5000; ms <= 15_000; ms += 100 {
+		near, far := table.Due(after(time.Duration(ms)*time.Millisecond), never)
+		tellings["near"] += len(near)
+		tellings["far"] += len(far)
+		for _, one := range append(near, far...) {
+			qt.Check(t, one, qt.Equals, Record{ID: 1, Origin: v1})
+		}
+	}
+	qt.Check(t, tellings, qt.DeepEquals, map[string]int{"near": 2, "far": 2})
+}
+
 // A stream of a route with several services is told though each has one version.
 func TestOriginsOfSplitRoutesAreTold(t *testing.T) {
 	table := NewTable(DefaultConfig(), "self")
--- a/transport/backend/witness.go
+++ b/transport/backend/witness.go
@@ -38,6 +38,11 @@
 	if one.startKeeping(now) {
 		p.trustEntry(one)
 	}
+	return p.keepWitness(ctx, to, one, now)
+}
+
+// keepWitness opens another witness of the server if one is needed.
+func (p *Pool) keepWitness(ctx context.Context, to Target, one *peer, now time.Duration) error {
 	one.dropEnded(now)
 	if !one.needsWitness(now) {
 		return nil
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -112,6 +112,8 @@
 
 	// origins is what is known of where streams began.
 	origins *origins
+	// doubts is the evidence about the streams of doubted origin.
+	doubts *doubts
 
 	probes *probes
 	load   load
@@ -159,7 +161,7 @@
 		returning:      returning.New(returning.DefaultConfig()),
 		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(),
 	}
-	r.origins = newOrigins(r)
+	r.origins, r.doubts = newOrigins(r), newDoubts(r)
 	r.admission.SetWarmup(r.warmup)
 	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -73,6 +73,9 @@
 	switch {
 	case !c.stream.isRecorded:
 		c.r.origins.began(origin.Record{ID: id, Origin: c.stream.bound, Doubted: !isCertain}, len(c.route.Targets) > 1, isMixed)
+		if !isCertain {
+			c.r.doubts.add(c.streamID(), c.server, answer)
+		}
 		c.logBegan(now, isMixed, isCertain)
 	case isCertain:
 		c.r.origins.settled(id)
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -177,6 +177,7 @@
 	runEvery(ctx, sweepInterval, func(now time.Time) {
 		r.pool.Sweep(now)
 		r.keepVouched(ctx, now)
+		r.doubts.review()
 		r.sweepCallers(now)
 		r.mu.Lock()
 		defer r.mu.Unlock()
