A stream of doubted origin is refused for as long as the doubt lasts, not for good

Callers who took up a stream whose origin was only doubted got 421, as if two routers disagreed, though the doubt ends within seconds.

Cause: doubted and conflicting were one state, here and on the wire. They stand apart now: a doubt may end, or is lost (the entry has changed or gone, no connection to the process is left), which the router that relayed the stream tells the others. While it may end, callers get 503 with the time until then (EntryLag and the interval of confirmations from when it was first known, or from the store's return); if that is within a second and an eighth of the caller's time, the request waits for it. Those that know of a doubt that should have ended EntryLag ago refuse for good, as whoever could end it is gone.

On the wire each is one more bit of a byte of flags. Routers of the build before do not read it: a test compares the datagrams bit by bit; they go on to refuse with 421.

TestADoubtThatCannotEndIsRefusedForGood: 421 as before.

--- a/coordination/continuation/continuation.go
+++ b/coordination/continuation/continuation.go
@@ -26,8 +26,10 @@
 	Unknown
 	// Unanswered: none that answered knows it, and another one may.
 	Unanswered
-	// Uncertain: routers know different origins, or the process that began it is not known.
+	// Uncertain: routers know different origins, or the process that began it will never be known.
 	Uncertain
+	// Doubted: the process that began it is not known yet, and may still be.
+	Doubted
 	// Known: the origin is known.
 	Known
 )
@@ -66,15 +68,19 @@
 	// ReasonUnanswered: a router that may know it did not answer.
 	ReasonUnanswered Reason = "unanswered"
 	// ReasonUncertain: routers know different versions that began it, or the process that began it
-	// may have been of another version than its server's entry said.
+	// may have been of another version than its server's entry said, and that will never be known.
 	ReasonUncertain Reason = "uncertain"
+	// ReasonDoubted: it is not known yet whether that process was of the version of the entry.
+	ReasonDoubted Reason = "doubted"
 	// ReasonOldView: the router cannot show that there is one version only.
 	ReasonOldView Reason = "old-view"
 )
 
 // Helps reports whether it helps the caller to come back to take the stream up, perhaps at another
 // router. Else it has to start anew.
-func (r Reason) Helps() bool { return r == ReasonUnanswered || r == ReasonOldView }
+func (r Reason) Helps() bool {
+	return r == ReasonUnanswered || r == ReasonOldView || r == ReasonDoubted
+}
 
 // Decision says where the stream may go on.
 type Decision struct {
@@ -92,6 +98,8 @@
 	switch {
 	case s.Knowledge == Uncertain:
 		d.Reason = ReasonUncertain
+	case s.Knowledge == Doubted:
+		d.Reason = ReasonDoubted
 	case s.Knowledge == Known:
 		d.Bound = s.Origin
 		d.Reason = goesOnAt(s)
--- a/coordination/continuation/continuation_test.go
+++ b/coordination/continuation/continuation_test.go
@@ -47,6 +47,10 @@
 			Stream{Knowledge: Uncertain, Services: app, Serving: both, Recent: both, IsCurrent: true},
 			Decision{Reason: ReasonUncertain, IsStrict: true},
 		},
+		"doubted": {
+			Stream{Knowledge: Doubted, Origin: v1, Services: app, Serving: one, Recent: one, IsCurrent: true},
+			Decision{Reason: ReasonDoubted},
+		},
 		"unknown, two versions": {
 			Stream{Knowledge: Unknown, Services: app, Serving: both, Recent: both, IsCurrent: true},
 			Decision{Reason: ReasonUnknown, IsStrict: true},
--- a/coordination/origin/doubt.go
+++ b/coordination/origin/doubt.go
@@ -12,3 +12,19 @@
 	e.doubted, e.hasNews, e.toldNear, e.tellings = false, true, time.Time{}, 0
 	t.fresh = append(t.fresh, id)
 }
+
+// Lost records that the origin of a stream that this router relays or relayed, which is doubted, will
+// never be certain.
+func (t *Table) Lost(id ID) {
+	e := t.records[id]
+	if e == nil || !e.doubted || e.lost {
+		return
+	}
+	e.lost, e.hasNews, e.toldNear, e.tellings = true, true, time.Time{}, 0
+	t.fresh = append(t.fresh, id)
+}
+
+// record returns the entry's record as others are told it.
+func (e *entry) record(id ID) Record {
+	return Record{ID: id, Origin: e.Origin, Doubted: e.doubted, Lost: e.doubted && e.lost}
+}
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -37,6 +37,8 @@
 	// Doubted means that the process that sent its first event may have been of another version
 	// than the entry of its server said: the origin is not known.
 	Doubted bool
+	// Lost means that it will never be known: the doubt does not end.
+	Lost bool
 }
 
 // Config holds the times of a Table.
@@ -66,8 +68,9 @@
 	// known it.
 	By  string
 	For time.Duration
-	// Uncertain means that two origins are known, or that it is doubted: none is certain.
-	Uncertain bool
+	// Uncertain means that two origins are known, or that it is doubted: none is certain. MayEnd means
+	// that it is only doubted, and that the doubt may still end.
+	Uncertain, MayEnd bool
 }
 
 // Table holds the origins that one router knows. It must not be used concurrently.
@@ -88,8 +91,8 @@
 	since       time.Time
 	until       time.Time
 	conflicting bool
-	// doubted is set while the process that sent the first event is not known.
-	doubted bool
+	// doubted is set while the process that sent the first event is not known, lost if it never will be.
+	doubted, lost bool
 	// hasNews is set while others are to be told what became of the doubt, also after the stream has ended.
 	hasNews bool
 	// runs is the number of answers of this router that relay the stream now.
@@ -145,7 +148,7 @@
 		t.records[r.ID] = e
 	}
 	e.conflicting = e.conflicting || e.Origin != r.Origin
-	e.doubted = e.doubted && r.Doubted
+	e.doubted, e.lost = e.doubted && r.Doubted, e.lost || r.Lost
 	e.until = now.Add(t.cfg.Life)
 	return e
 }
@@ -156,7 +159,7 @@
 	if e == nil || now.After(e.until) && e.runs == 0 {
 		return Known{}, false
 	}
-	return Known{Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted}, true
+	return Known{Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted, MayEnd: e.doubted && !e.conflicting && !e.lost}, true
 }
 
 // Len returns the number of records.
@@ -177,10 +180,10 @@
 		}
 		if e.toldNear.IsZero() || now.Sub(e.toldNear) >= t.cfg.Refresh {
 			e.hasNews = e.hasNews && e.toldNear.IsZero()
-			near, e.toldNear = append(near, Record{id, e.Origin, e.doubted}), now
+			near, e.toldNear = append(near, e.record(id)), now
 		}
 		if e.tellings == 0 || e.tellings == 1 && now.Sub(e.toldFar) >= t.cfg.Repeat {
-			far, e.toldFar = append(far, Record{id, e.Origin, e.doubted}), now
+			far, e.toldFar = append(far, e.record(id)), now
 			e.tellings++
 		}
 	}
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -129,6 +129,36 @@
 	qt.Check(t, tellings, qt.DeepEquals, map[string]int{"near": 2, "far": 2})
 }
 
+// Guards against callers who are asked to come back for a doubt that does not end, and who are refused
+// for good for one that does: both stand apart, here and at those that are told, and two origins end
+// all hope.
+func TestADoubtThatDoesNotEndStandsApart(t *testing.T) {
+	table, other := NewTable(DefaultConfig(), "self"), NewTable(DefaultConfig(), "other")
+	check := func(at *Table, want Known) {
+		t.Helper()
+		got, _ := at.Lookup(start, 1)
+		got.Origin, got.By = Origin{}, ""
+		qt.Check(t, got, qt.Equals, want)
+	}
+	table.Began(start, Record{ID: 1, Origin: v1, Doubted: true}, false)
+	near, _ := table.Due(start, never)
+	other.Told(start, "self", near[0])
+	check(table, Known{Uncertain: true, MayEnd: true})
+	check(other, Known{Uncertain: true, MayEnd: true})
+	table.Ended(start, 1)
+	table.Lost(1)
+	near, far := table.Due(start, never)
+	qt.Assert(t, near, qt.DeepEquals, []Record{{ID: 1, Origin: v1, Doubted: true, Lost: true}})
+	qt.Assert(t, far, qt.DeepEquals, near)
+	check(table, Known{Uncertain: true})
+	other.Told(start, "self", near[0])
+	check(other, Known{Uncertain: true})
+	third := NewTable(DefaultConfig(), "third")
+	third.Told(start, "self", Record{ID: 1, Origin: v1, Doubted: true})
+	third.Told(start, "r9", Record{ID: 1, Origin: v2, Doubted: true})
+	check(third, Known{Uncertain: true})
+}
+
 // A stream of a route with several services is told though each has one version.
 func TestOriginsOfSplitRoutesAreTold(t *testing.T) {
 	table := NewTable(DefaultConfig(), "self")
--- a/coordination/vouching/evidence_test.go
+++ b/coordination/vouching/evidence_test.go
@@ -35,6 +35,31 @@
 	qt.Check(t, ev.Continued(21*second, 30*second), qt.Equals, ev)
 }
 
+// How long a doubt lasts that is as old as given: callers are told to come back then. Entries lag 4 s
+// and are confirmed each second.
+func TestRemaining(t *testing.T) {
+	c := DefaultConfig()
+	for name, tc := range map[string]struct {
+		s          Confirmations
+		since, now time.Duration
+		want       time.Duration
+		mayEnd     bool
+	}{
+		"it has just begun":                {Confirmations{ConfirmedAt: 60 * second}, 60 * second, 60 * second, 5 * second, true},
+		"it ends soon":                     {Confirmations{ConfirmedAt: 64 * second}, 60 * second, 64 * second, second, true},
+		"it is overdue":                    {Confirmations{ConfirmedAt: 67 * second}, 60 * second, 67 * second, second / 4, true},
+		"nobody can know it any more":      {Confirmations{ConfirmedAt: 70 * second}, 60 * second, 70 * second, 0, false},
+		"the store is away":                {Confirmations{ConfirmedAt: 60 * second}, 60 * second, 80 * second, 5 * second, true},
+		"the store has answered for 2 s":   {Confirmations{ConfirmedAt: 80 * second, ResumedAt: 78 * second}, 60 * second, 80 * second, 3 * second, true},
+		"the store has answered for 10 s":  {Confirmations{ConfirmedAt: 80 * second, ResumedAt: 70 * second}, 60 * second, 80 * second, 0, false},
+		"it is older than any known entry": {Confirmations{ConfirmedAt: 80 * second}, 0, 80 * second, 0, false},
+	} {
+		got, mayEnd := c.Remaining(tc.s, tc.since, tc.now)
+		qt.Check(t, got, qt.Equals, tc.want, qt.Commentf(name))
+		qt.Check(t, mayEnd, qt.Equals, tc.mayEnd, qt.Commentf(name))
+	}
+}
+
 // tick is the unit of the model's time.
 const tick = 100 * time.Millisecond
 
--- a/coordination/vouching/vouching.go
+++ b/coordination/vouching/vouching.go
@@ -17,10 +17,13 @@
 	// the former one has lapsed. Default 4s: three heartbeats of a second and the way to the
 	// store and back.
 	EntryLag time.Duration
+	// ConfirmEvery is the interval at which entries are confirmed in a fleet that reaches the store.
+	// Default 1s.
+	ConfirmEvery time.Duration
 }
 
 // DefaultConfig returns the documented default.
-func DefaultConfig() Config { return Config{EntryLag: 4 * time.Second} }
+func DefaultConfig() Config { return Config{EntryLag: 4 * time.Second, ConfirmEvery: time.Second} }
 
 // Entry is what a router knows of a server's entry. Times are on one clock.
 type Entry struct {
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -45,10 +45,17 @@
 	flagKnown     = 1
 	flagUncertain = 2
 	flagMixed     = 4
+	// flagMayEnd stands beside flagUncertain. Routers that do not know it take the doubt for one that
+	// does not end.
+	flagMayEnd = 8
 )
 
-// flagDoubted is the flag of a group of records.
-const flagDoubted = 1
+// Flags of a group of records.
+const (
+	flagDoubted = 1
+	// flagLost stands beside flagDoubted. Routers that do not know it ignore it.
+	flagLost = 2
+)
 
 // ErrForm means that a datagram is not a well-formed message of this version.
 var ErrForm = errors.New("no message about origins of this version")
@@ -93,11 +100,11 @@
 func appendRecords(b []byte, records []origin.Record) []byte {
 	type group struct {
 		origin.Origin
-		isDoubted bool
+		isDoubted, isLost bool
 	}
 	groups := make(map[group][]origin.ID)
 	for _, one := range records {
-		g := group{one.Origin, one.Doubted}
+		g := group{one.Origin, one.Doubted, one.Lost}
 		groups[g] = append(groups[g], one.ID)
 	}
 	b = binary.LittleEndian.AppendUint16(b, uint16(min(len(groups), maxCount)))
@@ -107,6 +114,9 @@
 		if o.isDoubted {
 			flags |= flagDoubted
 		}
+		if o.isLost {
+			flags |= flagLost
+		}
 		b = appendName(appendName(append(b, flags), o.Service), string(o.Version))
 		b = binary.LittleEndian.AppendUint16(b, uint16(len(ids)))
 		for _, id := range ids {
@@ -124,6 +134,9 @@
 	if m.Known.Uncertain {
 		flags |= flagUncertain
 	}
+	if m.Known.MayEnd {
+		flags |= flagMayEnd
+	}
 	if m.Mixed {
 		flags |= flagMixed
 	}
@@ -188,13 +201,13 @@
 func (d *decoder) records() []origin.Record {
 	var out []origin.Record
 	for range d.count() {
-		isDoubted := d.next(1)[0]&flagDoubted != 0
+		flags := d.next(1)[0]
 		o := origin.Origin{Service: d.name(), Version: roster.Version(d.name())}
 		for range d.count() {
 			if d.failed {
 				return nil
 			}
-			out = append(out, origin.Record{ID: origin.ID(d.id()), Origin: o, Doubted: isDoubted})
+			out = append(out, origin.Record{ID: origin.ID(d.id()), Origin: o, Doubted: flags&flagDoubted != 0, Lost: flags&flagLost != 0})
 		}
 	}
 	return out
@@ -204,6 +217,7 @@
 	m.Number = d.number()
 	flags := d.next(1)[0]
 	m.IsKnown, m.Known.Uncertain, m.Mixed = flags&flagKnown != 0, flags&flagUncertain != 0, flags&flagMixed != 0
+	m.Known.MayEnd = flags&flagMayEnd != 0
 	m.Known.Service, m.Known.Version, m.Known.By = d.name(), roster.Version(d.name()), d.name()
 	m.Known.For = time.Duration(d.number()) * time.Millisecond
 }
--- a/protocol/originmsg/originmsg_test.go
+++ b/protocol/originmsg/originmsg_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"testing"
 	"time"
@@ -20,10 +21,12 @@
 		{ID: 1, Origin: origin.Origin{Service: "app", Version: "v1"}}, {ID: 2, Origin: origin.Origin{Service: "app", Version: "v1"}},
 		{ID: 3, Origin: origin.Origin{Service: "app", Version: "v1.2"}}, {ID: 4, Origin: origin.Origin{Service: "other", Version: ""}},
 		{ID: 5, Origin: origin.Origin{Service: "app", Version: "v1"}, Doubted: true},
+		{ID: 6, Origin: origin.Origin{Service: "app", Version: "v1"}, Doubted: true, Lost: true},
 	}},
 	{Kind: Asks, Router: "r2", Number: 7, ID: 1 << 63, Service: "app"},
 	{Kind: Answers, Router: "r3", Number: 7, IsKnown: true, Known: origin.Known{Origin: origin.Origin{Service: "app", Version: "v1"}, By: "r1", For: 1500 * time.Millisecond}, Mixed: true},
 	{Kind: Answers, Router: "r3", Number: 8, IsKnown: true, Known: origin.Known{Uncertain: true}},
+	{Kind: Answers, Router: "r3", Number: 8, IsKnown: true, Known: origin.Known{Uncertain: true, MayEnd: true}},
 	{Kind: Answers, Router: "r3", Number: 9},
 }
 
@@ -46,6 +49,25 @@
 	}
 }
 
+// Guards against routers of the build before that take no message with what they do not know: such
+// messages differ from those that they know by one bit of their flags, which they do not read.
+func TestDoubtsAreReadByRoutersOfTheBuildBefore(t *testing.T) {
+	ends := Message{Kind: Answers, Router: "r3", Number: 8, IsKnown: true, Known: origin.Known{Uncertain: true, MayEnd: true}}
+	lost := Message{Kind: Tells, Router: "r1", Records: []origin.Record{{ID: 6, Doubted: true, Lost: true}}}
+	known, knownLost := ends, lost
+	known.Known.MayEnd = false
+	knownLost.Records = []origin.Record{{ID: 6, Doubted: true}}
+	for _, pair := range [][2]Message{{ends, known}, {lost, knownLost}} {
+		with, without := Append(nil, pair[0]), Append(nil, pair[1])
+		qt.Assert(t, with, qt.HasLen, len(without))
+		differing := 0
+		for i := range with {
+			differing += bits.OnesCount8(with[i] ^ without[i])
+		}
+		qt.Check(t, differing, qt.Equals, 1)
+	}
+}
+
 // Whatever arrives, reading it does not fail otherwise than by an error.
 func TestAnythingMayArrive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/transport/backend/evidence.go
+++ b/transport/backend/evidence.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// DoubtLeft returns how long it takes until a process is known that was doubted for the given time, as
+// vouching.Config.Remaining.
+func (p *Pool) DoubtLeft(doubtedFor time.Duration) (time.Duration, bool) {
+	now := sinceEpochDuration()
+	p.confirmMu.Lock()
+	defer p.confirmMu.Unlock()
+	return p.cfg.Vouching.Remaining(p.confirmations, now-doubtedFor, now)
+}
+
 // KeepKnown keeps a witness of the server as KeepVouched does, for the sake of what is known of its
 // present process. It takes the server's entry for what it is.
 func (p *Pool) KeepKnown(ctx context.Context, to Target) error {
--- a/transport/direct/doubt_test.go
+++ b/transport/direct/doubt_test.go
@@ -57,6 +57,28 @@
 	}
 }
 
+// Guards against a caller who is sent away, and opens another connection, when the doubt ends within a
+// small part of the time that is left.
+func TestACallerWaitsForADoubtThatEndsSoon(t *testing.T) {
+	f, _, first := startDoubted(t, 2)
+	f.allow(0, 15*time.Second)
+	time.Sleep(vouching.DefaultConfig().EntryLag)
+	got := f.try(0, pathStream, 0, testLast, strconv.Itoa(breakAt), testResumes, first.id, testLeft, "10000")
+	f.goesOn(first, got, "a moment before the process is known")
+}
+
+// allow lets the requests at the router last so long.
+func (f *resumeFleet) allow(n int, timeout time.Duration) {
+	f.Helper()
+	r := f.routers[n]
+	c := testConfig(2)
+	for i := range c.Routes {
+		c.Routes[i].Timeout = timeout
+	}
+	r.source.changes <- mirror.Delta{Config: c, Revision: r.router.knownRevision() + 1}
+	r.waitFor("the configuration is not in force", func() bool { return r.router.table.Load().Version() == 2 })
+}
+
 // Guards against callers who come back again and again to a stream whose doubt can not end, as the
 // server's entry has named another version meanwhile.
 func TestADoubtThatCannotEndIsRefusedForGood(t *testing.T) {
--- a/transport/direct/doubts.go
+++ b/transport/direct/doubts.go
@@ -42,6 +42,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.open) >= maxDoubts {
+		d.r.origins.lost(origin.IDOf(stream))
 		return
 	}
 	d.open[origin.IDOf(stream)] = &doubt{stream: stream, server: server, evidence: answer.Evidence()}
@@ -74,7 +75,7 @@
 	ids, evidence := make([]origin.ID, 0, len(d.open)), make([]*backend.Evidence, 0, len(d.open))
 	for id, one := range d.open {
 		known, isKnown := d.r.origins.lookup(id)
-		if !isKnown || !known.Uncertain {
+		if !isKnown || !known.MayEnd {
 			delete(d.open, id)
 			continue
 		}
@@ -95,6 +96,8 @@
 	delete(d.open, id)
 	if finding == backend.Settled {
 		d.r.origins.settled(id)
+	} else {
+		d.r.origins.lost(id)
 	}
 	if allowed, dropped := d.r.streamLines.Allow("stream_doubt_ended", time.Now()); allowed {
 		d.r.event("stream_doubt_ended", "stream", stream, "settled", finding == backend.Settled, "left_out", dropped)
--- a/transport/direct/origins.go
+++ b/transport/direct/origins.go
@@ -73,6 +73,14 @@
 	o.wake()
 }
 
+// lost records that the origin of a stream that is doubted will never be certain.
+func (o *origins) lost(id origin.ID) {
+	o.mu.Lock()
+	o.table.Lost(id)
+	o.mu.Unlock()
+	o.wake()
+}
+
 // wake lets the task that announces origins look for those that are due.
 func (o *origins) wake() {
 	select {
--- a/transport/direct/place.go
+++ b/transport/direct/place.go
@@ -46,7 +46,7 @@
 	case c.reached > 0:
 		c.fail(outcome.ReasonBackend, http.StatusBadGateway, "the answer was lost and no further server is free")
 	case c.stream.isBound && !c.hasVersion():
-		c.refuse(*refuseStream(continuation.ReasonVersionGone))
+		c.refuse(*refuseStream(continuation.ReasonVersionGone, 0))
 	case d.Verdict == admission.Refuse && d.Cold:
 		c.refuse(*notRun(outcome.ReasonQueueFull, d.RetryAfter, "the backend servers are cold and get as much as they bear"))
 	case d.Verdict == admission.Refuse && d.Reason == admission.ReasonBackoff:
--- a/transport/direct/resume.go
+++ b/transport/direct/resume.go
@@ -20,21 +20,25 @@
 	if !c.resumesEarlier() {
 		return nil
 	}
-	d := continuation.Decide(c.describeStream(ctx))
+	d := c.decideStream(ctx)
 	c.stream.bound, c.stream.isStrict = d.Bound, d.IsStrict
 	if d.Bound.Service != "" {
 		c.service = d.Bound.Service
 	}
 	if d.Reason != continuation.ReasonNone {
 		c.goesOnNowhere(string(d.Reason))
-		return refuseStream(d.Reason)
+		return refuseStream(d.Reason, c.stream.doubtLeft)
 	}
 	c.stream.isBound, c.stream.isCertain = true, true
 	return nil
 }
 
-// refuseStream refuses a stream that may not go on here. The request has not run.
-func refuseStream(reason continuation.Reason) *outcome.Outcome {
+// refuseStream refuses a stream that may not go on here, if its origin is doubted for as long as that
+// takes. The request has not run.
+func refuseStream(reason continuation.Reason, doubtLeft time.Duration) *outcome.Outcome {
+	if reason == continuation.ReasonDoubted {
+		return notRun(outcome.ReasonStreamUnknown, doubtLeft, "it is not known yet which software version began the stream")
+	}
 	if reason.Helps() {
 		return notRun(outcome.ReasonStreamUnknown, resumeRetryAfter, "it is not known here which software version began the stream; another router may know")
 	}
@@ -92,8 +96,5 @@
 	}
 	c.stream.knownBy, c.stream.knownFor = known.By, known.For
 	s.Origin = known.Origin
-	if known.Uncertain {
-		return continuation.Uncertain
-	}
-	return continuation.Known
+	return c.weigh(known)
 }
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -31,6 +31,8 @@
 	knownFor time.Duration
 	// asked is how long other routers were asked.
 	asked time.Duration
+	// doubtLeft is how long it takes until its origin is known, which is doubted.
+	doubtLeft time.Duration
 }
 
 // streamID returns the id of the caller's attempt that brought the first event of the stream:
