Witnesses are shared out among versions, so that late in a release the old one has some

Callers of the version that a release replaces got 503 again and again at routers before more than 64 servers: the connections that are kept so that processes are known went to the nearest servers, first by id, of whichever version. Now servers of each service and version take turns; 64 in all, as before.

Before: of 192 near servers of v2 and a far one of v1 none of 64 witnesses led to v1.

--- a/transport/direct/vouched.go
+++ b/transport/direct/vouched.go
@@ -27,8 +27,9 @@
 	}
 }
 
-// serversToVouch returns the servers of services with several versions, those of this data centre
-// first.
+// serversToVouch returns the servers of services with several versions, as many of each version as can
+// be, those of this data centre first: late in a release few servers of a version are left, and only
+// they can go on with its streams.
 func (r *Router) serversToVouch(now time.Time) []roster.Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,9 +46,26 @@
 	slices.SortFunc(out, func(a, b roster.Server) int {
 		return cmp.Or(cmp.Compare(r.distance(a), r.distance(b)), cmp.Compare(a.ID, b.ID))
 	})
+	takeTurns(out)
 	return out[:min(len(out), maxVouched)]
 }
 
+// takeTurns orders servers so that those of one service and version come by turns with those of others.
+// Among themselves they keep their order.
+func takeTurns(all []roster.Server) {
+	type group struct {
+		service string
+		version roster.Version
+	}
+	sizes, turns := make(map[group]int), make(map[string]int, len(all))
+	for _, server := range all {
+		g := group{server.Service, server.Version}
+		turns[server.ID] = sizes[g]
+		sizes[g]++
+	}
+	slices.SortStableFunc(all, func(a, b roster.Server) int { return cmp.Compare(turns[a.ID], turns[b.ID]) })
+}
+
 // distance orders servers: those of this data centre first.
 func (r *Router) distance(server roster.Server) int {
 	if server.DataCentre == r.set.DataCentre {
