Callers are told when a connection to their stream's version will be vouched for

Callers of a stream none of whose servers has a vouched connection got 503 with Retry-After 50 ms, and those who come back once were refused again: after a server has started again it takes EntryLag and a confirmation until its process is known.

The admission gets from the pool how long that takes, for the process behind the present connections or one to be opened now, and tells the caller the least over the servers of the version, unless a server that was only avoided is free before. Nothing goes on over a connection that is not vouched for.

Ruled out: a shorter time by trusting a process that answers, as it may be of another version until its entry is confirmed (TestADoubtedStreamOfAProcessThatNeverWroteItsEntry).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		if !req.Bound.trusts(srv) {
-			excluded.addAvoided(s.cfg.RetryAfterMin)
+			excluded.addUntrusted(max(req.Bound.trustedIn(srv), s.cfg.RetryAfterMin))
 			continue
 		}
 		out = append(out, srv)
--- a/coordination/admission/backoff.go
+++ b/coordination/admission/backoff.go
@@ -21,6 +21,9 @@
 	// avoidedWait is the time until a server at which the request failed may get it
 	// again; 0: there is none.
 	avoidedWait time.Duration
+	// trustWait is the time until the first server may get the request whose process is not known well
+	// enough yet; 0: there is none.
+	trustWait time.Duration
 }
 
 func (e *exclusions) addBackoff(wait time.Duration) {
@@ -42,6 +45,17 @@
 	}
 }
 
+// addUntrusted adds a server whose process is known well enough after the time.
+func (e *exclusions) addUntrusted(wait time.Duration) {
+	e.addAvoided(wait)
+	if e.trustWait == 0 || wait < e.trustWait {
+		e.trustWait = wait
+	}
+}
+
+// waitsForTrust reports whether no server may get the request before the first one is known well enough.
+func (e *exclusions) waitsForTrust() bool { return e.trustWait > 0 && e.trustWait == e.avoidedWait }
+
 // retrySpread is the interval over which the retry times of callers are spread that
 // would otherwise all come back at the same moment.
 const retrySpread = 250 * time.Millisecond
@@ -50,6 +64,8 @@
 // first server may get it.
 func (s *State) refuseUnplaceable(e exclusions) Decision {
 	switch {
+	case e.firstWait == 0 && e.waitsForTrust():
+		return Decision{Verdict: NoServer, Reason: ReasonNoServer, RetryAfter: e.trustWait}
 	case e.firstWait == 0, e.firstBacksOff && e.avoidedWait > 0 && e.avoidedWait < e.firstWait:
 		return Decision{Verdict: NoServer, Reason: ReasonNoServer, RetryAfter: s.cfg.RetryAfterMin}
 	case e.firstIsCold:
--- a/coordination/admission/bound_test.go
+++ b/coordination/admission/bound_test.go
@@ -47,6 +47,15 @@
 	d = s.Place(epoch, Request{Service: "app", Bound: &Bound{Version: "v1", Trusts: func(string) bool { return false }}})
 	qt.Check(t, d.Verdict, qt.Equals, NoServer)
 	qt.Check(t, d.RetryAfter > 0, qt.IsTrue)
+	// Its caller comes back when the first of its version is known, unless another one is free before.
+	waits := &Bound{Version: "v1", Trusts: func(string) bool { return false }, TrustedIn: func(identity string) time.Duration {
+		return map[string]time.Duration{"i-0": 4 * time.Second, "i-1": 3 * time.Second}[identity]
+	}}
+	d = s.Place(epoch, Request{Service: "app", Bound: waits})
+	qt.Check(t, d.Verdict, qt.Equals, NoServer)
+	qt.Check(t, d.RetryAfter, qt.Equals, 3*time.Second)
+	d = s.Place(epoch, Request{Service: "app", Bound: waits, Avoid: []string{"i-1"}})
+	qt.Check(t, d.RetryAfter, qt.Equals, s.cfg.RetryAfterMin)
 	qt.Check(t, s.HasOther(epoch, Request{Service: "app", Avoid: []string{"i-0", "i-1"}, Bound: &Bound{Version: "v1"}}), qt.IsFalse)
 	qt.Check(t, s.HasOther(epoch, Request{Service: "app", Avoid: []string{"i-0", "i-1"}}), qt.IsTrue)
 }
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -58,6 +58,8 @@
 	Resumes bool
 	// Trusts reports whether the process behind the server's entry is known to be of its version.
 	Trusts func(identity string) bool
+	// TrustedIn returns how long it takes until it is, for a server whose process is not; 0: unknown.
+	TrustedIn func(identity string) time.Duration
 }
 
 // allows reports whether the request may go to the server.
@@ -69,6 +71,14 @@
 // trusts reports whether the process behind the server's entry is known well enough.
 func (b *Bound) trusts(srv *server) bool { return b == nil || b.Trusts(srv.identity) }
 
+// trustedIn returns how long it takes until it is known; 0: unknown.
+func (b *Bound) trustedIn(srv *server) time.Duration {
+	if b.TrustedIn == nil {
+		return 0
+	}
+	return b.TrustedIn(srv.identity)
+}
+
 // Verdict says what happens to a request.
 type Verdict int
 
--- a/transport/backend/evidence.go
+++ b/transport/backend/evidence.go
@@ -108,6 +108,19 @@
 	return p.cfg.Vouching.Remaining(p.confirmations, now-doubtedFor, now)
 }
 
+// TrustedIn returns how long it takes until Offers reports true for the server, if its present process
+// lives on and the store answers; 0: unknown.
+func (p *Pool) TrustedIn(id string, need Trust) time.Duration {
+	one := p.peerOf(id)
+	now := sinceEpochDuration()
+	since := min(one.knownSince(), now)
+	if e := p.entryOf(one); need == NoSuspect && e.Died {
+		since = min(since, e.DiedAt)
+	}
+	left, _ := p.DoubtLeft(now - since)
+	return left
+}
+
 // KeepKnown keeps a witness of the server as KeepVouched does, for the sake of what is known of its
 // present process. It takes the server's entry for what it is.
 func (p *Pool) KeepKnown(ctx context.Context, to Target) error {
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -135,9 +135,10 @@
 	}
 	need := c.requiredTrustLocked(now)
 	return &admission.Bound{
-		Version: c.stream.bound.Version,
-		Resumes: c.resumesEarlier() && c.stream.knownBy != "",
-		Trusts:  func(identity string) bool { return c.r.pool.Offers(identity, need) },
+		Version:   c.stream.bound.Version,
+		Resumes:   c.resumesEarlier() && c.stream.knownBy != "",
+		Trusts:    func(identity string) bool { return c.r.pool.Offers(identity, need) },
+		TrustedIn: func(identity string) time.Duration { return c.r.pool.TrustedIn(identity, need) },
 	}
 }
 
