--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -92,6 +92,8 @@
 	infoWanted chan struct{}
 	// storeConfirmed wakes the gossiper when the store has answered anew.
 	storeConfirmed chan struct{}
+	// serversJoined wakes vouchOnChange when entries of servers are new.
+	serversJoined chan struct{}
 	// attached holds the changes that are sent with the next message.
 	attached attachedChanges
 	// pending is a revision that another router confirmed as current and this router has not
@@ -153,6 +155,7 @@
 		loggedInvalid:  make(map[string]uint64),
 		catchUpNeeded:  make(chan struct{}, 1),
 		storeConfirmed: make(chan struct{}, 1),
+		serversJoined:  make(chan struct{}, 1),
 		infoWanted:     make(chan struct{}, 1),
 		reportsReady:   make(chan struct{}, 1),
 		probes:         newProbes(),
@@ -211,6 +214,7 @@
 	srv := r.callerServer()
 	go r.follow(ctx)
 	go r.sweep(ctx)
+	go r.vouchOnChange(ctx)
 	go r.register(ctx)
 	go r.syncQuarantine(ctx)
 	go r.syncServed(ctx)
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -154,6 +154,7 @@
 			r.pool.Returned(c.Server.Identity())
 			if c.Reason == roster.ReasonJoined {
 				r.pool.Entered(c.Server.Identity())
+				wake(r.serversJoined)
 			}
 			if c.Reason == roster.ReasonReturned {
 				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.Revision())
--- a/transport/direct/vouched.go
+++ b/transport/direct/vouched.go
@@ -27,6 +27,32 @@
 	}
 }
 
+// gatherJoined is for how long entries that are new are gathered.
+const gatherJoined = 10 * time.Millisecond
+
+// vouchOnChange keeps those connections from the moment at which entries of servers are new, until ctx
+// ends: a stream may need them at once when the first server of another version comes, and may be cut
+// by a server whose entry has come back.
+func (r *Router) vouchOnChange(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.serversJoined:
+			sleep(ctx, gatherJoined)
+			r.keepVouched(ctx, time.Now())
+		}
+	}
+}
+
+// wake lets the task that waits on the channel go on.
+func wake(task chan<- struct{}) {
+	select {
+	case task <- struct{}{}:
+	default:
+	}
+}
+
 // serversToVouch returns the servers of services with several versions, as many of each version as can
 // be, those of this data centre first: late in a release few servers of a version are left, and only
 // they can go on with its streams.
