--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -36,6 +36,8 @@
 	// Doubted means that the process that sent its first event may have been of another version
 	// than the entry of its server said: the origin is not known.
 	Doubted bool
+	// Lost means that it will never be known: the doubt does not end.
+	Lost bool
 }
 
 // Config holds the times of a Table.
@@ -66,10 +68,9 @@
 	// known it.
 	By  string
 	For time.Duration
-	// Uncertain means that two origins are known, or that it is doubted: none is certain.
-	Uncertain bool
-	// Conflicting means that two origins are known.
-	Conflicting bool
+	// Uncertain means that two origins are known, or that it is doubted: none is certain. Conflicting
+	// means that two are known, and MayEnd that it is only doubted, and that the doubt may still end.
+	Uncertain, Conflicting, MayEnd bool
 }
 
 // Table holds the origins that one router knows. It must not be used concurrently.
@@ -90,8 +91,10 @@
 	since       time.Time
 	until       time.Time
 	conflicting bool
-	// doubted is set while the process that sent the first event is not known.
-	doubted bool
+	// doubted is set while the process that sent the first event is not known, lost if it never will be.
+	doubted, lost bool
+	// hasNews is set while others are to be told what became of the doubt, also after the stream has ended.
+	hasNews bool
 	// runs is the number of answers of this router that relay the stream now.
 	runs int
 	// isSplit means that the stream's route has several services, so that its service must be
@@ -121,16 +124,6 @@
 	t.fresh = append(t.fresh, r.ID)
 }
 
-// Settled records that the origin of a stream that this router relays, which was doubted, is certain.
-func (t *Table) Settled(id ID) {
-	e := t.records[id]
-	if e == nil || !e.doubted {
-		return
-	}
-	e.doubted, e.toldNear, e.tellings, e.isJournaled = false, time.Time{}, 0, false
-	t.fresh = append(t.fresh, id)
-}
-
 // Ended records that this router relays the stream no more. Its caller may not have got all that was
 // sent, and may still come back.
 func (t *Table) Ended(now time.Time, id ID) {
@@ -163,7 +156,7 @@
 	out := make([]Record, 0, len(t.records))
 	for id, e := range t.records {
 		if !e.conflicting && !t.isExpired(now, e) {
-			out = append(out, Record{id, e.Origin, e.doubted})
+			out = append(out, e.record(id))
 		}
 	}
 	return out
@@ -184,7 +177,7 @@
 		t.records[r.ID] = e
 	}
 	e.conflicting = e.conflicting || e.Origin != r.Origin
-	e.doubted = e.doubted && r.Doubted
+	e.doubted, e.lost = e.doubted && r.Doubted, e.lost || r.Lost
 	e.until = now.Add(t.cfg.Life)
 	return e
 }
@@ -195,7 +188,10 @@
 	if e == nil || t.isExpired(now, e) {
 		return Known{}, false
 	}
-	return Known{Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted, Conflicting: e.conflicting}, true
+	return Known{
+		Origin: e.Origin, By: e.by, For: now.Sub(e.since), Uncertain: e.conflicting || e.doubted, Conflicting: e.conflicting,
+		MayEnd: e.doubted && !e.conflicting && !e.lost,
+	}, true
 }
 
 // Len returns the number of records.
@@ -215,24 +211,24 @@
 
 // Due returns the records to be announced and written now. Only streams that run here, or did since
 // the last call, are among them, and only those of services that are mixed, whose routes have several
-// services, or whose origin is doubted. In a small fleet those beyond the data centre are told again
-// as well as those in it.
+// services, or whose origin is doubted; what became of a doubt is announced twice, also later. In a small
+// fleet those beyond the data centre are told again as well as those in it.
 func (t *Table) Due(now time.Time, isMixed func(service string) bool, isSmall bool) Due {
 	var due Due
 	look := func(id ID) {
 		e := t.records[id]
-		if e == nil || e.conflicting || !e.isSplit && !e.doubted && !isMixed(e.Service) {
+		if e == nil || e.conflicting || !e.isSplit && !e.doubted && !e.hasNews && !isMixed(e.Service) {
 			return
 		}
-		record := Record{id, e.Origin, e.doubted}
 		if !e.isJournaled {
-			due.Store, e.isJournaled = append(due.Store, record), true
+			due.Store, e.isJournaled = append(due.Store, e.record(id)), true
 		}
-		if e.toldNear.IsZero() || e.runs > 0 && now.Sub(e.toldNear) >= t.cfg.Refresh {
-			due.Near, e.toldNear = append(due.Near, record), now
+		if e.toldNear.IsZero() || e.isTold() && now.Sub(e.toldNear) >= t.cfg.Refresh {
+			e.hasNews = e.hasNews && e.toldNear.IsZero()
+			due.Near, e.toldNear = append(due.Near, e.record(id)), now
 		}
 		if t.isFarDue(now, e, isSmall) {
-			due.Far, e.toldFar = append(due.Far, record), now
+			due.Far, e.toldFar = append(due.Far, e.record(id)), now
 			e.tellings++
 		}
 	}
@@ -243,7 +239,7 @@
 	if now.Sub(t.looked) >= lookInterval {
 		t.looked = now
 		for id, e := range t.records {
-			if e.runs > 0 {
+			if e.isTold() {
 				look(id)
 			}
 		}
@@ -251,12 +247,15 @@
 	return due
 }
 
+// isTold reports whether others are told of the stream again and again.
+func (e *entry) isTold() bool { return e.runs > 0 || e.hasNews }
+
 // isFarDue reports whether the record has to be announced beyond the data centre.
 func (t *Table) isFarDue(now time.Time, e *entry, isSmall bool) bool {
 	switch {
 	case e.tellings == 0:
 		return true
-	case e.runs == 0:
+	case !e.isTold():
 		return false
 	case e.tellings == 1:
 		return now.Sub(e.toldFar) >= t.cfg.Repeat
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -111,6 +111,60 @@
 	qt.Check(t, got.Uncertain, qt.IsFalse)
 }
 
+// Guards against routers that were told of a doubt and never of its end, as the stream has ended by then
+// or its service has one version: they are told twice.
+func TestASettledOriginIsToldAfterItsStreamHasEnded(t *testing.T) {
+	table, tellings := NewTable(DefaultConfig(), "self"), map[string]int{}
+	table.Began(start, Record{ID: 1, Origin: v1, Doubted: true}, false)
+	table.Due(start, never, false)
+	table.Ended(after(100*time.Millisecond), 1)
+	due := table.Due(after(5*time.Second), never, false)
+	near, far := due.Near, due.Far
+	qt.Check(t, len(near)+len(far), qt.Equals, 0)
+	table.Settled(1)
+	for ms := 5000; ms <= 15_000; ms += 100 {
+		due := table.Due(after(time.Duration(ms)*time.Millisecond), never, false)
+		near, far := due.Near, due.Far
+		tellings["near"] += len(near)
+		tellings["far"] += len(far)
+		for _, one := range append(near, far...) {
+			qt.Check(t, one, qt.Equals, Record{ID: 1, Origin: v1})
+		}
+	}
+	qt.Check(t, tellings, qt.DeepEquals, map[string]int{"near": 2, "far": 2})
+}
+
+// Guards against callers who are asked to come back for a doubt that does not end, and who are refused
+// for good for one that does: both stand apart, here and at those that are told, and two origins end
+// all hope.
+func TestADoubtThatDoesNotEndStandsApart(t *testing.T) {
+	table, other := NewTable(DefaultConfig(), "self"), NewTable(DefaultConfig(), "other")
+	check := func(at *Table, want Known) {
+		t.Helper()
+		got, _ := at.Lookup(start, 1)
+		got.Origin, got.By = Origin{}, ""
+		qt.Check(t, got, qt.Equals, want)
+	}
+	table.Began(start, Record{ID: 1, Origin: v1, Doubted: true}, false)
+	near := table.Due(start, never, false).Near
+	other.Told(start, "self", near[0])
+	check(table, Known{Uncertain: true, MayEnd: true})
+	check(other, Known{Uncertain: true, MayEnd: true})
+	table.Ended(start, 1)
+	table.Lost(1)
+	due := table.Due(start, never, false)
+	near, far := due.Near, due.Far
+	qt.Assert(t, near, qt.DeepEquals, []Record{{ID: 1, Origin: v1, Doubted: true, Lost: true}})
+	qt.Assert(t, far, qt.DeepEquals, near)
+	check(table, Known{Uncertain: true})
+	other.Told(start, "self", near[0])
+	check(other, Known{Uncertain: true})
+	third := NewTable(DefaultConfig(), "third")
+	third.Told(start, "self", Record{ID: 1, Origin: v1, Doubted: true})
+	third.Told(start, "r9", Record{ID: 1, Origin: v2, Doubted: true})
+	check(third, Known{Uncertain: true, Conflicting: true})
+}
+
 // A stream of a route with several services is told though each has one version.
 func TestOriginsOfSplitRoutesAreTold(t *testing.T) {
 	table := NewTable(DefaultConfig(), "self")
--- a/coordination/resumption/door.go
+++ b/coordination/resumption/door.go
@@ -33,6 +33,8 @@
 	Conflicting Door = "conflicting"
 	// VersionGone: no server of its version may get requests.
 	VersionGone Door = "version-gone"
+	// VersionLapsed: the same, and one may be back soon, as its entry only lapsed.
+	VersionLapsed Door = "version-lapsed"
 	// ServiceGone: its route does not lead to its service any more.
 	ServiceGone Door = "service-gone"
 	// OldView: the router cannot show that there is one version only.
--- a/transport/backend/vouch_test.go
+++ b/transport/backend/vouch_test.go
@@ -73,6 +73,22 @@
 	return f.pool.isVouched(conn)
 }
 
+// confirmUntil confirms the entries again and again until the server is offered with the trust, which
+// is not before the lag is over. A confirmation that is late by half of the lag begins anew.
+func (f *vouchFixture) confirmUntil(lag time.Duration, need Trust) {
+	f.Helper()
+	begin := time.Now()
+	for range 100 {
+		f.pool.Confirmed(time.Now())
+		if f.pool.Offers("i-1", need) {
+			f.Check(time.Since(begin) >= lag, qt.IsTrue)
+			return
+		}
+		time.Sleep(lag / 5)
+	}
+	f.Error("the server is not offered though its entries are confirmed")
+}
+
 // restart ends the process and starts another one at its address.
 func (f *vouchFixture) restart() {
 	f.p.end()
@@ -82,7 +98,8 @@
 // A connection that is opened beside a vouched one is vouched for, long after the entry was new;
 // after a restart nothing at the address is, until its entry is rewritten or confirmed for long.
 func TestConnectionsInheritUntilTheProcessEnds(t *testing.T) {
-	f := startVouching(t, 50*time.Millisecond)
+	const lag = 50 * time.Millisecond
+	f := startVouching(t, lag)
 	f.Check(f.open(), qt.IsTrue)
 	time.Sleep(100 * time.Millisecond)
 	f.Check(f.open(), qt.IsTrue)
@@ -96,11 +113,7 @@
 	f.Assert(err, qt.IsNil)
 	f.pool.put(got, time.Now())
 	// The entry stays as it is for longer than the new process would need to change it.
-	for range 5 {
-		f.pool.Confirmed(time.Now())
-		time.Sleep(20 * time.Millisecond)
-	}
-	f.Check(f.pool.Offers("i-1", VouchedFor), qt.IsTrue)
+	f.confirmUntil(lag, VouchedFor)
 	// Its entry names another version after all: older connections say nothing about it.
 	f.pool.Entered("i-1")
 	_, old := f.pool.get(context.Background(), f.to, VouchedFor)
@@ -111,7 +124,8 @@
 // Where there is one version only, a server is used unless its process is known to have ended, and
 // again once its entry would have changed since.
 func TestAKnownEndMakesAServerSuspect(t *testing.T) {
-	f := startVouching(t, 50*time.Millisecond)
+	const lag = 50 * time.Millisecond
+	f := startVouching(t, lag)
 	time.Sleep(100 * time.Millisecond)
 	f.Check(f.pool.Offers("i-1", VouchedFor), qt.IsFalse)
 	f.Check(f.pool.Offers("i-1", NoSuspect), qt.IsTrue)
@@ -119,11 +133,7 @@
 	f.Check(f.pool.Offers("i-1", NoSuspect), qt.IsFalse)
 	_, err := f.pool.get(context.Background(), f.to, NoSuspect)
 	f.Check(errors.Is(err, ErrUnknownProcess), qt.IsTrue)
-	for range 5 {
-		f.pool.Confirmed(time.Now())
-		time.Sleep(20 * time.Millisecond)
-	}
-	f.Check(f.pool.Offers("i-1", NoSuspect), qt.IsTrue)
+	f.confirmUntil(lag, NoSuspect)
 }
 
 // A refused connection, and one that the server closed while it was idle, are signs that its
@@ -203,6 +213,17 @@
 	suspect.Check(suspect.open(), qt.IsFalse)
 }
 
+// Guards against a stream that goes on at another process, which came within the lag of a new entry: the
+// sign of the former one's end is not forgotten when witnesses begin.
+func TestASignOfAnEndIsNotForgottenWhenWitnessesBegin(t *testing.T) {
+	f := startVouching(t, time.Minute)
+	f.Check(f.open(), qt.IsTrue)
+	f.restart()
+	f.Check(f.open(), qt.IsFalse)
+	f.Assert(f.pool.KeepVouched(context.Background(), f.to), qt.IsNil)
+	f.Check(f.open(), qt.IsFalse)
+}
+
 // An end of one connection is no sign of an end of the process while an older one is open.
 func TestAnEndBesideAnOpenConnectionIsNoSign(t *testing.T) {
 	f := startVouching(t, time.Minute)
--- a/transport/direct/doors.go
+++ b/transport/direct/doors.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/continuation"
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/resumption"
 	"goldcrestport/coordination/roster"
@@ -156,11 +157,12 @@
 
 // doorOfPlacement returns the door of a request that was not placed.
 func (c *call) doorOfPlacement(d admission.Decision) resumption.Door {
+	lack := c.lackOfVersion()
 	switch {
 	case c.reached > 0 && !c.answerBegun:
 		return resumption.BrokeOff
-	case c.stream.isBound && !c.hasVersion():
-		return resumption.VersionGone
+	case lack != continuation.ReasonNone:
+		return resumption.OfReason(lack, false)
 	default:
 		return resumption.OfPlacement(d)
 	}
--- a/transport/direct/resume.go
+++ b/transport/direct/resume.go
@@ -15,27 +15,38 @@
 // time in which a router that was away answers again.
 const resumeRetryAfter = 250 * time.Millisecond
 
+// lapsedRetryAfter is the Retry-After of a stream whose version's servers may be back soon: half of the
+// interval at which servers write their entries.
+const lapsedRetryAfter = 500 * time.Millisecond
+
 // resolveStream decides where the stream of a caller that comes back may go on, and returns the
 // refusal if it may not. A stream that is not resumed is not affected.
 func (c *call) resolveStream(ctx context.Context) *outcome.Outcome {
 	if !c.resumesEarlier() {
 		return nil
 	}
-	d := continuation.Decide(c.describeStream(ctx))
+	d := c.decideStream(ctx)
 	c.stream.bound, c.stream.isStrict = d.Bound, d.IsStrict
 	if d.Bound.Service != "" {
 		c.service = d.Bound.Service
 	}
 	if d.Reason != continuation.ReasonNone {
 		c.goesOnNowhere(string(d.Reason), resumption.OfReason(d.Reason, c.stream.isConflicting))
-		return refuseStream(d.Reason)
+		return refuseStream(d.Reason, c.stream.doubtLeft)
 	}
 	c.stream.isBound, c.stream.isCertain = true, true
 	return nil
 }
 
-// refuseStream refuses a stream that may not go on here. The request has not run.
-func refuseStream(reason continuation.Reason) *outcome.Outcome {
+// refuseStream refuses a stream that may not go on here, if its origin is doubted for as long as that
+// takes. The request has not run.
+func refuseStream(reason continuation.Reason, doubtLeft time.Duration) *outcome.Outcome {
+	if reason == continuation.ReasonDoubted {
+		return notRun(outcome.ReasonStreamUnknown, doubtLeft, "it is not known yet which software version began the stream")
+	}
+	if reason == continuation.ReasonVersionLapsed {
+		return notRun(outcome.ReasonNoBackend, lapsedRetryAfter, "no server of the stream's software version has an entry in the store now; one may be back soon")
+	}
 	if reason.Helps() {
 		return notRun(outcome.ReasonStreamUnknown, resumeRetryAfter, "it is not known here which software version began the stream; another router may know")
 	}
@@ -62,6 +73,7 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	s.Serving, s.Recent = c.r.versions.Serving(service), c.r.versions.Recent(now, service)
+	s.Returning = c.r.roster.Returning(now, service)
 	k := c.r.knowledge()
 	s.IsCurrent = s.IsCurrent && k.StoreUnreachable || !c.r.cfg.Staleness.IsStale(k)
 	return s
@@ -94,8 +106,5 @@
 	c.stream.knownBy, c.stream.knownFor = known.By, known.For
 	c.stream.found, c.stream.isUncertain, c.stream.isConflicting = known.Origin, known.Uncertain, known.Conflicting
 	s.Origin = known.Origin
-	if known.Uncertain {
-		return continuation.Uncertain
-	}
-	return continuation.Known
+	return c.weigh(known)
 }
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -93,6 +93,8 @@
 	infoWanted chan struct{}
 	// storeConfirmed wakes the gossiper when the store has answered anew.
 	storeConfirmed chan struct{}
+	// serversJoined wakes vouchOnChange when entries of servers are new.
+	serversJoined chan struct{}
 	// attached holds the changes that are sent with the next message.
 	attached attachedChanges
 	// pending is a revision that another router confirmed as current and this router has not
@@ -113,6 +115,8 @@
 
 	// origins is what is known of where streams began.
 	origins *origins
+	// doubts is the evidence about the streams of doubted origin.
+	doubts *doubts
 
 	probes *probes
 	load   load
@@ -152,6 +156,7 @@
 		loggedInvalid:  make(map[string]uint64),
 		catchUpNeeded:  make(chan struct{}, 1),
 		storeConfirmed: make(chan struct{}, 1),
+		serversJoined:  make(chan struct{}, 1),
 		infoWanted:     make(chan struct{}, 1),
 		reportsReady:   make(chan struct{}, 1),
 		probes:         newProbes(),
@@ -161,7 +166,7 @@
 		returning:      returning.New(returning.DefaultConfig()),
 		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(),
 	}
-	r.origins = newOrigins(r)
+	r.origins, r.doubts = newOrigins(r), newDoubts(r)
 	r.admission.SetWarmup(r.warmup)
 	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
@@ -211,6 +216,7 @@
 	srv := r.callerServer()
 	go r.follow(ctx)
 	go r.sweep(ctx)
+	go r.vouchOnChange(ctx)
 	go r.register(ctx)
 	go r.syncQuarantine(ctx)
 	go r.syncServed(ctx)
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/continuation"
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/resumption"
 	"goldcrestport/coordination/roster"
@@ -44,6 +45,8 @@
 	// door is why the stream does not go on, if that is known; isDoorLogged means that it is logged.
 	door         resumption.Door
 	isDoorLogged bool
+	// doubtLeft is how long it takes until its origin is known, which is doubted.
+	doubtLeft time.Duration
 }
 
 // streamID returns the id of the caller's attempt that brought the first event of the stream:
@@ -86,6 +89,9 @@
 	switch {
 	case !c.stream.isRecorded:
 		c.r.origins.began(origin.Record{ID: id, Origin: c.stream.bound, Doubted: !isCertain}, len(c.route.Targets) > 1, isMixed)
+		if !isCertain {
+			c.r.doubts.add(c.streamID(), c.server, answer)
+		}
 		c.logBegan(now, isMixed, isCertain)
 	case isCertain:
 		c.r.origins.settled(id)
@@ -142,9 +148,10 @@
 	}
 	need := c.requiredTrustLocked(now)
 	return &admission.Bound{
-		Version: c.stream.bound.Version,
-		Resumes: c.resumesEarlier() && c.stream.knownBy != "",
-		Trusts:  func(identity string) bool { return c.r.pool.Offers(identity, need) },
+		Version:   c.stream.bound.Version,
+		Resumes:   c.resumesEarlier() && c.stream.knownBy != "",
+		Trusts:    func(identity string) bool { return c.r.pool.Offers(identity, need) },
+		TrustedIn: func(identity string) time.Duration { return c.r.pool.TrustedIn(identity, need) },
 	}
 }
 
@@ -216,11 +223,16 @@
 	return strings.Join(slices.Compact(texts), "+")
 }
 
-// hasVersion reports whether a server of the stream's version may get requests.
-func (c *call) hasVersion() bool {
+// lackOfVersion returns why no server of the stream's version may get requests, if that has begun and
+// none may.
+func (c *call) lackOfVersion() continuation.Reason {
+	if !c.stream.isBound {
+		return continuation.ReasonNone
+	}
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
-	return slices.Contains(c.r.versions.Serving(c.stream.bound.Service), c.stream.bound.Version)
+	service := c.stream.bound.Service
+	return continuation.LackOf(c.stream.bound.Version, c.r.versions.Serving(service), c.r.roster.Returning(time.Now(), service))
 }
 
 // eventTokens is the number of tokens in one event of the service's streams.
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -156,6 +156,7 @@
 			r.pool.Returned(c.Server.Identity())
 			if c.Reason == roster.ReasonJoined {
 				r.pool.Entered(c.Server.Identity())
+				wake(r.serversJoined)
 			}
 			if c.Reason == roster.ReasonReturned {
 				r.warmup.Presume(time.Now(), c.Server.Identity(), c.Server.Service, r.mirror.Revision())
@@ -179,6 +180,7 @@
 	runEvery(ctx, sweepInterval, func(now time.Time) {
 		r.pool.Sweep(now)
 		r.keepVouched(ctx, now)
+		r.doubts.review()
 		r.sweepCallers(now)
 		r.mu.Lock()
 		defer r.mu.Unlock()
