--- /dev/null
+++ b/bench/soak/pairs_test.go
@@ -0,0 +1,26 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Troubles come in pairs at a small site while engines are released: routers killed together,
+// restarted in turn, frozen or without processor time, a silent store, crashes. Callers take each
+// stream up once.
+func TestTroublesInPairs(t *testing.T) {
+	plan := Plan{Failures: 6 * time.Second, Versions: true, Pairs: true}
+	playEach(t, []uint64{12010}, PairsSize(), plan, func(t *testing.T, record *Record) {
+		resumed, fresh := sharesOf(judgedStreams(record))
+		qt.Check(t, resumed.all >= leastResumed && fresh.all >= leastResumed, qt.IsTrue, qt.Commentf("%d streams were resumed, and %d begun", resumed.all, fresh.all))
+	})
+}
+
+// Guards against streams that began while there was one version and that nobody knows any more: all
+// routers were killed in the moment in which a release began.
+func TestASeedInWhichAllRoutersWereKilledAsAReleaseBegan(t *testing.T) {
+	t.Parallel()
+	play(t, PairsSize(), DefaultPlan(12001), "nothing is written and no other router is told while there is one version")
+}
--- a/bench/soak/rows_resumed_test.go
+++ b/bench/soak/rows_resumed_test.go
@@ -25,6 +25,8 @@
 // router.
 type resumedRow struct {
 	size Size
+	// isSingle leaves the engines of the second version out at first.
+	isSingle bool
 	// span is the time in which the streams begin, one after the other, and lead the time from the
 	// first of them to the trouble.
 	span, lead time.Duration
@@ -71,7 +73,7 @@
 	t.Parallel()
 	fleets <- struct{}{}
 	t.Cleanup(func() { <-fleets })
-	f := startRowFleetOf(t, row.size)
+	f := startRowFleetOf(t, row.size, !row.isSingle)
 	counts := &resumedCounts{refused: map[string]int{}}
 	if row.before != nil {
 		row.before(f)
@@ -122,6 +124,15 @@
 	}
 }
 
+// restartEach stops one router after the other and starts it again.
+func restartEach(f *rowFleet) {
+	for _, r := range f.w.routers {
+		f.Check(r.Stop(grace+time.Second), qt.IsTrue)
+		f.Assert(r.Start(), qt.IsNil)
+		f.Assert(f.w.fleet.WaitReady(context.Background(), r.Process), qt.IsNil)
+	}
+}
+
 // eachEngine calls do with each engine that stays.
 func (f *rowFleet) eachEngine(do func(*server)) {
 	for _, zone := range zones {
@@ -140,16 +151,37 @@
 		least: 4 * time.Second, most: 7 * time.Second, trouble: killAndStart(3)}.play(t)
 }
 
+// releaseAfter is a row of streams that begin while there is one version, for which nothing is written
+// and no other router is told; the trouble comes then, and a release begins before they are taken up.
+func releaseAfter(least, most time.Duration, trouble func(*rowFleet)) resumedRow {
+	return resumedRow{size: smallSite(), isSingle: true, span: 2 * time.Second, lead: 4 * time.Second, least: least, most: most, trouble: func(f *rowFleet) {
+		trouble(f)
+		for _, r := range f.w.routers {
+			f.Assert(f.w.fleet.WaitReady(context.Background(), r.Process), qt.IsNil)
+		}
+		time.Sleep(restartPause)
+		f.startSecondVersion()
+	}}
+}
+
+// Guards against streams that nobody knows any more because all routers were killed before a release.
+func TestStreamsGoOnAfterAllRoutersWereKilledBeforeARelease(t *testing.T) {
+	releaseAfter(7*time.Second, 9*time.Second, killAndStart(3)).play(t)
+}
+
+// Guards against the same where one router is left, which did not begin them.
+func TestStreamsGoOnAfterTwoOfThreeRoutersWereKilledBeforeARelease(t *testing.T) {
+	releaseAfter(7*time.Second, 9*time.Second, killAndStart(2)).play(t)
+}
+
+// Guards against the same after each router was stopped and started again before a release.
+func TestStreamsGoOnAfterARollingRestartBeforeARelease(t *testing.T) {
+	releaseAfter(13*time.Second, 16*time.Second, restartEach).play(t)
+}
+
 // Guards against streams that nobody knows any more after each router was stopped and started again.
 func TestStreamsGoOnAfterARollingRestartOfASmallSite(t *testing.T) {
-	resumedRow{size: smallSite(), span: 2 * time.Second, lead: 2 * time.Second,
-		least: 10 * time.Second, most: 14 * time.Second, trouble: func(f *rowFleet) {
-			for _, r := range f.w.routers {
-				f.Check(r.Stop(grace+time.Second), qt.IsTrue)
-				f.Assert(r.Start(), qt.IsNil)
-				f.Assert(f.w.fleet.WaitReady(context.Background(), r.Process), qt.IsNil)
-			}
-		}}.play(t)
+	resumedRow{size: smallSite(), span: 2 * time.Second, lead: 2 * time.Second, least: 10 * time.Second, most: 14 * time.Second, trouble: restartEach}.play(t)
 }
 
 // Guards against streams that are refused after most, not all, routers that knew them were killed.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -232,17 +232,6 @@
 	})
 }
 
-// Troubles come in pairs at a small site while engines are released: routers killed together,
-// restarted in turn, frozen or without processor time, a silent store, crashes. Callers take each
-// stream up once.
-func TestTroublesInPairs(t *testing.T) {
-	plan := Plan{Failures: 6 * time.Second, Versions: true, Pairs: true}
-	playEach(t, []uint64{12010}, PairsSize(), plan, func(t *testing.T, record *Record) {
-		resumed, fresh := sharesOf(judgedStreams(record))
-		qt.Check(t, resumed.all >= leastResumed && fresh.all >= leastResumed, qt.IsTrue, qt.Commentf("%d streams were resumed, and %d begun", resumed.all, fresh.all))
-	})
-}
-
 // Routers in two data centres, more than are told directly in each: what they tell each
 // other is passed on by routers that are killed, frozen and stopped, beside everything else.
 func TestRoutersOfTwoDataCentres(t *testing.T) {
@@ -256,6 +245,8 @@
 	6:    "a clearing grew younger from router to router and freed a request that crashes servers",
 	2020: "the same, and a signal to stop ended a process that had not begun to serve",
 	1033: "three copies at once beside a crash of another cause counted as one crash",
+	// Its troubles come in pairs: all routers are restarted in turn, twice.
+	12008: "routers that are stopped handed nothing over, and nobody knew a stream once all had been",
 }
 
 func TestLongSeedsThatFailedOnce(t *testing.T) {
@@ -263,7 +254,7 @@
 	for seed, cause := range longRegressions {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, DefaultSize(), DefaultPlan(seed), cause)
+			play(t, SizeOf(seed, DefaultSize()), DefaultPlan(seed), cause)
 		})
 	}
 }
--- a/bench/soak/versions_test.go
+++ b/bench/soak/versions_test.go
@@ -28,26 +28,34 @@
 
 // startRowFleet starts three routers of one data centre.
 func startRowFleet(t *testing.T) *rowFleet {
-	return startRowFleetOf(t, Size{Routers: 3, Engines: 2, Plain: 1, Other: 1})
+	return startRowFleetOf(t, Size{Routers: 3, Engines: 2, Plain: 1, Other: 1}, true)
 }
 
-// startRowFleetOf starts a fleet of the size and two engines of the second version.
-func startRowFleetOf(t *testing.T, size Size) *rowFleet {
+// startRowFleetOf starts a fleet of the size and, if it is mixed, two engines of the second version.
+func startRowFleetOf(t *testing.T, size Size, isMixed bool) *rowFleet {
 	c := qt.New(t)
 	w := startFleet(c, c.TempDir(), size)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	w.balancer.watch(ctx, w.routers)
-	for range 2 {
-		c.Assert(w.startServer(engineService, "v2", "127.0.0.1:0"), qt.IsNil)
-	}
 	f := &rowFleet{C: c, w: w}
+	if isMixed {
+		f.startSecondVersion()
+	}
 	for n := range w.routers {
 		f.waitForVersions(n)
 	}
 	return f
 }
 
+// startSecondVersion starts two engines of the second version.
+func (f *rowFleet) startSecondVersion() {
+	f.Helper()
+	for range 2 {
+		f.Assert(f.w.startServer(engineService, "v2", "127.0.0.1:0"), qt.IsNil)
+	}
+}
+
 // waitForVersions waits until the router knows the engines of the second version, and the processes
 // behind all entries.
 func (f *rowFleet) waitForVersions(n int) {
