Changes that wait to be sent are kept when others follow

Other routers learned of a draining server by a call in place of a datagram: an origin that was written to the store after it replaced the change that waited for the next digest. Cause: one change is attached, the newest; changes that concern no server are attached, too, since origins are written. Ruled out: not attaching those, as routers would then fetch each of these revisions. Before: TestAttachedChangesFollowEachOther finds the second only; after: both, as one. Conclusion: changes that follow each other are merged while they wait.

--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -39,10 +39,7 @@
 	if h.since == 0 || revision < h.since {
 		return Delta{}, false
 	}
-	m := merged{
-		servers: map[string]roster.Server{}, removed: map[string]bool{}, invalid: map[string]InvalidEntry{},
-		joined: map[string]Registration{}, left: map[string]bool{}, evacuated: map[string]bool{},
-	}
+	m := newMerged()
 	for _, d := range h.changes {
 		if d.Revision > revision {
 			m.add(d)
@@ -51,6 +48,16 @@
 	return m.delta(), true
 }
 
+// Merge returns the sum of two changes that follow each other.
+func Merge(first, second Delta) Delta {
+	m := newMerged()
+	m.add(first)
+	m.add(second)
+	out := m.delta()
+	out.Refused, out.Served = slices.Concat(first.Refused, second.Refused), slices.Concat(first.Served, second.Served)
+	return out
+}
+
 // merged is the sum of changes: the last one of each key counts.
 type merged struct {
 	result  Delta
@@ -65,6 +72,13 @@
 	evacuated map[string]bool
 }
 
+func newMerged() merged {
+	return merged{
+		servers: map[string]roster.Server{}, removed: map[string]bool{}, invalid: map[string]InvalidEntry{},
+		joined: map[string]Registration{}, left: map[string]bool{}, evacuated: map[string]bool{},
+	}
+}
+
 func (m *merged) add(d Delta) {
 	if d.Config != nil {
 		m.result.Config = d.Config
--- a/transport/direct/attach.go
+++ b/transport/direct/attach.go
@@ -17,6 +17,7 @@
 // processor has no time.
 type attachedChanges struct {
 	after   uint64
+	delta   mirror.Delta
 	changes []byte
 }
 
@@ -32,6 +33,12 @@
 	if d.Revision <= after {
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.attached.changes != nil && r.attached.delta.Revision == after {
+		// Those that wait to be sent come first.
+		after, d = r.attached.after, mirror.Merge(r.attached.delta, d)
+	}
 	data, err := json.Marshal(d)
 	if err != nil {
 		r.event("changes_not_passed", "err", err)
@@ -40,9 +47,7 @@
 	if data = pack(data); len(data) > maxAttached {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.attached = attachedChanges{after: after, changes: data}
+	r.attached = attachedChanges{after: after, delta: d, changes: data}
 }
 
 // applyAttached applies changes that came with a message if they directly follow this router's
