--- a/transport/direct/originask.go
+++ b/transport/direct/originask.go
@@ -18,8 +18,12 @@
 	maxAskLimit = 150 * time.Millisecond
 )
 
-// askLimit returns how long answers are awaited for a caller that has so much time left.
-func askLimit(left time.Duration) time.Duration {
+// askLimit returns how long answers are awaited for a caller that has so much time left. A stream that
+// is not known to have a choice of versions or services goes on without an answer.
+func askLimit(left time.Duration, isMixed bool) time.Duration {
+	if !isMixed {
+		return minAskLimit
+	}
 	return min(max(left/askShare, minAskLimit), maxAskLimit)
 }
 
--- a/transport/direct/resume.go
+++ b/transport/direct/resume.go
@@ -89,7 +89,8 @@
 		c.r.mu.Lock()
 		isMixed := c.r.versions.IsMixed(begin, c.service)
 		c.r.mu.Unlock()
-		got := c.r.origins.ask(ctx, id, c.service, isMixed || len(s.Services) > 1, askLimit(c.left()))
+		isMixed = isMixed || len(s.Services) > 1
+		got := c.r.origins.ask(ctx, id, c.service, isMixed, askLimit(c.left(), isMixed))
 		c.stream.asked, c.stream.askedRouters, c.stream.answered = time.Since(begin), got.routers, got.answered
 		c.r.metrics.originAskTime.Record(c.service, time.Now(), c.stream.asked)
 		s.MixedElsewhere = got.isMixed
