Streams that ended before a second version appeared are announced when it does

Callers saw 421 for streams that broke off shortly before a release, once their router was killed after it began. Cause: only streams that still ran were announced when versions became mixed. Ruled out: the store, which gets them with the same step.

--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -105,6 +105,8 @@
 	tellings          int
 	// isJournaled means that Due returned it for the store.
 	isJournaled bool
+	// beganHere means that this router relayed its first events.
+	beganHere bool
 }
 
 // NewTable returns the empty table of the router.
@@ -120,6 +122,7 @@
 		return
 	}
 	e.runs++
+	e.beganHere = true
 	e.isSplit = e.isSplit || isSplit
 	t.fresh = append(t.fresh, r.ID)
 }
@@ -209,8 +212,8 @@
 	Store []Record
 }
 
-// Due returns the records to be announced and written now. Only streams that run here, or did since
-// the last call, are among them, and only those of services that are mixed, whose routes have several
+// Due returns the records to be announced and written now. Only streams that run here, or did and were
+// not announced, are among them, and only those of services that are mixed, whose routes have several
 // services, or whose origin is doubted; what became of a doubt is announced twice, also later. In a small
 // fleet those beyond the data centre are told again as well as those in it.
 func (t *Table) Due(now time.Time, isMixed func(service string) bool, isSmall bool) Due {
@@ -239,7 +242,7 @@
 	if now.Sub(t.looked) >= lookInterval {
 		t.looked = now
 		for id, e := range t.records {
-			if e.isTold() {
+			if e.isTold() || e.beganHere && e.toldNear.IsZero() {
 				look(id)
 			}
 		}
