Running streams are written to the store again each 15 s

Callers of streams of more than 45 s would see 421 after all routers were killed. Cause: a record was written once, under a lease of 45 s. Ruled out: renewing leases, a call for each entry. Before: TestTheStoreHasAStreamForAsLongAsItRuns finds nothing after 45 s; after: always something. Conclusion: streams shorter than 15 s cost nothing more.

--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -51,6 +51,9 @@
 	// Repeat is the time after which they are announced a second and last time beyond it, or again and
 	// again in a small fleet. Default 1s.
 	Repeat time.Duration
+	// Rewrite is the interval at which the origins of running streams are written to the store again,
+	// so that the entry outlives them. Default 15s.
+	Rewrite time.Duration
 	// Max bounds the number of records. Default 65536: a router of the largest fleet has some
 	// thousands.
 	Max int
@@ -58,7 +61,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Life: 30 * time.Second, Refresh: 2 * time.Second, Repeat: time.Second, Max: 1 << 16}
+	return Config{Life: 30 * time.Second, Refresh: 2 * time.Second, Repeat: time.Second, Rewrite: 15 * time.Second, Max: 1 << 16}
 }
 
 // Known is what a router knows of a stream.
@@ -103,8 +106,9 @@
 	// toldNear and toldFar are when it was last announced, tellings how often beyond the data centre.
 	toldNear, toldFar time.Time
 	tellings          int
-	// isJournaled means that Due returned it for the store.
+	// isJournaled means that Due returned it for the store, last at journaledAt.
 	isJournaled bool
+	journaledAt time.Time
 	// beganHere means that this router relayed its first events.
 	beganHere bool
 }
@@ -223,8 +227,8 @@
 		if e == nil || e.conflicting || !e.isSplit && !e.doubted && !e.hasNews && !isMixed(e.Service) {
 			return
 		}
-		if !e.isJournaled {
-			due.Store, e.isJournaled = append(due.Store, e.record(id)), true
+		if !e.isJournaled || e.runs > 0 && now.Sub(e.journaledAt) >= t.cfg.Rewrite {
+			due.Store, e.isJournaled, e.journaledAt = append(due.Store, e.record(id)), true, now
 		}
 		if e.toldNear.IsZero() || e.isTold() && now.Sub(e.toldNear) >= t.cfg.Refresh {
 			e.hasNews = e.hasNews && e.toldNear.IsZero()
