Two origins of one stream outlive the router that knows of both

A stream that two routers knew differently could go on at one of the versions after both had ended. Cause: what is conflicting was neither written nor handed over, so that an heir knew one of the two. Ruled out: telling it to all at once, as who asks for it learns that it is uncertain. Before: TestAConflictOutlivesTheRouterThatKnowsIt certain of v1; after: uncertain. Conclusion: a second record with an origin that no stream has, which routers of the build before read the same way.

--- a/coordination/origin/doubt.go
+++ b/coordination/origin/doubt.go
@@ -24,6 +24,15 @@
 	t.fresh = append(t.fresh, id)
 }
 
+// outlasting returns the entry's records for routers that know the stream after this one has ended. Of a
+// conflict they get a second origin that no stream has, so that whatever they know conflicts, too.
+func (e *entry) outlasting(id ID) []Record {
+	if !e.conflicting {
+		return []Record{e.record(id)}
+	}
+	return []Record{e.record(id), {ID: id}}
+}
+
 // record returns the entry's record as others are told it.
 func (e *entry) record(id ID) Record {
 	return Record{ID: id, Origin: e.Origin, Doubted: e.doubted, Lost: e.doubted && e.lost}
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -157,13 +157,12 @@
 	}
 }
 
-// All returns the records that are certain or doubted, but not conflicting, which others may need
-// when this router ends.
+// All returns the records that others may need when this router ends.
 func (t *Table) All(now time.Time) []Record {
 	out := make([]Record, 0, len(t.records))
 	for id, e := range t.records {
-		if !e.conflicting && !t.isExpired(now, e) {
-			out = append(out, e.record(id))
+		if !t.isExpired(now, e) {
+			out = append(out, e.outlasting(id)...)
 		}
 	}
 	return out
@@ -183,7 +182,9 @@
 		e = &entry{Origin: r.Origin, by: by, since: now, doubted: r.Doubted}
 		t.records[r.ID] = e
 	}
-	e.conflicting = e.conflicting || e.Origin != r.Origin
+	if e.Origin != r.Origin && !e.conflicting {
+		e.conflicting, e.isJournaled = true, false
+	}
 	e.doubted, e.lost = e.doubted && r.Doubted, e.lost || r.Lost
 	e.until = now.Add(t.cfg.Life)
 	return e
@@ -224,11 +225,17 @@
 	var due Due
 	look := func(id ID) {
 		e := t.records[id]
-		if e == nil || e.conflicting || !e.isSplit && !e.doubted && !e.hasNews && !isMixed(e.Service) {
+		if e == nil {
+			return
+		}
+		if !e.isSplit && !e.doubted && !e.hasNews && !isMixed(e.Service) {
 			return
 		}
 		if !e.isJournaled || e.runs > 0 && now.Sub(e.journaledAt) >= t.cfg.Rewrite {
-			due.Store, e.isJournaled, e.journaledAt = append(due.Store, e.record(id)), true, now
+			due.Store, e.isJournaled, e.journaledAt = append(due.Store, e.outlasting(id)...), true, now
+		}
+		if e.conflicting {
+			return
 		}
 		if e.toldNear.IsZero() || e.isTold() && now.Sub(e.toldNear) >= t.cfg.Refresh {
 			e.hasNews = e.hasNews && e.toldNear.IsZero()
