In a fleet of up to 9 routers streams are announced once while their service has one version

Callers saw 421 where one killed router was enough: it was the only one that knew the stream, and a release began before they came back. Cause: nobody else is told while there is one version. Ruled out, for now: a proof from the revisions at which the routers' processes began, which would cost nothing and cover all killed; it needs a model first.

--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -109,6 +109,8 @@
 	// isJournaled means that Due returned it for the store, last at journaledAt.
 	isJournaled bool
 	journaledAt time.Time
+	// isSpread means that others were told once while the service had one version.
+	isSpread bool
 	// beganHere means that this router relayed its first events.
 	beganHere bool
 }
@@ -220,7 +222,8 @@
 // Due returns the records to be announced and written now. Only streams that run here, or did and were
 // not announced, are among them, and only those of services that are mixed, whose routes have several
 // services, or whose origin is doubted; what became of a doubt is announced twice, also later. In a small
-// fleet those beyond the data centre are told again as well as those in it.
+// fleet those beyond the data centre are told again as well as those in it, and all streams are announced
+// once while their service has one version.
 func (t *Table) Due(now time.Time, isMixed func(service string) bool, isSmall bool) Due {
 	var due Due
 	look := func(id ID) {
@@ -229,6 +232,10 @@
 			return
 		}
 		if !e.isSplit && !e.doubted && !e.hasNews && !isMixed(e.Service) {
+			if isSmall && !e.isSpread && !e.conflicting {
+				// A second version may appear after this router has ended.
+				due.Near, due.Far, e.isSpread = append(due.Near, e.record(id)), append(due.Far, e.record(id)), true
+			}
 			return
 		}
 		if !e.isJournaled || e.runs > 0 && now.Sub(e.journaledAt) >= t.cfg.Rewrite {
