--- /dev/null
+++ b/bench/resumed/resolve.go
@@ -0,0 +1,71 @@
+package resumed
+
+import (
+	"time"
+
+	"goldcrestport/coordination/continuation"
+)
+
+// resolve decides where the stream of a caller that comes back may go on, and refuses it or goes on.
+func (c *call) resolve(goOn func()) {
+	known, isKnown := c.r.table.Lookup(c.w.wall(), c.stream.id)
+	s := continuation.Stream{Services: []string{service}}
+	if isKnown {
+		c.knownBy, s.Origin = known.By, known.Origin
+		c.conclude(s, knowledgeOf(known.Uncertain), goOn)
+		return
+	}
+	c.r.ask(c.stream.id, c.r.isMixed(service), func(got *asking) {
+		if c.ended {
+			return
+		}
+		s.MixedElsewhere = got.mixed
+		switch {
+		case got.isKnown:
+			c.knownBy, s.Origin = got.known.By, got.known.Origin
+			c.conclude(s, knowledgeOf(got.known.Uncertain), goOn)
+		case got.answered < got.asked:
+			c.conclude(s, continuation.Unanswered, goOn)
+		default:
+			s.IsCurrent = got.asked > 0
+			c.conclude(s, continuation.Unknown, goOn)
+		}
+	})
+}
+
+func knowledgeOf(uncertain bool) continuation.Knowledge {
+	if uncertain {
+		return continuation.Uncertain
+	}
+	return continuation.Known
+}
+
+// conclude decides by what is known.
+func (c *call) conclude(s continuation.Stream, k continuation.Knowledge, goOn func()) {
+	s.Knowledge = k
+	s.Serving, s.Recent = c.r.versions.Serving(service), c.r.versions.Recent(c.w.wall(), service)
+	isStale := c.w.now-c.r.confirmations.ConfirmedAt > isStaleAfter
+	s.IsCurrent = s.IsCurrent && c.r.storeAway || !isStale
+	d := continuation.Decide(s)
+	c.bound, c.isStrict = d.Bound, d.IsStrict
+	if d.Reason == continuation.ReasonNone {
+		c.isBound, c.certain = true, true
+		goOn()
+		return
+	}
+	door, after := string(d.Reason), time.Duration(0)
+	if d.Reason == continuation.ReasonUncertain {
+		door = doorDoubted
+		if !c.stream.doubted {
+			door = doorConflicting
+		}
+	}
+	mayEnd := d.Reason == continuation.ReasonUncertain && c.w.set.Mends.ComeBack
+	if d.Reason.Helps() || mayEnd {
+		after = resumeRetryAfter
+	}
+	c.refuse(door, after)
+}
+
+// resumeRetryAfter is the time after which the caller of a stream is asked to come back.
+const resumeRetryAfter = 250 * time.Millisecond
