Model of resumed streams: the interval of origins in the store, and reading it when nobody knows

Cause: how often routers write origins decides how many streams of a router that is killed are unknown; that was fixed in the model.

--- a/bench/resumed/origins.go
+++ b/bench/resumed/origins.go
@@ -19,7 +19,7 @@
 func (r *router) beginOrigins() {
 	r.table, r.asking = origin.NewTable(origin.DefaultConfig(), r.id), map[uint32]*asking{}
 	r.doubts, r.records, r.unwritten = map[origin.ID]*call{}, map[origin.ID]origin.Record{}, nil
-	if !r.w.set.Mends.Stored {
+	if r.w.set.Mends.StoreEvery == 0 {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.w.store.origins)) {
@@ -113,7 +113,7 @@
 
 // writeOrigins writes the origins that are new since the last time to the store.
 func (r *router) writeOrigins() {
-	if !r.w.set.Mends.Stored || r.w.store.away || !r.isMixed(service) {
+	if r.w.store.away || !r.isMixed(service) {
 		return
 	}
 	for _, one := range r.unwritten {
--- a/bench/resumed/resolve.go
+++ b/bench/resumed/resolve.go
@@ -25,14 +25,36 @@
 			c.knownBy, s.Origin = got.known.By, got.known.Origin
 			c.conclude(s, knowledgeOf(got.known.Uncertain), goOn)
 		case got.answered < got.asked:
-			c.conclude(s, continuation.Unanswered, goOn)
+			c.orStored(s, continuation.Unanswered, goOn)
 		default:
 			s.IsCurrent = got.asked > 0
-			c.conclude(s, continuation.Unknown, goOn)
+			c.orStored(s, continuation.Unknown, goOn)
 		}
 	})
 }
 
+// orStored concludes by what the store says of the stream, if it is read and says anything.
+func (c *call) orStored(s continuation.Stream, otherwise continuation.Knowledge, goOn func()) {
+	if !c.w.set.Mends.ReadStore || c.w.store.away {
+		c.conclude(s, otherwise, goOn)
+		return
+	}
+	c.w.after(c.w.between(storeReadMin, storeReadMax), func() {
+		c.r.do(smallCost, func() {
+			one, isStored := c.w.store.origins[c.stream.id]
+			if c.ended || !isStored {
+				c.conclude(s, otherwise, goOn)
+				return
+			}
+			c.knownBy, s.Origin = one.by, one.Origin
+			c.conclude(s, knowledgeOf(one.Doubted), goOn)
+		})
+	})
+}
+
+// storeReadMin and storeReadMax bound the time of a reading call of the store.
+const storeReadMin, storeReadMax = 2 * time.Millisecond, 10 * time.Millisecond
+
 func knowledgeOf(uncertain bool) continuation.Knowledge {
 	if uncertain {
 		return continuation.Uncertain
--- a/bench/resumed/router.go
+++ b/bench/resumed/router.go
@@ -146,7 +146,9 @@
 	again(fixed(sweepInterval), r.sweep)
 	again(fixed(lookOrigins), r.tell)
 	again(fixed(500*time.Millisecond), r.syncServed)
-	again(fixed(time.Second), r.writeOrigins)
+	if every := r.w.set.Mends.StoreEvery; every > 0 {
+		again(fixed(every), r.writeOrigins)
+	}
 	r.register(life)
 }
 
--- a/bench/resumed/world.go
+++ b/bench/resumed/world.go
@@ -28,8 +28,11 @@
 type Mends struct {
 	// Handover: a router that is stopped sends the origins that it knows to all others.
 	Handover bool
-	// Stored: routers write origins to the store once a second, and read them when they begin.
-	Stored bool
+	// StoreEvery is the interval at which routers write origins to the store, which they read when
+	// they begin; 0: they write none.
+	StoreEvery time.Duration
+	// ReadStore: a router that is asked for a stream that it does not find reads the store.
+	ReadStore bool
 	// AskLimit is how long answers of other routers are awaited; 0: as the product does.
 	AskLimit time.Duration
 	// ResumeWait is the wait limit of requests that resume a stream; 0: as the product has it.
