--- a/bench/resumed/caller.go
+++ b/bench/resumed/caller.go
@@ -56,9 +56,8 @@
 	prefixes       []admission.Prefix
 	// events is the number of all events, got that of those that the caller has.
 	events, got int
-	// version is that of the process that sent the first event, doubted whether its origin was recorded so.
+	// version is that of the process that sent the first event.
 	version roster.Version
-	doubted bool
 	// breaksAt is the event after which the caller loses its connection; 0: none.
 	breaksAt int
 	bornAt   time.Duration
@@ -188,7 +187,7 @@
 	if c.resumes {
 		w.wentOn(c)
 	} else if s.got == 0 {
-		s.version, s.doubted = r.server.entry.Version, !c.certain
+		s.version = r.server.entry.Version
 		w.began(c)
 	}
 	from, begunAt := s.got, w.now
--- a/bench/resumed/origins.go
+++ b/bench/resumed/origins.go
@@ -11,20 +11,29 @@
 
 // Times of an asking, as the product has them.
 const (
-	askAgain = 8 * time.Millisecond
-	askLimit = 25 * time.Millisecond
+	askAgain    = 8 * time.Millisecond
+	askInterval = 40 * time.Millisecond
+	// The limit is a share of the time that the caller has left.
+	askShare                 = 8
+	minAskLimit, maxAskLimit = 25 * time.Millisecond, 150 * time.Millisecond
 )
 
-// beginOrigins starts with no origins, or with those of the store.
+// beginOrigins starts with the origins that are in the store.
 func (r *router) beginOrigins() {
 	r.table, r.asking = origin.NewTable(origin.DefaultConfig(), r.id), map[uint32]*asking{}
-	r.doubts, r.records, r.unwritten = map[origin.ID]*call{}, map[origin.ID]origin.Record{}, nil
-	if r.w.set.Mends.StoreEvery == 0 {
-		return
+	r.doubts = map[origin.ID]*call{}
+	cfg := origin.DefaultJournalConfig()
+	cfg.Interval = cmp.Or(r.w.set.Mends.JournalInterval, cfg.Interval)
+	r.journal = origin.NewJournal(cfg, uint64(r.life)<<32)
+	for _, key := range slices.Sorted(maps.Keys(r.w.store.origins)) {
+		r.stored(r.w.store.origins[key].Stored)
 	}
-	for _, id := range slices.Sorted(maps.Keys(r.w.store.origins)) {
-		one := r.w.store.origins[id]
-		r.told(one.by, one.Record)
+}
+
+// stored takes what the store has of the origins of streams.
+func (r *router) stored(all origin.Stored) {
+	for _, one := range all.Records {
+		r.table.Stored(r.w.wall(), all.Router, one)
 	}
 }
 
@@ -46,7 +55,6 @@
 // recorded records the origin of a stream that this router relays.
 func (r *router) recorded(c *call, one origin.Record) {
 	r.table.Began(r.w.wall(), one, false)
-	r.records[one.ID], r.unwritten = one, append(r.unwritten, one)
 	if one.Doubted {
 		r.doubts[one.ID] = c
 	}
@@ -55,71 +63,77 @@
 	}
 }
 
-// told takes what another router says of a stream.
-func (r *router) told(by string, one origin.Record) {
-	r.table.Told(r.w.wall(), by, one)
-	r.records[one.ID] = one
-}
-
-// tell sends the origins that are due.
+// tell sends the origins that are due, and keeps those for the store.
 func (r *router) tell() {
 	r.table.Tick(r.w.wall())
-	near, far := r.table.Due(r.w.wall(), r.isMixed)
-	if len(near)+len(far) == 0 {
-		return
-	}
 	f := r.fleet()
-	batches := map[string][]origin.Record{}
-	for _, one := range near {
+	due := r.table.Due(r.w.wall(), r.isMixed, f.IsSmall())
+	r.journal.Add(due.Store)
+	out := batches{}
+	for _, one := range due.Near {
 		owners, _ := f.Owners(one.ID)
-		for _, id := range owners {
-			batches[id] = append(batches[id], one)
-		}
+		out.add(owners, one)
 	}
-	for _, one := range far {
+	for _, one := range due.Far {
 		_, owners := f.Owners(one.ID)
-		for _, id := range owners {
-			batches[id] = append(batches[id], one)
-		}
+		out.add(owners, one)
 	}
-	r.sendRecords(batches)
+	r.sendRecords(out)
 }
 
-func (r *router) sendRecords(batches map[string][]origin.Record) {
-	for _, id := range slices.Sorted(maps.Keys(batches)) {
-		records := batches[id]
+// batches are the records to be sent, by the routers that get them.
+type batches map[string][]origin.Record
+
+func (b batches) add(routers []string, one origin.Record) {
+	for _, id := range routers {
+		b[id] = append(b[id], one)
+	}
+}
+
+func (r *router) sendRecords(all batches) {
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		records := all[id]
 		r.send(id, func(other *router) {
 			for _, one := range records {
-				other.told(r.id, one)
+				other.table.Told(other.w.wall(), r.id, one)
 			}
 		})
 	}
 }
 
-// handOver sends what this router knows of streams to all others, as it is about to end.
+// handOver sends what this router knows of streams to those that are to know it, as it ends.
 func (r *router) handOver() {
-	batches := map[string][]origin.Record{}
-	for _, id := range r.fleetIDs() {
-		for _, stream := range slices.Sorted(maps.Keys(r.records)) {
-			if _, isKnown := r.table.Lookup(r.w.wall(), stream); isKnown {
-				batches[id] = append(batches[id], r.records[stream])
-			}
-		}
+	f, out := r.fleet(), batches{}
+	all := r.table.All(r.w.wall())
+	slices.SortFunc(all, func(a, b origin.Record) int { return cmp.Compare(a.ID, b.ID) })
+	for _, one := range all {
+		out.add(f.Heirs(one.ID), one)
+	}
+	r.sendRecords(out)
+}
+
+// journalChecks returns the interval of the checks for origins to be written, which is shorter if they
+// are written more often than the product does.
+func (w *world) journalChecks() time.Duration {
+	if interval := w.set.Mends.JournalInterval; interval > 0 {
+		return min(journalInterval, interval/2)
 	}
-	// Twice, against loss.
-	r.sendRecords(batches)
-	r.sendRecords(batches)
+	return journalInterval
 }
 
-// writeOrigins writes the origins that are new since the last time to the store.
-func (r *router) writeOrigins() {
-	if r.w.store.away || !r.isMixed(service) {
+// writeOrigins writes the segment that is due by the rule to the store, which passes it on.
+func (r *router) writeOrigins(rule func(*origin.Journal, time.Time, int) (origin.Segment, bool)) {
+	if r.w.set.Mends.NoJournal || r.w.store.away {
 		return
 	}
-	for _, one := range r.unwritten {
-		r.w.store.origins[one.ID] = storedOrigin{Record: one, by: r.id, lapses: r.w.now + origin.DefaultConfig().Life}
+	segment, isDue := rule(r.journal, r.w.wall(), len(r.fleetIDs())+1)
+	if !isDue {
+		return
 	}
-	r.unwritten = nil
+	one := origin.Stored{Router: r.id, Records: segment.Records}
+	r.w.store.origins[r.id+"/"+itoa(segment.Number)] = storedOrigins{one, r.w.now + origin.DefaultJournalConfig().Life}
+	r.journal.Written(r.w.wall(), segment)
+	r.w.store.pass(func(other *router) { other.stored(one) })
 }
 
 // settleDoubts looks again at the origins that are doubted: while the stream runs, and after its end if
@@ -135,24 +149,8 @@
 			continue
 		}
 		delete(r.doubts, id)
-		one := r.records[id]
-		one.Doubted = false
-		r.records[id], r.unwritten = one, append(r.unwritten, one)
 		r.table.Settled(id)
-		if c.ended {
-			r.announceSettled(one)
-		}
-	}
-}
-
-// announceSettled tells the owners that a stream that runs no more is not doubted.
-func (r *router) announceSettled(one origin.Record) {
-	near, far := r.fleet().Owners(one.ID)
-	batches := map[string][]origin.Record{}
-	for _, id := range append(near, far...) {
-		batches[id] = []origin.Record{one}
 	}
-	r.sendRecords(batches)
 }
 
 // asking is a question of one router to others.
@@ -166,10 +164,10 @@
 }
 
 // ask asks the routers that may know the stream, and goes on when one does, all answered or time is over.
-func (r *router) ask(id origin.ID, isMixed bool, done func(*asking)) {
+func (r *router) ask(id origin.ID, isMixed bool, limit time.Duration, done func(*asking)) {
 	f := r.fleet()
 	holders := f.Holders(id)
-	r.askRouters(id, holders, func(got *asking) {
+	r.askRouters(id, holders, limit, func(got *asking) {
 		if got.isKnown || !isMixed && !got.mixed || got.answered < got.asked {
 			done(got)
 			return
@@ -179,14 +177,14 @@
 			done(got)
 			return
 		}
-		r.askRouters(id, rest, func(more *asking) {
+		r.askRouters(id, rest, limit, func(more *asking) {
 			more.asked, more.answered, more.mixed = more.asked+got.asked, more.answered+got.answered, more.mixed || got.mixed
 			done(more)
 		})
 	})
 }
 
-func (r *router) askRouters(id origin.ID, routers []string, done func(*asking)) {
+func (r *router) askRouters(id origin.ID, routers []string, limit time.Duration, done func(*asking)) {
 	a := &asking{open: slices.Clone(routers), asked: len(routers), done: done}
 	if len(routers) == 0 {
 		done(a)
@@ -196,8 +194,20 @@
 	number := r.askNumber
 	r.asking[number] = a
 	r.sendAsking(id, number)
-	r.w.after(askAgain, func() { r.do(smallCost, func() { r.sendAsking(id, number) }) })
-	r.w.after(cmp.Or(r.w.set.Mends.AskLimit, askLimit), func() { r.do(smallCost, func() { r.askDone(number) }) })
+	r.askAgain(id, number, askAgain)
+	r.w.after(limit, func() { r.do(smallCost, func() { r.askDone(number) }) })
+}
+
+// askAgain repeats the asking to those that have not answered.
+func (r *router) askAgain(id origin.ID, number uint32, after time.Duration) {
+	r.w.after(after, func() {
+		r.do(smallCost, func() {
+			if r.asking[number] != nil {
+				r.sendAsking(id, number)
+				r.askAgain(id, number, askInterval)
+			}
+		})
+	})
 }
 
 func (r *router) sendAsking(id origin.ID, number uint32) {
--- a/bench/resumed/resolve.go
+++ b/bench/resumed/resolve.go
@@ -1,6 +1,9 @@
 package resumed
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"goldcrestport/coordination/continuation"
@@ -11,18 +14,18 @@
 	known, isKnown := c.r.table.Lookup(c.w.wall(), c.stream.id)
 	s := continuation.Stream{Services: []string{service}}
 	if isKnown {
-		c.knownBy, s.Origin = known.By, known.Origin
+		c.knownBy, c.isConflicting, s.Origin = known.By, known.Conflicting, known.Origin
 		c.conclude(s, knowledgeOf(known.Uncertain), goOn)
 		return
 	}
-	c.r.ask(c.stream.id, c.r.isMixed(service), func(got *asking) {
+	c.r.ask(c.stream.id, c.r.isMixed(service), c.askLimit(), func(got *asking) {
 		if c.ended {
 			return
 		}
 		s.MixedElsewhere = got.mixed
 		switch {
 		case got.isKnown:
-			c.knownBy, s.Origin = got.known.By, got.known.Origin
+			c.knownBy, c.isConflicting, s.Origin = got.known.By, got.known.Conflicting, got.known.Origin
 			c.conclude(s, knowledgeOf(got.known.Uncertain), goOn)
 		case got.answered < got.asked:
 			c.orStored(s, continuation.Unanswered, goOn)
@@ -33,6 +36,12 @@
 	})
 }
 
+// askLimit returns how long answers of other routers are awaited.
+func (c *call) askLimit() time.Duration {
+	left := c.stream.bornAt + c.stream.route.deadline - c.w.now
+	return cmp.Or(c.w.set.Mends.AskLimit, min(max(left/askShare, minAskLimit), maxAskLimit))
+}
+
 // orStored concludes by what the store says of the stream, if it is read and says anything.
 func (c *call) orStored(s continuation.Stream, otherwise continuation.Knowledge, goOn func()) {
 	if !c.w.set.Mends.ReadStore || c.w.store.away {
@@ -41,13 +50,19 @@
 	}
 	c.w.after(c.w.between(storeReadMin, storeReadMax), func() {
 		c.r.do(smallCost, func() {
-			one, isStored := c.w.store.origins[c.stream.id]
-			if c.ended || !isStored {
+			if c.ended {
+				return
+			}
+			for _, key := range slices.Sorted(maps.Keys(c.w.store.origins)) {
+				c.r.stored(c.w.store.origins[key].Stored)
+			}
+			known, isStored := c.r.table.Lookup(c.w.wall(), c.stream.id)
+			if !isStored {
 				c.conclude(s, otherwise, goOn)
 				return
 			}
-			c.knownBy, s.Origin = one.by, one.Origin
-			c.conclude(s, knowledgeOf(one.Doubted), goOn)
+			c.knownBy, c.isConflicting, s.Origin = known.By, known.Conflicting, known.Origin
+			c.conclude(s, knowledgeOf(known.Uncertain), goOn)
 		})
 	})
 }
@@ -78,7 +93,7 @@
 	door, after := string(d.Reason), time.Duration(0)
 	if d.Reason == continuation.ReasonUncertain {
 		door = doorDoubted
-		if !c.stream.doubted {
+		if c.isConflicting {
 			door = doorConflicting
 		}
 	}
--- a/bench/resumed/router.go
+++ b/bench/resumed/router.go
@@ -23,6 +23,7 @@
 	sweepInterval      = 200 * time.Millisecond
 	gatherOrigins      = 5 * time.Millisecond
 	lookOrigins        = 100 * time.Millisecond
+	journalInterval    = 200 * time.Millisecond
 	// isStaleAfter is the age from which its view of the entries is no evidence.
 	isStaleAfter = 1800 * time.Millisecond
 	// touchTime is for how long after a trouble of its own a router is not in touch.
@@ -65,9 +66,7 @@
 	asking        map[uint32]*asking
 	askNumber     uint32
 	doubts        map[origin.ID]*call
-	// records are those in the table, unwritten those that are not in the store.
-	records   map[origin.ID]origin.Record
-	unwritten []origin.Record
+	journal       *origin.Journal
 
 	nextFull, nextTeams time.Duration
 }
@@ -146,9 +145,7 @@
 	again(fixed(sweepInterval), r.sweep)
 	again(fixed(lookOrigins), r.tell)
 	again(fixed(500*time.Millisecond), r.syncServed)
-	if every := r.w.set.Mends.StoreEvery; every > 0 {
-		again(fixed(every), r.writeOrigins)
-	}
+	again(fixed(r.w.journalChecks()), func() { r.writeOrigins((*origin.Journal).Due) })
 	r.register(life)
 }
 
--- a/bench/resumed/serve.go
+++ b/bench/resumed/serve.go
@@ -27,6 +27,7 @@
 	bound              origin.Origin
 	isBound, isStrict  bool
 	recorded, certain  bool
+	isConflicting      bool
 	knownBy            string
 	answerBegun, ended bool
 	run                *run
--- a/bench/resumed/store.go
+++ b/bench/resumed/store.go
@@ -31,8 +31,8 @@
 	// routers maps the registered ones to when their entries lapse.
 	routers map[string]time.Duration
 	served  *versions.Served
-	// origins are the records that routers wrote, if they write any.
-	origins map[origin.ID]storedOrigin
+	// origins are the entries with origins that routers wrote, by router and segment.
+	origins map[string]storedOrigins
 }
 
 type stored struct {
@@ -40,15 +40,14 @@
 	lapses time.Duration
 }
 
-// storedOrigin is an origin in the store, with the router that wrote it.
-type storedOrigin struct {
-	origin.Record
-	by     string
+// storedOrigins is an entry with the origins of streams.
+type storedOrigins struct {
+	origin.Stored
 	lapses time.Duration
 }
 
 func newStore(w *world) *store {
-	return &store{w: w, entries: map[string]stored{}, routers: map[string]time.Duration{}, origins: map[origin.ID]storedOrigin{}}
+	return &store{w: w, entries: map[string]stored{}, routers: map[string]time.Duration{}, origins: map[string]storedOrigins{}}
 }
 
 // write writes the entry of a server, and passes what is new on to the routers.
@@ -98,7 +97,7 @@
 		}
 	}
 	maps.DeleteFunc(s.routers, func(_ string, lapses time.Duration) bool { return s.w.now > lapses })
-	maps.DeleteFunc(s.origins, func(_ origin.ID, one storedOrigin) bool { return s.w.now > one.lapses })
+	maps.DeleteFunc(s.origins, func(_ string, one storedOrigins) bool { return s.w.now > one.lapses })
 }
 
 // list returns the entries that have not lapsed, by id.
--- a/bench/resumed/trouble.go
+++ b/bench/resumed/trouble.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"goldcrestport/coordination/origin"
 )
 
 // Trouble is a kind of what goes wrong in a play.
@@ -105,6 +107,7 @@
 		return
 	}
 	r.serves, r.troubledAt = false, w.now
+	w.handOver(r)
 	life, until := r.life, w.now+stopGrace
 	var wait func()
 	wait = func() {
@@ -114,9 +117,8 @@
 		case len(r.calls) > 0 && w.now < until:
 			w.after(50*time.Millisecond, wait)
 		default:
-			if w.set.Mends.Handover {
-				r.handOver()
-			}
+			w.handOver(r)
+			r.writeOrigins((*origin.Journal).Last)
 			delete(w.store.routers, r.id)
 			r.kill()
 			w.after(w.between(500*time.Millisecond, 2*time.Second), func() {
@@ -128,6 +130,13 @@
 	wait()
 }
 
+// handOver lets a router that is stopped hand its origins over.
+func (w *world) handOver(r *router) {
+	if !w.set.Mends.NoHandover {
+		r.handOver()
+	}
+}
+
 // callerPatience is the pause in an answer after which its caller gives the connection up.
 const callerPatience = 2 * time.Second
 
--- a/bench/resumed/world.go
+++ b/bench/resumed/world.go
@@ -26,12 +26,13 @@
 
 // Mends are changes of the product that are played in place of what it does.
 type Mends struct {
-	// Handover: a router that is stopped sends the origins that it knows to all others.
-	Handover bool
-	// StoreEvery is the interval at which routers write origins to the store, which they read when
-	// they begin; 0: they write none.
-	StoreEvery time.Duration
-	// ReadStore: a router that is asked for a stream that it does not find reads the store.
+	// NoHandover: a router that is stopped hands over nothing. NoJournal: routers write no origins to
+	// the store.
+	NoHandover, NoJournal bool
+	// JournalInterval is the shortest time between two writes of origins by a router; 0: as the product
+	// has it.
+	JournalInterval time.Duration
+	// ReadStore: a router that does not find where a stream began reads the store.
 	ReadStore bool
 	// AskLimit is how long answers of other routers are awaited; 0: as the product does.
 	AskLimit time.Duration
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -45,6 +45,8 @@
 	flagKnown     = 1
 	flagUncertain = 2
 	flagMixed     = 4
+	// flagConflicting is not read by builds that do not know it: they see that the origin is uncertain.
+	flagConflicting = 8
 )
 
 // flagDoubted is the flag of a group of records.
@@ -79,7 +81,7 @@
 	b = appendName(append(b, version, byte(m.Kind)), m.Router)
 	switch m.Kind {
 	case Tells:
-		return appendRecords(b, m.Records)
+		return AppendRecords(b, m.Records)
 	case Asks:
 		b = binary.LittleEndian.AppendUint32(b, m.Number)
 		b = binary.LittleEndian.AppendUint64(b, uint64(m.ID))
@@ -89,8 +91,8 @@
 	}
 }
 
-// appendRecords appends the records grouped by their origins.
-func appendRecords(b []byte, records []origin.Record) []byte {
+// AppendRecords appends the records grouped by their origins.
+func AppendRecords(b []byte, records []origin.Record) []byte {
 	type group struct {
 		origin.Origin
 		isDoubted bool
@@ -124,6 +126,9 @@
 	if m.Known.Uncertain {
 		flags |= flagUncertain
 	}
+	if m.Known.Conflicting {
+		flags |= flagConflicting
+	}
 	if m.Mixed {
 		flags |= flagMixed
 	}
@@ -161,6 +166,16 @@
 	return m, nil
 }
 
+// ReadRecords decodes what AppendRecords appended.
+func ReadRecords(b []byte) ([]origin.Record, error) {
+	d := decoder{rest: b}
+	records := d.records()
+	if d.failed || len(d.rest) > 0 {
+		return nil, ErrForm
+	}
+	return records, nil
+}
+
 // decoder reads fields in order. After the first truncated field, all reads return zero values.
 type decoder struct {
 	rest   []byte
@@ -204,6 +219,7 @@
 	m.Number = d.number()
 	flags := d.next(1)[0]
 	m.IsKnown, m.Known.Uncertain, m.Mixed = flags&flagKnown != 0, flags&flagUncertain != 0, flags&flagMixed != 0
+	m.Known.Conflicting = flags&flagConflicting != 0
 	m.Known.Service, m.Known.Version, m.Known.By = d.name(), roster.Version(d.name()), d.name()
 	m.Known.For = time.Duration(d.number()) * time.Millisecond
 }
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -41,9 +41,13 @@
 	answers *expvar.Map
 	// resumed counts streams that go on at a server, or were to, by what became of them.
 	resumed *expvar.Map
-	// originsTold counts the origins of streams that were announced to other routers, and originAskTime
+	// doors counts resumed streams by why they did not go on.
+	doors *expvar.Map
+	// originsTold counts the origins of streams that were announced to other routers, originsStored the
+	// entries with such origins that were written to the store, and originAskTime
 	// holds the times for which others were asked.
 	originsTold   *expvar.Int
+	originsStored *expvar.Int
 	originAskTime *observe.Times
 }
 
@@ -75,9 +79,12 @@
 		infoAge:          v.Times("direct_knowledge_age_us"),
 		answers:          v.Map("direct_answers"),
 		resumed:          v.Map("direct_streams_resumed"),
+		doors:            v.Map("direct_streams_resumed_doors"),
 		originsTold:      v.Int("direct_origins_told"),
+		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
 	}
+	r.rates.register(m)
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).RefusedCount) })
 	v.Func("direct_cold_servers", func() any {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -51,6 +51,7 @@
 	source         Source
 	pool           *backend.Pool
 	metrics        *metrics
+	rates          *streamRates
 	tracer         *observe.Tracer
 	table          atomic.Pointer[routing.Table]
 
@@ -154,6 +155,7 @@
 		infoWanted:     make(chan struct{}, 1),
 		reportsReady:   make(chan struct{}, 1),
 		probes:         newProbes(),
+		rates:          newStreamRates(),
 		warmup:         warmup.New(cfg.Warmup, set.ID),
 		quarantine:     quarantine.New(cfg.Quarantine, set.ID),
 		returning:      returning.New(returning.DefaultConfig()),
@@ -212,6 +214,7 @@
 	go r.register(ctx)
 	go r.syncQuarantine(ctx)
 	go r.syncServed(ctx)
+	go r.origins.writer.run(ctx)
 	go func() { _ = observe.Server(r.healthHandler()).Serve(health) }()
 	if err := r.startGossip(ctx); err != nil {
 		return errors.Wrap(err, "listen.peers")
