--- a/bench/cmd/resumed/main.go
+++ b/bench/cmd/resumed/main.go
@@ -41,7 +41,7 @@
 	f.StringArrayVar(&troubles, "trouble", nil, "troubles of each play, in place of two by the seed")
 	f.BoolVar(&s.Mends.NoHandover, "no-handover", false, "a router that is stopped hands no origins over")
 	f.BoolVar(&s.Mends.NoJournal, "no-journal", false, "origins are not written to the store")
-	f.DurationVar(&s.Mends.JournalInterval, "journal-interval", 0, "shortest time between two writes of origins; 0: as the product has it")
+	f.DurationVar(&s.Mends.JournalInterval, "journal-interval", 0, "time between two writes of origins by a router; 0: as the product has it")
 	f.BoolVar(&s.Mends.ReadStore, "read-store", false, "the store is read for a stream that nobody knows")
 	f.DurationVar(&s.Mends.AskLimit, "ask-limit", 0, "how long answers are awaited; 0: as the product does")
 	f.DurationVar(&s.Mends.ResumeWait, "resume-wait", 0, "wait limit of resumed requests; 0: as the product has it")
--- a/bench/resumed/origins.go
+++ b/bench/resumed/origins.go
@@ -23,7 +23,9 @@
 	r.table, r.asking = origin.NewTable(origin.DefaultConfig(), r.id), map[uint32]*asking{}
 	r.doubts = map[origin.ID]*call{}
 	cfg := origin.DefaultJournalConfig()
-	cfg.Interval = cmp.Or(r.w.set.Mends.JournalInterval, cfg.Interval)
+	if interval := r.w.set.Mends.JournalInterval; interval > 0 {
+		cfg.Interval, cfg.WritesPerSecond = interval, float64(len(r.w.routers))/interval.Seconds()
+	}
 	r.journal = origin.NewJournal(cfg, uint64(r.life)<<32)
 	for _, key := range slices.Sorted(maps.Keys(r.w.store.origins)) {
 		r.stored(r.w.store.origins[key].Stored)
--- a/bench/resumed/world.go
+++ b/bench/resumed/world.go
@@ -29,8 +29,8 @@
 	// NoHandover: a router that is stopped hands over nothing. NoJournal: routers write no origins to
 	// the store.
 	NoHandover, NoJournal bool
-	// JournalInterval is the shortest time between two writes of origins by a router; 0: as the product
-	// has it.
+	// JournalInterval is the time between two writes of origins by a router, at each size of the fleet;
+	// 0: as the product has it.
 	JournalInterval time.Duration
 	// ReadStore: a router that does not find where a stream began reads the store.
 	ReadStore bool
