Lines of requests that a server may have run name the parts of their prompts

Cause: what requests at two crashes have in common could not be seen. Ruled out: parts in each line, as logs are bounded. Before: no line; after: `parts` in request_ended, 16 at most. Conclusion: sight only, no decision changes.

--- a/transport/direct/requestlog.go
+++ b/transport/direct/requestlog.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"goldcrestport/coordination/admission"
@@ -20,7 +22,23 @@
 
 // logEnd logs a request that ended without a whole answer.
 func (c *call) logEnd(why string, status int, after time.Duration) {
-	c.line(c.r.failureLines, "request_ended", "why", why, "status", status, "retry_after_ms", after.Milliseconds())
+	keyvals := []any{"why", why, "status", status, "retry_after_ms", after.Milliseconds()}
+	if c.reached > 0 {
+		keyvals = append(keyvals, "parts", joinParts(c.meta.Shared))
+	}
+	c.line(c.r.failureLines, "request_ended", keyvals...)
+}
+
+// maxLoggedParts bounds the parts of a prompt in one line.
+const maxLoggedParts = 16
+
+// joinParts writes the ids of the parts of a prompt that other requests may share, in order.
+func joinParts(parts []admission.Prefix) string {
+	var texts []string
+	for _, one := range parts[:min(len(parts), maxLoggedParts)] {
+		texts = append(texts, strconv.FormatUint(one.ID, 16))
+	}
+	return strings.Join(texts, ",")
 }
 
 // logCompleted logs a request that was answered.
