Revert the trial of parts of prompts as suspects

Cause: where no sound run lives, the parts that all requests share are refused with the one that crashes.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -49,12 +49,8 @@
 	if r == nil || !r.refusedAt.IsZero() || s.strikes(fp, r) < s.cfg.Crashes {
 		return false
 	}
-	enough := s.countedCrashes(r)[s.cfg.Crashes-1].at
-	if decided := enough.Add(s.cfg.TieBreak); now.Before(decided) && s.hasRival(fp, r) {
-		s.judgements[fp] = decided
-		return false
-	}
-	if decided := enough.Add(s.accompanyBreak); now.Before(decided) && s.accompanies(fp, r) {
+	decided := s.countedCrashes(r)[s.cfg.Crashes-1].at.Add(s.cfg.TieBreak)
+	if now.Before(decided) && s.hasRival(fp, r) {
 		s.judgements[fp] = decided
 		return false
 	}
@@ -165,7 +161,7 @@
 	}
 	for rival := range counted[0].suspects {
 		other := s.records[rival]
-		if rival == fp || other == nil || !other.refusedAt.IsZero() || s.isCommoner != nil && s.isCommoner(rival, fp) {
+		if rival == fp || other == nil || !other.refusedAt.IsZero() {
 			continue
 		}
 		if !slices.ContainsFunc(counted, func(c *crash) bool {
@@ -178,29 +174,6 @@
 	return false
 }
 
-// accompanies reports whether something else explains crashes that count better: it was running at all of
-// them, and comes less often or was running at others, too.
-func (s *State) accompanies(fp Fingerprint, r *record) bool {
-	if s.isCommoner == nil {
-		return false
-	}
-	counted := s.countedCrashes(r)
-	shared := make(map[Fingerprint]int)
-	for _, c := range counted {
-		for other := range c.suspects {
-			known := s.records[other]
-			if other == fp || known == nil || !known.refusedAt.IsZero() || !c.at.After(known.clearedAt) {
-				continue
-			}
-			shared[other]++
-			if shared[other] == len(counted) && (s.isCommoner(fp, other) || len(s.countedCrashes(known)) > len(counted)) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (s *State) reasons(fp Fingerprint, r *record) []Strike {
 	var out []Strike
 	for _, c := range s.countedCrashes(r) {
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -47,12 +47,6 @@
 	refused map[Fingerprint]*record
 	// judgements maps each fingerprint to be judged to the time when that is due.
 	judgements map[Fingerprint]time.Time
-	// isCommoner, if it is not nil, reports whether the first occurs more often than the second: it then
-	// accompanies crashes that the second explains.
-	isCommoner func(a, b Fingerprint) bool
-	// accompanyBreak is how long after the last required crash something is not yet refused that only
-	// accompanies another one; 0 where nothing does.
-	accompanyBreak time.Duration
 	// events are those that Events has not returned yet.
 	events []Event
 	unsent unsentChanges
--- a/protocol/crashreport/crashreport.go
+++ b/protocol/crashreport/crashreport.go
@@ -18,10 +18,6 @@
 // version is the first byte of a datagram. No digest starts with it.
 const version = 0x81
 
-// partsVersion is the first byte of a report on parts of prompts, which is else of the same form: a
-// router of a build that does not know them drops only these.
-const partsVersion = 0x83
-
 // Sizes of the encoded fields in bytes, and the limits of one-byte lengths and counts.
 const (
 	fingerprintSize = 8
@@ -36,25 +32,6 @@
 // Is reports whether the datagram starts as a crash report.
 func Is(b []byte) bool { return len(b) > 0 && b[0] == version }
 
-// IsParts reports whether the datagram starts as a report on parts of prompts.
-func IsParts(b []byte) bool { return len(b) > 0 && b[0] == partsVersion }
-
-// AppendParts is Append for a report on parts of prompts.
-func AppendParts(b []byte, router string, r quarantine.Report) []byte {
-	at := len(b)
-	b = Append(b, router, r)
-	b[at] = partsVersion
-	return b
-}
-
-// ReadParts decodes a report on parts of prompts.
-func ReadParts(b []byte) (router string, r quarantine.Report, err error) {
-	if !IsParts(b) {
-		return "", r, ErrForm
-	}
-	return read(b)
-}
-
 // Append appends the router's encoded report to b. Of each list, only the first 255
 // entries are written; the reports of coordination/quarantine have fewer.
 func Append(b []byte, router string, r quarantine.Report) []byte {
@@ -99,11 +76,6 @@
 	if !Is(b) {
 		return "", r, ErrForm
 	}
-	return read(b)
-}
-
-// read decodes what follows the first byte.
-func read(b []byte) (router string, r quarantine.Report, err error) {
 	d := decoder{rest: b[1:]}
 	router = d.name()
 	for range d.count() {
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -29,11 +29,7 @@
 // it did.
 func (c *call) endQuarantined() bool {
 	c.r.mu.Lock()
-	now := time.Now()
-	verdict := c.r.quarantine.Check(now, c.fingerprint)
-	if verdict == quarantine.Pass {
-		verdict = c.r.parts.Check(now, c.service, c.meta.Shared)
-	}
+	verdict := c.r.quarantine.Check(time.Now(), c.fingerprint)
 	c.r.handleQuarantineEvents()
 	c.r.mu.Unlock()
 	switch {
@@ -47,46 +43,27 @@
 		c.refuse(*notRun(outcome.ReasonSuspect, suspectRetryAfter, "another attempt of this request is at work, and backend servers ended under earlier ones"))
 	default:
 		// A status that callers do not retry: a retry would end the same way.
-		c.refuse(outcome.Refuse(outcome.ReasonCrashes, http.StatusBadRequest, 0, "backend servers ended under each earlier attempt of this request, or of others with a part of its prompt; it has not run this time"))
+		c.refuse(outcome.Refuse(outcome.ReasonCrashes, http.StatusBadRequest, 0, "backend servers ended under each earlier attempt of this request; it has not run this time"))
 	}
 	return true
 }
 
-// sentRun is one send of a request, as the quarantine knows it: the request, and the parts of its prompt.
-type sentRun struct {
-	request *quarantine.Run
-	parts   *quarantine.PartRun
-}
-
 // beginSend records that the request is being sent to the server.
-func (c *call) beginSend(server roster.Server) sentRun {
-	r := c.r
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return sentRun{r.quarantine.Begin(c.fingerprint, server.Identity()), r.parts.Begin(server.Identity(), c.service, c.meta.Shared)}
-}
-
-// answerBegins records that the answer to the send has begun.
-func (r *Router) answerBegins(run sentRun) {
-	if run.parts == nil {
-		return
-	}
+func (r *Router) beginSend(fingerprint quarantine.Fingerprint, server roster.Server) *quarantine.Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.parts.Answered(time.Now(), run.parts)
+	return r.quarantine.Begin(fingerprint, server.Identity())
 }
 
-func (r *Router) endSend(run sentRun, how quarantine.Ending) {
-	now := time.Now()
+func (r *Router) endSend(run *quarantine.Run, how quarantine.Ending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantine.End(now, run.request, how)
-	r.parts.End(now, run.parts, how)
+	r.quarantine.End(time.Now(), run, how)
 }
 
 // attemptEnded records how the send ended. If its answer broke off, it returns after the
 // server was probed.
-func (c *call) attemptEnded(sent sentRun, server roster.Server, how quarantine.Ending) {
+func (c *call) attemptEnded(sent *quarantine.Run, server roster.Server, how quarantine.Ending) {
 	c.r.endSend(sent, how)
 	if how == quarantine.Broken {
 		c.r.probeAfterBreak(server)
@@ -209,7 +186,6 @@
 		case quarantine.Crashed:
 			r.metrics.crashes.Add(1)
 			r.pool.DeathSeen(e.Server, 0)
-			r.parts.Crash(time.Now(), e.Server)
 			r.event("backend_server_crashed", "server", e.Server, "suspects", e.Suspects)
 		case quarantine.Confirmed:
 			r.metrics.confirmed.Add(1)
@@ -222,8 +198,7 @@
 			}
 		}
 	}
-	r.handlePartEvents()
-	if r.quarantine.HasUnsent() || r.parts.HasUnsent() {
+	if r.quarantine.HasUnsent() {
 		select {
 		case r.reportsReady <- struct{}{}:
 		default:
@@ -231,22 +206,6 @@
 	}
 }
 
-// handlePartEvents logs and counts what is known of parts of prompts. The caller holds mu.
-func (r *Router) handlePartEvents() {
-	for _, e := range r.parts.Events() {
-		switch e.Kind {
-		case quarantine.Confirmed:
-			r.metrics.partsConfirmed.Add(1)
-			servers, times, reportedBy := writeStrikes(e.Strikes)
-			r.event("part_quarantined", "part", e.Content, "cause", e.Cause, "servers", servers, "crashed_at", times, "told_by", reportedBy)
-		case quarantine.Cleared:
-			if allowed, dropped := r.failureLines.Allow("part_cleared", time.Now()); allowed {
-				r.event("part_cleared", "part", e.Content, "cause", e.Cause, "left_out", dropped)
-			}
-		}
-	}
-}
-
 // strikeTime is the format of crash times, in UTC.
 const strikeTime = "15:04:05.000"
 
--- a/transport/direct/crashreport.go
+++ b/transport/direct/crashreport.go
@@ -27,35 +27,25 @@
 	others := time.Duration(len(t.destinations))
 	r := t.r
 	r.mu.Lock()
-	var reports, partReports []quarantine.Report
-	if (r.quarantine.HasUnsent() || r.parts.HasUnsent()) && now.Sub(t.reportsSent) >= others*time.Second/reportBudget {
+	var reports []quarantine.Report
+	if r.quarantine.HasUnsent() && now.Sub(t.reportsSent) >= others*time.Second/reportBudget {
 		t.reportsSent = now
-		reports, partReports = r.quarantine.UnsentReports(now), r.parts.UnsentReports(now)
+		reports = r.quarantine.UnsentReports(now)
 	}
 	if now.Sub(t.repeatsSent) >= max(repeatInterval, others*time.Second/digestBudget) {
 		t.repeatsSent = now
 		reports = append(reports, r.quarantine.PeriodicReports(now)...)
-		partReports = append(partReports, r.parts.PeriodicReports(now)...)
 	}
-	if len(reports)+len(partReports) > 0 {
+	if len(reports) > 0 {
 		t.updateDestinations()
 	}
 	r.mu.Unlock()
 	for _, one := range reports {
 		t.buf = crashreport.Append(t.buf[:0], r.set.ID, one)
-		t.sendToAll()
-	}
-	for _, one := range partReports {
-		t.buf = crashreport.AppendParts(t.buf[:0], r.set.ID, one)
-		t.sendToAll()
-	}
-}
-
-// sendToAll sends the datagram in the buffer to all other routers.
-func (t *gossiper) sendToAll() {
-	for _, to := range t.destinations {
-		if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
-			t.r.metrics.peerErrors.Add(1)
+		for _, to := range t.destinations {
+			if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
+				r.metrics.peerErrors.Add(1)
+			}
 		}
 	}
 }
@@ -74,19 +64,6 @@
 	return nil
 }
 
-// receivePartReport processes another router's report on parts of prompts.
-func (r *Router) receivePartReport(datagram []byte) error {
-	router, report, err := crashreport.ReadParts(datagram)
-	if err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.parts.Merge(time.Now(), router, report)
-	r.handleQuarantineEvents()
-	return nil
-}
-
 // noteDeaths records which processes other routers saw end: the entry of a server may still be that of
 // such a process, also if this router began after its end. The caller holds mu.
 func (r *Router) noteDeaths(crashes []quarantine.CrashReport) {
@@ -100,10 +77,8 @@
 
 // refusedRequest is a refused request in the list for operators.
 type refusedRequest struct {
-	Content string `json:"content"`
-	// IsPart means that it is a part of prompts, not a whole request.
-	IsPart bool      `json:"part,omitempty"`
-	Since  time.Time `json:"since"`
+	Content string    `json:"content"`
+	Since   time.Time `json:"since"`
 	// Probes is the number of probe requests that were allowed since.
 	Probes  int      `json:"trials"`
 	Crashes []strike `json:"crashes"`
@@ -120,11 +95,11 @@
 // listQuarantine writes the refused requests.
 func (r *Router) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
-	entries, parts := r.quarantine.List(), r.parts.List()
+	entries := r.quarantine.List()
 	r.mu.Unlock()
-	out := make([]refusedRequest, 0, len(entries)+len(parts))
-	for i, e := range append(entries, parts...) {
-		one := refusedRequest{Content: e.Content.String(), IsPart: i >= len(entries), Since: e.Since.UTC(), Probes: e.Trials}
+	out := make([]refusedRequest, 0, len(entries))
+	for _, e := range entries {
+		one := refusedRequest{Content: e.Content.String(), Since: e.Since.UTC(), Probes: e.Trials}
 		for _, s := range e.Reasons {
 			one.Crashes = append(one.Crashes, strike{Server: s.Server, At: s.At.UTC(), ReportedBy: s.ReportedBy})
 		}
@@ -143,9 +118,7 @@
 		return
 	}
 	r.mu.Lock()
-	now := time.Now()
-	known := r.quarantine.Release(now, quarantine.Fingerprint(content))
-	known = r.parts.Release(now, quarantine.Fingerprint(content)) || known
+	known := r.quarantine.Release(time.Now(), quarantine.Fingerprint(content))
 	r.handleQuarantineEvents()
 	r.mu.Unlock()
 	if !known {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -46,11 +46,9 @@
 	// originsTold counts the origins of streams that were announced to other routers, originsStored the
 	// entries with such origins that were written to the store, and originAskTime
 	// holds the times for which others were asked.
-	originsTold *expvar.Int
-	// partsConfirmed counts the parts of prompts that were quarantined.
-	partsConfirmed *expvar.Int
-	originsStored  *expvar.Int
-	originAskTime  *observe.Times
+	originsTold   *expvar.Int
+	originsStored *expvar.Int
+	originAskTime *observe.Times
 }
 
 func newMetrics(r *Router) *metrics {
@@ -83,7 +81,6 @@
 		resumed:          v.Map("direct_streams_resumed"),
 		doors:            v.Map("direct_streams_resumed_doors"),
 		originsTold:      v.Int("direct_origins_told"),
-		partsConfirmed:   v.Int("direct_quarantine_parts"),
 		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
 	}
--- a/transport/direct/receive.go
+++ b/transport/direct/receive.go
@@ -31,9 +31,6 @@
 	if originmsg.Is(datagram) {
 		return r.origins.receive(datagram, from)
 	}
-	if crashreport.IsParts(datagram) {
-		return r.receivePartReport(datagram)
-	}
 	if crashreport.Is(datagram) {
 		return r.receiveReport(datagram)
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -65,8 +65,6 @@
 	// are new reports to send.
 	quarantine   *quarantine.State
 	reportsReady chan struct{}
-	// parts tracks which parts of prompts crash servers.
-	parts *quarantine.Parts
 	// warmup limits the load of cold servers; member is the period in which this router's
 	// registration is certain to be valid.
 	warmup  *warmup.State
@@ -165,7 +163,6 @@
 		rates:          newStreamRates(),
 		warmup:         warmup.New(cfg.Warmup, set.ID),
 		quarantine:     quarantine.New(cfg.Quarantine, set.ID),
-		parts:          quarantine.NewParts(quarantine.PartsConfigOf(cfg.Quarantine), set.ID),
 		returning:      returning.New(returning.DefaultConfig()),
 		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(),
 	}
