A long id with a null far behind is ignored, also where it arrives in pieces

Cause: 512 bytes of a line are kept, and a null behind them was not seen, so the id replaced the one before it. Ruled out: a fault of the reference reader, which sees the whole line. Callers saw a stream that cannot be resumed after such an event, the safe side. Conclusion: a null in what is not kept is marked in what is.

--- a/state/eventstream/fuzz_test.go
+++ b/state/eventstream/fuzz_test.go
@@ -78,6 +78,8 @@
 	for _, text := range []string{
 		"", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\r\ndata: a\r\n\r\nid: 2\r", ":c\r\rid:1\r\rdata", "\uFEFFid: 1\n\n", "\uFEFF", "id\n\nid:\n\nid: \x00\n\n",
 		"data: a\n: comment\n\n\n\n:\n", "\r\n\r\n\n\r", "id: " + strings.Repeat("9", maxLineBuffered) + "\n\n", "\uFEFF\uFEFFid: 1\n\n", "\xef\xbb", "id: 3\n\nid: 4\n\r\n",
+		// A long id that is ignored, as a null follows in the part of its line that is not buffered.
+		"id: 1\nid: " + strings.Repeat("9", 2*maxLineBuffered) + "\x00\n\n",
 	} {
 		f.Add([]byte(text), []byte{1, 1, 2, 1, 1, 3, 1, 1, 1, 1})
 		f.Add([]byte(text), []byte{200})
--- a/state/eventstream/position.go
+++ b/state/eventstream/position.go
@@ -139,7 +139,12 @@
 		p.line = p.line[:0]
 	}
 	p.size += len(part)
-	p.line = append(p.line, part[:min(len(part), maxLineBuffered-len(p.line))]...)
+	kept := min(len(part), maxLineBuffered-len(p.line))
+	p.line = append(p.line, part[:kept]...)
+	if bytes.IndexByte(part[kept:], 0) >= 0 {
+		// An id with a null is ignored, wherever that is in the line.
+		p.line[len(p.line)-1] = 0
+	}
 	return p.line
 }
 
