A closed server's port is not given to another server of the tests

The test closes its backend server; parallel tests of the package start servers all the while, and one of them can be given the port that was closed. Ruled out: the router's decision. With a server started on purpose at the closed address the test gives the same 200 each time. Now that server has an address of the loopback network that no other server of the tests uses. The checks are the same.

--- a/transport/router/harness_test.go
+++ b/transport/router/harness_test.go
@@ -152,13 +152,27 @@
 	runs atomic.Int64
 }
 
-func newBackend(t testing.TB, h http.HandlerFunc) *backend {
+func newBackend(t testing.TB, h http.HandlerFunc) *backend { return newBackendAt(t, "127.0.0.1:0", h) }
+
+// unsharedAddress is an address of the loopback network that no other server of the tests uses: once a
+// server there is closed, no server of a parallel test is given its port.
+const unsharedAddress = "127.0.0.77:0"
+
+// newBackendAt starts a fake backend server at an address of its own.
+func newBackendAt(t testing.TB, address string, h http.HandlerFunc) *backend {
 	b := &backend{}
-	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	b.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		b.runs.Add(1)
 		h(w, r)
 	}))
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = b.Listener.Close()
+	b.Listener = l
+	b.Start()
 	t.Cleanup(b.Close)
 	return b
 }
--- a/transport/router/outcomes_test.go
+++ b/transport/router/outcomes_test.go
@@ -67,7 +67,7 @@
 func TestUnreachableBackendServerIsNotRun(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	b := newBackend(t, warm(func(http.ResponseWriter, *http.Request) {}))
+	b := newBackendAt(t, unsharedAddress, warm(func(http.ResponseWriter, *http.Request) {}))
 	f := newFleet(t)
 	f.sidecar("sidecar-1", b.URL)
 	f.start()
