Routers that do not watch the store call a failing one rarely

Cause: in an outage each router finds its view stale and reads the store at a pause of 150 ms. Change: watchduty.Retry; after two failures only the two watchers go on at 150 ms, the others by the fleet's size, 1 s at most. direct_store_calls counts all calls by kind and result.

--- a/coordination/watchduty/watchduty.go
+++ b/coordination/watchduty/watchduty.go
@@ -56,6 +56,11 @@
 	if !k.Known || k.Age > c.MaxAge || k.SinceUpdate > c.UpdateTimeout {
 		return true
 	}
+	return c.isChosen(self, routers)
+}
+
+// isChosen reports whether the router is one of the watchers.
+func (c Config) isChosen(self string, routers []string) bool {
 	ahead := 0
 	for _, other := range routers {
 		if other != self && compareByHash(other, self) < 0 {
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -45,8 +45,6 @@
 	// callTimeout bounds a call to the store in addition to its wait. On the users' slow days
 	// an answer takes 250 ms.
 	callTimeout = 800 * time.Millisecond
-	// storeRetryPause is the interval between calls to a store that fails.
-	storeRetryPause = 150 * time.Millisecond
 	// startPause is the interval between calls of a router that has no configuration yet:
 	// whole fleets start at the same time.
 	startPause = 150 * time.Millisecond
--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -14,7 +14,7 @@
 
 // follow keeps the configuration and the servers up to date with the store.
 func (r *Router) follow(ctx context.Context) {
-	f := &follower{r: r, duty: watchduty.DefaultConfig()}
+	f := &follower{r: r, duty: watchduty.DefaultConfig(), retry: watchduty.DefaultRetry()}
 	for ctx.Err() == nil {
 		if !f.queriesStore() {
 			f.await(ctx)
@@ -44,8 +44,11 @@
 type follower struct {
 	r                *Router
 	duty             watchduty.Config
+	retry            watchduty.Retry
 	loaded           time.Time
 	storeUnavailable bool
+	// failures is the number of calls in a row that the store has not answered.
+	failures int
 	// nextTry is when a router that cannot reach the store tries it again.
 	nextTry time.Time
 	// catchUp means that other routers have changes that this one lacks.
@@ -153,6 +156,7 @@
 	defer cancel()
 	lastSeqs, sent := f.r.lastHeard(), bootTime()
 	s, err := f.r.source.Load(ctx)
+	f.r.countStoreCall(callLoad, err)
 	if err != nil {
 		return err
 	}
@@ -170,6 +174,7 @@
 	lastSeqs, sent := f.r.lastHeard(), bootTime()
 	after := f.r.knownRevision()
 	d, err := f.r.source.Changes(ctx, after, wait)
+	f.r.countStoreCall(callChanges, err)
 	if err != nil {
 		// An interrupted wait may have missed changes. Updates from other routers continue
 		// from the known revision.
@@ -184,7 +189,6 @@
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
-	f.r.metrics.storeErrors.Add(1)
 	if errors.Is(err, platform.ErrCompacted) {
 		f.r.event("history_lost", "err", err)
 		return
@@ -198,14 +202,26 @@
 	f.nextTry = time.Now().Add(partitionedRetryInterval)
 	f.r.storeSilentSince.CompareAndSwap(0, int64(bootTime()))
 	f.storeLost(err)
+	f.failures++
 	select {
-	case <-time.After(storeRetryPause):
+	case <-time.After(f.retryPause()):
 	case <-f.r.catchUpNeeded:
 		f.catchUp = true
 	case <-ctx.Done():
 	}
 }
 
+// retryPause returns the pause before the next call to the store that failed. A router without any
+// configuration can serve nobody and goes on at the short one.
+func (f *follower) retryPause() time.Duration {
+	if f.r.knownRevision() == 0 {
+		return f.retry.Pause
+	}
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	return f.retry.After(f.failures, f.duty, f.r.set.ID, f.r.routers())
+}
+
 // storeLost records that the store does not answer this router. Entries may lapse from now on,
 // unless others report that the store answers them.
 func (f *follower) storeLost(err error) {
@@ -235,6 +251,7 @@
 // storeAnswered records that the store answered a call of this router that was sent at the given
 // reading of bootTime.
 func (f *follower) storeAnswered(sent time.Duration) {
+	f.failures = 0
 	f.r.storeSilentSince.Store(0)
 	f.storeBack(false, sent)
 }
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -10,11 +10,13 @@
 
 // metrics are the counters and histograms of one router, see docs/METRICS.md.
 type metrics struct {
-	vars            *observe.Vars
-	requests        *expvar.Int
-	outcomes        *expvar.Map
-	repeats         *expvar.Int
-	storeErrors     *expvar.Int
+	vars        *observe.Vars
+	requests    *expvar.Int
+	outcomes    *expvar.Map
+	repeats     *expvar.Int
+	storeErrors *expvar.Int
+	// storeCalls counts the calls to the store by kind and result.
+	storeCalls      *expvar.Map
 	dropped         *expvar.Int
 	peerErrors      *expvar.Int
 	peerReads       *expvar.Int
@@ -59,6 +61,7 @@
 		outcomes:        v.Map("direct_outcomes"),
 		repeats:         v.Int("direct_repeats"),
 		storeErrors:     v.Int("direct_store_errors"),
+		storeCalls:      v.Map("direct_store_calls"),
 		dropped:         v.Int("log_lines_dropped"),
 		peerReads:       v.Int("direct_peer_reads"),
 		attachedApplied: v.Int("direct_changes_passed"),
--- a/transport/direct/originstore.go
+++ b/transport/direct/originstore.go
@@ -58,7 +58,7 @@
 		w.lease = ""
 	}
 	r := w.o.r
-	ok := r.storeCall(ctx, func(ctx context.Context) (err error) {
+	ok := r.storeCall(ctx, callOrigins, func(ctx context.Context) (err error) {
 		w.lease, err = r.source.KeepOrigins(ctx, r.set.ID, segment, w.lease, journalConfig.Life)
 		return err
 	})
--- a/transport/direct/refusedstore.go
+++ b/transport/direct/refusedstore.go
@@ -39,7 +39,7 @@
 
 func (r *Router) storeRefused(ctx context.Context, entries []quarantine.Entry) {
 	for _, one := range entries {
-		if !r.storeCall(ctx, func(ctx context.Context) error { return r.source.Keep(ctx, one, refusedEntryTTL) }) {
+		if !r.storeCall(ctx, callKeep, func(ctx context.Context) error { return r.source.Keep(ctx, one, refusedEntryTTL) }) {
 			return
 		}
 		r.mu.Lock()
@@ -50,7 +50,7 @@
 
 func (r *Router) removeCleared(ctx context.Context, contents []quarantine.Fingerprint) {
 	for _, content := range contents {
-		if !r.storeCall(ctx, func(ctx context.Context) error { return r.source.Drop(ctx, content) }) {
+		if !r.storeCall(ctx, callDrop, func(ctx context.Context) error { return r.source.Drop(ctx, content) }) {
 			return
 		}
 		r.mu.Lock()
@@ -59,14 +59,32 @@
 	}
 }
 
-// storeCall makes one call with a timeout and counts its failure. It reports whether it
-// succeeded.
-func (r *Router) storeCall(ctx context.Context, call func(context.Context) error) bool {
+// Kinds of calls to the store, as the metric names them.
+const (
+	callLoad       = "load"
+	callChanges    = "changes"
+	callRegister   = "register"
+	callKeep       = "keep_refused"
+	callDrop       = "drop_refused"
+	callKeepServed = "keep_versions"
+	callOrigins    = "keep_origins"
+)
+
+// countStoreCall counts a call to the store by its kind and result.
+func (r *Router) countStoreCall(kind string, err error) {
+	if err == nil {
+		r.metrics.storeCalls.Add(kind+"/ok", 1)
+		return
+	}
+	r.metrics.storeCalls.Add(kind+"/failed", 1)
+	r.metrics.storeErrors.Add(1)
+}
+
+// storeCall makes one call with a timeout and counts it. It reports whether it succeeded.
+func (r *Router) storeCall(ctx context.Context, kind string, call func(context.Context) error) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := call(ctx); err != nil {
-		r.metrics.storeErrors.Add(1)
-		return false
-	}
-	return true
+	err := call(ctx)
+	r.countStoreCall(kind, err)
+	return err == nil
 }
--- a/transport/direct/servedstore.go
+++ b/transport/direct/servedstore.go
@@ -29,7 +29,7 @@
 		due := r.versions.ToStore(now, r.turnOf)
 		r.mu.Unlock()
 		for _, one := range due {
-			if !r.storeCall(ctx, func(ctx context.Context) error { return r.source.KeepServed(ctx, one, versions.Horizon) }) {
+			if !r.storeCall(ctx, callKeepServed, func(ctx context.Context) error { return r.source.KeepServed(ctx, one, versions.Horizon) }) {
 				return
 			}
 			r.mu.Lock()
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -216,11 +216,10 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Peers, lease, registerTTL)
 		cancel()
+		r.countStoreCall(callRegister, err)
 		if err == nil {
 			r.recordRenewal(sent, lease == "")
 			lease = got
-		} else {
-			r.metrics.storeErrors.Add(1)
 		}
 		if errors.Is(err, platform.ErrNotFound) && lease != "" {
 			// The entry expired while this router could not reach the store: until it has a
