Bytes of a server that are no answer end within bounds, without end as they may be

A response header was parsed without a bound on its bytes, lines or interim responses, so one server could take a router's memory, and in small pieces it lasted to the caller's deadline, as did a chunk's frame and trailer. An event that never ends, and comments, went on to the deadline; a declared length of 10^18 bytes was passed on as an answer. Ruled out: a time limit for headers, as frozen routers and lost packets look the same; an own parser. Now: header 32 KiB and 256 lines with the interim ones; ten checks that found further useless bytes end an attempt; 2 MiB without an event end a stream, 128 KiB of an event are kept (256 before, twice over); lengths beyond 4 TiB are refused; 128 KiB in the kernel for each connection; idle connections are looked at once; headers of the store, of engines and at sidecars 64 KiB. A well-formed body without end still says nothing against its server.

--- a/coordination/inflight/inflight.go
+++ b/coordination/inflight/inflight.go
@@ -38,11 +38,15 @@
 	// MaxGap is the longest time between two observations that counts as time without
 	// progress: a router that was not scheduled in between could not see any. Default 300ms.
 	MaxGap time.Duration
+	// Trickles is the number of observations in a row that may find further bytes of an answer of which
+	// neither a whole header nor a byte of the body has arrived since. Default 10: at ten observations
+	// a second, a second of bytes in small pieces, where servers send a header in one or two.
+	Trickles int
 }
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Stall: time.Second, DrainingStall: 250 * time.Millisecond, Silence: time.Second, Dead: 5 * time.Second, TransitTime: 100 * time.Millisecond, MaxGap: 300 * time.Millisecond}
+	return Config{Stall: time.Second, DrainingStall: 250 * time.Millisecond, Silence: time.Second, Dead: 5 * time.Second, TransitTime: 100 * time.Millisecond, MaxGap: 300 * time.Millisecond, Trickles: 10}
 }
 
 // Validate returns an error that names each field out of range.
@@ -58,6 +62,7 @@
 	check(c.Silence > 0, "Silence must be positive")
 	check(c.Dead >= c.Silence, "Dead must be at least Silence")
 	check(c.TransitTime >= 0, "TransitTime must not be negative")
+	check(c.Trickles > 1, "Trickles must be above 1")
 	check(c.MaxGap > 0 && c.MaxGap < c.Stall, "MaxGap must be in (0, Stall)")
 	return err
 }
@@ -73,6 +78,8 @@
 	// ServerGone: revoke the attempt, as its server is shutting down or gone and sends
 	// nothing.
 	ServerGone
+	// Endless: revoke the attempt, as its server goes on to send bytes that are no answer.
+	Endless
 )
 
 // Look is an observation of an attempt at one time.
@@ -82,6 +89,9 @@
 	Pending int
 	// Answered is set if the answer has started.
 	Answered bool
+	// Arrived is the number of bytes received so far on the connection, and Parsed what it was when a header
+	// had arrived whole or bytes of a body were read.
+	Arrived, Parsed int64
 	// Heard is when the last message arrived from the server, on any connection; zero: never.
 	Heard time.Time
 	// DrainingSince is when the router was informed that the server is shutting down or gone;
@@ -99,6 +109,10 @@
 	pending      int
 	// stalled is the time without a further acknowledgement.
 	stalled time.Duration
+	// arrived and parsed are the bytes at the last observation, and trickles the observations since the last
+	// byte of use that found further ones.
+	arrived, parsed int64
+	trickles        int
 }
 
 // Begin returns an attempt of size bytes whose first one is written now. The config must be
@@ -110,7 +124,10 @@
 // Look takes an observation of the attempt and returns the decision.
 func (a *Attempt) Look(now time.Time, l Look) Verdict {
 	a.progress(now, l.Pending)
+	a.trickle(l)
 	switch {
+	case a.trickles >= a.cfg.Trickles:
+		return Endless
 	case l.Pending > 0 && a.stalled >= a.stallLimit(l):
 		return Stalled
 	case l.Pending > 0:
@@ -134,6 +151,18 @@
 	a.lastObserved, a.pending = now, pending
 }
 
+// trickle counts the observations that found further bytes of no use. A pause adds nothing: neither
+// lost packets nor a router that is not scheduled make an answer endless.
+func (a *Attempt) trickle(l Look) {
+	switch {
+	case l.Parsed != a.parsed:
+		a.trickles = 0
+	case l.Arrived > max(a.arrived, l.Parsed):
+		a.trickles++
+	}
+	a.arrived, a.parsed = l.Arrived, l.Parsed
+}
+
 // stallLimit is how long unacknowledged bytes may make no progress.
 func (a *Attempt) stallLimit(l Look) time.Duration {
 	if l.DrainingSince.IsZero() {
--- a/coordination/inflight/inflight_test.go
+++ b/coordination/inflight/inflight_test.go
@@ -132,3 +132,37 @@
 		}
 	})
 }
+
+// An answer of which only bytes arrive that are neither a whole header nor a body ends after a second of
+// them, at whatever pace. Pauses, lost packets and a header in a few pieces end none.
+func TestBytesOfNoUseEndAnAttempt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		look func(since time.Duration) Look
+		want Verdict
+		at   time.Duration
+	}{
+		"a byte each 10 ms":  {func(since time.Duration) Look { return Look{Arrived: int64(since / (10 * time.Millisecond))} }, Endless, time.Second},
+		"a byte each second": {func(since time.Duration) Look { return Look{Arrived: int64(since / time.Second)} }, Endless, 10 * time.Second},
+		"after bytes of use": {func(since time.Duration) Look {
+			return Look{Answered: true, Arrived: 50 + int64(since/every), Parsed: 53}
+		}, Endless, 13 * every},
+		"a head in eight pieces": {func(since time.Duration) Look { return Look{Arrived: min(8, int64(since/every))} }, Keep, 20 * time.Second},
+		"a slow body": {func(since time.Duration) Look {
+			return Look{Answered: true, Arrived: int64(since), Parsed: int64(since)}
+		}, Keep, 20 * time.Second},
+		"read behind": {func(since time.Duration) Look {
+			return Look{Answered: true, Arrived: int64(since), Parsed: int64(since) / 2}
+		}, Keep, 20 * time.Second},
+		"interim answers": {func(since time.Duration) Look {
+			return Look{Arrived: int64(since / every), Parsed: int64(since / (5 * every))}
+		}, Keep, 20 * time.Second},
+		"a request still unsent": {func(since time.Duration) Look {
+			return Look{Pending: 1 + int(20*time.Second-since), Arrived: int64(since)}
+		}, Endless, time.Second},
+		"nothing for a long time": {func(time.Duration) Look { return Look{} }, Keep, 20 * time.Second},
+	} {
+		got, at := observe(10, 20*time.Second, tc.look)
+		qt.Check(t, got, qt.Equals, tc.want, qt.Commentf(name))
+		qt.Check(t, at, qt.Equals, tc.at, qt.Commentf(name))
+	}
+}
--- a/state/eventstream/eventstream.go
+++ b/state/eventstream/eventstream.go
@@ -16,6 +16,9 @@
 // received.
 var ErrNotContinued = errors.New("the stream does not go on after the last event")
 
+// ErrEndless means that a stream goes on without completing an event.
+var ErrEndless = errors.New("the stream goes on without an event")
+
 // Follower tracks one stream to a caller. The zero value is a stream without events.
 type Follower struct {
 	// position is the parsing position in the received bytes, and eventsBefore the number of
@@ -42,6 +45,8 @@
 	last  Event
 	count int
 	taken int
+	// sinceEvent is the number of bytes received since the last complete event.
+	sinceEvent int
 	// lastForwarded is when the last event was forwarded, and pause the longest time between two.
 	lastForwarded time.Time
 	pause         time.Duration
@@ -49,7 +54,11 @@
 
 // maxBuffered limits the buffered size of an incomplete event in bytes. Longer events are
 // forwarded in pieces.
-const maxBuffered = 256 << 10
+const maxBuffered = 128 << 10
+
+// maxSinceEvent limits the bytes that a stream may send without completing an event: of one long event,
+// comments or empty lines. The longest events carry a picture.
+const maxSinceEvent = 2 << 20
 
 // PassedOn records that the last result of Take was forwarded at the time now.
 func (f *Follower) PassedOn(now time.Time) {
@@ -90,7 +99,7 @@
 	f.continues = f.count > 0
 	f.resumes = f.resumes || f.continues
 	f.isAtStart = true
-	f.buffered, f.isPartlyForwarded, f.taken = f.buffered[:0], false, 0
+	f.buffered, f.isPartlyForwarded, f.taken, f.sinceEvent = f.buffered[:0], false, 0, 0
 	f.position.restart()
 	f.eventsBefore = f.position.Count()
 }
@@ -117,7 +126,7 @@
 // Take processes received data and returns the complete events, including buffered data, that
 // are to be forwarded. The result is valid until the next call. ErrNotContinued means that the
 // next event, which is not part of the result, does not follow the last one that the caller
-// received.
+// received; ErrEndless that the result ends too long after the last event.
 func (f *Follower) Take(data []byte) ([]byte, error) {
 	safe, n := 0, 0
 	f.taken = 0
@@ -128,14 +137,20 @@
 			out, _ := f.split(data[:safe], safe)
 			return out, ErrNotContinued
 		}
+		f.sinceEvent += size
 		if ended {
 			f.recordEvent()
+			f.sinceEvent = 0
 		}
 		if isOutside {
 			safe = n
 		}
 	}
-	return f.split(data, safe)
+	out, err := f.split(data, safe)
+	if err == nil && f.sinceEvent > maxSinceEvent {
+		err = ErrEndless
+	}
+	return out, err
 }
 
 // mayFollow reports whether the event that was just completed may follow the last one that the
@@ -201,7 +216,6 @@
 		return nil, ErrNotContinued
 	}
 	f.isPartlyForwarded = true
-	f.out = append(f.out[:0], f.buffered...)
-	f.buffered = f.buffered[:0]
+	f.out, f.buffered = f.buffered, f.out[:0]
 	return f.out, nil
 }
--- a/state/eventstream/eventstream_test.go
+++ b/state/eventstream/eventstream_test.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -132,3 +133,35 @@
 		qt.Check(t, f.CanGoOn(), qt.Equals, want, qt.Commentf("%.20q", received))
 	}
 }
+
+// A stream that goes on without completing an event ends, and little of it is kept; one whose events are
+// long, or that sends comments between them, goes on.
+func TestAStreamWithoutEventsEnds(t *testing.T) {
+	for name, piece := range map[string]string{"data": "x", "fields": "data: x\n", "comments": ": x\n", "empty lines": "\n", "returns": "\r"} {
+		for _, isContinued := range []bool{false, true} {
+			var f Follower
+			_, err := f.Take([]byte("id: 1\n\n"))
+			qt.Assert(t, err, qt.IsNil)
+			f.PassedOn(time.Now())
+			if isContinued {
+				f.Restart()
+			}
+			block, sent, most := []byte(strings.Repeat(piece, 4<<10/len(piece))), 0, 0
+			for err == nil && sent < 2*maxSinceEvent {
+				_, err = f.Take(block)
+				sent += len(block)
+				most = max(most, cap(f.buffered)+cap(f.out))
+			}
+			comment := qt.Commentf("%s, continued %v: %v after %d bytes, %d kept", name, isContinued, err, sent, most)
+			qt.Check(t, errors.Is(err, ErrEndless) || isContinued && errors.Is(err, ErrNotContinued), qt.IsTrue, comment)
+			qt.Check(t, most <= 2*maxBuffered, qt.IsTrue, comment)
+		}
+	}
+	var f Follower
+	for range 5 {
+		_, err := f.Take([]byte("id: 1\ndata: " + strings.Repeat("x", maxSinceEvent-100) + "\n\n"))
+		qt.Assert(t, err, qt.IsNil)
+		_, err = f.Take([]byte(strings.Repeat(": x\n\n", 10)))
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
--- a/transport/backend/answer.go
+++ b/transport/backend/answer.go
@@ -66,6 +66,9 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
 	a.bodyBytes += int64(n)
+	if n > 0 {
+		a.conn.noteParsed()
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		a.bodyEnded = true
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -32,6 +32,8 @@
 	expiresAt time.Time
 	// idleSince is when it became idle; zero while it carries an exchange. The pool's mu guards it.
 	idleSince time.Time
+	// settledAt is the idleSince for which hasStray looked.
+	settledAt time.Time
 	// used reports whether the connection carried an exchange before.
 	used      bool
 	closeOnce sync.Once
@@ -44,6 +46,11 @@
 	endsByItself atomic.Bool
 	// reading reports whether a Read is waiting for bytes of the server.
 	reading atomic.Bool
+	// arrived is the number of bytes received, and parsed what it was when a header had arrived whole or
+	// bytes of a body were read. The goroutine that reads writes both.
+	arrived, parsed atomic.Int64
+	// head bounds the header that is being read.
+	head headBudget
 }
 
 // Close closes a connection that carries no exchange, once.
@@ -74,10 +81,15 @@
 
 // Read implements io.Reader and records when bytes of the server last arrived.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.head.isSpent() {
+		return 0, errors.Wrap(ErrEndless, "response header")
+	}
 	c.reading.Store(true)
 	n, err := c.Conn.Read(b)
 	c.reading.Store(false)
 	if n > 0 {
+		c.head.spend(b[:n])
+		c.arrived.Add(int64(n))
 		c.peer.lastReceived.Store(sinceEpoch())
 	}
 	if err != nil && isEndedByServer(err) && !c.endsByItself.Load() {
@@ -107,12 +119,21 @@
 		return nil, err
 	}
 	p.dials.Add(1)
+	limitReceiveBuffer(raw)
 	c := &conn{Conn: raw, serverID: to.ID, peer: one, generation: generation}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	one.join(c)
 	return c, nil
 }
 
+// limitReceiveBuffer bounds what the kernel keeps of bytes that are not read yet. Its error is ignored:
+// a system without the setting has a bound of its own.
+func limitReceiveBuffer(raw net.Conn) {
+	if tcp, ok := raw.(interface{ SetReadBuffer(int) error }); ok {
+		_ = tcp.SetReadBuffer(receiveBuffer)
+	}
+}
+
 // isOpenAndEmpty reports whether an idle connection is still open and has nothing to read:
 // neither its end nor bytes that belong to no request.
 func (c *conn) isOpenAndEmpty() bool {
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -75,7 +74,7 @@
 // readHead reads up to the header of the response that belongs to the request.
 func (a *Answer) readHead(req Request) error {
 	for range maxStray {
-		resp, err := readResponse(a.conn.reader, req.Method)
+		resp, err := a.conn.readResponse(req.Method)
 		if err != nil {
 			return err
 		}
@@ -84,7 +83,7 @@
 			a.setResponse(resp)
 			return nil
 		}
-		if err := discardResponse(resp); err != nil {
+		if err := discardResponse(resp, a.conn); err != nil {
 			return err
 		}
 	}
@@ -92,12 +91,26 @@
 }
 
 // readResponse reads the header of one final response; interim (1xx) responses are skipped.
-func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+// Its errors include ErrEndless.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.head.open()
+	defer func() { c.head.isOpen = false }()
 	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err := checkStart(c.reader); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.head.isSpent() {
+			// The parser saw the rest of the header cut off.
+			err = errors.Wrap(ErrEndless, "response header")
+		}
 		if err != nil {
 			return nil, err
 		}
+		c.noteParsed()
+		if err := checkLength(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.Wrap(ErrUnexpectedData, "server switched protocols")
 		}
@@ -108,11 +121,11 @@
 }
 
 // discardResponse reads the response to another request to its end.
-func discardResponse(resp *http.Response) error {
+func discardResponse(resp *http.Response, c *conn) error {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errors.Wrap(ErrUnexpectedData, "response to another request has no length")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(skippedBody{resp.Body, c}, maxStrayBytes))
 	if err != nil {
 		return err
 	}
--- a/transport/backend/exchanges.go
+++ b/transport/backend/exchanges.go
@@ -142,6 +142,8 @@
 		return ErrStalled
 	case inflight.ServerGone:
 		return ErrServerLeft
+	case inflight.Endless:
+		return ErrEndless
 	default:
 		return nil
 	}
@@ -151,6 +153,7 @@
 func (a *Answer) observe(now time.Time) inflight.Look {
 	l := inflight.Look{
 		Pending: a.pending(), Answered: a.headerReceived.Load(),
+		Arrived: a.conn.arrived.Load(), Parsed: a.conn.parsed.Load(),
 		Heard: timeOf(&a.conn.peer.lastReceived), DrainingSince: timeOf(&a.conn.peer.drainingSince),
 	}
 	if l.Answered && !a.conn.reading.Load() {
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -135,7 +135,7 @@
 	for id, conns := range p.idle {
 		keep := conns[:0]
 		for _, c := range conns {
-			if p.usable(c, now) {
+			if p.usable(c, now) && !c.hasStray(now) {
 				keep = append(keep, c)
 			} else {
 				expired = append(expired, c)
--- a/transport/platform/http.go
+++ b/transport/platform/http.go
@@ -17,6 +17,9 @@
 // maxResponseBytes bounds the part of a response body that is read, in bytes.
 const maxResponseBytes = 64 << 20
 
+// maxHeaderBytes bounds the header of one response.
+const maxHeaderBytes = 64 << 10
+
 // Client is an HTTP client of the platform. It implements Store and Directory.
 type Client struct {
 	base    string
@@ -29,7 +32,7 @@
 // each call, so that the platform can count calls per process. The timeout
 // bounds each call; a watch may take as much longer as its own timeout.
 func NewClient(base, caller string, timeout time.Duration) *Client {
-	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{
 		base:    strings.TrimRight(base, "/"),
 		caller:  caller,
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -62,13 +62,17 @@
 	}
 }
 
+// maxHeaderBytes bounds the header of one answer, which a server may send without end.
+const maxHeaderBytes = 64 << 10
+
 func newBackendClient(singleUse bool) *http.Client {
 	d := &net.Dialer{Timeout: backendDialTimeout}
 	tr := &http.Transport{
-		MaxIdleConnsPerHost: backendIdleConns,
-		IdleConnTimeout:     backendIdleTime,
-		DisableCompression:  true,
-		DisableKeepAlives:   singleUse,
+		MaxIdleConnsPerHost:    backendIdleConns,
+		IdleConnTimeout:        backendIdleTime,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableKeepAlives:      singleUse,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			raw, err := revocable.Dial(ctx, d, addr)
 			if err != nil {
--- a/transport/sidecar/orders.go
+++ b/transport/sidecar/orders.go
@@ -45,7 +45,7 @@
 		s:       s,
 		core:    orders.New(cfg),
 		events:  make(chan orders.Event, orderQueueSize),
-		engine:  &engine{base: s.set.Backend.URL, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}},
+		engine:  &engine{base: s.set.Backend.URL, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes}}},
 		permits: &permits{store: s.store, holder: s.holderName(), held: map[orders.Permit]*permit{}},
 	}
 }
