--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -52,6 +52,7 @@
 	{"an evacuated data centre gets nothing", ranWhereEvacuated, false},
 	{"cold servers get no more than they bear", tooManyForCold, true},
 	{"the fleet recovers", notRecovered, false},
+	{"a router's memory is bounded", tooMuchMemory, false},
 	{"processes end only when told", func(r *Record) []string { return r.Exits }, false},
 }
 
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -54,7 +54,9 @@
 	framed bool
 	// versions adds releases and restarts as another version, see Plan.
 	versions bool
-	open     sync.WaitGroup
+	// endless adds servers that send without end, see Plan.
+	endless bool
+	open    sync.WaitGroup
 }
 
 // length returns a random time between least and most.
@@ -120,6 +122,9 @@
 	if i.versions {
 		kinds = append(kinds, i.release, i.release, i.restartAsOther, i.restartAsOther)
 	}
+	if i.endless {
+		kinds = append(kinds, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly)
+	}
 	if i.held && i.random.IntN(heldOneIn) == 0 {
 		return i.leaveHeld()
 	}
--- a/bench/soak/failure_server.go
+++ b/bench/soak/failure_server.go
@@ -165,6 +165,20 @@
 		return nothing()
 	}
 	faults := []backend.Fault{backend.Fails, backend.Sheds, backend.Hangs, backend.Loses, backend.Breaks, backend.Doubles}
+	return i.faultOf(s, faults)
+}
+
+// sendEndlessly lets a server answer by bytes without end that are no answer.
+func (i *injector) sendEndlessly() failure {
+	s := i.take(false)
+	if s == nil {
+		return nothing()
+	}
+	return i.faultOf(s, []backend.Fault{backend.Endless})
+}
+
+// faultOf injects one of the faults into the server's answers for a while.
+func (i *injector) faultOf(s *server, faults []backend.Fault) failure {
 	fault, length := faults[i.random.IntN(len(faults))], i.length(300*time.Millisecond, 4*time.Second)
 	return failure{kind: "server " + string(fault), router: noRouter, server: s.ID, do: func() {
 		s.backend.SetFault(fault)
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -129,12 +129,14 @@
 	Served []Serving
 	// Exits names the processes that ended by themselves.
 	Exits []string
+	// Memory is the greatest resident memory of each router, in bytes, by its number.
+	Memory map[int]int64
 	// Settled is when every failure was over.
 	Settled time.Time
 }
 
 // NewRecord returns an empty record.
-func NewRecord() *Record { return &Record{Runs: map[string][]backend.Run{}} }
+func NewRecord() *Record { return &Record{Runs: map[string][]backend.Run{}, Memory: map[int]int64{}} }
 
 // Began implements backend.Journal.
 func (r *Record) Began(run backend.Run) {
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -39,6 +39,9 @@
 	// Pairs makes troubles in pairs while engines are released, instead of single failures, before
 	// callers most of whom come back once to a stream that they broke off.
 	Pairs bool
+	// Endless adds servers that answer by bytes without end that are no answer. Without it seeds choose
+	// the same failures as ever.
+	Endless bool
 }
 
 // Mean times between two failures: seeds go from many at once, which find what
@@ -59,16 +62,26 @@
 	firstVersioned = 10000
 	// firstPairs is the first seed whose troubles come in pairs.
 	firstPairs = 12000
+	// firstEndless is the first seed whose servers send without end, and lastEndless the last one.
+	firstEndless, lastEndless = 13000, 13999
 )
 
 // DefaultPlan returns the plan of the tool.
 func DefaultPlan(seed uint64) Plan {
+	if seed >= firstEndless && seed <= lastEndless {
+		return Plan{Seed: seed, Failures: failTime, Every: meanOf(seed), Reborn: true, Framed: seed%2 == 1, Endless: true}
+	}
 	return Plan{
-		Seed: seed, Failures: failTime, Every: often + time.Duration(seed%steps)*(seldom-often)/(steps-1),
+		Seed: seed, Failures: failTime, Every: meanOf(seed),
 		Reborn: seed%2 == 0, Crashing: seed < firstPairs, Places: seed%3 == 2 && seed < firstPairs, Pairs: seed >= firstPairs, Announced: seed >= firstAnnounced && seed < firstVersioned, Held: seed >= firstHeld, Framed: seed >= firstFramed && seed < firstVersioned || seed%2 == 1 && seed >= firstVersioned, Versions: seed >= firstVersioned,
 	}
 }
 
+// meanOf returns the mean time between two failures of the seed.
+func meanOf(seed uint64) time.Duration {
+	return often + time.Duration(seed%steps)*(seldom-often)/(steps-1)
+}
+
 // Times of a run.
 const (
 	warmUp = time.Second
@@ -90,6 +103,7 @@
 	defer cancel()
 	w.balancer.watch(ctx, w.routers)
 	var working sync.WaitGroup
+	working.Go(func() { w.watchMemory(ctx) })
 	if w.Report != nil {
 		working.Go(func() { w.checkLive(ctx) })
 	}
@@ -110,7 +124,7 @@
 	if plan.Crashing {
 		w.insist(ctx, &working, plan.Seed)
 	}
-	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held, framed: plan.Framed, versions: plan.Versions}
+	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held, framed: plan.Framed, versions: plan.Versions, endless: plan.Endless}
 	if plan.Places {
 		i.evacuations(plan)
 	}
@@ -137,7 +151,7 @@
 
 // SizeOf returns the size of the seed's fleet, where the seed says one, or else the given one.
 func SizeOf(seed uint64, other Size) Size {
-	if seed >= firstPairs {
+	if seed >= firstPairs && (seed < firstEndless || seed > lastEndless) {
 		return PairsSize()
 	}
 	return other
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/bench/fleet"
+	"goldcrestport/standin/backend"
 )
 
 // regressions are the seeds that failed once, each with its cause.
@@ -232,6 +233,23 @@
 	})
 }
 
+// Servers send without end what is no answer, at full speed or slowly, beside everything else: no caller
+// takes any of it for an answer, and the routers' memory stays bounded.
+func TestServersThatSendWithoutEnd(t *testing.T) {
+	size := Size{Routers: 3, Engines: 5, Plain: 4, Other: 4, Callers: 24}
+	plan := Plan{Failures: 10 * time.Second, Every: 400 * time.Millisecond, Reborn: true, Framed: true, Endless: true}
+	playEach(t, []uint64{13001, 13002}, size, plan, func(t *testing.T, record *Record) {
+		endless := 0
+		for _, one := range record.Failures {
+			if one.Kind == "server "+string(backend.Endless) {
+				endless++
+			}
+		}
+		qt.Check(t, endless > 0, qt.IsTrue)
+		t.Logf("%d servers sent without end; the routers' greatest memory: %v", endless, record.Memory)
+	})
+}
+
 // Routers in two data centres, more than are told directly in each: what they tell each
 // other is passed on by routers that are killed, frozen and stopped, beside everything else.
 func TestRoutersOfTwoDataCentres(t *testing.T) {
--- a/standin/backend/answer.go
+++ b/standin/backend/answer.go
@@ -20,6 +20,9 @@
 		completed := sleep(r, s.cfg.Time)
 		reply.Abort(w)
 		return completed
+	case Endless:
+		s.endless(w, run)
+		return false
 	case Fails:
 		completed := sleep(r, s.cfg.Time)
 		s.setHeaders(w, run)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -68,6 +68,8 @@
 	Breaks Fault = "breaks"
 	// Doubles sends a second response after the first.
 	Doubles Fault = "doubles"
+	// Endless sends bytes that are no answer until the client closes the connection.
+	Endless Fault = "endless"
 )
 
 // Run is one run of a request.
--- a/standin/internal/reply/reply.go
+++ b/standin/internal/reply/reply.go
@@ -30,19 +30,19 @@
 }
 
 // Abort closes the client's connection without completing the response.
-func Abort(w http.ResponseWriter) { _ = hijack(w).Close() }
+func Abort(w http.ResponseWriter) { _ = Take(w).Close() }
 
 // Reset resets the client's connection without completing the response.
 func Reset(w http.ResponseWriter) {
-	conn := hijack(w)
+	conn := Take(w)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
 }
 
-// hijack hijacks the connection from net/http.
-func hijack(w http.ResponseWriter) net.Conn {
+// Take returns the client's connection, on which the caller writes what it likes.
+func Take(w http.ResponseWriter) net.Conn {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler) // aborts the response, as net/http provides for a connection that can't be hijacked
