--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -10,6 +10,7 @@
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/pace"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
@@ -55,6 +56,9 @@
 	// result.
 	selfCheck  *selfcheck.State
 	isImpaired bool
+	// pace holds how fast the servers prefill; isLate means that this router reads its input late.
+	pace   *pace.State
+	isLate bool
 }
 
 // pool holds the servers of one service.
@@ -71,6 +75,7 @@
 		cfg: cfg, servers: make(map[string]*server), numbers: make(map[ServerID]*server), pools: make(map[string]*pool), routers: 1,
 		peers: make(map[string]*peer), peersInFlight: make(map[ServerID]InFlight), teams: fairshare.NewMeter(cfg.Window), throttle: throttle.New[fairshare.TeamID](cfg.Throttle), outputs: make(outputShares),
 		selfCheck:        selfcheck.New(cfg.SelfCheck),
+		pace:             pace.New(cfg.Pace),
 		departedBackoffs: make(map[string]*backoff.Server),
 		warmup:           warmup.New(warmup.DefaultConfig(), ""),
 	}
@@ -119,6 +124,7 @@
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), prefixes: make(map[uint64]prefixUse),
 	}
 	srv.cold = s.warmup.Server(srv.identity)
+	srv.pace = s.pace.Add(pace.ServerID(srv.number), service)
 	s.restoreBackoff(srv)
 	s.servers[id], s.numbers[srv.number] = srv, srv
 	p := s.pool(service)
@@ -134,6 +140,7 @@
 	}
 	delete(s.servers, id)
 	delete(s.numbers, srv.number)
+	s.pace.Remove(pace.ServerID(srv.number))
 	s.keepBackoff(srv)
 	p := s.pool(srv.service)
 	p.servers = slices.DeleteFunc(p.servers, func(other *server) bool { return other == srv })
@@ -290,5 +297,6 @@
 	}
 	d.Run = s.startRun(now, best.server, best.prefillTokens, req.SharedPrefixes)
 	d.Run.class, d.Run.output, d.Run.estimate = req.Class, req.Output, best.estimate
+	s.expect(now, req, d.Run, best)
 	return d
 }
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -174,7 +174,7 @@
 	alone.SetRouters(4)
 	alone.Place(epoch, prompt(8000))
 	srv := alone.servers["i-0"]
-	queue, _ := alone.queueWait(srv, alone.queueAt(srv))
+	queue, _ := alone.queueWait(srv, alone.queueAt(srv), alone.cfg.PrefillRate)
 	qt.Check(t, queue > 4*alone.prefillTime(8000), qt.IsTrue)
 }
 
@@ -203,7 +203,7 @@
 	}
 	runCost := 32 * s.cfg.RunCost
 	srv := s.servers["i-0"]
-	queue, slot := s.queueWait(srv, s.queueAt(srv))
+	queue, slot := s.queueWait(srv, s.queueAt(srv), s.cfg.PrefillRate)
 	qt.Check(t, queue+slot, qt.Equals, runCost+initialRunTime/32)
 }
 
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -22,6 +22,7 @@
 
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/pace"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
 )
@@ -121,6 +122,8 @@
 	RefusalPauseMax time.Duration
 	// Backoff holds the times for servers that request a back-off.
 	Backoff backoff.Config
+	// Pace holds the parameters of the estimate of how fast servers prefill.
+	Pace pace.Config
 	// Health holds the thresholds of ejection.
 	Health health.Config
 	// SelfCheck holds the thresholds by which this router detects that it is itself
@@ -162,6 +165,7 @@
 		RefusalPause:      50 * time.Millisecond,
 		RefusalPauseMax:   time.Second,
 		Backoff:           backoff.DefaultConfig(),
+		Pace:              pace.DefaultConfig(),
 		Health:            health.DefaultConfig(),
 		SelfCheck:         selfcheck.DefaultConfig(),
 		EjectShare:        0.5,
@@ -171,6 +175,7 @@
 // Validate returns an error that names each field that is out of range.
 func (c Config) Validate() error {
 	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), c.SelfCheck.Validate()))
+	err = errors.CombineErrors(err, c.Pace.Validate())
 	check := func(ok bool, what string) {
 		if !ok {
 			err = errors.CombineErrors(err, errors.New(what))
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -27,11 +27,14 @@
 	// prefillTokens is the number of prompt tokens that the engine would have to
 	// prefill.
 	prefillTokens float64
+	// fetched and uncertain are the tokens of its shared prefixes that come from another server's
+	// cache, and those among prefillTokens that may be cached.
+	fetched, uncertain float64
 	// wait is the wait for the first token before the request's own prefill.
 	wait time.Duration
 	// prefill is the time of the request's own prefill there.
 	prefill time.Duration
-	// estimate is the time to its first token at the configured prefill rate; 0 if
+	// estimate is the time to its first token without the server's slowdown; 0 if
 	// it would also wait for a slot.
 	estimate time.Duration
 	// cost is the wait and the prefill, plus what the repeated prefill of shared
@@ -133,15 +136,16 @@
 	shared := s.splitPrefixes(now, req, srv, rank, c.source)
 	c.prefillTokens = max(float64(req.Prompt)-shared.cached-shared.fetched, 0)
 	c.queue = s.queueAt(srv)
-	queue, slot := s.queueWait(srv, c.queue)
-	prefill := s.prefillTime(c.prefillTokens) + s.fetchTime(req.Service, shared.fetched)
+	c.fetched, c.uncertain = shared.fetched, shared.uncertain
+	speed := s.speedOf(now, srv)
+	queue, slot := s.queueWait(srv, c.queue, speed.rate)
+	prefill := prefillTime(c.prefillTokens, speed.rate) + s.fetchTime(req.Service, shared.fetched)
 	if slot == 0 {
 		c.estimate = queue + prefill
 	}
-	factor := srv.slowdown.factor(now)
-	c.wait = scaled(queue, factor) + slot
-	c.prefill = scaled(prefill, factor)
-	c.cost = c.wait + c.prefill + s.prefillTime(shared.repeated*s.cfg.SpillWeight+shared.fetched*s.cfg.FetchWeight)
+	c.wait = scaled(queue, speed.factor) + slot
+	c.prefill = scaled(prefill, speed.factor)
+	c.cost = c.wait + c.prefill + prefillTime(shared.repeated*s.cfg.SpillWeight+shared.fetched*s.cfg.FetchWeight, speed.serviceRate)
 	return c
 }
 
@@ -160,10 +164,10 @@
 
 // queueWait estimates the time to the first token of a request that arrives now:
 // queue is the time for the prompts that wait for prefill and the running
-// generations, at the configured rates, and slot is the time until a slot is free.
-func (s *State) queueWait(srv *server, l queueLoad) (queue, slot time.Duration) {
+// generations, at a prefill rate, and slot is the time until a slot is free.
+func (s *State) queueWait(srv *server, l queueLoad, rate float64) (queue, slot time.Duration) {
 	runCost := time.Duration(l.runs * float64(s.cfg.RunCost))
-	return s.prefillTime(l.pendingTokens) + runCost, s.slotWait(srv, l.runs)
+	return prefillTime(l.pendingTokens, rate) + runCost, s.slotWait(srv, l.runs)
 }
 
 // slotWait returns the time until a slot is free for one more run: waiting runs are
@@ -176,9 +180,14 @@
 	return time.Duration(excess * float64(s.pool(srv.service).runTime) / float64(srv.slots))
 }
 
-// prefillTime returns the time in which an engine prefills the tokens.
+// prefillTime returns the time in which an engine prefills the tokens at the configured rate.
 func (s *State) prefillTime(tokens float64) time.Duration {
-	return time.Duration(tokens / s.cfg.PrefillRate * float64(time.Millisecond))
+	return prefillTime(tokens, s.cfg.PrefillRate)
+}
+
+// prefillTime returns the time in which tokens are prefilled at a rate per millisecond.
+func prefillTime(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / rate * float64(time.Millisecond))
 }
 
 // demand returns the part of the shared capacity that the request uses, in tokens.
--- a/coordination/admission/fetch.go
+++ b/coordination/admission/fetch.go
@@ -54,6 +54,8 @@
 	cached float64
 	// fetched comes from another server's cache.
 	fetched float64
+	// uncertain is the part of those that may be cached after all.
+	uncertain float64
 	// repeated is prefilled although another server may have it cached.
 	repeated float64
 }
@@ -76,6 +78,7 @@
 			out.fetched += tokens
 		case rank == 0:
 			out.cached += tokens * (1 - unknownPrefixShare)
+			out.uncertain += tokens * unknownPrefixShare
 		default:
 			out.repeated += tokens
 		}
--- a/coordination/admission/impaired.go
+++ b/coordination/admission/impaired.go
@@ -12,6 +12,7 @@
 func (s *State) SetLate(late bool) {
 	s.selfCheck.SetLate(late)
 	s.teams.SetLate(late)
+	s.isLate = late
 }
 
 // SetGossipPeriod sets the time between two digests of another router.
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -161,8 +161,12 @@
 	backoffProbe bool
 	// sentAt is when the request was sent. estimate is the expected time to its
 	// first token at the configured prefill rate; 0: unknown.
-	sentAt    time.Time
-	estimate  time.Duration
+	sentAt   time.Time
+	estimate time.Duration
+	// prefill is what the time to its first token is made of, and slowdown the factor that its
+	// server reported with the answer; 0: none.
+	prefill   prefill
+	slowdown  float64
 	started   bool
 	startedAt time.Time
 	ended     bool
@@ -177,5 +181,8 @@
 // Server returns the id of the run's server.
 func (r *Run) Server() string { return r.server.id }
 
+// Service returns the service of the run's server.
+func (r *Run) Service() string { return r.server.service }
+
 // Incarnation returns the incarnation of the run's server.
 func (r *Run) Incarnation() roster.Incarnation { return r.server.incarnation }
--- a/coordination/admission/run.go
+++ b/coordination/admission/run.go
@@ -51,7 +51,7 @@
 		r.backoffProbe = false
 		resumed = s.backoffOf(r.server).ProbeAccepted(now)
 	}
-	r.server.slowdown.observe(now, r.estimate, now.Sub(r.sentAt))
+	s.observeFirstToken(now, r)
 	s.markStarted(now, r)
 	return resumed
 }
@@ -92,9 +92,13 @@
 // Generated records the number of tokens of a complete answer.
 func (s *State) Generated(r *Run, tokens int) { s.outputs.observe(r.class, r.output, float64(tokens)) }
 
-// Reported takes the load that the server reported.
+// Reported takes the load that the server reported. It is to be called before FirstByte for the same answer.
 func (s *State) Reported(now time.Time, r *Run, load Load) {
 	r.server.load, r.server.loadAt = load, now
+	if load.SlowdownPercent > 0 {
+		r.slowdown = float64(load.SlowdownPercent) / 100
+		r.server.pace.Reported(now, r.slowdown)
+	}
 	if load.Slots > 0 {
 		r.server.slots = load.Slots
 	}
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -7,13 +7,16 @@
 
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/pace"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/warmup"
 )
 
-// Load is the load that a backend server reports with an answer.
+// Load is the load that a backend server reports with an answer. A figure that is not reported is 0.
 type Load struct {
 	Running, Waiting, Slots int
+	// SlowdownPercent says how long work takes on its machine at that moment, 100 being as usual.
+	SlowdownPercent int
 }
 
 // server is one backend server as this router knows it.
@@ -47,6 +50,8 @@
 	lastSent InFlight
 	health   *health.Tracker
 	slowdown slowdown
+	// pace is what is known of how fast it prefills.
+	pace *pace.Server
 	// pendingTokens is the number of prompt tokens that this router sent and that
 	// have had no first event yet.
 	pendingTokens float64
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -56,6 +56,21 @@
 	Slack   float64 `json:"slack"`
 }
 
+// Engines holds the settings for services of inference engines.
+type Engines struct {
+	// Pace says for which services requests are placed by the learnt prefill rate of each
+	// backend server rather than by one rate for all: PaceAuto, the default, PaceOn or PaceOff.
+	Pace string `json:"pace"`
+}
+
+// Values of engines.pace. PaceAuto stands for the services whose servers report how long work takes on their
+// machine.
+const (
+	PaceAuto = "auto"
+	PaceOn   = "on"
+	PaceOff  = "off"
+)
+
 // Direct holds the settings of a router that calls backend servers itself.
 type Direct struct {
 	ID         string `json:"id"`
@@ -72,6 +87,7 @@
 	Repeats Repeats       `json:"repeats"`
 	// ColdServers limits the requests to cold backend servers.
 	ColdServers ColdServers `json:"cold_servers"`
+	Engines     Engines     `json:"engines"`
 	// KeyRevocation is the time after which a revoked key must no longer be
 	// accepted. Default 5s.
 	KeyRevocation Duration `json:"key_revocation"`
@@ -104,6 +120,7 @@
 			Connections: 2500,
 		},
 		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
+		Engines:       Engines{Pace: PaceAuto},
 		KeyRevocation: Duration(5 * time.Second),
 		Departure:     Duration(2 * time.Second),
 		EventDelay:    Duration(100 * time.Millisecond),
--- a/transport/direct/gossip.go
+++ b/transport/direct/gossip.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"goldcrestport/coordination/pace"
 	"goldcrestport/coordination/telling"
 	"goldcrestport/coordination/watchduty"
 	"goldcrestport/protocol/digest"
@@ -42,6 +43,8 @@
 	// digestSent is when the last digest was sent, reportsSent when new crash reports were
 	// last sent, and repeatsSent when the periodic reports were.
 	digestSent, reportsSent, repeatsSent time.Time
+	// pace decides when reports on the servers' pace are sent and to whom.
+	pace *pace.Rounds
 }
 
 // run sends digests periodically and whenever the store has answered anew, and heartbeats in
@@ -64,6 +67,7 @@
 			}
 		}
 		t.sendCrashReports(time.Now())
+		t.sendPace(time.Now())
 	}
 }
 
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"goldcrestport/coordination/pace"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/transport/observe"
 )
@@ -49,6 +50,9 @@
 	originsTold   *expvar.Int
 	originsStored *expvar.Int
 	originAskTime *observe.Times
+	// firstTokenError holds by how much first tokens came sooner or later than estimated from the
+	// servers' pace.
+	firstTokenError *observe.Times
 }
 
 func newMetrics(r *Router) *metrics {
@@ -83,6 +87,7 @@
 		originsTold:      v.Int("direct_origins_told"),
 		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
+		firstTokenError:  v.Times("direct_first_token_error_us"),
 	}
 	r.rates.register(m)
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
@@ -123,6 +128,8 @@
 		defer r.origins.mu.Unlock()
 		return r.origins.table.Len()
 	})
+	v.Func("direct_pace_rates", func() any { return r.paceByService(func(one pace.Summary) float64 { return one.Rate }) })
+	v.Func("direct_pace_servers", func() any { return r.paceByService(func(one pace.Summary) float64 { return float64(one.Learnt) }) })
 	v.Func("direct_held", func() any { return r.inFlight.Load() })
 	v.Func("direct_caller_connections", func() any { return r.callers.Open() })
 	v.Func("direct_dials", func() any { return r.pool.Dials() })
--- a/transport/direct/peers.go
+++ b/transport/direct/peers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/pace"
 )
 
 // Intervals and size limits of the messages between routers.
@@ -58,7 +60,7 @@
 	if err := r.serveSeeds(ctx); err != nil {
 		return err
 	}
-	t := &gossiper{r: r, conn: conn, seq: rand.Uint32(), destinations: make(map[string]netip.AddrPort), watchers: make(map[string]netip.AddrPort)}
+	t := &gossiper{r: r, conn: conn, seq: rand.Uint32(), destinations: make(map[string]netip.AddrPort), watchers: make(map[string]netip.AddrPort), pace: pace.NewRounds(r.cfg.Admission.Pace.Sharing)}
 	go t.run(ctx)
 	r.origins.conn.Store(conn)
 	go r.origins.run(ctx)
--- a/transport/direct/receive.go
+++ b/transport/direct/receive.go
@@ -10,6 +10,7 @@
 	"goldcrestport/protocol/crashreport"
 	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/originmsg"
+	"goldcrestport/protocol/pacereport"
 )
 
 // receiveDatagrams receives the other routers' datagrams.
@@ -34,6 +35,9 @@
 	if crashreport.Is(datagram) {
 		return r.receiveReport(datagram)
 	}
+	if pacereport.Is(datagram) {
+		return r.receivePace(datagram)
+	}
 	if digest.IsPassOn(datagram) {
 		p, err := digest.ReadPassOn(datagram)
 		if err != nil {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -237,6 +237,7 @@
 	}()
 	go r.watchLoad(ctx)
 	go r.teams.Run(ctx)
+	go runEvery(ctx, paceLogInterval, r.logPace)
 	r.event("serving", "callers", r.set.Listen.Callers)
 	<-stop
 	r.shutDown(srv)
--- a/transport/direct/runs.go
+++ b/transport/direct/runs.go
@@ -47,12 +47,17 @@
 	case reply.NotRun:
 		r.admission.Refused(now, run)
 	}
-	if !reply.NotRun && !reply.OtherServer && r.admission.FirstByte(now, run) {
-		r.logBackoffEnded(now, run)
-	}
-	if reply.Load.Slots > 0 {
+	if reply.Load != (admission.Load{}) {
 		r.admission.Reported(now, run, reply.Load)
 	}
+	if !reply.NotRun && !reply.OtherServer {
+		if r.admission.FirstByte(now, run) {
+			r.logBackoffEnded(now, run)
+		}
+		if late, known := run.FirstTokenError(); known {
+			r.metrics.firstTokenError.Record(run.Service(), now, late.Abs())
+		}
+	}
 }
 
 // recordGenerated records the length of a complete answer.
