--- a/coordination/admission/pace_fleet_test.go
+++ b/coordination/admission/pace_fleet_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/internal/virtualtime"
 	"goldcrestport/coordination/pace"
 )
 
@@ -72,30 +72,12 @@
 	return at
 }
 
-// paceEvent is something that happens in the model at a time.
-type paceEvent struct {
-	at time.Time
-	do func(now time.Time)
-}
-
-type paceEvents []paceEvent
-
-func (q paceEvents) Len() int           { return len(q) }
-func (q paceEvents) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q paceEvents) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *paceEvents) Push(x any)        { *q = append(*q, x.(paceEvent)) }
-func (q *paceEvents) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // paceFleet is the routers and engines.
 type paceFleet struct {
+	virtualtime.Queue
 	rng     *rand.Rand
 	routers []*State
 	engines map[string]*paceEngine
-	events  paceEvents
 	shares  bool
 	digests time.Duration
 	// longs and largest count the long prompts and those of the largest tenth, and which of them
@@ -108,20 +90,17 @@
 
 func (c paceCount) share() float64 { return float64(c.inTime) / float64(max(c.all, 1)) }
 
-func (f *paceFleet) at(at time.Time, do func(now time.Time)) { heap.Push(&f.events, paceEvent{at, do}) }
-
 // paceSetting says what the routers of a model know.
 type paceSetting struct {
 	mode   pace.Mode
 	shares bool
-	// speed multiplies the rates of all engines.
-	speed float64
 	// digests is the time between two digests of a router.
 	digests time.Duration
 }
 
 func newPaceFleet(seed uint64, set paceSetting) *paceFleet {
 	f := &paceFleet{rng: rand.New(rand.NewPCG(seed, 1)), engines: make(map[string]*paceEngine), shares: set.shares, digests: set.digests}
+	f.Now = epoch
 	cfg := DefaultConfig()
 	cfg.Pace.Mode = set.mode
 	for range paceRouters {
@@ -135,58 +114,53 @@
 		if i%4 == 0 {
 			rate = paceSlow
 		}
-		f.engines[id] = &paceEngine{rate: rate * set.speed, bursts: rand.New(rand.NewPCG(seed, uint64(100+i))), cached: make(map[uint64]bool)}
+		f.engines[id] = &paceEngine{rate: rate, bursts: rand.New(rand.NewPCG(seed, uint64(100+i))), cached: make(map[uint64]bool)}
 		for _, s := range f.routers {
 			s.Add(id, 0, "llm", "", 64)
 		}
 	}
 	for i, s := range f.routers {
-		f.at(epoch.Add(set.digests*time.Duration(i)/paceRouters), func(now time.Time) { f.sendDigest(now, i, s) })
-		f.at(epoch.Add(paceSharePeriod*time.Duration(i)/paceRouters), func(now time.Time) { f.sendReport(now, i, s) })
+		f.At(epoch.Add(set.digests*time.Duration(i)/paceRouters), func() { f.sendDigest(i, s) })
+		f.At(epoch.Add(paceSharePeriod*time.Duration(i)/paceRouters), func() { f.sendReport(i, s) })
 	}
 	return f
 }
 
-func (f *paceFleet) sendDigest(now time.Time, from int, s *State) {
-	d := s.Digest(now, true, false)
+func (f *paceFleet) sendDigest(from int, s *State) {
+	d := s.Digest(f.Now, true, false)
 	for i, other := range f.routers {
 		if i != from {
-			other.ReceiveDigest(now, fmt.Sprint("r-", from), d)
+			other.ReceiveDigest(f.Now, fmt.Sprint("r-", from), d)
 		}
 	}
-	f.at(now.Add(f.digests), func(now time.Time) { f.sendDigest(now, from, s) })
+	f.After(f.digests, func() { f.sendDigest(from, s) })
 }
 
-func (f *paceFleet) sendReport(now time.Time, from int, s *State) {
+func (f *paceFleet) sendReport(from int, s *State) {
 	if f.shares {
-		report := s.TakePaceReport(now)
+		report := s.TakePaceReport(f.Now)
 		for i, other := range f.routers {
 			if i != from {
-				other.ReceivePaceReport(now, report)
+				other.ReceivePaceReport(f.Now, report)
 			}
 		}
 	}
-	f.at(now.Add(paceSharePeriod), func(now time.Time) { f.sendReport(now, from, s) })
+	f.After(paceSharePeriod, func() { f.sendReport(from, s) })
 }
 
 // arrivals lets requests of one kind come until the end, more of them in the upper half of each wave.
 func (f *paceFleet) arrivals(perSecond float64, end time.Time, arrive func(now time.Time)) {
-	next := func(now time.Time) time.Time {
-		rate := perSecond * paceCrowd
-		if now.Sub(epoch)%paceWave < paceWave/2 {
-			rate = perSecond * (2 - paceCrowd)
-		}
-		return now.Add(time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second)))
+	rate := perSecond * paceCrowd
+	if f.Now.Sub(epoch)%paceWave < paceWave/2 {
+		rate = perSecond * (2 - paceCrowd)
 	}
-	var do func(now time.Time)
-	do = func(now time.Time) {
-		if now.After(end) {
+	f.After(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if f.Now.After(end) {
 			return
 		}
-		arrive(now)
-		f.at(next(now), do)
-	}
-	f.at(next(epoch), do)
+		arrive(f.Now)
+		f.arrivals(perSecond, end, arrive)
+	})
 }
 
 // size returns a log-normal number of tokens with a mean and a relative deviation.
@@ -232,7 +206,8 @@
 		}
 		e.cached[prefix.ID] = true
 	}
-	f.at(e.prefill(now, tokens).Add(paceOverhead), func(first time.Time) {
+	f.At(e.prefill(now, tokens).Add(paceOverhead), func() {
+		first := f.Now
 		for _, c := range counts {
 			if first.Sub(now) <= req.Objective {
 				c.inTime++
@@ -241,20 +216,17 @@
 		slowdown := int(100 * e.slowdown(first.Add(-paceReportLag)))
 		s.Reported(first, d.Run, Load{Running: 1, Slots: 64, SlowdownPercent: slowdown})
 		s.FirstByte(first, d.Run)
-		f.at(first.Add(paceRunTime), func(now time.Time) { s.Ended(now, d.Run, health.Success) })
+		f.After(paceRunTime, func() { s.Ended(f.Now, d.Run, health.Success) })
 	})
 }
 
-// play plays the time and returns the fleet.
+// playPace lets the load come for the time and returns the fleet.
 func playPace(seed uint64, set paceSetting, span time.Duration) *paceFleet {
 	f := newPaceFleet(seed, set)
 	end := epoch.Add(span)
-	f.arrivals(210*set.speed, end, f.long)
-	f.arrivals(700*set.speed, end, f.short)
-	for len(f.events) > 0 && !f.events[0].at.After(end.Add(2*time.Second)) {
-		e := heap.Pop(&f.events).(paceEvent)
-		e.do(e.at)
-	}
+	f.arrivals(210, end, f.long)
+	f.arrivals(700, end, f.short)
+	f.RunUntil(end.Add(2 * time.Second))
 	return f
 }
 
@@ -304,9 +276,9 @@
 // their objective, also where a router alone sees too few answers to tell the engines apart.
 func TestUnevenEnginesServeLongPromptsInTime(t *testing.T) {
 	const digests = 130 * time.Millisecond
-	constant := playPaceSeeds(t, "one rate", paceSetting{pace.Off, false, 1, digests})
-	alone := playPaceSeeds(t, "learnt alone", paceSetting{pace.Auto, false, 1, digests})
-	shared := playPaceSeeds(t, "learnt and shared", paceSetting{pace.Auto, true, 1, digests})
+	constant := playPaceSeeds(t, "one rate", paceSetting{pace.Off, false, digests})
+	alone := playPaceSeeds(t, "learnt alone", paceSetting{pace.Auto, false, digests})
+	shared := playPaceSeeds(t, "learnt and shared", paceSetting{pace.Auto, true, digests})
 	qt.Check(t, shared.longs.share() > constant.longs.share(), qt.IsTrue)
 	qt.Check(t, shared.largest.share() > constant.largest.share(), qt.IsTrue)
 	qt.Check(t, shared.longs.share() >= alone.longs.share(), qt.IsTrue)
@@ -318,8 +290,8 @@
 // Guards against an estimate that does harm where the queues are known late: what others sent lengthens the
 // observed times, and must not pass for slow engines.
 func TestPaceIsLearntBehindQueuesThatAreKnownLate(t *testing.T) {
-	constant := playPaceSeeds(t, "one rate", paceSetting{pace.Off, false, 1, time.Second})
-	shared := playPaceSeeds(t, "learnt and shared", paceSetting{pace.Auto, true, 1, time.Second})
+	constant := playPaceSeeds(t, "one rate", paceSetting{pace.Off, false, time.Second})
+	shared := playPaceSeeds(t, "learnt and shared", paceSetting{pace.Auto, true, time.Second})
 	qt.Check(t, shared.longs.share() >= constant.longs.share(), qt.IsTrue)
 	qt.Check(t, shared.largest.share() >= constant.largest.share(), qt.IsTrue)
 	qt.Check(t, shared.slow < shared.fast*1.35, qt.IsTrue)
--- a/coordination/pace/summary.go
+++ b/coordination/pace/summary.go
@@ -43,12 +43,12 @@
 	Error, Late time.Duration
 }
 
-// Summaries returns the services for which the estimate is used, by name.
+// Summaries returns the services for which the estimate is used and something was learnt, by name.
 func (s *State) Summaries(now time.Time) []Summary {
 	var out []Summary
 	byService := make(map[*service]int)
 	for _, srv := range s.servers {
-		if !srv.InUse(now) || srv.service.errors.runs == 0 {
+		if !srv.InUse(now) || srv.service.prefills.tokens == 0 {
 			continue
 		}
 		at, known := byService[srv.service]
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -224,3 +224,20 @@
 		c.Check(load(c, []byte(text[:at]), &direct), quicktest.Not(quicktest.HasLen), 0, quicktest.Commentf("%d of %d bytes", at, len(text)))
 	}
 }
+
+// Guards against a misspelt engines.pace, which would leave the default in force without notice.
+func TestEnginesPaceIsChecked(t *testing.T) {
+	c := quicktest.New(t)
+	set := DefaultDirect()
+	c.Check(load(c, withValue(c, "direct.json", "engines", ""), &set), quicktest.HasLen, 0)
+	c.Check(set.Engines.Pace, quicktest.Equals, PaceAuto)
+	for _, mode := range []string{PaceAuto, PaceOn, PaceOff} {
+		set := DefaultDirect()
+		c.Check(load(c, withValue(c, "direct.json", "engines", `{"pace": "`+mode+`"}`), &set), quicktest.HasLen, 0)
+		c.Check(set.Engines.Pace, quicktest.Equals, mode)
+	}
+	for _, wrong := range []string{`{"pace": "yes"}`, `{"pace": 1}`, `{"speed": "auto"}`, `"on"`} {
+		set := DefaultDirect()
+		c.Check(len(load(c, withValue(c, "direct.json", "engines", wrong), &set)) > 0, quicktest.IsTrue, quicktest.Commentf("%s", wrong))
+	}
+}
--- a/transport/direct/pace.go
+++ b/transport/direct/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -57,7 +58,7 @@
 	r.mu.Unlock()
 	for _, one := range all {
 		r.event("pace", "service", one.Service, "rate", int(one.Rate), "slowest", int(one.Slowest), "fastest", int(one.Fastest), "servers", one.Servers, "learnt", one.Learnt,
-			"overhead", one.Overhead, "slowdown", one.Slowdown, "runs", one.Runs, "error", one.Error, "late", one.Late)
+			"overhead", one.Overhead, "slowdown", math.Round(one.Slowdown*100)/100, "runs", one.Runs, "error", one.Error, "late", one.Late)
 	}
 }
 
