--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -156,6 +156,7 @@
 	p := s.pool(req.Service)
 	s.syncWarmup()
 	usable, excluded := s.usable(now, p, req)
+	usable = req.Isolation.choose(usable)
 	var d Decision
 	switch {
 	case len(usable) == 0:
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -38,6 +38,8 @@
 	Homes [][]string
 	// Bound, if it is not nil, limits the request to servers that may go on with its stream.
 	Bound *Bound
+	// Isolation, if it is not nil, limits the request to few servers, as it may crash them.
+	Isolation *Isolation
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	// Sent is set if the request was sent before and is already counted.
--- /dev/null
+++ b/coordination/partquarantine/runs.go
@@ -0,0 +1,278 @@
+package partquarantine
+
+import (
+	"slices"
+	"time"
+
+	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/quarantine"
+)
+
+// Run is one send of a request with shared prefixes to a server.
+type Run struct {
+	server, service string
+	prefixes        []admission.Prefix
+	begunAt         time.Time
+	endedAt         time.Time
+	ending          quarantine.Ending
+	ended, settled  bool
+	isolated        bool
+	// shownAt is when the run was last counted as one that survives.
+	shownAt time.Time
+	group   *group
+	probes  []*refusal
+}
+
+// serverRuns holds the runs at one incarnation of a server.
+type serverRuns struct {
+	runs map[*Run]struct{}
+	// lastAnswer is when the server last answered any request.
+	lastAnswer time.Time
+}
+
+// Begin records that a request is sent to the server; nil if it has no shared prefixes.
+func (s *State) Begin(server, service string, prefixes []admission.Prefix) *Run {
+	if len(prefixes) == 0 {
+		return nil
+	}
+	at := s.servers[server]
+	if at == nil {
+		at = &serverRuns{runs: make(map[*Run]struct{})}
+		s.servers[server] = at
+	}
+	r := &Run{server: server, service: service, prefixes: prefixes}
+	at.runs[r] = struct{}{}
+	if !s.isIdle() {
+		s.markSuspect(r)
+	}
+	return r
+}
+
+// markSuspect counts the run with its group, and as a probe.
+func (s *State) markSuspect(r *Run) {
+	parts := s.partsOf(r.service, r.prefixes)
+	if key, found := s.groupOf(parts); found {
+		r.isolated, r.group = true, s.group(key, parts)
+		r.group.inFlight++
+	}
+	for _, one := range s.refusals {
+		has := countIn(one.parts, parts)
+		if has == 0 {
+			continue
+		}
+		if has < len(one.parts) {
+			one.partial++
+		} else {
+			one.probes++
+		}
+		one.inFlight++
+		r.probes = append(r.probes, one)
+		s.unsent.refusals = append(s.unsent.refusals, one)
+	}
+}
+
+// settle records that it is known whether the run survived, or that it did not run.
+func (s *State) settle(r *Run) {
+	if r.settled {
+		return
+	}
+	r.settled = true
+	if r.group != nil {
+		r.group.inFlight--
+	}
+	for _, one := range r.probes {
+		one.inFlight--
+	}
+}
+
+// Answered records that a successful answer to the run has started.
+func (s *State) Answered(now time.Time, r *Run) {
+	if r != nil && r.begunAt.IsZero() {
+		r.begunAt = now
+	}
+}
+
+// Alive records that the server answers or accepts connections: earlier interrupted answers were
+// cut off by the network, unless it crashes right after.
+func (s *State) Alive(now time.Time, server string) {
+	at := s.servers[server]
+	if at == nil {
+		return
+	}
+	at.lastAnswer = now
+}
+
+// Gone records that the store has no entry of the server any more, although it had not announced
+// its shutdown. This counts as a crash only if an answer was interrupted.
+func (s *State) Gone(now time.Time, server string) {
+	at := s.servers[server]
+	if at == nil {
+		return
+	}
+	for r := range at.runs {
+		if r.ended && r.ending == quarantine.Broken && now.Before(s.expires(at, r)) {
+			s.Crash(now, server)
+			return
+		}
+	}
+}
+
+// End records how the run ended. Only the first call counts.
+func (s *State) End(now time.Time, r *Run, how quarantine.Ending) {
+	if r == nil || r.ended {
+		return
+	}
+	r.ended, r.endedAt, r.ending = true, now, how
+	at := s.servers[r.server]
+	if at == nil {
+		return
+	}
+	if how == quarantine.Complete {
+		at.lastAnswer = now
+	}
+	if how == quarantine.NotRun {
+		s.forget(at, r)
+	}
+}
+
+func (s *State) forget(at *serverRuns, r *Run) {
+	s.settle(r)
+	delete(at.runs, r)
+	if len(at.runs) == 0 {
+		delete(s.servers, r.server)
+	}
+}
+
+// survives reports whether the run is known to have crashed nothing.
+func (s *State) survives(now time.Time, at *serverRuns, r *Run) bool {
+	switch {
+	case r.begunAt.IsZero():
+		return false
+	case at.lastAnswer.Sub(r.begunAt) >= s.cfg.Survival:
+		return true
+	case !r.ended || r.ending != quarantine.Complete:
+		return false
+	default:
+		return at.lastAnswer.Sub(r.endedAt) >= s.cfg.Outlive || now.Sub(r.endedAt) >= s.cfg.Settle
+	}
+}
+
+// expires returns until when a run that has ended is kept.
+func (s *State) expires(at *serverRuns, r *Run) time.Time {
+	if r.ending == quarantine.Broken && !at.lastAnswer.After(r.endedAt) {
+		return r.endedAt.Add(s.cfg.CrashConfirmTimeout)
+	}
+	return r.endedAt.Add(s.cfg.Settle)
+}
+
+// clearSurvivors clears the parts of runs that survived.
+func (s *State) clearSurvivors(now time.Time) {
+	for _, at := range s.servers {
+		for r := range at.runs {
+			if !r.shownAt.IsZero() && (r.ended || now.Sub(r.shownAt) < s.cfg.Survival) || !s.survives(now, at, r) {
+				continue
+			}
+			s.settle(r)
+			r.shownAt = now
+			s.countSurvivor(now, r)
+		}
+	}
+}
+
+// countSurvivor records that the run crashed nothing.
+func (s *State) countSurvivor(now time.Time, r *Run) {
+	for _, p := range s.partsOf(r.service, r.prefixes) {
+		s.survived(now, p)
+	}
+}
+
+// survived records that a run with the part crashed nothing.
+func (s *State) survived(now time.Time, p Part) {
+	if _, known := s.harmless[p]; !known && len(s.harmless) >= s.cfg.MaxHarmless {
+		s.dropHarmless(now)
+		if len(s.harmless) >= s.cfg.MaxHarmless {
+			return
+		}
+	}
+	s.harmless[p] = latest(s.harmless[p], now)
+	if s.counts(p) {
+		s.unsent.addHarmless(p)
+		s.events = append(s.events, Event{Kind: Cleared, Parts: []Part{p}})
+		s.cleared(now, p)
+	}
+}
+
+// counts reports whether something is known against the part.
+func (s *State) counts(p Part) bool {
+	return s.suspects[p] != nil || slices.ContainsFunc(s.refusals, func(one *refusal) bool { return slices.Contains(one.parts, p) })
+}
+
+// cleared removes the part from what is suspected, and from what is refused for crashes that do not
+// count any more since it was known to be harmless.
+func (s *State) cleared(at time.Time, p Part) {
+	delete(s.suspects, p)
+	s.stale = true
+	for _, one := range s.refusals {
+		if !at.Add(s.cfg.HarmlessTTL).Before(one.since) {
+			one.parts = slices.DeleteFunc(one.parts, func(other Part) bool { return other == p })
+		}
+	}
+	s.refusals = slices.DeleteFunc(s.refusals, func(one *refusal) bool { return len(one.parts) == 0 })
+}
+
+// dropHarmless drops what is too old to matter for a further crash and no crash names.
+func (s *State) dropHarmless(now time.Time) {
+	named := make(map[Part]struct{})
+	for _, c := range s.crashOrder {
+		for _, r := range c.runs {
+			for _, p := range r.parts {
+				named[p] = struct{}{}
+			}
+		}
+	}
+	for p, at := range s.harmless {
+		if _, is := named[p]; !is && now.Sub(at) > s.cfg.HarmlessTTL {
+			delete(s.harmless, p)
+		}
+	}
+}
+
+// Crash records that this router knows that the server ended without having announced it.
+func (s *State) Crash(now time.Time, server string) {
+	at := s.servers[server]
+	if at == nil {
+		return
+	}
+	delete(s.servers, server)
+	s.clearSurvivors(now)
+	var found []runParts
+	for r := range at.runs {
+		s.settle(r)
+		if s.survives(now, at, r) {
+			s.countSurvivor(now, r)
+			continue
+		}
+		found = append(found, runParts{parts: s.partsOf(r.service, r.prefixes), isolated: r.isolated, own: true})
+	}
+	c := s.crash(now, server)
+	c.observedHere = true
+	s.addRuns(c, found)
+	s.unsent.addCrash(c)
+	s.refresh(now)
+}
+
+// Tick clears, judges and drops what is due. It must be called several times a second.
+func (s *State) Tick(now time.Time) {
+	if !s.isIdle() {
+		s.clearSurvivors(now)
+	}
+	for _, at := range s.servers {
+		for r := range at.runs {
+			if r.ended && !now.Before(s.expires(at, r)) {
+				s.forget(at, r)
+			}
+		}
+	}
+	s.expire(now)
+	s.refresh(now)
+}
--- /dev/null
+++ b/coordination/partquarantine/state.go
@@ -0,0 +1,344 @@
+package partquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestport/coordination/admission"
+)
+
+// Part identifies a part of the prompts of one service.
+type Part uint64
+
+// PartOf returns the part of the service's prompts with the id.
+func PartOf(service string, id uint64) Part { return Part(id ^ xxhash.Sum64String(service)) }
+
+// Verdict is the decision on whether a request may be sent.
+type Verdict int
+
+const (
+	// Pass: the request may be sent.
+	Pass Verdict = iota
+	// Wait: the request has suspect parts, and a send with these is not possible yet.
+	Wait
+	// Refuse: the request has parts that crash the servers that run it.
+	Refuse
+)
+
+// Decision says whether a request may be sent, and to which servers.
+type Decision struct {
+	Verdict Verdict
+	// Isolation restricts the servers of a request with suspect parts; nil for all others.
+	Isolation *admission.Isolation
+}
+
+// State is what one router knows of crashes and of the parts of prompts that were at them. It must
+// be used by one goroutine at a time. Invariants: the crashes and the harmless parts are unions
+// over all routers, so that the order of messages does not matter; nothing is computed for each
+// part of a request while no crash is remembered.
+type State struct {
+	cfg     Config
+	self    string
+	routers []string
+
+	servers map[string]*serverRuns
+	// crashes and crashOrder are the known crashes, the latter by the order of their arrival.
+	crashes    map[string]*crash
+	crashOrder []*crash
+	// harmless holds when a run with the part was last known to have survived.
+	harmless map[Part]time.Time
+	// suspects is derived from crashes, harmless and refusals; stale means that these changed.
+	suspects map[Part]*suspect
+	stale    bool
+	// undecidedUntil is when a tie between suspects is over; zero if there is none.
+	undecidedUntil time.Time
+	refusals       []*refusal
+	groups         map[uint64]*group
+	arrivals       int
+	unsent         unsentChanges
+	events         []Event
+}
+
+// crash is the crash of a server, merged from all reports.
+type crash struct {
+	server string
+	at     time.Time
+	runs   []runParts
+	// observedHere is set if this router observed the crash itself.
+	observedHere bool
+}
+
+// runParts are the parts of one or more runs that were at a crashed server.
+type runParts struct {
+	parts []Part
+	// isolated is set if such a run was sent as a suspect.
+	isolated bool
+	// own is set if this router sent one.
+	own bool
+}
+
+// refusal is a set of parts; requests that carry all of them are refused.
+type refusal struct {
+	parts   []Part
+	since   time.Time
+	probes  int
+	partial int
+	// inFlight is the number of probes that this router has under way.
+	inFlight int
+	servers  []string
+}
+
+// group is the requests that have the same suspect parts.
+type group struct {
+	arrivals int
+	// inFlight is the number of this router's runs that have not shown yet whether they survive.
+	inFlight int
+	// crashes and lastCrash are the crashes of the group. version is that of the evidence for
+	// which they were counted.
+	crashes   int
+	lastCrash time.Time
+	known     bool
+}
+
+// New returns the state of a router without any crashes.
+func New(cfg Config, self string) *State {
+	return &State{
+		cfg: cfg, self: self, servers: make(map[string]*serverRuns), crashes: make(map[string]*crash),
+		harmless: make(map[Part]time.Time), suspects: make(map[Part]*suspect), groups: make(map[uint64]*group),
+	}
+}
+
+// SetRouters sets the ids of the fleet's routers, one of which sends the probes.
+func (s *State) SetRouters(ids []string) { s.routers = slices.Clone(ids) }
+
+// ownsProbes reports whether this router is the one that sends probes. It is one for all refused
+// sets: otherwise no router could probe a request that carries several.
+func (s *State) ownsProbes() bool {
+	if len(s.routers) == 0 {
+		return true
+	}
+	return s.self == slices.MaxFunc(s.routers, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+}
+
+// partsOf returns the sorted parts of a request, limited to MaxParts.
+func (s *State) partsOf(service string, prefixes []admission.Prefix) []Part {
+	out := make([]Part, 0, min(len(prefixes), s.cfg.MaxParts))
+	for _, one := range prefixes[:min(len(prefixes), s.cfg.MaxParts)] {
+		out = append(out, PartOf(service, one.ID))
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// isIdle reports whether nothing is known against any part.
+func (s *State) isIdle() bool { return len(s.crashOrder) == 0 && len(s.refusals) == 0 }
+
+// Check decides on a request with the shared prefixes.
+func (s *State) Check(now time.Time, service string, prefixes []admission.Prefix) Decision {
+	if s.isIdle() || len(prefixes) == 0 {
+		return Decision{}
+	}
+	s.refresh(now)
+	parts := s.partsOf(service, prefixes)
+	if v := s.checkRefusals(now, parts); v != Pass {
+		return Decision{Verdict: v}
+	}
+	key, found := s.groupOf(parts)
+	if !found {
+		return Decision{}
+	}
+	g := s.group(key, parts)
+	g.arrivals++
+	s.arrivals++
+	isolation := &admission.Isolation{Key: key + uint64(g.crashes), Share: s.share(g)}
+	if now.Sub(g.lastCrash) < s.cfg.Pause || g.inFlight > 0 && isolation.Share < commonShare {
+		return Decision{Verdict: Wait}
+	}
+	return Decision{Isolation: isolation}
+}
+
+const (
+	// commonShare is the share of the isolated requests from which a group may have several runs
+	// at a time that have not shown whether they survive.
+	commonShare = 0.25
+	// shareSamples is the number of requests that count as those of other groups until more came.
+	shareSamples = 8
+)
+
+// share returns the share of the group in the requests with suspect parts.
+func (s *State) share(g *group) float64 {
+	return float64(g.arrivals) / float64(s.arrivals+shareSamples)
+}
+
+// checkRefusals decides on a request whose parts may be refused.
+func (s *State) checkRefusals(now time.Time, parts []Part) Verdict {
+	verdict := Pass
+	for _, one := range s.refusals {
+		switch has := countIn(one.parts, parts); {
+		case has == 0:
+		case s.mayProbe(now, one, has < len(one.parts)):
+		case has == len(one.parts) || one.partial >= s.cfg.MaxPartialProbes:
+			return Refuse
+		default:
+			verdict = Wait
+		}
+	}
+	return verdict
+}
+
+// mayProbe reports whether a request with the set, or with some of its parts, may be sent now.
+func (s *State) mayProbe(now time.Time, one *refusal, partial bool) bool {
+	if one.inFlight > 0 || !s.ownsProbes() {
+		return false
+	}
+	if partial {
+		return one.partial < s.cfg.MaxPartialProbes
+	}
+	return one.probes < len(s.cfg.ProbeAfter) && now.Sub(one.since) >= s.cfg.ProbeAfter[one.probes]
+}
+
+// groupOf returns the key of the request's suspect parts, and whether it has any.
+func (s *State) groupOf(parts []Part) (key uint64, found bool) {
+	for _, p := range parts {
+		if known := s.suspects[p]; known != nil && known.count >= s.cfg.Suspicion {
+			key, found = mix(key, p), true
+		}
+	}
+	return key, found
+}
+
+// group returns the group with the key, and counts its crashes if the evidence changed.
+func (s *State) group(key uint64, parts []Part) *group {
+	g := s.groups[key]
+	if g == nil {
+		if len(s.groups) >= maxGroups {
+			clear(s.groups)
+			s.arrivals = 0
+		}
+		g = &group{}
+		s.groups[key] = g
+	}
+	if g.known {
+		return g
+	}
+	g.known, g.crashes, g.lastCrash = true, 0, time.Time{}
+	suspects := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool {
+		known := s.suspects[p]
+		return known == nil || known.count < s.cfg.Suspicion
+	})
+	for _, c := range s.crashOrder {
+		if slices.ContainsFunc(c.runs, func(r runParts) bool { return countIn(suspects, r.parts) == len(suspects) }) {
+			g.crashes++
+			g.lastCrash = latest(g.lastCrash, c.at)
+		}
+	}
+	return g
+}
+
+// maxGroups bounds the groups; beyond it, their shares are counted anew.
+const maxGroups = 1024
+
+// MayRepeat reports whether the router may send the request to another server by itself.
+func (s *State) MayRepeat(now time.Time, service string, prefixes []admission.Prefix) bool {
+	if s.isIdle() {
+		return true
+	}
+	s.refresh(now)
+	parts := s.partsOf(service, prefixes)
+	_, found := s.groupOf(parts)
+	return !found && !slices.ContainsFunc(s.refusals, func(one *refusal) bool { return countIn(one.parts, parts) > 0 })
+}
+
+// Entry is a refused set as listed to operators.
+type Entry struct {
+	Parts   []Part
+	Since   time.Time
+	Probes  int
+	Servers []string
+}
+
+// List returns the refused sets, the latest first.
+func (s *State) List() []Entry {
+	var out []Entry
+	for _, one := range s.refusals {
+		out = append(out, Entry{Parts: one.parts, Since: one.since, Probes: one.probes + one.partial, Servers: one.servers})
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return b.Since.Compare(a.Since) })
+	return out
+}
+
+// RefusedCount returns the number of refused sets.
+func (s *State) RefusedCount() int { return len(s.refusals) }
+
+// Suspects returns the number of parts whose requests are isolated.
+func (s *State) Suspects() int {
+	n := 0
+	for _, one := range s.suspects {
+		if one.count >= s.cfg.Suspicion {
+			n++
+		}
+	}
+	return n
+}
+
+// Release clears a part on behalf of an operator. It reports whether anything was known against it.
+func (s *State) Release(now time.Time, p Part) bool {
+	s.refresh(now)
+	if s.suspects[p] == nil && !slices.ContainsFunc(s.refusals, func(one *refusal) bool { return slices.Contains(one.parts, p) }) {
+		return false
+	}
+	s.survived(now, p)
+	return true
+}
+
+// EventKind is the kind of an event.
+type EventKind string
+
+const (
+	// Refused: requests with all the parts are refused from now on.
+	Refused EventKind = "refused"
+	// Cleared: the part is harmless.
+	Cleared EventKind = "cleared"
+)
+
+// Event is a change in what the router knows.
+type Event struct {
+	Kind  EventKind
+	Parts []Part
+	// Servers crashed under the parts.
+	Servers []string
+	// ByPeer is set if another router reported it.
+	ByPeer bool
+}
+
+// Events returns the events since the last call.
+func (s *State) Events() []Event {
+	out := s.events
+	s.events = nil
+	return out
+}
+
+// mix adds a part to the key of a group.
+func mix(key uint64, p Part) uint64 { return (key ^ uint64(p)) * 0x9e3779b97f4a7c15 }
+
+// countIn returns how many of the parts are among those of the sorted list.
+func countIn(parts, sorted []Part) (n int) {
+	for _, p := range parts {
+		if _, found := slices.BinarySearch(sorted, p); found {
+			n++
+		}
+	}
+	return n
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/protocol/partreport/partreport.go
@@ -0,0 +1,159 @@
+// Package partreport encodes and decodes the datagrams in which routers report to each other which
+// parts of prompts were at backend servers that crashed.
+//
+// They are separate from crash reports, so that a router of a version that does not know them drops
+// only these.
+package partreport
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/coordination/partquarantine"
+)
+
+// version is the first byte of a datagram. No other datagram starts with it.
+const version = 0x83
+
+// Sizes of the encoded fields in bytes, and the limits of one-byte lengths and counts.
+const (
+	partSize = 8
+	ageSize  = 4
+	maxName  = 255
+	maxCount = 255
+)
+
+// isolatedFlag is the flag of runs that were isolated.
+const isolatedFlag = 1
+
+// ErrForm means that a datagram is not a well-formed report of this version.
+var ErrForm = errors.New("no report on parts of this version")
+
+// Is reports whether the datagram starts as a report on parts.
+func Is(b []byte) bool { return len(b) > 0 && b[0] == version }
+
+// Append appends the router's encoded report to b. Of each list, only the first 255 entries are
+// written; the reports of coordination/partquarantine have fewer.
+func Append(b []byte, router string, r partquarantine.Report) []byte {
+	b = appendName(append(b, version), router)
+	crashes := r.Crashes[:min(len(r.Crashes), maxCount)]
+	b = append(b, byte(len(crashes)))
+	for _, c := range crashes {
+		b = appendAge(appendName(b, c.Server), c.Age)
+		runs := c.Runs[:min(len(c.Runs), maxCount)]
+		b = append(b, byte(len(runs)))
+		for _, run := range runs {
+			b = appendParts(append(b, flags(run)), run.Parts)
+		}
+	}
+	harmless := r.Harmless[:min(len(r.Harmless), maxCount)]
+	b = append(b, byte(len(harmless)))
+	for _, one := range harmless {
+		b = appendAge(binary.LittleEndian.AppendUint64(b, uint64(one.Part)), one.Age)
+	}
+	refusals := r.Refusals[:min(len(r.Refusals), maxCount)]
+	b = append(b, byte(len(refusals)))
+	for _, one := range refusals {
+		b = appendAge(appendParts(b, one.Parts), one.Age)
+		b = append(b, byte(min(one.Probes, maxCount)), byte(min(one.Partial, maxCount)), byte(min(len(one.Servers), maxCount)))
+		for _, server := range one.Servers[:min(len(one.Servers), maxCount)] {
+			b = appendName(b, server)
+		}
+	}
+	return b
+}
+
+func flags(run partquarantine.RunReport) byte {
+	if run.Isolated {
+		return isolatedFlag
+	}
+	return 0
+}
+
+func appendName(b []byte, name string) []byte {
+	name = name[:min(len(name), maxName)]
+	return append(append(b, byte(len(name))), name...)
+}
+
+func appendParts(b []byte, parts []partquarantine.Part) []byte {
+	parts = parts[:min(len(parts), maxCount)]
+	b = append(b, byte(len(parts)))
+	for _, p := range parts {
+		b = binary.LittleEndian.AppendUint64(b, uint64(p))
+	}
+	return b
+}
+
+// appendAge appends the age in whole milliseconds, limited to seven weeks.
+func appendAge(b []byte, age time.Duration) []byte {
+	return binary.LittleEndian.AppendUint32(b, uint32(min(max(age.Milliseconds(), 0), math.MaxUint32)))
+}
+
+// Read decodes a datagram.
+func Read(b []byte) (router string, r partquarantine.Report, err error) {
+	if !Is(b) {
+		return "", r, ErrForm
+	}
+	d := decoder{rest: b[1:]}
+	router = d.name()
+	for range d.count() {
+		c := partquarantine.CrashReport{Server: d.name(), Age: d.age()}
+		for range d.count() {
+			c.Runs = append(c.Runs, partquarantine.RunReport{Isolated: d.count()&isolatedFlag != 0, Parts: d.parts()})
+		}
+		r.Crashes = append(r.Crashes, c)
+	}
+	for range d.count() {
+		r.Harmless = append(r.Harmless, partquarantine.HarmlessReport{Part: d.part(), Age: d.age()})
+	}
+	for range d.count() {
+		one := partquarantine.RefusalReport{Parts: d.parts(), Age: d.age(), Probes: d.count(), Partial: d.count()}
+		for range d.count() {
+			one.Servers = append(one.Servers, d.name())
+		}
+		r.Refusals = append(r.Refusals, one)
+	}
+	if d.failed || len(d.rest) > 0 {
+		return "", partquarantine.Report{}, ErrForm
+	}
+	return router, r, nil
+}
+
+// decoder reads fields in order. After the first truncated field, all reads return zero values.
+type decoder struct {
+	rest   []byte
+	failed bool
+}
+
+func (d *decoder) next(n int) []byte {
+	if len(d.rest) < n {
+		d.rest, d.failed = nil, true
+		return make([]byte, n)
+	}
+	out := d.rest[:n]
+	d.rest = d.rest[n:]
+	return out
+}
+
+func (d *decoder) count() int { return int(d.next(1)[0]) }
+
+func (d *decoder) name() string { return string(d.next(d.count())) }
+
+func (d *decoder) age() time.Duration {
+	return time.Duration(binary.LittleEndian.Uint32(d.next(ageSize))) * time.Millisecond
+}
+
+func (d *decoder) part() partquarantine.Part {
+	return partquarantine.Part(binary.LittleEndian.Uint64(d.next(partSize)))
+}
+
+func (d *decoder) parts() []partquarantine.Part {
+	var out []partquarantine.Part
+	for range d.count() {
+		out = append(out, d.part())
+	}
+	return out
+}
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -29,7 +29,11 @@
 // it did.
 func (c *call) endQuarantined() bool {
 	c.r.mu.Lock()
-	verdict := c.r.quarantine.Check(time.Now(), c.fingerprint)
+	now := time.Now()
+	verdict := c.r.quarantine.Check(now, c.fingerprint)
+	if verdict == quarantine.Pass {
+		verdict = c.checkParts(now)
+	}
 	c.r.handleQuarantineEvents()
 	c.r.mu.Unlock()
 	switch {
@@ -40,30 +44,33 @@
 	case c.reached > 0:
 		c.fail(outcome.ReasonAnswerLost, http.StatusBadGateway, "the backend server ended while it ran the request")
 	case verdict == quarantine.Wait:
-		c.refuse(*notRun(outcome.ReasonSuspect, suspectRetryAfter, "another attempt of this request is at work, and backend servers ended under earlier ones"))
+		c.refuse(*notRun(outcome.ReasonSuspect, suspectRetryAfter, "backend servers ended under earlier attempts of this request, or of others with the same parts of their prompts, and another one is at work"))
 	default:
 		// A status that callers do not retry: a retry would end the same way.
-		c.refuse(outcome.Refuse(outcome.ReasonCrashes, http.StatusBadRequest, 0, "backend servers ended under each earlier attempt of this request; it has not run this time"))
+		c.refuse(outcome.Refuse(outcome.ReasonCrashes, http.StatusBadRequest, 0, "backend servers ended under each earlier attempt of this request, or of others with the same part of their prompts; it has not run this time"))
 	}
 	return true
 }
 
 // beginSend records that the request is being sent to the server.
-func (r *Router) beginSend(fingerprint quarantine.Fingerprint, server roster.Server) *quarantine.Run {
+func (c *call) beginSend(server roster.Server) sentRun {
+	r := c.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.quarantine.Begin(fingerprint, server.Identity())
+	return sentRun{r.quarantine.Begin(c.fingerprint, server.Identity()), r.parts.Begin(server.Identity(), c.service, c.meta.Shared)}
 }
 
-func (r *Router) endSend(run *quarantine.Run, how quarantine.Ending) {
+func (r *Router) endSend(run sentRun, how quarantine.Ending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantine.End(time.Now(), run, how)
+	now := time.Now()
+	r.quarantine.End(now, run.request, how)
+	r.parts.End(now, run.parts, how)
 }
 
 // attemptEnded records how the send ended. If its answer broke off, it returns after the
 // server was probed.
-func (c *call) attemptEnded(sent *quarantine.Run, server roster.Server, how quarantine.Ending) {
+func (c *call) attemptEnded(sent sentRun, server roster.Server, how quarantine.Ending) {
 	c.r.endSend(sent, how)
 	if how == quarantine.Broken {
 		c.r.probeAfterBreak(server)
@@ -75,7 +82,7 @@
 func (c *call) mayRetryAfterCrash() bool {
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
-	return c.r.quarantine.MayRepeat(c.fingerprint)
+	return c.r.quarantine.MayRepeat(c.fingerprint) && c.r.parts.MayRepeat(time.Now(), c.service, c.meta.Shared)
 }
 
 // errAnswered marks the failure of a server that gave its whole answer.
@@ -145,6 +152,7 @@
 	case completeness.Takes:
 		r.mu.Lock()
 		r.quarantine.Alive(time.Now(), identity)
+		r.parts.Alive(time.Now(), identity)
 		r.mu.Unlock()
 	case completeness.Refuses:
 		r.serverCrashed(server)
@@ -163,6 +171,7 @@
 		return
 	}
 	r.quarantine.Crash(time.Now(), server.Identity())
+	r.parts.Crash(time.Now(), server.Identity())
 	r.handleQuarantineEvents()
 }
 
@@ -172,8 +181,10 @@
 	switch change.Reason {
 	case roster.ReasonRestarted:
 		r.quarantine.Crash(time.Now(), change.Server.Identity())
+		r.parts.Crash(time.Now(), change.Server.Identity())
 	case roster.ReasonRemoved, roster.ReasonLapsed:
 		r.quarantine.Gone(time.Now(), change.Server.Identity())
+		r.parts.Gone(time.Now(), change.Server.Identity())
 	}
 	r.handleQuarantineEvents()
 }
@@ -198,7 +209,8 @@
 			}
 		}
 	}
-	if r.quarantine.HasUnsent() {
+	r.handlePartEvents()
+	if r.quarantine.HasUnsent() || r.parts.HasUnsent() {
 		select {
 		case r.reportsReady <- struct{}{}:
 		default:
--- a/transport/direct/crashreport.go
+++ b/transport/direct/crashreport.go
@@ -7,8 +7,10 @@
 	"strings"
 	"time"
 
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/protocol/crashreport"
+	"goldcrestport/protocol/partreport"
 )
 
 // Intervals and limits of the crash reports between routers.
@@ -28,24 +30,35 @@
 	r := t.r
 	r.mu.Lock()
 	var reports []quarantine.Report
-	if r.quarantine.HasUnsent() && now.Sub(t.reportsSent) >= others*time.Second/reportBudget {
+	var partReports []partquarantine.Report
+	if (r.quarantine.HasUnsent() || r.parts.HasUnsent()) && now.Sub(t.reportsSent) >= others*time.Second/reportBudget {
 		t.reportsSent = now
-		reports = r.quarantine.UnsentReports(now)
+		reports, partReports = r.quarantine.UnsentReports(now), r.parts.UnsentReports(now)
 	}
 	if now.Sub(t.repeatsSent) >= max(repeatInterval, others*time.Second/digestBudget) {
 		t.repeatsSent = now
 		reports = append(reports, r.quarantine.PeriodicReports(now)...)
+		partReports = append(partReports, r.parts.PeriodicReports(now)...)
 	}
-	if len(reports) > 0 {
+	if len(reports)+len(partReports) > 0 {
 		t.updateDestinations()
 	}
 	r.mu.Unlock()
 	for _, one := range reports {
 		t.buf = crashreport.Append(t.buf[:0], r.set.ID, one)
-		for _, to := range t.destinations {
-			if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
-				r.metrics.peerErrors.Add(1)
-			}
+		t.sendToAll()
+	}
+	for _, one := range partReports {
+		t.buf = partreport.Append(t.buf[:0], r.set.ID, one)
+		t.sendToAll()
+	}
+}
+
+// sendToAll sends the datagram in the buffer to all other routers.
+func (t *gossiper) sendToAll() {
+	for _, to := range t.destinations {
+		if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
+			t.r.metrics.peerErrors.Add(1)
 		}
 	}
 }
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -121,7 +121,7 @@
 		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.LastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
 	})
 	c.resumesAt(server, events)
-	sent := c.r.beginSend(c.fingerprint, server)
+	sent := c.beginSend(server)
 	one := &sentAttempt{server: server, attempt: c.sent}
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
@@ -162,6 +162,7 @@
 		return refused, errors.Newf("the server refused with %d", answer.Status)
 	}
 	c.reached++
+	c.answerBegins(sent, answer.Status, reply)
 	var next step
 	var err error
 	before := events.Count()
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/transport/observe"
 )
@@ -30,7 +31,10 @@
 	crashes        *expvar.Int
 	confirmed      *expvar.Int
 	cleared        *expvar.Int
-	latency        *observe.Times
+	// partsRefused counts the sets of parts of prompts that came to be refused, partsCleared the
+	// parts against which nothing counts any more.
+	partsRefused, partsCleared *expvar.Int
+	latency                    *observe.Times
 	// abandoned counts attempts abandoned after their first byte, abandonedUnacked those among
 	// them with unacknowledged bytes; infoAge holds the age of the router's information
 	// about draining servers at first bytes.
@@ -72,6 +76,8 @@
 		crashes:         v.Int("direct_server_crashes"),
 		confirmed:       v.Int("direct_quarantine_confirmed"),
 		cleared:         v.Int("direct_quarantine_cleared"),
+		partsRefused:    v.Int("direct_part_quarantine_refused"),
+		partsCleared:    v.Int("direct_part_quarantine_cleared"),
 		latency:         v.Times("direct_latency_us"),
 
 		abandoned:        v.Int("direct_attempts_abandoned"),
@@ -87,6 +93,8 @@
 	r.rates.register(m)
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).RefusedCount) })
+	v.Func("direct_part_quarantine_suspects", func() any { return r.inPartQuarantine((*partquarantine.State).Suspects) })
+	v.Func("direct_part_quarantine_held", func() any { return r.inPartQuarantine((*partquarantine.State).RefusedCount) })
 	v.Func("direct_cold_servers", func() any {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/transport/direct/place.go
+++ b/transport/direct/place.go
@@ -13,7 +13,7 @@
 func (c *call) placeRequest() admission.Decision {
 	req := admission.Request{
 		Service: c.service, Team: c.team, Class: c.route.Name, Prompt: c.meta.Prompt, Output: c.meta.Output, SharedPrefixes: c.meta.Shared,
-		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Homes: c.homes(), Repeatable: c.route.MayRepeat(), Sent: c.sent > 0, Counted: c.tokens > 0, MayHaveRun: c.reached > 0,
+		Objective: c.route.Objective, Elapsed: c.elapsed, Avoid: c.avoid, Homes: c.homes(), Repeatable: c.route.MayRepeat(), Sent: c.sent > 0, Counted: c.tokens > 0, MayHaveRun: c.reached > 0, Isolation: c.isolation,
 	}
 	now := time.Now()
 	c.r.mu.Lock()
--- a/transport/direct/receive.go
+++ b/transport/direct/receive.go
@@ -10,6 +10,7 @@
 	"goldcrestport/protocol/crashreport"
 	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/originmsg"
+	"goldcrestport/protocol/partreport"
 )
 
 // receiveDatagrams receives the other routers' datagrams.
@@ -31,6 +32,9 @@
 	if originmsg.Is(datagram) {
 		return r.origins.receive(datagram, from)
 	}
+	if partreport.Is(datagram) {
+		return r.receivePartReport(datagram)
+	}
 	if crashreport.Is(datagram) {
 		return r.receiveReport(datagram)
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -17,6 +17,7 @@
 	"goldcrestport/coordination/freshness"
 	"goldcrestport/coordination/intake"
 	"goldcrestport/coordination/mirror"
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/returning"
@@ -65,6 +66,8 @@
 	// are new reports to send.
 	quarantine   *quarantine.State
 	reportsReady chan struct{}
+	// parts tracks which parts of prompts crash servers.
+	parts *partquarantine.State
 	// warmup limits the load of cold servers; member is the period in which this router's
 	// registration is certain to be valid.
 	warmup  *warmup.State
@@ -163,6 +166,7 @@
 		rates:          newStreamRates(),
 		warmup:         warmup.New(cfg.Warmup, set.ID),
 		quarantine:     quarantine.New(cfg.Quarantine, set.ID),
+		parts:          partquarantine.New(partquarantine.DefaultConfig(), set.ID),
 		returning:      returning.New(returning.DefaultConfig()),
 		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(),
 	}
--- a/transport/direct/runs.go
+++ b/transport/direct/runs.go
@@ -37,7 +37,9 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	if !reply.OtherServer {
-		r.quarantine.Alive(now, roster.Identity(run.Server(), run.Incarnation()))
+		identity := roster.Identity(run.Server(), run.Incarnation())
+		r.quarantine.Alive(now, identity)
+		r.parts.Alive(now, identity)
 	}
 	switch {
 	case reply.OtherServer:
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -67,6 +67,8 @@
 	server roster.Server
 	// stream is what is known of the stream that the request starts or resumes.
 	stream stream
+	// isolation restricts the servers of a request whose parts are suspected of crashing them.
+	isolation *admission.Isolation
 	// answer is how the last answer of a server ended; nil before the first one.
 	answer *answerEnd
 	// delivered is the form in which the caller received the answer, and callerFraming its
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -140,6 +140,7 @@
 	n := len(all)
 	r.warmup.SetRouters(r.registered())
 	r.quarantine.SetRouters(all)
+	r.parts.SetRouters(all)
 	r.admission.SetRouters(n)
 }
 
@@ -189,6 +190,7 @@
 		r.warmup.Tick(now)
 		r.versions.Tick(now)
 		r.quarantine.Tick(now)
+		r.parts.Tick(now)
 		r.handleQuarantineEvents()
 	})
 }
