--- a/coordination/partquarantine/config.go
+++ b/coordination/partquarantine/config.go
@@ -30,18 +30,23 @@
 	// Isolated is how many of these crashes must be those of runs that were isolated. Default 2:
 	// what only was nearby at the first crashes survives elsewhere.
 	Isolated int
+	// IsolatedBroad is the same for a part that most requests of a class carry. Default 5.
+	IsolatedBroad int
 	// BurstWindow is the time within which several crashes count once: they may have one cause
 	// other than a request. Default 100ms.
 	BurstWindow time.Duration
 	// Pause is the time after a crash of an isolated request in which none with the same suspects
-	// is sent. Default 500ms: harmless requests at other servers are cleared by then.
+	// is sent. Default 400ms: harmless requests at other servers are cleared by then.
 	Pause time.Duration
-	// TieBreak is how long after a crash a part is not yet refused while another one was at the
-	// same crashes. Default 1500ms, of the 3s that the guarantee to the users allows.
+	// TieBreak is how long after the last required crash a part is not yet refused while another one was at the
+	// same crashes. Default 2s, of the 3s that the guarantee to the users allows.
 	TieBreak time.Duration
 	// Survival is the time from the start of an answer after which its parts are harmless, if the
 	// server answers. Default 1s: a server crashes within tenths of a second of the first token.
 	Survival time.Duration
+	// Doubt is the time from the start of an answer after which a crash was hardly caused by it.
+	// Default 400ms.
+	Doubt time.Duration
 	// Outlive is the time after a complete answer from which an answer of the server shows that it
 	// survived the run. Default 300ms.
 	Outlive time.Duration
@@ -60,7 +65,7 @@
 	// which connected routers are expected to know.
 	ResendFor time.Duration
 	// ProbeAfter lists the times after the start of a refusal at which one request with the set may
-	// be sent. Default 1m and 10m: with MaxPartialProbes these are the three sends that the
+	// be sent. Default 10s and 2m: with MaxPartialProbes these are the three sends that the
 	// guarantee to the users allows.
 	ProbeAfter []time.Duration
 	// MaxPartialProbes is how many requests with a part of a refused set, but not the whole set,
@@ -77,10 +82,10 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		Suspicion: 2, Crashes: 5, Isolated: 2, BurstWindow: 100 * time.Millisecond, Pause: 500 * time.Millisecond, TieBreak: 1500 * time.Millisecond,
-		Survival: time.Second, Outlive: 300 * time.Millisecond, Settle: 2 * time.Second, CrashConfirmTimeout: 8 * time.Second,
+		Suspicion: 2, Crashes: 5, Isolated: 2, IsolatedBroad: 4, BurstWindow: 100 * time.Millisecond, Pause: 400 * time.Millisecond, TieBreak: 2 * time.Second,
+		Survival: time.Second, Doubt: 400 * time.Millisecond, Outlive: 300 * time.Millisecond, Settle: 2 * time.Second, CrashConfirmTimeout: 8 * time.Second,
 		HarmlessTTL: 10 * time.Second, CrashTTL: 10 * time.Minute, ResendFor: 5 * time.Second,
-		ProbeAfter: []time.Duration{time.Minute, 10 * time.Minute}, MaxPartialProbes: 1,
+		ProbeAfter: []time.Duration{10 * time.Second, 2 * time.Minute}, MaxPartialProbes: 1,
 		MaxCrashes: 128, MaxRuns: 24, MaxParts: 16, MaxRefusals: 256, MaxHarmless: 8192,
 	}
 }
@@ -96,8 +101,9 @@
 	check(c.Suspicion > 1, "Suspicion must be above 1")
 	check(c.Crashes >= c.Suspicion, "Crashes must not be below Suspicion")
 	check(c.Isolated >= 0 && c.Isolated <= c.Crashes, "Isolated must be from 0 to Crashes")
+	check(c.IsolatedBroad >= c.Isolated, "IsolatedBroad must not be below Isolated")
 	check(c.Pause >= 0 && c.TieBreak >= 0 && c.BurstWindow >= 0, "Pause, TieBreak and BurstWindow must not be negative")
-	check(c.Survival > 0 && c.Outlive > 0 && c.Settle > 0, "Survival, Outlive and Settle must be positive")
+	check(c.Doubt > 0 && c.Survival >= c.Doubt && c.Outlive > 0 && c.Settle > 0, "Doubt, Survival (not below Doubt), Outlive and Settle must be positive")
 	check(c.HarmlessTTL > 0 && c.CrashConfirmTimeout > 0 && c.ResendFor > 0, "HarmlessTTL, CrashConfirmTimeout and ResendFor must be positive")
 	check(c.CrashTTL > c.CrashConfirmTimeout, "CrashTTL must be above CrashConfirmTimeout")
 	check(c.MaxCrashes > c.Crashes, "MaxCrashes must be above Crashes")
--- a/coordination/partquarantine/report.go
+++ b/coordination/partquarantine/report.go
@@ -14,8 +14,10 @@
 
 // RunReport is the parts of a run.
 type RunReport struct {
-	Parts    []Part
-	Isolated bool
+	Parts []Part
+	// Isolated and Doubtful say that such a run was sent as a suspect, and that it had been answered
+	// for a while.
+	Isolated, Doubtful bool
 }
 
 // HarmlessReport states how long ago a run with the part was known to have survived.
@@ -119,10 +121,7 @@
 // countsAgainstSuspect reports whether the crash counts against a part whose requests are isolated.
 func (s *State) countsAgainstSuspect(c *crash) bool {
 	return !s.isExplained(c) && slices.ContainsFunc(c.runs, func(r runParts) bool {
-		return slices.ContainsFunc(r.parts, func(p Part) bool {
-			known := s.suspects[p]
-			return known != nil && known.count >= s.cfg.Suspicion
-		})
+		return slices.ContainsFunc(r.parts, s.isSuspect)
 	})
 }
 
@@ -169,7 +168,7 @@
 			p.used = entryBytes + len(c.server)
 		}
 		p.used += size
-		report.Runs = append(report.Runs, RunReport{Parts: r.parts, Isolated: r.isolated})
+		report.Runs = append(report.Runs, RunReport{Parts: r.parts, Isolated: r.isolated, Doubtful: r.doubtful})
 	}
 	p.report.Crashes = append(p.report.Crashes, report)
 }
@@ -218,7 +217,7 @@
 		runs := make([]runParts, 0, len(one.Runs))
 		for _, r := range one.Runs {
 			s.tellHarmless(c, r.Parts)
-			runs = append(runs, runParts{parts: slices.Sorted(slices.Values(r.Parts)), isolated: r.Isolated})
+			runs = append(runs, runParts{parts: slices.Sorted(slices.Values(r.Parts)), isolated: r.Isolated, doubtful: r.Doubtful})
 		}
 		s.addRuns(c, runs)
 	}
--- a/coordination/partquarantine/runs.go
+++ b/coordination/partquarantine/runs.go
@@ -157,6 +157,11 @@
 	}
 }
 
+// isDoubtful reports whether the run had been answered for so long that it hardly crashed its server.
+func (s *State) isDoubtful(at *serverRuns, r *Run) bool {
+	return !r.begunAt.IsZero() && at.lastAnswer.Sub(r.begunAt) >= s.cfg.Doubt
+}
+
 // expires returns until when a run that has ended is kept.
 func (s *State) expires(at *serverRuns, r *Run) time.Time {
 	if r.ending == quarantine.Broken && !at.lastAnswer.After(r.endedAt) {
@@ -220,8 +225,15 @@
 	s.refusals = slices.DeleteFunc(s.refusals, func(one *refusal) bool { return len(one.parts) == 0 })
 }
 
+// dropInterval is the interval between searches for what may be dropped.
+const dropInterval = time.Second
+
 // dropHarmless drops what is too old to matter for a further crash and no crash names.
 func (s *State) dropHarmless(now time.Time) {
+	if now.Sub(s.harmlessDropped) < dropInterval {
+		return
+	}
+	s.harmlessDropped = now
 	named := make(map[Part]struct{})
 	for _, c := range s.crashOrder {
 		for _, r := range c.runs {
@@ -252,7 +264,7 @@
 			s.countSurvivor(now, r)
 			continue
 		}
-		found = append(found, runParts{parts: s.partsOf(r.service, r.prefixes), isolated: r.isolated, own: true})
+		found = append(found, runParts{parts: s.partsOf(r.service, r.prefixes), isolated: r.isolated, doubtful: s.isDoubtful(at, r), own: true})
 	}
 	c := s.crash(now, server)
 	c.observedHere = true
--- a/coordination/partquarantine/state.go
+++ b/coordination/partquarantine/state.go
@@ -50,14 +50,19 @@
 	crashOrder []*crash
 	// harmless holds when a run with the part was last known to have survived.
 	harmless map[Part]time.Time
+	// harmlessDropped is when old entries of harmless were dropped.
+	harmlessDropped time.Time
 	// suspects is derived from crashes, harmless and refusals; stale means that these changed.
 	suspects map[Part]*suspect
 	stale    bool
+	// isolating is set while any part is suspected.
+	isolating bool
 	// undecidedUntil is when a tie between suspects is over; zero if there is none.
 	undecidedUntil time.Time
 	refusals       []*refusal
 	groups         map[uint64]*group
 	arrivals       int
+	breadth        breadth
 	unsent         unsentChanges
 	events         []Event
 }
@@ -76,6 +81,8 @@
 	parts []Part
 	// isolated is set if such a run was sent as a suspect.
 	isolated bool
+	// doubtful is set if such a run had been answered for a while.
+	doubtful bool
 	// own is set if this router sent one.
 	own bool
 }
@@ -96,18 +103,18 @@
 	arrivals int
 	// inFlight is the number of this router's runs that have not shown yet whether they survive.
 	inFlight int
-	// crashes and lastCrash are the crashes of the group. version is that of the evidence for
-	// which they were counted.
+	// crashes and lastCrash are the crashes of the group; counted is set if they are those of the
+	// present evidence.
 	crashes   int
 	lastCrash time.Time
-	known     bool
+	counted   bool
 }
 
 // New returns the state of a router without any crashes.
 func New(cfg Config, self string) *State {
 	return &State{
 		cfg: cfg, self: self, servers: make(map[string]*serverRuns), crashes: make(map[string]*crash),
-		harmless: make(map[Part]time.Time), suspects: make(map[Part]*suspect), groups: make(map[uint64]*group),
+		harmless: make(map[Part]time.Time), suspects: make(map[Part]*suspect), groups: make(map[uint64]*group), breadth: newBreadth(),
 	}
 }
 
@@ -138,8 +145,8 @@
 // isIdle reports whether nothing is known against any part.
 func (s *State) isIdle() bool { return len(s.crashOrder) == 0 && len(s.refusals) == 0 }
 
-// Check decides on a request with the shared prefixes.
-func (s *State) Check(now time.Time, service string, prefixes []admission.Prefix) Decision {
+// Check decides on a request of the class with the shared prefixes.
+func (s *State) Check(now time.Time, service, class string, prefixes []admission.Prefix) Decision {
 	if s.isIdle() || len(prefixes) == 0 {
 		return Decision{}
 	}
@@ -148,6 +155,7 @@
 	if v := s.checkRefusals(now, parts); v != Pass {
 		return Decision{Verdict: v}
 	}
+	s.countBreadth(class, parts)
 	key, found := s.groupOf(parts)
 	if !found {
 		return Decision{}
@@ -202,10 +210,16 @@
 	return one.probes < len(s.cfg.ProbeAfter) && now.Sub(one.since) >= s.cfg.ProbeAfter[one.probes]
 }
 
+// isSuspect reports whether the requests with the part are isolated.
+func (s *State) isSuspect(p Part) bool {
+	known := s.suspects[p]
+	return known != nil && known.count >= s.cfg.Suspicion
+}
+
 // groupOf returns the key of the request's suspect parts, and whether it has any.
 func (s *State) groupOf(parts []Part) (key uint64, found bool) {
 	for _, p := range parts {
-		if known := s.suspects[p]; known != nil && known.count >= s.cfg.Suspicion {
+		if s.isSuspect(p) {
 			key, found = mix(key, p), true
 		}
 	}
@@ -223,14 +237,11 @@
 		g = &group{}
 		s.groups[key] = g
 	}
-	if g.known {
+	if g.counted {
 		return g
 	}
-	g.known, g.crashes, g.lastCrash = true, 0, time.Time{}
-	suspects := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool {
-		known := s.suspects[p]
-		return known == nil || known.count < s.cfg.Suspicion
-	})
+	g.counted, g.crashes, g.lastCrash = true, 0, time.Time{}
+	suspects := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return !s.isSuspect(p) })
 	for _, c := range s.crashOrder {
 		if slices.ContainsFunc(c.runs, func(r runParts) bool { return countIn(suspects, r.parts) == len(suspects) }) {
 			g.crashes++
--- a/protocol/partreport/partreport.go
+++ b/protocol/partreport/partreport.go
@@ -26,8 +26,11 @@
 	maxCount = 255
 )
 
-// isolatedFlag is the flag of runs that were isolated.
-const isolatedFlag = 1
+// Flags of runs.
+const (
+	isolatedFlag = 1 << iota
+	doubtfulFlag
+)
 
 // ErrForm means that a datagram is not a well-formed report of this version.
 var ErrForm = errors.New("no report on parts of this version")
@@ -67,10 +70,14 @@
 }
 
 func flags(run partquarantine.RunReport) byte {
+	var out byte
 	if run.Isolated {
-		return isolatedFlag
+		out |= isolatedFlag
 	}
-	return 0
+	if run.Doubtful {
+		out |= doubtfulFlag
+	}
+	return out
 }
 
 func appendName(b []byte, name string) []byte {
@@ -102,7 +109,8 @@
 	for range d.count() {
 		c := partquarantine.CrashReport{Server: d.name(), Age: d.age()}
 		for range d.count() {
-			c.Runs = append(c.Runs, partquarantine.RunReport{Isolated: d.count()&isolatedFlag != 0, Parts: d.parts()})
+			flags := d.count()
+			c.Runs = append(c.Runs, partquarantine.RunReport{Parts: d.parts(), Isolated: flags&isolatedFlag != 0, Doubtful: flags&doubtfulFlag != 0})
 		}
 		r.Crashes = append(r.Crashes, c)
 	}
--- a/transport/direct/crashparts.go
+++ b/transport/direct/crashparts.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"strconv"
 	"strings"
 	"time"
 
@@ -18,7 +17,7 @@
 
 // checkParts decides on the request by the parts of its prompt. The caller holds mu.
 func (c *call) checkParts(now time.Time) quarantine.Verdict {
-	decision := c.r.parts.Check(now, c.service, c.meta.Shared)
+	decision := c.r.parts.Check(now, c.service, c.route.Name, c.meta.Shared)
 	c.isolation = decision.Isolation
 	switch decision.Verdict {
 	case partquarantine.Refuse:
@@ -73,11 +72,26 @@
 func writeParts(parts []partquarantine.Part) string {
 	var texts []string
 	for _, p := range parts {
-		texts = append(texts, strconv.FormatUint(uint64(p), 16))
+		texts = append(texts, partText(p))
 	}
 	return strings.Join(texts, ",")
 }
 
+// refusedParts returns a refused set for the list for operators.
+func refusedParts(e partquarantine.Entry) refusedRequest {
+	one := refusedRequest{Since: e.Since.UTC(), Probes: e.Probes}
+	for _, p := range e.Parts {
+		one.Parts = append(one.Parts, partText(p))
+	}
+	for _, server := range e.Servers {
+		one.Crashes = append(one.Crashes, strike{Server: server})
+	}
+	return one
+}
+
+// partText writes a part as operators name it, like a fingerprint of 16 hexadecimal digits.
+func partText(p partquarantine.Part) string { return quarantine.Fingerprint(p).String() }
+
 // inPartQuarantine reads a count from the quarantine of parts.
 func (r *Router) inPartQuarantine(number func(*partquarantine.State) int) int {
 	r.mu.Lock()
--- a/transport/direct/crashreport.go
+++ b/transport/direct/crashreport.go
@@ -95,6 +95,8 @@
 	// Probes is the number of probe requests that were allowed since.
 	Probes  int      `json:"trials"`
 	Crashes []strike `json:"crashes"`
+	// Parts is the refused set, if not one request is refused but all with these parts of prompts.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // strike is a crash counted against a request's fingerprint.
@@ -108,7 +110,7 @@
 // listQuarantine writes the refused requests.
 func (r *Router) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
-	entries := r.quarantine.List()
+	entries, parts := r.quarantine.List(), r.parts.List()
 	r.mu.Unlock()
 	out := make([]refusedRequest, 0, len(entries))
 	for _, e := range entries {
@@ -118,12 +120,15 @@
 		}
 		out = append(out, one)
 	}
+	for _, e := range parts {
+		out = append(out, refusedParts(e))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// The reader may be gone, and the error cannot be reported elsewhere.
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-// releaseQuarantined removes a request from the quarantine, at all routers.
+// releaseQuarantined removes a request, or a part of prompts, from the quarantine, at all routers.
 func (r *Router) releaseQuarantined(w http.ResponseWriter, req *http.Request) {
 	content, err := strconv.ParseUint(req.PathValue("content"), 16, 64)
 	if err != nil {
@@ -132,6 +137,7 @@
 	}
 	r.mu.Lock()
 	known := r.quarantine.Release(time.Now(), quarantine.Fingerprint(content))
+	known = r.parts.Release(time.Now(), partquarantine.Part(content)) || known
 	r.handleQuarantineEvents()
 	r.mu.Unlock()
 	if !known {
