--- a/coordination/partquarantine/report.go
+++ b/coordination/partquarantine/report.go
@@ -217,7 +217,9 @@
 		runs := make([]runParts, 0, len(one.Runs))
 		for _, r := range one.Runs {
 			s.tellHarmless(c, r.Parts)
-			runs = append(runs, runParts{parts: slices.Sorted(slices.Values(r.Parts)), isolated: r.Isolated, doubtful: r.Doubtful})
+			parts := slices.Clone(r.Parts)
+			slices.Sort(parts)
+			runs = append(runs, runParts{parts: parts, isolated: r.Isolated, doubtful: r.Doubtful})
 		}
 		s.addRuns(c, runs)
 	}
