--- a/transport/direct/crashreport.go
+++ b/transport/direct/crashreport.go
@@ -7,8 +7,10 @@
 	"strings"
 	"time"
 
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/protocol/crashreport"
+	"goldcrestport/protocol/partreport"
 )
 
 // Intervals and limits of the crash reports between routers.
@@ -28,24 +30,35 @@
 	r := t.r
 	r.mu.Lock()
 	var reports []quarantine.Report
-	if r.quarantine.HasUnsent() && now.Sub(t.reportsSent) >= others*time.Second/reportBudget {
+	var partReports []partquarantine.Report
+	if (r.quarantine.HasUnsent() || r.parts.HasUnsent()) && now.Sub(t.reportsSent) >= others*time.Second/reportBudget {
 		t.reportsSent = now
-		reports = r.quarantine.UnsentReports(now)
+		reports, partReports = r.quarantine.UnsentReports(now), r.parts.UnsentReports(now)
 	}
 	if now.Sub(t.repeatsSent) >= max(repeatInterval, others*time.Second/digestBudget) {
 		t.repeatsSent = now
 		reports = append(reports, r.quarantine.PeriodicReports(now)...)
+		partReports = append(partReports, r.parts.PeriodicReports(now)...)
 	}
-	if len(reports) > 0 {
+	if len(reports)+len(partReports) > 0 {
 		t.updateDestinations()
 	}
 	r.mu.Unlock()
 	for _, one := range reports {
 		t.buf = crashreport.Append(t.buf[:0], r.set.ID, one)
-		for _, to := range t.destinations {
-			if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
-				r.metrics.peerErrors.Add(1)
-			}
+		t.sendToAll()
+	}
+	for _, one := range partReports {
+		t.buf = partreport.Append(t.buf[:0], r.set.ID, one)
+		t.sendToAll()
+	}
+}
+
+// sendToAll sends the datagram in the buffer to all other routers.
+func (t *gossiper) sendToAll() {
+	for _, to := range t.destinations {
+		if _, err := t.conn.WriteToUDPAddrPort(t.buf, to); err != nil {
+			t.r.metrics.peerErrors.Add(1)
 		}
 	}
 }
@@ -82,6 +95,8 @@
 	// Probes is the number of probe requests that were allowed since.
 	Probes  int      `json:"trials"`
 	Crashes []strike `json:"crashes"`
+	// Parts is the refused set, if not one request is refused but all with these parts of prompts.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // strike is a crash counted against a request's fingerprint.
@@ -95,7 +110,7 @@
 // listQuarantine writes the refused requests.
 func (r *Router) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
-	entries := r.quarantine.List()
+	entries, parts := r.quarantine.List(), r.parts.List()
 	r.mu.Unlock()
 	out := make([]refusedRequest, 0, len(entries))
 	for _, e := range entries {
@@ -105,12 +120,15 @@
 		}
 		out = append(out, one)
 	}
+	for _, e := range parts {
+		out = append(out, refusedParts(e))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// The reader may be gone, and the error cannot be reported elsewhere.
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-// releaseQuarantined removes a request from the quarantine, at all routers.
+// releaseQuarantined removes a request, or a part of prompts, from the quarantine, at all routers.
 func (r *Router) releaseQuarantined(w http.ResponseWriter, req *http.Request) {
 	content, err := strconv.ParseUint(req.PathValue("content"), 16, 64)
 	if err != nil {
@@ -119,6 +137,7 @@
 	}
 	r.mu.Lock()
 	known := r.quarantine.Release(time.Now(), quarantine.Fingerprint(content))
+	known = r.parts.Release(time.Now(), partquarantine.Part(content)) || known
 	r.handleQuarantineEvents()
 	r.mu.Unlock()
 	if !known {
--- a/transport/direct/receive.go
+++ b/transport/direct/receive.go
@@ -11,6 +11,7 @@
 	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/originmsg"
 	"goldcrestport/protocol/pacereport"
+	"goldcrestport/protocol/partreport"
 )
 
 // receiveDatagrams receives the other routers' datagrams.
@@ -32,6 +33,9 @@
 	if originmsg.Is(datagram) {
 		return r.origins.receive(datagram, from)
 	}
+	if partreport.Is(datagram) {
+		return r.receivePartReport(datagram)
+	}
 	if crashreport.Is(datagram) {
 		return r.receiveReport(datagram)
 	}
