Long prompts beside short ones: wait limits by the own objective while short ones find room

Cause: the wait limit of all requests of an engine service came from its shortest objective, less a part of their own prefill. Long prompts, the largest first, were refused behind queues behind which they would have met their own objective.

coordination/promptmix moves the limit of a long prompt between that limit and the one from its own objective, by the fraction of short prompts that find long queues at every server, and adds the delay of short prompts to the cost of a server.

--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
@@ -77,7 +78,7 @@
 
 func directConfig(set settings.Direct) direct.Config {
 	return direct.Config{
-		Admission:  admission.DefaultConfig(),
+		Admission:  admissionConfig(set),
 		Roster:     roster.DefaultConfig(),
 		Backend:    backendConfig(set),
 		Staleness:  stalenessConfig(set),
@@ -91,6 +92,13 @@
 	}
 }
 
+// admissionConfig returns the parameters of the admission, with those that the settings hold.
+func admissionConfig(set settings.Direct) admission.Config {
+	c := admission.DefaultConfig()
+	c.PromptMix.Mode = promptmix.Mode(set.Engines.PromptMix)
+	return c
+}
+
 // stalenessConfig returns the bound on the staleness of server departures.
 func stalenessConfig(set settings.Direct) staleness.Config {
 	c := staleness.DefaultConfig()
--- a/cmd/goldcrestd/template_test.go
+++ b/cmd/goldcrestd/template_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/protocol/settings"
 )
 
@@ -160,6 +161,8 @@
 	c.Check(set.KeyRevocation.D(), quicktest.Equals, 5*time.Second)
 	c.Check(set.Repeats, quicktest.Equals, settings.Repeats{Window: settings.Duration(10 * time.Second), Ratio: 0.2, Allowance: 52})
 	c.Check(set.ColdServers, quicktest.Equals, settings.ColdServers{Overrun: 1.5, Slack: 5})
+	c.Check(directConfig(set).Admission.PromptMix.Mode, quicktest.Equals, promptmix.ModeAuto)
+	c.Check(directConfig(set).Admission.Validate(), quicktest.IsNil)
 	c.Check(set.EventDelay.D(), quicktest.Equals, 120*time.Millisecond)
 	c.Check(set.Memory, quicktest.Equals, 284*settings.MiB)
 	c.Check(set.Stop.Bound.D(), quicktest.Equals, 8*time.Second)
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -10,6 +10,7 @@
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
@@ -63,6 +64,8 @@
 	traits  Traits
 	// runTime is the mean time from the first event of a run to its end.
 	runTime time.Duration
+	// mix measures how short prompts fare beside long ones.
+	mix *promptmix.State
 }
 
 // New returns a state without servers. The config must be valid.
@@ -98,6 +101,8 @@
 	// Objective is the shortest time to the first byte of an answer that any route
 	// of the service requires; 0: unknown.
 	Objective time.Duration
+	// LongestObjective is the longest such time.
+	LongestObjective time.Duration
 }
 
 // SetService sets the traits of the servers of a service.
@@ -142,7 +147,7 @@
 func (s *State) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{runTime: initialRunTime}
+		p = &pool{runTime: initialRunTime, mix: promptmix.New(s.cfg.PromptMix)}
 		s.pools[service] = p
 	}
 	return p
@@ -259,8 +264,8 @@
 	}
 	standing := s.standing(now, team)
 	candidates := s.candidates(now, req, usable)
-	best := slices.MinFunc(candidates, byCost)
-	limit := s.admissionLimit(req, best, standing)
+	best := s.leastCost(now, req, candidates, standing)
+	limit := s.admissionLimit(now, req, best, standing)
 	if best.wait > limit && standing.share < s.cfg.WideStanding {
 		if wider, ok := s.widerCandidate(now, req, usable, standing); ok {
 			best, limit = wider.candidate, wider.limit
@@ -268,6 +273,7 @@
 	}
 	d := Decision{
 		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing.share, Served: standing.served,
+		Size: s.sizeOf(req, standing), Estimate: best.wait + best.prefill,
 		Unread: int(best.prefillTokens), QueueTokens: int(best.queue.pendingTokens), QueueRuns: int(best.queue.runs),
 	}
 	admitted, throttleWait := req.Sent, time.Duration(0)
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -22,6 +22,7 @@
 
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
 )
@@ -98,6 +99,9 @@
 	// Throttle holds the limits on the rates of teams that have received more than
 	// the least served team.
 	Throttle throttle.Config
+	// PromptMix holds the rules by which long and short prompts share the servers of a
+	// service.
+	PromptMix promptmix.Config
 	// Window is the time over which teams share the capacity. Default 4s.
 	Window time.Duration
 	// PrefixTTL is how long a prefix is assumed to be cached after its last use.
@@ -154,6 +158,7 @@
 		LevellingExponent: 2,
 		LevellingMax:      2.5,
 		Throttle:          throttle.DefaultConfig(),
+		PromptMix:         promptmix.DefaultConfig(),
 		Window:            4 * time.Second,
 		PrefixTTL:         10 * time.Second,
 		AnnounceTokens:    12,
@@ -171,6 +176,7 @@
 // Validate returns an error that names each field that is out of range.
 func (c Config) Validate() error {
 	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), c.SelfCheck.Validate()))
+	err = errors.CombineErrors(err, c.PromptMix.Validate())
 	check := func(ok bool, what string) {
 		if !ok {
 			err = errors.CombineErrors(err, errors.New(what))
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -92,7 +92,7 @@
 	var best admissible
 	for i, srv := range topRanked(usable, last, s.cfg.FetchCandidates) {
 		c := s.assess(now, req, srv, i, source)
-		limit := s.admissionLimit(req, c, standing)
+		limit := s.admissionLimit(now, req, c, standing)
 		if c.wait <= limit && (best.server == nil || c.cost < best.cost) {
 			best = admissible{c, limit}
 		}
--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcrestport/coordination/fairshare"
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/throttle"
 )
 
@@ -83,10 +84,8 @@
 }
 
 // admissionLimit returns the estimated wait up to which the request is admitted.
-func (s *State) admissionLimit(req Request, c candidate, standing standing) time.Duration {
-	limit := float64(s.waitLimit(req.Service))
-	ownPrefill := s.cfg.OwnPrefillShare * float64(s.prefillTime(c.prefillTokens))
-	limit -= min(ownPrefill, s.cfg.OwnPrefillMax*limit)
+func (s *State) admissionLimit(now time.Time, req Request, c candidate, standing standing) time.Duration {
+	limit := s.baseLimit(now, req, c, standing)
 	limit *= s.standingFactor(standing)
 	if req.Elapsed > 0 && standing.share <= 1 {
 		limit *= s.cfg.RetryFactor
@@ -101,6 +100,22 @@
 	return time.Duration(limit)
 }
 
+// baseLimit returns the wait limit, in nanoseconds, before the factors of the team and of
+// callers that come back.
+func (s *State) baseLimit(now time.Time, req Request, c candidate, standing standing) float64 {
+	if s.sizeOf(req, standing) != promptmix.Any {
+		return float64(s.sizedLimit(now, req, c, standing))
+	}
+	return s.roomForOthers(float64(s.waitLimit(req.Service)), c)
+}
+
+// roomForOthers reduces a wait limit by a part of the request's own prefill, so that
+// long prompts leave room for short ones.
+func (s *State) roomForOthers(limit float64, c candidate) float64 {
+	ownPrefill := s.cfg.OwnPrefillShare * float64(s.prefillTime(c.prefillTokens))
+	return limit - min(ownPrefill, s.cfg.OwnPrefillMax*limit)
+}
+
 // firstTokenBase is the time to the first token without a queue and with a short
 // prompt: one engine step and the network round trip.
 const firstTokenBase = 30 * time.Millisecond
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/roster"
 )
 
@@ -105,6 +106,11 @@
 	Limit time.Duration
 	// RetryAfter is the time after which a refused caller should come back.
 	RetryAfter time.Duration
+	// Size is the size class of its prompt, promptmix.Any if prompts of the service are not
+	// treated by size.
+	Size promptmix.Size
+	// Estimate is the estimated time to its first token there.
+	Estimate time.Duration
 	// Unread is the number of the request's own prompt tokens that the server would
 	// prefill.
 	Unread int
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -56,6 +56,21 @@
 	Slack   float64 `json:"slack"`
 }
 
+// Engines holds the settings for services of inference engines.
+type Engines struct {
+	// PromptMix says for which services long and short prompts are treated by size:
+	// PromptMixAuto, the default, PromptMixOn or PromptMixOff.
+	PromptMix string `json:"prompt_mix"`
+}
+
+// Values of engines.prompt_mix. PromptMixAuto stands for the services whose routes'
+// objectives are far apart.
+const (
+	PromptMixAuto = "auto"
+	PromptMixOn   = "on"
+	PromptMixOff  = "off"
+)
+
 // Direct holds the settings of a router that calls backend servers itself.
 type Direct struct {
 	ID         string `json:"id"`
@@ -72,6 +87,7 @@
 	Repeats Repeats       `json:"repeats"`
 	// ColdServers limits the requests to cold backend servers.
 	ColdServers ColdServers `json:"cold_servers"`
+	Engines     Engines     `json:"engines"`
 	// KeyRevocation is the time after which a revoked key must no longer be
 	// accepted. Default 5s.
 	KeyRevocation Duration `json:"key_revocation"`
@@ -104,6 +120,7 @@
 			Connections: 2500,
 		},
 		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
+		Engines:       Engines{PromptMix: PromptMixAuto},
 		KeyRevocation: Duration(5 * time.Second),
 		Departure:     Duration(2 * time.Second),
 		EventDelay:    Duration(100 * time.Millisecond),
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -212,6 +212,18 @@
 	})
 }
 
+func TestEnginesOfDirectRouter(t *testing.T) {
+	c := quicktest.New(t)
+	set := DefaultDirect()
+	c.Assert(load(c, withValue(c, "direct.json", "engines", `{}`), &set), quicktest.HasLen, 0)
+	c.Check(set.Engines.PromptMix, quicktest.Equals, PromptMixAuto)
+	c.Assert(load(c, withValue(c, "direct.json", "engines.prompt_mix", `"off"`), &set), quicktest.HasLen, 0)
+	c.Check(set.Engines.PromptMix, quicktest.Equals, PromptMixOff)
+	lines := load(c, withValue(c, "direct.json", "engines.prompt_mix", `"sometimes"`), &set)
+	c.Assert(lines, quicktest.HasLen, 1)
+	c.Check(lines[0], quicktest.Contains, "engines.prompt_mix: value must be one of 'auto', 'on', 'off'")
+}
+
 // A settings file that is read while it is being written may be truncated at any byte and
 // has to be rejected.
 func TestLoadRejectsTruncatedSettings(t *testing.T) {
--- a/state/routing/engine_test.go
+++ b/state/routing/engine_test.go
@@ -17,7 +17,7 @@
 }
 
 // Only routes that have the service as a target and define an objective count.
-func TestShortestObjectiveIsTakenFromRoutesToTheService(t *testing.T) {
+func TestObjectivesAreTakenFromRoutesToTheService(t *testing.T) {
 	to := func(services ...string) (out []Target) {
 		for _, name := range services {
 			out = append(out, Target{Service: name, Weight: 1})
@@ -33,4 +33,7 @@
 	qt.Check(t, c.ShortestObjective("llm"), qt.Equals, time.Second)
 	qt.Check(t, c.ShortestObjective("app"), qt.Equals, 150*time.Millisecond)
 	qt.Check(t, c.ShortestObjective("none"), qt.Equals, time.Duration(0))
+	qt.Check(t, c.LongestObjective("llm"), qt.Equals, 2*time.Second)
+	qt.Check(t, c.LongestObjective("app"), qt.Equals, 150*time.Millisecond)
+	qt.Check(t, c.LongestObjective("none"), qt.Equals, time.Duration(0))
 }
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -162,10 +162,26 @@
 func (c *Config) ShortestObjective(service string) time.Duration {
 	var shortest time.Duration
 	for _, route := range c.Routes {
-		isTarget := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service })
-		if isTarget && route.Objective > 0 && (shortest == 0 || route.Objective < shortest) {
+		if route.isFor(service) && route.Objective > 0 && (shortest == 0 || route.Objective < shortest) {
 			shortest = route.Objective
 		}
 	}
 	return shortest
 }
+
+// LongestObjective returns the longest objective of the routes to the service, or 0 if
+// none has one.
+func (c *Config) LongestObjective(service string) time.Duration {
+	var longest time.Duration
+	for _, route := range c.Routes {
+		if route.isFor(service) {
+			longest = max(longest, route.Objective)
+		}
+	}
+	return longest
+}
+
+// isFor reports whether the service is a target of the route.
+func (r *Route) isFor(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -71,7 +71,8 @@
 			return
 		}
 		decision := c.placeRequest()
-		c.last = decision
+		c.last, c.decidedAt = decision, time.Now()
+		c.r.metrics.mix.decided(decision)
 		callerconn.Decided(c.conn())
 		if decision.Verdict != admission.Send {
 			c.refuseUnplaced(decision)
@@ -177,6 +178,7 @@
 // at its first success: an engine starts a run with its first token.
 func (c *call) answerStarted(status int) {
 	c.firstByte = time.Now()
+	c.r.metrics.mix.started(c.firstByte, c.decidedAt, c.last)
 	if c.tokens == 0 || c.countedStarted || status >= http.StatusMultipleChoices {
 		return
 	}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -49,6 +49,7 @@
 	originsTold   *expvar.Int
 	originsStored *expvar.Int
 	originAskTime *observe.Times
+	mix           mixMetrics
 }
 
 func newMetrics(r *Router) *metrics {
@@ -83,6 +84,7 @@
 		originsTold:      v.Int("direct_origins_told"),
 		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
+		mix:              newMixMetrics(v),
 	}
 	r.rates.register(m)
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
--- a/transport/direct/reload.go
+++ b/transport/direct/reload.go
@@ -22,9 +22,10 @@
 		}
 	}
 	r.warmup.SetConfig(cfg.Warmup)
+	r.admission.SetPromptMixMode(cfg.Admission.PromptMix.Mode)
 	r.mu.Unlock()
 	r.event("reloaded", "key_revocation", set.KeyRevocation.D(), "departure", set.Departure.D(), "repeat_ratio", set.Repeats.Ratio, "repeat_allowance", set.Repeats.Allowance,
-		"cold_overrun", set.ColdServers.Overrun, "cold_slack", set.ColdServers.Slack)
+		"cold_overrun", set.ColdServers.Overrun, "cold_slack", set.ColdServers.Slack, "engines_prompt_mix", set.Engines.PromptMix)
 }
 
 // Rejected logs that changed settings were invalid.
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -45,6 +45,8 @@
 	elapsed time.Duration
 	// firstByte is when the answer started.
 	firstByte time.Time
+	// decidedAt is when the last decision was made.
+	decidedAt time.Time
 	// pause is the longest time between two events of the answer.
 	pause time.Duration
 	// reached counts the servers that may have run the request, and sent those that it was
