--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -13,6 +13,7 @@
 
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/pace"
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
@@ -96,6 +97,7 @@
 func admissionConfig(set settings.Direct) admission.Config {
 	c := admission.DefaultConfig()
 	c.Pace.Mode = pace.Mode(set.Engines.Pace)
+	c.PromptMix.Mode = promptmix.Mode(set.Engines.PromptMix)
 	return c
 }
 
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -59,16 +59,19 @@
 // Engines holds the settings for services of inference engines.
 type Engines struct {
 	// Pace says for which services requests are placed by the learnt prefill rate of each
-	// backend server rather than by one rate for all: PaceAuto, the default, PaceOn or PaceOff.
+	// backend server rather than by one rate for all. ModeAuto, the default, stands for the
+	// services whose servers report how long work takes on their machine.
 	Pace string `json:"pace"`
+	// PromptMix says for which services long and short prompts are treated by size. ModeAuto, the
+	// default, stands for the services whose routes' objectives are far apart.
+	PromptMix string `json:"prompt_mix"`
 }
 
-// Values of engines.pace. PaceAuto stands for the services whose servers report how long work takes on their
-// machine.
+// Values of the settings for services of inference engines.
 const (
-	PaceAuto = "auto"
-	PaceOn   = "on"
-	PaceOff  = "off"
+	ModeAuto = "auto"
+	ModeOn   = "on"
+	ModeOff  = "off"
 )
 
 // Direct holds the settings of a router that calls backend servers itself.
@@ -120,7 +123,7 @@
 			Connections: 2500,
 		},
 		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
-		Engines:       Engines{Pace: PaceAuto},
+		Engines:       Engines{Pace: ModeAuto, PromptMix: ModeAuto},
 		KeyRevocation: Duration(5 * time.Second),
 		Departure:     Duration(2 * time.Second),
 		EventDelay:    Duration(100 * time.Millisecond),
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -212,6 +212,18 @@
 	})
 }
 
+func TestEnginesOfDirectRouter(t *testing.T) {
+	c := quicktest.New(t)
+	set := DefaultDirect()
+	c.Assert(load(c, withValue(c, "direct.json", "engines", `{}`), &set), quicktest.HasLen, 0)
+	c.Check(set.Engines.PromptMix, quicktest.Equals, ModeAuto)
+	c.Assert(load(c, withValue(c, "direct.json", "engines.prompt_mix", `"off"`), &set), quicktest.HasLen, 0)
+	c.Check(set.Engines.PromptMix, quicktest.Equals, ModeOff)
+	lines := load(c, withValue(c, "direct.json", "engines.prompt_mix", `"sometimes"`), &set)
+	c.Assert(lines, quicktest.HasLen, 1)
+	c.Check(lines[0], quicktest.Contains, "engines.prompt_mix: value must be one of 'auto', 'on', 'off'")
+}
+
 // A settings file that is read while it is being written may be truncated at any byte and
 // has to be rejected.
 func TestLoadRejectsTruncatedSettings(t *testing.T) {
@@ -230,8 +242,8 @@
 	c := quicktest.New(t)
 	set := DefaultDirect()
 	c.Check(load(c, withValue(c, "direct.json", "engines", ""), &set), quicktest.HasLen, 0)
-	c.Check(set.Engines.Pace, quicktest.Equals, PaceAuto)
-	for _, mode := range []string{PaceAuto, PaceOn, PaceOff} {
+	c.Check(set.Engines.Pace, quicktest.Equals, ModeAuto)
+	for _, mode := range []string{ModeAuto, ModeOn, ModeOff} {
 		set := DefaultDirect()
 		c.Check(load(c, withValue(c, "direct.json", "engines", `{"pace": "`+mode+`"}`), &set), quicktest.HasLen, 0)
 		c.Check(set.Engines.Pace, quicktest.Equals, mode)
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -59,6 +59,7 @@
 	// firstTokenError holds by how much first tokens came sooner or later than estimated from the
 	// servers' pace.
 	firstTokenError *observe.Times
+	mix             mixMetrics
 }
 
 func newMetrics(r *Router) *metrics {
@@ -97,6 +98,7 @@
 		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
 		firstTokenError:  v.Times("direct_first_token_error_us"),
+		mix:              newMixMetrics(v),
 	}
 	r.rates.register(m)
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
