The memory of engines bounds what is sent to them, by an estimate

Cause: an engine's memory was decoded from the configuration and decided nothing. When runs fill it, the newest is put back and read again, in the middle of its stream; 39 runs of 12,000 tokens fill 475,145 tokens at 64 slots. A prompt larger than the memory was sent to one engine after the other, each of which refuses it. It gives way to stale digests, an impaired or new router, begun requests and streams taken up; off without a memory.

--- a/bench/soak/memory.go
+++ b/bench/soak/memory.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// mostMemory is the resident memory that a router may use, in bytes: that of the users' smallest machines.
-	mostMemory = 144 << 20
+	// mostMemory is the resident memory that a router may use, in bytes: half of the users' smallest machine, as
+	// fleets here are small.
+	mostMemory = 72 << 20
 	// memoryInterval is the time between two looks at it.
 	memoryInterval = 200 * time.Millisecond
 )
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestport/coordination/backoff"
+	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/roster"
@@ -63,6 +64,8 @@
 	traits  Traits
 	// runTime is the mean time from the first event of a run to its end.
 	runTime time.Duration
+	// meanRun is the mean size of this router's runs.
+	meanRun enginememory.Mean
 }
 
 // New returns a state without servers. The config must be valid.
@@ -95,6 +98,8 @@
 	// FetchRate is the number of prompt tokens per millisecond whose cache entries a
 	// server can fetch from another server; 0: it cannot fetch.
 	FetchRate float64
+	// Memory is the capacity of an engine for prompts and generated text, in tokens; 0: unknown.
+	Memory int
 	// Objective is the shortest time to the first byte of an answer that any route
 	// of the service requires; 0: unknown.
 	Objective time.Duration
@@ -118,7 +123,7 @@
 		identity: roster.Identity(id, incarnation), service: service, region: region, slots: max(slots, 1),
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), prefixes: make(map[uint64]prefixUse),
 	}
-	srv.cold = s.warmup.Server(srv.identity)
+	srv.cold, srv.peerRuns = s.warmup.Server(srv.identity), s.peersInFlight[srv.number].Runs
 	s.restoreBackoff(srv)
 	s.servers[id], s.numbers[srv.number] = srv, srv
 	p := s.pool(service)
@@ -158,6 +163,8 @@
 	usable, excluded := s.usable(now, p, req)
 	var d Decision
 	switch {
+	case p.isTooLarge(req):
+		d = Decision{Verdict: Refuse, Reason: ReasonTooLarge, RetryAfter: tooLargeRetryAfter}
 	case len(usable) == 0:
 		d = s.refuseUnplaceable(excluded)
 	case p.traits.Engine:
@@ -257,6 +264,9 @@
 		// advance.
 		s.countDemand(now, team, tokens)
 	}
+	if usable = s.withRoom(now, s.pool(req.Service), req, usable); len(usable) == 0 {
+		return s.refuseFull(s.pool(req.Service))
+	}
 	standing := s.standing(now, team)
 	candidates := s.candidates(now, req, usable)
 	best := slices.MinFunc(candidates, byCost)
@@ -290,5 +300,6 @@
 	}
 	d.Run = s.startRun(now, best.server, best.prefillTokens, req.SharedPrefixes)
 	d.Run.class, d.Run.output, d.Run.estimate = req.Class, req.Output, best.estimate
+	s.holdMemory(d.Run, req)
 	return d
 }
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/backoff"
+	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
@@ -119,6 +120,8 @@
 	// slot, and 1s.
 	RefusalPause    time.Duration
 	RefusalPauseMax time.Duration
+	// Memory holds the parameters of the estimate of what runs occupy in engines.
+	Memory enginememory.Config
 	// Backoff holds the times for servers that request a back-off.
 	Backoff backoff.Config
 	// Health holds the thresholds of ejection.
@@ -161,6 +164,7 @@
 		RetryAfterMax:     2 * time.Second,
 		RefusalPause:      50 * time.Millisecond,
 		RefusalPauseMax:   time.Second,
+		Memory:            enginememory.DefaultConfig(),
 		Backoff:           backoff.DefaultConfig(),
 		Health:            health.DefaultConfig(),
 		SelfCheck:         selfcheck.DefaultConfig(),
@@ -170,7 +174,7 @@
 
 // Validate returns an error that names each field that is out of range.
 func (c Config) Validate() error {
-	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), c.SelfCheck.Validate()))
+	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), errors.CombineErrors(c.SelfCheck.Validate(), c.Memory.Validate())))
 	check := func(ok bool, what string) {
 		if !ok {
 			err = errors.CombineErrors(err, errors.New(what))
--- a/coordination/admission/peers.go
+++ b/coordination/admission/peers.go
@@ -122,6 +122,9 @@
 	} else {
 		p.inFlight[id] = inFlight
 	}
+	if srv := s.numbers[id]; srv != nil {
+		srv.peerRuns = max(sum.Runs, 0)
+	}
 	if sum.Runs <= 0 {
 		delete(s.peersInFlight, id)
 	} else {
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/roster"
 )
 
@@ -147,6 +148,10 @@
 	ReasonCold     = "cold"
 	// ReasonBackoff: all servers requested a back-off.
 	ReasonBackoff = "backoff"
+	// ReasonMemory: the request fits into no engine's memory beside what runs there. ReasonTooLarge: it fits
+	// into none even when empty.
+	ReasonMemory   = "engine_memory"
+	ReasonTooLarge = "too_large_for_engine"
 )
 
 // Run is a request that was sent to a server. It is owned by the State.
@@ -168,6 +173,9 @@
 	ended     bool
 	// sendBy is the time by which the request must have been sent; zero: no limit.
 	sendBy time.Time
+	// need is what the run occupies in its server's memory, if holdsMemory is set.
+	need        enginememory.Need
+	holdsMemory bool
 }
 
 // SendBy returns the time by which the request must have been sent to its server,
--- a/coordination/admission/run.go
+++ b/coordination/admission/run.go
@@ -75,6 +75,7 @@
 	}
 	s.markStarted(now, r)
 	r.ended = true
+	s.releaseMemory(r)
 	if r.backoffProbe {
 		r.backoffProbe = false
 		s.backoffOf(r.server).Ended()
--- a/coordination/admission/server.go
+++ b/coordination/admission/server.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestport/coordination/backoff"
+	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/warmup"
@@ -54,6 +55,9 @@
 	// first event.
 	running  int
 	awaiting int
+	// memory holds what the runs of this router occupy, and peerRuns is the number of runs of the others.
+	memory   enginememory.Ledger
+	peerRuns int
 	// load is the load that the server reported at loadAt.
 	load   Load
 	loadAt time.Time
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -71,6 +71,10 @@
 	ReasonBackoff        Reason = "backend-servers-back-off"
 	ReasonStreamUnknown  Reason = "stream-origin-unknown"
 	ReasonStreamLost     Reason = "stream-lost"
+	// ReasonEngineFull is a request for which no engine has enough memory now.
+	ReasonEngineFull Reason = "engine-memory-full"
+	// ReasonTooLargeForEngine is a request that fits into no engine of its service.
+	ReasonTooLargeForEngine Reason = "too-large-for-engine"
 )
 
 // Outcome is how a request ended.
--- a/transport/direct/place.go
+++ b/transport/direct/place.go
@@ -52,6 +52,10 @@
 		c.refuse(*notRun(outcome.ReasonQueueFull, d.RetryAfter, "the backend servers are cold and get as much as they bear"))
 	case d.Verdict == admission.Refuse && d.Reason == admission.ReasonBackoff:
 		c.refuse(*notRun(outcome.ReasonBackoff, d.RetryAfter, "the backend servers asked for no requests until then"))
+	case d.Verdict == admission.Refuse && d.Reason == admission.ReasonTooLarge:
+		c.refuse(*notRun(outcome.ReasonTooLargeForEngine, d.RetryAfter, "the prompt is larger than the memory of a backend server"))
+	case d.Verdict == admission.Refuse && d.Reason == admission.ReasonMemory:
+		c.refuse(*notRun(outcome.ReasonEngineFull, d.RetryAfter, "the memory of the backend servers is full"))
 	case d.Verdict == admission.Refuse:
 		c.refuse(*notRun(outcome.ReasonQueueFull, d.RetryAfter, "no backend server can begin in time"))
 	default:
