--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestport/coordination/backoff"
+	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/pace"
@@ -70,6 +71,8 @@
 	runTime time.Duration
 	// mix measures how short prompts fare beside long ones.
 	mix *promptmix.State
+	// meanRun is the mean size of this router's runs.
+	meanRun enginememory.Mean
 }
 
 // New returns a state without servers. The config must be valid.
@@ -103,6 +106,8 @@
 	// FetchRate is the number of prompt tokens per millisecond whose cache entries a
 	// server can fetch from another server; 0: it cannot fetch.
 	FetchRate float64
+	// Memory is the capacity of an engine for prompts and generated text, in tokens; 0: unknown.
+	Memory int
 	// Objective is the shortest time to the first byte of an answer that any route
 	// of the service requires; 0: unknown.
 	Objective time.Duration
@@ -128,7 +133,7 @@
 		identity: roster.Identity(id, incarnation), service: service, region: region, slots: max(slots, 1),
 		seed: xxhash.Sum64String(id), health: health.New(s.cfg.Health), prefixes: make(map[uint64]prefixUse),
 	}
-	srv.cold = s.warmup.Server(srv.identity)
+	srv.cold, srv.peerRuns = s.warmup.Server(srv.identity), s.peersInFlight[srv.number].Runs
 	srv.pace = s.pace.Add(pace.ServerID(srv.number), service)
 	s.restoreBackoff(srv)
 	s.servers[id], s.numbers[srv.number] = srv, srv
@@ -171,6 +176,8 @@
 	usable = req.Isolation.choose(usable)
 	var d Decision
 	switch {
+	case p.isTooLarge(req):
+		d = Decision{Verdict: Refuse, Reason: ReasonTooLarge, RetryAfter: tooLargeRetryAfter}
 	case len(usable) == 0:
 		d = s.refuseUnplaceable(excluded)
 	case p.traits.Engine:
@@ -270,6 +277,9 @@
 		// advance.
 		s.countDemand(now, team, tokens)
 	}
+	if usable = s.withRoom(now, s.pool(req.Service), req, usable); len(usable) == 0 {
+		return s.refuseFull(s.pool(req.Service))
+	}
 	standing := s.standing(now, team)
 	candidates := s.candidates(now, req, usable)
 	best := s.leastCost(now, req, candidates, standing)
@@ -305,5 +315,6 @@
 	d.Run = s.startRun(now, best.server, best.prefillTokens, req.SharedPrefixes)
 	d.Run.class, d.Run.output, d.Run.estimate = req.Class, req.Output, best.estimate
 	s.expect(now, req, d.Run, best)
+	s.holdMemory(d.Run, req)
 	return d
 }
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/backoff"
+	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/pace"
 	"goldcrestport/coordination/promptmix"
@@ -124,6 +125,8 @@
 	// slot, and 1s.
 	RefusalPause    time.Duration
 	RefusalPauseMax time.Duration
+	// Memory holds the parameters of the estimate of what runs occupy in engines.
+	Memory enginememory.Config
 	// Backoff holds the times for servers that request a back-off.
 	Backoff backoff.Config
 	// Pace holds the parameters of the estimate of how fast servers prefill.
@@ -169,6 +172,7 @@
 		RetryAfterMax:     2 * time.Second,
 		RefusalPause:      50 * time.Millisecond,
 		RefusalPauseMax:   time.Second,
+		Memory:            enginememory.DefaultConfig(),
 		Backoff:           backoff.DefaultConfig(),
 		Pace:              pace.DefaultConfig(),
 		Health:            health.DefaultConfig(),
@@ -180,8 +184,7 @@
 // Validate returns an error that names each field that is out of range.
 func (c Config) Validate() error {
 	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), c.SelfCheck.Validate()))
-	err = errors.CombineErrors(err, c.Pace.Validate())
-	err = errors.CombineErrors(err, c.PromptMix.Validate())
+	err = errors.CombineErrors(err, errors.CombineErrors(c.Pace.Validate(), errors.CombineErrors(c.PromptMix.Validate(), c.Memory.Validate())))
 	check := func(ok bool, what string) {
 		if !ok {
 			err = errors.CombineErrors(err, errors.New(what))
