--- a/coordination/admission/mix_fleet_test.go
+++ b/coordination/admission/mix_fleet_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/internal/virtualtime"
 	"goldcrestport/coordination/promptmix"
 )
 
@@ -50,23 +50,6 @@
 
 var mixSpeeds = []float64{0.7, 1.1, 1.1, 1.1}
 
-type mixEvent struct {
-	at time.Time
-	do func()
-}
-
-type mixQueue []mixEvent
-
-func (q mixQueue) Len() int           { return len(q) }
-func (q mixQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q mixQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *mixQueue) Push(x any)        { *q = append(*q, x.(mixEvent)) }
-func (q *mixQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // mixServer prefills prompts one after the other.
 type mixServer struct {
 	speed  float64
@@ -97,16 +80,16 @@
 // mixFleet plays routers, each with a State, and servers in virtual time.
 type mixFleet struct {
 	mixLoad
+	virtualtime.Queue
 	rng     *rand.Rand
-	now     time.Time
-	events  mixQueue
 	states  []*State
 	engines map[string]*mixServer
 	prompts []*mixPrompt
 }
 
 func newMixFleet(l mixLoad, seed uint64, mode promptmix.Mode) *mixFleet {
-	f := &mixFleet{mixLoad: l, rng: rand.New(rand.NewPCG(seed, 7)), now: epoch, engines: make(map[string]*mixServer)}
+	f := &mixFleet{mixLoad: l, rng: rand.New(rand.NewPCG(seed, 7)), engines: make(map[string]*mixServer)}
+	f.Now = epoch
 	cfg := DefaultConfig()
 	cfg.PromptMix.Mode = mode
 	for range l.routers {
@@ -126,29 +109,21 @@
 	return f
 }
 
-func (f *mixFleet) after(d time.Duration, do func()) {
-	heap.Push(&f.events, mixEvent{f.now.Add(d), do})
-}
-
 func (f *mixFleet) run() mixResult {
 	for i := range f.states {
-		f.after(time.Duration(i)*f.digestEvery/time.Duration(f.routers), func() { f.gossip(i) })
+		f.After(time.Duration(i)*f.digestEvery/time.Duration(f.routers), func() { f.gossip(i) })
 	}
 	if f.lost {
-		f.after(mixTime/2, f.loseServer)
-	}
-	f.after(0, f.arrive)
-	for end := epoch.Add(mixTime + 3*time.Second); !f.now.After(end); {
-		e := heap.Pop(&f.events).(mixEvent)
-		f.now = e.at
-		e.do()
+		f.After(mixTime/2, f.loseServer)
 	}
+	f.After(0, f.arrive)
+	f.RunUntil(epoch.Add(mixTime + 3*time.Second))
 	return f.result()
 }
 
 func (f *mixFleet) loseServer() {
 	f.engines["i-1"].lost = true
-	f.after(entryRemovalTime, func() {
+	f.After(entryRemovalTime, func() {
 		for _, s := range f.states {
 			s.Remove("i-1")
 		}
@@ -157,16 +132,16 @@
 
 func (f *mixFleet) gossip(i int) {
 	s := f.states[i]
-	s.Tick(f.now)
-	d := s.Digest(f.now, true, true)
-	f.after(f.digestDelay, func() {
+	s.Tick(f.Now)
+	d := s.Digest(f.Now, true, true)
+	f.After(f.digestDelay, func() {
 		for j, other := range f.states {
 			if j != i {
-				other.ReceiveDigest(f.now, fmt.Sprint("m-", i), d)
+				other.ReceiveDigest(f.Now, fmt.Sprint("m-", i), d)
 			}
 		}
 	})
-	f.after(f.digestEvery, func() { f.gossip(i) })
+	f.After(f.digestEvery, func() { f.gossip(i) })
 }
 
 // tokens returns a length with a lognormal distribution.
@@ -177,17 +152,17 @@
 
 // arrive places the next prompt at one of the routers.
 func (f *mixFleet) arrive() {
-	if f.now.Sub(epoch) >= mixTime {
+	if f.Now.Sub(epoch) >= mixTime {
 		return
 	}
 	longWork := f.longWork
-	if f.swaps && f.now.Sub(epoch) > mixTime/2 {
+	if f.swaps && f.Now.Sub(epoch) > mixTime/2 {
 		longWork = 1 - longWork
 	}
 	// A tenth of the documents is prefilled again.
 	longs, shorts := longWork/(ownTokensMean+0.1*documentTokens), (1-longWork)/shortTokensMean
 	perMilli := f.load * mixRate * float64(f.servers) * (longs + shorts)
-	f.after(time.Duration(f.rng.ExpFloat64()/perMilli*float64(time.Millisecond)), f.arrive)
+	f.After(time.Duration(f.rng.ExpFloat64()/perMilli*float64(time.Millisecond)), f.arrive)
 	p := &mixPrompt{long: f.rng.Float64() < longs/(longs+shorts)}
 	// Teams differ in size: the square makes some of the twenty far larger.
 	req := Request{Service: "llm", Output: 100, Repeatable: true, Team: fmt.Sprint("t-", int(20*math.Pow(f.rng.Float64(), 2)))}
@@ -208,35 +183,35 @@
 // place places an attempt. A refused caller comes back once.
 func (f *mixFleet) place(p *mixPrompt, req Request) {
 	s := f.states[f.rng.IntN(f.routers)]
-	d := s.Place(f.now, req)
+	d := s.Place(f.Now, req)
 	switch {
 	case d.Verdict == Send:
 		f.serve(s, d, p, req)
 	case req.Elapsed == 0:
 		req.Elapsed = d.RetryAfter
-		f.after(d.RetryAfter, func() { f.place(p, req) })
+		f.After(d.RetryAfter, func() { f.place(p, req) })
 	}
 }
 
 func (f *mixFleet) serve(s *State, d Decision, p *mixPrompt, req Request) {
-	e, sentAt := f.engines[d.Server], f.now
+	e, sentAt := f.engines[d.Server], f.Now
 	if e.lost {
-		f.after(networkTime, func() { s.Ended(f.now, d.Run, health.Failure) })
+		f.After(networkTime, func() { s.Ended(f.Now, d.Run, health.Failure) })
 		return
 	}
 	start := e.freeAt
-	if f.now.After(start) {
-		start = f.now
+	if f.Now.After(start) {
+		start = f.Now
 	}
 	e.freeAt = start.Add(time.Duration(f.unread(e, d, req) / mixRate / e.speed * float64(time.Millisecond)))
-	f.after(e.freeAt.Sub(f.now)+networkTime, func() {
+	f.After(e.freeAt.Sub(f.Now)+networkTime, func() {
 		if e.lost {
-			s.Ended(f.now, d.Run, health.Failure)
+			s.Ended(f.Now, d.Run, health.Failure)
 			return
 		}
-		p.first = f.now.Sub(sentAt)
-		s.FirstByte(f.now, d.Run)
-		f.after(generationTime, func() { s.Ended(f.now, d.Run, health.Success) })
+		p.first = f.Now.Sub(sentAt)
+		s.FirstByte(f.Now, d.Run)
+		f.After(generationTime, func() { s.Ended(f.Now, d.Run, health.Success) })
 	})
 }
 
@@ -244,10 +219,10 @@
 func (f *mixFleet) unread(e *mixServer, d Decision, req Request) float64 {
 	tokens := req.Prompt
 	for _, prefix := range req.SharedPrefixes {
-		if e.hasCached(f.now, prefix.ID) || f.engines[d.Source].hasCached(f.now, prefix.ID) {
+		if e.hasCached(f.Now, prefix.ID) || f.engines[d.Source].hasCached(f.Now, prefix.ID) {
 			tokens -= prefix.Tokens
 		}
-		e.cached[prefix.ID] = f.now
+		e.cached[prefix.ID] = f.Now
 	}
 	return float64(tokens)
 }
