--- a/coordination/partquarantine/fleet_test.go
+++ b/coordination/partquarantine/fleet_test.go
@@ -32,6 +32,8 @@
 	// reaches or leaves.
 	lostAt time.Duration
 	cut    int
+	// topics is the number of the sound requests' own shared parts.
+	topics int
 	// badFrom is when the first request with a bad part comes.
 	badFrom time.Duration
 }
@@ -145,7 +147,7 @@
 
 func (m *fleetModel) sendSound(now time.Time, late bool) {
 	m.unique++
-	parts := []admission.Prefix{{ID: sharedByAll}, {ID: m.unique}, {ID: 100 + uint64(m.random.IntN(soundTopics))}}
+	parts := []admission.Prefix{{ID: sharedByAll}, {ID: m.unique}, {ID: 100 + uint64(m.random.IntN(m.topics))}}
 	if m.together != 0 && m.unique%3 == 0 {
 		parts = append(parts, admission.Prefix{ID: m.together})
 	}
--- a/coordination/partquarantine/load_test.go
+++ b/coordination/partquarantine/load_test.go
@@ -12,7 +12,7 @@
 func base(routers, servers int) fleetLoad {
 	return fleetLoad{
 		routers: routers, servers: servers, badGap: 125 * time.Millisecond, soundGap: 20 * time.Millisecond, bad: []uint64{7},
-		soundRun: 1500 * time.Millisecond, down: 2500 * time.Millisecond, span: 15 * time.Second, loss: 5, badFrom: 2 * time.Second,
+		soundRun: 1500 * time.Millisecond, down: 2500 * time.Millisecond, span: 15 * time.Second, loss: 5, badFrom: 2 * time.Second, topics: soundTopics,
 	}
 }
 
@@ -75,6 +75,9 @@
 	l = base(5, 9)
 	l.down, l.badFrom, l.soundRun = 400*time.Millisecond, 0, 120*time.Millisecond
 	check(t, "short answers, from the start", l, 8)
+	l = base(3, 6)
+	l.down, l.badFrom, l.soundRun, l.badGap, l.soundGap, l.topics = 400*time.Millisecond, 0, 120*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond, 1
+	check(t, "no answer survives anywhere", l, 8)
 	l = base(5, 9)
 	l.otherGap = 700 * time.Millisecond
 	check(t, "beside unrelated crashes", l, 8)
--- a/coordination/partquarantine/state_test.go
+++ b/coordination/partquarantine/state_test.go
@@ -1,6 +1,7 @@
 package partquarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,6 +33,26 @@
 	s.Tick(at.Add(3 * time.Second))
 }
 
+// While only crashing requests come, nothing tells their parts apart. Those that other requests share
+// are not refused by themselves.
+func TestSharedPartsAreNotRefusedByThemselves(t *testing.T) {
+	s := New(DefaultConfig(), "r0")
+	now := epoch
+	for n := range 2 * crashesMax {
+		now = now.Add(time.Second)
+		if s.Check(now, "app", "c", prefixes(1, 2, 7, 8)).Verdict != Pass {
+			continue
+		}
+		server := fmt.Sprint("i-", n)
+		r := s.Begin(server, "app", prefixes(1, 2, 7, 8))
+		s.End(now, r, quarantine.Broken)
+		s.Crash(now, server)
+	}
+	qt.Assert(t, s.RefusedCount(), qt.Equals, 1)
+	qt.Check(t, s.Check(now, "app", "c", prefixes(1, 2, 7, 8)).Verdict, qt.Equals, Refuse)
+	qt.Check(t, s.Check(now, "app", "c", prefixes(1, 2, 9)).Verdict, qt.Equals, Pass)
+}
+
 // Requests with some other parts, or with other services, are served beside a refused set.
 func TestOnlyTheWholeSetIsRefused(t *testing.T) {
 	s := alone()
