--- a/coordination/partquarantine/judge.go
+++ b/coordination/partquarantine/judge.go
@@ -94,12 +94,15 @@
 	s.dropHarmless(now)
 }
 
+// maxRounds bounds how often the suspects are derived again at once, as each refusal explains crashes.
+const maxRounds = 8
+
 // refresh derives the suspects again if the evidence changed, and refuses what is proven.
 func (s *State) refresh(now time.Time) {
 	if !s.stale && (s.undecidedUntil.IsZero() || now.Before(s.undecidedUntil)) {
 		return
 	}
-	for {
+	for range maxRounds {
 		s.derive()
 		if !s.refuseProven(now) {
 			return
--- a/coordination/partquarantine/report.go
+++ b/coordination/partquarantine/report.go
@@ -217,7 +217,7 @@
 		runs := make([]runParts, 0, len(one.Runs))
 		for _, r := range one.Runs {
 			s.tellHarmless(c, r.Parts)
-			parts := slices.Clone(r.Parts)
+			parts := slices.Clone(r.Parts[:min(len(r.Parts), s.cfg.MaxParts)])
 			slices.Sort(parts)
 			runs = append(runs, runParts{parts: parts, isolated: r.Isolated, doubtful: r.Doubtful})
 		}
