--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -10,6 +10,7 @@
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/promise"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
@@ -63,6 +64,8 @@
 	traits  Traits
 	// runTime is the mean time from the first event of a run to its end.
 	runTime time.Duration
+	// promises holds what refused callers were promised; nil before the first promise.
+	promises *promise.Ledger[fairshare.TeamID]
 }
 
 // New returns a state without servers. The config must be valid.
@@ -98,6 +101,9 @@
 	// Objective is the shortest time to the first byte of an answer that any route
 	// of the service requires; 0: unknown.
 	Objective time.Duration
+	// UnevenObjectives is set if the objectives of the service's routes differ at least
+	// twofold.
+	UnevenObjectives bool
 }
 
 // SetService sets the traits of the servers of a service.
@@ -266,6 +272,7 @@
 			best, limit = wider.candidate, wider.limit
 		}
 	}
+	limit -= s.keptForReturns(now, s.pool(req.Service), req, limit)
 	d := Decision{
 		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing.share, Served: standing.served,
 		Unread: int(best.prefillTokens), QueueTokens: int(best.queue.pendingTokens), QueueRuns: int(best.queue.runs),
@@ -277,6 +284,10 @@
 	if (best.wait > limit || !admitted) && !req.MayHaveRun {
 		d.Verdict, d.Reason, d.Throttled = Refuse, ReasonWait, !admitted
 		d.RetryAfter = s.retryAfter(max(best.wait-limit, throttleWait), !admitted)
+		if p := s.pool(req.Service); s.promisesApply(p) {
+			promised := s.promise(now, p, req, best, standing, max(best.wait-limit, throttleWait))
+			d.RetryAfter, d.Booked = promised.After, promised.Booked
+		}
 		if best.wait <= limit {
 			s.teams.Throttled(now, team, tokens)
 		}
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -22,6 +22,7 @@
 
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/health"
+	"goldcrestport/coordination/promise"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
 )
@@ -119,6 +120,11 @@
 	// slot, and 1s.
 	RefusalPause    time.Duration
 	RefusalPauseMax time.Duration
+	// Returns says for which services refused callers get the time of a promise.
+	// Default ReturnsAuto.
+	Returns Returns
+	// Promise holds the parameters of promises.
+	Promise promise.Config
 	// Backoff holds the times for servers that request a back-off.
 	Backoff backoff.Config
 	// Health holds the thresholds of ejection.
@@ -131,6 +137,18 @@
 	EjectShare float64
 }
 
+// Returns says for which services refused callers get the time of a promise.
+type Returns int
+
+// Values of Returns.
+const (
+	// ReturnsAuto: for services whose routes have objectives that differ at least
+	// twofold.
+	ReturnsAuto Returns = iota
+	ReturnsOn
+	ReturnsOff
+)
+
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
@@ -161,6 +179,7 @@
 		RetryAfterMax:     2 * time.Second,
 		RefusalPause:      50 * time.Millisecond,
 		RefusalPauseMax:   time.Second,
+		Promise:           promise.DefaultConfig(),
 		Backoff:           backoff.DefaultConfig(),
 		Health:            health.DefaultConfig(),
 		SelfCheck:         selfcheck.DefaultConfig(),
@@ -171,6 +190,7 @@
 // Validate returns an error that names each field that is out of range.
 func (c Config) Validate() error {
 	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), c.SelfCheck.Validate()))
+	err = errors.CombineErrors(err, c.Promise.Validate())
 	check := func(ok bool, what string) {
 		if !ok {
 			err = errors.CombineErrors(err, errors.New(what))
