--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -10,7 +10,6 @@
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
-	"goldcrestport/coordination/promise"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
@@ -64,8 +63,6 @@
 	traits  Traits
 	// runTime is the mean time from the first event of a run to its end.
 	runTime time.Duration
-	// promises holds what refused callers were promised; nil before the first promise.
-	promises *promise.Ledger[fairshare.TeamID]
 }
 
 // New returns a state without servers. The config must be valid.
@@ -272,7 +269,6 @@
 			best, limit = wider.candidate, wider.limit
 		}
 	}
-	limit -= s.keptForReturns(now, s.pool(req.Service), req, limit)
 	d := Decision{
 		Server: best.server.id, Wait: best.wait, Limit: limit, Rank: best.rank, Standing: standing.share, Served: standing.served,
 		Unread: int(best.prefillTokens), QueueTokens: int(best.queue.pendingTokens), QueueRuns: int(best.queue.runs),
@@ -284,10 +280,7 @@
 	if (best.wait > limit || !admitted) && !req.MayHaveRun {
 		d.Verdict, d.Reason, d.Throttled = Refuse, ReasonWait, !admitted
 		d.RetryAfter = s.retryAfter(max(best.wait-limit, throttleWait), !admitted)
-		if p := s.pool(req.Service); s.promisesApply(p) {
-			promised := s.promise(now, p, req, best, standing, max(best.wait-limit, throttleWait))
-			d.RetryAfter, d.Booked = promised.After, promised.Booked
-		}
+		d.RetryAfter = s.returnInTime(s.pool(req.Service), req, best, d.RetryAfter, best.wait-limit)
 		if best.wait <= limit {
 			s.teams.Throttled(now, team, tokens)
 		}
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -22,7 +22,6 @@
 
 	"goldcrestport/coordination/backoff"
 	"goldcrestport/coordination/health"
-	"goldcrestport/coordination/promise"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
 )
@@ -114,17 +113,19 @@
 	// asked to come back. Default 50ms and 2s.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
+	// Returns says for which services refused callers are asked to come back while their
+	// requests can be in time. Default ReturnsAuto.
+	Returns Returns
+	// ReturnShare is the fraction of the time in which a request would be in time at an idle
+	// server after which its caller is then asked to come back at the latest. Default 0.6:
+	// the rest is for its wait and the way.
+	ReturnShare float64
 	// RefusalPause is how long a server that refused a request gets none while
 	// others accept requests. It doubles with each consecutive refusal up to
 	// RefusalPauseMax. Default 50ms, in which a server of a plain service frees a
 	// slot, and 1s.
 	RefusalPause    time.Duration
 	RefusalPauseMax time.Duration
-	// Returns says for which services refused callers get the time of a promise.
-	// Default ReturnsAuto.
-	Returns Returns
-	// Promise holds the parameters of promises.
-	Promise promise.Config
 	// Backoff holds the times for servers that request a back-off.
 	Backoff backoff.Config
 	// Health holds the thresholds of ejection.
@@ -137,18 +138,6 @@
 	EjectShare float64
 }
 
-// Returns says for which services refused callers get the time of a promise.
-type Returns int
-
-// Values of Returns.
-const (
-	// ReturnsAuto: for services whose routes have objectives that differ at least
-	// twofold.
-	ReturnsAuto Returns = iota
-	ReturnsOn
-	ReturnsOff
-)
-
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
@@ -177,9 +166,9 @@
 		AnnounceTokens:    12,
 		RetryAfterMin:     50 * time.Millisecond,
 		RetryAfterMax:     2 * time.Second,
+		ReturnShare:       0.6,
 		RefusalPause:      50 * time.Millisecond,
 		RefusalPauseMax:   time.Second,
-		Promise:           promise.DefaultConfig(),
 		Backoff:           backoff.DefaultConfig(),
 		Health:            health.DefaultConfig(),
 		SelfCheck:         selfcheck.DefaultConfig(),
@@ -190,7 +179,6 @@
 // Validate returns an error that names each field that is out of range.
 func (c Config) Validate() error {
 	err := errors.CombineErrors(errors.CombineErrors(c.Health.Validate(), c.Backoff.Validate()), errors.CombineErrors(c.Throttle.Validate(), c.SelfCheck.Validate()))
-	err = errors.CombineErrors(err, c.Promise.Validate())
 	check := func(ok bool, what string) {
 		if !ok {
 			err = errors.CombineErrors(err, errors.New(what))
@@ -219,6 +207,7 @@
 	check(c.PrefixTTL > 0, "PrefixTTL must be positive")
 	check(c.AnnounceTokens >= 0, "AnnounceTokens must not be negative")
 	check(c.RetryAfterMin > 0 && c.RetryAfterMax >= c.RetryAfterMin, "RetryAfterMax must be at least RetryAfterMin, both positive")
+	check(c.ReturnShare > 0 && c.ReturnShare <= 1, "ReturnShare must be in (0, 1]")
 	check(c.RefusalPause > 0 && c.RefusalPauseMax >= c.RefusalPause, "RefusalPauseMax must be at least RefusalPause, both positive")
 	check(c.EjectShare >= 0 && c.EjectShare <= 1, "EjectShare must be in [0, 1]")
 	return err
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -31,8 +31,6 @@
 	// Elapsed is the time since the caller's first attempt. If it is above 0, the
 	// request was refused before.
 	Elapsed time.Duration
-	// TimeLeft is the time until the caller gives up; 0: unknown.
-	TimeLeft time.Duration
 	// Avoid names servers at which the request already failed.
 	Avoid []string
 	// Homes are lists of regions; the request may only go to servers whose region is
@@ -107,9 +105,6 @@
 	Limit time.Duration
 	// RetryAfter is the time after which a refused caller should come back.
 	RetryAfter time.Duration
-	// Booked is set if RetryAfter is a time at which there will be room, for which it
-	// was promised.
-	Booked bool
 	// Unread is the number of the request's own prompt tokens that the server would
 	// prefill.
 	Unread int
--- a/coordination/admission/returns.go
+++ b/coordination/admission/returns.go
@@ -1,70 +1,43 @@
 package admission
 
-import (
-	"math"
-	"time"
-
-	"goldcrestport/coordination/fairshare"
-	"goldcrestport/coordination/promise"
+import "time"
+
+// Returns says for which services the time after which refused callers are asked to come
+// back is limited by their objectives.
+type Returns int
+
+// Values of Returns.
+const (
+	// ReturnsAuto: for services whose routes have objectives that differ at least twofold.
+	ReturnsAuto Returns = iota
+	ReturnsOn
+	ReturnsOff
 )
 
-// promisesApply reports whether refused callers of the service get the time of a
-// promise.
+// SetReturns sets for which services it is.
+func (s *State) SetReturns(r Returns) { s.cfg.Returns = r }
+
+// promisesApply reports whether callers that are refused by the engines of the pool are
+// asked to come back while their requests can be in time.
 func (s *State) promisesApply(p *pool) bool {
 	return s.cfg.Returns == ReturnsOn || s.cfg.Returns == ReturnsAuto && p.traits.UnevenObjectives
 }
 
-// promiseRoom returns what this router may promise to a refused request of the team:
-// its fraction of all requests, and of those of the team.
-func (s *State) promiseRoom(p *pool, team fairshare.TeamID, standing standing) promise.Room {
-	room := promise.Room{Servers: float64(len(p.servers)) * s.teams.OwnFraction()}
-	if rate, throttled := s.throttle.Rate(team); throttled {
-		room.TeamRate = rate
-	} else if standing.share > 1 {
-		room.TeamRate = s.teams.Level() / s.cfg.Window.Seconds() * s.teams.OwnFractionOf(team)
-	}
-	return room
-}
-
-// promise returns when the caller of a refused request should come back. earliest is
-// when its server and its team's credit allow it.
-func (s *State) promise(now time.Time, p *pool, req Request, best candidate, standing standing, earliest time.Duration) promise.Promise {
-	team := fairshare.IDOf(req.Team)
-	return p.ledger(s.cfg.Promise).Book(now, promise.Refused[fairshare.TeamID]{
-		Team: team, Tokens: s.demand(req), Work: best.prefill,
-		Earliest: max(earliest, s.cfg.RetryAfterMin), Latest: latestReturn(req.TimeLeft),
-	}, s.promiseRoom(p, team, standing))
-}
-
-// returnShare is the fraction of the time that a caller has left after which it comes
-// back, whatever it was told.
-const returnShare = 1.0 / 3
-
-// latestReturn returns the time after which a caller is back in any case.
-func latestReturn(left time.Duration) time.Duration {
-	if left <= 0 {
-		return math.MaxInt64
-	}
-	return time.Duration(returnShare * float64(left))
-}
-
-// keptForReturns returns the wait that a first attempt leaves free for callers that
-// were told to come back by the time that it is served.
-func (s *State) keptForReturns(now time.Time, p *pool, req Request, limit time.Duration) time.Duration {
-	if req.Elapsed > 0 || p.promises == nil || limit <= 0 {
-		return 0
+// returnInTime limits the time after which the caller of a refused first attempt is asked to
+// come back. after is when its team has credit and the queue of its best server, which
+// drained says alone, is short enough.
+//
+// In a peak that lasts, such as a flood of a team or a burst of all, a caller that comes back
+// when it has missed its objective takes the place of a first attempt that would be in time.
+// One that comes back in time has the same chance as that. If the queue alone lasts longer,
+// or the request would be late at any server, the time stays as it is.
+func (s *State) returnInTime(p *pool, req Request, c candidate, after, drained time.Duration) time.Duration {
+	if req.Objective <= 0 || req.Elapsed > 0 || !s.promisesApply(p) {
+		return after
 	}
-	servers := float64(len(p.servers)) * s.teams.OwnFraction()
-	if servers <= 0 {
-		return 0
-	}
-	return min(time.Duration(float64(p.promises.Due(now, limit))/servers), limit)
-}
-
-// ledger returns the promises of the pool.
-func (p *pool) ledger(cfg promise.Config) *promise.Ledger[fairshare.TeamID] {
-	if p.promises == nil {
-		p.promises = promise.New[fairshare.TeamID](cfg)
+	latest := time.Duration(s.cfg.ReturnShare * float64(req.Objective-c.prefill-firstTokenBase))
+	if latest < max(drained, s.cfg.RetryAfterMin) {
+		return after
 	}
-	return p.promises
+	return min(after, latest)
 }
--- a/coordination/fairshare/meter.go
+++ b/coordination/fairshare/meter.go
@@ -57,9 +57,6 @@
 	// in tokens per second.
 	shareRate float64
 	total     map[TeamID]Use
-	// ownFraction is the fraction of the requested tokens of the last second that came to
-	// this router.
-	ownFraction float64
 	// late is true while this router reads its input late.
 	late bool
 }
@@ -189,27 +186,6 @@
 // Updated returns when Standing last summed the usage of all teams.
 func (m *Meter) Updated() time.Time { return m.updated }
 
-// OwnFraction returns the fraction of the requested tokens of the last second that came to
-// this router, as of the last call of Standing; 0 if none were requested.
-func (m *Meter) OwnFraction() float64 { return m.ownFraction }
-
-// OwnFractionOf returns that fraction for the requests of one team.
-func (m *Meter) OwnFractionOf(team TeamID) float64 {
-	w := m.own[team]
-	if w == nil {
-		return 0
-	}
-	return fractionOf(w.recent.RequestedRate, m.total[team].RequestedRate)
-}
-
-// fractionOf returns part / whole, at most 1; 0 of nothing.
-func fractionOf(part, whole float64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return min(part/whole, 1)
-}
-
 // Each calls visit for each team with its usage at all routers, as of the last call of
 // Standing.
 func (m *Meter) Each(visit func(team TeamID, use Use)) {
@@ -243,10 +219,6 @@
 func (m *Meter) refresh(now time.Time, capacity float64) {
 	m.updated = now
 	m.total = m.Own(now)
-	own := 0.0
-	for _, u := range m.total {
-		own += u.RequestedRate
-	}
 	maxAge := ReportTime
 	if m.late {
 		maxAge = lateReportTime
@@ -267,13 +239,11 @@
 		}
 	}
 	requested, recent := make([]float64, 0, len(m.total)), make([]float64, 0, len(m.total))
-	var served, all float64
+	var served float64
 	for _, u := range m.total {
 		requested, recent = append(requested, u.Requested), append(recent, u.RequestedRate)
 		served += u.Started
-		all += u.RequestedRate
 	}
-	m.ownFraction = fractionOf(own, all)
 	m.level, m.served = Level(requested, capacity), servedLevel(requested, served)
 	m.shareRate = Level(recent, capacity/(windowSlices*m.sliceWidth).Seconds())
 }
--- a/coordination/throttle/throttle.go
+++ b/coordination/throttle/throttle.go
@@ -139,16 +139,6 @@
 	return a.credit > 0, a.waitTime(s.cfg)
 }
 
-// Rate returns the rate at which this router may send the team's requests, in tokens per
-// second, while the team is throttled.
-func (s *State[ID]) Rate(team ID) (tokensPerSecond float64, throttled bool) {
-	a := s.accounts[team]
-	if a == nil || !a.throttled {
-		return 0, false
-	}
-	return a.rate, true
-}
-
 // Ask records a request of the team, whether or not it is sent.
 func (s *State[ID]) Ask(now time.Time, team ID, tokens float64) {
 	a := s.accounts[team]
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/transport/observe"
 )
@@ -43,6 +44,8 @@
 	resumed *expvar.Map
 	// doors counts resumed streams by why they did not go on.
 	doors *expvar.Map
+	// returns counts the decisions on callers that came back.
+	returns *expvar.Map
 	// originsTold counts the origins of streams that were announced to other routers, originsStored the
 	// entries with such origins that were written to the store, and originAskTime
 	// holds the times for which others were asked.
@@ -80,6 +83,7 @@
 		answers:          v.Map("direct_answers"),
 		resumed:          v.Map("direct_streams_resumed"),
 		doors:            v.Map("direct_streams_resumed_doors"),
+		returns:          v.Map("direct_returns"),
 		originsTold:      v.Int("direct_origins_told"),
 		originsStored:    v.Int("direct_origins_stored"),
 		originAskTime:    v.Times("direct_origin_ask_us"),
@@ -153,3 +157,14 @@
 	m.outcomes.Add("completed", 1)
 	m.latency.Record(c.service, time.Now(), time.Since(c.received))
 }
+
+// placed counts a decision on a caller that came back.
+func (m *metrics) placed(elapsed time.Duration, d admission.Decision) {
+	switch {
+	case elapsed <= 0:
+	case d.Verdict == admission.Send:
+		m.returns.Add("sent", 1)
+	default:
+		m.returns.Add("refused", 1)
+	}
+}
