--- a/cmd/goldcrestd/direct.go
+++ b/cmd/goldcrestd/direct.go
@@ -77,7 +77,7 @@
 
 func directConfig(set settings.Direct) direct.Config {
 	return direct.Config{
-		Admission:  admissionConfig(set),
+		Admission:  admission.DefaultConfig(),
 		Roster:     roster.DefaultConfig(),
 		Backend:    backendConfig(set),
 		Staleness:  stalenessConfig(set),
@@ -91,21 +91,6 @@
 	}
 }
 
-// admissionConfig returns the parameters of admission with the features that the settings
-// switch.
-func admissionConfig(set settings.Direct) admission.Config {
-	c := admission.DefaultConfig()
-	switch set.Engines.Returns {
-	case settings.SwitchOn:
-		c.Returns = admission.ReturnsOn
-	case settings.SwitchOff:
-		c.Returns = admission.ReturnsOff
-	default:
-		c.Returns = admission.ReturnsAuto
-	}
-	return c
-}
-
 // stalenessConfig returns the bound on the staleness of server departures.
 func stalenessConfig(set settings.Direct) staleness.Config {
 	c := staleness.DefaultConfig()
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -98,9 +98,6 @@
 	// Objective is the shortest time to the first byte of an answer that any route
 	// of the service requires; 0: unknown.
 	Objective time.Duration
-	// UnevenObjectives is set if the objectives of the service's routes differ at least
-	// twofold.
-	UnevenObjectives bool
 }
 
 // SetService sets the traits of the servers of a service.
@@ -280,7 +277,6 @@
 	if (best.wait > limit || !admitted) && !req.MayHaveRun {
 		d.Verdict, d.Reason, d.Throttled = Refuse, ReasonWait, !admitted
 		d.RetryAfter = s.retryAfter(max(best.wait-limit, throttleWait), !admitted)
-		d.RetryAfter = s.returnInTime(s.pool(req.Service), req, best, d.RetryAfter, best.wait-limit)
 		if best.wait <= limit {
 			s.teams.Throttled(now, team, tokens)
 		}
--- a/coordination/admission/config.go
+++ b/coordination/admission/config.go
@@ -113,13 +113,6 @@
 	// asked to come back. Default 50ms and 2s.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
-	// Returns says for which services refused callers are asked to come back while their
-	// requests can be in time. Default ReturnsAuto.
-	Returns Returns
-	// ReturnShare is the fraction of the time in which a request would be in time at an idle
-	// server after which its caller is then asked to come back at the latest. Default 0.6:
-	// the rest is for its wait and the way.
-	ReturnShare float64
 	// RefusalPause is how long a server that refused a request gets none while
 	// others accept requests. It doubles with each consecutive refusal up to
 	// RefusalPauseMax. Default 50ms, in which a server of a plain service frees a
@@ -166,7 +159,6 @@
 		AnnounceTokens:    12,
 		RetryAfterMin:     50 * time.Millisecond,
 		RetryAfterMax:     2 * time.Second,
-		ReturnShare:       0.6,
 		RefusalPause:      50 * time.Millisecond,
 		RefusalPauseMax:   time.Second,
 		Backoff:           backoff.DefaultConfig(),
@@ -207,7 +199,6 @@
 	check(c.PrefixTTL > 0, "PrefixTTL must be positive")
 	check(c.AnnounceTokens >= 0, "AnnounceTokens must not be negative")
 	check(c.RetryAfterMin > 0 && c.RetryAfterMax >= c.RetryAfterMin, "RetryAfterMax must be at least RetryAfterMin, both positive")
-	check(c.ReturnShare > 0 && c.ReturnShare <= 1, "ReturnShare must be in (0, 1]")
 	check(c.RefusalPause > 0 && c.RefusalPauseMax >= c.RefusalPause, "RefusalPauseMax must be at least RefusalPause, both positive")
 	check(c.EjectShare >= 0 && c.EjectShare <= 1, "EjectShare must be in [0, 1]")
 	return err
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -56,25 +56,6 @@
 	Slack   float64 `json:"slack"`
 }
 
-// Switch says whether a feature is used.
-type Switch string
-
-// Values of Switch.
-const (
-	// SwitchAuto: where the configuration and the backend servers call for it.
-	SwitchAuto Switch = "auto"
-	SwitchOn   Switch = "on"
-	SwitchOff  Switch = "off"
-)
-
-// Engines says which features are used for services of inference engines.
-type Engines struct {
-	// Returns: refused callers are asked to come back while their requests can be in time,
-	// if the servers' queues allow it. Default auto: for services whose routes have
-	// objectives that differ at least twofold.
-	Returns Switch `json:"returns"`
-}
-
 // Direct holds the settings of a router that calls backend servers itself.
 type Direct struct {
 	ID         string `json:"id"`
@@ -91,8 +72,6 @@
 	Repeats Repeats       `json:"repeats"`
 	// ColdServers limits the requests to cold backend servers.
 	ColdServers ColdServers `json:"cold_servers"`
-	// Engines says which features are used for services of inference engines.
-	Engines Engines `json:"engines"`
 	// KeyRevocation is the time after which a revoked key must no longer be
 	// accepted. Default 5s.
 	KeyRevocation Duration `json:"key_revocation"`
@@ -125,7 +104,6 @@
 			Connections: 2500,
 		},
 		Repeats:       Repeats{Window: Duration(10 * time.Second), Ratio: 0.2, Allowance: 10},
-		Engines:       Engines{Returns: SwitchAuto},
 		KeyRevocation: Duration(5 * time.Second),
 		Departure:     Duration(2 * time.Second),
 		EventDelay:    Duration(100 * time.Millisecond),
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -131,19 +131,6 @@
 	}
 }
 
-func TestEnginesOfADirectRouter(t *testing.T) {
-	c, set := quicktest.New(t), DefaultDirect()
-	c.Check(set.Engines, quicktest.Equals, Engines{Returns: SwitchAuto})
-	c.Check(load(c, withValue(c, "direct.json", "engines", `{"returns":"off"}`), &set), quicktest.HasLen, 0)
-	c.Check(set.Engines.Returns, quicktest.Equals, SwitchOff)
-	lines := load(c, withValue(c, "direct.json", "engines", `{"returns":"yes"}`), &set)
-	c.Assert(lines, quicktest.HasLen, 1)
-	c.Check(lines[0], quicktest.Contains, "engines.returns: value must be one of 'auto', 'on', 'off'")
-	lines = load(c, withValue(c, "direct.json", "engines", `{"comeback":"on"}`), &set)
-	c.Assert(lines, quicktest.HasLen, 1)
-	c.Check(lines[0], quicktest.Contains, "engines.comeback: unknown key")
-}
-
 func TestAllProblemsAtOnce(t *testing.T) {
 	c, set := quicktest.New(t), DefaultRouter()
 	lines := load(c, []byte(`{"data_centre":"x","typo":1,"listen":{"callers":"1.1.1.1:1","peers":"1.1.1.1:1"},
--- a/state/routing/engine_test.go
+++ b/state/routing/engine_test.go
@@ -34,21 +34,3 @@
 	qt.Check(t, c.ShortestObjective("app"), qt.Equals, 150*time.Millisecond)
 	qt.Check(t, c.ShortestObjective("none"), qt.Equals, time.Duration(0))
 }
-
-// Two routes of one service with objectives that differ twofold make it uneven; those of
-// another service, and routes without an objective, do not count.
-func TestObjectivesThatDifferTwofoldAreUneven(t *testing.T) {
-	to := func(name string) []Target { return []Target{{Service: name, Weight: 1}} }
-	c := &Config{Routes: []Route{
-		{Objective: 400 * time.Millisecond, Targets: to("uneven")},
-		{Objective: 800 * time.Millisecond, Targets: to("uneven")},
-		{Objective: 500 * time.Millisecond, Targets: to("alike")},
-		{Objective: 999 * time.Millisecond, Targets: to("alike")},
-		{Objective: 5 * time.Second, Targets: to("single")},
-		{Targets: to("alike")},
-		{Targets: to("none")},
-	}}
-	for service, want := range map[string]bool{"uneven": true, "alike": false, "single": false, "none": false, "unknown": false} {
-		qt.Check(t, c.HasUnevenObjectives(service), qt.Equals, want, qt.Commentf("%s", service))
-	}
-}
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -169,16 +169,3 @@
 	}
 	return shortest
 }
-
-// unevenObjectives is the ratio from which the objectives of two routes are uneven.
-const unevenObjectives = 2
-
-// HasUnevenObjectives reports whether the objectives of the routes to the service differ at
-// least twofold.
-func (c *Config) HasUnevenObjectives(service string) bool {
-	shortest := c.ShortestObjective(service)
-	return shortest > 0 && slices.ContainsFunc(c.Routes, func(route Route) bool {
-		isTarget := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service })
-		return isTarget && route.Objective >= unevenObjectives*shortest
-	})
-}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -72,7 +72,9 @@
 		}
 		decision := c.placeRequest()
 		c.last = decision
-		c.r.metrics.placed(c.elapsed, decision)
+		if c.sent == 0 {
+			c.r.metrics.placed(c.elapsed, decision)
+		}
 		callerconn.Decided(c.conn())
 		if decision.Verdict != admission.Send {
 			c.refuseUnplaced(decision)
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -44,7 +44,7 @@
 	resumed *expvar.Map
 	// doors counts resumed streams by why they did not go on.
 	doors *expvar.Map
-	// returns counts the decisions on callers that came back.
+	// returns counts the requests of callers that came back, by the first decision.
 	returns *expvar.Map
 	// originsTold counts the origins of streams that were announced to other routers, originsStored the
 	// entries with such origins that were written to the store, and originAskTime
@@ -158,7 +158,7 @@
 	m.latency.Record(c.service, time.Now(), time.Since(c.received))
 }
 
-// placed counts a decision on a caller that came back.
+// placed counts the first decision on a request whose caller came back.
 func (m *metrics) placed(elapsed time.Duration, d admission.Decision) {
 	switch {
 	case elapsed <= 0:
--- a/transport/direct/reload.go
+++ b/transport/direct/reload.go
@@ -22,10 +22,9 @@
 		}
 	}
 	r.warmup.SetConfig(cfg.Warmup)
-	r.admission.SetReturns(cfg.Admission.Returns)
 	r.mu.Unlock()
 	r.event("reloaded", "key_revocation", set.KeyRevocation.D(), "departure", set.Departure.D(), "repeat_ratio", set.Repeats.Ratio, "repeat_allowance", set.Repeats.Allowance,
-		"cold_overrun", set.ColdServers.Overrun, "cold_slack", set.ColdServers.Slack, "returns", set.Engines.Returns)
+		"cold_overrun", set.ColdServers.Overrun, "cold_slack", set.ColdServers.Slack)
 }
 
 // Rejected logs that changed settings were invalid.
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -58,7 +58,7 @@
 
 // serviceTraits returns the properties of a service that the admission uses.
 func serviceTraits(c *routing.Config, s routing.Service) admission.Traits {
-	return admission.Traits{Engine: s.Engine.Slots > 0, FetchRate: s.Engine.FetchRate(), Objective: c.ShortestObjective(s.Name), UnevenObjectives: c.HasUnevenObjectives(s.Name)}
+	return admission.Traits{Engine: s.Engine.Slots > 0, FetchRate: s.Engine.FetchRate(), Objective: c.ShortestObjective(s.Name)}
 }
 
 // replace applies a whole snapshot, unless other routers sent later changes after its reading
