--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -73,6 +73,9 @@
 		decision := c.placeRequest()
 		c.last, c.decidedAt = decision, time.Now()
 		c.r.metrics.mix.decided(decision)
+		if c.sent == 0 {
+			c.r.metrics.placed(c.elapsed, decision)
+		}
 		callerconn.Decided(c.conn())
 		if decision.Verdict != admission.Send {
 			c.refuseUnplaced(decision)
