Prompts are treated by size also where servers report how long work takes

Cause: the treatment by size was on only where objectives differ twofold, so not for a customer whose long prompts have 800 ms and short ones 500 ms, though waits are known well there. Ruled out: another setting for it; the condition is the one under which waits are estimated by the pace of each server. TestDecisionsAreAsBeforeWithoutPace held two parts at once with reported figures: there the treatment by size is off now, and its hash is the same.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -69,6 +69,8 @@
 	traits  Traits
 	// runTime is the mean time from the first event of a run to its end.
 	runTime time.Duration
+	// reportsSlowdown is set once a server has reported how long work takes on its machine.
+	reportsSlowdown bool
 	// mix measures how short prompts fare beside long ones.
 	mix *promptmix.State
 	// meanRun is the mean size of this router's runs.
--- a/coordination/admission/mix.go
+++ b/coordination/admission/mix.go
@@ -7,13 +7,15 @@
 	"goldcrestport/coordination/promptmix"
 )
 
-// mixApplies reports whether prompts of the service are treated by size.
+// mixApplies reports whether prompts of the service are treated by size. Without a setting, they are where
+// objectives are far apart, or where servers say how long work takes: waits are known well enough there for
+// limits that differ by less.
 func (s *State) mixApplies(p *pool) bool {
 	switch s.cfg.PromptMix.Mode {
 	case promptmix.ModeOn:
 		return p.traits.Objective > 0
 	case promptmix.ModeAuto:
-		return s.cfg.PromptMix.SpansWidely(p.traits.Objective, p.traits.LongestObjective)
+		return p.reportsSlowdown && p.traits.Objective > 0 || s.cfg.PromptMix.SpansWidely(p.traits.Objective, p.traits.LongestObjective)
 	default:
 		return false
 	}
--- a/coordination/admission/mix_test.go
+++ b/coordination/admission/mix_test.go
@@ -181,6 +181,26 @@
 }
 
 // The cost of a decision about a long prompt, with the treatment by size and without.
+// A service whose objectives lie close together is treated by size once its servers report how long work
+// takes, unless the settings say no.
+func TestServicesThatReportSlowdownAreTreatedBySize(t *testing.T) {
+	for _, tc := range []struct {
+		percent int
+		mode    promptmix.Mode
+		want    bool
+	}{{0, promptmix.ModeAuto, false}, {130, promptmix.ModeAuto, true}, {130, promptmix.ModeOff, false}} {
+		cfg := DefaultConfig()
+		cfg.PromptMix.Mode = tc.mode
+		s := New(cfg)
+		s.SetService("llm", Traits{Engine: true, Objective: 500 * time.Millisecond, LongestObjective: 800 * time.Millisecond})
+		s.Add("a", 1, "llm", "", 64)
+		d := s.Place(epoch, Request{Service: "llm", Team: "t", Prompt: 1000, Objective: 500 * time.Millisecond})
+		qt.Assert(t, d.Run, qt.IsNotNil)
+		s.Reported(epoch, d.Run, Load{Running: 1, Slots: 64, SlowdownPercent: tc.percent})
+		qt.Check(t, s.mixApplies(s.pool("llm")), qt.Equals, tc.want)
+	}
+}
+
 func BenchmarkPlaceLongPrompt(b *testing.B) {
 	for _, servers := range []int{50, 2200} {
 		for _, mode := range []promptmix.Mode{promptmix.ModeOff, promptmix.ModeAuto} {
--- a/coordination/admission/pace_test.go
+++ b/coordination/admission/pace_test.go
@@ -11,6 +11,7 @@
 
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/pace"
+	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/warmup"
 )
 
@@ -84,6 +85,10 @@
 func decisionsUnderLoad(mode pace.Mode, slowdownPercent int) uint64 {
 	cfg := DefaultConfig()
 	cfg.Pace.Mode = mode
+	if slowdownPercent > 0 {
+		// Servers that report their slowdown have prompts treated by size, too.
+		cfg.PromptMix.Mode = promptmix.ModeOff
+	}
 	s, rng, hash := New(cfg), rand.New(rand.NewPCG(7, 7)), fnv.New64a()
 	s.SetService("llm", Traits{Engine: true, FetchRate: 2500, Objective: 500 * time.Millisecond})
 	s.SetService("app", Traits{})
--- a/coordination/admission/run.go
+++ b/coordination/admission/run.go
@@ -99,6 +99,7 @@
 	if load.SlowdownPercent > 0 {
 		r.slowdown = float64(load.SlowdownPercent) / 100
 		r.server.pace.Reported(now, r.slowdown)
+		s.pool(r.server.service).reportsSlowdown = true
 	}
 	if load.Slots > 0 {
 		r.server.slots = load.Slots
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -63,7 +63,8 @@
 	// services whose servers report how long work takes on their machine.
 	Pace string `json:"pace"`
 	// PromptMix says for which services long and short prompts are treated by size. ModeAuto, the
-	// default, stands for the services whose routes' objectives are far apart.
+	// default, stands for the services whose routes' objectives are far apart or whose servers report how
+	// long work takes on their machine.
 	PromptMix string `json:"prompt_mix"`
 }
 
--- a/transport/direct/ending.go
+++ b/transport/direct/ending.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"goldcrestport/coordination/completeness"
+	"goldcrestport/coordination/resumption"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
+	"goldcrestport/state/teamuse"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/probe"
 )
@@ -142,3 +144,42 @@
 		return completeness.Connection.String()
 	}
 }
+
+// abortAnswer closes the caller's connection, so that an incomplete answer does not look complete.
+func (c *call) abortAnswer(why string) {
+	c.delivered = deliveredCut
+	c.logEnd("cut: "+why, 0, 0)
+	c.r.metrics.outcomes.Add("cut", 1)
+	c.closeConnection()
+}
+
+// reasonCallerLeft is the logged reason for a request whose caller disconnected.
+const reasonCallerLeft = "caller_left"
+
+// callerLeft ends a request whose caller disconnected. If the connection were not closed,
+// net/http would answer with an empty success.
+func (c *call) callerLeft() {
+	c.stream.door = resumption.CallerLeft
+	c.logEnd(reasonCallerLeft, 0, 0)
+	if c.tokens > 0 && !c.countedStarted {
+		c.r.teams.Count(func(t *teamuse.Table) { t.Refused(c.team, reasonCallerLeft) })
+	}
+	c.r.metrics.outcomes.Add("caller_left", 1)
+	c.closeConnection()
+}
+
+func (c *call) closeConnection() {
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		c.r.event("cut_failed", "request", c.meta.ID, "err", err)
+		return
+	}
+	_ = conn.Close()
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
