One reader of the fields of datagrams in place of three

Cause: crash reports, messages on origins and reports on parts each had a decoder of their own with the same lines. Ruled out: the digest's reader, which works on slices for speed and stays. protocol/datagram holds names and the reader now; each kind keeps its own fields.

--- a/protocol/crashreport/crashreport.go
+++ b/protocol/crashreport/crashreport.go
@@ -13,18 +13,14 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/quarantine"
+	"goldcrestport/protocol/datagram"
 )
 
 // version is the first byte of a datagram. No digest starts with it.
 const version = 0x81
 
-// Sizes of the encoded fields in bytes, and the limits of one-byte lengths and counts.
-const (
-	fingerprintSize = 8
-	ageSize         = 4
-	maxName         = 255
-	maxCount        = 255
-)
+// maxCount is the limit of counts, which are encoded in one byte.
+const maxCount = 255
 
 // ErrForm means that a datagram is not a well-formed crash report of this version.
 var ErrForm = errors.New("no crash report of this version")
@@ -35,10 +31,10 @@
 // Append appends the router's encoded report to b. Of each list, only the first 255
 // entries are written; the reports of coordination/quarantine have fewer.
 func Append(b []byte, router string, r quarantine.Report) []byte {
-	b = appendName(append(b, version), router)
+	b = datagram.AppendName(append(b, version), router)
 	b = append(b, byte(min(len(r.Crashes), maxCount)))
 	for _, c := range r.Crashes[:min(len(r.Crashes), maxCount)] {
-		b = appendAge(appendName(b, c.Server), c.Age)
+		b = appendAge(datagram.AppendName(b, c.Server), c.Age)
 		b = append(b, byte(min(len(c.Suspects), maxCount)))
 		for _, fingerprint := range c.Suspects[:min(len(c.Suspects), maxCount)] {
 			b = binary.LittleEndian.AppendUint64(b, uint64(fingerprint))
@@ -49,7 +45,7 @@
 		b = appendAge(binary.LittleEndian.AppendUint64(b, uint64(refusal.Content)), refusal.Age)
 		b = append(b, byte(min(refusal.Trials, maxCount)), byte(min(len(refusal.Reasons), maxCount)))
 		for _, reason := range refusal.Reasons[:min(len(refusal.Reasons), maxCount)] {
-			b = appendAge(appendName(b, reason.Server), reason.Age)
+			b = appendAge(datagram.AppendName(b, reason.Server), reason.Age)
 		}
 	}
 	b = append(b, byte(min(len(r.Cleared), maxCount)))
@@ -59,11 +55,6 @@
 	return b
 }
 
-func appendName(b []byte, name string) []byte {
-	name = name[:min(len(name), maxName)]
-	return append(append(b, byte(len(name))), name...)
-}
-
 // appendAge appends the age in whole milliseconds as a signed 32-bit number, which covers
 // three weeks. A negative age stands for something that stays in force for that time.
 func appendAge(b []byte, age time.Duration) []byte {
@@ -76,56 +67,38 @@
 	if !Is(b) {
 		return "", r, ErrForm
 	}
-	d := decoder{rest: b[1:]}
-	router = d.name()
-	for range d.count() {
-		c := quarantine.CrashReport{Server: d.name(), Age: d.age()}
-		for range d.count() {
+	d := decoder{datagram.NewReader(b[1:])}
+	router = d.Name()
+	for range d.Byte() {
+		c := quarantine.CrashReport{Server: d.Name(), Age: d.age()}
+		for range d.Byte() {
 			c.Suspects = append(c.Suspects, d.fingerprint())
 		}
 		r.Crashes = append(r.Crashes, c)
 	}
-	for range d.count() {
-		refusal := quarantine.RefusalReport{Content: d.fingerprint(), Age: d.age(), Trials: d.count()}
-		for range d.count() {
-			refusal.Reasons = append(refusal.Reasons, quarantine.StrikeReport{Server: d.name(), Age: d.age()})
+	for range d.Byte() {
+		refusal := quarantine.RefusalReport{Content: d.fingerprint(), Age: d.age(), Trials: d.Byte()}
+		for range d.Byte() {
+			refusal.Reasons = append(refusal.Reasons, quarantine.StrikeReport{Server: d.Name(), Age: d.age()})
 		}
 		r.Refusals = append(r.Refusals, refusal)
 	}
-	for range d.count() {
+	for range d.Byte() {
 		r.Cleared = append(r.Cleared, quarantine.ClearedReport{Content: d.fingerprint(), Age: d.age()})
 	}
-	if d.failed || len(d.rest) > 0 {
+	if !d.Complete() {
 		return "", quarantine.Report{}, ErrForm
 	}
 	return router, r, nil
 }
 
-// decoder reads fields in order. After the first truncated field, all reads return zero
-// values.
-type decoder struct {
-	rest   []byte
-	failed bool
-}
-
-func (d *decoder) next(n int) []byte {
-	if len(d.rest) < n {
-		d.rest, d.failed = nil, true
-		return make([]byte, n)
-	}
-	out := d.rest[:n]
-	d.rest = d.rest[n:]
-	return out
-}
-
-func (d *decoder) count() int { return int(d.next(1)[0]) }
-
-func (d *decoder) name() string { return string(d.next(d.count())) }
+// decoder reads the fields of these datagrams.
+type decoder struct{ datagram.Reader }
 
 func (d *decoder) age() time.Duration {
-	return time.Duration(int32(binary.LittleEndian.Uint32(d.next(ageSize)))) * time.Millisecond
+	return time.Duration(int32(d.Uint32())) * time.Millisecond
 }
 
 func (d *decoder) fingerprint() quarantine.Fingerprint {
-	return quarantine.Fingerprint(binary.LittleEndian.Uint64(d.next(fingerprintSize)))
+	return quarantine.Fingerprint(d.Uint64())
 }
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -14,6 +14,7 @@
 
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/protocol/datagram"
 )
 
 // version is the first byte of a datagram. No digest and no crash report starts with it.
@@ -32,13 +33,8 @@
 	Answers Kind = 3
 )
 
-// Sizes in bytes, and the limits of one-byte and two-byte lengths and counts.
-const (
-	idSize    = 8
-	countSize = 2
-	maxName   = 255
-	maxCount  = math.MaxUint16
-)
+// maxCount is the limit of counts, which are encoded in two bytes.
+const maxCount = math.MaxUint16
 
 // Flags of an answer.
 const (
@@ -85,14 +81,14 @@
 
 // Append appends the encoded message to b.
 func Append(b []byte, m Message) []byte {
-	b = appendName(append(b, version, byte(m.Kind)), m.Router)
+	b = datagram.AppendName(append(b, version, byte(m.Kind)), m.Router)
 	switch m.Kind {
 	case Tells:
 		return AppendRecords(b, m.Records)
 	case Asks:
 		b = binary.LittleEndian.AppendUint32(b, m.Number)
 		b = binary.LittleEndian.AppendUint64(b, uint64(m.ID))
-		return appendName(b, m.Service)
+		return datagram.AppendName(b, m.Service)
 	default:
 		return appendAnswer(b, m)
 	}
@@ -119,7 +115,7 @@
 		if o.isLost {
 			flags |= flagLost
 		}
-		b = appendName(appendName(append(b, flags), o.Service), string(o.Version))
+		b = datagram.AppendName(datagram.AppendName(append(b, flags), o.Service), string(o.Version))
 		b = binary.LittleEndian.AppendUint16(b, uint16(len(ids)))
 		for _, id := range ids {
 			b = binary.LittleEndian.AppendUint64(b, uint64(id))
@@ -146,34 +142,29 @@
 		flags |= flagMixed
 	}
 	b = append(binary.LittleEndian.AppendUint32(b, m.Number), flags)
-	b = appendName(appendName(appendName(b, m.Known.Service), string(m.Known.Version)), m.Known.By)
+	b = datagram.AppendName(datagram.AppendName(datagram.AppendName(b, m.Known.Service), string(m.Known.Version)), m.Known.By)
 	return binary.LittleEndian.AppendUint32(b, uint32(min(m.Known.For.Milliseconds(), math.MaxUint32)))
 }
 
-func appendName(b []byte, name string) []byte {
-	name = name[:min(len(name), maxName)]
-	return append(append(b, byte(len(name))), name...)
-}
-
 // Read decodes a datagram.
 func Read(b []byte) (Message, error) {
 	if len(b) < 2 || !Is(b) {
 		return Message{}, ErrForm
 	}
-	d := decoder{rest: b[2:]}
-	m := Message{Kind: Kind(b[1]), Router: d.name()}
+	d := decoder{datagram.NewReader(b[2:])}
+	m := Message{Kind: Kind(b[1]), Router: d.Name()}
 	switch m.Kind {
 	case Tells:
 		m.Records = d.records()
 	case Asks:
 		m.Number, m.ID = d.number(), origin.ID(d.id())
-		m.Service = d.name()
+		m.Service = d.Name()
 	case Answers:
 		d.answer(&m)
 	default:
 		return Message{}, ErrForm
 	}
-	if d.failed || len(d.rest) > 0 {
+	if !d.Complete() {
 		return Message{}, ErrForm
 	}
 	return m, nil
@@ -181,45 +172,30 @@
 
 // ReadRecords decodes what AppendRecords appended.
 func ReadRecords(b []byte) ([]origin.Record, error) {
-	d := decoder{rest: b}
+	d := decoder{datagram.NewReader(b)}
 	records := d.records()
-	if d.failed || len(d.rest) > 0 {
+	if !d.Complete() {
 		return nil, ErrForm
 	}
 	return records, nil
 }
 
-// decoder reads fields in order. After the first truncated field, all reads return zero values.
-type decoder struct {
-	rest   []byte
-	failed bool
-}
-
-func (d *decoder) next(n int) []byte {
-	if len(d.rest) < n {
-		d.rest, d.failed = nil, true
-		return make([]byte, n)
-	}
-	out := d.rest[:n]
-	d.rest = d.rest[n:]
-	return out
-}
-
-func (d *decoder) name() string { return string(d.next(int(d.next(1)[0]))) }
+// decoder reads the fields of these datagrams.
+type decoder struct{ datagram.Reader }
 
-func (d *decoder) count() int { return int(binary.LittleEndian.Uint16(d.next(countSize))) }
+func (d *decoder) count() int { return int(d.Uint16()) }
 
-func (d *decoder) number() uint32 { return binary.LittleEndian.Uint32(d.next(4)) }
+func (d *decoder) number() uint32 { return d.Uint32() }
 
-func (d *decoder) id() uint64 { return binary.LittleEndian.Uint64(d.next(idSize)) }
+func (d *decoder) id() uint64 { return d.Uint64() }
 
 func (d *decoder) records() []origin.Record {
 	var out []origin.Record
 	for range d.count() {
-		flags := d.next(1)[0]
-		o := origin.Origin{Service: d.name(), Version: roster.Version(d.name())}
+		flags := d.Next(1)[0]
+		o := origin.Origin{Service: d.Name(), Version: roster.Version(d.Name())}
 		for range d.count() {
-			if d.failed {
+			if d.Failed() {
 				return nil
 			}
 			out = append(out, origin.Record{ID: origin.ID(d.id()), Origin: o, Doubted: flags&flagDoubted != 0, Lost: flags&flagLost != 0})
@@ -230,9 +206,9 @@
 
 func (d *decoder) answer(m *Message) {
 	m.Number = d.number()
-	flags := d.next(1)[0]
+	flags := d.Next(1)[0]
 	m.IsKnown, m.Known.Uncertain, m.Mixed = flags&flagKnown != 0, flags&flagUncertain != 0, flags&flagMixed != 0
 	m.Known.Conflicting, m.Known.MayEnd = flags&flagConflicting != 0, flags&flagMayEnd != 0
-	m.Known.Service, m.Known.Version, m.Known.By = d.name(), roster.Version(d.name()), d.name()
+	m.Known.Service, m.Known.Version, m.Known.By = d.Name(), roster.Version(d.Name()), d.Name()
 	m.Known.For = time.Duration(d.number()) * time.Millisecond
 }
--- a/protocol/partreport/partreport.go
+++ b/protocol/partreport/partreport.go
@@ -13,18 +13,14 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/partquarantine"
+	"goldcrestport/protocol/datagram"
 )
 
 // version is the first byte of a datagram. No other datagram starts with it.
 const version = 0x84
 
-// Sizes of the encoded fields in bytes, and the limits of one-byte lengths and counts.
-const (
-	partSize = 8
-	ageSize  = 4
-	maxName  = 255
-	maxCount = 255
-)
+// maxCount is the limit of counts, which are encoded in one byte.
+const maxCount = 255
 
 // Flags of runs.
 const (
@@ -41,11 +37,11 @@
 // Append appends the router's encoded report to b. Of each list, only the first 255 entries are
 // written; the reports of coordination/partquarantine have fewer.
 func Append(b []byte, router string, r partquarantine.Report) []byte {
-	b = appendName(append(b, version), router)
+	b = datagram.AppendName(append(b, version), router)
 	crashes := r.Crashes[:min(len(r.Crashes), maxCount)]
 	b = append(b, byte(len(crashes)))
 	for _, c := range crashes {
-		b = appendAge(appendName(b, c.Server), c.Age)
+		b = appendAge(datagram.AppendName(b, c.Server), c.Age)
 		runs := c.Runs[:min(len(c.Runs), maxCount)]
 		b = append(b, byte(len(runs)))
 		for _, run := range runs {
@@ -63,7 +59,7 @@
 		b = appendAge(appendParts(b, one.Parts), one.Age)
 		b = append(b, byte(min(one.Probes, maxCount)), byte(min(one.Partial, maxCount)), byte(min(len(one.Servers), maxCount)))
 		for _, server := range one.Servers[:min(len(one.Servers), maxCount)] {
-			b = appendName(b, server)
+			b = datagram.AppendName(b, server)
 		}
 	}
 	return b
@@ -80,11 +76,6 @@
 	return out
 }
 
-func appendName(b []byte, name string) []byte {
-	name = name[:min(len(name), maxName)]
-	return append(append(b, byte(len(name))), name...)
-}
-
 func appendParts(b []byte, parts []partquarantine.Part) []byte {
 	parts = parts[:min(len(parts), maxCount)]
 	b = append(b, byte(len(parts)))
@@ -104,63 +95,46 @@
 	if !Is(b) {
 		return "", r, ErrForm
 	}
-	d := decoder{rest: b[1:]}
-	router = d.name()
-	for range d.count() {
-		c := partquarantine.CrashReport{Server: d.name(), Age: d.age()}
-		for range d.count() {
-			flags := d.count()
+	d := decoder{datagram.NewReader(b[1:])}
+	router = d.Name()
+	for range d.Byte() {
+		c := partquarantine.CrashReport{Server: d.Name(), Age: d.age()}
+		for range d.Byte() {
+			flags := d.Byte()
 			c.Runs = append(c.Runs, partquarantine.RunReport{Parts: d.parts(), Isolated: flags&isolatedFlag != 0, Doubtful: flags&doubtfulFlag != 0})
 		}
 		r.Crashes = append(r.Crashes, c)
 	}
-	for range d.count() {
+	for range d.Byte() {
 		r.Harmless = append(r.Harmless, partquarantine.HarmlessReport{Part: d.part(), Age: d.age()})
 	}
-	for range d.count() {
-		one := partquarantine.RefusalReport{Parts: d.parts(), Age: d.age(), Probes: d.count(), Partial: d.count()}
-		for range d.count() {
-			one.Servers = append(one.Servers, d.name())
+	for range d.Byte() {
+		one := partquarantine.RefusalReport{Parts: d.parts(), Age: d.age(), Probes: d.Byte(), Partial: d.Byte()}
+		for range d.Byte() {
+			one.Servers = append(one.Servers, d.Name())
 		}
 		r.Refusals = append(r.Refusals, one)
 	}
-	if d.failed || len(d.rest) > 0 {
+	if !d.Complete() {
 		return "", partquarantine.Report{}, ErrForm
 	}
 	return router, r, nil
 }
 
-// decoder reads fields in order. After the first truncated field, all reads return zero values.
-type decoder struct {
-	rest   []byte
-	failed bool
-}
-
-func (d *decoder) next(n int) []byte {
-	if len(d.rest) < n {
-		d.rest, d.failed = nil, true
-		return make([]byte, n)
-	}
-	out := d.rest[:n]
-	d.rest = d.rest[n:]
-	return out
-}
-
-func (d *decoder) count() int { return int(d.next(1)[0]) }
-
-func (d *decoder) name() string { return string(d.next(d.count())) }
+// decoder reads the fields of these datagrams.
+type decoder struct{ datagram.Reader }
 
 func (d *decoder) age() time.Duration {
-	return time.Duration(binary.LittleEndian.Uint32(d.next(ageSize))) * time.Millisecond
+	return time.Duration(d.Uint32()) * time.Millisecond
 }
 
 func (d *decoder) part() partquarantine.Part {
-	return partquarantine.Part(binary.LittleEndian.Uint64(d.next(partSize)))
+	return partquarantine.Part(d.Uint64())
 }
 
 func (d *decoder) parts() []partquarantine.Part {
 	var out []partquarantine.Part
-	for range d.count() {
+	for range d.Byte() {
 		out = append(out, d.part())
 	}
 	return out
