--- a/protocol/datagram/datagram.go
+++ b/protocol/datagram/datagram.go
@@ -3,12 +3,12 @@
 
 import "encoding/binary"
 
-// maxName bounds the length of a name in bytes, which is encoded in one byte.
-const maxName = 255
+// MaxName bounds the length of a name in bytes, which is encoded in one byte.
+const MaxName = 255
 
 // AppendName appends a name of up to 255 bytes; a longer one is cut.
 func AppendName(b []byte, name string) []byte {
-	name = name[:min(len(name), maxName)]
+	name = name[:min(len(name), MaxName)]
 	return append(append(b, byte(len(name))), name...)
 }
 
--- a/protocol/originmsg/originmsg_test.go
+++ b/protocol/originmsg/originmsg_test.go
@@ -14,6 +14,7 @@
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/crashreport"
 	"goldcrestport/protocol/digest"
+	"goldcrestport/protocol/datagram"
 )
 
 var messages = []Message{
@@ -86,5 +87,5 @@
 	m := Message{Kind: Tells, Router: "r1", Records: []origin.Record{{ID: 1, Origin: origin.Origin{Service: "app", Version: roster.Version(long)}}}}
 	got, err := Read(Append(nil, m))
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, got.Records[0].Version, qt.HasLen, maxName)
+	qt.Check(t, got.Records[0].Version, qt.HasLen, datagram.MaxName)
 }
