Check of a configuration before it is sent

Cause: direct routers refuse only what cannot be decoded. A second route with the same host and prefix, a key of two teams, a target without a service or a host with a port is taken silently and noticed when callers are refused. Intents are checked by `validate`, but for errors only.

Ruled out: a schema beside the decoder (a second reader that drifts), and refusing in the routers (would refuse what they take today).

`goldcrestctl config check FILE` works on the decoded structures; coordination/configcheck is pure, the adapter gives the decoded document and the names of its fields. Findings have place, code and severity; `--in-force` adds differences by name, keys counted only.

--- a/cmd/goldcrestctl/config.go
+++ b/cmd/goldcrestctl/config.go
@@ -13,7 +13,7 @@
 )
 
 func (a *app) configCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "config", Short: "See the configuration"}
+	cmd := &cobra.Command{Use: "config", Short: "See and check the configuration"}
 	var intentOnly bool
 	get := newCommand("get", "Print the newest configuration", cobra.NoArgs, func(ctx context.Context, _ []string) error {
 		c, err := a.client().Config(ctx)
@@ -29,7 +29,7 @@
 		return a.configTable(c)
 	})
 	get.Flags().BoolVar(&intentOnly, "intent", false, "print only the intent, ready to be edited and planned")
-	cmd.AddCommand(get)
+	cmd.AddCommand(get, a.checkCommand())
 	return cmd
 }
 
--- a/cmd/goldcrestctl/root.go
+++ b/cmd/goldcrestctl/root.go
@@ -27,6 +27,7 @@
 // Output formats.
 const (
 	formatTable = "table"
+	formatText  = "text" // the same as formatTable
 	formatJSON  = "json"
 )
 
@@ -74,9 +75,12 @@
 	f := cmd.PersistentFlags()
 	f.StringSliceVar(&a.routers, "router", splitList(os.Getenv(envRouters)), "operators' address of a router, IP:port; several are tried in turn (env "+envRouters+")")
 	f.StringVar(&a.token, "token", "", "operator's bearer token; better given as env "+envToken)
-	f.StringVarP(&a.format, "output", "o", formatTable, "output format: table or json")
+	f.StringVarP(&a.format, "output", "o", formatTable, "output format: table (or text) or json")
 	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound of the call of one router")
 	cmd.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if a.format == formatText {
+			a.format = formatTable
+		}
 		if a.format != formatTable && a.format != formatJSON {
 			return badInput(errors.Newf("unknown output format %q", a.format))
 		}
