Comments of the new parts: what they mean, in plain terms

What stopped a new reader: IsolatedBroad said "Default 5" where the default is 4; ModeAuto of promptmix named one of its two conditions; Run.estimate was "at the configured prefill rate", which it is no more; Any was explained by the service alone; pacereport listed three other datagrams and left out one; roundabout words (a run is "put back", parts are "nearby" or "told apart", a bound "asks").

Names: the packer of reports keeps the parts that it packed (told), reportHarmless (tellHarmless). The multiplier of group keys has a name. Release uses counts, and one look-up of a part in a sorted list serves three places. No behaviour changes.

--- a/coordination/admission/fetch.go
+++ b/coordination/admission/fetch.go
@@ -54,7 +54,7 @@
 	cached float64
 	// fetched comes from another server's cache.
 	fetched float64
-	// uncertain is the part of those that may be cached after all.
+	// uncertain is the part of the tokens that count as neither cached nor fetched, but may be cached.
 	uncertain float64
 	// repeated is prefilled although another server may have it cached.
 	repeated float64
--- a/coordination/admission/isolation.go
+++ b/coordination/admission/isolation.go
@@ -5,17 +5,17 @@
 	"slices"
 )
 
-// Isolation restricts a request that may crash its server to few of the servers that could get it:
+// Isolation restricts a request that may crash its server to a few of the servers that it may go to:
 // requests with the same key go to the same ones.
 type Isolation struct {
 	Key uint64
-	// Share is the share of such requests in all that are isolated. They get up to half as large a
-	// share of the servers, and at least one.
+	// Share is the fraction of the isolated requests that have the key. They get up to half as large a
+	// fraction of the servers, and at least one server.
 	Share float64
 }
 
-// isolationSpread is the part of its share of the servers that a group gets: the groups then mostly
-// have servers of their own.
+// isolationSpread is the fraction of its share of the servers that requests with one key get: those
+// with different keys then mostly go to different servers.
 const isolationSpread = 0.5
 
 // choose returns the servers that the request may go to. If the servers change, most requests keep
--- a/coordination/admission/memory.go
+++ b/coordination/admission/memory.go
@@ -10,8 +10,8 @@
 const (
 	// freshRuns is the age up to which other routers' runs count: most runs of some seconds go on then.
 	freshRuns = 500 * time.Millisecond
-	// memoryRetryShare is the fraction of the mean time of a run after which a request is asked to come back
-	// that finds all engines full: some of the many runs of a full engine have ended by then.
+	// memoryRetryShare is the Retry-After of a request that finds all engines full, as a fraction of the mean
+	// time of a run: some of the many runs of a full engine have ended by then.
 	memoryRetryShare = 0.25
 	// tooLargeRetryAfter is the Retry-After of a request that no engine can run: none will before the service
 	// has other engines.
@@ -61,8 +61,8 @@
 }
 
 // withRoom returns the servers into whose memory the request fits. A request that a server may have run, or
-// whose caller came back for the rest of a stream, may go to all: a refusal would lose more than a run that
-// is put back.
+// whose caller came back for the rest of a stream, may go to all: a refusal would lose more than the
+// preemption of a run.
 func (s *State) withRoom(now time.Time, p *pool, req Request, usable []*server) []*server {
 	if p.traits.Memory <= 0 || req.MayHaveRun || req.Bound.resumes() {
 		return usable
@@ -88,7 +88,7 @@
 	return Decision{Verdict: Refuse, Reason: ReasonMemory, RetryAfter: s.retryAfter(time.Duration(memoryRetryShare*float64(p.runTime)), true)}
 }
 
-// roomBound asks for one request which servers have room.
+// roomBound decides for one request which servers have room.
 type roomBound struct {
 	s      *State
 	now    time.Time
@@ -110,8 +110,8 @@
 	return b.s.cfg.Memory.Fits(b.memory, &srv.memory, enginememory.Others{}, b.need)
 }
 
-// countsPeers reports whether the other routers' runs are known well enough. It is asked only where they
-// decide, as it looks at each router.
+// countsPeers reports whether the other routers' runs are known well enough. It is called only where they
+// decide, as it reads the state of each router.
 func (b *roomBound) countsPeers() bool {
 	if !b.peersChecked {
 		b.peersChecked = true
--- a/coordination/admission/mix.go
+++ b/coordination/admission/mix.go
@@ -7,9 +7,9 @@
 	"goldcrestport/coordination/promptmix"
 )
 
-// mixApplies reports whether prompts of the service are treated by size. Without a setting, they are where
-// objectives are far apart, or where servers say how long work takes: waits are known well enough there for
-// limits that differ by less.
+// mixApplies reports whether prompts of the service are treated by size. With ModeAuto, they are where
+// objectives are far apart, or where servers report how long work takes: there, waits are estimated well
+// enough for limits that differ by less.
 func (s *State) mixApplies(p *pool) bool {
 	switch s.cfg.PromptMix.Mode {
 	case promptmix.ModeOn:
@@ -24,10 +24,10 @@
 // SetPromptMixMode sets to which services the treatment by size applies.
 func (s *State) SetPromptMixMode(mode promptmix.Mode) { s.cfg.PromptMix.Mode = mode }
 
-// sizeOf returns the size class as which the request's prompt is treated. It does not
+// sizeOf returns the size class by which the request's prompt is treated. It does not
 // depend on what servers have cached, so that it is the same at all routers. Teams beyond
-// their share are not treated by size: their long prompts would take the short queues
-// that their short prompts, with small limits, depend on.
+// their share are not treated by size: their short prompts have small limits and need
+// servers with short queues, which their long prompts would fill.
 func (s *State) sizeOf(req Request, standing standing) promptmix.Size {
 	p := s.pool(req.Service)
 	if !s.mixApplies(p) || standing.share > 1 {
@@ -65,7 +65,7 @@
 }
 
 // leastDelaying returns the candidate that admits the long prompt at the least cost
-// including the delay of short ones, or else the given one.
+// including the delay of short ones; without any, it returns otherwise.
 func (s *State) leastDelaying(now time.Time, req Request, candidates []candidate, standing standing, otherwise candidate) candidate {
 	p := s.pool(req.Service)
 	// The other routers are assumed to receive as many short prompts as this one.
--- a/coordination/admission/pace.go
+++ b/coordination/admission/pace.go
@@ -14,7 +14,7 @@
 	factor float64
 }
 
-// speedOf returns how fast the server works: at its own pace where that is known, otherwise at the configured
+// speedOf returns how fast the server works: at its own pace where that is in use, otherwise at the configured
 // rate.
 func (s *State) speedOf(now time.Time, srv *server) serverSpeed {
 	factor := srv.slowdown.factor(now)
@@ -28,7 +28,7 @@
 }
 
 // minSudden is the factor from which a server counts as slower than its own pace. Below it, the times of the last
-// seconds say more about queues that this router did not know.
+// seconds depend more on queues that this router did not know.
 const minSudden = 2
 
 // suddenSlowdown returns the slowdown of the last seconds of a server whose own pace is known.
@@ -95,7 +95,7 @@
 	})
 }
 
-// withoutSlowdown returns how long something would usually have taken that took the time at a reported slowdown.
+// withoutSlowdown returns how long something would usually have taken that took the given time at a reported slowdown.
 func withoutSlowdown(took time.Duration, slowdown float64) time.Duration {
 	if slowdown <= 0 {
 		return took
@@ -118,7 +118,7 @@
 // TakePaceReport returns what this router learnt of the servers' pace since the last report.
 func (s *State) TakePaceReport(now time.Time) pace.Report { return s.pace.TakeReport(now) }
 
-// ReceivePaceReport takes what another router learnt of the servers' pace.
+// ReceivePaceReport records what another router learnt of the servers' pace.
 func (s *State) ReceivePaceReport(now time.Time, r pace.Report) { s.pace.Merge(now, r) }
 
 // PaceSummaries returns what is known of the pace of services, for logs and metrics.
--- a/coordination/admission/pace_fleet_test.go
+++ b/coordination/admission/pace_fleet_test.go
@@ -273,7 +273,7 @@
 }
 
 // Guards against one rate for engines of unequal speed: long prompts go to engines where their prefill fits into
-// their objective, also where a router alone sees too few answers to tell the engines apart.
+// their objective, also where a router alone sees too few answers to learn the speed of each engine.
 func TestUnevenEnginesServeLongPromptsInTime(t *testing.T) {
 	const digests = 130 * time.Millisecond
 	constant := playPaceSeeds(t, "one rate", paceSetting{pace.Off, false, digests})
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -109,10 +109,9 @@
 	Limit time.Duration
 	// RetryAfter is the time after which a refused caller should come back.
 	RetryAfter time.Duration
-	// Size is the size class of its prompt, promptmix.Any if prompts of the service are not
-	// treated by size.
+	// Size is the size class by which its prompt is treated.
 	Size promptmix.Size
-	// Estimate is the estimated time to its first token there.
+	// Estimate is the estimated time to its first token at the server.
 	Estimate time.Duration
 	// Unread is the number of the request's own prompt tokens that the server would
 	// prefill.
@@ -173,7 +172,7 @@
 	// back-off.
 	backoffProbe bool
 	// sentAt is when the request was sent. estimate is the expected time to its
-	// first token at the configured prefill rate; 0: unknown.
+	// first token without the server's slowdown; 0: unknown.
 	sentAt   time.Time
 	estimate time.Duration
 	// prefill is what the time to its first token is made of, and slowdown the factor that its
--- a/coordination/admission/run.go
+++ b/coordination/admission/run.go
@@ -93,7 +93,7 @@
 // Generated records the number of tokens of a complete answer.
 func (s *State) Generated(r *Run, tokens int) { s.outputs.observe(r.class, r.output, float64(tokens)) }
 
-// Reported takes the load that the server reported. It is to be called before FirstByte for the same answer.
+// Reported records the load that the server reported. It is to be called before FirstByte for the same answer.
 func (s *State) Reported(now time.Time, r *Run, load Load) {
 	r.server.load, r.server.loadAt = load, now
 	if load.SlowdownPercent > 0 {
--- a/coordination/enginememory/enginememory.go
+++ b/coordination/enginememory/enginememory.go
@@ -2,9 +2,9 @@
 // requests that run there.
 //
 // It answers loads of long prompts that fill an engine's memory before its slots. An engine that runs out of
-// memory puts its newest run back and reads it again from its start, in the middle of its stream; the
-// requests behind it wait for that. So a request should go to an engine with room, or be refused with a
-// time, before it costs other runs theirs. Cached parts of prompts yield to runs, and count nothing.
+// memory preempts its newest run, also in the middle of its stream, and prefills it again from its start;
+// the requests behind it wait for that. So a request should go to an engine with room, or be refused with
+// a Retry-After. Engines evict cached parts of prompts in favour of runs, so these are not counted.
 //
 // What a router knows exactly is the prompts of its own runs. What they will generate, and what the runs of
 // other routers occupy, is estimated, and counts with a discount: a wrong estimate must not refuse
--- a/coordination/pace/config.go
+++ b/coordination/pace/config.go
@@ -4,8 +4,8 @@
 // The load that it answers: a service has dozens of engines of unequal speed on machines that are shared
 // with other work, and so many routers that one of them gets less than one answer per server and second.
 // With one rate for all servers, work piles up at the slow ones, and the longest prompts miss their
-// objective there by their own prefill. A server therefore begins at the rate of its service and is told
-// apart as evidence arrives, from this router and from the others.
+// objective there by their own prefill. A server therefore begins at the rate of its service, and its own
+// rate is learnt as evidence arrives, from this router and from the others.
 //
 // Servers may also report how long work takes on their machine at the moment. Such a report is used for a
 // fraction of a second; observations are corrected by it, so that what is learnt is the usual pace.
@@ -24,7 +24,8 @@
 
 // Modes.
 const (
-	// Auto uses the estimate for services whose servers report their slowdown.
+	// Auto uses the estimate for services whose servers have reported their slowdown within
+	// ReportingTTL.
 	Auto Mode = "auto"
 	// On uses it for all services of inference engines, Off for none.
 	On  Mode = "on"
@@ -47,7 +48,7 @@
 	// estimated. Default 1000.
 	ShortTokens float64
 	// QueueShare is the largest queue before an observed run, in relation to its own prefill: what other
-	// routers have sent is known late. Default 0.5.
+	// routers have sent becomes known late. Default 0.5.
 	QueueShare float64
 	// UncertainShare is the largest part of an observed prefill that may have been cached. Default 0.2.
 	UncertainShare float64
@@ -81,9 +82,9 @@
 
 // Sharing limits the reports that routers send each other.
 type Sharing struct {
-	// MinTokens is the new evidence from which a server is named. Default 4000.
+	// MinTokens is the new evidence, in prompt tokens, from which a server is in a report. Default 4000.
 	MinTokens float64
-	// MaxServers is the number of servers named in one report. Default 12.
+	// MaxServers is the largest number of servers in one report. Default 12.
 	MaxServers int
 	// Interval is the shortest time between two reports. Default 1s.
 	Interval time.Duration
--- a/coordination/pace/pace.go
+++ b/coordination/pace/pace.go
@@ -8,7 +8,7 @@
 // ServerID identifies an incarnation of a server in reports between routers.
 type ServerID uint32
 
-// State holds what is known of the services and servers.
+// State holds what is known of the services and servers. It must be used by one goroutine at a time.
 type State struct {
 	cfg      Config
 	services map[string]*service
@@ -128,7 +128,7 @@
 	slowdownGain = 0.01
 )
 
-// Reported takes a slowdown that the server reported, 1 being as usual.
+// Reported records a slowdown that the server reported, 1 being as usual.
 func (s *Server) Reported(now time.Time, slowdown float64) {
 	s.slowdown, s.reportedAt = min(max(slowdown, minSlowdown), maxSlowdown), now
 	s.service.reportedAt = now
@@ -147,7 +147,7 @@
 	Took time.Duration
 }
 
-// Observe takes an observation. One whose queue or prefill is not well known is ignored.
+// Observe records an observation. One whose queue or prefill is not well known is ignored.
 func (s *Server) Observe(now time.Time, o Observation) {
 	cfg := &s.state.cfg
 	slowdown := o.Slowdown
@@ -178,7 +178,7 @@
 	return min(max(tokenTime, expected/outlier), expected*outlier)
 }
 
-// add takes evidence from this router or another one.
+// add records evidence from this router or another one.
 func (s *Server) add(now time.Time, tokens, tokenTime float64) {
 	cfg := &s.state.cfg
 	s.prefills.add(now, cfg.Decay, tokens, tokenTime, cfg.MaxServerEvidence)
--- a/coordination/pace/report_test.go
+++ b/coordination/pace/report_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against routers that each see too few answers: 27 routers that observe one prompt each tell all of them
+// Guards against routers that each see too few answers: 27 routers that observe one prompt each report to all of them
 // which of two servers is slow.
 func TestRoutersShareWhatTheyLearnt(t *testing.T) {
 	var routers []*State
--- a/coordination/pace/summary.go
+++ b/coordination/pace/summary.go
@@ -9,14 +9,14 @@
 // errorGain is the weight of one run in the mean error.
 const errorGain = 0.02
 
-// errorMean is the mean of the estimated times to first tokens in relation to what came true.
+// errorMean holds the mean errors of the estimated times to first tokens.
 type errorMean struct {
 	runs     int
 	absolute time.Duration
 	signed   time.Duration
 }
 
-// Estimated records the estimated time to a first token and what came true.
+// Estimated records an estimated time to a first token, and the time that it took.
 func (s *Server) Estimated(estimate, took time.Duration) {
 	e := &s.service.errors
 	e.runs++
@@ -32,7 +32,8 @@
 	// Rate is the service's prefill rate, Slowest and Fastest those of its servers, in tokens per
 	// millisecond.
 	Rate, Slowest, Fastest float64
-	// Servers is the number of servers, Learnt that of the servers with more evidence than prior.
+	// Servers is the number of servers, Learnt that of the servers whose evidence weighs more than the
+	// prior, Config.ServerPrior.
 	Servers, Learnt int
 	Overhead        time.Duration
 	// Slowdown is the mean of the reported slowdowns.
--- a/coordination/partquarantine/breadth.go
+++ b/coordination/partquarantine/breadth.go
@@ -1,7 +1,7 @@
 package partquarantine
 
-// breadth counts the requests of each class since parts are suspected, and those with each of these
-// parts: a refusal of a part that most requests of a class carry ends the class.
+// breadth counts the requests of each class since the first part became a suspect, and those with each of these
+// parts: a refusal of a part that most requests of a class carry refuses most of the class.
 type breadth struct {
 	classes map[string]int
 	parts   map[classPart]int
@@ -13,7 +13,7 @@
 	part  Part
 }
 
-// maxBreadth bounds the entries of each map; beyond it, the counts start anew.
+// maxBreadth bounds the entries of each map; beyond it, the counts restart.
 const maxBreadth = 4096
 
 func newBreadth() breadth {
@@ -42,7 +42,8 @@
 	}
 }
 
-// isBroad reports whether most requests of a class carry the part, as far as this router saw any.
+// isBroad reports whether most requests of a class carry the part. Without any
+// request since the first suspect, it is assumed.
 func (s *State) isBroad(p Part) bool {
 	if len(s.breadth.classes) == 0 {
 		return true
--- a/coordination/partquarantine/config.go
+++ b/coordination/partquarantine/config.go
@@ -9,7 +9,7 @@
 // parts that are known to be harmless because an answer with them went on. A part that no run
 // survived and that was at several crashes is a suspect. Requests with the same suspects go to few
 // servers that differ from those of other requests, so that what is harmless among them survives
-// and is cleared. Suspects that always come together cannot be told apart; they are refused as a
+// and is cleared. Suspects that always come together cannot be distinguished; they are refused as a
 // set, which hits only requests that carry the whole set.
 package partquarantine
 
@@ -25,12 +25,12 @@
 	// isolated. Default 2.
 	Suspicion int
 	// Crashes is the number of crashes from which a part may be refused. Default 5, as promised to
-	// the users; a lower number would refuse parts that were merely nearby.
+	// the users; a lower number would refuse parts that were at the same servers by chance.
 	Crashes int
 	// Isolated is how many of these crashes must be those of runs that were isolated. Default 2:
-	// what only was nearby at the first crashes survives elsewhere.
+	// parts that were at the first crashes by chance survive elsewhere.
 	Isolated int
-	// IsolatedBroad is the same for a part that most requests of a class carry. Default 5.
+	// IsolatedBroad is the same for a part that most requests of a class carry. Default 4.
 	IsolatedBroad int
 	// BurstWindow is the time within which several crashes count once: they may have one cause
 	// other than a request. Default 100ms.
@@ -38,8 +38,8 @@
 	// Pause is the time after a crash of an isolated request in which none with the same suspects
 	// is sent. Default 400ms: harmless requests at other servers are cleared by then.
 	Pause time.Duration
-	// TieBreak is how long after the last required crash a part is not yet refused while another one was at the
-	// same crashes. Default 2s, of the 3s that the guarantee to the users allows.
+	// TieBreak is the time from the last required crash in which a part is not refused while another one was
+	// at the same crashes. Default 2s, of the 3s that the guarantee to the users allows.
 	TieBreak time.Duration
 	// Survival is the time from the start of an answer after which its parts are harmless, if the
 	// server answers. Default 1s: a server crashes within tenths of a second of the first token.
--- a/coordination/partquarantine/judge.go
+++ b/coordination/partquarantine/judge.go
@@ -13,12 +13,12 @@
 	lastAt  time.Time
 	// enoughAt is when there were enough crashes for a refusal.
 	enoughAt time.Time
-	// isolated is the number of crashes at which it was as a suspect.
+	// isolated is the number of crashes at which it was in an isolated run, and isolatedCrash the last one
+	// of them; doubted and doubtedCrash are the same for runs that had been answered for a while.
 	isolated      int
 	isolatedCrash *crash
-	// doubted is the number of crashes long after the start of an answer with it.
-	doubted      int
-	doubtedCrash *crash
+	doubted       int
+	doubtedCrash  *crash
 	// companions are the parts, itself included, that came with it in each run.
 	companions []Part
 }
@@ -36,7 +36,7 @@
 		s.stale = true
 	}
 	if at.Before(c.at) {
-		// Reports repeat the time as an age, which varies a little with the way.
+		// Reports contain the time as an age, which varies with the network delay.
 		s.stale = s.stale || c.at.Sub(at) > ageError
 		c.at = at
 	}
@@ -51,7 +51,7 @@
 	s.stale = true
 }
 
-// ageError is how much the reported time of a crash may vary.
+// ageError is how much the reported time of a crash may vary without new suspects being derived.
 const ageError = 20 * time.Millisecond
 
 // addRuns adds the runs to the crash, each set of parts once.
@@ -158,7 +158,7 @@
 	if len(t.crashes) == 0 {
 		t.companions = parts
 	} else {
-		t.companions = slices.DeleteFunc(slices.Clone(t.companions), func(p Part) bool { return countIn([]Part{p}, parts) == 0 })
+		t.companions = slices.DeleteFunc(slices.Clone(t.companions), func(p Part) bool { return !isIn(p, parts) })
 	}
 	if r.isolated && t.isolatedCrash != c {
 		t.isolated++
@@ -182,13 +182,13 @@
 }
 
 // comesWith reports whether the part was in each run of the suspect.
-func (t *suspect) comesWith(p Part) bool { return countIn([]Part{p}, t.companions) == 1 }
+func (t *suspect) comesWith(p Part) bool { return isIn(p, t.companions) }
 
 const (
 	// doubtWeight is how many isolated crashes outweigh one long after the start of an answer.
 	doubtWeight = 2
-	// othersPerProof is the number of crashes elsewhere meanwhile from which one more isolated crash
-	// is needed: the more servers crash for other reasons, the more were near the part by chance.
+	// othersPerProof is the number of crashes of other servers meanwhile that requires one more isolated
+	// crash: the more servers crash for other reasons, the more had the part by chance.
 	othersPerProof = 2
 )
 
--- a/coordination/partquarantine/list.go
+++ b/coordination/partquarantine/list.go
@@ -40,7 +40,7 @@
 // Release clears a part on behalf of an operator. It reports whether anything was known against it.
 func (s *State) Release(now time.Time, p Part) bool {
 	s.refresh(now)
-	if s.suspects[p] == nil && !slices.ContainsFunc(s.refusals, func(one *refusal) bool { return slices.Contains(one.parts, p) }) {
+	if !s.counts(p) {
 		return false
 	}
 	s.survived(now, p)
--- a/coordination/partquarantine/load_test.go
+++ b/coordination/partquarantine/load_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Loads in which the crashing part is harder to tell from others.
+// Loads in which the crashing part is harder to distinguish from others.
 func TestPartsThatAreHardToTellApart(t *testing.T) {
 	l := base(5, 9)
 	l.bad = []uint64{7, 8}
--- a/coordination/partquarantine/report.go
+++ b/coordination/partquarantine/report.go
@@ -141,7 +141,8 @@
 	report Report
 	used   int
 	full   []Report
-	told   []Part
+	// packed are the harmless parts in the reports.
+	packed []Part
 }
 
 func (p *packer) reserve(bytes int) {
@@ -174,10 +175,10 @@
 }
 
 func (p *packer) harmless(now time.Time, part Part, at time.Time) {
-	if slices.Contains(p.told, part) {
+	if slices.Contains(p.packed, part) {
 		return
 	}
-	p.told = append(p.told, part)
+	p.packed = append(p.packed, part)
 	p.reserve(entryBytes)
 	p.report.Harmless = append(p.report.Harmless, HarmlessReport{Part: part, Age: now.Sub(at)})
 }
@@ -216,7 +217,7 @@
 		c := s.crash(now.Add(-max(one.Age, 0)), one.Server)
 		runs := make([]runParts, 0, len(one.Runs))
 		for _, r := range one.Runs {
-			s.tellHarmless(c, r.Parts)
+			s.reportHarmless(c, r.Parts)
 			parts := slices.Clone(r.Parts[:min(len(r.Parts), s.cfg.MaxParts)])
 			slices.Sort(parts)
 			runs = append(runs, runParts{parts: parts, isolated: r.Isolated, doubtful: r.Doubtful})
@@ -240,8 +241,8 @@
 	}
 }
 
-// tellHarmless has the parts reported that this router knows to be harmless.
-func (s *State) tellHarmless(c *crash, parts []Part) {
+// reportHarmless lists for the next reports those of the parts that this router knows to be harmless.
+func (s *State) reportHarmless(c *crash, parts []Part) {
 	for _, p := range parts {
 		if !s.countsAgainst(c, p) {
 			s.unsent.addHarmless(p)
--- a/coordination/partquarantine/state.go
+++ b/coordination/partquarantine/state.go
@@ -13,7 +13,7 @@
 // Part identifies a part of the prompts of one service.
 type Part uint64
 
-// PartOf returns the part of the service's prompts with the id.
+// PartOf returns the part of the service's prompts that has the id of a shared prefix.
 func PartOf(service string, id uint64) Part { return Part(id ^ xxhash.Sum64String(service)) }
 
 // Verdict is the decision on whether a request may be sent.
@@ -251,7 +251,7 @@
 	return g
 }
 
-// maxGroups bounds the groups; beyond it, their shares are counted anew.
+// maxGroups bounds the groups; beyond it, the counts of their arrivals restart.
 const maxGroups = 1024
 
 // MayRepeat reports whether the router may send the request to another server by itself.
@@ -265,13 +265,22 @@
 	return !found && !slices.ContainsFunc(s.refusals, func(one *refusal) bool { return countIn(one.parts, parts) > 0 })
 }
 
+// keyMultiplier is 2^64 divided by the golden ratio, an odd number that spreads keys evenly.
+const keyMultiplier = 0x9e3779b97f4a7c15
+
 // mix adds a part to the key of a group.
-func mix(key uint64, p Part) uint64 { return (key ^ uint64(p)) * 0x9e3779b97f4a7c15 }
+func mix(key uint64, p Part) uint64 { return (key ^ uint64(p)) * keyMultiplier }
+
+// isIn reports whether the part is in the sorted list.
+func isIn(p Part, sorted []Part) bool {
+	_, found := slices.BinarySearch(sorted, p)
+	return found
+}
 
 // countIn returns how many of the parts are among those of the sorted list.
 func countIn(parts, sorted []Part) (n int) {
 	for _, p := range parts {
-		if _, found := slices.BinarySearch(sorted, p); found {
+		if isIn(p, sorted) {
 			n++
 		}
 	}
--- a/coordination/partquarantine/state_test.go
+++ b/coordination/partquarantine/state_test.go
@@ -33,7 +33,7 @@
 	s.Tick(at.Add(3 * time.Second))
 }
 
-// While only crashing requests come, nothing tells their parts apart. Those that other requests share
+// While only crashing requests come, nothing distinguishes their parts. Those that other requests share
 // are not refused by themselves.
 func TestSharedPartsAreNotRefusedByThemselves(t *testing.T) {
 	s := New(DefaultConfig(), "r0")
--- a/coordination/promptmix/config.go
+++ b/coordination/promptmix/config.go
@@ -11,7 +11,8 @@
 
 // Modes.
 const (
-	// ModeAuto stands for the services whose routes' objectives are far apart.
+	// ModeAuto stands for the services whose routes' objectives are far apart, or whose servers report
+	// how long work takes on their machine.
 	ModeAuto Mode = "auto"
 	ModeOn   Mode = "on"
 	ModeOff  Mode = "off"
@@ -19,9 +20,10 @@
 
 // Config holds the parameters of a State.
 type Config struct {
+	// Mode says to which services the treatment by size applies. Default ModeAuto.
 	Mode Mode
 	// SpanRatio is the least ratio of the longest to the shortest objective of a
-	// service's routes at which ModeAuto applies. Default 2.
+	// service's routes at which they are far apart. Default 2.
 	SpanRatio float64
 	// LongShare is the fraction of the wait limit of the shortest objective from which
 	// the prefill of a prompt makes it long. Default 0.25: four such prompts at one
@@ -73,8 +75,7 @@
 // Size is the size class of a prompt.
 type Size int
 
-// Sizes. Prompts of services to which the treatment by size does not apply are of any
-// size.
+// Sizes. Any is that of prompts to which the treatment by size does not apply.
 const (
 	Any Size = iota
 	Short
--- a/coordination/promptmix/promptmix.go
+++ b/coordination/promptmix/promptmix.go
@@ -10,8 +10,8 @@
 // short ones are refused.
 //
 // The limit of a long prompt therefore lies between the two. It moves with the fraction
-// of short prompts that are crowded: that find a wait beyond their limit at every
-// server they may go to. A long prompt is also sent where it delays the fewest short
+// of short prompts that are crowded: they find a wait beyond the limit of the shortest
+// objective at every server they may go to. A long prompt is also sent where it delays the fewest short
 // ones: behind other long prompts, where short ones do not go anyway.
 //
 // A router decides by what it places itself; no messages are needed. The package uses
@@ -30,7 +30,7 @@
 	short, crowded decayingCount
 }
 
-// New returns a State that has seen no prompts. The config must be valid.
+// New returns a State without observed prompts. The config must be valid.
 func New(cfg Config) *State { return &State{cfg: cfg} }
 
 // SizeOf returns the size class of a prompt by the time of its prefill. limit is the
@@ -50,8 +50,8 @@
 	}
 }
 
-// minShort is the number of short prompts below which each crowded one counts as one of
-// that many.
+// minShort is the least number of short prompts that the fraction of crowded ones is taken
+// of: a few crowded ones after a pause mean little.
 const minShort = 5
 
 // Room returns the fraction of their additional wait that long prompts may use.
--- a/protocol/pacereport/pacereport.go
+++ b/protocol/pacereport/pacereport.go
@@ -14,7 +14,7 @@
 	"goldcrestport/coordination/pace"
 )
 
-// version is the first byte of a datagram. No digest, crash report or message about origins starts with it.
+// version is the first byte of a datagram. No other datagram starts with it.
 const version = 0x83
 
 // Sizes of the encoded fields in bytes, and their units. A server has its number, its evidence and its time per
--- a/protocol/settings/direct.go
+++ b/protocol/settings/direct.go
@@ -68,7 +68,7 @@
 	PromptMix string `json:"prompt_mix"`
 }
 
-// Values of the settings for services of inference engines.
+// Values of Engines.Pace and Engines.PromptMix.
 const (
 	ModeAuto = "auto"
 	ModeOn   = "on"
