--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -8,11 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestport/coordination/backoff"
-	"goldcrestport/coordination/enginememory"
 	"goldcrestport/coordination/fairshare"
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/pace"
-	"goldcrestport/coordination/promptmix"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/selfcheck"
 	"goldcrestport/coordination/throttle"
@@ -63,20 +61,6 @@
 	isLate bool
 }
 
-// pool holds the servers of one service.
-type pool struct {
-	servers []*server
-	traits  Traits
-	// runTime is the mean time from the first event of a run to its end.
-	runTime time.Duration
-	// reportsSlowdown is set once a server has reported how long work takes on its machine.
-	reportsSlowdown bool
-	// mix measures how short prompts fare beside long ones.
-	mix *promptmix.State
-	// meanRun is the mean size of this router's runs.
-	meanRun enginememory.Mean
-}
-
 // New returns a state without servers. The config must be valid.
 func New(cfg Config) *State {
 	return &State{
@@ -101,25 +85,6 @@
 // Routers returns the number of routers that share the servers.
 func (s *State) Routers() int { return s.routers }
 
-// Traits describes the servers of a service.
-type Traits struct {
-	// Engine is set if the servers are inference engines.
-	Engine bool
-	// FetchRate is the number of prompt tokens per millisecond whose cache entries a
-	// server can fetch from another server; 0: it cannot fetch.
-	FetchRate float64
-	// Memory is the capacity of an engine for prompts and generated text, in tokens; 0: unknown.
-	Memory int
-	// Objective is the shortest time to the first byte of an answer that any route
-	// of the service requires; 0: unknown.
-	Objective time.Duration
-	// LongestObjective is the longest such time.
-	LongestObjective time.Duration
-}
-
-// SetService sets the traits of the servers of a service.
-func (s *State) SetService(service string, traits Traits) { s.pool(service).traits = traits }
-
 // Add adds an incarnation of a server in a region. Nothing known of an earlier
 // incarnation with the same id carries over to it. Add does nothing if this or a
 // later incarnation is known already.
@@ -158,18 +123,6 @@
 	p.servers = slices.DeleteFunc(p.servers, func(other *server) bool { return other == srv })
 }
 
-func (s *State) pool(service string) *pool {
-	p := s.pools[service]
-	if p == nil {
-		p = &pool{runTime: initialRunTime, mix: promptmix.New(s.cfg.PromptMix)}
-		s.pools[service] = p
-	}
-	return p
-}
-
-// initialRunTime is the mean run time that is assumed until runs have ended.
-const initialRunTime = time.Second
-
 // Place decides where the request goes.
 func (s *State) Place(now time.Time, req Request) Decision {
 	p := s.pool(req.Service)
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
@@ -88,3 +90,23 @@
 	// current.
 	staleRetryAfter = 300 * time.Millisecond
 )
+
+// validate returns an error that names the part of the configuration that is invalid.
+func (c *Config) validate() error {
+	if err := c.Admission.Validate(); err != nil {
+		return errors.Wrap(err, "admission")
+	}
+	if err := c.Quarantine.Validate(); err != nil {
+		return errors.Wrap(err, "quarantine")
+	}
+	if err := c.Warmup.Validate(); err != nil {
+		return errors.Wrap(err, "warm-up")
+	}
+	if err := c.Staleness.Validate(); err != nil {
+		return errors.Wrap(err, "staleness")
+	}
+	if err := c.Backend.InFlight.Validate(); err != nil {
+		return errors.Wrap(err, "attempts under way")
+	}
+	return nil
+}
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -13,6 +13,7 @@
 	"goldcrestport/coordination/health"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/resumption"
+	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/routing"
@@ -52,15 +53,10 @@
 		return
 	}
 	if c.route.Kind == routing.Streaming {
-		if !c.r.load.acquireStream(c.team) {
-			c.refuse(*notRun(outcome.ReasonConnections, busyRetryAfter, "this router passes on as many streams as it can"))
+		if !c.acquireStream() {
 			return
 		}
-		c.r.teams.Count(func(t *teamuse.Table) { t.Stream(c.team, 1) })
-		defer func() {
-			c.r.load.releaseStream(c.team)
-			c.r.teams.Count(func(t *teamuse.Table) { t.Stream(c.team, -1) })
-		}()
+		defer c.releaseStream()
 	}
 	var events eventstream.Follower
 	if c.route.MayRepeat() {
@@ -94,6 +90,23 @@
 	}
 }
 
+// acquireStream counts the request as an open stream. It reports false if it refused the request, as the router
+// relays as many streams as it can.
+func (c *call) acquireStream() bool {
+	if !c.r.load.acquireStream(c.team) {
+		c.refuse(*notRun(outcome.ReasonConnections, busyRetryAfter, "this router passes on as many streams as it can"))
+		return false
+	}
+	c.r.teams.Count(func(t *teamuse.Table) { t.Stream(c.team, 1) })
+	return true
+}
+
+// releaseStream ends the count of acquireStream.
+func (c *call) releaseStream() {
+	c.r.load.releaseStream(c.team)
+	c.r.teams.Count(func(t *teamuse.Table) { t.Stream(c.team, -1) })
+}
+
 // attempt sends the request to one server and relays its answer.
 func (c *call) attempt(ctx context.Context, run *admission.Run, events *eventstream.Follower) (step, error) {
 	result := health.NoResult
@@ -135,23 +148,10 @@
 		Trust:     c.requiredTrust(),
 	})
 	if failure != nil {
-		if failure.Stage == backend.NotSent {
-			c.arrived = false
-			c.r.endSend(sent, quarantine.NotRun)
-			if errors.Is(failure.Err, errCallerLeft) {
-				c.callerLeft()
-				return done, nil
-			}
-			if isRefused(failure.Err) {
-				c.r.serverCrashed(server)
-			}
-			result = c.r.unreached(ctx, failure.Err)
-			return refused, failure.Err
-		}
-		result = resultAfter(ctx, failure.Err)
-		c.reached++
-		c.attemptEnded(sent, server, runEnding(ctx, failed, result, failure.Err))
-		return failed, failure.Err
+		var next step
+		var err error
+		next, result, err = c.unanswered(ctx, sent, server, failure)
+		return next, err
 	}
 	defer answer.Close()
 	c.answerStarted(answer.Status)
@@ -178,6 +178,27 @@
 	return next, err
 }
 
+// unanswered records an attempt that ended without an answer. It returns what follows, the result for the server's
+// health, and the error, if the request may go on.
+func (c *call) unanswered(ctx context.Context, sent sentRun, server roster.Server, failure *backend.Failure) (step, health.Result, error) {
+	if failure.Stage != backend.NotSent {
+		result := resultAfter(ctx, failure.Err)
+		c.reached++
+		c.attemptEnded(sent, server, runEnding(ctx, failed, result, failure.Err))
+		return failed, result, failure.Err
+	}
+	c.arrived = false
+	c.r.endSend(sent, quarantine.NotRun)
+	if errors.Is(failure.Err, errCallerLeft) {
+		c.callerLeft()
+		return done, health.NoResult, nil
+	}
+	if isRefused(failure.Err) {
+		c.r.serverCrashed(server)
+	}
+	return refused, c.r.unreached(ctx, failure.Err), failure.Err
+}
+
 // answerStarted records the time of an answer's first byte, and counts the request as started
 // at its first success: an engine starts a run with its first token.
 func (c *call) answerStarted(status int) {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -105,10 +105,43 @@
 		mix:              newMixMetrics(v),
 	}
 	r.rates.register(m)
+	r.registerGauges(v)
+	r.registerServerGauges(v)
+	return m
+}
+
+// registerGauges registers the gauges of the router itself.
+func (r *Router) registerGauges(v *observe.Vars) {
 	v.Func("direct_quarantine_suspects", func() any { return r.inQuarantine((*quarantine.State).Suspects) })
 	v.Func("direct_quarantine_held", func() any { return r.inQuarantine((*quarantine.State).RefusedCount) })
 	v.Func("direct_part_quarantine_suspects", func() any { return r.inPartQuarantine((*partquarantine.State).Suspects) })
 	v.Func("direct_part_quarantine_held", func() any { return r.inPartQuarantine((*partquarantine.State).RefusedCount) })
+	v.Func("direct_origins", func() any {
+		r.origins.mu.Lock()
+		defer r.origins.mu.Unlock()
+		return r.origins.table.Len()
+	})
+	v.Func("direct_pace_rates", func() any { return r.paceByService(func(one pace.Summary) float64 { return one.Rate }) })
+	v.Func("direct_pace_servers", func() any { return r.paceByService(func(one pace.Summary) float64 { return float64(one.Learnt) }) })
+	v.Func("direct_away", func() any {
+		if r.load.outOfRotation.Load() {
+			return 1
+		}
+		return 0
+	})
+	v.Func("direct_held", func() any { return r.inFlight.Load() })
+	v.Func("direct_caller_connections", func() any { return r.callers.Open() })
+	v.Func("direct_dials", func() any { return r.pool.Dials() })
+	v.Func("direct_configuration_version", func() any {
+		if t := r.table.Load(); t != nil {
+			return t.Version()
+		}
+		return 0
+	})
+}
+
+// registerServerGauges registers the gauges of backend servers by their state.
+func (r *Router) registerServerGauges(v *observe.Vars) {
 	v.Func("direct_cold_servers", func() any {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -129,34 +162,11 @@
 		defer r.mu.Unlock()
 		return r.roster.Missing()
 	})
-	v.Func("direct_away", func() any {
-		if r.load.outOfRotation.Load() {
-			return 1
-		}
-		return 0
-	})
 	v.Func("direct_software_versions", func() any {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		return r.versions.Counts()
 	})
-	v.Func("direct_origins", func() any {
-		r.origins.mu.Lock()
-		defer r.origins.mu.Unlock()
-		return r.origins.table.Len()
-	})
-	v.Func("direct_pace_rates", func() any { return r.paceByService(func(one pace.Summary) float64 { return one.Rate }) })
-	v.Func("direct_pace_servers", func() any { return r.paceByService(func(one pace.Summary) float64 { return float64(one.Learnt) }) })
-	v.Func("direct_held", func() any { return r.inFlight.Load() })
-	v.Func("direct_caller_connections", func() any { return r.callers.Open() })
-	v.Func("direct_dials", func() any { return r.pool.Dials() })
-	v.Func("direct_configuration_version", func() any {
-		if t := r.table.Load(); t != nil {
-			return t.Version()
-		}
-		return 0
-	})
-	return m
 }
 
 // inQuarantine reads a count from the quarantine state.
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -192,20 +192,8 @@
 // Serve binds the listeners and serves until stop is closed and all requests in flight have
 // ended or the stop bound has passed.
 func (r *Router) Serve(stop <-chan struct{}) error {
-	if err := r.cfg.Admission.Validate(); err != nil {
-		return errors.Wrap(err, "admission")
-	}
-	if err := r.cfg.Quarantine.Validate(); err != nil {
-		return errors.Wrap(err, "quarantine")
-	}
-	if err := r.cfg.Warmup.Validate(); err != nil {
-		return errors.Wrap(err, "warm-up")
-	}
-	if err := r.cfg.Staleness.Validate(); err != nil {
-		return errors.Wrap(err, "staleness")
-	}
-	if err := r.cfg.Backend.InFlight.Validate(); err != nil {
-		return errors.Wrap(err, "attempts under way")
+	if err := r.cfg.validate(); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
