--- a/protocol/originmsg/originmsg_test.go
+++ b/protocol/originmsg/originmsg_test.go
@@ -13,8 +13,8 @@
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/crashreport"
-	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/datagram"
+	"goldcrestport/protocol/digest"
 )
 
 var messages = []Message{
