Comments on answers without end, loads and pauses, in plain terms

What stopped a new reader: bytes "of use", a budget that is "asked", a look, "what it was when"; Trickles explained by a sentence of three conditions; "the same failures as ever"; six times the same function in a list of kinds of failures, now endlessShare. maxDeclaredBytes and receiveBuffer say what they are in bytes.

--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -59,6 +60,10 @@
 	open    sync.WaitGroup
 }
 
+// endlessShare is how often servers that send without end are among the kinds of failures: a single one
+// would rarely be drawn.
+const endlessShare = 6
+
 // length returns a random time between least and most.
 func (i *injector) length(least, most time.Duration) time.Duration {
 	return least + time.Duration(i.random.Int64N(int64(most-least)))
@@ -123,7 +128,7 @@
 		kinds = append(kinds, i.release, i.release, i.restartAsOther, i.restartAsOther)
 	}
 	if i.endless {
-		kinds = append(kinds, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly, i.sendEndlessly)
+		kinds = append(kinds, slices.Repeat([]func() failure{i.sendEndlessly}, endlessShare)...)
 	}
 	if i.held && i.random.IntN(heldOneIn) == 0 {
 		return i.leaveHeld()
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -39,8 +39,8 @@
 	// Pairs makes troubles in pairs while engines are released, instead of single failures, before
 	// callers most of whom come back once to a stream that they broke off.
 	Pairs bool
-	// Endless adds servers that answer by bytes without end that are no answer. Without it seeds choose
-	// the same failures as ever.
+	// Endless adds servers that answer by bytes without end that are no answer. Without it, this
+	// kind of failure is not drawn.
 	Endless bool
 }
 
@@ -62,7 +62,7 @@
 	firstVersioned = 10000
 	// firstPairs is the first seed whose troubles come in pairs.
 	firstPairs = 12000
-	// firstEndless is the first seed whose servers send without end, and lastEndless the last one.
+	// firstEndless and lastEndless are the first and the last seed whose servers send without end.
 	firstEndless, lastEndless = 13000, 13999
 )
 
--- a/coordination/inflight/inflight.go
+++ b/coordination/inflight/inflight.go
@@ -38,9 +38,9 @@
 	// MaxGap is the longest time between two observations that counts as time without
 	// progress: a router that was not scheduled in between could not see any. Default 300ms.
 	MaxGap time.Duration
-	// Trickles is the number of observations in a row that may find further bytes of an answer of which
-	// neither a whole header nor a byte of the body has arrived since. Default 10: at ten observations
-	// a second, a second of bytes in small pieces, where servers send a header in one or two.
+	// Trickles is the number of observations that find further bytes since the last whole header or
+	// byte of a body, from which an answer counts as endless. Default 10: at ten observations a second,
+	// a second of bytes in small pieces, where servers send a header in one or two.
 	Trickles int
 }
 
@@ -89,8 +89,8 @@
 	Pending int
 	// Answered is set if the answer has started.
 	Answered bool
-	// Arrived is the number of bytes received so far on the connection, and Parsed what it was when a header
-	// had arrived whole or bytes of a body were read.
+	// Arrived is the number of bytes received so far on the connection, and Parsed that number when a header
+	// last arrived whole or bytes of a body were last read.
 	Arrived, Parsed int64
 	// Heard is when the last message arrived from the server, on any connection; zero: never.
 	Heard time.Time
@@ -109,8 +109,8 @@
 	pending      int
 	// stalled is the time without a further acknowledgement.
 	stalled time.Duration
-	// arrived and parsed are the bytes at the last observation, and trickles the observations since the last
-	// byte of use that found further ones.
+	// arrived and parsed are the bytes at the last observation, and trickles the number of
+	// observations since parsed last changed that found further bytes.
 	arrived, parsed int64
 	trickles        int
 }
@@ -151,7 +151,8 @@
 	a.lastObserved, a.pending = now, pending
 }
 
-// trickle counts the observations that found further bytes of no use. A pause adds nothing: neither
+// trickle counts the observations that found further bytes which are no whole header and no body. A pause adds
+// nothing: neither
 // lost packets nor a router that is not scheduled make an answer endless.
 func (a *Attempt) trickle(l Look) {
 	switch {
--- a/coordination/partquarantine/load_test.go
+++ b/coordination/partquarantine/load_test.go
@@ -110,7 +110,7 @@
 				if servers > 3 {
 					qt.Check(t, got.refused, qt.Equals, 0, what)
 				}
-				// Where no server stays up for long, some topics cannot be told from crashing ones.
+				// Where no server stays up for long, some topics cannot be distinguished from crashing ones.
 				qt.Check(t, got.refused*10 <= got.sound, qt.IsTrue, what)
 			}
 		}
--- a/coordination/watchduty/retry.go
+++ b/coordination/watchduty/retry.go
@@ -24,8 +24,8 @@
 	// FleetRate bounds the calls per second of all routers that are not watchers; their pause grows
 	// with the fleet. Default 20.
 	FleetRate float64
-	// MaxPause bounds their pause. Default 1s: a router that the watchers cannot reach must learn
-	// of a server's shutdown within 2 s of the store's return.
+	// MaxPause bounds the pause of routers that are not watchers. Default 1s: a router that the watchers
+	// cannot reach must learn of a server's shutdown within 2 s of the store's return.
 	MaxPause time.Duration
 }
 
@@ -38,7 +38,7 @@
 // do not call at the same moment.
 const pauseSpread = 0.3
 
-// After returns the pause of the router after so many failed calls in a row. The slice routers
+// After returns the pause of the router after the given number of failed calls in a row. The slice routers
 // holds the ids of all registered routers.
 func (r Retry) After(failures int, duty Config, self string, routers []string) time.Duration {
 	if failures <= r.ShortFailures || duty.isChosen(self, routers) {
--- a/standin/backend/endless.go
+++ b/standin/backend/endless.go
@@ -46,6 +46,7 @@
 func (s *Server) endless(w http.ResponseWriter, run Run) {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(run.Server + " " + run.ID))
+	// The shift keeps the number positive where int has 32 bits.
 	n := int(h.Sum32() >> 3)
 	kinds := endlessKindsOf(headerID+": "+run.ID+"\r\n"+headerStamp+": "+run.Server+"."+run.ID+"\r\n", s.cfg.Engine)
 	kind := kinds[n/2%len(kinds)]
--- a/standin/internal/reply/reply.go
+++ b/standin/internal/reply/reply.go
@@ -41,7 +41,7 @@
 	_ = conn.Close()
 }
 
-// Take returns the client's connection, on which the caller writes what it likes.
+// Take returns the client's connection, removed from net/http. The caller writes to it and closes it.
 func Take(w http.ResponseWriter) net.Conn {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/state/eventstream/eventstream.go
+++ b/state/eventstream/eventstream.go
@@ -56,8 +56,8 @@
 // forwarded in pieces.
 const maxBuffered = 128 << 10
 
-// maxSinceEvent limits the bytes that a stream may send without completing an event: of one long event,
-// comments or empty lines. The longest events carry a picture.
+// maxSinceEvent limits the bytes that a stream may send without completing an event: one long event,
+// comments or empty lines. The longest events contain a picture.
 const maxSinceEvent = 2 << 20
 
 // PassedOn records that the last result of Take was forwarded at the time now.
@@ -126,7 +126,8 @@
 // Take processes received data and returns the complete events, including buffered data, that
 // are to be forwarded. The result is valid until the next call. ErrNotContinued means that the
 // next event, which is not part of the result, does not follow the last one that the caller
-// received; ErrEndless that the result ends too long after the last event.
+// received; ErrEndless means that too many bytes follow the last event, and comes
+// with a result.
 func (f *Follower) Take(data []byte) ([]byte, error) {
 	safe, n := 0, 0
 	f.taken = 0
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -32,7 +32,7 @@
 	expiresAt time.Time
 	// idleSince is when it became idle; zero while it carries an exchange. The pool's mu guards it.
 	idleSince time.Time
-	// settledAt is the idleSince for which hasStray looked.
+	// settledAt is the value of idleSince at the last check of hasStray.
 	settledAt time.Time
 	// used reports whether the connection carried an exchange before.
 	used      bool
@@ -46,8 +46,8 @@
 	endsByItself atomic.Bool
 	// reading reports whether a Read is waiting for bytes of the server.
 	reading atomic.Bool
-	// arrived is the number of bytes received, and parsed what it was when a header had arrived whole or
-	// bytes of a body were read. The goroutine that reads writes both.
+	// arrived is the number of bytes received, and parsed the value of arrived when a header last arrived whole or
+	// bytes of a body were last read. The goroutine that reads writes both.
 	arrived, parsed atomic.Int64
 	// head bounds the header that is being read.
 	head headBudget
@@ -126,7 +126,7 @@
 	return c, nil
 }
 
-// limitReceiveBuffer bounds what the kernel keeps of bytes that are not read yet. Its error is ignored:
+// limitReceiveBuffer bounds the received bytes that the kernel keeps until they are read. Its error is ignored:
 // a system without the setting has a bound of its own.
 func limitReceiveBuffer(raw net.Conn) {
 	if tcp, ok := raw.(interface{ SetReadBuffer(int) error }); ok {
--- a/transport/backend/endless.go
+++ b/transport/backend/endless.go
@@ -25,11 +25,11 @@
 	// times its size once it is parsed.
 	maxHeadBytes = 32 << 10
 	maxHeadLines = 256
-	// maxDeclaredBytes bounds the declared length of a body: more than a link of 10 Gbit/s
+	// maxDeclaredBytes bounds the declared length of a body: 4 TiB, about what a link of 10 Gbit/s
 	// delivers in an hour.
 	maxDeclaredBytes = 1 << 42
 	// receiveBuffer bounds the bytes that the kernel keeps for a connection whose reader waits for
-	// a slow caller, in bytes. It is enough for 20 MB/s at a round-trip time of 6 ms.
+	// a slow caller. It is enough for 20 MB/s at a round-trip time of 6 ms.
 	receiveBuffer = 128 << 10
 )
 
@@ -46,8 +46,8 @@
 // open starts the budget for the header of one response and the interim ones before it.
 func (b *headBudget) open() { *b = headBudget{bytes: maxHeadBytes, lines: maxHeadLines, isOpen: true} }
 
-// isSpent reports whether the header is too long. It is asked before more bytes are read, when the
-// header has not ended within those that were.
+// isSpent reports whether the header is too long. It is called before more bytes are read, which
+// means that the header has not ended within those that were read.
 func (b *headBudget) isSpent() bool { return b.isOpen && (b.bytes <= 0 || b.lines <= 0) }
 
 // spend counts bytes that arrived.
@@ -59,14 +59,14 @@
 	b.lines -= bytes.Count(data, []byte{'\n'})
 }
 
-// noteParsed records that what arrived was of use: a whole header, or bytes of a body.
+// noteParsed records that what arrived so far completed a header, or contained bytes of a body.
 func (c *conn) noteParsed() { c.parsed.Store(c.arrived.Load()) }
 
 // settleTime is how long a connection is idle before it is checked for bytes that follow its last answer.
 const settleTime = 200 * time.Millisecond
 
-// hasStray reports whether bytes arrived on an idle connection that belong to no request. It looks once in
-// each idle time: most such bytes directly follow an answer, and each look costs a system call.
+// hasStray reports whether bytes arrived on an idle connection that belong to no request. It checks once in
+// each idle period: most such bytes directly follow an answer, and each check costs a system call.
 func (c *conn) hasStray(now time.Time) bool {
 	if c.settledAt.Equal(c.idleSince) || now.Sub(c.idleSince) < settleTime {
 		return false
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -101,7 +101,7 @@
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.head.isSpent() {
-			// The parser saw the rest of the header cut off.
+			// The parser's error is about the header that was cut off.
 			err = errors.Wrap(ErrEndless, "response header")
 		}
 		if err != nil {
--- a/transport/direct/pace.go
+++ b/transport/direct/pace.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// receivePace processes another router's report.
+// receivePace processes another router's report on the servers' pace.
 func (r *Router) receivePace(datagram []byte) error {
 	report, err := pacereport.Read(datagram)
 	if err != nil {
