--- a/coordination/promptmix/config.go
+++ b/coordination/promptmix/config.go
@@ -82,6 +82,7 @@
 	Long
 )
 
+// String returns the name of the size class in logs and metrics.
 func (s Size) String() string {
 	switch s {
 	case Short:
