Model of the part quarantine: constants and loss are explained

What stopped a new reader: contact, crashesMax, sendsMax and loss had no word on what they bound or in which unit they are; routers were "in touch" in two places. Each says it now. The checks are the same.

--- a/coordination/partquarantine/fleet_test.go
+++ b/coordination/partquarantine/fleet_test.go
@@ -27,6 +27,7 @@
 	// down is how long a crashed server is away.
 	down time.Duration
 	span time.Duration
+	// loss is the percentage of messages between routers that are lost.
 	loss int
 	// lostAt is when the first router loses what it knows, and cut are the routers that no message
 	// reaches or leaves.
@@ -39,21 +40,25 @@
 }
 
 const (
-	fleetStep   = 10 * time.Millisecond
-	firstToken  = 60 * time.Millisecond
+	fleetStep  = 10 * time.Millisecond
+	firstToken = 60 * time.Millisecond
+	// sharedByAll is the part that all requests have.
 	sharedByAll = 1
+	// contact is the time after the last allowed crash from which connected routers must know of it.
 	contact     = 3 * time.Second
 	soundTopics = 40
-	crashesMax  = 5
-	sendsMax    = 3
+	// crashesMax is the number of crashes that a crashing part may cause, and sendsMax that of the sends later than
+	// contact after the last of them.
+	crashesMax = 5
+	sendsMax   = 3
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-// fleetOutcome is what came of it.
+// fleetOutcome is the outcome of a fleetLoad.
 type fleetOutcome struct {
 	crashes []time.Time
-	// badSends are the sends of requests with a bad part, by part, at routers in touch.
+	// badSends are the sends of requests with a bad part, by part, at routers that are not cut off.
 	badSends   map[uint64][]time.Time
 	badCrashes map[uint64][]time.Time
 	sound      int
--- a/coordination/partquarantine/load_test.go
+++ b/coordination/partquarantine/load_test.go
@@ -93,7 +93,7 @@
 	for seed := range uint64(4) {
 		got := l.play(seed)
 		t.Log(got)
-		qt.Check(t, got.late(7) <= sendsMax, qt.IsTrue, qt.Commentf("%d late sends at routers in touch, seed %d: %s", got.late(7), seed, got))
+		qt.Check(t, got.late(7) <= sendsMax, qt.IsTrue, qt.Commentf("%d late sends at routers that are not cut off, seed %d: %s", got.late(7), seed, got))
 	}
 }
 
