--- a/coordination/admission/pool.go
+++ b/coordination/admission/pool.go
@@ -13,7 +13,7 @@
 	traits  Traits
 	// runTime is the mean time from the first event of a run to its end.
 	runTime time.Duration
-	// reportsSlowdown is set once a server has reported how long work takes on its machine.
+	// reportsSlowdown is set once a server has reported how long work takes on its machine, and stays set.
 	reportsSlowdown bool
 	// mix measures how short prompts fare beside long ones.
 	mix *promptmix.State
