--- a/coordination/partquarantine/load_test.go
+++ b/coordination/partquarantine/load_test.go
@@ -93,7 +93,7 @@
 	for seed := range uint64(4) {
 		got := l.play(seed)
 		t.Log(got)
-		qt.Check(t, got.late(7) <= sendsMax, qt.IsTrue, qt.Commentf("%d late sends at routers in touch, seed %d: %s", got.late(7), seed, got))
+		qt.Check(t, got.late(7) <= sendsMax, qt.IsTrue, qt.Commentf("%d late sends at routers that are not cut off, seed %d: %s", got.late(7), seed, got))
 	}
 }
 
@@ -110,7 +110,7 @@
 				if servers > 3 {
 					qt.Check(t, got.refused, qt.Equals, 0, what)
 				}
-				// Where no server stays up for long, some topics cannot be told from crashing ones.
+				// Where no server stays up for long, some topics cannot be distinguished from crashing ones.
 				qt.Check(t, got.refused*10 <= got.sound, qt.IsTrue, what)
 			}
 		}
