Comments without end are followed by no other server in the same stream

A server sent 1.7 MB of comments in a stream and then ended; its router went on at another server within the same answer, so that the caller got the comments in front of the first event. Ruled out: an event of two servers (the event itself was whole, id 1 and its text), memory (28 MB at the most). Now a stream in which more than 4 KiB followed the last event is not resumed elsewhere: it is cut, and its caller may come back. Before / after: TestCommentsWithoutEndForbidResuming fails without the bound, passes with it.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -248,12 +248,15 @@
 	}
 }
 
-// readEvent reads up to the empty line that ends an event.
+// readEvent reads up to the empty line that ends an event. Comments are left out, as the standard says: a
+// server may send some to keep the connection alive.
 func readEvent(lines *bufio.Reader) (string, error) {
 	var event strings.Builder
 	for {
 		line, err := lines.ReadString('\n')
-		event.WriteString(line)
+		if !strings.HasPrefix(line, ":") {
+			event.WriteString(line)
+		}
 		if err != nil || line == "\n" {
 			return event.String(), err
 		}
--- a/state/eventstream/eventstream.go
+++ b/state/eventstream/eventstream.go
@@ -113,11 +113,16 @@
 // Continues reports whether the stream continues one of which events were forwarded.
 func (f *Follower) Continues() bool { return f.continues }
 
+// maxCommentBytes limits the bytes that may have been forwarded after the last event for another server
+// to resume: comments that keep a connection alive have some bytes each.
+const maxCommentBytes = 4 << 10
+
 // CanGoOn reports whether another server can resume after the forwarded data: no part of an
-// incomplete event was forwarded, and the last event, if any, has a numeric id, by which later
-// events are recognised.
+// incomplete event was forwarded, nor more than a few comments since the last one, and the last
+// event, if any, has a numeric id, by which later events are recognised.
 func (f *Follower) CanGoOn() bool {
-	return !f.isPartlyForwarded && (f.count == 0 || f.last.IsNamed && isNumber(f.last.ID))
+	comments := f.sinceEvent - len(f.buffered)
+	return !f.isPartlyForwarded && comments <= maxCommentBytes && (f.count == 0 || f.last.IsNamed && isNumber(f.last.ID))
 }
 
 // Rest returns the buffered start of an incomplete event.
--- a/state/eventstream/eventstream_test.go
+++ b/state/eventstream/eventstream_test.go
@@ -165,3 +165,23 @@
 		qt.Assert(t, err, qt.IsNil)
 	}
 }
+
+// A server that sent comments without end is followed by no other one within the same stream: its caller
+// would get them before the first event. A few comments that keep a connection alive forbid nothing.
+func TestCommentsWithoutEndForbidResuming(t *testing.T) {
+	for _, tc := range []struct {
+		bytes int
+		want  bool
+	}{{100, true}, {maxCommentBytes + 1, false}, {1 << 20, false}} {
+		var f Follower
+		for sent := 0; sent < tc.bytes; sent += 4 {
+			_, err := f.Take([]byte(": c\n"))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Check(t, f.CanGoOn(), qt.Equals, tc.want, qt.Commentf("%d bytes of comments", tc.bytes))
+	}
+	var f Follower
+	_, err := f.Take([]byte("id: 1\ndata: " + strings.Repeat("a", 2*maxCommentBytes)))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, f.CanGoOn(), qt.IsTrue, qt.Commentf("an incomplete event was kept back"))
+}
