--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -47,8 +47,6 @@
 	retry            watchduty.Retry
 	loaded           time.Time
 	storeUnavailable bool
-	// failures is the number of calls in a row that the store has not answered.
-	failures int
 	// nextTry is when a router that cannot reach the store tries it again.
 	nextTry time.Time
 	// catchUp means that other routers have changes that this one lacks.
@@ -202,26 +200,14 @@
 	f.nextTry = time.Now().Add(partitionedRetryInterval)
 	f.r.storeSilentSince.CompareAndSwap(0, int64(bootTime()))
 	f.storeLost(err)
-	f.failures++
 	select {
-	case <-time.After(f.retryPause()):
+	case <-time.After(f.retry.Pause):
 	case <-f.r.catchUpNeeded:
 		f.catchUp = true
 	case <-ctx.Done():
 	}
 }
 
-// retryPause returns the pause before the next call to the store that failed. A router without any
-// configuration can serve nobody and goes on at the short one.
-func (f *follower) retryPause() time.Duration {
-	if f.r.knownRevision() == 0 {
-		return f.retry.Pause
-	}
-	f.r.mu.Lock()
-	defer f.r.mu.Unlock()
-	return f.retry.After(f.failures, f.duty, f.r.set.ID, f.r.routers())
-}
-
 // storeLost records that the store does not answer this router. Entries may lapse from now on,
 // unless others report that the store answers them.
 func (f *follower) storeLost(err error) {
@@ -251,7 +237,6 @@
 // storeAnswered records that the store answered a call of this router that was sent at the given
 // reading of bootTime.
 func (f *follower) storeAnswered(sent time.Duration) {
-	f.failures = 0
 	f.r.storeSilentSince.Store(0)
 	f.storeBack(false, sent)
 }
