Sight: each decision of the retry budget and each probe of what is refused has a line and a counter

Cause: request_again does not say whether an arrival was taken from the budget, what the budget held or how old the process is, so neither hypothesis about the report (lives of routers, uncounted arrivals) can be told from the logs.

No logic changes: Budget.Take returns the figures beside its decision.

--- a/coordination/partquarantine/runs.go
+++ b/coordination/partquarantine/runs.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// Probing returns the refused parts that the run probes; none for a nil run.
+func (r *Run) Probing() []Part {
+	if r == nil {
+		return nil
+	}
+	var out []Part
+	for _, one := range r.probes {
+		out = append(out, one.parts...)
+	}
+	return out
+}
+
 // settle records that it is known whether the run survived, or that it did not run.
 func (s *State) settle(r *Run) {
 	if r.settled {
--- a/coordination/quarantine/runs.go
+++ b/coordination/quarantine/runs.go
@@ -30,6 +30,9 @@
 	endedAt, suspectUntil time.Time
 }
 
+// IsProbe reports whether the request was refused when it was sent.
+func (r *Run) IsProbe() bool { return r.probe }
+
 // incarnation holds the runs in flight and the recently ended ones of one incarnation of a
 // server.
 type incarnation struct {
--- a/coordination/repeats/repeats.go
+++ b/coordination/repeats/repeats.go
@@ -57,21 +57,33 @@
 	b.requests[0]++
 }
 
-// Take reports whether a retry may be sent now, and counts it if so. Routers is the number of
+// Decision says whether a retry may be sent, with the figures that decided it.
+type Decision struct {
+	Granted bool
+	// Requests and Retries are those in the window, without the one that was asked for.
+	Requests, Retries float64
+	// Limit is the number of retries that the window may have.
+	Limit float64
+	// Routers is the number of routers that share the allowance.
+	Routers int
+}
+
+// Take decides whether a retry may be sent now, and counts it if so. Routers is the number of
 // routers that share the allowance.
-func (b *Budget) Take(now time.Time, routers int) bool {
+func (b *Budget) Take(now time.Time, routers int) Decision {
 	b.advance(now)
-	var requests, repeats float64
+	d := Decision{Routers: max(routers, 1)}
 	for i := range b.requests {
-		requests += b.requests[i]
-		repeats += b.repeats[i]
+		d.Requests += b.requests[i]
+		d.Retries += b.repeats[i]
 	}
-	limit := b.cfg.Use * (b.cfg.Ratio*requests + b.cfg.Allowance/float64(max(routers, 1)))
-	if repeats+1 > limit {
-		return false
+	d.Limit = b.cfg.Use * (b.cfg.Ratio*d.Requests + b.cfg.Allowance/float64(d.Routers))
+	if d.Retries+1 > d.Limit {
+		return d
 	}
 	b.repeats[0]++
-	return true
+	d.Granted = true
+	return d
 }
 
 // advance moves to the bucket of the given time.
--- a/coordination/repeats/repeats_test.go
+++ b/coordination/repeats/repeats_test.go
@@ -15,7 +15,7 @@
 	taken := 0
 	for range 1000 {
 		b.Request(now)
-		if b.Take(now, 5) {
+		if b.Take(now, 5).Granted {
 			taken++
 		}
 		now = now.Add(10 * time.Millisecond)
@@ -26,10 +26,10 @@
 
 func TestAllowanceIsRestoredAfterWindow(t *testing.T) {
 	b, now := New(cfg), time.Unix(1000, 0)
-	for b.Take(now, 1) {
+	for b.Take(now, 1).Granted {
 	}
-	qt.Check(t, b.Take(now.Add(9*time.Second), 1), qt.IsFalse)
-	qt.Check(t, b.Take(now.Add(11*time.Second), 1), qt.IsTrue)
+	qt.Check(t, b.Take(now.Add(9*time.Second), 1).Granted, qt.IsFalse)
+	qt.Check(t, b.Take(now.Add(11*time.Second), 1).Granted, qt.IsTrue)
 }
 
 // In any window the retries stay within the limit, for any sequence of requests and retries.
@@ -44,7 +44,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "repeat") {
-				if b.Take(now, 2) {
+				if b.Take(now, 2).Granted {
 					events = append(events, event{now, true})
 				}
 			} else {
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -57,7 +57,9 @@
 	r := c.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return sentRun{r.quarantine.Begin(c.fingerprint, server.Identity()), r.parts.Begin(server.Identity(), c.service, c.meta.Shared)}
+	sent := sentRun{r.quarantine.Begin(c.fingerprint, server.Identity()), r.parts.Begin(server.Identity(), c.service, c.meta.Shared)}
+	c.logProbe(server.ID, sent)
+	return sent
 }
 
 func (r *Router) endSend(run sentRun, how quarantine.Ending) {
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -250,7 +250,7 @@
 	if c.arrived && !c.mayRetryAfterCrash() {
 		return false
 	}
-	return !c.arrived || c.r.takeRetry(c.service)
+	return !c.arrived || c.takeRetry(after)
 }
 
 // finishFailed sends the final answer after the last attempt.
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -13,10 +13,14 @@
 
 // metrics are the counters and histograms of one router, see docs/METRICS.md.
 type metrics struct {
-	vars        *observe.Vars
-	requests    *expvar.Int
-	outcomes    *expvar.Map
-	repeats     *expvar.Int
+	vars     *observe.Vars
+	requests *expvar.Int
+	outcomes *expvar.Map
+	repeats  *expvar.Int
+	// retries counts the decisions of the retry budget by service, cause and verdict; probesSent the
+	// sends of what is refused otherwise.
+	retries     *expvar.Map
+	probesSent  *expvar.Int
 	storeErrors *expvar.Int
 	// storeCalls counts the calls to the store by kind and result.
 	storeCalls      *expvar.Map
@@ -72,6 +76,8 @@
 		requests:        v.Int("direct_requests"),
 		outcomes:        v.Map("direct_outcomes"),
 		repeats:         v.Int("direct_repeats"),
+		retries:         v.Map("direct_retries"),
+		probesSent:      v.Int("direct_quarantine_probes"),
 		storeErrors:     v.Int("direct_store_errors"),
 		storeCalls:      v.Map("direct_store_calls"),
 		dropped:         v.Int("log_lines_dropped"),
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -48,13 +48,17 @@
 	attemptLines   *observe.LineLimit
 	failureLines   *observe.LineLimit
 	streamLines    *observe.LineLimit
-	dialect        Dialect
-	source         Source
-	pool           *backend.Pool
-	metrics        *metrics
-	rates          *streamRates
-	tracer         *observe.Tracer
-	table          atomic.Pointer[routing.Table]
+	// retryLines limits the log lines about retries and probes of what is refused.
+	retryLines *observe.LineLimit
+	// startedAt is when this life of the router began.
+	startedAt time.Time
+	dialect   Dialect
+	source    Source
+	pool      *backend.Pool
+	metrics   *metrics
+	rates     *streamRates
+	tracer    *observe.Tracer
+	table     atomic.Pointer[routing.Table]
 
 	// mu guards the fields from admission to returning.
 	mu        sync.Mutex
@@ -149,6 +153,7 @@
 		tracer:         observe.NoTracer(),
 		admission:      admission.New(cfg.Admission),
 		roster:         roster.New(cfg.Roster),
+		startedAt:      time.Now(),
 		budgets:        make(map[string]*repeats.Budget),
 		fresh:          freshness.New(cfg.Freshness),
 		servers:        make(map[string]roster.Server),
@@ -180,6 +185,7 @@
 	r.failureLines = observe.NewLineLimitOf(r.metrics.dropped, failureLogLimit)
 	r.attemptLines = observe.NewLineLimitOf(r.metrics.dropped, abandonedLogLimit)
 	r.streamLines = observe.NewLineLimitOf(r.metrics.dropped, streamLogLimit)
+	r.retryLines = observe.NewLineLimitOf(r.metrics.dropped, retryLogLimit)
 	return r
 }
 
