Soak with a part of prompts that crashes servers, and two failing rows with killed routers

The stand-in of a server ends under requests whose prompts hold one part, and the soak's record tells how many are sent after five crashes and the time to know, by routers in touch (asked while a run goes on). Rows with real programs count all sends, whatever was killed.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -111,7 +111,7 @@
 	}
 	c.count++
 	r := c.w.routers[c.router]
-	call.ID, call.Crashes, call.Key = fmt.Sprintf("%s-%d", c.name, c.count), backend.Crashes(call.Body), c.w.key(call.Team, c.random.IntN(100) < oldKeyPart)
+	call.ID, call.Crashes, call.Key = fmt.Sprintf("%s-%d", c.name, c.count), backend.Crashes(call.Body) || call.hasCrashPart(), c.w.key(call.Team, c.random.IntN(100) < oldKeyPart)
 	call.Router, call.Life = c.router, r.lives()
 	ctx, cancel := context.WithTimeout(context.Background(), call.Kind.timeout()+2*time.Second)
 	defer cancel()
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -48,6 +48,7 @@
 	{"nothing of what was on its way reaches a server that left", arrivedAfterDeparture, false},
 	{"repeats are bounded", tooManyRepeats, false},
 	{"a request that crashes servers reaches few more", crashedOn, false},
+	{"a part of prompts that crashes servers reaches few more", partWentOn, true},
 	{"what crashes no server is not refused for it", blamed, false},
 	{"an evacuated data centre gets nothing", ranWhereEvacuated, false},
 	{"cold servers get no more than they bear", tooManyForCold, true},
--- a/bench/soak/insist.go
+++ b/bench/soak/insist.go
@@ -149,12 +149,17 @@
 	return known
 }
 
-// lateArrivals lists the arrivals at servers of the request's attempts that routers
-// in touch sent later than the time of contact after the moment.
+// lateArrivals lists the late arrivals of the request's attempts.
 func (r *Record) lateArrivals(body string, known time.Time) []string {
+	return r.lateWhere(known, func(c Call) bool { return c.Body == body })
+}
+
+// lateWhere lists the arrivals at servers of the attempts that routers in touch sent later than the
+// time of contact after the moment.
+func (r *Record) lateWhere(known time.Time, is func(Call) bool) []string {
 	calls := map[string]Call{}
 	for _, c := range r.Calls {
-		if c.Body == body {
+		if is(c) {
 			calls[c.ID] = c
 		}
 	}
--- /dev/null
+++ b/bench/soak/rows_parts_test.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Times of a row of requests with a part that crashes servers.
+const (
+	partRowSpan = 22 * time.Second
+	// partTrouble is when trouble begins: the part is refused by then; partEarly is when servers have
+	// crashed under it and it is not.
+	partTrouble = 8 * time.Second
+	partEarly   = 1200 * time.Millisecond
+	// leastBegun is the share of sound requests with the same first part that begin, from after the
+	// part is known on.
+	leastBegun = 0.5
+)
+
+// partRow is trouble beside requests with a part that crashes servers, and sound ones with the same
+// first part.
+type partRow struct {
+	routers, engines int
+	// at is when the trouble is made.
+	at      time.Duration
+	trouble func(*World)
+}
+
+// playPartRow plays the row: after five crashes and the time to know, three requests with the part
+// reach servers at most, whatever becomes of routers, and at least half of the sound ones begin.
+func playPartRow(t *testing.T, row partRow) {
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	c := qt.New(t)
+	w := startFleet(c, c.TempDir(), Size{Routers: row.routers, Engines: row.engines, Plain: 1, Other: 1, Spread: true})
+	ctx, cancel := context.WithTimeout(context.Background(), partRowSpan)
+	defer cancel()
+	w.balancer.watch(ctx, w.routers)
+	var working sync.WaitGroup
+	w.insistOnPart(ctx, &working, 1)
+	time.Sleep(row.at)
+	row.trouble(w)
+	working.Wait()
+	r := w.Record
+	known := r.partKnownAt()
+	c.Assert(known.IsZero(), qt.IsFalse, qt.Commentf("%d crashes", len(r.Crashes)))
+	late, sound, begun := 0, 0, 0
+	calls := map[string]Call{}
+	for _, one := range r.Calls {
+		calls[one.ID] = one
+		if !one.hasCrashPart() && one.Sent.After(known.Add(2*contact)) && one.Status != 0 {
+			sound++
+			if one.Status == http.StatusOK {
+				begun++
+			}
+		}
+	}
+	for _, a := range r.Arrivals {
+		if calls[a.ID].hasCrashPart() && a.At.After(known.Add(contact)) {
+			late++
+		}
+	}
+	said := qt.Commentf("%d sends later than %v after the fifth crash, %d servers crashed, %d of %d sound requests begun", late, contact, len(r.Crashes), begun, sound)
+	c.Log(said)
+	c.Check(late <= furtherPartSends, qt.IsTrue, said)
+	c.Check(float64(begun) >= leastBegun*float64(sound), qt.IsTrue, said)
+}
+
+// Guards against a part that is found and refused while nothing else happens, as the rows below need it.
+func TestAPartIsRefusedByRealRouters(t *testing.T) {
+	playPartRow(t, partRow{routers: 5, engines: 9, at: partTrouble, trouble: func(*World) {}})
+}
+
+// Guards against refused parts that end with the routers: all are killed at once and begin again.
+func TestARefusedPartOutlivesAllRouters(t *testing.T) {
+	playPartRow(t, partRow{routers: 5, engines: 9, at: partTrouble, trouble: killAllAtOnce})
+}
+
+// Guards against the same where routers are killed in turn, at random, each .6 s.
+func TestARefusedPartOutlivesRoutersThatAreKilledInTurn(t *testing.T) {
+	playPartRow(t, partRow{routers: 3, engines: 9, at: partTrouble, trouble: func(w *World) {
+		random := rand.New(rand.NewPCG(1, 19))
+		for range 16 {
+			r := w.routers[random.IntN(len(w.routers))]
+			r.Kill()
+			_ = r.Start()
+			time.Sleep(600 * time.Millisecond)
+		}
+	}})
+}
+
+// Guards against evidence that ends with the routers: all are killed while some servers have crashed
+// under the part and it is not refused yet.
+func TestCrashesUnderAPartOutliveAllRouters(t *testing.T) {
+	playPartRow(t, partRow{routers: 5, engines: 9, at: partEarly, trouble: killAllAtOnce})
+}
+
+// killAllAtOnce kills all routers and starts them again at once.
+func killAllAtOnce(w *World) {
+	for _, r := range w.routers {
+		r.Kill()
+	}
+	for _, r := range w.routers {
+		_ = r.Start()
+	}
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -22,6 +22,7 @@
 	headerTimeLeft       = "Deadline-Ms"
 	headerTokens         = "Token-Count"
 	headerLastEvent      = "Last-Event-Id"
+	headerPromptPrefix   = "Prompt-Prefix"
 	headerNotRun         = "Not-Executed"
 	headerStamp          = "Replica-Stamp"
 	headerLoad           = "Replica-Load"
@@ -44,7 +45,7 @@
 	// Engine makes the server respond with event streams.
 	Engine bool
 	// Crash terminates the server. It is called with the body of the request that
-	// crashes it, and may be called again before the server has terminated. If it is
+	// crashes it, or with PartCrash, and may be called again before the server has terminated. If it is
 	// nil, such a request is handled like any other.
 	Crash func(body string)
 }
@@ -204,8 +205,8 @@
 	}
 	run := s.newRun(r)
 	s.journal.Began(run)
-	if way := parseCrashWay(body); way != "" && s.cfg.Crash != nil {
-		run.Whole = s.crash(w, r, run, way, string(body))
+	if way, cause := crashOf(r, body); way != "" && s.cfg.Crash != nil {
+		run.Whole = s.crash(w, r, run, way, cause)
 	} else {
 		run.Whole = s.answer(w, r, run, fault)
 	}
--- a/standin/backend/crash.go
+++ b/standin/backend/crash.go
@@ -25,6 +25,22 @@
 // crashPrefix is the prefix of the body of a request that crashes every server that starts it.
 const crashPrefix = "crash "
 
+// CrashPart is the part of a prompt that crashes every server that starts to answer on it, and
+// PartCrash what Config.Crash gets then in place of the body.
+const (
+	CrashPart = "badbad01"
+	PartCrash = "part " + CrashPart
+)
+
+// crashOf returns the point at which the request crashes the server, or "" if it does not, and what
+// Config.Crash gets.
+func crashOf(r *http.Request, body []byte) (CrashWay, string) {
+	if strings.Contains(r.Header.Get(headerPromptPrefix), CrashPart) {
+		return InTheMiddle, PartCrash
+	}
+	return parseCrashWay(body), string(body)
+}
+
 // crashDelay is the time from the start of a run, or from its response, to the crash.
 const crashDelay = 20 * time.Millisecond
 
