Refused sets of parts are in the store, so that they outlive all routers

Callers saw: after all routers were killed, or most of them in turn, requests with a part that crashes servers ended servers again, each with all its runs.

Cause: refused sets were in memory only. Class: what a promise rests on ends with the processes that know it.

Now a router writes a set within .2 s of its refusal; the next in the set's own order a second later if it is not there, so that it is written also if the first ones are killed. Routers read the entries before they serve. Probes are counted there, so that three stay three over lives. Cleared sets are removed, and who reports a set of harmless parts is told so.

--- a/coordination/mirror/entries.go
+++ b/coordination/mirror/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/versions"
@@ -50,6 +51,8 @@
 	Evacuated []string
 	// Refused are the requests that crash servers.
 	Refused []quarantine.Entry
+	// RefusedParts are the sets of parts of prompts that crash servers.
+	RefusedParts []partquarantine.Entry
 	// Served are the records of versions that served side by side.
 	Served []versions.Served
 	// Origins are those of streams that routers wrote for routers that begin; they are not passed on
@@ -70,6 +73,10 @@
 	Invalid []InvalidEntry
 	// Refused are requests that crash servers and were added.
 	Refused []quarantine.Entry
+	// RefusedParts are sets of parts of prompts that crash servers and were added or changed, and
+	// ReleasedParts those that were removed.
+	RefusedParts  []partquarantine.Entry
+	ReleasedParts []partquarantine.SetID
 	// Served are records of versions that were written.
 	Served []versions.Served
 	// Origins are those of streams that routers wrote; they are not passed on from router to router.
--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/roster"
 )
 
@@ -84,6 +85,7 @@
 		m.result.Config = d.Config
 	}
 	m.result.Revision = d.Revision
+	m.addParts(d)
 	for _, s := range d.Servers {
 		m.servers[s.ID] = s
 		delete(m.removed, s.ID)
@@ -114,6 +116,19 @@
 	}
 }
 
+// addParts adds the refused sets of parts. They are passed on, so that one router writes each set.
+func (m *merged) addParts(d Delta) {
+	r := &m.result
+	r.RefusedParts = slices.DeleteFunc(r.RefusedParts, func(e partquarantine.Entry) bool {
+		return slices.Contains(d.ReleasedParts, partquarantine.IDOf(e.Parts))
+	})
+	r.RefusedParts = append(r.RefusedParts, d.RefusedParts...)
+	r.ReleasedParts = slices.DeleteFunc(r.ReleasedParts, func(id partquarantine.SetID) bool {
+		return slices.ContainsFunc(d.RefusedParts, func(e partquarantine.Entry) bool { return partquarantine.IDOf(e.Parts) == id })
+	})
+	r.ReleasedParts = append(r.ReleasedParts, d.ReleasedParts...)
+}
+
 func (m *merged) delta() Delta {
 	m.result.Servers = slices.Collect(maps.Values(m.servers))
 	m.result.Invalid = slices.Collect(maps.Values(m.invalid))
--- a/coordination/mirror/history_test.go
+++ b/coordination/mirror/history_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/state/routing"
 )
@@ -120,3 +121,18 @@
 	qt.Check(t, d.Removed, qt.DeepEquals, []string{"a"})
 	qt.Check(t, d.Revision, qt.Equals, uint64(8))
 }
+
+// Guards against routers that learn of the store's changes from others and each write a refused set that
+// is there already, or keep one that was removed.
+func TestRefusedSetsArePassedOn(t *testing.T) {
+	set := func(part partquarantine.Part) partquarantine.Entry {
+		return partquarantine.Entry{Parts: []partquarantine.Part{part}}
+	}
+	id := func(part partquarantine.Part) partquarantine.SetID { return partquarantine.IDOf(set(part).Parts) }
+	got := Merge(
+		Delta{RefusedParts: []partquarantine.Entry{set(1), set(2)}, ReleasedParts: []partquarantine.SetID{id(3)}, Revision: 1},
+		Delta{RefusedParts: []partquarantine.Entry{set(3)}, ReleasedParts: []partquarantine.SetID{id(1)}, Revision: 2},
+	)
+	qt.Check(t, got.RefusedParts, qt.DeepEquals, []partquarantine.Entry{set(2), set(3)})
+	qt.Check(t, got.ReleasedParts, qt.DeepEquals, []partquarantine.SetID{id(1)})
+}
--- a/coordination/partquarantine/list.go
+++ b/coordination/partquarantine/list.go
@@ -5,19 +5,26 @@
 	"time"
 )
 
-// Entry is a refused set as listed to operators.
+// Entry is a refused set as listed to operators, and as the store has it.
 type Entry struct {
-	Parts   []Part
-	Since   time.Time
-	Probes  int
+	// Parts are sorted.
+	Parts []Part
+	Since time.Time
+	// Probes and Partial are the numbers of probes with all and with some of the parts.
+	Probes, Partial int
+	// Servers crashed under the parts.
 	Servers []string
 }
 
+func (r *refusal) entry() Entry {
+	return Entry{Parts: slices.Clone(r.parts), Since: r.since, Probes: r.probes, Partial: r.partial, Servers: slices.Clone(r.servers)}
+}
+
 // List returns the refused sets, the latest first.
 func (s *State) List() []Entry {
 	var out []Entry
 	for _, one := range s.refusals {
-		out = append(out, Entry{Parts: one.parts, Since: one.since, Probes: one.probes + one.partial, Servers: one.servers})
+		out = append(out, one.entry())
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return b.Since.Compare(a.Since) })
 	return out
--- a/coordination/partquarantine/report.go
+++ b/coordination/partquarantine/report.go
@@ -256,7 +256,12 @@
 	since := now.Add(-max(report.Age, 0))
 	parts := slices.DeleteFunc(slices.Sorted(slices.Values(report.Parts)), func(p Part) bool {
 		at, known := s.harmless[p]
-		return known && !at.Add(s.cfg.HarmlessTTL).Before(since)
+		isHarmless := known && !at.Add(s.cfg.HarmlessTTL).Before(since)
+		if isHarmless {
+			// Who refuses it may have it from an entry of the store that is to be removed.
+			s.unsent.addHarmless(p)
+		}
+		return isHarmless
 	})
 	if len(parts) == 0 {
 		return
--- a/coordination/partquarantine/state.go
+++ b/coordination/partquarantine/state.go
@@ -60,11 +60,13 @@
 	// undecidedUntil is when a tie between suspects is over; zero if there is none.
 	undecidedUntil time.Time
 	refusals       []*refusal
-	groups         map[uint64]*group
-	arrivals       int
-	breadth        breadth
-	unsent         unsentChanges
-	events         []Event
+	// stored is what is known of the entries in the store.
+	stored   map[SetID]storedSet
+	groups   map[uint64]*group
+	arrivals int
+	breadth  breadth
+	unsent   unsentChanges
+	events   []Event
 }
 
 // crash is the crash of a server, merged from all reports.
@@ -96,6 +98,8 @@
 	// inFlight is the number of probes that this router has under way.
 	inFlight int
 	servers  []string
+	// unsavedSince is from when on the store does not have it as it is; zero if it has.
+	unsavedSince time.Time
 }
 
 // group is the requests that have the same suspect parts.
@@ -115,6 +119,7 @@
 	return &State{
 		cfg: cfg, self: self, servers: make(map[string]*serverRuns), crashes: make(map[string]*crash),
 		harmless: make(map[Part]time.Time), suspects: make(map[Part]*suspect), groups: make(map[uint64]*group), breadth: newBreadth(),
+		stored: make(map[SetID]storedSet),
 	}
 }
 
--- a/transport/direct/crashparts.go
+++ b/transport/direct/crashparts.go
@@ -79,7 +79,7 @@
 
 // refusedParts returns a refused set for the list for operators.
 func refusedParts(e partquarantine.Entry) refusedRequest {
-	one := refusedRequest{Since: e.Since.UTC(), Probes: e.Probes}
+	one := refusedRequest{Since: e.Since.UTC(), Probes: e.Probes + e.Partial}
 	for _, p := range e.Parts {
 		one.Parts = append(one.Parts, partText(p))
 	}
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -14,6 +14,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/versions"
 )
@@ -102,6 +103,11 @@
 	Keep(ctx context.Context, one quarantine.Entry, life time.Duration) error
 	// Drop removes the entry of a request that is no longer refused.
 	Drop(ctx context.Context, content quarantine.Fingerprint) error
+	// KeepParts writes the entry of a refused set of parts of prompts with the given lifetime, or
+	// renews it.
+	KeepParts(ctx context.Context, one partquarantine.Entry, life time.Duration) error
+	// DropParts removes the entry of a set that is no longer refused.
+	DropParts(ctx context.Context, set partquarantine.SetID) error
 	// KeepServed writes the record of versions that serve side by side, with the given lifetime.
 	KeepServed(ctx context.Context, record versions.Served, life time.Duration) error
 	// KeepOrigins writes the origins of streams that began at the router, under the lease that was
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -21,6 +21,7 @@
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
 	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
@@ -111,6 +112,8 @@
 	calls int
 	// refused are the requests that routers entered.
 	refused []quarantine.Entry
+	// refusedParts are the refused sets of parts that routers entered.
+	refusedParts []partquarantine.Entry
 	// origins are the records of where streams began, which all sources of a fleet share; nil if
 	// this source keeps none.
 	origins *originStore
@@ -180,6 +183,26 @@
 	return nil
 }
 
+func (s *testSource) KeepParts(_ context.Context, one partquarantine.Entry, _ time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnknown
+	}
+	s.refusedParts = append(s.refusedParts, one)
+	return nil
+}
+
+func (s *testSource) DropParts(_ context.Context, set partquarantine.SetID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnknown
+	}
+	s.refusedParts = slices.DeleteFunc(s.refusedParts, func(one partquarantine.Entry) bool { return partquarantine.IDOf(one.Parts) == set })
+	return nil
+}
+
 func (s *testSource) KeepServed(_ context.Context, record versions.Served, _ time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -82,6 +82,7 @@
 	r.peers = s.Routers
 	r.countRouters()
 	r.applyStored(s.Refused)
+	r.applyStoredParts(s.RefusedParts, false)
 	r.applyServed(s.Served)
 }
 
@@ -113,6 +114,8 @@
 	}
 	r.countRouters()
 	r.applyStored(d.Refused)
+	r.applyStoredParts(d.RefusedParts, true)
+	r.applyReleasedParts(d.ReleasedParts)
 	r.applyServed(d.Served)
 }
 
