Refused requests are written to the store in turns, so that a killed router does not keep them from it

The same cause elsewhere: of a refused whole request one router, chosen by hash, wrote the entry. If that one is killed first, nobody does until its registration lapses (9 s) and the others notice; all routers killed meanwhile have forgotten it.

Now routers write in turns, a second apart, as sets of parts already are (coordination/turns, which both use), and entries are passed on with the changes of the store, so that routers that do not watch it know what is there.

--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -55,7 +55,7 @@
 	m.add(first)
 	m.add(second)
 	out := m.delta()
-	out.Refused, out.Served = slices.Concat(first.Refused, second.Refused), slices.Concat(first.Served, second.Served)
+	out.Served = slices.Concat(first.Served, second.Served)
 	return out
 }
 
@@ -85,6 +85,8 @@
 		m.result.Config = d.Config
 	}
 	m.result.Revision = d.Revision
+	// Refused requests and sets are passed on, so that one router writes each.
+	m.result.Refused = append(m.result.Refused, d.Refused...)
 	m.addParts(d)
 	for _, s := range d.Servers {
 		m.servers[s.ID] = s
@@ -116,7 +118,7 @@
 	}
 }
 
-// addParts adds the refused sets of parts. They are passed on, so that one router writes each set.
+// addParts adds the refused sets of parts.
 func (m *merged) addParts(d Delta) {
 	r := &m.result
 	r.RefusedParts = slices.DeleteFunc(r.RefusedParts, func(e partquarantine.Entry) bool {
--- a/coordination/partquarantine/stored.go
+++ b/coordination/partquarantine/stored.go
@@ -6,16 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"goldcrestport/coordination/turns"
 )
 
-// Refused sets are in the store, so that they survive the loss of all routers. For each set the routers
-// have an order, by hash. The first of them writes it at once, the next if it is not there a while
-// later, and so on, as those before may have been killed with what they knew.
-
-// writeTurn is the time after which the next router writes what is not in the store. It is above
-// the time that a write and its notice take.
-const writeTurn = time.Second
+// Refused sets are in the store, so that they survive the loss of all routers. The routers write and
+// remove them in turns.
 
 // SetID identifies a refused set in the store.
 type SetID uint64
@@ -42,21 +37,9 @@
 	goneAt time.Time
 }
 
-// turnAt returns when it is this router's turn to write or remove the entry, if that is wanted from the
-// given time on.
+// turnAt returns when it is this router's turn to write or remove the entry.
 func (s *State) turnAt(id SetID, from time.Time) time.Time {
-	ahead := 0
-	mine := s.turnOf(s.self, id)
-	for _, other := range s.routers {
-		if other != s.self && s.turnOf(other, id) > mine {
-			ahead++
-		}
-	}
-	return from.Add(time.Duration(ahead) * writeTurn)
-}
-
-func (s *State) turnOf(router string, id SetID) uint64 {
-	return xxhash.Sum64String(router + id.String())
+	return turns.At(from, id.String(), s.self, s.routers)
 }
 
 // ToStore returns the refused sets that this router has to write to the store: those that are not
--- a/coordination/partquarantine/stored_test.go
+++ b/coordination/partquarantine/stored_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/turns"
 )
 
 const storedTTL = 10 * time.Minute
@@ -49,7 +50,7 @@
 	parts := sortedParts(badSet)
 	states := refusing(now, 5, parts)
 	qt.Check(t, toStore(now, states), qt.HasLen, 1)
-	qt.Check(t, toStore(now.Add(writeTurn), states), qt.HasLen, 2)
+	qt.Check(t, toStore(now.Add(turns.Step), states), qt.HasLen, 2)
 	entry := toStore(now, states)[0]
 	for _, s := range states {
 		s.Stored(now, []Entry{entry}, true)
@@ -58,7 +59,7 @@
 	later := now.Add(storedTTL / 2)
 	qt.Check(t, toStore(later, states), qt.HasLen, 1)
 	states[0].WasRemoved(IDOf(parts))
-	qt.Check(t, toStore(later.Add(5*writeTurn), states[:1]), qt.HasLen, 1)
+	qt.Check(t, toStore(later.Add(5*turns.Step), states[:1]), qt.HasLen, 1)
 }
 
 // Guards against refused parts that end with the routers: a router that begins refuses what the store
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -70,8 +70,12 @@
 	reasons []Strike
 	// probes is the number of probe requests since the refusals started.
 	probes int
-	// storedAt is when this router last wrote the refusal to the store; zero if it did not.
+	// storedAt is when the refusal was last written to the store; zero if that is not known.
 	storedAt time.Time
+	// storedHere is set if this router wrote it, which has to remove it.
+	storedHere bool
+	// unsavedSince is from when on it is to be written; zero if the store has it.
+	unsavedSince time.Time
 }
 
 // Strike is a crash that counts against a request.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -481,7 +481,7 @@
 	}
 	qt.Assert(t, entries, qt.HasLen, 1)
 	started := New(DefaultConfig(), "d")
-	started.Stored(at(60_000), entries)
+	started.Stored(at(60_000), entries, false)
 	qt.Check(t, started.Check(at(60_001), bad), qt.Equals, Refuse)
 	qt.Check(t, started.Reasons(bad), qt.HasLen, 3)
 
@@ -494,7 +494,7 @@
 		}
 		qt.Check(t, s.ToDrop(), qt.HasLen, 0)
 		// Entries that the store had before change nothing.
-		s.Stored(at(70_100), entries)
+		s.Stored(at(70_100), entries, false)
 		qt.Check(t, s.Check(at(70_101), bad), qt.Equals, Pass)
 	}
 	qt.Check(t, writers, qt.Equals, 1)
--- a/coordination/quarantine/stored.go
+++ b/coordination/quarantine/stored.go
@@ -1,26 +1,38 @@
 package quarantine
 
-import "time"
+import (
+	"time"
 
-// One router of the fleet writes each refusal to the store, so that it survives the loss of
-// all routers.
+	"goldcrestport/coordination/turns"
+)
+
+// Refusals are in the store, so that they survive the loss of all routers. The routers write them in
+// turns; who wrote one removes it.
 
 // ToKeep returns the refused requests that this router has to write to the store, or to write
 // again because half of the entry's life is over.
 func (s *State) ToKeep(now time.Time, ttl time.Duration) []Entry {
 	var out []Entry
 	for _, entry := range s.List() {
-		if s.owner(entry.Content) == s.self && now.Sub(s.records[entry.Content].storedAt) >= ttl/2 {
+		r := s.records[entry.Content]
+		if now.Sub(r.storedAt) < ttl/2 {
+			r.unsavedSince = time.Time{}
+			continue
+		}
+		if r.unsavedSince.IsZero() {
+			r.unsavedSince = now
+		}
+		if !now.Before(turns.At(r.unsavedSince, entry.Content.String(), s.self, s.routers)) {
 			out = append(out, entry)
 		}
 	}
 	return out
 }
 
-// Kept records that the refusal was written to the store.
+// Kept records that this router wrote the refusal to the store.
 func (s *State) Kept(now time.Time, fp Fingerprint) {
 	if r := s.records[fp]; r != nil {
-		r.storedAt = now
+		r.storedAt, r.storedHere = now, true
 	}
 }
 
@@ -29,7 +41,7 @@
 func (s *State) ToDrop() []Fingerprint {
 	var out []Fingerprint
 	for fp, r := range s.records {
-		if !r.storedAt.IsZero() && r.refusedAt.IsZero() {
+		if r.storedHere && r.refusedAt.IsZero() {
 			out = append(out, fp)
 		}
 	}
@@ -39,13 +51,13 @@
 // Dropped records that the request's entry was removed from the store.
 func (s *State) Dropped(fp Fingerprint) {
 	if r := s.records[fp]; r != nil {
-		r.storedAt = time.Time{}
+		r.storedAt, r.storedHere = time.Time{}, false
 	}
 }
 
 // Stored merges the entries of the store. Their times are from the clock of whoever wrote
-// them; a time later than now counts as now.
-func (s *State) Stored(now time.Time, entries []Entry) {
+// them; a time later than now counts as now. IsNew is set if they were written just now.
+func (s *State) Stored(now time.Time, entries []Entry, isNew bool) {
 	var report Report
 	for _, entry := range entries {
 		refusal := RefusalReport{Content: entry.Content, Age: max(now.Sub(entry.Since), 0), Trials: entry.Trials}
@@ -55,6 +67,18 @@
 		report.Refusals = append(report.Refusals, refusal)
 	}
 	s.Merge(now, storeReporter, report)
+	if isNew {
+		s.noteStored(now, entries)
+	}
+}
+
+// noteStored records that the entries were written by some router.
+func (s *State) noteStored(now time.Time, entries []Entry) {
+	for _, entry := range entries {
+		if r := s.refused[entry.Content]; r != nil {
+			r.storedAt = now
+		}
+	}
 }
 
 // storeReporter stands for the store among the routers that reported something.
--- a/transport/direct/refusedstore.go
+++ b/transport/direct/refusedstore.go
@@ -21,10 +21,11 @@
 	refusedRetryPause = time.Second
 )
 
-// applyStored applies the refused requests that are in the store. The caller holds mu.
-func (r *Router) applyStored(entries []quarantine.Entry) {
+// applyStored applies the refused requests that are in the store; isNew is set if they were written
+// just now. The caller holds mu.
+func (r *Router) applyStored(entries []quarantine.Entry, isNew bool) {
 	if len(entries) > 0 {
-		r.quarantine.Stored(time.Now(), entries)
+		r.quarantine.Stored(time.Now(), entries, isNew)
 		r.handleQuarantineEvents()
 	}
 }
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -81,7 +81,7 @@
 	r.handleInvalid(s.Invalid)
 	r.peers = s.Routers
 	r.countRouters()
-	r.applyStored(s.Refused)
+	r.applyStored(s.Refused, false)
 	r.applyStoredParts(s.RefusedParts, false)
 	r.applyServed(s.Served)
 }
@@ -113,7 +113,7 @@
 		delete(r.peers, id)
 	}
 	r.countRouters()
-	r.applyStored(d.Refused)
+	r.applyStored(d.Refused, true)
 	r.applyStoredParts(d.RefusedParts, true)
 	r.applyReleasedParts(d.ReleasedParts)
 	r.applyServed(d.Served)
