The store knows how many probes of a refused request were sent

Routers that begin after all were killed kept the time of the refusal and none of its probes, so each series of lives sent the three that the promise allows once more.

TestTheStoreKnowsHowManyProbesWereSent failed before (nothing to write after a probe), and passes.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -70,8 +70,10 @@
 	reasons []Strike
 	// probes is the number of probe requests since the refusals started.
 	probes int
-	// storedAt is when the refusal was last written to the store; zero if that is not known.
-	storedAt time.Time
+	// storedAt is when the refusal was last written to the store, zero if that is not known, and
+	// storedProbes the number of probes that it has there.
+	storedAt     time.Time
+	storedProbes int
 	// storedHere is set if this router wrote it, which has to remove it.
 	storedHere bool
 	// unsavedSince is from when on it is to be written; zero if the store has it.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -475,7 +475,7 @@
 	for _, s := range all {
 		for _, entry := range s.ToKeep(at(2200), ttl) {
 			entries = append(entries, entry)
-			s.Kept(at(2200), entry.Content)
+			s.Kept(at(2200), entry)
 		}
 		qt.Check(t, s.ToKeep(at(2300), ttl), qt.HasLen, 0)
 	}
--- a/coordination/quarantine/stored.go
+++ b/coordination/quarantine/stored.go
@@ -10,12 +10,12 @@
 // turns; who wrote one removes it.
 
 // ToKeep returns the refused requests that this router has to write to the store, or to write
-// again because half of the entry's life is over.
+// again because probes were sent or half of the entry's life is over.
 func (s *State) ToKeep(now time.Time, ttl time.Duration) []Entry {
 	var out []Entry
 	for _, entry := range s.List() {
 		r := s.records[entry.Content]
-		if now.Sub(r.storedAt) < ttl/2 {
+		if now.Sub(r.storedAt) < ttl/2 && r.storedProbes >= r.probes {
 			r.unsavedSince = time.Time{}
 			continue
 		}
@@ -29,10 +29,10 @@
 	return out
 }
 
-// Kept records that this router wrote the refusal to the store.
-func (s *State) Kept(now time.Time, fp Fingerprint) {
-	if r := s.records[fp]; r != nil {
-		r.storedAt, r.storedHere = now, true
+// Kept records that this router wrote the entry to the store.
+func (s *State) Kept(now time.Time, entry Entry) {
+	if r := s.records[entry.Content]; r != nil {
+		r.storedAt, r.storedProbes, r.storedHere = now, entry.Trials, true
 	}
 }
 
@@ -76,7 +76,7 @@
 func (s *State) noteStored(now time.Time, entries []Entry) {
 	for _, entry := range entries {
 		if r := s.refused[entry.Content]; r != nil {
-			r.storedAt = now
+			r.storedAt, r.storedProbes = now, entry.Trials
 		}
 	}
 }
--- a/coordination/quarantine/stored_test.go
+++ b/coordination/quarantine/stored_test.go
@@ -44,3 +44,22 @@
 	now := at(2200).Add(2 * turns.Step)
 	qt.Check(t, append(left[0].ToKeep(now, storedTTL), left[1].ToKeep(now, storedTTL)...), qt.HasLen, 2)
 }
+
+// Guards against probes that are sent anew by each life of the routers: the store has the number that
+// was sent.
+func TestTheStoreKnowsHowManyProbesWereSent(t *testing.T) {
+	s := refusing("a")[0]
+	entry := s.ToKeep(at(2200), storedTTL)[0]
+	s.Kept(at(2200), entry)
+	s.Stored(at(2201), []Entry{entry}, true)
+	now := at(2200)
+	for ; s.Check(now, bad) != Pass; now = now.Add(100 * time.Millisecond) {
+		s.Tick(now)
+	}
+	s.End(now, s.Begin(bad, "i-9"), Cancelled)
+	again := s.ToKeep(now, storedTTL)
+	qt.Assert(t, again, qt.HasLen, 1)
+	qt.Check(t, again[0].Trials, qt.Equals, 1)
+	s.Kept(now, again[0])
+	qt.Check(t, s.ToKeep(now, storedTTL), qt.HasLen, 0)
+}
--- a/transport/direct/refusedstore.go
+++ b/transport/direct/refusedstore.go
@@ -54,7 +54,7 @@
 			return false
 		}
 		r.mu.Lock()
-		r.quarantine.Kept(time.Now(), one.Content)
+		r.quarantine.Kept(time.Now(), one)
 		r.mu.Unlock()
 	}
 	return true
