--- a/transport/direct/crash_test.go
+++ b/transport/direct/crash_test.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -136,12 +137,44 @@
 			one.registerPeer(other)
 		}
 	}
+	for _, one := range f.routers {
+		f.shareStore(one)
+	}
 	for i := range servers {
 		f.startServer(fmt.Sprintf("i-%d", i))
 	}
 	return f
 }
 
+// shareStore passes what the router writes to the store on to all routers of the fleet.
+func (f *fleet) shareStore(router *fixture) {
+	router.source.mu.Lock()
+	defer router.source.mu.Unlock()
+	router.source.wrote = func(d mirror.Delta) {
+		f.mu.Lock()
+		f.revision++
+		d.Revision = f.revision
+		all := slices.Clone(f.routers)
+		f.mu.Unlock()
+		for _, one := range all {
+			one.source.release(d.ReleasedParts)
+			one.router.update(d)
+		}
+	}
+}
+
+// add adds a router that starts later to the fleet.
+func (f *fleet) add(late *fixture) {
+	for _, one := range f.routers {
+		one.registerPeer(late)
+		late.registerPeer(one)
+	}
+	f.mu.Lock()
+	f.routers = append(f.routers, late)
+	f.mu.Unlock()
+	f.shareStore(late)
+}
+
 // startServer starts a new incarnation of the server and registers it.
 func (f *fleet) startServer(id string) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -307,10 +340,7 @@
 	f.sendRepeatedly("/stream/a", 40*time.Millisecond, 0)
 	began := f.count()
 	late := startPeer(t, "late", testConfig(1))
-	for _, one := range f.routers {
-		one.registerPeer(late)
-		late.registerPeer(one)
-	}
+	f.add(late)
 	late.waitFor("the later router did not receive the reports", func() bool { return late.router.inQuarantine((*quarantine.State).RefusedCount) == 1 })
 	late.Check(late.send("/stream/a", "x", crashBody).status, qt.Equals, http.StatusBadRequest)
 	late.Check(f.count(), qt.Equals, began)
@@ -322,7 +352,7 @@
 	late.Assert(entries, qt.HasLen, 1)
 	late.Check(len(entries[0].Crashes) >= confirmingCrashes, qt.IsTrue)
 	kept := func() (all []quarantine.Entry) {
-		for _, one := range append(f.routers, late) {
+		for _, one := range f.routers {
 			all = append(all, one.source.kept()...)
 		}
 		return all
@@ -337,7 +367,7 @@
 	freed := httptest.NewRecorder()
 	late.router.metricsHandler().ServeHTTP(freed, httptest.NewRequest(http.MethodDelete, "/quarantine/"+entries[0].Content, nil))
 	late.Check(freed.Code, qt.Equals, http.StatusOK)
-	for _, one := range append(f.routers, late) {
+	for _, one := range f.routers {
 		one.waitFor("it is still refused", func() bool { return one.router.inQuarantine((*quarantine.State).RefusedCount) == 0 })
 	}
 	late.waitFor("its entry is still in the store", func() bool { return len(kept()) == 0 })
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -114,6 +114,8 @@
 	refused []quarantine.Entry
 	// refusedParts are the refused sets of parts that routers entered.
 	refusedParts []partquarantine.Entry
+	// wrote, if set, passes what this router wrote on to others, as the store does.
+	wrote func(mirror.Delta)
 	// origins are the records of where streams began, which all sources of a fleet share; nil if
 	// this source keeps none.
 	origins *originStore
@@ -164,12 +166,26 @@
 func (s *testSource) Unregister(context.Context, string) error { return nil }
 
 func (s *testSource) Keep(_ context.Context, one quarantine.Entry, _ time.Duration) error {
+	return s.write(mirror.Delta{Refused: []quarantine.Entry{one}}, func() {
+		s.refused = slices.DeleteFunc(s.refused, func(other quarantine.Entry) bool { return other.Content == one.Content })
+		s.refused = append(s.refused, one)
+	})
+}
+
+// write makes the change and passes it on, unless the store is down.
+func (s *testSource) write(d mirror.Delta, change func()) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
+	down, wrote := s.down, s.wrote
+	if !down {
+		change()
+	}
+	s.mu.Unlock()
+	if down {
 		return platform.ErrUnknown
 	}
-	s.refused = append(s.refused, one)
+	if wrote != nil {
+		wrote(d)
+	}
 	return nil
 }
 
@@ -184,23 +200,28 @@
 }
 
 func (s *testSource) KeepParts(_ context.Context, one partquarantine.Entry, _ time.Duration) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return platform.ErrUnknown
-	}
-	s.refusedParts = append(s.refusedParts, one)
-	return nil
+	return s.write(mirror.Delta{RefusedParts: []partquarantine.Entry{one}}, func() {
+		s.deleteParts(partquarantine.IDOf(one.Parts))
+		s.refusedParts = append(s.refusedParts, one)
+	})
 }
 
 func (s *testSource) DropParts(_ context.Context, set partquarantine.SetID) error {
+	return s.write(mirror.Delta{ReleasedParts: []partquarantine.SetID{set}}, func() { s.deleteParts(set) })
+}
+
+// release deletes the entries of sets that any router of the fleet removed.
+func (s *testSource) release(sets []partquarantine.SetID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return platform.ErrUnknown
+	for _, set := range sets {
+		s.deleteParts(set)
 	}
+}
+
+// deleteParts deletes the entry of the set. The caller holds mu.
+func (s *testSource) deleteParts(set partquarantine.SetID) {
 	s.refusedParts = slices.DeleteFunc(s.refusedParts, func(one partquarantine.Entry) bool { return partquarantine.IDOf(one.Parts) == set })
-	return nil
 }
 
 func (s *testSource) KeepServed(_ context.Context, record versions.Served, _ time.Duration) error {
@@ -220,6 +241,13 @@
 	return slices.Clone(s.refused)
 }
 
+// keptParts returns the refused sets of parts that were entered.
+func (s *testSource) keptParts() []partquarantine.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refusedParts)
+}
+
 func (s *testSource) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
