--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -46,7 +46,7 @@
 	{"nothing is sent after its deadline", sentLate, false},
 	{"nothing runs after it ended for its caller", ranAfterEnd, false},
 	{"nothing of what was on its way reaches a server that left", arrivedAfterDeparture, false},
-	{"repeats are bounded", tooManyRepeats, false},
+	{"repeats are bounded", tooManyRepeats, true},
 	{"a request that crashes servers reaches few more", crashedOn, false},
 	{"a part of prompts that crashes servers reaches few more", partWentOn, true},
 	{"what crashes no server is not refused for it", blamed, false},
--- a/bench/soak/check_live.go
+++ b/bench/soak/check_live.go
@@ -52,7 +52,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := NewRecord()
-	out.Routers = r.Routers
+	out.Routers, out.Until = r.Routers, at
 	for _, c := range r.Calls {
 		if !c.Ended.After(at) {
 			out.Calls = append(out.Calls, c)
--- a/bench/soak/config.go
+++ b/bench/soak/config.go
@@ -26,6 +26,18 @@
 // isStream reports whether the answer is a stream.
 func (k Kind) isStream() bool { return k == Stream || k == Resumable }
 
+// mayGoTo reports whether the configuration may send requests of the kind to the service.
+func (k Kind) mayGoTo(service string) bool {
+	switch service {
+	case engineService:
+		return k.isStream()
+	case plainService:
+		return !k.isStream()
+	default:
+		return k == Moved
+	}
+}
+
 // repeatable reports whether a request may run again.
 func (k Kind) repeatable() bool { return k == Resumable || k == Safe }
 
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -57,7 +57,9 @@
 	versions bool
 	// endless adds servers that send without end, see Plan.
 	endless bool
-	open    sync.WaitGroup
+	// lives adds kills of all routers, at once and in turn, see Plan.Parts.
+	lives bool
+	open  sync.WaitGroup
 }
 
 // endlessShare is how often servers that send without end are among the kinds of failures: a single one
@@ -130,6 +132,9 @@
 	if i.endless {
 		kinds = append(kinds, slices.Repeat([]func() failure{i.sendEndlessly}, endlessShare)...)
 	}
+	if i.lives {
+		kinds = append(kinds, i.killAll, i.killAll, i.killInTurn, i.killInTurn)
+	}
 	if i.held && i.random.IntN(heldOneIn) == 0 {
 		return i.leaveHeld()
 	}
--- a/bench/soak/parts.go
+++ b/bench/soak/parts.go
@@ -29,6 +29,31 @@
 	mostPartTokens = 30
 )
 
+// PartsSize is the size of fleets before which requests share a part that crashes servers.
+func PartsSize() Size {
+	return Size{Routers: 5, Engines: 9, Plain: 2, Other: 2, Callers: 24, Spread: true}
+}
+
+// killAll kills all routers at once.
+func (i *injector) killAll() failure {
+	return failure{kind: "all killed", router: noRouter, do: i.killTogether(len(i.w.routers))}
+}
+
+// killInTurn kills one router after the other, each before the one before has been in touch for long.
+func (i *injector) killInTurn() failure {
+	gap := i.length(300*time.Millisecond, time.Second)
+	var all []failure
+	for _, r := range i.some(len(i.w.routers)) {
+		all = append(all, i.kill(r))
+	}
+	return failure{kind: "killed in turn", router: noRouter, do: func() {
+		for _, one := range all {
+			i.make(one)
+			time.Sleep(gap)
+		}
+	}}
+}
+
 // insistOnPart sends requests with the part that crashes servers, at any router, and sound ones beside
 // them, until the failures are over.
 func (w *World) insistOnPart(ctx context.Context, working *sync.WaitGroup, seed uint64) {
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -133,6 +133,8 @@
 	Memory map[int]int64
 	// Settled is when every failure was over.
 	Settled time.Time
+	// Until is the time up to which attempts are in the record, if the run goes on; zero if it is over.
+	Until time.Time
 }
 
 // NewRecord returns an empty record.
--- a/bench/soak/rows_parts_test.go
+++ b/bench/soak/rows_parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -111,3 +112,14 @@
 		_ = r.Start()
 	}
 }
+
+// Guards against broken promises while parts of prompts and whole requests crash servers and all routers are
+// killed at once, or in turn, beside other failures.
+func TestAPartBesideLivesOfRouters(t *testing.T) {
+	for _, seed := range []uint64{14000, 14001} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, PartsSize(), DefaultPlan(seed), "")
+		})
+	}
+}
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -39,6 +39,9 @@
 	// Pairs makes troubles in pairs while engines are released, instead of single failures, before
 	// callers most of whom come back once to a stream that they broke off.
 	Pairs bool
+	// Parts adds requests that share a part of their prompts that crashes servers, and kills all routers
+	// at once or in turn beside them. Without it seeds choose the same failures as ever.
+	Parts bool
 	// Endless adds servers that answer by bytes without end that are no answer. Without it, this
 	// kind of failure is not drawn.
 	Endless bool
@@ -64,10 +67,15 @@
 	firstPairs = 12000
 	// firstEndless and lastEndless are the first and the last seed whose servers send without end.
 	firstEndless, lastEndless = 13000, 13999
+	// firstParts is the first seed with a part of prompts that crashes servers.
+	firstParts = 14000
 )
 
 // DefaultPlan returns the plan of the tool.
 func DefaultPlan(seed uint64) Plan {
+	if seed >= firstParts {
+		return Plan{Seed: seed, Failures: failTime, Every: meanOf(seed), Reborn: seed%2 == 0, Crashing: seed%2 == 1, Parts: true}
+	}
 	if seed >= firstEndless && seed <= lastEndless {
 		return Plan{Seed: seed, Failures: failTime, Every: meanOf(seed), Reborn: true, Framed: seed%2 == 1, Endless: true}
 	}
@@ -124,7 +132,10 @@
 	if plan.Crashing {
 		w.insist(ctx, &working, plan.Seed)
 	}
-	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held, framed: plan.Framed, versions: plan.Versions, endless: plan.Endless}
+	if plan.Parts {
+		w.insistOnPart(ctx, &working, plan.Seed)
+	}
+	i := &injector{w: w, random: rand.New(rand.NewPCG(plan.Seed, 5)), reborn: plan.Reborn, announced: plan.Announced, held: plan.Held, framed: plan.Framed, versions: plan.Versions, endless: plan.Endless, lives: plan.Parts}
 	if plan.Places {
 		i.evacuations(plan)
 	}
@@ -151,6 +162,9 @@
 
 // SizeOf returns the size of the seed's fleet, where the seed says one, or else the given one.
 func SizeOf(seed uint64, other Size) Size {
+	if seed >= firstParts {
+		return PartsSize()
+	}
 	if seed >= firstPairs && (seed < firstEndless || seed > lastEndless) {
 		return PairsSize()
 	}
