A router that cleared a refused set remembers that, though no crash is left in its memory

Cause: harmless parts were dropped as soon as nothing was known against any part, so that the next report of the set was taken for news, and its sender was told nothing.

TestAClearedSetIsNotRefusedAgain failed before (refused at both, three of three), and passes. That the part was refused at all, as routers knew little of what most requests carry, is not mended.

--- a/coordination/partquarantine/judge.go
+++ b/coordination/partquarantine/judge.go
@@ -86,12 +86,12 @@
 		s.removeOldest()
 	}
 	if s.isIdle() {
-		clear(s.harmless)
 		clear(s.groups)
 		s.arrivals = 0
-		return
 	}
-	s.dropHarmless(now)
+	if len(s.harmless) > 0 {
+		s.dropHarmless(now)
+	}
 }
 
 // maxRounds bounds how often the suspects are derived again at once, as each refusal explains crashes.
--- a/coordination/partquarantine/runs.go
+++ b/coordination/partquarantine/runs.go
@@ -231,6 +231,9 @@
 	s.stale = true
 	for _, one := range s.refusals {
 		if !at.Add(s.cfg.HarmlessTTL).Before(one.since) {
+			if slices.Contains(one.parts, p) {
+				s.released[p] = true
+			}
 			one.parts = slices.DeleteFunc(one.parts, func(other Part) bool { return other == p })
 		}
 	}
@@ -255,12 +258,21 @@
 		}
 	}
 	for p, at := range s.harmless {
-		if _, is := named[p]; !is && now.Sub(at) > s.cfg.HarmlessTTL {
+		if _, is := named[p]; !is && now.Sub(at) > s.harmlessFor(p) {
 			delete(s.harmless, p)
+			delete(s.released, p)
 		}
 	}
 }
 
+// harmlessFor returns for how long it is remembered that the part is harmless, if no crash names it.
+func (s *State) harmlessFor(p Part) time.Duration {
+	if s.released[p] {
+		return s.cfg.CrashTTL
+	}
+	return s.cfg.HarmlessTTL
+}
+
 // Crash records that this router knows that the server ended without having announced it.
 func (s *State) Crash(now time.Time, server string) {
 	at := s.servers[server]
--- a/coordination/partquarantine/state.go
+++ b/coordination/partquarantine/state.go
@@ -50,6 +50,9 @@
 	crashOrder []*crash
 	// harmless holds when a run with the part was last known to have survived.
 	harmless map[Part]time.Time
+	// released are the parts that were refused before they were known to be harmless. They are kept
+	// for as long as others may refuse them by an entry of the store.
+	released map[Part]bool
 	// harmlessDropped is when old entries of harmless were dropped.
 	harmlessDropped time.Time
 	// suspects is derived from crashes, harmless and refusals; stale means that these changed.
@@ -119,7 +122,7 @@
 	return &State{
 		cfg: cfg, self: self, servers: make(map[string]*serverRuns), crashes: make(map[string]*crash),
 		harmless: make(map[Part]time.Time), suspects: make(map[Part]*suspect), groups: make(map[uint64]*group), breadth: newBreadth(),
-		stored: make(map[SetID]storedSet),
+		stored: make(map[SetID]storedSet), released: make(map[Part]bool),
 	}
 }
 
--- a/coordination/partquarantine/stored_test.go
+++ b/coordination/partquarantine/stored_test.go
@@ -108,6 +108,36 @@
 	qt.Check(t, states[0].RefusedCount(), qt.Equals, 0)
 }
 
+// Guards against a wrong refusal that comes back from a router that read it in the store: a router that
+// began alone, saw no crash and cleared the set had nothing left to remember it by.
+func TestAClearedSetIsNotRefusedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	parts := sortedParts(badSet)
+	entry := Entry{Parts: parts, Since: now}
+	s, late := New(DefaultConfig(), "r0"), New(DefaultConfig(), "late")
+	s.Stored(now, []Entry{entry}, false)
+	for _, p := range parts {
+		s.Release(now, p)
+	}
+	s.UnsentReports(now)
+	for range 3 {
+		now = now.Add(time.Minute)
+		s.Tick(now)
+		late.Stored(now, []Entry{entry}, false)
+		for _, report := range late.PeriodicReports(now) {
+			s.Merge(now, report)
+		}
+		qt.Check(t, s.RefusedCount(), qt.Equals, 0)
+		for _, report := range s.UnsentReports(now) {
+			late.Merge(now, report)
+		}
+		qt.Check(t, late.RefusedCount(), qt.Equals, 0)
+	}
+	now = now.Add(DefaultConfig().CrashTTL)
+	s.Tick(now)
+	qt.Check(t, s.harmless, qt.HasLen, 0)
+}
+
 // Guards against memory that grows with what other writers of the store enter.
 func TestStoredSetsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
