--- a/coordination/partquarantine/stored.go
+++ b/coordination/partquarantine/stored.go
@@ -9,8 +9,8 @@
 	"goldcrestport/coordination/turns"
 )
 
-// Refused sets are in the store, so that they survive the loss of all routers. The routers write and
-// remove them in turns.
+// Refused sets are kept in the store, so that they survive the loss of all routers. The routers write
+// and remove them in turns.
 
 // SetID identifies a refused set in the store.
 type SetID uint64
--- a/coordination/quarantine/stored.go
+++ b/coordination/quarantine/stored.go
@@ -6,8 +6,8 @@
 	"goldcrestport/coordination/turns"
 )
 
-// Refusals are in the store, so that they survive the loss of all routers. The routers write them in
-// turns; who wrote one removes it.
+// Refusals are kept in the store, so that they survive the loss of all routers. The routers write
+// them in turns; the one that wrote an entry removes it.
 
 // ToKeep returns the refused requests that this router has to write to the store, or to write
 // again because probes were sent or half of the entry's life is over.
--- a/coordination/repeats/model_test.go
+++ b/coordination/repeats/model_test.go
@@ -76,12 +76,9 @@
 	return m
 }
 
-// retry asks the router for a retry. A process that was killed asks for none.
+// retry asks the router for a retry. One that is down or serves nothing yet asks for none.
 func (m *modelFleet) retry(r *modelRouter) bool {
-	if r.upFrom > m.now {
-		return false
-	}
-	if r.known == 0 {
+	if r.upFrom > m.now || r.known == 0 {
 		return false
 	}
 	m.wanted++
--- a/coordination/repeats/repeats.go
+++ b/coordination/repeats/repeats.go
@@ -38,9 +38,9 @@
 	// windowsOfCredit is the number of windows in which the requests came whose credits can be
 	// spent in one window: that window and the one before it.
 	windowsOfCredit = 2
-	// burstShare is the share of the allowance that can be spent at once. The rest is earned in a
-	// window, so that a window has no more than the allowance, also if a new process follows one
-	// that had spent all.
+	// burstShare is the share of the allowance that can be kept and spent at once. The rest is earned
+	// in a window, so that no window has more than the allowance, also if a new process follows one
+	// that spent all it had.
 	burstShare = 0.5
 )
 
--- a/transport/direct/refusedstore.go
+++ b/transport/direct/refusedstore.go
@@ -14,8 +14,8 @@
 	// refusedEntryTTL is the lifetime of an entry without a renewal: the longest that the users'
 	// store allows.
 	refusedEntryTTL = 10 * time.Minute
-	// refusedSyncInterval is the interval between checks for entries to write or remove. It is what the
-	// fleet forgets if all routers are killed right after a refusal.
+	// refusedSyncInterval is the interval between checks for entries to write or remove. Refusals of
+	// the last interval are forgotten if all routers are killed.
 	refusedSyncInterval = 200 * time.Millisecond
 	// refusedRetryPause is the pause after a call that failed.
 	refusedRetryPause = time.Second
