Model of lasting refusals: few requests, held paths, growing fleets, routers that begin beside a lapsed fleet

Callers saw: retries beyond the budget while servers reject most requests for long. Cause, by the model: a process counts the routers that it reads in the store or from a seed. If all were killed while entries had lapsed, and most stay cut off from the store, each counts itself only, and has the whole allowance. The model was too mild: a router that begins read a seed before the store; now, as the programs do, a seed only where the store does not answer.

--- a/coordination/repeats/model_test.go
+++ b/coordination/repeats/model_test.go
@@ -46,6 +46,11 @@
 	// a server refuses.
 	rate     float64
 	refusing float64
+	// furtherTries is how often a refused request is tried again at most.
+	furtherTries int
+	// heldUntil is the end of a time in which heldShare of the retries are held on their way.
+	heldUntil time.Duration
+	heldShare float64
 	// storeUntil is the end of an outage, after which entries are only those of rejoining routers.
 	storeUntil time.Duration
 	rejoining  bool
@@ -66,7 +71,7 @@
 func (m *modelFleet) clock() time.Time { return modelStart.Add(m.now) }
 
 func newModelFleet(seed uint64, routers int, cfg Config) *modelFleet {
-	m := &modelFleet{random: rand.New(rand.NewPCG(seed, uint64(routers))), cfg: cfg}
+	m := &modelFleet{random: rand.New(rand.NewPCG(seed, uint64(routers))), cfg: cfg, furtherTries: 1}
 	steps := int(modelSpan / modelStep)
 	m.requests, m.retries = make([]int, steps), make([]int, steps)
 	for range routers {
@@ -86,10 +91,21 @@
 		return false
 	}
 	m.granted++
-	m.retries[int(m.now/modelStep)]++
+	m.arrive()
 	return true
 }
 
+// arrive counts a retry at the time at which it reaches a server.
+func (m *modelFleet) arrive() {
+	at := m.now
+	if m.now < m.heldUntil && m.random.Float64() < m.heldShare {
+		at = m.heldUntil
+	}
+	if at < modelSpan {
+		m.retries[int(at/modelStep)]++
+	}
+}
+
 func (m *modelFleet) up() []*modelRouter {
 	var out []*modelRouter
 	for _, r := range m.routers {
@@ -118,8 +134,8 @@
 
 // register renews the entries in the store and what routers see there.
 func (m *modelFleet) register() {
-	m.startBySeed()
 	if m.now < m.storeUntil {
+		m.startBySeed()
 		return
 	}
 	if m.rejoining {
@@ -143,6 +159,7 @@
 			m.learn(r, max(registered, 1))
 		}
 	}
+	m.startBySeed()
 }
 
 // learn tells the router how many there are.
@@ -151,7 +168,7 @@
 	r.size.Registered(m.clock(), routers)
 }
 
-// startBySeed gives routers that start what another router knows.
+// startBySeed gives routers that start and do not reach the store what another router knows.
 func (m *modelFleet) startBySeed() {
 	known := 0
 	for _, r := range m.routers {
@@ -181,8 +198,10 @@
 		r := up[m.random.IntN(len(up))]
 		r.budget.Request(m.clock())
 		m.requests[int(m.now/modelStep)]++
-		if m.random.Float64() < m.refusing {
-			m.retry(r)
+		for range m.furtherTries {
+			if m.random.Float64() >= m.refusing || !m.retry(r) {
+				break
+			}
 		}
 	}
 }
--- a/coordination/repeats/troubles_test.go
+++ b/coordination/repeats/troubles_test.go
@@ -19,8 +19,13 @@
 }
 
 func (m *modelFleet) kill(r *modelRouter) {
-	r.upFrom = m.now + m.between(100*time.Millisecond, 2*time.Second)
-	r.budget = New(m.cfg, m.clock().Add(r.upFrom-m.now))
+	m.begin(r, m.now+m.between(100*time.Millisecond, 2*time.Second))
+}
+
+// begin lets the router begin a life at the given time; it is down until then.
+func (m *modelFleet) begin(r *modelRouter, at time.Duration) {
+	r.upFrom = at
+	r.budget = New(m.cfg, modelStart.Add(at))
 	r.known, r.size = 0, FleetSize{}
 }
 
