The store keeps how many routers share retries, for routers that start while entries have lapsed

Callers saw: retries beyond the budget while servers reject most requests. Cause: a process divides the allowance by the routers that it reads in the store, or that the router knows from which it starts. Entries lapse with their leases: in an outage, or of routers that are cut off and go on to spend. One that starts then counts itself only; so do all that start from it.

Now the number is a record of its own in the store, without a lease, with the time until which it counts (10 minutes after routers left, as in memory): one write as the fleet starts or grows and one each 5 minutes, in turns. A router that starts reads it before it serves, and passes it on to routers that start from it. Weighed: to count the senders of datagrams (nothing from routers that are cut off from all others), a wait before the allowance is earned (cut-off routers spend for minutes), an entry under a lease of 10 minutes (lapses with the others). A build before reads none of the new key and fields, by reading.

--- a/coordination/mirror/entries.go
+++ b/coordination/mirror/entries.go
@@ -4,6 +4,7 @@
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
+	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/versions"
 	"goldcrestport/state/routing"
@@ -55,6 +56,8 @@
 	RefusedParts []partquarantine.Entry
 	// Served are the records of versions that served side by side.
 	Served []versions.Served
+	// Fleet is the number of routers that share retries; nil if there is none.
+	Fleet *repeats.FleetRecord
 	// Origins are those of streams that routers wrote for routers that begin; they are not passed on
 	// from router to router.
 	Origins []origin.Stored `json:"-"`
@@ -79,6 +82,8 @@
 	ReleasedParts []partquarantine.SetID
 	// Served are records of versions that were written.
 	Served []versions.Served
+	// Fleet is the number of routers that share retries; nil if it did not change.
+	Fleet *repeats.FleetRecord
 	// Origins are those of streams that routers wrote; they are not passed on from router to router.
 	Origins []origin.Stored `json:"-"`
 	// Joined and Left are the routers that registered, and those whose registration ended.
--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -84,6 +84,9 @@
 	if d.Config != nil {
 		m.result.Config = d.Config
 	}
+	if d.Fleet != nil {
+		m.result.Fleet = d.Fleet
+	}
 	m.result.Revision = d.Revision
 	// Refused requests and sets are passed on, so that one router writes each.
 	m.result.Refused = append(m.result.Refused, d.Refused...)
--- a/coordination/repeats/model_test.go
+++ b/coordination/repeats/model_test.go
@@ -51,6 +51,8 @@
 	// heldUntil is the end of a time in which heldShare of the retries are held on their way.
 	heldUntil time.Duration
 	heldShare float64
+	// record is the number of routers that the store keeps; it does not lapse.
+	record FleetRecord
 	// storeUntil is the end of an outage, after which entries are only those of rejoining routers.
 	storeUntil time.Duration
 	rejoining  bool
@@ -156,29 +158,41 @@
 	}
 	for _, r := range m.routers {
 		if r.upFrom <= m.now && r.cutUntil <= m.now {
-			m.learn(r, max(registered, 1))
+			m.learn(r, max(registered, 1), m.record)
+			m.keepRecord(r)
 		}
 	}
 	m.startBySeed()
 }
 
-// learn tells the router how many there are.
-func (m *modelFleet) learn(r *modelRouter, routers int) {
+// learn tells the router how many there are, and the record of the store or of another router.
+func (m *modelFleet) learn(r *modelRouter, routers int, record FleetRecord) {
 	r.known = routers
 	r.size.Registered(m.clock(), routers)
+	r.size.Stored(m.clock(), record)
+}
+
+// keepRecord writes the router's record if it is due, without waiting for its turn.
+func (m *modelFleet) keepRecord(r *modelRouter) {
+	if record, due := r.size.ToStore(m.clock(), "", nil); due {
+		m.record = record
+	}
 }
 
 // startBySeed gives routers that start and do not reach the store what another router knows.
 func (m *modelFleet) startBySeed() {
-	known := 0
+	var seed *modelRouter
 	for _, r := range m.routers {
-		if r.upFrom <= m.now {
-			known = max(known, r.known)
+		if r.upFrom <= m.now && r.known > 0 && (seed == nil || r.known > seed.known) {
+			seed = r
 		}
 	}
+	if seed == nil {
+		return
+	}
 	for _, r := range m.routers {
 		if r.upFrom <= m.now && r.known == 0 {
-			m.learn(r, known)
+			m.learn(r, seed.known, seed.size.Record(m.clock()))
 		}
 	}
 }
--- a/transport/direct/changes.go
+++ b/transport/direct/changes.go
@@ -100,6 +100,8 @@
 	}
 	whole := r.mirror.Whole()
 	whole.Routers = maps.Clone(r.peers)
+	fleet := r.fleetSize.Record(time.Now())
+	whole.Fleet = &fleet
 	answer.Whole = &whole
 	if r.mirror.Config().Version > want.Version {
 		answer.Whole.Config = r.mirror.Config()
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -16,6 +16,7 @@
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/quarantine"
+	"goldcrestport/coordination/repeats"
 	"goldcrestport/coordination/versions"
 )
 
@@ -110,6 +111,9 @@
 	DropParts(ctx context.Context, set partquarantine.SetID) error
 	// KeepServed writes the record of versions that serve side by side, with the given lifetime.
 	KeepServed(ctx context.Context, record versions.Served, life time.Duration) error
+	// KeepFleet writes the number of routers that share retries. The entry outlives the leases of
+	// all routers.
+	KeepFleet(ctx context.Context, record repeats.FleetRecord) error
 	// KeepOrigins writes the origins of streams that began at the router, under the lease that was
 	// returned before for the segment, or under a new one of the given lifetime if it is empty.
 	KeepOrigins(ctx context.Context, router string, segment origin.Segment, lease string, life time.Duration) (string, error)
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -234,6 +234,20 @@
 	return nil
 }
 
+func (s *testSource) KeepFleet(_ context.Context, record repeats.FleetRecord) error {
+	return s.write(mirror.Delta{Fleet: &record}, func() { s.now.Fleet = &record })
+}
+
+// keptFleet returns the number of routers that was entered.
+func (s *testSource) keptFleet() repeats.FleetRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now.Fleet == nil {
+		return repeats.FleetRecord{}
+	}
+	return *s.now.Fleet
+}
+
 // kept returns the refused requests that were entered.
 func (s *testSource) kept() []quarantine.Entry {
 	s.mu.Lock()
--- a/transport/direct/refusedstore.go
+++ b/transport/direct/refusedstore.go
@@ -126,6 +126,7 @@
 	callKeepParts  = "keep_parts"
 	callDropParts  = "drop_parts"
 	callKeepServed = "keep_versions"
+	callKeepFleet  = "keep_fleet"
 	callOrigins    = "keep_origins"
 )
 
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -220,6 +220,7 @@
 	go r.register(ctx)
 	go r.syncQuarantine(ctx)
 	go r.syncServed(ctx)
+	go r.syncFleet(ctx)
 	go r.origins.writer.run(ctx)
 	go func() { _ = observe.Server(r.healthHandler()).Serve(health) }()
 	if err := r.startGossip(ctx); err != nil {
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -84,6 +84,7 @@
 	r.applyStored(s.Refused, false)
 	r.applyStoredParts(s.RefusedParts, false)
 	r.applyServed(s.Served)
+	r.applyFleet(s.Fleet)
 }
 
 // update applies changes. They are complete up to their revision, so they include what other
@@ -117,6 +118,9 @@
 	r.applyStoredParts(d.RefusedParts, true)
 	r.applyReleasedParts(d.ReleasedParts)
 	r.applyServed(d.Served)
+	if d.Fleet != nil {
+		r.applyFleet(d.Fleet)
+	}
 }
 
 // evacuate applies the operators' evacuations of data centres; before are those that were in
