Credits for retries fall with a smaller ratio, and start anew with another window

Settings that change while a process runs left the credits of the former limits: with a tenth of the ratio 80 retries for 1,000 requests, 8 are what the new one grants; the same with a window of a second. TestCreditsStayWithinChangedLimits failed before. Ruled out: a new budget (a second allowance in the same window).

--- a/coordination/repeats/repeats.go
+++ b/coordination/repeats/repeats.go
@@ -69,9 +69,23 @@
 	return &Budget{cfg: cfg, width: cfg.Window / buckets, earnedAt: startedAt}
 }
 
-// SetConfig changes the limits. What was earned stays; a window of another length applies from now
-// on.
-func (b *Budget) SetConfig(cfg Config) { b.cfg, b.width = cfg, cfg.Window/buckets }
+// SetConfig changes the limits. What was earned stays as far as the new limits would have granted it;
+// with a window of another length credits start anew.
+func (b *Budget) SetConfig(cfg Config) {
+	before := b.cfg
+	b.cfg, b.width = cfg, cfg.Window/buckets
+	if cfg.Window != before.Window {
+		b.credits, b.requests, b.retries = [buckets]float64{}, [buckets]float64{}, [buckets]float64{}
+		return
+	}
+	if cfg.Use*cfg.Ratio >= before.Use*before.Ratio {
+		return
+	}
+	kept := cfg.Use * cfg.Ratio / (before.Use * before.Ratio)
+	for i := range b.credits {
+		b.credits[i] *= kept
+	}
+}
 
 // Request credits a caller's request.
 func (b *Budget) Request(now time.Time) {
--- a/coordination/repeats/repeats_test.go
+++ b/coordination/repeats/repeats_test.go
@@ -98,6 +98,28 @@
 	})
 }
 
+// Guards against retries beyond a smaller ratio, or a shorter window, that came into force while credits of the
+// former one were left.
+func TestCreditsStayWithinChangedLimits(t *testing.T) {
+	change := func(change func(*Config)) int {
+		now := time.Unix(1000, 0)
+		b := New(cfg, now)
+		for range 1000 {
+			b.Request(now)
+			now = now.Add(10 * time.Millisecond)
+		}
+		changed := cfg
+		changed.Allowance = 0
+		change(&changed)
+		b.SetConfig(changed)
+		return takeAll(b, now, 5)
+	}
+	qt.Check(t, change(func(*Config) {}) >= 70, qt.IsTrue)
+	qt.Check(t, change(func(c *Config) { c.Ratio = 0.02 }) <= 8, qt.IsTrue)
+	qt.Check(t, change(func(c *Config) { c.Window = time.Second }) <= 8, qt.IsTrue)
+	qt.Check(t, change(func(c *Config) { c.Ratio = 0 }), qt.Equals, 0)
+}
+
 // BenchmarkTake measures a request and a decision on a retry.
 func BenchmarkTake(b *testing.B) {
 	now := time.Unix(1000, 0)
