--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -46,9 +46,9 @@
 	client *http.Client
 	router int
 	count  int
-	// isOld tells that the caller speaks HTTP/1.0.
+	// isOld is set if the caller uses HTTP/1.0.
 	isOld bool
-	// resumes tells that the caller asks for streams only, each of which it takes up once, after a
+	// resumes is set if the caller asks for streams only, each of which it takes up once, after a
 	// pause.
 	resumes bool
 	pause   span
--- a/bench/soak/check_held.go
+++ b/bench/soak/check_held.go
@@ -9,7 +9,7 @@
 )
 
 // endSlack is the time after the end of a call up to which a run of it may still begin: its
-// router has heard of the end and given every attempt up by then.
+// router has been notified of the end and cancelled every attempt by then.
 const endSlack = time.Second
 
 // eachLateRun hands each run that began after the moment to take, of calls whose router ran
@@ -23,7 +23,7 @@
 	}
 }
 
-// unaware reports whether the router did not run, or heard its callers late, for a part of the
+// unaware reports whether the router did not run, or read from its callers late, for a part of the
 // span.
 func (r *Record) unaware(router int, from, until time.Time) bool {
 	kinds := []string{freeze, callersHeld, callersDelayed}
--- a/bench/soak/check_versions.go
+++ b/bench/soak/check_versions.go
@@ -91,7 +91,7 @@
 }
 
 // lostOf compares the share of resumed streams that go on with that of new ones that begin, and
-// tells what is lost if it is too small.
+// reports what is lost if it is too small.
 func lostOf(streams []judged) (string, bool) {
 	resumed, fresh := sharesOf(streams)
 	if resumed.all < leastResumed || resumed.share() >= leastShare*fresh.share() {
--- a/bench/soak/config.go
+++ b/bench/soak/config.go
@@ -77,7 +77,7 @@
 	repeatSlack = 20
 	// evacuation is the time after which an evacuated data centre gets nothing.
 	evacuation = 5 * time.Second
-	// A cold engine bears coldRate requests a second; in any second it may get
+	// A cold engine handles coldRate requests a second; in any second it may get
 	// coldOverrun times that and coldSlack besides.
 	coldTime    = 2 * time.Second
 	coldRate    = 4.0
--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -18,7 +18,7 @@
 
 // Guards the soak's own servers: one that a request ended closed the connections of other copies
 // in good order while it still took new ones, as no process that crashes does, so that nobody
-// could tell their broken answers from whole ones.
+// could distinguish their broken answers from whole ones.
 func TestAServerThatCrashesTakesNoConnectionOnceOneEnds(t *testing.T) {
 	c := qt.New(t)
 	w := startFleet(c, c.TempDir(), Size{Routers: 1, Engines: 1, Plain: 1, Other: 1})
--- a/bench/soak/doc.go
+++ b/bench/soak/doc.go
@@ -4,5 +4,5 @@
 //
 // A World holds the processes and what stands around them: a stand-in for the
 // users' store, stand-ins for backend servers, relays on every link, and
-// callers. A Record holds what was seen; Check tells which promises it breaks.
+// callers. A Record holds what was seen; Check reports which promises it breaks.
 package soak
--- a/bench/soak/failure.go
+++ b/bench/soak/failure.go
@@ -211,7 +211,7 @@
 }
 
 // stoppedInStart reports whether the signal to stop ended a process that had not begun to
-// serve: nobody can be heard before the program runs.
+// serve: nothing can be received before the program runs.
 func (r *router) stoppedInStart() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -236,7 +236,7 @@
 	}}
 }
 
-// forgetHistory makes watches deaf for a second and drops the history then.
+// forgetHistory makes watches report nothing for a second and drops the history then.
 func (i *injector) forgetHistory() failure {
 	return failure{kind: "history dropped", router: everyRouter, do: func() {
 		i.w.store.SetFaults(kvstore.Faults{DeafWatches: true})
--- a/bench/soak/failure_server.go
+++ b/bench/soak/failure_server.go
@@ -42,7 +42,7 @@
 	return failure{kind: "none", router: noRouter, planned: true, do: func() {}}
 }
 
-// crash ends a server without a word; later a new one takes its address, at
+// crash ends a server without notice; later a new one takes its address, at
 // times one of another service.
 func (i *injector) crash() failure {
 	return i.crashOf(i.take(true))
@@ -82,7 +82,7 @@
 	}
 }
 
-// startAgain ends a server without a word; it starts again under its id at
+// startAgain ends a server without notice; it starts again under its id at
 // another address, knowing nothing. At times its entry lapses in between.
 func (i *injector) startAgain() failure {
 	s := i.take(true)
@@ -124,7 +124,7 @@
 }
 
 // leave drains a server and replaces it. Every third one's entry is removed
-// without a word before.
+// without notice before.
 func (i *injector) leave() failure {
 	s := i.take(true)
 	if s == nil {
--- a/bench/soak/insist.go
+++ b/bench/soak/insist.go
@@ -173,13 +173,13 @@
 	return late
 }
 
-// Wrong refusals that the users bear: some, and one in so many requests.
+// Wrong refusals that the users tolerate: some, and one in so many requests.
 const (
 	blamedSlack = 5
 	blamedShare = 500
 )
 
-// blamed finds more wrong refusals than the users bear.
+// blamed finds more wrong refusals than the users tolerate.
 func blamed(r *Record) []string {
 	var wrong []string
 	for _, c := range r.Calls {
--- a/bench/soak/long_seeds_test.go
+++ b/bench/soak/long_seeds_test.go
@@ -31,15 +31,15 @@
 	play(t, DefaultSize(), DefaultPlan(7232), "a run that ended well cleared the request, and its server crashed after it")
 }
 
-// Guards against a cold server that gets more in a second than it bears: 12 where 11 are
-// borne. Before, the check of cold servers took two processes under one id for one.
+// Guards against a cold server that gets more in a second than it handles: 12 where 11 are
+// allowed. Before, the check of cold servers took two processes under one id for one.
 func TestASeedInWhichAColdServerGotTooMany(t *testing.T) {
 	t.Parallel()
 	play(t, DefaultSize(), DefaultPlan(2013), "not traced")
 }
 
-// Guards against cold servers that get more in a second than they bear after an evacuation was
-// taken back: 12 and 15 where 11 are borne. Two routers had begun while it was in force, and
+// Guards against cold servers that get more in a second than they handle after an evacuation was
+// taken back: 12 and 15 where 11 are allowed. Two routers had begun while it was in force, and
 // read of the servers first when it was over, as if they were warm.
 func TestASeedInWhichRoutersBeganBesideAnEvacuation(t *testing.T) {
 	t.Parallel()
@@ -54,8 +54,8 @@
 	play(t, DefaultSize(), DefaultPlan(9072), "suspected: a server that crashes ended copies in good order before it refused connections")
 }
 
-// Guards against a cold server that gets more in a second than it bears, as the seed before: 12
-// where 11 are borne.
+// Guards against a cold server that gets more in a second than it handles, as the seed before: 12
+// where 11 are allowed.
 func TestAnotherSeedInWhichAColdServerGotTooMany(t *testing.T) {
 	t.Parallel()
 	play(t, DefaultSize(), DefaultPlan(9101), "not traced")
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -18,13 +18,13 @@
 	Key     string
 	Sent    time.Time
 	Ended   time.Time
-	// Router and Life tell which process took it.
+	// Router and Life identify the process that took it.
 	Router, Life int
 	// Left is when the caller gave it up, or the zero time.
 	Left time.Time
 	// Status is 0 when there was no answer.
 	Status int
-	// Whole tells that the answer came to its end, and Problem what was wrong
+	// Whole is set if the answer came to its end; Problem is what was wrong
 	// with its bytes.
 	Whole   bool
 	Problem string
@@ -41,7 +41,7 @@
 	Versions []string
 	// Parts are the shared parts of its prompt, as the header names them; empty for none.
 	Parts string
-	// Broke tells that the caller broke the stream off to resume it.
+	// Broke is set if the caller broke the stream off to resume it.
 	Broke bool
 }
 
@@ -94,7 +94,7 @@
 	Acked, Until time.Time
 }
 
-// Cold is a span in which a process of a server bears few requests.
+// Cold is a span in which a process of a server handles few requests.
 type Cold struct {
 	Server      string
 	Born        int64
--- a/bench/soak/router.go
+++ b/bench/soak/router.go
@@ -22,7 +22,7 @@
 	life int
 	// logFrom is the size of its log at the start of this life.
 	logFrom int64
-	// meant tells that the process is meant to run.
+	// meant is set if the process is meant to run.
 	meant bool
 }
 
--- a/bench/soak/rows_parts_test.go
+++ b/bench/soak/rows_parts_test.go
@@ -145,7 +145,7 @@
 }
 
 // Guards against sound requests that many send and that are refused as whole requests, since they ran at
-// servers that a part of other prompts crashed: 49 of 7,037, where 19 are borne.
+// servers that a part of other prompts crashed: 49 of 7,037, where 19 are allowed.
 func TestASeedInWhichACommonRequestWasRefusedBesideAPart(t *testing.T) {
 	t.Parallel()
 	play(t, PartsSize(), DefaultPlan(14017), "three crashes refuse a request before five refuse the part")
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -162,7 +162,7 @@
 }
 
 // Servers start again under their ids, and others write over servers' entries,
-// beside everything else: watches that hear nothing, a store that is away, routers
+// beside everything else: watches that report nothing, a store that is away, routers
 // that start anew.
 func TestServersThatKeepTheirIDs(t *testing.T) {
 	size := Size{Routers: 3, Engines: 3, Plain: 2, Other: 2, Callers: 12}
--- a/bench/soak/summary.go
+++ b/bench/soak/summary.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Summary tells in one line what happened in a run.
+// Summary describes in one line what happened in a run.
 func Summary(r *Record) string {
 	whole, refused, unanswered, quarantined, blamed := 0, 0, 0, 0, 0
 	for _, c := range r.Calls {
--- a/bench/soak/versions.go
+++ b/bench/soak/versions.go
@@ -84,7 +84,7 @@
 	mostUnseen   = 1500 * time.Millisecond
 )
 
-// restartAsOther ends an engine without a word; it starts again under its id and address as the
+// restartAsOther ends an engine without notice; it starts again under its id and address as the
 // next version, and serves for a time before its entry says so.
 func (i *injector) restartAsOther() failure {
 	s := i.takeEngine()
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -80,11 +80,11 @@
 	tag     string
 	servers map[string]*server
 	nextID  int
-	// traffic tells that callers are at work: servers that start now are cold.
+	// traffic is set while callers send requests: servers that start now are cold.
 	traffic bool
-	// framed tells that answers come in every framing and end in every way, see Plan.
+	// framed is set if answers come in every framing and end in every way, see Plan.
 	framed bool
-	// versioned tells that callers resume streams, see Plan; releases counts the versions that
+	// versioned is set if callers resume streams, see Plan; releases counts the versions that
 	// came after the first.
 	versioned bool
 	releases  int
@@ -216,9 +216,9 @@
 	born    time.Time
 	// zone is its data centre.
 	zone string
-	// coldUntil is until when it bears few requests; zero: it never was cold.
+	// coldUntil is until when it handles few requests; zero: it never was cold.
 	coldUntil time.Time
-	// leaving tells that it drains or is gone, crashed that a request ended it, and ended is
+	// leaving is set if it drains or is gone, crashed if a request ended it, and ended is
 	// closed once that is over.
 	leaving, crashed bool
 	ended            chan struct{}
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -48,7 +48,7 @@
 // are no longer all known.
 func (m *Mirror) After(revision uint64) (Delta, bool) { return m.history.after(revision) }
 
-// Whole returns all entries except the configuration and the routers.
+// Whole returns all entries except the configuration, the routers and their number.
 func (m *Mirror) Whole() Snapshot {
 	return Snapshot{
 		Servers: slices.Collect(maps.Values(m.servers)), Invalid: m.invalidEntries(),
--- a/coordination/repeats/lasting_test.go
+++ b/coordination/repeats/lasting_test.go
@@ -25,6 +25,7 @@
 	make func(m *modelFleet)
 }
 
+// lastingTroubles are played one at a time, and several at once.
 var lastingTroubles = []lastingTrouble{
 	{"none", func(*modelFleet) {}},
 	{"all killed every few seconds", (*modelFleet).killAllOften},
@@ -122,7 +123,7 @@
 // longestHold is for how long bytes may be on their way.
 const longestHold = 5 * time.Second
 
-// sizes of fleets, with the seeds that are played at each.
+// lastingSizes are the sizes of fleets, with the number of seeds at each.
 var lastingSizes = []struct {
 	routers int
 	seeds   uint64
