--- a/bench/soak/rows_budget_test.go
+++ b/bench/soak/rows_budget_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +27,9 @@
 	entriesLapse = 11 * time.Second
 )
 
+// calmSpan is long enough for some retries of each router.
+const calmSpan = 15 * time.Second
+
 // budgetRow is trouble beside servers that reject most requests.
 type budgetRow struct {
 	routers int
@@ -35,10 +41,19 @@
 // than ratio and allowance let.
 func playBudgetRow(t *testing.T, row budgetRow) {
 	t.Parallel()
-	fleets <- struct{}{}
-	t.Cleanup(func() { <-fleets })
 	c := qt.New(t)
-	w := startFleet(c, c.TempDir(), Size{Routers: row.routers, Engines: 9, Plain: 1, Other: 1, Spread: true})
+	w := runBudgetRow(c, c.TempDir(), row)
+	worst := mostRepeats(w.Record, engineService)
+	c.Logf("%d requests, %d arrivals; at worst %d further arrivals of %.0f allowed", len(w.Record.Calls), len(w.Record.Arrivals), worst.repeats, worst.allowed)
+	c.Check(worst.repeats > 0, qt.IsTrue)
+	c.Check(tooManyRepeats(w.Record), qt.HasLen, 0)
+}
+
+// runBudgetRow plays the row with logs in the directory.
+func runBudgetRow(c *qt.C, dir string, row budgetRow) *World {
+	fleets <- struct{}{}
+	c.Cleanup(func() { <-fleets })
+	w := startFleet(c, dir, Size{Routers: row.routers, Engines: 9, Plain: 1, Other: 1, Spread: true})
 	w.rejectMost()
 	ctx, cancel := context.WithTimeout(context.Background(), row.span)
 	defer cancel()
@@ -50,10 +65,7 @@
 	})
 	row.trouble(ctx, w)
 	working.Wait()
-	worst := mostRepeats(w.Record, engineService)
-	c.Logf("%d requests, %d arrivals; at worst %d further arrivals of %.0f allowed", len(w.Record.Calls), len(w.Record.Arrivals), worst.repeats, worst.allowed)
-	c.Check(worst.repeats > 0, qt.IsTrue)
-	c.Check(tooManyRepeats(w.Record), qt.HasLen, 0)
+	return w
 }
 
 // rejectMost lets all engines but a few reject what they get.
@@ -111,3 +123,29 @@
 		killEvery(ctx, w.routers[half:])
 	}})
 }
+
+// Guards against retries that the logs of a fleet do not show: the granted ones, summed over all routers, are the
+// arrivals beyond the first of each request.
+func TestGrantedRetriesInLogsAreTheFurtherArrivals(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	dir := c.TempDir()
+	w := runBudgetRow(c, dir, budgetRow{routers: 6, span: calmSpan, trouble: func(context.Context, *World) {}})
+	var stopped sync.WaitGroup
+	for _, r := range w.routers {
+		stopped.Go(func() { c.Check(r.Stop(grace), qt.IsTrue) })
+	}
+	stopped.Wait()
+	granted := 0
+	for _, r := range w.routers {
+		data, err := os.ReadFile(filepath.Join(dir, r.Name+".log"))
+		c.Assert(err, qt.IsNil)
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, "event=retry ") && strings.Contains(line, "service="+engineService) && strings.Contains(line, "verdict=granted") {
+				granted++
+			}
+		}
+	}
+	c.Check(granted > 0, qt.IsTrue)
+	c.Check(granted, qt.Equals, len(w.Record.repeats()[engineService]))
+}
