What another router tells of the fleet's size is not taken for the store's record

Found while reading the diff: a router that catches up from another took its number for one that is in the store, so that a record that nobody had written, or that was about to stop counting, was not written as long as all catch up from each other. Told and stored are two things now. TestARouterThatStartsBesideALapsedFleetCountsIt asks for it.

--- a/coordination/repeats/fleetsize.go
+++ b/coordination/repeats/fleetsize.go
@@ -55,12 +55,16 @@
 
 // Stored takes the record that is in the store; the zero record if there is none.
 func (f *FleetSize) Stored(now time.Time, record FleetRecord) {
-	if record.Until.After(now.Add(fleetMemory + clockTolerance)) {
-		// No router writes this.
+	if !isBelieved(now, record) {
 		record = FleetRecord{}
 	}
 	f.stored = record
-	if !record.counts(now) || record.Routers <= f.Routers(now) {
+	f.Told(now, record)
+}
+
+// Told takes the record of another router.
+func (f *FleetSize) Told(now time.Time, record FleetRecord) {
+	if !isBelieved(now, record) || !record.counts(now) || record.Routers <= f.Routers(now) {
 		return
 	}
 	if f.remembered.counts(now) && f.remembered.Until.After(record.Until) {
@@ -69,6 +73,11 @@
 	f.remembered = record
 }
 
+// isBelieved reports whether a router may have written the record.
+func isBelieved(now time.Time, record FleetRecord) bool {
+	return !record.Until.After(now.Add(fleetMemory + clockTolerance))
+}
+
 // Record returns what this router knows, for the store and for routers that start from this one.
 func (f *FleetSize) Record(now time.Time) FleetRecord {
 	if n := f.Routers(now); n > f.registered {
--- a/coordination/repeats/fleetsize_test.go
+++ b/coordination/repeats/fleetsize_test.go
@@ -37,6 +37,15 @@
 	qt.Check(t, f.Routers(now), qt.Equals, 6)
 	qt.Check(t, f.Record(now), qt.Equals, before.Record(now))
 	qt.Check(t, f.Routers(now.Add(fleetMemory)), qt.Equals, 1)
+	var told FleetSize
+	told.Registered(now, 1)
+	told.Told(now, f.Record(now))
+	qt.Check(t, told.Routers(now), qt.Equals, 6)
+	_, due := told.ToStore(now, "self", nil)
+	qt.Check(t, due, qt.IsFalse)
+	record, due := told.ToStore(now.Add(settleTime), "self", nil)
+	qt.Check(t, due, qt.IsTrue, qt.Commentf("what another router told may not be in the store"))
+	qt.Check(t, record, qt.Equals, before.Record(now))
 	// A smaller number takes nothing back, and what no router writes is not believed.
 	f.Stored(now, FleetRecord{Routers: 2, Until: now.Add(fleetMemory)})
 	qt.Check(t, f.Routers(now), qt.Equals, 6)
--- a/coordination/repeats/model_test.go
+++ b/coordination/repeats/model_test.go
@@ -158,18 +158,18 @@
 	}
 	for _, r := range m.routers {
 		if r.upFrom <= m.now && r.cutUntil <= m.now {
-			m.learn(r, max(registered, 1), m.record)
+			m.learn(r, max(registered, 1))
+			r.size.Stored(m.clock(), m.record)
 			m.keepRecord(r)
 		}
 	}
 	m.startBySeed()
 }
 
-// learn tells the router how many there are, and the record of the store or of another router.
-func (m *modelFleet) learn(r *modelRouter, routers int, record FleetRecord) {
+// learn tells the router how many there are.
+func (m *modelFleet) learn(r *modelRouter, routers int) {
 	r.known = routers
 	r.size.Registered(m.clock(), routers)
-	r.size.Stored(m.clock(), record)
 }
 
 // keepRecord writes the router's record if it is due, without waiting for its turn.
@@ -192,7 +192,8 @@
 	}
 	for _, r := range m.routers {
 		if r.upFrom <= m.now && r.known == 0 {
-			m.learn(r, seed.known, seed.size.Record(m.clock()))
+			m.learn(r, seed.known)
+			r.size.Told(m.clock(), seed.size.Record(m.clock()))
 		}
 	}
 }
--- a/transport/direct/changes.go
+++ b/transport/direct/changes.go
@@ -169,6 +169,7 @@
 	} else {
 		r.adoptIfPresent(got.Whole.Config)
 		r.replace(*got.Whole)
+		r.mergeFleet(got.Whole.Fleet)
 	}
 	r.mu.Lock()
 	r.confirmPending()
--- a/transport/direct/fleetstore.go
+++ b/transport/direct/fleetstore.go
@@ -14,15 +14,27 @@
 	fleetRetryPause = 5 * time.Second
 )
 
-// applyFleet applies the number of routers that is in the store or that another router knows; nil if
-// there is none. The caller holds mu.
-func (r *Router) applyFleet(record *repeats.FleetRecord) {
+// readFleet takes the number of routers that was read in the store; nil if there is none.
+func (r *Router) readFleet(record *repeats.FleetRecord) {
 	if record == nil {
 		record = &repeats.FleetRecord{}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.fleetSize.Stored(time.Now(), *record)
 }
 
+// mergeFleet takes the number of routers that another router knows; nil from a build that does not send
+// it.
+func (r *Router) mergeFleet(record *repeats.FleetRecord) {
+	if record == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleetSize.Told(time.Now(), *record)
+}
+
 // syncFleet writes to the store how many routers share retries, for routers that start while entries have
 // lapsed, as far as it is this router's turn. What fails is retried after a pause.
 func (r *Router) syncFleet(ctx context.Context) {
--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -160,6 +160,7 @@
 	}
 	f.storeAnswered(sent)
 	f.r.replace(s)
+	f.r.readFleet(s.Fleet)
 	f.completed = time.Now()
 	f.r.confirm(s.Config, sent, confirmation{lastSeqs, s.Revision})
 	f.loaded = time.Now()
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -84,7 +84,6 @@
 	r.applyStored(s.Refused, false)
 	r.applyStoredParts(s.RefusedParts, false)
 	r.applyServed(s.Served)
-	r.applyFleet(s.Fleet)
 }
 
 // update applies changes. They are complete up to their revision, so they include what other
@@ -119,7 +118,7 @@
 	r.applyReleasedParts(d.ReleasedParts)
 	r.applyServed(d.Served)
 	if d.Fleet != nil {
-		r.applyFleet(d.Fleet)
+		r.fleetSize.Stored(time.Now(), *d.Fleet)
 	}
 }
 
