A send counts against its request from its first byte, not from before its connection is open

Where one connection is refused, the server's crash is recorded with all other sends whose connections are still being opened, though none reached it. The parts of its prompt were suspected the same way. Now Prepare reserves (one attempt at a time, probes), and Begin, called as the first byte is written, is what a crash counts against. The same in both quarantines. Ruled out: the retry budget (no line of it), the check.

--- a/coordination/partquarantine/fleet_test.go
+++ b/coordination/partquarantine/fleet_test.go
@@ -182,7 +182,7 @@
 	if one == nil {
 		return Pass
 	}
-	r := &modelRun{router: n, bad: bad, begins: now.Add(firstToken), ends: now.Add(m.soundRun), run: m.states[n].Begin(one.identity(), "app", parts)}
+	r := &modelRun{router: n, bad: bad, begins: now.Add(firstToken), ends: now.Add(m.soundRun), run: begin(m.states[n], one.identity(), "app", parts)}
 	if bad != 0 {
 		r.ends = r.begins.Add(time.Duration(m.random.IntN(100)) * time.Millisecond)
 		if !m.isCut(n) {
--- a/coordination/partquarantine/runs.go
+++ b/coordination/partquarantine/runs.go
@@ -29,24 +29,32 @@
 	lastAnswer time.Time
 }
 
-// Begin records that a request is sent to the server; nil if it has no shared prefixes.
-func (s *State) Begin(server, service string, prefixes []admission.Prefix) *Run {
+// Prepare records that a request is about to be sent to the server; nil if it has no shared prefixes. A
+// crash does not count against its parts before Begin: its connection may not be open yet.
+func (s *State) Prepare(server, service string, prefixes []admission.Prefix) *Run {
 	if len(prefixes) == 0 {
 		return nil
 	}
-	at := s.servers[server]
-	if at == nil {
-		at = &serverRuns{runs: make(map[*Run]struct{})}
-		s.servers[server] = at
-	}
 	r := &Run{server: server, service: service, prefixes: prefixes}
-	at.runs[r] = struct{}{}
 	if !s.isIdle() {
 		s.markSuspect(r)
 	}
 	return r
 }
 
+// Begin records that the first byte of the request is being written.
+func (s *State) Begin(r *Run) {
+	if r == nil {
+		return
+	}
+	at := s.servers[r.server]
+	if at == nil {
+		at = &serverRuns{runs: make(map[*Run]struct{})}
+		s.servers[r.server] = at
+	}
+	at.runs[r] = struct{}{}
+}
+
 // markSuspect counts the run with its group, and as a probe.
 func (s *State) markSuspect(r *Run) {
 	parts := s.partsOf(r.service, r.prefixes)
@@ -135,19 +143,21 @@
 	}
 	r.ended, r.endedAt, r.ending = true, now, how
 	at := s.servers[r.server]
-	if at == nil {
-		return
-	}
-	if how == quarantine.Complete {
+	switch {
+	case how == quarantine.NotRun:
+		s.settle(r)
+		s.forget(r)
+	case how == quarantine.Complete && at != nil:
 		at.lastAnswer = now
 	}
-	if how == quarantine.NotRun {
-		s.forget(at, r)
-	}
 }
 
-func (s *State) forget(at *serverRuns, r *Run) {
-	s.settle(r)
+// forget drops a run that no crash of its server may count against any more.
+func (s *State) forget(r *Run) {
+	at := s.servers[r.server]
+	if at == nil {
+		return
+	}
 	delete(at.runs, r)
 	if len(at.runs) == 0 {
 		delete(s.servers, r.server)
@@ -213,7 +223,8 @@
 	for _, at := range s.servers {
 		for r := range at.runs {
 			if r.ended && !now.Before(s.expires(at, r)) {
-				s.forget(at, r)
+				s.settle(r)
+				s.forget(r)
 			}
 		}
 	}
--- a/coordination/partquarantine/state_test.go
+++ b/coordination/partquarantine/state_test.go
@@ -25,9 +25,16 @@
 	return out
 }
 
+// begin sends the request to the server.
+func begin(s *State, server, service string, parts []admission.Prefix) *Run {
+	r := s.Prepare(server, service, parts)
+	s.Begin(r)
+	return r
+}
+
 // run has a request answered and survive.
 func run(s *State, at time.Time, ids ...uint64) {
-	r := s.Begin("i-1@0", "app", prefixes(ids...))
+	r := begin(s, "i-1@0", "app", prefixes(ids...))
 	s.Answered(at, r)
 	s.End(at.Add(10*time.Millisecond), r, quarantine.Complete)
 	s.Tick(at.Add(3 * time.Second))
@@ -44,7 +51,7 @@
 			continue
 		}
 		server := fmt.Sprint("i-", n)
-		r := s.Begin(server, "app", prefixes(1, 2, 7, 8))
+		r := begin(s, server, "app", prefixes(1, 2, 7, 8))
 		s.End(now, r, quarantine.Broken)
 		s.Crash(now, server)
 	}
@@ -89,7 +96,7 @@
 					}
 					sent++
 					server := now.String()
-					r := s.Begin(server, "app", prefixes(ids...))
+					r := begin(s, server, "app", prefixes(ids...))
 					s.End(now, r, quarantine.Broken)
 					s.Crash(now, server)
 				}
@@ -130,7 +137,7 @@
 // counted against the run.
 func TestACutConnectionCountsAgainstNothing(t *testing.T) {
 	s := New(DefaultConfig(), "r0")
-	r := s.Begin("i-1@0", "app", prefixes(7))
+	r := begin(s, "i-1@0", "app", prefixes(7))
 	s.End(epoch, r, quarantine.Broken)
 	s.Alive(epoch.Add(time.Millisecond), "i-1@0")
 	s.Tick(epoch.Add(3 * time.Second))
@@ -154,3 +161,19 @@
 		})
 	}
 }
+
+// Guards against parts of a request that are suspected for a crash of a server that the request never
+// reached, as its connection was still being opened.
+func TestPartsOfARequestThatHasNotBegunAreNoSuspects(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 2 * DefaultConfig().Suspicion {
+		now, server := epoch.Add(time.Duration(i)*time.Second), fmt.Sprint("i-", i)
+		connecting := s.Prepare(server, "app", prefixes(1))
+		begin(s, server, "app", prefixes(2))
+		s.Crash(now, server)
+		s.End(now, connecting, quarantine.NotRun)
+	}
+	s.Tick(epoch.Add(time.Minute))
+	qt.Check(t, s.isSuspect(PartOf("app", 1)), qt.IsFalse)
+	qt.Check(t, s.isSuspect(PartOf("app", 2)), qt.IsTrue)
+}
--- a/coordination/partquarantine/stored_test.go
+++ b/coordination/partquarantine/stored_test.go
@@ -70,7 +70,7 @@
 	s.Stored(now, []Entry{{Parts: sortedParts(badSet), Since: now.Add(-time.Hour), Probes: 1, Partial: 1}}, false)
 	both := []admission.Prefix{{ID: 1}, {ID: 2}}
 	qt.Check(t, s.Check(now, "app", "class", both).Verdict, qt.Equals, Pass)
-	run := s.Begin("i-1", "app", both)
+	run := begin(s, "i-1", "app", both)
 	qt.Check(t, run.Probing(), qt.HasLen, 2)
 	// The second probe was the last one, and the store is to know that.
 	qt.Check(t, s.Check(now, "app", "class", both).Verdict, qt.Equals, Refuse)
--- a/coordination/quarantine/explained_test.go
+++ b/coordination/quarantine/explained_test.go
@@ -31,7 +31,7 @@
 	qt.Assert(t, s.Check(soon, bad), qt.Equals, Refuse)
 	s.Explain([]string{"i-0", "i-1", "i-2"})
 	qt.Assert(t, s.Check(soon, bad), qt.Equals, Pass)
-	run := s.Begin(bad, "i-9")
+	run := begin(s, bad, "i-9")
 	s.End(soon.Add(time.Second), run, Complete)
 	later := soon.Add(10 * time.Second)
 	s.Alive(later, "i-9")
@@ -39,3 +39,20 @@
 	qt.Check(t, s.Check(later, bad), qt.Equals, Pass)
 	qt.Check(t, s.RefusedCount(), qt.Equals, 0)
 }
+
+// Guards against a request that is refused for crashes of servers that it never reached, as its
+// connections were still being opened.
+func TestARequestThatHasNotBegunIsNoSuspect(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 2 * DefaultConfig().Crashes {
+		now, server := at(1000*i), fmt.Sprint("i-", i)
+		connecting := s.Prepare(good, server)
+		begin(s, bad, server)
+		s.Crash(now, server)
+		s.End(now, connecting, NotRun)
+	}
+	s.Tick(at(20_000))
+	qt.Check(t, s.Check(at(20_000), good), qt.Equals, Pass)
+	qt.Check(t, s.Suspects(), qt.Equals, 0)
+	qt.Check(t, s.Check(at(20_000), bad), qt.Equals, Refuse)
+}
--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		m.sends = append(m.sends, m.Now)
-		server.runs[router.Begin(bad, server.name())] = router
+		server.runs[begin(router, bad, server.name())] = router
 		incarnation := server.incarnation
 		m.After(m.between(20*time.Millisecond, 150*time.Millisecond), func() {
 			if server.alive && server.incarnation == incarnation {
@@ -214,7 +214,7 @@
 		return
 	}
 	m.harmless++
-	run := router.Begin(fp, server.name())
+	run := begin(router, fp, server.name())
 	server.runs[run] = router
 	incarnation := server.incarnation
 	m.After(m.between(20*time.Millisecond, 3*time.Second), func() {
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -21,11 +21,18 @@
 // at returns a time of the test, given in milliseconds.
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
+// begin sends the request to the server.
+func begin(s *State, fp Fingerprint, server string) *Run {
+	r := s.Prepare(fp, server)
+	s.Begin(r)
+	return r
+}
+
 // crashDuring simulates a crash of the server while the requests run there.
 func crashDuring(s *State, now time.Time, server string, fps ...Fingerprint) {
 	var runs []*Run
 	for _, fp := range fps {
-		runs = append(runs, s.Begin(fp, server))
+		runs = append(runs, begin(s, fp, server))
 	}
 	for _, r := range runs {
 		s.End(now, r, Broken)
@@ -105,7 +112,7 @@
 	crashDuring(s, at(0), "i-0", bad, good)
 	crashDuring(s, at(1000), "i-1", bad, good)
 	qt.Check(t, s.MayRepeat(good), qt.IsFalse)
-	r := s.Begin(good, "i-2")
+	r := begin(s, good, "i-2")
 	qt.Check(t, s.Check(at(1500), good), qt.Equals, Wait)
 	s.End(at(1600), r, Complete)
 	s.Tick(at(1700))
@@ -162,7 +169,7 @@
 	for i := range 3 {
 		crashDuring(s, at(1000*i), fmt.Sprint("i-", i), bad, good)
 	}
-	s.End(at(2500), s.Begin(good, "i-9"), Complete)
+	s.End(at(2500), begin(s, good, "i-9"), Complete)
 	s.Tick(at(4501))
 	qt.Check(t, s.Check(at(4502), bad), qt.Equals, Refuse)
 	qt.Check(t, s.Check(at(4502), good), qt.Equals, Pass)
@@ -210,7 +217,7 @@
 func TestRecentSuccessIsNotSuspect(t *testing.T) {
 	s := New(DefaultConfig(), "a")
 	for i := range 4 {
-		s.End(at(3000*i), s.Begin(good, "i-9"), Complete)
+		s.End(at(3000*i), begin(s, good, "i-9"), Complete)
 		s.Tick(at(3000*i + 2500))
 		crashDuring(s, at(3000*i+2600), fmt.Sprint("i-", i), good)
 	}
@@ -223,7 +230,7 @@
 	s := New(DefaultConfig(), "a")
 	for i := range 3 {
 		server := fmt.Sprint("i-", i)
-		s.End(at(3000*i), s.Begin(bad, server), Complete)
+		s.End(at(3000*i), begin(s, bad, server), Complete)
 		s.Tick(at(3000*i + 1000))
 		s.Crash(at(3000*i+1500), server)
 	}
@@ -236,7 +243,7 @@
 	s := New(DefaultConfig(), "a")
 	for i := range 4 {
 		server := fmt.Sprint("i-", i)
-		s.End(at(5000*i), s.Begin(good, server), Broken)
+		s.End(at(5000*i), begin(s, good, server), Broken)
 		s.Alive(at(5000*i+2), server)
 		s.Tick(at(5000*i + 4000))
 		s.Crash(at(5000*i+4001), server)
@@ -244,7 +251,7 @@
 	qt.Check(t, s.Check(at(20_000), good), qt.Equals, Pass)
 	for i := range 3 {
 		server := fmt.Sprint("j-", i)
-		s.End(at(20_000+5000*i), s.Begin(bad, server), Broken)
+		s.End(at(20_000+5000*i), begin(s, bad, server), Broken)
 		s.Tick(at(20_000 + 5000*i + 4000))
 		s.Crash(at(20_000+5000*i+4001), server)
 	}
@@ -290,7 +297,7 @@
 	}
 	now := at(2000).Add(5 * time.Minute)
 	qt.Assert(t, s.Check(now, good), qt.Equals, Pass)
-	r := s.Begin(good, "i-9")
+	r := begin(s, good, "i-9")
 	qt.Check(t, s.Check(now, good), qt.Equals, Refuse, qt.Commentf("one at a time"))
 	s.End(now.Add(time.Second), r, Complete)
 	s.Tick(now.Add(4 * time.Second))
@@ -345,7 +352,7 @@
 // Routers that ran the request report that, and it is refused nowhere.
 func TestPeersReportHarmlessRequests(t *testing.T) {
 	old, fresh := New(DefaultConfig(), "old"), New(DefaultConfig(), "fresh")
-	old.End(at(0), old.Begin(good, "i-9"), Complete)
+	old.End(at(0), begin(old, good, "i-9"), Complete)
 	old.Tick(at(2500))
 	for i := range 4 {
 		crashDuring(fresh, at(3000+400*i), fmt.Sprint("i-", i), good)
@@ -393,8 +400,8 @@
 	s := New(DefaultConfig(), "a")
 	for i := range 4 {
 		server := fmt.Sprint("i-", i)
-		s.End(at(800*i), s.Begin(good, server), Complete)
-		s.End(at(800*i+400), s.Begin(Fingerprint(100+i), server), Complete)
+		s.End(at(800*i), begin(s, good, server), Complete)
+		s.End(at(800*i+400), begin(s, Fingerprint(100+i), server), Complete)
 		s.Crash(at(800*i+500), server)
 	}
 	qt.Check(t, s.Check(at(4000), good), qt.Equals, Pass)
@@ -421,7 +428,7 @@
 	qt.Check(t, s.Check(at(1000), bad), qt.Equals, Refuse)
 	qt.Check(t, s.Check(at(1900), bad), qt.Equals, Refuse)
 	qt.Assert(t, s.Check(at(1000), good), qt.Equals, Pass)
-	r := s.Begin(good, "k-1")
+	r := begin(s, good, "k-1")
 	qt.Check(t, s.Check(at(1001), good), qt.Equals, Refuse, qt.Commentf("one at a time"))
 	s.End(at(1100), r, Complete)
 	s.Tick(at(3101))
@@ -518,7 +525,7 @@
 	qt.Check(t, fresh.RefusedCount(), qt.Equals, 200)
 
 	fresh = New(DefaultConfig(), "fresh")
-	fresh.End(at(0), fresh.Begin(good, "i-9"), Complete)
+	fresh.End(at(0), begin(fresh, good, "i-9"), Complete)
 	fresh.Tick(at(2500))
 	reported := 0
 	for i := range 10 {
@@ -539,7 +546,7 @@
 			fps[j] = Fingerprint(i/4*100 + j)
 		}
 		crashDuring(s, at(500*i), fmt.Sprint("i-", i), fps...)
-		s.End(at(500*i), s.Begin(Fingerprint(1_000_000+i), "sound"), Complete)
+		s.End(at(500*i), begin(s, Fingerprint(1_000_000+i), "sound"), Complete)
 		s.Tick(at(500 * i))
 	}
 	qt.Check(t, len(s.crashes) <= cfg.MaxCrashes, qt.IsTrue)
--- a/coordination/quarantine/runs.go
+++ b/coordination/quarantine/runs.go
@@ -48,22 +48,27 @@
 	return inc.lastResponse.Sub(r.endedAt) >= by
 }
 
-// Begin records that the request is sent to the server.
-func (s *State) Begin(fp Fingerprint, server string) *Run {
-	inc := s.incarnations[server]
-	if inc == nil {
-		inc = &incarnation{runs: make(map[*Run]struct{})}
-		s.incarnations[server] = inc
-	}
+// Prepare records that the request is about to be sent to the server. A crash does not count against
+// it before Begin: its connection may not be open yet.
+func (s *State) Prepare(fp Fingerprint, server string) *Run {
 	r := &Run{fp: fp, server: server}
 	if known := s.records[fp]; known != nil {
 		r.probe = !known.refusedAt.IsZero()
 	}
-	inc.runs[r] = struct{}{}
 	s.inFlight[fp]++
 	return r
 }
 
+// Begin records that the first byte of the request is being written.
+func (s *State) Begin(r *Run) {
+	inc := s.incarnations[r.server]
+	if inc == nil {
+		inc = &incarnation{runs: make(map[*Run]struct{})}
+		s.incarnations[r.server] = inc
+	}
+	inc.runs[r] = struct{}{}
+}
+
 // End records how the run ended. Only the first call for a run counts.
 func (s *State) End(now time.Time, r *Run, how Ending) {
 	if r.ended {
@@ -78,7 +83,7 @@
 	}
 	inc := s.incarnations[r.server]
 	if inc == nil {
-		// The server crashed meanwhile, and the run was counted as one of its suspects.
+		// The run never began, or the server crashed meanwhile, and the run was one of its suspects.
 		return
 	}
 	delete(inc.runs, r)
--- a/coordination/quarantine/small_service_test.go
+++ b/coordination/quarantine/small_service_test.go
@@ -99,7 +99,7 @@
 		return
 	}
 	s.harmless++
-	run, incarnation := router.Begin(fp, server.name()), server.incarnation
+	run, incarnation := begin(router, fp, server.name()), server.incarnation
 	server.runs[run] = router
 	s.After(s.between(0, smallRun), func() {
 		if server.alive && server.incarnation == incarnation {
@@ -123,7 +123,7 @@
 			continue
 		}
 		s.sendTimes[fp] = append(s.sendTimes[fp], s.Now)
-		server.runs[router.Begin(fp, server.name())] = router
+		server.runs[begin(router, fp, server.name())] = router
 		incarnation := server.incarnation
 		s.After(s.between(0, smallCrashIn), func() {
 			if server.alive && server.incarnation == incarnation {
--- a/coordination/quarantine/stored_test.go
+++ b/coordination/quarantine/stored_test.go
@@ -56,7 +56,7 @@
 	for ; s.Check(now, bad) != Pass; now = now.Add(100 * time.Millisecond) {
 		s.Tick(now)
 	}
-	s.End(now, s.Begin(bad, "i-9"), Cancelled)
+	s.End(now, begin(s, bad, "i-9"), Cancelled)
 	again := s.ToKeep(now, storedTTL)
 	qt.Assert(t, again, qt.HasLen, 1)
 	qt.Check(t, again[0].Trials, qt.Equals, 1)
--- a/transport/direct/abandoned.go
+++ b/transport/direct/abandoned.go
@@ -27,6 +27,7 @@
 	server roster.Server
 	// attempt is its number among the attempts of its request.
 	attempt int
+	run     sentRun
 	// infoAge is how old the router's information about draining servers was when the first
 	// byte was written; negative if there was none.
 	infoAge time.Duration
@@ -36,11 +37,12 @@
 const firstByteSeries = "first_byte"
 
 // beforeFirstByte runs before the first byte is written. It returns why the attempt must not
-// be sent, or records the age of the router's information about draining servers.
+// be sent, or records that it begins, and the age of the router's information about draining servers.
 func (c *call) beforeFirstByte(run *admission.Run, s *sentAttempt) error {
 	if err := c.mayBegin(run, s.server); err != nil {
 		return err
 	}
+	c.r.beginSend(s.run)
 	s.infoAge = c.r.configAge()
 	c.r.metrics.infoAge.Record(firstByteSeries, time.Now(), s.infoAge)
 	return nil
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -52,14 +52,22 @@
 	return true
 }
 
-// beginSend records that the request is being sent to the server.
-func (c *call) beginSend(server roster.Server) sentRun {
+// prepareSend records that the request is about to be sent to the server.
+func (c *call) prepareSend(server roster.Server) sentRun {
 	r := c.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := sentRun{r.quarantine.Begin(c.fingerprint, server.Identity()), r.parts.Begin(server.Identity(), c.service, c.meta.Shared)}
-	c.logProbe(server.ID, sent)
-	return sent
+	run := sentRun{r.quarantine.Prepare(c.fingerprint, server.Identity()), r.parts.Prepare(server.Identity(), c.service, c.meta.Shared)}
+	c.logProbe(server.ID, run)
+	return run
+}
+
+// beginSend records that the first byte of the request is being written.
+func (r *Router) beginSend(run sentRun) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.Begin(run.request)
+	r.parts.Begin(run.parts)
 }
 
 func (r *Router) endSend(run sentRun, how quarantine.Ending) {
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -138,8 +138,8 @@
 		Server: server.ID, Team: c.team, TimeLeft: left, ResumeAfter: events.LastEvent(), FetchFrom: c.r.addressOf(c.last.Source),
 	})
 	c.resumesAt(server, events)
-	sent := c.beginSend(server)
-	one := &sentAttempt{server: server, attempt: c.sent}
+	sent := c.prepareSend(server)
+	one := &sentAttempt{server: server, attempt: c.sent, run: sent}
 	answer, failure := c.r.pool.Do(ctx, backend.Target{ID: server.Identity(), Address: server.Address}, backend.Request{
 		Method: c.req.Method, URI: c.req.RequestURI, Host: c.req.Host, Header: out, Body: c.body, HasBody: c.hasBody(),
 		Head:      func(status int, h http.Header) bool { return c.checkHead(server, status, h) },
