A request is refused later where a suspect part of prompts may have caused its crashes

Other requests at all three crashes already put the judgement off by up to 2 s, a part at them did not. Now the judgement waits up to the same 2 s while fewer than three crashes remain without those that a suspect part may explain: one that was also at a server's crash where the request was not. A part that was nowhere else may be the request's own; a single request with parts is refused as before.

--- a/coordination/partquarantine/judge.go
+++ b/coordination/partquarantine/judge.go
@@ -146,6 +146,27 @@
 	return known
 }
 
+// MayExplain returns how many of the servers, at which one request ran, a part of prompts may have crashed:
+// a suspect that was also at the crash of another server. A part that was nowhere else may be that
+// request's, and says no more than the request itself.
+func (s *State) MayExplain(now time.Time, servers []string) (n int) {
+	s.refresh(now)
+	explained := make(map[string]bool)
+	for p, t := range s.suspects {
+		if s.isSuspect(p) && slices.ContainsFunc(t.crashes, func(c *crash) bool { return !slices.Contains(servers, c.server) }) {
+			for _, c := range t.crashes {
+				explained[c.server] = true
+			}
+		}
+	}
+	for _, server := range servers {
+		if explained[server] {
+			n++
+		}
+	}
+	return n
+}
+
 // isExplained reports whether a request that is refused was at the crash.
 func (s *State) isExplained(c *crash) bool {
 	return slices.ContainsFunc(s.refusals, func(one *refusal) bool {
--- a/coordination/partquarantine/state_test.go
+++ b/coordination/partquarantine/state_test.go
@@ -177,3 +177,17 @@
 	qt.Check(t, s.isSuspect(PartOf("app", 1)), qt.IsFalse)
 	qt.Check(t, s.isSuspect(PartOf("app", 2)), qt.IsTrue)
 }
+
+// Guards against sound requests that are refused for crashes that a part of other prompts caused, and against a
+// single request that crashes servers and goes on since its own parts were with it.
+func TestASuspectPartMayExplainCrashesOfOthers(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	for i := range 3 {
+		now, server := epoch.Add(time.Duration(i)*time.Second), fmt.Sprint("i-", i)
+		begin(s, server, "app", prefixes(7))
+		s.Crash(now, server)
+	}
+	now := epoch.Add(3 * time.Second)
+	qt.Check(t, s.MayExplain(now, []string{"i-1", "i-2", "i-9"}), qt.Equals, 2)
+	qt.Check(t, s.MayExplain(now, []string{"i-0", "i-1", "i-2"}), qt.Equals, 0)
+}
--- a/coordination/quarantine/explained_test.go
+++ b/coordination/quarantine/explained_test.go
@@ -56,3 +56,34 @@
 	qt.Check(t, s.Suspects(), qt.Equals, 0)
 	qt.Check(t, s.Check(at(20_000), bad), qt.Equals, Refuse)
 }
+
+// Guards against sound requests that three crashes refuse, though a part of other prompts was at one of
+// them and is found by its fifth: the judgement waits as it does for another request.
+func TestAPartAtACrashPutsTheJudgementOff(t *testing.T) {
+	s := New(DefaultConfig(), "a")
+	s.SetOtherCause(func(time.Time, []string) int { return 1 })
+	for i := range 3 {
+		crashDuring(s, at(500*i), fmt.Sprint("i-", i), good)
+	}
+	qt.Check(t, s.Check(at(1500), good), qt.Equals, Pass)
+	decided := at(1000).Add(DefaultConfig().TieBreak)
+	s.Tick(decided)
+	qt.Check(t, s.Check(decided, good), qt.Equals, Refuse)
+}
+
+// Guards against the same where the part is found meanwhile, and against a wait where three crashes remain.
+func TestAPartThatIsFoundMeanwhileExplainsTheCrashes(t *testing.T) {
+	crashed := func(n int) *State {
+		s := New(DefaultConfig(), "a")
+		s.SetOtherCause(func(time.Time, []string) int { return 1 })
+		for i := range n {
+			crashDuring(s, at(500*i), fmt.Sprint("i-", i), good)
+		}
+		return s
+	}
+	s := crashed(3)
+	s.Explain([]string{"i-1"})
+	s.Tick(at(9000))
+	qt.Check(t, s.Check(at(9000), good), qt.Equals, Pass)
+	qt.Check(t, crashed(4).Check(at(1500), good), qt.Equals, Refuse)
+}
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -42,15 +42,19 @@
 }
 
 // shouldRefuse reports whether enough servers crashed while running the request to refuse it.
-// While another request was running at each of these crashes, the judgement is postponed until
-// further evidence may distinguish them.
+// While another request was running at each of these crashes, or too few remain without those that may have
+// another cause, the judgement is postponed until further evidence may distinguish them.
 func (s *State) shouldRefuse(now time.Time, fp Fingerprint) bool {
 	r := s.records[fp]
-	if r == nil || !r.refusedAt.IsZero() || s.strikes(fp, r) < s.cfg.Crashes {
+	if r == nil || !r.refusedAt.IsZero() {
+		return false
+	}
+	strikes := s.strikes(fp, r)
+	if strikes < s.cfg.Crashes {
 		return false
 	}
 	decided := s.countedCrashes(r)[s.cfg.Crashes-1].at.Add(s.cfg.TieBreak)
-	if now.Before(decided) && s.hasRival(fp, r) {
+	if now.Before(decided) && (s.hasRival(fp, r) || strikes-s.withOtherCause(now, r) < s.cfg.Crashes) {
 		s.judgements[fp] = decided
 		return false
 	}
@@ -187,6 +191,19 @@
 	return false
 }
 
+// withOtherCause returns the number of crashes that count and that something other than one request may have
+// caused.
+func (s *State) withOtherCause(now time.Time, r *record) int {
+	if s.otherCause == nil {
+		return 0
+	}
+	var servers []string
+	for _, c := range s.countedCrashes(r) {
+		servers = append(servers, c.server)
+	}
+	return s.otherCause(now, servers)
+}
+
 func (s *State) reasons(fp Fingerprint, r *record) []Strike {
 	var out []Strike
 	for _, c := range s.countedCrashes(r) {
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -34,6 +34,9 @@
 	// self is this router's id, and routers the ids of the fleet.
 	self    string
 	routers []string
+	// otherCause returns how many of the servers something other than a request that ran at all of them may
+	// have crashed; nil if nothing else is known.
+	otherCause func(now time.Time, servers []string) int
 
 	incarnations map[string]*incarnation
 	inFlight     map[Fingerprint]int
@@ -101,6 +104,12 @@
 // request.
 func (s *State) SetRouters(ids []string) { s.routers = slices.Clone(ids) }
 
+// SetOtherCause sets what returns how many of the crashed servers something other than a request that ran at
+// all of them may have crashed.
+func (s *State) SetOtherCause(count func(now time.Time, servers []string) int) {
+	s.otherCause = count
+}
+
 // Check reports whether the request may be sent now.
 func (s *State) Check(now time.Time, fp Fingerprint) Verdict {
 	if at, ok := s.judgements[fp]; ok && !now.Before(at) {
--- a/transport/direct/crashes.go
+++ b/transport/direct/crashes.go
@@ -180,18 +180,24 @@
 	if !is || known.Incarnation != server.Incarnation {
 		return
 	}
-	r.quarantine.Crash(time.Now(), server.Identity())
-	r.parts.Crash(time.Now(), server.Identity())
+	r.recordCrash(server.Identity())
 	r.handleQuarantineEvents()
 }
 
+// recordCrash records the crash of a server, first with the parts that were there: they may explain it. The
+// caller holds mu.
+func (r *Router) recordCrash(identity string) {
+	now := time.Now()
+	r.parts.Crash(now, identity)
+	r.quarantine.Crash(now, identity)
+}
+
 // serverGone records that a server's entry was removed, or that a later incarnation has its id,
 // without the server having announced its shutdown. The caller holds mu.
 func (r *Router) serverGone(change roster.Change) {
 	switch change.Reason {
 	case roster.ReasonRestarted:
-		r.quarantine.Crash(time.Now(), change.Server.Identity())
-		r.parts.Crash(time.Now(), change.Server.Identity())
+		r.recordCrash(change.Server.Identity())
 	case roster.ReasonRemoved, roster.ReasonLapsed:
 		r.quarantine.Gone(time.Now(), change.Server.Identity())
 		r.parts.Gone(time.Now(), change.Server.Identity())
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -179,6 +179,7 @@
 	}
 	r.origins, r.doubts = newOrigins(r), newDoubts(r)
 	r.admission.SetWarmup(r.warmup)
+	r.quarantine.SetOtherCause(r.parts.MayExplain)
 	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
 	r.teams = teamlog.New(set.DataCentre, r.metrics.vars, r.event, r.teamStanding)
