--- a/coordination/partquarantine/state_test.go
+++ b/coordination/partquarantine/state_test.go
@@ -190,4 +190,6 @@
 	now := epoch.Add(3 * time.Second)
 	qt.Check(t, s.MayExplain(now, []string{"i-1", "i-2", "i-9"}), qt.Equals, 2)
 	qt.Check(t, s.MayExplain(now, []string{"i-0", "i-1", "i-2"}), qt.Equals, 0)
+	s.Merge(now, Report{Refusals: []RefusalReport{{Parts: []Part{PartOf("app", 7)}}}})
+	qt.Check(t, s.MayExplain(now, []string{"i-0", "i-1", "i-2"}), qt.Equals, 3)
 }
