--- a/transport/direct/resume_harness_test.go
+++ b/transport/direct/resume_harness_test.go
@@ -220,13 +220,7 @@
 func (f *resumeFleet) again(n int) {
 	old := f.routers[n]
 	old.end()
-	old.waitFor("the former router's socket is open", func() bool {
-		conn, err := net.ListenPacket("udp4", f.peers[old.set.ID].Address)
-		if err != nil {
-			return false
-		}
-		return conn.Close() == nil
-	})
+	old.waitFor("the former router's sockets are open", func() bool { return isFree(f.peers[old.set.ID].Address) })
 	old.source.mu.Lock()
 	now := old.source.now
 	old.source.mu.Unlock()
@@ -234,6 +228,21 @@
 	f.routers[n] = f.startRouter(old.set.ID, f.peers, now.Servers)
 }
 
+// isFree reports whether nobody has the address, neither for datagrams nor for connections: a router that ended
+// closes the two one after the other.
+func isFree(address string) bool {
+	conn, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return lis.Close() == nil
+}
+
 // waitStored waits until a router has written which versions of the service serve side by side.
 func (f *resumeFleet) waitStored(service string) {
 	f.Helper()
