--- a/review/rig/streams.go
+++ b/review/rig/streams.go
@@ -210,7 +210,7 @@
 		fail2("%v", err)
 	}
 	s.put("op/config", streamConfig())
-	zones := []string{"nimman", "suthep", "hangdong", "maerim"}
+	zones := []string{"nimman", "nimman", "suthep", "hangdong", "maerim"}
 	var all []*streamReplica
 	silent := map[*streamReplica]*atomic.Bool{}
 	for i, zone := range zones {
