--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -144,9 +145,39 @@
 	waitReady(rs)
 	time.Sleep(3500 * time.Millisecond)
 
+	// Sound requests of the same route, 33 a second, so that the deadly one is under 3 in 100 of them.
+	var sound, soundServed, deadlySent atomic.Int64
+	over := make(chan struct{})
+	var sounds sync.WaitGroup
+	for k := range 10 {
+		sounds.Add(1)
+		go func() {
+			defer sounds.Done()
+			c := &consumer{front: rs[k%3].front, key: "k1"}
+			defer c.close()
+			for i := 0; ; i++ {
+				select {
+				case <-over:
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+				id := fmt.Sprintf("s%d-%d", k, i)
+				res := c.do("GET", fmt.Sprintf("/flag/%s", id), id, nil, 600*time.Millisecond)
+				sound.Add(1)
+				if res.status == 200 && res.whole && res.body == "result of "+id {
+					soundServed.Add(1)
+				} else {
+					record("consumer: sound request %s by %s got %v", id, rs[k%3].id, res)
+				}
+			}
+		}()
+	}
+	time.Sleep(4 * time.Second)
+
 	n := 0
 	ask := func(at int, wg *sync.WaitGroup) {
 		n++
+		deadlySent.Add(1)
 		id := fmt.Sprintf("d%d", n)
 		wg.Add(1)
 		go func() {
@@ -190,6 +221,8 @@
 	}
 	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
+	close(over)
+	sounds.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.crashes) < 3 {
@@ -203,5 +236,5 @@
 			record("BUDGET: %.2f s after the third crash it reaches %s", one.at.Sub(third).Seconds(), one.replica)
 		}
 	}
-	verdict(late > 3, "the request crashed %d replicas; it reached replicas %d times, %d of them later than 3 s after the third crash; three are borne", len(d.crashes), len(d.sends), late)
+	verdict(late > 3, "the request crashed %d replicas; it reached replicas %d times, %d of them later than 3 s after the third crash; three are borne; %d requests were deadly beside %d sound ones, of which %d were served", len(d.crashes), len(d.sends), late, deadlySent.Load(), sound.Load(), soundServed.Load())
 }
