Bytes that callers send and a router has not read are bounded

What callers saw: nothing, until the process was over its machine's memory. Bytes received and not yet read count toward it, and the kernel keeps up to some megabytes for each connection: 200 callers with a megabyte behind a request at work took a router of 64 MiB to 213 MiB (TestRequestsBehindOneAtWork, its own pages and the sockets' together).

Cause: the size of the receive buffer was the kernel's default, which grows by itself, for each of the connections.

Mend: the listener has receive buffers of 16 KiB, which accepted connections inherit without a further system call.

Ruled out: setting the size at each accepted connection, which costs a system call for each; one size for all: small, a phone of 100 ms round trip would take longer than 8 s for 4 MB; large, all connections together exceed the memory.

--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -206,7 +206,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers, err := net.Listen("tcp", r.set.Listen.Callers)
+	callers, err := callerconn.Listen(r.set.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen.callers")
 	}
@@ -235,7 +235,7 @@
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
 	go func() {
-		_ = srv.Serve(callerconn.NewListener(callers.(*net.TCPListener), maxConnections(r.set), r.gate))
+		_ = srv.Serve(callerconn.NewListener(callers, maxConnections(r.set), r.gate))
 	}()
 	go r.watchLoad(ctx)
 	go r.teams.Run(ctx)
