Direct routers: one budget for the bodies of all callers, and one copy of each

What callers saw: a router was ended by its machine, with every request that it held, when many sent bodies at once or stopped short of their end: 83 to 213 MiB of 64 before 200 callers of up to 1 MiB each (13 tests of bench/crowd).

Cause: the memory of one body was bounded, the sum by nothing. A chunked body grew by copying, a declared one took its whole length at once, and each send made a copy of head and body together.

Mend: coordination/bodybudget, a pure module, is charged before a buffer grows, by what arrives. When a charge does not fit, bodies that make no progress end first, those of the address that holds most before others, then the newest large ones; finished bodies never. A quarter is for bodies of at most 64 KiB. A declared length that cannot be had is refused at the head. Bodies are kept in parts that do not move, are given back on every way out, and as soon as no further send may need them; head and parts go to the server from where they are, at most 16 KiB of them copied. A refusal is 503 bodies-full, not run, with a Retry-After from the recent rate of releases, and the connection is read on for half a second so that its caller sees it.

Weighed: to refuse the newcomer, always, makes a crowd that stops shut out all others until its deadline; to end the holder with the least progress hurts a slow caller only while memory is short, and that is what was taken, by a rate and not by time alone, so that a byte now and then does not count. Among callers that all send, ending by size would let a fast crowd end older honest uploads; ending the newest does not. Pooled buffers were not needed: the collector's limit keeps garbage below the process's memory.

A model of random callers never goes over, never leaks and refuses no small body while small ones have room. FuzzChunked compares the reading of chunked bodies with a plain reader.

--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,13 @@
 	@if [ -n '$(RED)' ]; then echo 'passed over, known to fail (KNOWN-RED.txt):'; cat KNOWN-RED.txt; fi
 
 # fuzz lets the fuzzer look for streams that the follower of events reads otherwise than a
-# slow reader does; FUZZ is for how long.
+# slow reader does, and for chunked bodies that the budget of bodies reads otherwise than a
+# plain reader; FUZZ is for how long.
 FUZZ ?= 10s
 .PHONY: fuzz
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzPieces -fuzztime $(FUZZ) ./state/eventstream
+	$(GO) test -run '^$$' -fuzz FuzzChunked -fuzztime $(FUZZ) ./transport/callerbody
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
--- a/bench/crowd/harness_test.go
+++ b/bench/crowd/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -102,10 +103,29 @@
 	set.Callers.Connections = maxConnections
 	w.router, err = w.fleet.StartDirect(set)
 	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		if c.Failed() {
+			w.logRouter()
+		}
+	})
 	w.waitReady()
 	return w
 }
 
+// loggedLines is how many of the last lines of the router's log are shown when a test has failed.
+const loggedLines = 40
+
+// logRouter shows the end of the router's log.
+func (w *world) logRouter() {
+	data, err := os.ReadFile(filepath.Join(w.fleet.Dir, w.router.Name+".log"))
+	if err != nil {
+		w.Log(err)
+		return
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	w.Log(strings.Join(lines[max(len(lines)-loggedLines, 0):], "\n"))
+}
+
 func listen(c *qt.C) net.Listener {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -23,9 +23,9 @@
 // String formats the fingerprint as in logs and commands.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// Of returns the fingerprint of a request, computed from its caller, target and body. Headers
-// are left out, because they differ from attempt to attempt and when a stream is resumed.
-func Of(caller, method, host, uri string, body []byte) Fingerprint {
+// Of returns the fingerprint of a request, computed from its caller, target and body, which may be in
+// parts. Headers are left out, because they differ from attempt to attempt and when a stream is resumed.
+func Of(caller, method, host, uri string, body ...[]byte) Fingerprint {
 	head := make([]byte, 0, typicalHeadSize)
 	for _, part := range []string{caller, method, host, uri} {
 		// Length prefixes make the fields unambiguous: "a" "bc" is not "ab" "c".
@@ -35,6 +35,8 @@
 	h := sha256.New()
 	// Write of a hash never returns an error.
 	_, _ = h.Write(head)
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return Fingerprint(binary.LittleEndian.Uint64(h.Sum(nil)))
 }
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -47,9 +47,17 @@
 // idHeader carries the id of a request and of its response in these tests.
 const idHeader = "X-Id"
 
+// bytesBody is a body of one part.
+type bytesBody []byte
+
+func (b bytesBody) Len() int        { return len(b) }
+func (b bytesBody) Parts() [][]byte { return [][]byte{b} }
+func (b bytesBody) Retain()         {}
+func (b bytesBody) Release()        {}
+
 func request(id string) Request {
 	return Request{
-		Method: http.MethodPost, URI: "/a?b=1", Host: "h.example", Header: http.Header{idHeader: {id}}, Body: []byte("body"), HasBody: true,
+		Method: http.MethodPost, URI: "/a?b=1", Host: "h.example", Header: http.Header{idHeader: {id}}, Body: bytesBody("body"), HasBody: true,
 		Head: func(_ int, h http.Header) bool { return h.Get(idHeader) == "" || h.Get(idHeader) == id },
 	}
 }
@@ -172,7 +180,7 @@
 	})
 	p := NewPool(DefaultConfig())
 	big := request("r1")
-	big.Body = make([]byte, 8<<20)
+	big.Body = make(bytesBody, 8<<20)
 	for range 2 {
 		a, failure := p.Do(context.Background(), s.target, big)
 		c.Assert(failure, qt.IsNil)
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -57,11 +57,11 @@
 		p.put(c, time.Now())
 		return nil, &Failure{Stage: NotSent, Err: errors.Mark(err, ErrWithdrawn)}
 	}
-	data := encode(req)
-	a := &Answer{pool: p, conn: c, written: make(chan error, 1), startedAt: time.Now(), onAbandoned: req.Abandoned, size: len(data)}
+	head := encodeHead(req)
+	a := &Answer{pool: p, conn: c, written: make(chan error, 1), startedAt: time.Now(), onAbandoned: req.Abandoned, size: len(head) + req.bodyLen()}
 	a.stop = context.AfterFunc(ctx, func() { a.abandon(ConnReset, nil) })
 	p.exchanges.add(a)
-	a.send(data)
+	a.send(head, req.Body)
 	if err := a.readHead(req); err != nil {
 		a.stop()
 		err = a.cause(err)
--- a/transport/backend/request.go
+++ b/transport/backend/request.go
@@ -14,7 +14,8 @@
 	Host string
 	// Header holds the end-to-end headers.
 	Header http.Header
-	Body   []byte
+	// Body is nil if there is none.
+	Body Body
 	// HasBody reports whether the caller sent a body, even an empty one.
 	HasBody bool
 	// Head is called with the header of each response that arrives, and reports whether it
@@ -31,6 +32,25 @@
 	Abandoned func(Abandoned)
 }
 
+// Body is the body of a request, in parts that do not change. Who reads it calls Retain before and Release
+// afterwards, as the body may be given back while an abandoned send still reads it.
+type Body interface {
+	// Len returns the size in bytes.
+	Len() int
+	// Parts returns the parts in order.
+	Parts() [][]byte
+	Retain()
+	Release()
+}
+
+// bodyLen returns the size of the body in bytes.
+func (r Request) bodyLen() int {
+	if r.Body == nil {
+		return 0
+	}
+	return r.Body.Len()
+}
+
 func (r Request) begin() error {
 	if r.Begin == nil {
 		return nil
@@ -48,14 +68,56 @@
 const maxWrite = 16 << 10
 
 // send writes the request.
-func (a *Answer) send(data []byte) {
-	if len(data) <= maxInlineRequest {
-		a.written <- a.write(data)
+func (a *Answer) send(head []byte, body Body) {
+	if a.size <= maxInlineRequest {
+		a.written <- a.writeAll(head, body)
 		return
 	}
-	go func() { a.written <- a.write(data) }()
+	if body != nil {
+		body.Retain()
+	}
+	go func() {
+		a.written <- a.writeAll(head, body)
+		if body != nil {
+			body.Release()
+		}
+	}()
+}
+
+// writeAll writes the head and the parts of the body.
+func (a *Answer) writeAll(head []byte, body Body) error {
+	var parts [][]byte
+	if body != nil {
+		parts = body.Parts()
+	}
+	first, parts := fillFirst(head, parts)
+	if err := a.write(first); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if err := a.write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// fillFirst copies as much of the body behind the head as its buffer has room for, so that a short request takes
+// one write. It returns the buffer and the parts that remain.
+func fillFirst(head []byte, parts [][]byte) (first []byte, rest [][]byte) {
+	for len(parts) > 0 {
+		part := parts[0]
+		n := min(cap(head)-len(head), len(part))
+		head = append(head, part[:n]...)
+		if n < len(part) {
+			return head, append([][]byte{part[n:]}, parts[1:]...)
+		}
+		parts = parts[1:]
+	}
+	return head, nil
+}
+
+// write writes the data in pieces of at most maxWrite.
 func (a *Answer) write(data []byte) error {
 	for len(data) > 0 {
 		n, err := a.conn.Write(data[:min(len(data), maxWrite)])
@@ -68,17 +130,20 @@
 	return nil
 }
 
-// encode returns the request in the HTTP/1.1 format.
-func encode(req Request) []byte {
+// typicalHead is the usual size of a head in bytes.
+const typicalHead = 512
+
+// encodeHead returns the head of the request in the HTTP/1.1 format. Its buffer has room for the start of the
+// body, and for all of a short one.
+func encodeHead(req Request) []byte {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + 512)
+	b.Grow(min(req.bodyLen()+typicalHead, maxWrite))
 	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	// The keys and values were parsed by net/http, so they contain no line breaks.
 	_ = req.Header.Write(&b)
-	if req.HasBody || len(req.Body) > 0 {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	if req.HasBody || req.bodyLen() > 0 {
+		b.WriteString("Content-Length: " + strconv.Itoa(req.bodyLen()) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
--- a/transport/backend/stalled_path_test.go
+++ b/transport/backend/stalled_path_test.go
@@ -49,7 +49,7 @@
 	c.Assert(err, qt.IsNil)
 	link.Hold()
 	req := request("r1")
-	req.Body = make([]byte, stalledBodySize)
+	req.Body = make(bytesBody, stalledBodySize)
 	_, failure := p.Do(ctx, to, req)
 	time.Sleep(wait)
 	link.Heal()
--- a/transport/callerconn/receive.go
+++ b/transport/callerconn/receive.go
@@ -17,6 +17,8 @@
 	// wideReceiveBuffer is the size while a large body comes, in bytes: 4 MiB take 8s up to a round-trip time of
 	// 125ms.
 	wideReceiveBuffer = 64 << 10
+	// WideUnread is the most that waits unread in the larger buffer, in bytes.
+	WideUnread = 2 * wideReceiveBuffer
 )
 
 // Listen listens for callers at the address, with small receive buffers.
@@ -36,15 +38,10 @@
 	return lis.(*net.TCPListener), nil
 }
 
-// Widen enlarges the receive buffer of a connection that a large body comes on.
-func Widen(conn net.Conn) { setReceiveBuffer(conn, wideReceiveBuffer) }
-
-// Narrow undoes Widen once the body has come: what the caller sends behind it waits for the answer.
-func Narrow(conn net.Conn) { setReceiveBuffer(conn, ReceiveBuffer) }
-
-// setReceiveBuffer sets the size in bytes. Its errors are ignored: without the larger size a body comes more
-// slowly.
-func setReceiveBuffer(conn net.Conn, size int) {
+// Widen enlarges the receive buffer of a connection that a large body comes on, for as long as it is open: in a
+// buffer that gets smaller the kernel drops what the caller may still send, and the connection stalls. Errors are
+// ignored: without the larger size a body comes more slowly.
+func Widen(conn net.Conn) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return
@@ -54,8 +51,8 @@
 		return
 	}
 	_ = control.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, wideReceiveBuffer)
 		// The window that the peer was offered is bounded by the first size.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, size)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, wideReceiveBuffer)
 	})
 }
--- a/transport/callerconn/receive_test.go
+++ b/transport/callerconn/receive_test.go
@@ -13,7 +13,7 @@
 // What a caller sends and the router does not read stays within a small buffer, and a large body within a larger
 // one.
 func TestUnreadBytesAreBounded(t *testing.T) {
-	for widen, bound := range map[bool]int{false: 3 * ReceiveBuffer, true: 3 * wideReceiveBuffer} {
+	for widen, bound := range map[bool]int{false: 3 * ReceiveBuffer, true: WideUnread} {
 		c := qt.New(t)
 		lis, err := Listen("127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -167,6 +167,9 @@
 	}
 	c.reached++
 	c.answerBegins(sent, answer.Status, reply)
+	if !c.route.MayRepeat() || c.reached >= c.route.Attempts {
+		c.releaseBody()
+	}
 	var next step
 	var err error
 	before := events.Count()
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -30,8 +30,10 @@
 	attachedApplied *expvar.Int
 	forwarded       *expvar.Int
 	closedIdle      *expvar.Int
-	invalid         *expvar.Int
-	shed            *expvar.Int
+	// bodyBytes is the memory in use by the callers' bodies.
+	bodyBytes *expvar.Int
+	invalid   *expvar.Int
+	shed      *expvar.Int
 	// backoffs counts refusals by which a server requested a back-off.
 	backoffs *expvar.Int
 	// invalidAnswers counts answers with information about their server that cannot be parsed.
@@ -86,6 +88,7 @@
 		forwarded:       v.Int("direct_messages_passed_on"),
 		peerErrors:      v.Int("direct_peer_errors"),
 		closedIdle:      v.Int("direct_idle_closed"),
+		bodyBytes:       v.Int("direct_body_bytes"),
 		invalid:         v.Int("direct_invalid_entries"),
 		shed:            v.Int("direct_shed"),
 		backoffs:        v.Int("direct_backoffs"),
@@ -137,6 +140,9 @@
 	})
 	v.Func("direct_held", func() any { return r.inFlight.Load() })
 	v.Func("direct_caller_connections", func() any { return r.callers.Open() })
+	v.Func("direct_body_bytes_limit", func() any { return r.bodies.Stats().Limit })
+	v.Func("direct_bodies_unfinished", func() any { return r.bodies.Stats().Unfinished })
+	v.Func("direct_bodies_ended", func() any { return r.bodies.Stats().Ended })
 	v.Func("direct_dials", func() any { return r.pool.Dials() })
 	v.Func("direct_configuration_version", func() any {
 		if t := r.table.Load(); t != nil {
--- a/transport/direct/path_bench_test.go
+++ b/transport/direct/path_bench_test.go
@@ -73,3 +73,34 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 	}
 }
+
+// BenchmarkServedRequests measures one served request on a kept connection, with a short body and with one of 64 KiB.
+func BenchmarkServedRequests(b *testing.B) {
+	for name, size := range map[string]int{"short": 100, "64KiB": 64 << 10} {
+		b.Run(name, func(b *testing.B) {
+			f := start(b, testConfig(1), newBackend(b, "i-1", ok))
+			conn, err := net.Dial("tcp", f.set.Listen.Callers)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer conn.Close()
+			request := fmt.Appendf(nil, "POST /safe/ HTTP/1.1\r\nHost: h\r\n%s: r\r\n%s: 15000\r\nContent-Length: %d\r\n\r\n%s", testID, testLeft, size, strings.Repeat("x", size))
+			answers := bufio.NewReader(conn)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := conn.Write(request); err != nil {
+					b.Fatal(err)
+				}
+				resp, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if resp.StatusCode != http.StatusOK {
+					b.Fatal(resp.Status)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+		})
+	}
+}
--- a/transport/direct/reload.go
+++ b/transport/direct/reload.go
@@ -10,6 +10,7 @@
 // Reload applies the limits of changed settings. Addresses do not change until the process
 // restarts.
 func (r *Router) Reload(set settings.Direct, cfg Config) {
+	r.memory.Store(set.Memory.Bytes())
 	r.mu.Lock()
 	r.fresh.SetBound(cfg.Freshness)
 	r.cfg.Freshness, r.cfg.Staleness = cfg.Freshness, cfg.Staleness
--- a/transport/direct/requestlog.go
+++ b/transport/direct/requestlog.go
@@ -85,7 +85,7 @@
 		"request", c.meta.ID, "content", c.fingerprint, "route", route, "team", c.team, "version", version, "server", c.last.Server, "software", c.server.Version, "resumes", c.meta.Resumes, "resume_after", c.meta.LastEvent, "source", c.last.Source,
 		"wait_ms", c.last.Wait.Milliseconds(), "limit_ms", c.last.Limit.Milliseconds(), "size", c.last.Size, "estimate_ms", c.last.Estimate.Milliseconds(), "sent", c.sent, "reached", c.reached,
 		"standing", roundTo(c.last.Standing, standingDigits), "served", roundTo(c.last.Served, standingDigits), "throttled", c.last.Throttled, "rank", c.last.Rank, "cold", c.last.Cold, "backing_off", c.last.BackingOff, "since_backoff_ms", c.last.SinceBackoff.Milliseconds(), "elapsed_ms", c.elapsed.Milliseconds(),
-		"first_ms", c.firstMillis(), "pause_ms", c.pause.Milliseconds(), "late", c.lateness(), "config_age_ms", c.r.configAge().Milliseconds(), "peers_age_ms", c.r.peersAge().Milliseconds(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output, "body_bytes", len(c.body),
+		"first_ms", c.firstMillis(), "pause_ms", c.pause.Milliseconds(), "late", c.lateness(), "config_age_ms", c.r.configAge().Milliseconds(), "peers_age_ms", c.r.peersAge().Milliseconds(), "time_left_ms", c.meta.TimeLeft.Milliseconds(), "prompt", c.meta.Prompt, "output", c.meta.Output, "body_bytes", c.bodyBytes,
 		"unread", c.last.Unread, "queue_tokens", c.last.QueueTokens, "queue_runs", c.last.QueueRuns,
 		"lay_ms", c.unread.Milliseconds(), "took_ms", time.Since(c.received).Milliseconds(),
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"goldcrestport/coordination/admission"
+	"goldcrestport/coordination/bodybudget"
 	"goldcrestport/coordination/freshness"
 	"goldcrestport/coordination/intake"
 	"goldcrestport/coordination/mirror"
@@ -30,6 +31,7 @@
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
 	"goldcrestport/transport/backend"
+	"goldcrestport/transport/callerbody"
 	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/callergate"
 	"goldcrestport/transport/observe"
@@ -139,6 +141,9 @@
 	end              context.CancelFunc
 	abort            chan struct{}
 	callers          *callerconn.Set
+	// bodies is the memory of the callers' bodies, a part of memory, which is that of the process in bytes.
+	bodies *callerbody.Budget
+	memory atomic.Int64
 	// teams counts what each team requests from this router and receives.
 	teams *teamlog.Recorder
 	// gate decides which new connections are read.
@@ -182,6 +187,8 @@
 	r.quarantine.SetOtherCause(r.parts.MayExplain)
 	r.load.rotation = rotation.New(rotation.DefaultConfig())
 	r.metrics = newMetrics(r)
+	r.memory.Store(set.Memory.Bytes())
+	r.bodies = callerbody.NewBudget(bodybudget.DefaultConfig(), bodyBudget(set.Memory.Bytes(), 0, set.Callers.Body.Bytes()), r.metrics.bodyBytes.Set)
 	r.teams = teamlog.New(set.DataCentre, r.metrics.vars, r.event, r.teamStanding)
 	r.gate = callergate.New(intake.DefaultConfig(), r.teams.TeamOf, r.exceedsShare, r.recordUnreadClose)
 	r.completedLines = observe.NewLineLimit(r.metrics.dropped)
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 
 	"goldcrestport/coordination/admission"
@@ -16,6 +14,7 @@
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/state/routing"
 	"goldcrestport/state/teamuse"
+	"goldcrestport/transport/callerbody"
 	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/observe"
 )
@@ -30,7 +29,9 @@
 	route   *routing.Route
 	service string
 	team    string
-	body    []byte
+	// body is nil if there is none, and once no further send needs it; bodyBytes is its size.
+	body      *callerbody.Body
+	bodyBytes int
 	// fingerprint is the fingerprint of the request, equal for every attempt of the caller; 0
 	// until the body is read.
 	fingerprint quarantine.Fingerprint
@@ -95,6 +96,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.endResumed()
+	defer c.releaseBody()
 	if o := c.admit(); o != nil {
 		c.refuse(*o)
 		return
@@ -162,7 +164,7 @@
 		return o
 	}
 	_ = rc.SetReadDeadline(time.Time{})
-	c.fingerprint = quarantine.Of(c.team, c.req.Method, c.req.Host, c.req.RequestURI, c.body)
+	c.fingerprint = quarantine.Of(c.team, c.req.Method, c.req.Host, c.req.RequestURI, c.body.Parts()...)
 	c.service = c.route.Pick(rand.Float64())
 	c.elapsed = r.elapsed(c)
 	return nil
@@ -225,45 +227,6 @@
 	return left
 }
 
-// readBody reads the whole body: a request is sent only with all its bytes, and from then on
-// its caller's disconnection is noticed.
-func (c *call) readBody() *outcome.Outcome {
-	limit := int64(c.table.Limits().BodyBytes)
-	if limit <= 0 {
-		limit = c.r.set.Callers.Body.Bytes()
-	}
-	if c.req.ContentLength > limit {
-		o := outcome.Refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than allowed")
-		return &o
-	}
-	var err error
-	c.body, err = readAll(http.MaxBytesReader(c.w, c.req.Body, limit), c.req.ContentLength)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		o := outcome.Refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than allowed")
-		return &o
-	case err != nil:
-		o := outcome.Refuse(outcome.ReasonBodyTimeout, http.StatusRequestTimeout, 0, "the body did not arrive")
-		return &o
-	}
-	return nil
-}
-
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
-}
-
-// hasBody reports whether the caller sent a body, even an empty one.
-func (c *call) hasBody() bool {
-	return c.req.ContentLength != 0 || len(c.req.Header["Content-Length"]) > 0
-}
-
 // refuse sends the caller its final answer.
 func (c *call) refuse(o outcome.Outcome) {
 	o.Fractional, c.refusedFor = true, o.Reason
@@ -278,7 +241,7 @@
 		// descriptor.
 		c.w.Header().Set("Connection", "close")
 	}
-	if o.Status == http.StatusRequestTimeout || o.Status == http.StatusRequestEntityTooLarge {
+	if o.Status == http.StatusRequestTimeout || o.Status == http.StatusRequestEntityTooLarge || o.Reason == outcome.ReasonBodiesFull {
 		c.w.Header().Set("Connection", "close")
 	}
 	c.keepAlive()
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -250,14 +250,16 @@
 // callers use connections until shortly before that timeout.
 const idleSlack = 500 * time.Millisecond
 
-// sweepCallers closes callers' connections that are idle for too long, or idle ones when there
-// are too many.
+// sweepCallers closes callers' connections that are idle for too long. When there are too many it also closes
+// idle ones, and those whose bodies stopped coming.
 func (r *Router) sweepCallers(now time.Time) {
 	limit := r.set.Callers.IdleTimeout.D()
 	if t := r.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
 		limit = t.Limits().IdleTimeout + idleSlack
 	}
-	if closed := r.callers.Sweep(now, limit, maxKeptConnections(r.set)); closed > 0 {
+	r.adjustBodyBudget()
+	kept := maxKeptConnections(r.set)
+	if closed := r.callers.Sweep(now, limit, kept); closed > 0 {
 		r.metrics.closedIdle.Add(int64(closed))
 	}
 }
