Crowds that send nothing do not shut out ordinary callers

What callers saw: beside 250 connections a second that send nothing, or half a head, and stay open, 3 to 7 of 10 ordinary callers of new addresses were closed unread by a router that had nothing to do.

Cause: a connection counts as undecided at the gate until its first request is decided, or for 250 ms. Those that wait for their caller counted as pressure like those that wait for the router, so the gate limited, and took all unknown callers for one team with the crowd.

Mend: at a router that reads at once (mean lateness below 2 ms) a connection on which nothing waits unread after 10 ms is no longer undecided, nor is one whose head is accepted and whose long or chunked body has to come. When connections are short, the listener asks for some at once: those that never had a request go first, after half a second, then the longest idle ones; and unfinished bodies of which nothing came for half a second end, with a true refusal. A late router counts as before, so floods of work meet the gate as they did.

Weighed: to take pressure for none while the router reads at once: five tests of the gate fail, which play floods without lateness; they stay as they are. Addresses or prefixes of their own among unknown callers: a flood of many addresses would get a place for each. To close any new connection when all are taken: it closes callers whose first request is on its way (TestACallerThatDisconnectsBeforeAcceptIsNotServed hung); so they have half a second.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -37,6 +37,9 @@
 	// third of the most urgent latency objective.
 	HighLateness time.Duration
 	LowLateness  time.Duration
+	// PromptLateness is the mean lateness below which input is read at once. Default 2ms: a connection is read
+	// within about six times as long.
+	PromptLateness time.Duration
 	// Gain is the weight of one observation in the mean lateness. Default 0.3: at one
 	// observation each 25ms a flood is noticed within a tenth of a second.
 	Gain float64
@@ -58,7 +61,7 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		MaxUndecided: 64, MaxWindow: 16, MinWindow: 2, HighLateness: 30 * time.Millisecond, LowLateness: 15 * time.Millisecond, Gain: 0.3, PressureTime: 50 * time.Millisecond, Interval: 100 * time.Millisecond,
+		MaxUndecided: 64, MaxWindow: 16, MinWindow: 2, HighLateness: 30 * time.Millisecond, LowLateness: 15 * time.Millisecond, PromptLateness: 2 * time.Millisecond, Gain: 0.3, PressureTime: 50 * time.Millisecond, Interval: 100 * time.Millisecond,
 		MinRate: 20, QuietTime: time.Second, MaxTeams: 256,
 	}
 }
@@ -73,6 +76,7 @@
 	}
 	check(c.MinWindow > 0 && c.MaxWindow >= c.MinWindow && c.MaxUndecided >= c.MaxWindow, "MinWindow must be positive, MaxWindow at least as much, MaxUndecided at least that")
 	check(c.LowLateness > 0 && c.HighLateness > c.LowLateness, "LowLateness must be positive, HighLateness above it")
+	check(c.PromptLateness > 0 && c.PromptLateness <= c.LowLateness, "PromptLateness must be positive and at most LowLateness")
 	check(c.Gain > 0 && c.Gain <= 1, "Gain must be between 0 and 1")
 	check(c.PressureTime > 0, "PressureTime must be positive")
 	check(c.Interval > 0, "Interval must be positive")
@@ -125,6 +129,9 @@
 // Limiting reports whether connections are limited.
 func (s *State) Limiting() bool { return s.limiting }
 
+// ReadsAtOnce reports whether input is read about as soon as it arrives.
+func (s *State) ReadsAtOnce() bool { return s.lateness < float64(s.cfg.PromptLateness) }
+
 // Undecided returns the number of connections whose request is not decided on.
 func (s *State) Undecided() int { return s.undecided }
 
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -14,6 +14,24 @@
 	qt.Check(t, bad.Validate(), qt.ErrorMatches, "(?s).*MaxWindow.*")
 }
 
+// A router that reads at once knows that a connection on which nothing waits is one whose caller has sent nothing.
+func TestReadsAtOnceFollowsTheLateness(t *testing.T) {
+	c := qt.New(t)
+	s := New(DefaultConfig())
+	now := time.Unix(1000, 0)
+	c.Check(s.ReadsAtOnce(), qt.IsTrue)
+	for range 20 {
+		now = now.Add(25 * time.Millisecond)
+		s.Observe(now, 8*time.Millisecond, false)
+	}
+	c.Check(s.ReadsAtOnce(), qt.IsFalse)
+	for range 20 {
+		now = now.Add(25 * time.Millisecond)
+		s.Observe(now, time.Millisecond, false)
+	}
+	c.Check(s.ReadsAtOnce(), qt.IsTrue)
+}
+
 // flow is the connections of a team in a second.
 type flow struct {
 	team      string
--- a/transport/callerconn/callerconn_test.go
+++ b/transport/callerconn/callerconn_test.go
@@ -139,8 +139,12 @@
 	closed atomic.Int64
 	// decided counts the calls of the functions that Admit returned.
 	decided atomic.Int64
+	// atOnce is set if all that arrives is read at once.
+	atOnce atomic.Bool
 }
 
+func (g *testGate) ReadsAtOnce() bool { return g.atOnce.Load() }
+
 func (g *testGate) Chooses() bool { return g.closes.Load() }
 
 func (g *testGate) Wait() {}
@@ -163,7 +167,7 @@
 	gate := &testGate{}
 	var served atomic.Int64
 	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
-	go func() { _ = srv.Serve(NewListener(tcp.(*net.TCPListener), 2, gate)) }()
+	go func() { _ = srv.Serve(NewListener(tcp.(*net.TCPListener), 2, gate, func() {})) }()
 	c.Cleanup(func() { _ = srv.Close() })
 	ask := func(with *http.Client) error {
 		resp, err := with.Get("http://" + tcp.Addr().String())
--- a/transport/callerconn/listener.go
+++ b/transport/callerconn/listener.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,11 +22,19 @@
 	// decided once, when the first request was admitted or refused or did not arrive in
 	// time. Admit is called once for each connection.
 	Admit(from netip.Addr) (decided func(), taken bool)
+	// ReadsAtOnce reports whether what arrives is read at once, so that a connection on which nothing waits
+	// is one whose caller has not sent its request.
+	ReadsAtOnce() bool
 }
 
-// firstRequestTimeout is the time after which a connection without a request no longer counts
-// as undecided at the gate.
-const firstRequestTimeout = 250 * time.Millisecond
+// Times after which a connection without a request no longer counts as undecided at the gate.
+const (
+	// firstRequestTimeout holds always.
+	firstRequestTimeout = 250 * time.Millisecond
+	// silentTimeout holds if its caller has sent no whole request. Callers who know what they want send it right
+	// behind the opening of their connection.
+	silentTimeout = 10 * time.Millisecond
+)
 
 // Listener bounds the number of open connections; further ones wait in the kernel's accept
 // queue until one is closed. Connections that its gate does not admit are closed unread.
@@ -33,23 +42,37 @@
 	*net.TCPListener
 	slots chan struct{}
 	gate  Gate
+	// full is called, without blocking, when a connection waits for another to be closed.
+	full func()
+}
+
+// NewListener returns a listener with at most maxConns open connections at a time. It calls full, which must
+// not block, when a further one waits.
+func NewListener(l *net.TCPListener, maxConns int, gate Gate, full func()) *Listener {
+	return &Listener{TCPListener: l, slots: make(chan struct{}, maxConns), gate: gate, full: full}
 }
 
-// NewListener returns a listener with at most maxConns open connections at a time.
-func NewListener(l *net.TCPListener, maxConns int, gate Gate) *Listener {
-	return &Listener{TCPListener: l, slots: make(chan struct{}, maxConns), gate: gate}
+// takeSlot waits until a connection may be open.
+func (l *Listener) takeSlot() {
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.full()
+		l.slots <- struct{}{}
+	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
+	l.takeSlot()
 	conn, err := l.next()
 	if err != nil {
 		<-l.slots
 		return nil, err
 	}
 	conn.slots = l.slots
-	conn.firstRequestTimer = time.AfterFunc(firstRequestTimeout, conn.Decided)
+	conn.gate = l.gate
+	conn.firstRequestTimer = time.AfterFunc(silentTimeout, conn.checkSilent)
 	return conn, nil
 }
 
@@ -165,14 +188,31 @@
 type limitedConn struct {
 	*net.TCPConn
 	slots             chan struct{}
+	gate              Gate
 	decided           func()
 	firstRequestTimer *time.Timer
-	decidedOnce       sync.Once
+	isDecided         atomic.Bool
 	closeOnce         sync.Once
 }
 
 // Decided notifies the gate that the first request was admitted or refused, or did not arrive.
-func (c *limitedConn) Decided() { c.decidedOnce.Do(c.decided) }
+func (c *limitedConn) Decided() {
+	if c.isDecided.CompareAndSwap(false, true) {
+		c.decided()
+	}
+}
+
+// checkSilent notifies the gate if the caller has not sent its request yet, though all that arrives is read.
+// Otherwise the request may still wait for its turn.
+func (c *limitedConn) checkSilent() {
+	switch {
+	case c.isDecided.Load():
+	case c.gate.ReadsAtOnce() && !HasUnread(c.TCPConn):
+		c.Decided()
+	default:
+		time.AfterFunc(firstRequestTimeout-silentTimeout, c.Decided)
+	}
+}
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
--- a/transport/callerconn/set.go
+++ b/transport/callerconn/set.go
@@ -41,6 +41,8 @@
 	swept bool
 	// requests is the number of requests that arrived on the connection.
 	requests int
+	// silent means that it never had a request.
+	silent bool
 	// accepted is when the connection was accepted.
 	accepted time.Time
 }
@@ -59,9 +61,13 @@
 	}
 	switch state {
 	case http.StateActive:
+		one.silent = false
 		one.idleSince = time.Time{}
 		one.requests++
-	case http.StateNew, http.StateIdle:
+	case http.StateNew:
+		one.silent = true
+		one.idleSince = time.Now()
+	case http.StateIdle:
 		one.idleSince = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(c.all, conn)
@@ -130,14 +136,33 @@
 	return n
 }
 
+// SilentTime is the time after which a connection that never had a request is closed before others when
+// connections are short. Until then its first request may be on its way.
+const SilentTime = 500 * time.Millisecond
+
 // idleConn is a connection that has had no request since the given time.
 type idleConn struct {
 	conn  net.Conn
 	since time.Time
+	// silent means that it never had one.
+	silent bool
+}
+
+// closesBefore orders idle connections: silent ones first, then those that are idle for longest.
+func closesBefore(a, b idleConn) int {
+	switch {
+	case a.silent && !b.silent:
+		return -1
+	case b.silent && !a.silent:
+		return 1
+	default:
+		return a.since.Compare(b.since)
+	}
 }
 
-// Sweep closes connections that have been idle for longer than their limit, and the longest
-// idle ones while there are more than maxOpen connections. It returns the number closed.
+// Sweep closes connections that have been idle for longer than their limit. While there are more than maxOpen
+// connections it also closes those that never had a request, then the longest idle ones. It returns the number
+// closed.
 func (c *Set) Sweep(now time.Time, limit time.Duration, maxOpen int) (closed int) {
 	idle, excess := c.idleConns(now, limit, maxOpen)
 	for i, one := range idle {
@@ -159,11 +184,12 @@
 		if one.idleSince.IsZero() || one.swept {
 			continue
 		}
-		if excess > 0 || one.isExpired(now, limit) {
-			out = append(out, idleConn{conn, one.idleSince})
+		isNew := one.silent && now.Sub(one.accepted) < SilentTime
+		if excess > 0 && !isNew || one.isExpired(now, limit) {
+			out = append(out, idleConn{conn, one.idleSince, one.silent})
 		}
 	}
-	slices.SortFunc(out, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	slices.SortFunc(out, closesBefore)
 	return out, excess
 }
 
--- a/transport/callergate/callergate.go
+++ b/transport/callergate/callergate.go
@@ -58,6 +58,13 @@
 	return g.intake.Limiting()
 }
 
+// ReadsAtOnce implements callerconn.Gate.
+func (g *Gate) ReadsAtOnce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.intake.ReadsAtOnce()
+}
+
 // Admit implements callerconn.Gate.
 func (g *Gate) Admit(from netip.Addr) (decided func(), taken bool) {
 	team := g.teamOf(from)
--- a/transport/direct/bodies.go
+++ b/transport/direct/bodies.go
@@ -59,6 +59,9 @@
 	if length == 0 {
 		return nil
 	}
+	if length < 0 || length > callerconn.ReceiveBuffer {
+		c.leaveGate()
+	}
 	body, err := c.r.bodies.Open(c.bodyCaller(), length)
 	if err != nil {
 		c.linger(0)
@@ -74,6 +77,14 @@
 	return nil
 }
 
+// leaveGate tells the gate that the request is decided, though its body has not come: the gate counts requests that
+// wait for this router, not those it waits for. A late router may not know which it is.
+func (c *call) leaveGate() {
+	if c.r.gate.ReadsAtOnce() {
+		callerconn.Decided(c.conn())
+	}
+}
+
 // bodyCaller returns the caller as the one that sends the body.
 func (c *call) bodyCaller() callerbody.Caller {
 	return callerbody.OnConn(c.conn(), c.team)
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -141,6 +141,8 @@
 	end              context.CancelFunc
 	abort            chan struct{}
 	callers          *callerconn.Set
+	// callersFull wakes relieveCallers: a caller's connection waits for another to be closed.
+	callersFull chan struct{}
 	// bodies is the memory of the callers' bodies, a part of memory, which is that of the process in bytes.
 	bodies *callerbody.Budget
 	memory atomic.Int64
@@ -180,7 +182,7 @@
 		quarantine:     quarantine.New(cfg.Quarantine, set.ID),
 		parts:          partquarantine.New(partquarantine.DefaultConfig(), set.ID),
 		returning:      returning.New(returning.DefaultConfig()),
-		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(),
+		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(), callersFull: make(chan struct{}, 1),
 	}
 	r.origins, r.doubts = newOrigins(r), newDoubts(r)
 	r.admission.SetWarmup(r.warmup)
@@ -242,8 +244,9 @@
 		go func() { _ = observe.Server(r.metricsHandler()).Serve(metrics) }()
 	}
 	go func() {
-		_ = srv.Serve(callerconn.NewListener(callers, maxConnections(r.set), r.gate))
+		_ = srv.Serve(callerconn.NewListener(callers, maxConnections(r.set), r.gate, r.noteFull))
 	}()
+	go r.relieveCallers(ctx)
 	go r.watchLoad(ctx)
 	go r.teams.Run(ctx)
 	go runEvery(ctx, paceLogInterval, r.logPace)
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -12,6 +12,7 @@
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/warmup"
 	"goldcrestport/state/routing"
+	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/platform"
 )
 
@@ -262,4 +263,35 @@
 	if closed := r.callers.Sweep(now, limit, kept); closed > 0 {
 		r.metrics.closedIdle.Add(int64(closed))
 	}
+	if excess := r.callers.Open() - kept; excess > 0 {
+		r.bodies.EndStalled(excess, callerconn.SilentTime)
+	}
+}
+
+// noteFull records that a caller's connection waits for another to be closed.
+func (r *Router) noteFull() {
+	select {
+	case r.callersFull <- struct{}{}:
+	default:
+	}
+}
+
+// fullInterval is the shortest time between two searches for connections to close.
+const fullInterval = 20 * time.Millisecond
+
+// relieveCallers closes connections as soon as a caller waits for one, until ctx ends.
+func (r *Router) relieveCallers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.callersFull:
+			r.sweepCallers(time.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(fullInterval):
+		}
+	}
 }
