Routers with sidecars take the memory for bodies from the shared budget

What callers saw: beside a crowd of 200 callers that stop short of the end of bodies of 1 MiB, an ordinary request of the same team was refused four times with bodies-full, until the crowd's time for a body was over; the router took 76 to 104 MiB where its limit for bodies was 16 MiB.

Cause: these routers had a bound of their own, by total and team, whose holders never yielded; buffers grew by copying, and the kernel's buffers of unread bytes grew by themselves.

Mend: the same budget as direct routers have (coordination/bodybudget, transport/callerbody), with half of it as the most for one team, whose own stalled bodies yield to its callers; the listener's small receive buffers; a refusal for memory closes the connection after its caller could see it. The logic that stood twice is one module.

Left: the body is joined into one piece before it is sent, as the model's name and the key's digest are read from it whole; that copy is charged too while both exist.

--- a/transport/router/bodies.go
+++ b/transport/router/bodies.go
@@ -1,121 +1,64 @@
 package router
 
 import (
-	"expvar"
-	"io"
+	"net"
 	"net/http"
-	"sync"
+	"time"
 
-	"github.com/cockroachdb/errors"
+	"goldcrestport/coordination/bodybudget"
+	"goldcrestport/transport/callerbody"
 )
 
-// minBodyBuffer is the initial buffer size for a request body, in bytes; a
-// body whose maximum length is known to be shorter gets a smaller one.
-const minBodyBuffer = 64 << 10
+// maxTeamShare is the greatest share of the memory for bodies that one team may use.
+const maxTeamShare = 0.5
 
-// errBodiesFull means that the memory budget for request bodies is exhausted.
-var errBodiesFull = errors.New("the memory for request bodies is used up")
+// refusalLinger is how long a connection stays open after the refusal of a body that still comes, so that its
+// caller sees the refusal.
+const refusalLinger = 500 * time.Millisecond
 
-// errBodyTooLarge means that a body exceeds the maximum size of one body.
-var errBodyTooLarge = errors.New("the body is too large")
-
-// bodyBudget limits the memory of the request bodies in the router, in total
-// and for one team.
-type bodyBudget struct {
-	mu      sync.Mutex
-	used    int64
-	limit   int64
-	perTeam int64
-	teams   map[string]int64
-	gauge   *expvar.Int
+// newBodies returns the memory for the callers' bodies, of the limit in bytes.
+func newBodies(limit int64, m *metrics) *callerbody.Budget {
+	cfg := bodybudget.DefaultConfig()
+	cfg.TeamShare = maxTeamShare
+	return callerbody.NewBudget(cfg, limit, m.bodies.Set)
 }
 
-func newBodyBudget(limit int64, gauge *expvar.Int) *bodyBudget {
-	return &bodyBudget{limit: limit, perTeam: limit / 2, teams: map[string]int64{}, gauge: gauge}
+// requestBody is the body of one request with its memory.
+type requestBody struct {
+	budget *callerbody.Budget
+	team   string
+	conn   net.Conn
+	data   []byte
+	held   *callerbody.Body
 }
 
-// reserve reserves n bytes for the team; it returns false if the budget does
-// not allow it.
-func (b *bodyBudget) reserve(team string, n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.used+n > b.limit || b.teams[team]+n > b.perTeam {
-		return false
-	}
-	b.used += n
-	b.teams[team] += n
-	b.gauge.Set(b.used)
-	return true
+// release gives back the memory.
+func (b *requestBody) release() {
+	b.held.Release()
+	b.held, b.data = nil, nil
 }
 
-func (b *bodyBudget) release(team string, n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= n
-	b.teams[team] -= n
-	if b.teams[team] == 0 {
-		delete(b.teams, team)
+// read reads the whole body of the request within the limit in bytes.
+func (b *requestBody) read(w http.ResponseWriter, req *http.Request, limit int64) error {
+	if req.ContentLength > limit {
+		return callerbody.ErrTooLarge
 	}
-	b.gauge.Set(b.used)
-}
-
-// requestBody is the body of one request with its reserved memory.
-type requestBody struct {
-	budget   *bodyBudget
-	team     string
-	data     []byte
-	reserved int64
-}
-
-// release returns the reserved memory to the budget.
-func (h *requestBody) release() {
-	if h.reserved > 0 {
-		h.budget.release(h.team, h.reserved)
-		h.reserved = 0
+	var err error
+	if b.held, err = b.budget.Open(callerbody.OnConn(b.conn, b.team), req.ContentLength); err != nil {
+		linger(w, 0)
+		return err
 	}
-}
-
-// grow reserves memory up to size and enlarges the buffer to it.
-func (h *requestBody) grow(size int64) error {
-	if !h.budget.reserve(h.team, size-h.reserved) {
-		return errBodiesFull
+	if err := b.held.Read(req.Body, req.ContentLength, limit); err != nil {
+		linger(w, b.held.IdleFor())
+		return err
 	}
-	h.reserved = size
-	data := make([]byte, len(h.data), size)
-	copy(data, h.data)
-	h.data = data
-	return nil
+	b.data, err = b.held.Joined()
+	return err
 }
 
-// read reads the whole body. Memory is reserved as the body arrives, so that a
-// caller that declares a large length and sends little occupies little memory.
-func (h *requestBody) read(body io.Reader, length, limit int64) error {
-	if length > limit {
-		return errBodyTooLarge
-	}
-	if length < 0 {
-		// Reading one byte more than allowed detects a body that is too large.
-		length = limit + 1
-	}
-	for int64(len(h.data)) < length {
-		if len(h.data) == cap(h.data) {
-			if err := h.grow(min(max(int64(2*cap(h.data)), minBodyBuffer), length)); err != nil {
-				return err
-			}
-		}
-		n, err := body.Read(h.data[len(h.data):cap(h.data)])
-		h.data = h.data[:len(h.data)+n]
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	if int64(len(h.data)) > limit {
-		return errBodyTooLarge
-	}
-	return nil
+// linger lets the server read on for a moment after a refusal, unless the caller sends nothing.
+func linger(w http.ResponseWriter, idle time.Duration) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalLinger - idle))
 }
 
 // hasBody reports whether the request may have a body.
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -14,6 +14,8 @@
 	"goldcrestport/protocol/prefix"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/callerbody"
+	"goldcrestport/transport/callerconn"
 )
 
 // retryAfterRefusal is the Retry-After hint for refusals whose cause is likely
@@ -31,7 +33,7 @@
 	t := r.newObserver(req)
 	w = newDeadlineWriter(w, r.set.Limits.WriteTimeout.D())
 	w.Header().Set(headerRequestID, t.id)
-	body := requestBody{budget: r.bodies}
+	body := requestBody{budget: r.bodies, conn: callerconn.Of(req.Context())}
 	defer body.release()
 	c, refused := r.admit(t, &body, w, req)
 	if refused != nil {
@@ -52,7 +54,7 @@
 	case http.StatusRequestTimeout, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
 		w.Header().Set("Connection", "close")
 	}
-	if o.Reason == outcome.ReasonConnections {
+	if o.Reason == outcome.ReasonConnections || o.Reason == outcome.ReasonBodiesFull {
 		w.Header().Set("Connection", "close")
 	}
 	outcome.Write(w, id, o)
@@ -98,7 +100,7 @@
 		return nil, refused
 	}
 	if int64(len(body.data)) > bodyLimit(service, limit) {
-		return nil, bodyRefusal(errBodyTooLarge)
+		return nil, r.bodyRefusal(callerbody.ErrTooLarge, req.ContentLength)
 	}
 	t.service = to.service
 	return r.newCall(t, team, service, to, opts, req, body.data), nil
@@ -156,19 +158,21 @@
 	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(r.set.Limits.BodyTimeout.D()))
-	if err := body.read(req.Body, req.ContentLength, limit); err != nil {
-		return bodyRefusal(err)
+	if err := body.read(w, req, limit); err != nil {
+		body.release()
+		return r.bodyRefusal(err, req.ContentLength)
 	}
 	_ = ctl.SetReadDeadline(time.Time{})
 	return nil
 }
 
-func bodyRefusal(err error) *outcome.Outcome {
+// bodyRefusal returns the refusal of a body of the declared length, -1 if unknown, that did not come or may not.
+func (r *Router) bodyRefusal(err error, length int64) *outcome.Outcome {
 	switch {
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, callerbody.ErrTooLarge):
 		return refuse(outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
-	case errors.Is(err, errBodiesFull):
-		o := outcome.Refuse(outcome.ReasonBodiesFull, http.StatusServiceUnavailable, retryAfterRefusal, "the memory for request bodies is used up")
+	case errors.Is(err, callerbody.ErrFull):
+		o := outcome.Refuse(outcome.ReasonBodiesFull, http.StatusServiceUnavailable, r.bodies.RetryAfter(length), "the memory for request bodies is used up")
 		return &o
 	case isTimeout(err):
 		o := outcome.Refuse(outcome.ReasonBodyTimeout, http.StatusRequestTimeout, retryAfterRefusal, "the body came too slowly")
--- a/transport/router/callers_test.go
+++ b/transport/router/callers_test.go
@@ -254,6 +254,6 @@
 			c.Check(refused.Kind, quicktest.Equals, outcome.NotRun)
 		}
 		reqBody.release()
-		c.Check(r.bodies.used, quicktest.Equals, int64(0))
+		c.Check(r.bodies.Stats().Used, quicktest.Equals, int64(0))
 	})
 }
--- a/transport/router/connections.go
+++ b/transport/router/connections.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"goldcrestport/transport/callerconn"
 )
@@ -60,6 +61,14 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn gives access to the socket.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SyscallConn()
+	}
+	return nil, syscall.EINVAL
+}
+
 // SetLinger sets what Close does with unsent bytes; see
 // net.TCPConn.SetLinger.
 func (c *countedConn) SetLinger(seconds int) error {
--- a/transport/router/limits_test.go
+++ b/transport/router/limits_test.go
@@ -46,7 +46,7 @@
 		c.Check(p.Status, quicktest.Equals, http.StatusRequestTimeout)
 	}
 	c.Check(e.arrived, quicktest.HasLen, 0)
-	c.Check(e.router.bodies.used, quicktest.Equals, int64(0))
+	c.Check(e.router.bodies.Stats().Used, quicktest.Equals, int64(0))
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
@@ -97,25 +97,6 @@
 	c.Check(e.router.metrics.bodies.Value(), quicktest.Equals, int64(0))
 }
 
-func TestDeclaredLengthReservesNoMemory(t *testing.T) {
-	c := quicktest.New(t)
-	b := newBodyBudget(1<<20, newMetrics().bodies)
-	h := requestBody{budget: b, team: "a"}
-	read, write := io.Pipe()
-	done := make(chan error)
-	go func() { done <- h.read(read, 512<<10, 1<<20) }()
-	_, err := write.Write(make([]byte, 100))
-	c.Assert(err, quicktest.IsNil)
-	b.mu.Lock()
-	c.Check(b.used, quicktest.Equals, int64(minBodyBuffer))
-	b.mu.Unlock()
-	_, err = write.Write(make([]byte, 512<<10-100))
-	c.Assert(err, quicktest.IsNil)
-	c.Assert(<-done, quicktest.IsNil)
-	c.Check(h.data, quicktest.HasLen, 512<<10)
-	c.Check(b.used, quicktest.Equals, int64(512<<10))
-}
-
 // Guards against a caller that stops reading and thereby blocks the handler
 // forever.
 func TestCallerThatStopsReading(t *testing.T) {
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -19,6 +19,8 @@
 	"goldcrestport/protocol/settings"
 	"goldcrestport/protocol/wire"
 	"goldcrestport/state/config"
+	"goldcrestport/transport/callerbody"
+	"goldcrestport/transport/callerconn"
 	"goldcrestport/transport/claims"
 	"goldcrestport/transport/link"
 	"goldcrestport/transport/observe"
@@ -50,7 +52,7 @@
 	listedStates *listedStates
 	tracer       *observe.Tracer
 	logLimit     *observe.LineLimit
-	bodies       *bodyBudget
+	bodies       *callerbody.Budget
 	tokens       tokens
 	doc          atomic.Pointer[config.Document]
 	linkCount    atomic.Int64
@@ -89,7 +91,7 @@
 		listedStates:   newListedStates(),
 		tracer:         observe.NoTracer(),
 		logLimit:       observe.NewLineLimit(m.logLinesDropped),
-		bodies:         newBodyBudget(set.Limits.Bodies.Bytes(), m.bodies),
+		bodies:         newBodies(set.Limits.Bodies.Bytes(), m),
 	}
 	r.dispatcher = newDispatcher(dispatch.New(dispatchConfig(set)), r.doc.Load, newDispatchVars(r.metrics.vars))
 	r.spread = r.newSpreader()
@@ -119,7 +121,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.ctx = ctx
-	callers, err := net.Listen("tcp", r.set.Listen.Callers)
+	callers, err := callerconn.Listen(r.set.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen.callers")
 	}
