A refused body is read to its end, and the budget serves the usual load of large bodies

They send their whole body before they read; the router closed half a second after its refusal, so that they saw a reset.

Bodies may take .55 of the memory (.45 before), and a tenth of the budget, in place of a quarter, is for small ones: a hundred of 64 KiB at the smallest instance, or a short one for each of its connections.

--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -147,6 +147,11 @@
 	return write(conn, w.head()+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBody), strings.Repeat("x", maxBody))
 }
 
+// smallRequest sends one whole request with a small body, and reads nothing of its answer.
+func smallRequest(w *world, conn net.Conn) error {
+	return write(conn, w.head()+"Content-Length: 2\r\n\r\n{}")
+}
+
 // headAndByte sends a head and one byte of its body.
 func headAndByte(w *world, conn net.Conn) error {
 	return write(conn, w.head()+fmt.Sprintf("Content-Length: %d\r\n\r\n{", maxBody))
@@ -252,6 +257,19 @@
 	})
 }
 
+// The same for callers whose requests cost nothing, so that all of them are answered.
+func TestLargeAnswersToSmallRequestsThatAreNotRead(t *testing.T) {
+	w := start(t)
+	w.answer.Store(8 << 20)
+	w.mustHold(func() {
+		c := w.gather(smallRequest, manyAddresses)
+		time.Sleep(2 * time.Second)
+		w.answer.Store(100)
+		w.mustServe("127.0.8.1")
+		c.leave()
+	})
+}
+
 // crowdRounds is how often a crowd comes again.
 const crowdRounds = 3
 
--- a/coordination/bodybudget/bodybudget_test.go
+++ b/coordination/bodybudget/bodybudget_test.go
@@ -15,6 +15,13 @@
 
 var begin = time.Unix(1000, 0)
 
+// quarterSmall returns the defaults with a quarter for small bodies: of 4 MiB, large ones may take three.
+func quarterSmall() Config {
+	cfg := DefaultConfig()
+	cfg.SmallShare = 0.25
+	return cfg
+}
+
 // filled opens a body that holds n bytes, all of which arrived at the time.
 func filled(c *qt.C, s *State, at time.Time, owner Owner, n int64) *Body {
 	b := s.Open(at, owner, -1, nil)
@@ -47,7 +54,7 @@
 // Callers that stopped short of their ends yield to one that sends, and no more of them than it takes.
 func TestStalledBodiesYield(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	for range 3 {
 		filled(c, s, begin, Owner{}, mib)
 	}
@@ -68,7 +75,7 @@
 // A finished body is never ended: its request may be at work.
 func TestFinishedBodiesDoNotYield(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	for range 3 {
 		c.Assert(s.Finish(filled(c, s, begin, Owner{}, mib)), qt.IsTrue)
 	}
@@ -80,7 +87,7 @@
 // A small body is served beside large ones that hold all that they may, at once.
 func TestSmallBodiesHaveAPartOfTheirOwn(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	for range 3 {
 		filled(c, s, begin, Owner{}, mib)
 	}
@@ -93,7 +100,7 @@
 // Of callers that all send, the newest yield: they lose least. An older upload never ends for a newer one.
 func TestNewerLargeBodiesYieldToOlderOnes(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	old := filled(c, s, begin, Owner{}, mib)
 	middle := filled(c, s, begin.Add(time.Second), Owner{}, mib)
 	newest := filled(c, s, begin.Add(1500*time.Millisecond), Owner{}, mib)
@@ -110,7 +117,7 @@
 // Of stalled bodies those of the address that holds most yield first.
 func TestTheAddressThatHoldsMostYieldsFirst(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	slow := filled(c, s, begin, Owner{Address: "a"}, mib)
 	for range 4 {
 		filled(c, s, begin, Owner{Address: "b"}, mib/2)
@@ -127,7 +134,7 @@
 // A caller that sends a byte now and then makes no progress; a slow phone does.
 func TestProgressIsARate(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	trickle := filled(c, s, begin, Owner{}, mib)
 	phone := filled(c, s, begin, Owner{}, mib)
 	now := begin
@@ -146,7 +153,7 @@
 // When connections are short, unfinished bodies of which nothing comes end first.
 func TestIdleBodiesEndWhenConnectionsAreShort(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	oldest := filled(c, s, begin, Owner{}, 100)
 	older := filled(c, s, begin.Add(100*time.Millisecond), Owner{}, 100)
 	filled(c, s, begin.Add(time.Second), Owner{}, 100)
@@ -164,7 +171,7 @@
 // not.
 func TestADeclaredLengthThatCannotBeHad(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	for range 3 {
 		filled(c, s, begin, Owner{}, mib)
 	}
@@ -176,7 +183,7 @@
 // A team's own stalled bodies yield to its callers when it holds its share.
 func TestATeamWithinItsShare(t *testing.T) {
 	c := qt.New(t)
-	cfg := DefaultConfig()
+	cfg := quarterSmall()
 	cfg.TeamShare = 0.5
 	s := New(cfg, 8*mib)
 	for range 3 {
@@ -198,7 +205,7 @@
 // A refused caller comes back when what it needs has been given back, at the rate of late.
 func TestWaitFollowsTheRateOfReleases(t *testing.T) {
 	c := qt.New(t)
-	s := New(DefaultConfig(), 4*mib)
+	s := New(quarterSmall(), 4*mib)
 	now := begin
 	for range 10 {
 		now = now.Add(time.Second)
@@ -211,7 +218,7 @@
 	c.Check(wait >= 1500*time.Millisecond && wait <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", wait))
 	c.Check(s.Wait(now, 64*mib), qt.Equals, DefaultConfig().MaxWait)
 	c.Check(New(DefaultConfig(), mib).Wait(begin, 2*mib), qt.Equals, DefaultConfig().MinWait)
-	fresh := New(DefaultConfig(), 4*mib)
+	fresh := New(quarterSmall(), 4*mib)
 	filled(c, fresh, begin, Owner{}, mib)
 	c.Check(fresh.Wait(begin, 4*mib), qt.Equals, DefaultConfig().StallTime)
 }
--- a/coordination/bodybudget/config.go
+++ b/coordination/bodybudget/config.go
@@ -10,7 +10,7 @@
 type Config struct {
 	// Small is the size, in bytes, up to which a body counts as small. Default 64 KiB.
 	Small int64
-	// SmallShare is the share of the budget that only small bodies may take. Default 0.25.
+	// SmallShare is the share of the budget that only small bodies may take. Default 0.1.
 	SmallShare float64
 	// TeamShare is the greatest share of the budget that the bodies of one team may take. Default 1.
 	TeamShare float64
@@ -28,7 +28,7 @@
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
 	return Config{
-		Small: 64 << 10, SmallShare: 0.25, TeamShare: 1, StallTime: 2 * time.Second, MinRate: 16 << 10,
+		Small: 64 << 10, SmallShare: 0.1, TeamShare: 1, StallTime: 2 * time.Second, MinRate: 16 << 10,
 		MinWait: time.Second, MaxWait: 8 * time.Second,
 	}
 }
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -120,7 +120,6 @@
 	if o.RetryAfter > 0 {
 		h.Set("Retry-After", o.retryAfter())
 	}
-	w.WriteHeader(o.Status)
 	p := Problem{
 		Type:         "urn:goldcrestport:problem:" + string(o.Reason),
 		Title:        http.StatusText(o.Status),
@@ -131,8 +130,13 @@
 		RequestID:    requestID,
 		RetryAfterMS: o.RetryAfter.Milliseconds(),
 	}
+	// A Problem has no value that cannot be encoded.
+	document, _ := json.Marshal(p)
+	document = append(document, '\n')
+	h.Set("Content-Length", strconv.Itoa(len(document)))
+	w.WriteHeader(o.Status)
 	// Fails if the caller has disconnected; nobody is left to receive the error.
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(document)
 }
 
 // RetryAfterSeconds rounds a delay up to the whole seconds of Retry-After.
--- a/transport/callerbody/body.go
+++ b/transport/callerbody/body.go
@@ -166,13 +166,6 @@
 	b.budget.state.Progress(time.Now(), b.charge, n)
 }
 
-// IdleFor returns for how long nothing of the body has arrived.
-func (b *Body) IdleFor() time.Duration {
-	b.budget.mu.Lock()
-	defer b.budget.mu.Unlock()
-	return b.charge.IdleFor(time.Now())
-}
-
 // Len returns the size of the body in bytes. A nil Body is empty.
 func (b *Body) Len() int {
 	if b == nil {
--- a/transport/direct/bodies.go
+++ b/transport/direct/bodies.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,17 +16,13 @@
 // connections are open; the rest is for the process itself and its garbage.
 const (
 	// bodyShare is the most that bodies may take.
-	bodyShare = 0.45
+	bodyShare = 0.55
 	// callerShare is the most that bodies and connections may take together.
 	callerShare = 0.75
 	// minBodies is the number of bodies of the greatest length for which there is always memory.
 	minBodies = 2
 )
 
-// refusalLinger is how long a connection stays open after the refusal of a body that still comes: a close with
-// unread bytes would reset it, and the caller might not see the refusal.
-const refusalLinger = 500 * time.Millisecond
-
 // bodyBudget returns the part of the process's memory that bodies may take beside so many open connections. Sizes
 // are in bytes, and greatest is the limit of one body.
 func bodyBudget(processMemory int64, connections int, greatest int64) int64 {
@@ -64,12 +59,10 @@
 	}
 	body, err := c.r.bodies.Open(c.bodyCaller(), length)
 	if err != nil {
-		c.linger(0)
 		return c.refuseBody(err)
 	}
 	c.body = body
 	if err := body.Read(http.MaxBytesReader(c.w, c.req.Body, limit), length, limit); err != nil {
-		c.linger(body.IdleFor())
 		c.releaseBody()
 		return c.refuseBody(err)
 	}
@@ -90,10 +83,15 @@
 	return callerbody.OnConn(c.conn(), c.team)
 }
 
-// linger lets the server read on for a moment after the refusal of a body, unless its caller sends nothing.
-func (c *call) linger(idle time.Duration) {
-	until := time.Now().Add(refusalLinger - idle)
-	_ = http.NewResponseController(c.w).SetReadDeadline(until)
+// discardBody reads on the body that was refused for its memory, which costs none, unless connections are short.
+func (c *call) discardBody(refusedFor outcome.Reason) {
+	if refusedFor != outcome.ReasonBodiesFull {
+		return
+	}
+	r := c.r
+	callerbody.Discard(c.w, c.req.Body, maxBody(c.table, r.set), c.deadline, func() bool {
+		return r.shuttingDown.Load() || r.callers.Open() > maxKeptConnections(r.set)
+	})
 }
 
 // refuseBody refuses a request whose body did not come or may not.
--- a/transport/direct/bodies_test.go
+++ b/transport/direct/bodies_test.go
@@ -73,37 +73,40 @@
 	f.Check(resp.StatusCode, qt.Equals, http.StatusOK)
 }
 
-// A body whose declared length cannot be had is refused at its head: the refusal is true, says when to come back,
-// and is seen by a caller who sends on. The next small one is served.
+// A body whose declared length cannot be had is refused at its head: the refusal is true, says when to come back, and
+// is seen by a caller who sends all of its body before it reads. Small bodies are served meanwhile.
 func TestADeclaredLengthThatCannotBeHadIsRefusedAtOnce(t *testing.T) {
+	const size = 4 << 20
 	b := newBackend(t, "i-1", ok)
 	f := startWith(t, largeBodies(), func(set *settings.Direct, _ *testSource) {
 		set.Callers.Body = 4 * settings.MiB
 		set.Memory = 24 * settings.MiB
 	}, b)
-	for i := range 8 {
+	send := func(id string, sent int) net.Conn {
 		conn, err := net.Dial("tcp", f.set.Listen.Callers)
 		f.Assert(err, qt.IsNil)
-		defer conn.Close()
-		_, err = fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: h\r\n%s: h%d\r\n%s: 15000\r\nContent-Length: %d\r\n\r\n%s", testID, i, testLeft, 4<<20, strings.Repeat("x", 1<<20))
+		f.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 15000\r\nContent-Length: %d\r\n\r\n%s", testID, id, testLeft, size, strings.Repeat("x", sent))
 		f.Assert(err, qt.IsNil)
+		return conn
 	}
-	conn, err := net.Dial("tcp", f.set.Listen.Callers)
-	f.Assert(err, qt.IsNil)
-	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: h\r\n%s: late\r\n%s: 15000\r\nContent-Length: %d\r\n\r\n", testID, testLeft, 4<<20)
-	f.Assert(err, qt.IsNil)
-	for range 20 {
-		// The router may close the connection meanwhile.
-		_, _ = conn.Write(make([]byte, 10_000))
-		time.Sleep(10 * time.Millisecond)
+	for i := range 8 {
+		send(fmt.Sprint("stopped", i), 3<<19)
+	}
+	conn := send("late", 0)
+	const pieces = 8
+	for range pieces {
+		_, err := conn.Write(make([]byte, size/pieces))
+		f.Assert(err, qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	f.Assert(err, qt.IsNil)
 	f.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	f.Check(resp.Header.Get(outcome.Header), qt.Equals, string(outcome.NotRun))
 	f.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
-	body, _ := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	f.Check(err, qt.IsNil)
 	f.Check(string(body), qt.Contains, string(outcome.ReasonBodiesFull))
 	f.Check(f.call("/safe/", "small").status, qt.Equals, http.StatusOK)
 	f.Check(b.runs(), qt.DeepEquals, []string{"small"})
@@ -112,7 +115,7 @@
 // The memory for bodies gets less while many connections are open, and always suffices for some of the greatest.
 func TestBodyBudget(t *testing.T) {
 	const mib = 1 << 20
-	qt.Check(t, bodyBudget(100*mib, 0, mib), qt.Equals, int64(45*mib))
+	qt.Check(t, bodyBudget(100*mib, 0, mib), qt.Equals, int64(55*mib))
 	qt.Check(t, bodyBudget(100*mib, 1500, mib) < 20*mib, qt.IsTrue)
 	qt.Check(t, bodyBudget(100*mib, 10_000, 4*mib), qt.Equals, int64(8*mib))
 }
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -99,6 +99,7 @@
 	defer c.releaseBody()
 	if o := c.admit(); o != nil {
 		c.refuse(*o)
+		c.discardBody(o.Reason)
 		return
 	}
 	if c.isSwept() || c.hasDisconnected() {
--- a/transport/router/callers.go
+++ b/transport/router/callers.go
@@ -39,12 +39,22 @@
 	if refused != nil {
 		t.ended(*refused)
 		writeRefusal(w, t.id, *refused)
+		r.discardBody(w, req, *refused)
 		return
 	}
 	t.queued()
 	r.serveCall(t.ctx, w, c)
 }
 
+// discardBody reads on a body that was refused for its memory, which costs none.
+func (r *Router) discardBody(w http.ResponseWriter, req *http.Request, o outcome.Outcome) {
+	if o.Reason != outcome.ReasonBodiesFull {
+		return
+	}
+	until := time.Now().Add(r.set.Limits.BodyTimeout.D())
+	callerbody.Discard(w, req.Body, r.set.Limits.Body.Bytes(), until, func() bool { return r.refusing.Load() || isOverLimit(req) })
+}
+
 // writeRefusal writes a refusal with the headers that its status or reason
 // requires.
 func writeRefusal(w http.ResponseWriter, id string, o outcome.Outcome) {
@@ -158,7 +168,7 @@
 	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(r.set.Limits.BodyTimeout.D()))
-	if err := body.read(w, req, limit); err != nil {
+	if err := body.read(req, limit); err != nil {
 		body.release()
 		return r.bodyRefusal(err, req.ContentLength)
 	}
