An answer without a length is broken unless its server had the whole request

Cause: Answer.End knew the read side only. The kernel reports a reset to one call; if the write takes it, the read returns an end of file, which is what ends a body without a length. The probe then finds a server that lives.

Ruled out: a reader that cuts the body; the framing to the caller. Answers with a length or chunks have marked ends and are not affected.

Why it works: transport/orderly reads the state of the connection (its peer closed its side, nothing unacknowledged), and the writing of the request is ended and its result looked at; neither depends on which call was told of the reset. A sidecar does the same in its connection's reads.

--- a/transport/backend/answer.go
+++ b/transport/backend/answer.go
@@ -13,6 +13,7 @@
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/inflight"
 	"goldcrestport/transport/framing"
+	"goldcrestport/transport/orderly"
 )
 
 // Answer is the header of the server's response and its body, which is streamed. Close must
@@ -30,6 +31,9 @@
 	written   chan error
 	stop      func() bool
 	bodyEnded bool
+	// isCut means that the connection whose end is that of the body did not end in order, or before the server
+	// had the whole request.
+	isCut bool
 	// readErr is the error that ended the reading of the body, and bodyBytes is the number of
 	// bytes read.
 	readErr   error
@@ -72,6 +76,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		a.bodyEnded = true
+		a.isCut = a.Framing() == completeness.Connection && !a.tookRequest()
 	case err != nil:
 		err = a.cause(err)
 		a.readErr = err
@@ -79,6 +84,17 @@
 	return n, err
 }
 
+// tookRequest reports whether the server received the whole request and then ended the connection in order. It
+// is called once the connection has ended, and ends the writing of a request that is not written yet.
+func (a *Answer) tookRequest() bool {
+	inOrder := orderly.Ended(a.conn.Conn)
+	// The end of the connection may be read before the last write of the request returns.
+	_ = a.conn.SetWriteDeadline(time.Now())
+	err := <-a.written
+	a.written <- err
+	return inOrder && err == nil
+}
+
 // Framing returns how the end of the body is delimited.
 func (a *Answer) Framing() completeness.Framing { return framing.Of(a.resp) }
 
@@ -88,6 +104,8 @@
 // End returns how the reading of the response ended.
 func (a *Answer) End() completeness.End {
 	switch {
+	case a.isCut:
+		return completeness.Reset
 	case a.bodyEnded, a.Length >= 0 && a.bodyBytes == a.Length:
 		return framing.End(a.Framing(), io.EOF)
 	case errors.Is(a.readErr, ErrStalled), errors.Is(a.readErr, ErrServerLeft):
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -10,12 +10,15 @@
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/framing"
+	"goldcrestport/transport/orderly"
 	"goldcrestport/transport/probe"
 	"goldcrestport/transport/revocable"
 )
@@ -87,6 +90,9 @@
 	}
 }
 
+// errCutOff is the error of a read of a connection that ended, but not in order.
+var errCutOff = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+
 // countingConn counts the bytes written, and can be sealed against further
 // writes.
 type countingConn struct {
@@ -109,6 +115,21 @@
 	return n, err
 }
 
+// Read implements net.Conn. A connection that did not end in order ends with an
+// error, and with its end the writing of a request ends, too.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	inOrder := orderly.Ended(c.Conn)
+	_ = c.SetWriteDeadline(time.Now())
+	if !inOrder {
+		return n, errCutOff
+	}
+	return n, err
+}
+
 func (c *countingConn) count() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,6 +153,41 @@
 	mu     sync.Mutex
 	conn   *countingConn
 	before int64
+	// written gets the error of writing the request, nil if it was written whole.
+	written chan error
+}
+
+// onWrote records how the writing of the request ended.
+func (u *assignedConn) onWrote(info httptrace.WroteRequestInfo) {
+	select {
+	case u.written <- info.Err:
+	default:
+	}
+}
+
+// requestBoundBody is the body of a response that ends with its connection. It
+// ends with an error if the server did not receive the whole request before.
+type requestBoundBody struct {
+	io.ReadCloser
+	written <-chan error
+	// end is the error of the last read once the body has ended.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *requestBoundBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	b.end = io.EOF
+	if <-b.written != nil {
+		b.end = errCutOff
+	}
+	return n, b.end
 }
 
 func (u *assignedConn) onGotConn(info httptrace.GotConnInfo) {
@@ -142,6 +198,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.conn, u.before = c, c.count()
+	select {
+	case <-u.written:
+		// An earlier connection was closed before any of the request was written.
+	default:
+	}
 }
 
 // nothingWritten reports whether no byte of the call was or will be written.
@@ -166,8 +227,8 @@
 		// Appended to the base URL, it would change the host or port.
 		return nil, errors.Mark(errors.New("the path has no leading slash"), errNotWritten)
 	}
-	var used assignedConn
-	trace := &httptrace.ClientTrace{GotConn: used.onGotConn}
+	used := assignedConn{written: make(chan error, 1)}
+	trace := &httptrace.ClientTrace{GotConn: used.onGotConn, WroteRequest: used.onWrote}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), st.Method, b.base+st.Path, nil)
 	if err != nil {
 		return nil, errors.Mark(err, errNotWritten)
@@ -193,7 +254,13 @@
 	if err != nil && used.nothingWritten() {
 		return nil, errors.Mark(err, errNotWritten)
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if framing.Of(resp) == completeness.Connection {
+		resp.Body = &requestBoundBody{ReadCloser: resp.Body, written: used.written}
+	}
+	return resp, nil
 }
 
 // transportProbesBody reports whether net/http checks for this method if a
