A status that no response has is a server's failure, not an interim answer

Cause: readResponse took each status below 200 for an interim one and each other for final; a sidecar checked none.

Before: TestAStatusThatNoResponseHasIsAServersFailure in transport/direct fails for 000 and 099 followed by a 200 and for 600 and 999, and in transport/sidecar. After: 502, it may have run, and the connection carries nothing further; 10 tries a row.

--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"goldcrestport/transport/framing"
 )
 
 // Stage is how far a failed exchange got.
@@ -111,6 +113,9 @@
 		if err := checkLength(resp); err != nil {
 			return nil, err
 		}
+		if !framing.IsStatus(resp.StatusCode) {
+			return nil, errors.Wrapf(ErrUnexpectedData, "status %03d", resp.StatusCode)
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.Wrap(ErrUnexpectedData, "server switched protocols")
 		}
--- a/transport/direct/early_answer_test.go
+++ b/transport/direct/early_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -69,3 +70,29 @@
 		}
 	}
 }
+
+// Guards against the answer that follows one whose status no response can have, and is given to the caller in its
+// place; and against such a status itself.
+func TestAStatusThatNoResponseHasIsAServersFailure(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		for _, follows := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, followed=%v", status, follows), func(t *testing.T) {
+				f := startBeforeRaw(t, func(conn net.Conn, r *bufio.Reader) {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: m\r\nContent-Length: 0\r\n\r\n", status, testMark)
+					if follows {
+						respond(conn, req, http.StatusOK, testMark+": m\r\n", "hello")
+					}
+				})
+				for n := range 10 {
+					got := f.call("/once/x", fmt.Sprint("r", n), testLeft, "2500")
+					f.Check(got.status == http.StatusBadGateway && got.body != "hello", qt.IsTrue, qt.Commentf("got %d %q", got.status, got.body))
+				}
+			})
+		}
+	}
+}
--- a/transport/framing/framing.go
+++ b/transport/framing/framing.go
@@ -14,6 +14,13 @@
 	"goldcrestport/coordination/completeness"
 )
 
+// Range of the statuses of responses (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
+// IsStatus reports whether the status is one that a response can have. Of others nothing is known, so what carries
+// them is no response: neither an interim nor a final one.
+func IsStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // Of returns how the end of the response's body is delimited. The response and its body must be
 // those that net/http returned.
 func Of(resp *http.Response) completeness.Framing {
--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -205,6 +205,15 @@
 	}
 }
 
+// discard closes the connection: what follows on it belongs to no request.
+func (u *assignedConn) discard() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn != nil {
+		_ = u.conn.Close()
+	}
+}
+
 // nothingWritten reports whether no byte of the call was or will be written.
 // It is called after the call has failed: a failed call is not assigned
 // another connection.
@@ -257,6 +266,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !framing.IsStatus(resp.StatusCode) {
+		used.discard()
+		_ = resp.Body.Close()
+		return nil, errors.Newf("response of the backend server with status %03d", resp.StatusCode)
+	}
 	if framing.Of(resp) == completeness.Connection {
 		resp.Body = &requestBoundBody{ReadCloser: resp.Body, written: used.written}
 	}
--- a/transport/sidecar/early_answer_test.go
+++ b/transport/sidecar/early_answer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/coordination/completeness"
@@ -53,6 +54,22 @@
 	return "http://" + lis.Addr().String()
 }
 
+// Guards against an answer that is passed on though its status is none that a response can have.
+func TestAStatusThatNoResponseHasIsAServersFailure(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		base := startEarly(t, status+" X\r\nContent-Length: 3", closesInOrder, nil)
+		b := newBackend(base)
+		for range 10 {
+			resp, err := b.do(context.Background(), startOf("POST", "/x", true, ""), []byte("{}"))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("status %s", status))
+			qt.Check(t, errors.Is(err, errNotWritten), qt.IsFalse, qt.Commentf("it may have run"))
+		}
+	}
+}
+
 // judgeEarly calls the server with a body and returns what its answer's end means; false if there is no answer.
 func judgeEarly(base string, st *wire.RunStart, size int, wasRead chan<- struct{}) (completeness.Verdict, bool) {
 	resp, err := newBackend(base).do(context.Background(), st, make([]byte, size))
