Streams begin at a further version once no router can act on a view without it

Cause: a stream of unknown origin is taken for one of the only version that the router knows if its view is current, which is 1.8 s, the bound for servers that leave. A server joins and a stream begins, breaks and comes back within 50 ms.

Ruled out as a cure: a read of the store for each such stream (a call a stream in large fleets, nothing while the store is away); another router's answer (those cut off together agree); refusing all that is unknown (with one version nearly all of it is right).

Now streams begin at the former version alone until a record in the store says otherwise, written 2 s after the first server joined, the bound on what a router acts on. If the former version has no server, the further one serves at once. A service's only version is recorded once, for routers that begin as it changes.

Calls: two writes more in a release, one for each service when it first has one version; none for a stream.

Changed checks: TestARouterThatKnowsOneVersionOnlyAsksForTheStreams waits until a stream begins at the further version; fleets of two versions start with the record that such a store has; TestAStreamWhoseVersionLeftWhileAllRoutersBeganAnew lets the second version join after the stream began, as the store then has the first record only; a record of one version is a valid entry now, so the test of invalid ones has one of none, and a test of the new forms stands beside it.

--- a/coordination/versions/versions.go
+++ b/coordination/versions/versions.go
@@ -16,13 +16,20 @@
 // stream that began there can last, including the time in which its caller comes back.
 const Horizon = time.Minute
 
-// Served is a record in the store of versions that served side by side: routers that all begin
-// anew learn from it that there was more than one.
+// Served is a record in the store of the versions that served lately: routers that all begin anew learn from
+// it whether there was more than one.
 type Served struct {
 	Service  string
 	Versions []roster.Version
+	// Only is the version at which streams have begun so far, Unsettled if it is not known, empty if they may
+	// begin at each.
+	Only roster.Version
 }
 
+// IsSole reports whether the service had one version only, for longer than a stream lasts. Such a record lasts
+// until it is replaced.
+func (s Served) IsSole() bool { return len(s.Versions) == 1 }
+
 // Times of the records in the store.
 const (
 	// storeEvery is the interval at which a record is written again. Its lifetime is Horizon, from
@@ -36,6 +43,11 @@
 // of its servers that were added and not removed.
 type History struct {
 	services map[string]*service
+	// viewBound is for how long a router of this fleet acts on a view that is not confirmed.
+	viewBound time.Duration
+	// currentAt is when all that is known of the store was last known to be current, and routerEndedAt
+	// when the last other router was known to have ended.
+	currentAt, routerEndedAt time.Time
 }
 
 // service holds the versions of one service.
@@ -44,7 +56,11 @@
 	// stored is the record in the store, known since storedAt; dueAt is since when it has to be
 	// written, zero if it has not.
 	stored          []roster.Version
+	storedOnly      roster.Version
 	storedAt, dueAt time.Time
+	// sole is the version of a service that has one, and intro the introduction of a further one.
+	sole  roster.Version
+	intro *introduction
 }
 
 // use says how many servers of a version serve, and until when others did.
@@ -54,7 +70,9 @@
 }
 
 // New returns an empty history.
-func New() *History { return &History{services: make(map[string]*service)} }
+func New() *History {
+	return &History{services: make(map[string]*service), viewBound: DefaultViewBound}
+}
 
 // of returns the service, which it creates if needed.
 func (h *History) of(name string) *service {
@@ -156,7 +174,10 @@
 // served before; what it has seen itself counts by that.
 func (h *History) Stored(now time.Time, record Served) {
 	s := h.of(record.Service)
-	s.stored, s.storedAt, s.dueAt = record.Versions, now, time.Time{}
+	s.stored, s.storedOnly, s.storedAt, s.dueAt = record.Versions, record.Only, now, time.Time{}
+	if s.intro != nil && record.Only == "" && !record.IsSole() {
+		s.intro.isOver = true
+	}
 	for _, v := range record.Versions {
 		if s.uses[v] == nil {
 			s.uses[v] = &use{until: now}
@@ -164,22 +185,22 @@
 	}
 }
 
-// ToStore returns the records that this router has to write now: those of services with servers of
-// several versions, whose record is missing, incomplete or old. Turn is this router's place in the
-// order in which routers write the record of a service; 0 is first.
+// ToStore returns the records that this router has to write now: those that are missing, incomplete or out of
+// date, or old while a service has servers of several versions. Turn is this router's place in
+// the order in which routers write the record of a service; 0 is first.
 func (h *History) ToStore(now time.Time, turn func(service string) int) []Served {
 	var out []Served
 	for name, s := range h.services {
-		serving := h.Serving(name)
-		if len(serving) < 2 || s.covers(serving) && now.Sub(s.storedAt) < storeEvery {
+		record, isNeeded := s.record(name, h.Serving(name), now, h.viewBound)
+		if !isNeeded || s.has(record, now) {
 			s.dueAt = time.Time{}
 			continue
 		}
 		if s.dueAt.IsZero() {
 			s.dueAt = now
 		}
-		if now.Sub(s.dueAt) >= time.Duration(turn(name))*storeTurn {
-			out = append(out, Served{Service: name, Versions: serving})
+		if s.isUrgent() || now.Sub(s.dueAt) >= time.Duration(turn(name))*storeTurn {
+			out = append(out, record)
 		}
 	}
 	return out
--- a/coordination/versions/versions_test.go
+++ b/coordination/versions/versions_test.go
@@ -72,7 +72,7 @@
 		one.Add("app", "v2")
 	}
 	record := h.ToStore(start, first)
-	qt.Assert(t, record, qt.DeepEquals, []Served{{"app", []roster.Version{"v1", "v2"}}})
+	qt.Assert(t, record, qt.DeepEquals, []Served{{Service: "app", Versions: []roster.Version{"v1", "v2"}}})
 	third := func(string) int { return 2 }
 	qt.Check(t, later.ToStore(start, third), qt.HasLen, 0)
 	qt.Check(t, later.ToStore(start.Add(2*storeTurn-1), third), qt.HasLen, 0)
@@ -92,7 +92,7 @@
 // A router that begins anew knows by the record that there was another version, for a time; one that
 // has seen that version leave goes by what it saw.
 func TestARecordTellsOfVersionsThatServedBefore(t *testing.T) {
-	record := Served{"app", []roster.Version{"v1", "v2"}}
+	record := Served{Service: "app", Versions: []roster.Version{"v1", "v2"}}
 	h := New()
 	h.Add("app", "v2")
 	h.Stored(start, record)
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -109,7 +109,8 @@
 	KeepParts(ctx context.Context, one partquarantine.Entry, life time.Duration) error
 	// DropParts removes the entry of a set that is no longer refused.
 	DropParts(ctx context.Context, set partquarantine.SetID) error
-	// KeepServed writes the record of versions that serve side by side, with the given lifetime.
+	// KeepServed writes the record of versions that served lately, with the given lifetime; 0: until it is
+	// replaced.
 	KeepServed(ctx context.Context, record versions.Served, life time.Duration) error
 	// KeepFleet writes the number of routers that share retries. The entry outlives the leases of
 	// all routers.
--- a/transport/direct/restart_harness_test.go
+++ b/transport/direct/restart_harness_test.go
@@ -53,6 +53,7 @@
 // store if there is one.
 func startApart(t testing.TB, routers int, store *originStore, entries ...roster.Server) *resumeFleet {
 	f := newResumeFleet(t, routers)
+	f.served = recordsOf(entries)
 	f.change = func(id string, set *settings.Direct, s *testSource) {
 		set.DataCentre = "dc-" + id
 		s.origins = store
--- a/transport/direct/resume_harness_test.go
+++ b/transport/direct/resume_harness_test.go
@@ -186,15 +186,26 @@
 	change func(id string, set *settings.Direct, s *testSource)
 }
 
-// startResumeFleet starts routers that know the entries of the servers.
+// startResumeFleet starts routers that know the entries of the servers. Where those are of several versions, it is
+// in the middle of a release, and the store has a record of it.
 func startResumeFleet(t testing.TB, routers int, entries ...roster.Server) *resumeFleet {
 	f := newResumeFleet(t, routers)
+	f.served = recordsOf(entries)
 	for n := range routers {
 		f.routers = append(f.routers, f.startRouter(fmt.Sprint("r", n), f.peers, entries))
 	}
 	return f
 }
 
+// recordsOf returns the records of services that have servers of several versions, as routers write them.
+func recordsOf(entries []roster.Server) []versions.Served {
+	h := versions.New()
+	for _, e := range entries {
+		h.Add(e.Service, e.Version)
+	}
+	return h.ToStore(time.Now(), func(string) int { return 0 })
+}
+
 // newResumeFleet returns a fleet of routers that are not started yet.
 func newResumeFleet(t testing.TB, routers int) *resumeFleet {
 	f := &resumeFleet{C: qt.New(t), lines: &lineBuffer{}}
--- a/transport/direct/resume_test.go
+++ b/transport/direct/resume_test.go
@@ -259,8 +259,7 @@
 	f.routers[0].source.changes <- mirror.Delta{Revision: 5}
 	f.routers[0].source.changes <- mirror.Delta{Servers: []roster.Server{servers[1].entry("v2")}, Revision: 6}
 	f.routers[0].waitFor("the entry did not arrive", func() bool { _, known := f.routers[0].router.server("i-1"); return known })
-	first := f.begin(0)
-	f.Assert(first.versions[0], qt.Equals, "v2")
+	first := f.beginAt(0, "v2")
 	f.isNotJoined(first, f.resume(1, first, breakAt), "the router knows one version only")
 }
 
@@ -304,9 +303,10 @@
 // while its own left: none of them knows that there was another one.
 func TestAStreamWhoseVersionLeftWhileAllRoutersBeganAnew(t *testing.T) {
 	servers := twoVersions(t)[:3]
-	f := startResumeFleet(t, 2, entriesOf(servers)...)
+	f := startResumeFleet(t, 2, servers[0].entry("v1"))
 	first := f.begin(0)
 	f.Assert(first.versions[0], qt.Equals, "v1")
+	f.write(entriesOf(servers[1:])...)
 	for _, r := range f.routers {
 		r.source.mu.Lock()
 		r.source.now.Servers = entriesOf(servers[1:])
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -184,6 +184,7 @@
 		returning:      returning.New(returning.DefaultConfig()),
 		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(), callersFull: make(chan struct{}, 1),
 	}
+	r.versions.SetViewBound(cfg.Staleness.Bound)
 	r.origins, r.doubts = newOrigins(r), newDoubts(r)
 	r.admission.SetWarmup(r.warmup)
 	r.quarantine.SetOtherCause(r.parts.MayExplain)
--- a/transport/direct/servedstore.go
+++ b/transport/direct/servedstore.go
@@ -12,7 +12,7 @@
 )
 
 // servedSyncInterval is the interval between checks for records of versions to write.
-const servedSyncInterval = 500 * time.Millisecond
+const servedSyncInterval = 100 * time.Millisecond
 
 // applyServed applies the records of versions that are in the store. The caller holds mu.
 func (r *Router) applyServed(records []versions.Served) {
@@ -29,16 +29,25 @@
 		due := r.versions.ToStore(now, r.turnOf)
 		r.mu.Unlock()
 		for _, one := range due {
-			if !r.storeCall(ctx, callKeepServed, func(ctx context.Context) error { return r.source.KeepServed(ctx, one, versions.Horizon) }) {
+			if !r.storeCall(ctx, callKeepServed, func(ctx context.Context) error { return r.source.KeepServed(ctx, one, lifeOf(one)) }) {
 				return
 			}
 			r.mu.Lock()
 			r.versions.Stored(time.Now(), one)
 			r.mu.Unlock()
+			r.event("versions_stored", "service", one.Service, "versions", joinVersions(one.Versions), "only", one.Only)
 		}
 	})
 }
 
+// lifeOf returns how long the store keeps the record unless it is written again; 0: until it is replaced.
+func lifeOf(record versions.Served) time.Duration {
+	if record.IsSole() {
+		return 0
+	}
+	return versions.Horizon
+}
+
 // turnOf returns this router's place in the order in which routers write the record of a service. The
 // caller holds mu.
 func (r *Router) turnOf(service string) int {
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -140,11 +140,11 @@
 	}
 }
 
-// bound returns the limit of the servers at which the stream may go on, nil if it has not begun.
-// The caller holds mu.
+// bound returns the limit of the servers at which the stream may go on, or begin while its service gets a
+// further version; nil if there is none. The caller holds mu.
 func (c *call) bound(now time.Time) *admission.Bound {
 	if !c.stream.isBound {
-		return nil
+		return c.boundNew()
 	}
 	need := c.requiredTrustLocked(now)
 	return &admission.Bound{
@@ -155,6 +155,18 @@
 	}
 }
 
+// boundNew returns the limit of the servers at which a new stream may begin. The caller holds mu.
+func (c *call) boundNew() *admission.Bound {
+	if c.route.Kind != routing.Streaming {
+		return nil
+	}
+	only, isIntroducing := c.r.versions.Introducing(c.service)
+	if !isIntroducing {
+		return nil
+	}
+	return &admission.Bound{Version: only, Trusts: func(string) bool { return true }}
+}
+
 // Ways in which streams that are to go on end, besides the reasons of continuation.
 const (
 	// wentOn: it was sent to a server.
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -36,6 +36,7 @@
 // bootTime. The caller holds mu.
 func (r *Router) confirmFresh(at time.Duration) {
 	r.fresh.Confirm(at)
+	r.versions.Confirm(wallTime(at))
 	r.pool.Confirmed(wallTime(at))
 }
 
@@ -85,6 +86,7 @@
 	r.applyStored(s.Refused, false)
 	r.applyStoredParts(s.RefusedParts, false)
 	r.applyServed(s.Served)
+	r.versions.Review(time.Now())
 }
 
 // update applies changes. They are complete up to their revision, so they include what other
@@ -118,6 +120,7 @@
 	r.applyStoredParts(d.RefusedParts, true)
 	r.applyReleasedParts(d.ReleasedParts)
 	r.applyServed(d.Served)
+	r.versions.Review(time.Now())
 	if d.Fleet != nil {
 		r.fleetSize.Stored(time.Now(), *d.Fleet)
 	}
@@ -200,6 +203,7 @@
 		r.admission.Tick(now)
 		r.warmup.Tick(now)
 		r.versions.Tick(now)
+		r.versions.Review(now)
 		r.quarantine.Tick(now)
 		r.parts.Tick(now)
 		r.handleQuarantineEvents()
