A stream that nobody knows began at the first version if all who could say else live

Cause: with one version where streams began is in memory only, and a router asks who knows a stream, never who could have begun it at another version.

Now each answer of a router says at which version such a stream began, if no process of a router has ended since it was certain that no stream had begun at another one. If all routers answer and say the same, the stream goes on there.

Fleets of 17 and more prove nothing, as they ask some of the others only.

--- a/coordination/continuation/continuation.go
+++ b/coordination/continuation/continuation.go
@@ -3,7 +3,8 @@
 //
 // It is asked for a caller that comes back, for a further server within one answer, and in placing.
 // What is not known is never assumed: a stream whose origin nobody knows goes on only where there
-// was one version for longer than a stream lasts.
+// was one version for longer than a stream lasts, or where all routers that may have begun one at
+// another version live and do not know it.
 //
 // Direct routers use it.
 package continuation
@@ -51,6 +52,9 @@
 	Recent []roster.Version
 	// MixedElsewhere means that another router knows of several versions.
 	MixedElsewhere bool
+	// Proven is the version at which a stream of the route's only service began that is Unknown, as all
+	// routers that began one at another version live and do not know it; empty if that is not certain.
+	Proven roster.Version
 	// IsCurrent means that the router's view of the servers is current.
 	IsCurrent bool
 }
@@ -141,6 +145,8 @@
 // none.
 func assumed(s Stream, isMixed bool) (origin.Origin, Reason) {
 	switch {
+	case s.Knowledge == Unknown && s.Proven != "" && len(s.Services) == 1:
+		return origin.Origin{Service: s.Services[0], Version: s.Proven}, LackOf(s.Proven, s.Serving, s.Returning)
 	case isMixed || len(s.Services) != 1:
 		if s.Knowledge == Unanswered {
 			return origin.Origin{}, ReasonUnanswered
--- a/coordination/continuation/continuation_test.go
+++ b/coordination/continuation/continuation_test.go
@@ -134,3 +134,19 @@
 		}
 	})
 }
+
+// Guards against streams that go on nowhere though it is proven that they began at the first of two versions, and
+// against a proof that is used for a stream that another router may know, or that may be of another service.
+func TestAProvenStreamGoesOn(t *testing.T) {
+	s := Stream{Knowledge: Unknown, Proven: "v1", Services: []string{"app"}, Serving: []roster.Version{"v1", "v2"}, Recent: []roster.Version{"v1", "v2"}}
+	qt.Check(t, Decide(s), qt.Equals, Decision{Bound: origin.Origin{Service: "app", Version: "v1"}, IsStrict: true})
+	s.Serving = []roster.Version{"v2"}
+	qt.Check(t, Decide(s).Reason, qt.Equals, ReasonVersionGone)
+	s.Serving = s.Recent
+	for _, k := range []Knowledge{Unnamed, Unanswered, Uncertain, Doubted} {
+		s.Knowledge = k
+		qt.Check(t, Decide(s).Reason, qt.Not(qt.Equals), ReasonNone)
+	}
+	s.Knowledge, s.Services = Unknown, []string{"app", "other"}
+	qt.Check(t, Decide(s).Reason, qt.Equals, ReasonUnknown)
+}
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -85,6 +85,8 @@
 	fresh []ID
 	// looked is when Due looked at all records, dropped when the expired ones were dropped.
 	looked, dropped time.Time
+	// isIncomplete means that a record was not taken since there were too many.
+	isIncomplete bool
 }
 
 // entry is a record with what the table needs to keep and announce it.
@@ -179,6 +181,7 @@
 	e := t.records[r.ID]
 	if e == nil || t.isExpired(now, e) {
 		if e == nil && len(t.records) >= t.cfg.Max {
+			t.isIncomplete = true
 			return nil
 		}
 		e = &entry{Origin: r.Origin, by: by, since: now, doubted: r.Doubted}
@@ -204,6 +207,10 @@
 	}, true
 }
 
+// IsComplete reports whether the table holds each stream that began at this router and was not forgotten
+// because of its age.
+func (t *Table) IsComplete() bool { return !t.isIncomplete }
+
 // Len returns the number of records.
 func (t *Table) Len() int { return len(t.records) }
 
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -46,6 +46,9 @@
 	flagMayEnd = 8
 	// flagConflicting is not read by builds that do not know it: they see that the origin is uncertain.
 	flagConflicting = 16
+	// flagProven stands in answers of routers that do not know the stream: the version is in the place of that
+	// of its origin, which builds that do not know the flag do not read then.
+	flagProven = 32
 )
 
 // Flags of a group of records.
@@ -74,6 +77,9 @@
 	IsKnown bool
 	// Mixed means that the answering router knows of several versions of the service.
 	Mixed bool
+	// Proven is the version at which, by what the answering router knows, a stream of the service began that
+	// no router knows; empty if it cannot say, or knows the stream.
+	Proven roster.Version
 }
 
 // Is reports whether the datagram starts as a message about origins.
@@ -141,8 +147,13 @@
 	if m.Mixed {
 		flags |= flagMixed
 	}
+	version := m.Known.Version
+	if !m.IsKnown && m.Proven != "" {
+		flags |= flagProven
+		version = m.Proven
+	}
 	b = append(binary.LittleEndian.AppendUint32(b, m.Number), flags)
-	b = datagram.AppendName(datagram.AppendName(datagram.AppendName(b, m.Known.Service), string(m.Known.Version)), m.Known.By)
+	b = datagram.AppendName(datagram.AppendName(datagram.AppendName(b, m.Known.Service), string(version)), m.Known.By)
 	return binary.LittleEndian.AppendUint32(b, uint32(min(m.Known.For.Milliseconds(), math.MaxUint32)))
 }
 
@@ -211,4 +222,7 @@
 	m.Known.Conflicting, m.Known.MayEnd = flags&flagConflicting != 0, flags&flagMayEnd != 0
 	m.Known.Service, m.Known.Version, m.Known.By = d.Name(), roster.Version(d.Name()), d.Name()
 	m.Known.For = time.Duration(d.number()) * time.Millisecond
+	if flags&flagProven != 0 {
+		m.Proven, m.Known.Version = m.Known.Version, ""
+	}
 }
--- a/protocol/originmsg/originmsg_test.go
+++ b/protocol/originmsg/originmsg_test.go
@@ -30,6 +30,7 @@
 	{Kind: Answers, Router: "r3", Number: 9, IsKnown: true, Known: origin.Known{Uncertain: true, Conflicting: true}},
 	{Kind: Answers, Router: "r3", Number: 8, IsKnown: true, Known: origin.Known{Uncertain: true, MayEnd: true}},
 	{Kind: Answers, Router: "r3", Number: 9},
+	{Kind: Answers, Router: "r3", Number: 10, Mixed: true, Proven: "v1"},
 }
 
 // Each message arrives as it was sent, whatever the order of its groups, and is no other kind of
--- a/transport/direct/introduction_test.go
+++ b/transport/direct/introduction_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestport/coordination/mirror"
+	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
 )
 
@@ -74,3 +75,54 @@
 		f.isNotJoined(first, f.resume(2, first, breakAt), "a router out of step")
 	}
 }
+
+// restartAll ends all routers without a word, starts them anew and waits until they know each other.
+func (f *resumeFleet) restartAll() {
+	f.Helper()
+	f.endAll()
+	for n := range f.routers {
+		f.again(n)
+	}
+	f.exchanged()
+}
+
+// Guards against streams that go on nowhere since all routers were killed before a further version came:
+// nobody knows where they began, and those that know all streams of the further version know them not.
+func TestStreamsOfRoutersThatWereKilledBeforeAFurtherVersionGoOn(t *testing.T) {
+	f, store, second := startOneVersion(t)
+	first := f.begin(0)
+	f.restartAll()
+	store.forget()
+	f.write(second.entry("v2"))
+	f.goesOn(first, f.resume(1, first, breakAt), "as the further version is new")
+	other := f.beginAt(0, "v2")
+	f.goesOn(first, f.resume(1, first, breakAt), "as streams begin at the further version")
+	f.goesOn(first, f.resume(2, first, breakAt), "the same at another router")
+	f.isNotJoined(other, f.resume(1, other, breakAt), "a stream of the further version")
+}
+
+// Guards against the former where a router was killed since streams begin at the further version: what it began
+// is not known, and a stream that nobody knows may be of either version.
+func TestAStreamThatNobodyKnowsAfterAKillAmongTwoVersionsDoesNotGoOn(t *testing.T) {
+	f, store, second := startOneVersion(t)
+	first := f.begin(0)
+	f.restartAll()
+	f.write(second.entry("v2"))
+	f.beginAt(0, "v2")
+	f.kill(0)
+	f.routers = f.routers[1:]
+	for _, r := range f.routers {
+		r.source.changes <- mirror.Delta{Left: []string{"r0"}, Revision: r.router.knownRevision() + 1}
+	}
+	f.routers[0].waitFor("the router is still known", func() bool { fleet, _ := f.routers[0].router.otherRouters(); return fleet.Size() == 2 })
+	store.forget()
+	f.isRefused(f.resumeForGood(0, attempt{id: "unheard-of"}, breakAt), false, "a router was killed")
+	f.isNotJoined(first, f.resume(1, first, breakAt), "a stream of before")
+}
+
+// forget drops all that was written.
+func (o *originStore) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.batches = map[string][]origin.Record{}
+}
--- a/transport/direct/originask.go
+++ b/transport/direct/originask.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/originmsg"
 )
 
@@ -35,6 +36,20 @@
 	isMixed bool
 	// routers is the number of routers that were asked, and answered that of those that answered.
 	routers, answered int
+	// isAll means that no other router is registered than those that were asked.
+	isAll bool
+	// proven are the versions at which the stream began by what those say that answered.
+	proven []roster.Version
+}
+
+// provenBy returns the version at which the stream began that no router knows, if this router and all others
+// say so; own is what this one says.
+func (a asked) provenBy(own roster.Version) roster.Version {
+	isOther := func(v roster.Version) bool { return v != own }
+	if !a.isAll || a.answered < a.routers || len(a.proven) < a.routers || slices.ContainsFunc(a.proven, isOther) {
+		return ""
+	}
+	return own
 }
 
 // ask asks the routers that may know where the stream began; unless one of them does, and the service
@@ -44,6 +59,7 @@
 	fleet, addresses := o.others(time.Now())
 	holders := fleet.Holders(id)
 	got := o.askRouters(ctx, id, service, holders, addresses, limit)
+	got.isAll = len(holders) == fleet.Size()-1
 	if got.isKnown || !isMixed && !got.isMixed || got.answered < got.routers {
 		return got
 	}
@@ -93,6 +109,7 @@
 			if open[m.Router] {
 				delete(open, m.Router)
 				got.answered++
+				got.proven = append(got.proven, m.Proven)
 			}
 			got.isMixed = got.isMixed || m.Mixed
 			if m.IsKnown {
--- a/transport/direct/origins.go
+++ b/transport/direct/origins.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/roster"
 	"goldcrestport/protocol/originmsg"
 )
 
@@ -257,5 +258,24 @@
 	o.r.mu.Lock()
 	mixed := o.r.versions.IsMixed(now, m.Service)
 	o.r.mu.Unlock()
-	o.send(from, originmsg.Message{Kind: originmsg.Answers, Number: m.Number, Known: known, IsKnown: isKnown, Mixed: mixed})
+	a := originmsg.Message{Kind: originmsg.Answers, Number: m.Number, Known: known, IsKnown: isKnown, Mixed: mixed}
+	if !isKnown && mixed {
+		a.Proven = o.proven(m.Service)
+	}
+	o.send(from, a)
+}
+
+// proven returns the version at which a stream of the service began that no router knows, as far as this
+// one can say; empty if it cannot.
+func (o *origins) proven(service string) roster.Version {
+	o.mu.Lock()
+	isComplete := o.table.IsComplete()
+	o.mu.Unlock()
+	if !isComplete {
+		return ""
+	}
+	o.r.mu.Lock()
+	defer o.r.mu.Unlock()
+	v, _ := o.r.versions.Proven(service)
+	return v
 }
--- a/transport/direct/resume.go
+++ b/transport/direct/resume.go
@@ -101,6 +101,7 @@
 			return continuation.Unanswered
 		default:
 			s.IsCurrent = got.routers > 0
+			s.Proven = got.provenBy(c.r.origins.proven(c.service))
 			return continuation.Unknown
 		}
 	}
