A router that stops takes what is expected to end before the bound, and refuses the rest

Cause: after the linger a request was taken by the kind of its route, not by the time that is left.

The rest is refused at once, not run, with a Retry-After.

Changed check: TestARouterThatShutsDownServesShortRequests serves one request of the route before the stop, so that the router knows how long it takes: one of an unknown kind whose caller waits beyond the bound is refused now, as the users ask.

--- a/transport/direct/direct_test.go
+++ b/transport/direct/direct_test.go
@@ -314,6 +314,8 @@
 		return events(w, req, 20, 20*time.Millisecond, false)
 	}
 	f := start(t, testConfig(1), newBackend(t, "i-1", long))
+	// The router knows how long the requests of the route take.
+	f.Check(f.call("/safe/", "r0").status, qt.Equals, http.StatusOK)
 	running := make(chan reply, 1)
 	go func() { running <- f.call("/stream/", "r1") }()
 	time.Sleep(30 * time.Millisecond)
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -66,6 +66,10 @@
 		if c.endQuarantined() {
 			return
 		}
+		if c.reached == 0 && c.outlastsRouter() {
+			c.refuse(*leavingRefusal())
+			return
+		}
 		decision := c.placeRequest()
 		c.last, c.decidedAt = decision, time.Now()
 		c.r.metrics.mix.decided(decision)
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -234,6 +234,7 @@
 func (c *call) answerCompleted(answer *backend.Answer) {
 	c.delivered = deliveredWhole
 	c.r.metrics.completed(c)
+	c.r.leaving.completed(time.Now(), c.route.Name, time.Since(c.received))
 	if c.tokens > 0 && answer.Status < http.StatusBadRequest {
 		c.r.teams.Count(func(t *teamuse.Table) { t.Delivered(c.team, c.tokens) })
 	}
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -136,6 +136,7 @@
 	storeSilentSince atomic.Int64
 	unready          atomic.Bool
 	shuttingDown     atomic.Bool
+	leaving          *leaving
 	inFlight         atomic.Int64
 	ending           context.Context
 	end              context.CancelFunc
@@ -177,6 +178,7 @@
 		infoWanted:     make(chan struct{}, 1),
 		reportsReady:   make(chan struct{}, 1),
 		probes:         newProbes(),
+		leaving:        newLeaving(),
 		rates:          newStreamRates(),
 		warmup:         warmup.New(cfg.Warmup, set.ID),
 		quarantine:     quarantine.New(cfg.Quarantine, set.ID),
--- a/transport/direct/serve.go
+++ b/transport/direct/serve.go
@@ -146,15 +146,10 @@
 	if o := c.identify(); o != nil {
 		return o
 	}
-	if r.shuttingDown.Load() && (c.route.Kind == routing.Streaming || r.load.openStreams() == 0) {
-		// A stream may outlast the process. Short requests are served only while streams keep
-		// the process running.
-		return notRun(outcome.ReasonLeaving, staleRetryAfter, "this router is leaving")
-	}
-	if r.ending.Err() != nil {
-		return notRun(outcome.ReasonLeaving, staleRetryAfter, "this router is leaving")
-	}
 	c.deadline = c.received.Add(c.timeLeft())
+	if !c.isTaken() {
+		return leavingRefusal()
+	}
 	if c.left() <= 0 {
 		return tooLate()
 	}
--- a/transport/direct/shutdown.go
+++ b/transport/direct/shutdown.go
@@ -20,6 +20,7 @@
 	cfg.Bound = max(r.set.Stop.Bound.D()-2*shutdownTimeout, cfg.Linger)
 	r.event("leaving", "held", r.inFlight.Load())
 	r.origins.handOver(time.Now())
+	r.leaving.begin(time.Now(), cfg)
 	r.unready.Store(true)
 	duty.Leave(cfg, r.inFlight.Load, r.abort, func(p leave.Phase) { r.enterPhase(p, srv) })
 }
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -47,6 +47,7 @@
 		return
 	}
 	r.table.Store(routing.NewTable(c))
+	r.leaving.keep(c.Routes)
 	r.mu.Lock()
 	r.admission.SetCapacity(c.Limits.TokensPerSecond)
 	for _, s := range c.Services {
