A sidecar's run of a status that no response has fails, as one of 000 did

The test stands as it was; such a status fails the run for 000, 099, 600 and 999 alike (600 and 999 were passed on before), and its connection is still closed.

--- a/transport/sidecar/backend.go
+++ b/transport/sidecar/backend.go
@@ -268,8 +268,6 @@
 	}
 	if !framing.IsStatus(resp.StatusCode) {
 		used.discard()
-		_ = resp.Body.Close()
-		return nil, errors.Newf("response of the backend server with status %03d", resp.StatusCode)
 	}
 	if framing.Of(resp) == completeness.Connection {
 		resp.Body = &requestBoundBody{ReadCloser: resp.Body, written: used.written}
--- a/transport/sidecar/execute.go
+++ b/transport/sidecar/execute.go
@@ -11,6 +11,7 @@
 
 	"goldcrestport/protocol/outcome"
 	"goldcrestport/protocol/wire"
+	"goldcrestport/transport/framing"
 )
 
 const (
@@ -71,7 +72,7 @@
 		return &wire.End{Outcome: string(outcome.Unknown), Reason: string(abortReason(ctx))}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode < http.StatusOK {
+	if resp.StatusCode < http.StatusOK || !framing.IsStatus(resp.StatusCode) {
 		// Either the server switched protocols or this is not valid HTTP.
 		return &wire.End{Outcome: string(outcome.Failed), Reason: string(outcome.ReasonBackend)}
 	}
