One budget for all that servers make a direct router hold

Causes: the start of a body (64 KiB, in a buffer that doubles) and an event (128 KiB, twice) are bounded for one answer, not for all, and the start was kept while its caller did not read; and 128 KiB of receive buffer, doubled by the kernel, for each connection to a server.

Connections begin with 32 KiB of receive buffer and get 128 for a long answer if there is memory; such a connection is not used again.

Open: routers with sidecars and sidecars; the kernel's send buffers.

--- a/bench/crowd/harness_test.go
+++ b/bench/crowd/harness_test.go
@@ -139,7 +139,18 @@
 }
 
 // configure puts a new version of the configuration in force, whose only team has the key.
-func (w *world) configure(key string) {
+func (w *world) configure(key string) { w.configureRoutes(key) }
+
+// configureStreams puts a version in force that has a route of streams, too.
+func (w *world) configureStreams() {
+	w.configureRoutes(w.key, map[string]any{
+		"name": "stories", "host": host, "pathPrefix": "/stories/", "routeKind": "streaming",
+		"timeoutMs": 30_000, "sloMs": 5000, "maxAttempts": 1, "service": service,
+	})
+}
+
+// configureRoutes is configure with further routes.
+func (w *world) configureRoutes(key string, further ...any) {
 	w.version++
 	w.key = key
 	route := map[string]any{
@@ -147,7 +158,7 @@
 		"timeoutMs": 30_000, "sloMs": 5000, "maxAttempts": 1, "service": service,
 	}
 	data, err := json.Marshal(map[string]any{
-		"version": w.version, "routes": []any{route}, "services": []any{map[string]any{"name": service}},
+		"version": w.version, "routes": append([]any{route}, further...), "services": []any{map[string]any{"name": service}},
 		"tenants": []any{map[string]any{"name": "pledge-desk", "apiKeys": []string{key}}},
 		"limits":  map[string]any{"maxHeaderBytes": 16 << 10, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 30_000},
 	})
--- a/state/eventstream/eventstream.go
+++ b/state/eventstream/eventstream.go
@@ -30,6 +30,8 @@
 	// Take.
 	buffered []byte
 	out      []byte
+	// hold asks for the memory that the two take beyond freeBuffered; nil: it is granted.
+	hold func(bytes int64) bool
 	// isPartlyForwarded reports whether a part of the incomplete event was forwarded.
 	isPartlyForwarded bool
 	// continues reports whether the stream continues one of which events were forwarded;
@@ -56,6 +58,27 @@
 // forwarded in pieces.
 const maxBuffered = 128 << 10
 
+// freeBuffered is the size in bytes up to which an incomplete event is held without asking.
+const freeBuffered = 8 << 10
+
+// SetHold sets what is asked for the memory that the stream takes for incomplete events, in bytes in all. An event
+// for which there is none is forwarded in pieces, like one that is too long.
+func (f *Follower) SetHold(hold func(bytes int64) bool) { f.hold = hold }
+
+// mayHold reports whether the buffered start of an event may be kept. Both buffers may get its size.
+func (f *Follower) mayHold() bool {
+	return f.hold == nil || len(f.buffered) <= freeBuffered || f.hold(int64(2*cap(f.buffered)))
+}
+
+// trim gives back buffers that a long event took and that hold nothing.
+func (f *Follower) trim() {
+	if f.hold == nil || len(f.buffered) > 0 || cap(f.buffered) <= freeBuffered && cap(f.out) <= freeBuffered {
+		return
+	}
+	f.buffered, f.out = nil, nil
+	f.hold(0)
+}
+
 // maxSinceEvent limits the bytes that a stream may send without completing an event: one long event,
 // comments or empty lines. The longest events contain a picture.
 const maxSinceEvent = 2 << 20
@@ -136,6 +159,7 @@
 func (f *Follower) Take(data []byte) ([]byte, error) {
 	safe, n := 0, 0
 	f.taken = 0
+	f.trim()
 	for n < len(data) {
 		size, isOutside, ended := f.position.next(data[n:])
 		n += size
@@ -215,7 +239,7 @@
 // forwarding, except in a continued stream, where the id must be checked first.
 func (f *Follower) buffer(data []byte) ([]byte, error) {
 	f.buffered = append(f.buffered, data...)
-	if !f.isPartlyForwarded && len(f.buffered) <= maxBuffered {
+	if !f.isPartlyForwarded && len(f.buffered) <= maxBuffered && f.mayHold() {
 		return nil, nil
 	}
 	if f.continues {
--- a/transport/backend/answer.go
+++ b/transport/backend/answer.go
@@ -12,6 +12,7 @@
 
 	"goldcrestport/coordination/completeness"
 	"goldcrestport/coordination/inflight"
+	"goldcrestport/transport/answermemory"
 	"goldcrestport/transport/framing"
 	"goldcrestport/transport/orderly"
 )
@@ -54,6 +55,8 @@
 	size         int
 	bytesWritten atomic.Int64
 	allAcked     bool
+	// wide is what a wide receive buffer takes of the memory for answers.
+	wide answermemory.Hold
 	// revokeReason is why the exchange was revoked before its context ended.
 	revokeReason atomic.Pointer[error]
 }
@@ -118,7 +121,9 @@
 // Close returns the connection to the pool if the exchange ended cleanly, and closes it
 // otherwise, which makes the server stop working on the request.
 func (a *Answer) Close() {
-	if !a.reusable() {
+	a.conn.head.held.Release()
+	defer a.wide.Release()
+	if a.wide.Held() > 0 || !a.reusable() {
 		a.stop()
 		a.closeConn()
 		return
@@ -128,6 +133,19 @@
 	a.pool.put(a.conn, time.Now())
 }
 
+// kernelOverhead is the factor by which the kernel's memory for received bytes exceeds them.
+const kernelOverhead = 2
+
+// Widen lets a long answer come faster, if there is memory for what its server may send ahead. Its connection is
+// not used again then, as it would stay wide.
+func (a *Answer) Widen() {
+	a.wide = a.pool.cfg.Answers.Hold()
+	if !a.wide.Resize(kernelOverhead * wideReceiveBuffer) {
+		return
+	}
+	limitReceiveBuffer(a.conn.Conn, wideReceiveBuffer)
+}
+
 // reusable reports whether the connection can carry another exchange: nothing of this one is
 // unread or unwritten.
 func (a *Answer) reusable() bool {
--- a/transport/backend/conn.go
+++ b/transport/backend/conn.go
@@ -119,8 +119,9 @@
 		return nil, err
 	}
 	p.dials.Add(1)
-	limitReceiveBuffer(raw)
+	limitReceiveBuffer(raw, receiveBuffer)
 	c := &conn{Conn: raw, serverID: to.ID, peer: one, generation: generation}
+	c.head.held = p.cfg.Answers.Hold()
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	one.join(c)
 	return c, nil
@@ -128,9 +129,9 @@
 
 // limitReceiveBuffer bounds the received bytes that the kernel keeps until they are read. Its error is ignored:
 // a system without the setting has a bound of its own.
-func limitReceiveBuffer(raw net.Conn) {
+func limitReceiveBuffer(raw net.Conn, bytes int) {
 	if tcp, ok := raw.(interface{ SetReadBuffer(int) error }); ok {
-		_ = tcp.SetReadBuffer(receiveBuffer)
+		_ = tcp.SetReadBuffer(bytes)
 	}
 }
 
--- a/transport/backend/endless.go
+++ b/transport/backend/endless.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"goldcrestport/coordination/completeness"
+	"goldcrestport/transport/answermemory"
 	"goldcrestport/transport/framing"
 )
 
@@ -29,8 +30,10 @@
 	// delivers in an hour.
 	maxDeclaredBytes = 1 << 42
 	// receiveBuffer bounds the bytes that the kernel keeps for a connection whose reader waits for
-	// a slow caller. It is enough for 20 MB/s at a round-trip time of 6 ms.
-	receiveBuffer = 128 << 10
+	// a slow caller. It is enough for 5 MB/s at a round-trip time of 6 ms. wideReceiveBuffer is
+	// that of a long answer, as far as there is memory for it: enough for 20 MB/s.
+	receiveBuffer     = 32 << 10
+	wideReceiveBuffer = 128 << 10
 )
 
 // statusPrefix starts every response.
@@ -39,16 +42,31 @@
 // headBudget is what may still arrive of the header that a connection waits for.
 type headBudget struct {
 	bytes, lines int
-	// isOpen reports whether a header is being read.
-	isOpen bool
+	// isOpen reports whether a header is being read, isRefused whether there is no memory for more of it.
+	isOpen, isRefused bool
+	// held is what the header may hold of the memory for all answers.
+	held answermemory.Hold
 }
 
+// Costs of a header that is kept.
+const (
+	// freeHeadBytes is the size up to which a header is not charged to the memory for all answers: more than common
+	// servers send.
+	freeHeadBytes = 4 << 10
+	// parsedCost is what a byte of a header costs once it is parsed, in bytes.
+	parsedCost = 4
+)
+
 // open starts the budget for the header of one response and the interim ones before it.
-func (b *headBudget) open() { *b = headBudget{bytes: maxHeadBytes, lines: maxHeadLines, isOpen: true} }
+func (b *headBudget) open() {
+	b.bytes, b.lines, b.isOpen, b.isRefused = maxHeadBytes, maxHeadLines, true, false
+}
 
 // isSpent reports whether the header is too long. It is called before more bytes are read, which
 // means that the header has not ended within those that were read.
-func (b *headBudget) isSpent() bool { return b.isOpen && (b.bytes <= 0 || b.lines <= 0) }
+func (b *headBudget) isSpent() bool {
+	return b.isOpen && (b.bytes <= 0 || b.lines <= 0 || b.isRefused)
+}
 
 // spend counts bytes that arrived.
 func (b *headBudget) spend(data []byte) {
@@ -57,6 +75,9 @@
 	}
 	b.bytes -= len(data)
 	b.lines -= bytes.Count(data, []byte{'\n'})
+	if read := maxHeadBytes - b.bytes; read > freeHeadBytes {
+		b.isRefused = !b.held.Resize(int64(parsedCost * read))
+	}
 }
 
 // noteParsed records that what arrived so far completed a header, or contained bytes of a body.
--- a/transport/backend/exchange.go
+++ b/transport/backend/exchange.go
@@ -66,6 +66,7 @@
 	a.send(head, req.Body)
 	if err := a.readHead(req); err != nil {
 		a.stop()
+		c.head.held.Release()
 		err = a.cause(err)
 		a.abandon(ConnAlreadyClosed, err)
 		return nil, &Failure{Stage: MaybeRun, Err: err}
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -15,6 +15,7 @@
 
 	"goldcrestport/coordination/inflight"
 	"goldcrestport/coordination/vouching"
+	"goldcrestport/transport/answermemory"
 	"goldcrestport/transport/probe"
 )
 
@@ -36,6 +37,8 @@
 	IdlePerServer int
 	// Vouching decides which connections lead to the processes that wrote the servers' entries.
 	Vouching vouching.Config
+	// Answers is the memory for long heads of responses; nil: without a bound of all together.
+	Answers *answermemory.Budget
 }
 
 // DefaultConfig returns the documented defaults.
--- a/transport/direct/config.go
+++ b/transport/direct/config.go
@@ -77,6 +77,8 @@
 	// maxBufferedBody is the size up to which an answer is buffered whole before it is relayed, so
 	// that the request can be retried if the answer breaks off.
 	maxBufferedBody = 64 << 10
+	// firstHeld is what is held of each answer without being charged to the budget of all.
+	firstHeld = 4 << 10
 	// relayBuffer is the read size for a longer answer.
 	relayBuffer = 4 << 10
 	// maxSends bounds the servers that one request is sent to, including those that refused it.
--- a/transport/direct/dispatch.go
+++ b/transport/direct/dispatch.go
@@ -59,6 +59,9 @@
 		defer c.releaseStream()
 	}
 	var events eventstream.Follower
+	held := c.r.answerMemory.Hold()
+	defer held.Release()
+	events.SetHold(held.Resize)
 	if c.route.MayRepeat() {
 		events.ResumeAfter(c.meta.LastEvent)
 	}
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -152,7 +152,7 @@
 	})
 }
 
-// registerServerGauges registers the gauges of backend servers by their state.
+// registerServerGauges registers the gauges of backend servers by their state and of what they sent.
 func (r *Router) registerServerGauges(v *observe.Vars) {
 	v.Func("direct_cold_servers", func() any {
 		r.mu.Lock()
@@ -174,6 +174,8 @@
 		defer r.mu.Unlock()
 		return r.roster.Missing()
 	})
+	v.Func("direct_answer_memory_bytes", func() any { return r.answerMemory.Used() })
+	v.Func("direct_answer_memory_refused", func() any { return r.answerMemory.Refused() })
 	v.Func("direct_software_versions", func() any {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/transport/direct/relay.go
+++ b/transport/direct/relay.go
@@ -15,6 +15,7 @@
 	"goldcrestport/coordination/resumption"
 	"goldcrestport/state/eventstream"
 	"goldcrestport/state/teamuse"
+	"goldcrestport/transport/answermemory"
 	"goldcrestport/transport/backend"
 )
 
@@ -62,21 +63,26 @@
 	return failed, resultAfter(ctx, err), err
 }
 
-// relayWhole reads the answer to its end before any of it is relayed.
+// relayWhole reads the answer to its end before any of it is relayed, unless it is too long to be held.
 func (c *call) relayWhole(ctx context.Context, answer *backend.Answer, success bool) (step, health.Result, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBody))
+	held := c.r.answerMemory.Hold()
+	defer held.Release()
+	body, ended, err := readHeld(answer, &held)
 	if err != nil {
 		c.judgeEnd(ctx, answer, nil)
 		return c.brokeOff(ctx, err)
 	}
-	if len(body) == maxBufferedBody && answer.Length != maxBufferedBody {
-		c.head(answer, -1)
-		return c.relayRest(ctx, answer, body)
+	mayRepeat := !success && answer.Status >= http.StatusInternalServerError && c.mayRepeatError()
+	if !ended && !mayRepeat {
+		c.head(answer, answer.Length)
+		_, _ = c.w.Write(body)
+		held.Release()
+		return c.relayRest(ctx, answer)
 	}
-	if c.judgeEnd(ctx, answer, nil) == completeness.Broken {
+	if ended && c.judgeEnd(ctx, answer, nil) == completeness.Broken {
 		return c.brokeOff(ctx, io.EOF)
 	}
-	if !success && answer.Status >= http.StatusInternalServerError && c.mayRepeatError() {
+	if mayRepeat {
 		return failed, health.Failure, errors.Mark(errors.Newf("the server answered %d", answer.Status), errAnswered)
 	}
 	c.head(answer, int64(len(body)))
@@ -88,6 +94,36 @@
 	return done, health.Failure, nil
 }
 
+// readHeld reads the answer until it ends, or until no more of it may be held: then ended is false, and the rest is
+// to be read.
+func readHeld(answer *backend.Answer, held *answermemory.Hold) (body []byte, ended bool, err error) {
+	size := firstHeld
+	if answer.Length >= 0 {
+		size = int(answer.Length)
+	}
+	if size > firstHeld && !held.Resize(int64(size)) {
+		return nil, false, nil
+	}
+	body = make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			size = min(max(2*cap(body), firstHeld), maxBufferedBody)
+			if len(body) >= size || !held.Resize(int64(size)) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := answer.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, true, err
+		}
+	}
+}
+
 // mayRepeatError reports whether a server's error should be retried at another server; the
 // last server's error is relayed unchanged.
 func (c *call) mayRepeatError() bool {
@@ -97,11 +133,12 @@
 // relayBytes relays a long answer as it arrives.
 func (c *call) relayBytes(ctx context.Context, answer *backend.Answer) (step, health.Result, error) {
 	c.head(answer, answer.Length)
-	return c.relayRest(ctx, answer, nil)
+	return c.relayRest(ctx, answer)
 }
 
-func (c *call) relayRest(ctx context.Context, answer *backend.Answer, first []byte) (step, health.Result, error) {
-	_, _ = c.w.Write(first)
+// relayRest relays what is left of the answer as it arrives.
+func (c *call) relayRest(ctx context.Context, answer *backend.Answer) (step, health.Result, error) {
+	answer.Widen()
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := answer.Read(buf)
--- a/transport/direct/reload.go
+++ b/transport/direct/reload.go
@@ -11,6 +11,7 @@
 // restarts.
 func (r *Router) Reload(set settings.Direct, cfg Config) {
 	r.memory.Store(set.Memory.Bytes())
+	r.answerMemory.SetMemory(set.Memory.Bytes())
 	r.mu.Lock()
 	r.fresh.SetBound(cfg.Freshness)
 	r.cfg.Freshness, r.cfg.Staleness = cfg.Freshness, cfg.Staleness
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -30,6 +30,7 @@
 	"goldcrestport/protocol/digest"
 	"goldcrestport/protocol/settings"
 	"goldcrestport/state/routing"
+	"goldcrestport/transport/answermemory"
 	"goldcrestport/transport/backend"
 	"goldcrestport/transport/callerbody"
 	"goldcrestport/transport/callerconn"
@@ -147,6 +148,8 @@
 	// bodies is the memory of the callers' bodies, a part of memory, which is that of the process in bytes.
 	bodies *callerbody.Budget
 	memory atomic.Int64
+	// answerMemory is the memory for parts of answers that wait to be relayed.
+	answerMemory *answermemory.Budget
 	// teams counts what each team requests from this router and receives.
 	teams *teamlog.Recorder
 	// gate decides which new connections are read.
@@ -159,7 +162,6 @@
 	ending, end := context.WithCancel(context.Background())
 	r := &Router{
 		set: set, cfg: cfg, log: logger, dialect: dialect, source: source,
-		pool:           backend.NewPool(cfg.Backend),
 		tracer:         observe.NoTracer(),
 		admission:      admission.New(cfg.Admission),
 		roster:         roster.New(cfg.Roster),
@@ -186,6 +188,9 @@
 		returning:      returning.New(returning.DefaultConfig()),
 		ending:         ending, end: end, abort: make(chan struct{}), callers: callerconn.NewSet(), callersFull: make(chan struct{}, 1),
 	}
+	r.answerMemory = answermemory.New(set.Memory.Bytes())
+	cfg.Backend.Answers = r.answerMemory
+	r.pool = backend.NewPool(cfg.Backend)
 	r.versions.SetViewBound(cfg.Staleness.Bound)
 	r.origins, r.doubts = newOrigins(r), newDoubts(r)
 	r.admission.SetWarmup(r.warmup)
