--- /dev/null
+++ b/transport/direct/register.go
@@ -0,0 +1,37 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"goldcrestport/transport/platform"
+)
+
+// register renews this router's entry in the store, from which the other routers know how many
+// share the servers.
+func (r *Router) register(ctx context.Context) {
+	lease := ""
+	for ctx.Err() == nil {
+		sent := bootTime()
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Peers, lease, registerTTL)
+		cancel()
+		r.countStoreCall(callRegister, err)
+		if err == nil {
+			r.recordRenewal(sent, lease == "")
+			lease = got
+		}
+		if errors.Is(err, platform.ErrNotFound) && lease != "" {
+			// The entry expired while this router could not reach the store: until it has a
+			// new one, no router sends it anything.
+			lease = ""
+			continue
+		}
+		select {
+		case <-time.After(registerInterval):
+		case <-ctx.Done():
+		}
+	}
+}
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -5,15 +5,11 @@
 	"maps"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"goldcrestport/coordination/admission"
 	"goldcrestport/coordination/mirror"
 	"goldcrestport/coordination/roster"
 	"goldcrestport/coordination/warmup"
 	"goldcrestport/state/routing"
-	"goldcrestport/transport/callerconn"
-	"goldcrestport/transport/platform"
 )
 
 // confirm adopts a newer configuration and records when it was confirmed as current.
@@ -226,79 +222,3 @@
 		}
 	}
 }
-
-// register renews this router's entry in the store, from which the other routers know how many
-// share the servers.
-func (r *Router) register(ctx context.Context) {
-	lease := ""
-	for ctx.Err() == nil {
-		sent := bootTime()
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		got, err := r.source.Register(call, r.set.ID, r.set.Listen.Peers, lease, registerTTL)
-		cancel()
-		r.countStoreCall(callRegister, err)
-		if err == nil {
-			r.recordRenewal(sent, lease == "")
-			lease = got
-		}
-		if errors.Is(err, platform.ErrNotFound) && lease != "" {
-			// The entry expired while this router could not reach the store: until it has a
-			// new one, no router sends it anything.
-			lease = ""
-			continue
-		}
-		select {
-		case <-time.After(registerInterval):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// idleSlack is how long after the configured idle timeout a caller's connection is kept:
-// callers use connections until shortly before that timeout.
-const idleSlack = 500 * time.Millisecond
-
-// sweepCallers closes callers' connections that are idle for too long. When there are too many it also closes
-// idle ones, and those whose bodies stopped coming.
-func (r *Router) sweepCallers(now time.Time) {
-	limit := r.set.Callers.IdleTimeout.D()
-	if t := r.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
-		limit = t.Limits().IdleTimeout + idleSlack
-	}
-	r.adjustBodyBudget()
-	kept := maxKeptConnections(r.set)
-	if closed := r.callers.Sweep(now, limit, kept); closed > 0 {
-		r.metrics.closedIdle.Add(int64(closed))
-	}
-	if excess := r.callers.Open() - kept; excess > 0 {
-		r.bodies.EndStalled(excess, callerconn.SilentTime)
-	}
-}
-
-// noteFull records that a caller's connection waits for another to be closed.
-func (r *Router) noteFull() {
-	select {
-	case r.callersFull <- struct{}{}:
-	default:
-	}
-}
-
-// fullInterval is the shortest time between two searches for connections to close.
-const fullInterval = 20 * time.Millisecond
-
-// relieveCallers closes connections as soon as a caller waits for one, until ctx ends.
-func (r *Router) relieveCallers(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.callersFull:
-			r.sweepCallers(time.Now())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(fullInterval):
-		}
-	}
-}
