The model of resumed streams introduces further versions as the product does

bench/resumed used coordination/versions for what serves, and let streams begin at each version at once. It restricts them now, records who ended, and asks for the proof, so that a change there is played with what the product does.

--- a/bench/resumed/origins.go
+++ b/bench/resumed/origins.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"goldcrestport/coordination/origin"
+	"goldcrestport/coordination/roster"
 )
 
 // Times of an asking, as the product has them.
@@ -162,7 +163,20 @@
 	answered       int
 	known          origin.Known
 	isKnown, mixed bool
-	done           func(*asking)
+	// isAll means that all other routers are asked, and proven are the versions at which the stream began that
+	// nobody knows, by what those say that answered.
+	isAll  bool
+	proven []roster.Version
+	done   func(*asking)
+}
+
+// provenBy returns the version at which the stream began if all routers and this one say the same.
+func (a *asking) provenBy(own roster.Version) roster.Version {
+	isOther := func(v roster.Version) bool { return v != own }
+	if !a.isAll || a.answered < a.asked || len(a.proven) < a.asked || slices.ContainsFunc(a.proven, isOther) {
+		return ""
+	}
+	return own
 }
 
 // ask asks the routers that may know the stream, and goes on when one does, all answered or time is over.
@@ -170,6 +184,7 @@
 	f := r.fleet()
 	holders := f.Holders(id)
 	r.askRouters(id, holders, limit, func(got *asking) {
+		got.isAll = len(holders) == f.Size()-1
 		if got.isKnown || !isMixed && !got.mixed || got.answered < got.asked {
 			done(got)
 			return
@@ -221,9 +236,10 @@
 		r.send(one, func(other *router) {
 			known, isKnown := other.table.Lookup(other.w.wall(), id)
 			mixed := other.isMixed(service)
+			proven, _ := other.versions.Proven(service)
 			other.send(r.id, func(back *router) {
 				if back.life > 0 {
-					back.answered(number, other.id, known, isKnown, mixed)
+					back.answered(number, other.id, known, isKnown, mixed, proven)
 				}
 			})
 		})
@@ -231,7 +247,7 @@
 }
 
 // answered takes the answer of another router.
-func (r *router) answered(number uint32, by string, known origin.Known, isKnown, mixed bool) {
+func (r *router) answered(number uint32, by string, known origin.Known, isKnown, mixed bool, proven roster.Version) {
 	a := r.asking[number]
 	if a == nil {
 		return
@@ -239,6 +255,7 @@
 	if at := slices.Index(a.open, by); at >= 0 {
 		a.open = slices.Delete(a.open, at, at+1)
 		a.answered++
+		a.proven = append(a.proven, proven)
 	}
 	a.mixed = a.mixed || mixed
 	if isKnown {
--- a/bench/resumed/resolve.go
+++ b/bench/resumed/resolve.go
@@ -31,6 +31,8 @@
 			c.orStored(s, continuation.Unanswered, goOn)
 		default:
 			s.IsCurrent = got.asked > 0
+			own, _ := c.r.versions.Proven(service)
+			s.Proven = got.provenBy(own)
 			c.orStored(s, continuation.Unknown, goOn)
 		}
 	})
--- a/bench/resumed/router.go
+++ b/bench/resumed/router.go
@@ -122,6 +122,7 @@
 	if r.w.store.served != nil {
 		r.versions.Stored(r.w.wall(), *r.w.store.served)
 	}
+	r.versions.Review(r.w.wall())
 	r.startTasks()
 }
 
@@ -144,7 +145,7 @@
 	}, r.gossip)
 	again(fixed(sweepInterval), r.sweep)
 	again(fixed(lookOrigins), r.tell)
-	again(fixed(500*time.Millisecond), r.syncServed)
+	again(fixed(100*time.Millisecond), r.syncServed)
 	again(fixed(r.w.journalChecks()), func() { r.writeOrigins((*origin.Journal).Due) })
 	r.register(life)
 }
@@ -155,7 +156,7 @@
 		return
 	}
 	if !r.w.store.away {
-		r.w.store.routers[r.id] = r.w.now + registerLife
+		r.w.store.register(r.id, life)
 	}
 	r.w.after(registerInterval, func() { r.register(life) })
 }
@@ -214,6 +215,9 @@
 	r.storeAway = false
 	r.roster.StoreBack(r.w.wall())
 	r.apply(r.roster.Replace(r.w.wall(), r.w.store.list()))
+	// What ended meanwhile is not known.
+	r.versions.RouterEnded(r.w.wall())
+	r.versions.Review(r.w.wall())
 }
 
 // sweep does what is due several times a second.
@@ -223,8 +227,11 @@
 	r.admission.Tick(now)
 	r.apply(r.roster.Tick(now))
 	r.versions.Tick(now)
+	r.versions.Review(now)
 	if !r.w.store.away {
 		r.confirmations = vouches.Confirm(r.confirmations, r.w.now-storeLagMin)
+		// What the store passed on until then has arrived.
+		r.versions.Confirm(now.Add(-storeLagMax))
 	}
 	if r.versions.IsMixed(now, service) {
 		for _, id := range slices.Sorted(maps.Keys(r.servers)) {
--- a/bench/resumed/serve.go
+++ b/bench/resumed/serve.go
@@ -87,7 +87,7 @@
 // limits returns the limit of the servers at which the stream may go on.
 func (c *call) limits() *admission.Bound {
 	if !c.isBound {
-		return nil
+		return c.newLimits()
 	}
 	need := c.need()
 	return &admission.Bound{
@@ -102,6 +102,15 @@
 	}
 }
 
+// newLimits returns the limit of the servers at which a new stream may begin.
+func (c *call) newLimits() *admission.Bound {
+	only, isIntroducing := c.r.versions.Introducing(service)
+	if !isIntroducing {
+		return nil
+	}
+	return &admission.Bound{Version: only, Trusts: func(string) bool { return true }}
+}
+
 // prompt returns the tokens to read: what was generated belongs to it.
 func (c *call) prompt() int { return c.stream.prompt + c.stream.got*eventTokens }
 
--- a/bench/resumed/store.go
+++ b/bench/resumed/store.go
@@ -28,8 +28,9 @@
 	away    bool
 	awayAt  time.Duration
 	entries map[string]stored
-	// routers maps the registered ones to when their entries lapse.
+	// routers maps the registered ones to when their entries lapse, lives to the processes that wrote them.
 	routers map[string]time.Duration
+	lives   map[string]int
 	served  *versions.Served
 	// origins are the entries with origins that routers wrote, by router and segment.
 	origins map[string]storedOrigins
@@ -47,7 +48,7 @@
 }
 
 func newStore(w *world) *store {
-	return &store{w: w, entries: map[string]stored{}, routers: map[string]time.Duration{}, origins: map[string]storedOrigins{}}
+	return &store{w: w, entries: map[string]stored{}, routers: map[string]time.Duration{}, lives: map[string]int{}, origins: map[string]storedOrigins{}}
 }
 
 // write writes the entry of a server, and passes what is new on to the routers.
@@ -60,7 +61,10 @@
 	if known && before.server == entry {
 		return
 	}
-	s.pass(func(r *router) { r.apply(r.roster.Put(entry)) })
+	s.pass(func(r *router) {
+		r.apply(r.roster.Put(entry))
+		r.versions.Review(r.w.wall())
+	})
 }
 
 // remove removes the entry of a server.
@@ -72,7 +76,10 @@
 		return
 	}
 	delete(s.entries, id)
-	s.pass(func(r *router) { r.apply(r.roster.Remove(s.w.wall(), id)) })
+	s.pass(func(r *router) {
+		r.apply(r.roster.Remove(s.w.wall(), id))
+		r.versions.Review(r.w.wall())
+	})
 }
 
 // pass lets each router do something after the delay of a watch.
@@ -96,10 +103,39 @@
 			s.remove(id)
 		}
 	}
-	maps.DeleteFunc(s.routers, func(_ string, lapses time.Duration) bool { return s.w.now > lapses })
+	for _, id := range slices.Sorted(maps.Keys(s.routers)) {
+		if s.w.now > s.routers[id] {
+			s.unregister(id)
+		}
+	}
 	maps.DeleteFunc(s.origins, func(_ string, one storedOrigins) bool { return s.w.now > one.lapses })
 }
 
+// register writes the entry of a router's process.
+func (s *store) register(id string, life int) {
+	if _, isKnown := s.routers[id]; isKnown && s.lives[id] != life {
+		s.passEnd(id)
+	}
+	s.routers[id], s.lives[id] = s.w.now+registerLife, life
+}
+
+// unregister removes the entry of a router.
+func (s *store) unregister(id string) {
+	delete(s.routers, id)
+	s.passEnd(id)
+}
+
+// passEnd lets the other routers know that the process of one ended, as late as they can learn of it.
+func (s *store) passEnd(id string) {
+	for _, r := range s.w.routers {
+		s.w.after(storeLagMax, func() {
+			if !s.away && r.id != id {
+				r.do(smallCost, func() { r.versions.RouterEnded(r.w.wall()) })
+			}
+		})
+	}
+}
+
 // list returns the entries that have not lapsed, by id.
 func (s *store) list() []roster.Server {
 	var out []roster.Server
