Records of versions: a pause after a failed write, and the bound of reloaded settings

A reload that changes the bound on servers that leave changes for how long a further version waits, too. Comments of the change in plainer words.

--- a/coordination/versions/introduction.go
+++ b/coordination/versions/introduction.go
@@ -8,15 +8,15 @@
 )
 
 // DefaultViewBound is for how long a router may act on what it knows of a service's versions without
-// having heard that it is still so: the longest that direct routers are configured with by default.
+// confirming that it is still so: the longest that direct routers are configured with by default.
 const DefaultViewBound = 2 * time.Second
 
 // Unsettled stands in a record in place of the only version at which streams have begun, if the router that wrote
 // it does not know which one that is.
 const Unsettled roster.Version = "*"
 
-// introduction is the time from which a service has a second version until none or all routers may begin
-// streams at it.
+// introduction is the time from which a service has a second version until the version is gone or streams may
+// begin at it.
 //
 // Streams begin at the first version alone until a record in the store says otherwise. The record is written
 // once every router has either learned of the second version or has a view that is too old to act on. So a
@@ -131,7 +131,7 @@
 	return s.intro.only, true
 }
 
-// Proven returns the version at which a stream of the service began that no living router knows: the
+// Proven returns the version at which a stream of the service began that no running router knows: the
 // first one, as no process of a router has ended since it was certain that none had begun a stream at another.
 func (h *History) Proven(name string) (roster.Version, bool) {
 	s := h.services[name]
--- a/transport/backend/early_answer_test.go
+++ b/transport/backend/early_answer_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against an answer without a length that is cut by a reset while the request is being written, and taken
-// for whole: the write is told of the reset, and the read sees an end of file.
+// for whole: the write returns the reset as its error, and the read an end of file.
 func TestAnAnswerThatIsCutWhileItsRequestIsWritten(t *testing.T) {
 	for _, status := range []string{"200 OK", "404 Not Found", "500 Internal Server Error"} {
 		for _, end := range []string{resetsAtOnce, resetsLater, leavesUnread} {
--- a/transport/direct/reload.go
+++ b/transport/direct/reload.go
@@ -15,6 +15,7 @@
 	r.mu.Lock()
 	r.fresh.SetBound(cfg.Freshness)
 	r.cfg.Freshness, r.cfg.Staleness = cfg.Freshness, cfg.Staleness
+	r.versions.SetViewBound(cfg.Staleness.Bound)
 	if cfg.Repeats != r.cfg.Repeats {
 		// Budgets keep what they earned: new ones would earn a second allowance in the same window.
 		r.cfg.Repeats = cfg.Repeats
--- a/transport/direct/servedstore.go
+++ b/transport/direct/servedstore.go
@@ -11,8 +11,12 @@
 	"goldcrestport/coordination/versions"
 )
 
-// servedSyncInterval is the interval between checks for records of versions to write.
-const servedSyncInterval = 100 * time.Millisecond
+const (
+	// servedSyncInterval is the interval between checks for records of versions to write.
+	servedSyncInterval = 100 * time.Millisecond
+	// servedRetryPause is the pause after a write that failed.
+	servedRetryPause = 500 * time.Millisecond
+)
 
 // applyServed applies the records of versions that are in the store. The caller holds mu.
 func (r *Router) applyServed(records []versions.Served) {
@@ -22,14 +26,19 @@
 }
 
 // syncServed writes to the store which versions serve side by side, as far as it is this router's
-// turn. What fails is retried.
+// turn. What fails is retried after a pause.
 func (r *Router) syncServed(ctx context.Context) {
+	var pausedUntil time.Time
 	runEvery(ctx, servedSyncInterval, func(now time.Time) {
+		if now.Before(pausedUntil) {
+			return
+		}
 		r.mu.Lock()
 		due := r.versions.ToStore(now, r.turnOf)
 		r.mu.Unlock()
 		for _, one := range due {
 			if !r.storeCall(ctx, callKeepServed, func(ctx context.Context) error { return r.source.KeepServed(ctx, one, lifeOf(one)) }) {
+				pausedUntil = time.Now().Add(servedRetryPause)
 				return
 			}
 			r.mu.Lock()
--- a/transport/orderly/orderly_test.go
+++ b/transport/orderly/orderly_test.go
@@ -21,7 +21,7 @@
 	return one.(*net.TCPConn), other.(*net.TCPConn)
 }
 
-// Guards against a reset that is taken for an end in order, as a write was told of it before the read.
+// Guards against a reset that is taken for an end in order, as a write returned it as an error before the read.
 func TestAResetThatAWriteWasToldOf(t *testing.T) {
 	for range 50 {
 		near, far := connected(t)
