--- a/bench/soak/pairs_test.go
+++ b/bench/soak/pairs_test.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// Guards against a sound request that is refused as three servers crash within half a second while they run it, before
+// any router knows that it ran well elsewhere.
+func TestASeedInWhichACommonRequestWasRefusedAsServersCrashed(t *testing.T) {
+	t.Parallel()
+	play(t, PairsSize(), DefaultPlan(12107), "three of the first servers crash under one content")
+}
+
 // Guards against the same where the routers are also restarted one after the other as the release goes on: a router
 // that ended proves nothing any more, and what its streams were is not known to those that began since.
 func TestASeedInWhichRoutersWereKilledAndRestartedInARelease(t *testing.T) {
