--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -84,13 +84,6 @@
 			say(event{What: "ended", ID: attempt})
 			return
 		}
-		if status := number("fail"); status > 0 {
-			w.Header().Set("Replica-Stamp", *id+".0")
-			w.WriteHeader(status)
-			_, _ = io.WriteString(w, "no")
-			say(event{What: "failed", ID: attempt})
-			return
-		}
 		answer := make([]byte, max(number("b"), 2))
 		copy(answer, "ok")
 		sum := sha256.Sum256(answer)
