--- a/review/rig-2/case_grace.go
+++ b/review/rig-2/case_grace.go
@@ -18,7 +18,7 @@
 	}
 	w.store.put("op/config", config(7, []string{"ledger", "counsel"}, routes, nil))
 	for _, s := range []string{"ledger", "ledger", "ledger", "counsel", "counsel"} {
-		if _, err := w.startReplica(s, ""); err != nil {
+		if _, err := w.startReplica(s, "v1"); err != nil {
 			return cannot, err
 		}
 	}
--- a/review/rig-2/case_tenants.go
+++ b/review/rig-2/case_tenants.go
@@ -14,7 +14,7 @@
 	tenants := []any{tenant("hule930", key)}
 	w.store.put("op/config", config(7, []string{"ledger"}, routes, tenants))
 	for range 2 {
-		if _, err := w.startReplica("ledger", ""); err != nil {
+		if _, err := w.startReplica("ledger", "v1"); err != nil {
 			return cannot, err
 		}
 	}
--- a/review/rig-2/case_unframed.go
+++ b/review/rig-2/case_unframed.go
@@ -21,7 +21,7 @@
 	w.store.put("op/config", config(7, []string{"counsel"}, routes, nil))
 	var replicas []*replica
 	for range 3 {
-		one, err := w.startReplica("counsel", "")
+		one, err := w.startReplica("counsel", "v1")
 		if err != nil {
 			return cannot, err
 		}
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -145,18 +145,19 @@
 // replica is one lifetime of a replica.
 type replica struct {
 	*process
-	id, address, service string
-	w                    *world
+	id, address, service, version string
+	w                             *world
 }
 
 // heartbeat is the interval at which replicas write their entries.
 const heartbeat = 1200 * time.Millisecond
 
-// startReplica starts a replica with a new id at the address, or at a new one if that is empty, and writes its entry.
-func (w *world) startReplica(service, address string) (*replica, error) {
-	if address == "" {
-		address = freePort()
-	}
+// slots is the number of requests that a replica runs at once.
+const slots = 64
+
+// startReplica starts a replica of the version with a new id, and writes its entry.
+func (w *world) startReplica(service, version string) (*replica, error) {
+	address := freePort()
 	w.mu.Lock()
 	w.nextID++
 	id := fmt.Sprintf("i-%04d", w.nextID)
@@ -165,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(self, "replica", "-listen", address, "-id", id)
+	cmd := exec.Command(self, "replica", "-listen", address, "-id", id, "-slots", fmt.Sprint(slots))
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -182,9 +183,9 @@
 	case <-time.After(5 * time.Second):
 		return nil, fmt.Errorf("replica %s does not listen", id)
 	}
-	r := &replica{process: p, id: id, address: address, service: service, w: w}
+	r := &replica{process: p, id: id, address: address, service: service, version: version, w: w}
 	r.enter("ready")
-	w.note("replica %s of %s starts at %s", id, service, address)
+	w.note("replica %s of %s %s starts at %s", id, service, version, address)
 	return r, nil
 }
 
@@ -210,7 +211,7 @@
 // enter writes the entry of the replica.
 func (r *replica) enter(state string) time.Time {
 	return r.w.store.put("servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": "hall-pamp", "version": "v1", "slots": 6,
+		"service": r.service, "address": r.address, "zone": "hall-pamp", "version": r.version, "slots": slots,
 		"state": state, "coldLeftMs": 0, "phase": "both", "models": []any{}, "seq": 0,
 	})
 }
