--- a/review/rig-2/case_unframed.go
+++ b/review/rig-2/case_unframed.go
@@ -9,18 +9,19 @@
 
 func init() { cases["unframed"] = unframedCut }
 
-// unframedCut lets replicas leave while they answer streams that have no length: one reports that it drains, one
-// never does and its entry is removed. Both serve on for longer than drainMs, and then exit.
+// unframedCut replaces two of four replicas, one after the other, while they answer streams that have no length: the new
+// one starts first, then the old one leaves. One reports that it drains, one never does and its entry is removed. Both
+// serve on for longer than drainMs, and then exit.
 func unframedCut(w *world) (int, error) {
 	const (
 		events    = 60
-		streams   = 6
+		streams   = 8
 		servesFor = 2500 * time.Millisecond
 	)
 	routes := []any{route("r-s", "/pufi791/", "streaming", "counsel", 15*time.Second, "resumable", true, "itlTargetMs", 500)}
 	w.store.put("op/config", config(7, []string{"counsel"}, routes, nil))
 	var replicas []*replica
-	for range 3 {
+	for range 4 {
 		one, err := w.startReplica("counsel", "v1")
 		if err != nil {
 			return cannot, err
@@ -41,14 +42,23 @@
 	}
 	time.Sleep(time.Second)
 	if w.trouble {
-		replicas[0].enter("draining")
-		w.note("the store acknowledges that %s is draining", replicas[0].id)
-		w.store.delete("servers/" + replicas[1].id)
-		w.note("the store acknowledges that the entry of %s is removed", replicas[1].id)
-		time.Sleep(servesFor)
-		for _, one := range replicas[:2] {
-			w.note("%s exits", one.id)
-			one.signal(syscall.SIGTERM)
+		for i, one := range replicas[:2] {
+			if _, err := w.startReplica("counsel", "v1"); err != nil {
+				return cannot, err
+			}
+			if i == 0 {
+				one.enter("draining")
+				w.note("the store acknowledges that %s is draining", one.id)
+			} else {
+				w.store.delete("servers/" + one.id)
+				w.note("the store acknowledges that the entry of %s is removed", one.id)
+			}
+			go func() {
+				time.Sleep(servesFor)
+				w.note("%s exits", one.id)
+				one.signal(syscall.SIGTERM)
+			}()
+			time.Sleep(time.Second)
 		}
 	}
 	code := held
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -36,6 +38,13 @@
 		return cannot
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(cannot)
+	}()
 	code, err := one(w)
 	if err != nil {
 		w.note("the case could not run: %v", err)
