Records of versions are among the changes that routers pass on to each other

Ruled out: that the record is read again from the store. Only routers that watch read everything, each 15 s; the others get everything from routers.

--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -54,9 +54,7 @@
 	m := newMerged()
 	m.add(first)
 	m.add(second)
-	out := m.delta()
-	out.Served = slices.Concat(first.Served, second.Served)
-	return out
+	return m.delta()
 }
 
 // merged is the sum of changes: the last one of each key counts.
@@ -90,6 +88,7 @@
 	m.result.Revision = d.Revision
 	// Refused requests and sets are passed on, so that one router writes each.
 	m.result.Refused = append(m.result.Refused, d.Refused...)
+	m.result.Served = append(m.result.Served, d.Served...)
 	m.addParts(d)
 	for _, s := range d.Servers {
 		m.servers[s.ID] = s
--- a/coordination/mirror/history_test.go
+++ b/coordination/mirror/history_test.go
@@ -11,6 +11,7 @@
 
 	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 	"goldcrestport/state/routing"
 )
 
@@ -136,3 +137,19 @@
 	qt.Check(t, got.RefusedParts, qt.DeepEquals, []partquarantine.Entry{set(2), set(3)})
 	qt.Check(t, got.ReleasedParts, qt.DeepEquals, []partquarantine.SetID{id(1)})
 }
+
+// Guards against a router that takes a further version for one at which no stream has begun yet, as the record that
+// says otherwise was not among the changes that another router passed on.
+func TestRecordsOfVersionsArePassedOn(t *testing.T) {
+	var h history
+	h.restart(10)
+	only := versions.Served{Service: "app", Versions: []roster.Version{"v1", "v2"}, Only: "v1"}
+	over := versions.Served{Service: "app", Versions: []roster.Version{"v1", "v2"}}
+	h.add(Delta{Revision: 11, Served: []versions.Served{only}})
+	h.add(Delta{Revision: 12, Removed: []string{"i-1"}})
+	h.add(Delta{Revision: 13, Served: []versions.Served{over}})
+	d, isKnown := h.after(10)
+	qt.Assert(t, isKnown, qt.IsTrue)
+	qt.Check(t, d.Served, qt.DeepEquals, []versions.Served{only, over}, qt.Commentf("the last one counts"))
+	qt.Check(t, Merge(Delta{Served: []versions.Served{only}}, Delta{Served: []versions.Served{over}}).Served, qt.DeepEquals, []versions.Served{only, over})
+}
--- a/coordination/versions/versions.go
+++ b/coordination/versions/versions.go
@@ -185,6 +185,18 @@
 	}
 }
 
+// Records returns the records that the store has, as far as this router knows them.
+func (h *History) Records(now time.Time) []Served {
+	var out []Served
+	for name, s := range h.services {
+		one := Served{Service: name, Versions: slices.Clone(s.stored), Only: s.storedOnly}
+		if one.IsSole() || len(s.stored) > 0 && now.Sub(s.storedAt) < Horizon {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
 // ToStore returns the records that this router has to write now: those that are missing, incomplete or out of
 // date, or old while a service has servers of several versions. Turn is this router's place in
 // the order in which routers write the record of a service; 0 is first.
