--- a/bench/resumed/origins.go
+++ b/bench/resumed/origins.go
@@ -8,6 +8,7 @@
 
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 )
 
 // Times of an asking, as the product has them.
@@ -115,6 +116,30 @@
 	r.sendRecords(out)
 }
 
+// accountForLife hands what may not be lost over to others that confirm it, as the router ends, and says so in the store.
+func (r *router) accountForLife() {
+	first, isKnown := r.versions.First(service)
+	f := r.fleet()
+	for _, one := range r.table.All(r.w.wall()) {
+		if isKnown && one.Version == first && !one.Doubted {
+			continue
+		}
+		isTaken := false
+		for _, id := range f.Heirs(one.ID) {
+			if heir := r.w.router(id); heir.serves && heir.alive && !heir.isFrozen() {
+				heir.table.Told(heir.w.wall(), r.id, one)
+				isTaken = true
+			}
+		}
+		if !isTaken {
+			return
+		}
+	}
+	if !r.w.store.away {
+		r.w.store.account(r.name())
+	}
+}
+
 // journalChecks returns the interval of the checks for origins to be written, which is shorter if they
 // are written more often than the product does.
 func (w *world) journalChecks() time.Duration {
@@ -163,20 +188,19 @@
 	answered       int
 	known          origin.Known
 	isKnown, mixed bool
-	// isAll means that all other routers are asked, and proven are the versions at which the stream began that
-	// nobody knows, by what those say that answered.
-	isAll  bool
-	proven []roster.Version
-	done   func(*asking)
+	// isAll means that all other routers are asked, and said is what those say of a stream that no router knows that
+	// answered.
+	isAll bool
+	said  []versions.Statement
+	done  func(*asking)
 }
 
-// provenBy returns the version at which the stream began if all routers and this one say the same.
-func (a *asking) provenBy(own roster.Version) roster.Version {
-	isOther := func(v roster.Version) bool { return v != own }
-	if !a.isAll || a.answered < a.asked || len(a.proven) < a.asked || slices.ContainsFunc(a.proven, isOther) {
-		return ""
+// conclude returns the version at which the stream began that no router knows, by what this one and the others say.
+func (a *asking) conclude(own versions.Statement) (roster.Version, versions.Conclusion) {
+	if !a.isAll || a.answered < a.asked || len(a.said) < a.asked {
+		return "", versions.Unproven
 	}
-	return own
+	return versions.Conclude(own, a.said)
 }
 
 // ask asks the routers that may know the stream, and goes on when one does, all answered or time is over.
@@ -236,10 +260,13 @@
 		r.send(one, func(other *router) {
 			known, isKnown := other.table.Lookup(other.w.wall(), id)
 			mixed := other.isMixed(service)
-			proven, _ := other.versions.Proven(service)
+			var says versions.Statement
+			if mixed {
+				says = other.says(r)
+			}
 			other.send(r.id, func(back *router) {
 				if back.life > 0 {
-					back.answered(number, other.id, known, isKnown, mixed, proven)
+					back.answered(number, other.id, known, isKnown, mixed, says)
 				}
 			})
 		})
@@ -247,7 +274,7 @@
 }
 
 // answered takes the answer of another router.
-func (r *router) answered(number uint32, by string, known origin.Known, isKnown, mixed bool, proven roster.Version) {
+func (r *router) answered(number uint32, by string, known origin.Known, isKnown, mixed bool, says versions.Statement) {
 	a := r.asking[number]
 	if a == nil {
 		return
@@ -255,7 +282,8 @@
 	if at := slices.Index(a.open, by); at >= 0 {
 		a.open = slices.Delete(a.open, at, at+1)
 		a.answered++
-		a.proven = append(a.proven, proven)
+		says.Registered = r.w.store.registered(by)
+		a.said = append(a.said, says)
 	}
 	a.mixed = a.mixed || mixed
 	if isKnown {
--- a/bench/resumed/resolve.go
+++ b/bench/resumed/resolve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"goldcrestport/coordination/continuation"
+	"goldcrestport/coordination/versions"
 )
 
 // resolve decides where the stream of a caller that comes back may go on, and refuses it or goes on.
@@ -31,8 +32,12 @@
 			c.orStored(s, continuation.Unanswered, goOn)
 		default:
 			s.IsCurrent = got.asked > 0
-			own, _ := c.r.versions.Proven(service)
-			s.Proven = got.provenBy(own)
+			var conclusion versions.Conclusion
+			s.Proven, conclusion = got.conclude(c.r.says(c.r))
+			if conclusion == versions.OutOfStep {
+				c.orStored(s, continuation.Unanswered, goOn)
+				return
+			}
 			c.orStored(s, continuation.Unknown, goOn)
 		}
 	})
--- a/bench/resumed/router.go
+++ b/bench/resumed/router.go
@@ -24,6 +24,7 @@
 	gatherOrigins      = 5 * time.Millisecond
 	lookOrigins        = 100 * time.Millisecond
 	journalInterval    = 200 * time.Millisecond
+	takeOverInterval   = time.Second
 	// isStaleAfter is the age from which its view of the entries is no evidence.
 	isStaleAfter = 1800 * time.Millisecond
 	// touchTime is for how long after a trouble of its own a router is not in touch.
@@ -61,14 +62,17 @@
 	peers         map[string]*peer
 	confirmations vouching.Confirmations
 	storeAway     bool
-	calls         map[*call]struct{}
-	table         *origin.Table
-	asking        map[uint32]*asking
-	askNumber     uint32
-	doubts        map[origin.ID]*call
-	journal       *origin.Journal
+	// knewAllAt is when the process first knew the other routers, and members the number of changes of those that it knows.
+	knewAllAt time.Time
+	members   uint64
+	calls     map[*call]struct{}
+	table     *origin.Table
+	asking    map[uint32]*asking
+	askNumber uint32
+	doubts    map[origin.ID]*call
+	journal   *origin.Journal
 
-	nextFull, nextTeams time.Duration
+	nextFull, nextTeams, nextTakeOver time.Duration
 }
 
 // isFrozen reports whether the process does not run at present.
@@ -122,10 +126,51 @@
 	if r.w.store.served != nil {
 		r.versions.Stored(r.w.wall(), *r.w.store.served)
 	}
+	r.beginLife()
 	r.versions.Review(r.w.wall())
 	r.startTasks()
 }
 
+// name returns what identifies the process of the router.
+func (r *router) name() versions.Life {
+	return versions.Life(uint64(slices.Index(r.w.routers, r)+1)<<32 | uint64(r.life))
+}
+
+// beginLife records which processes of routers are accounted for, and that an earlier one of this router may not be.
+func (r *router) beginLife() {
+	for _, life := range slices.Sorted(maps.Keys(r.w.store.handedOver)) {
+		r.versions.Account(r.w.wall(), life)
+	}
+	if former := r.w.store.registered(r.id); former != 0 {
+		r.versions.RouterEnded(r.w.wall(), former)
+	}
+	r.versions.Account(r.w.wall(), r.name())
+	r.knewAllAt, r.members = r.w.wall(), r.w.store.members
+}
+
+// says returns what this router says to another one of a stream that it does not know.
+func (r *router) says(to *router) versions.Statement {
+	s := r.versions.Says(service)
+	s.Life, s.Revision, s.Members = r.name(), r.members, r.members
+	if to.alive {
+		s.Sees = r.w.store.registered(to.id)
+	}
+	return s
+}
+
+// takeOver asks the other routers for what they have proven and this one cannot, as it began too late.
+func (r *router) takeOver() {
+	if len(r.versions.Unproven()) == 0 {
+		return
+	}
+	knewAllAt := r.knewAllAt
+	r.ask(0, true, minAskLimit, func(got *asking) {
+		if first, conclusion := got.conclude(r.says(r)); !got.isKnown && conclusion == versions.IsProven {
+			r.versions.TakeOver(service, first, knewAllAt)
+		}
+	})
+}
+
 // startTasks starts what the process does again and again.
 func (r *router) startTasks() {
 	life := r.life
@@ -156,7 +201,8 @@
 		return
 	}
 	if !r.w.store.away {
-		r.w.store.register(r.id, life)
+		r.w.store.register(r.id, r.name())
+		r.versions.Registered(r.w.wall())
 	}
 	r.w.after(registerInterval, func() { r.register(life) })
 }
@@ -216,7 +262,8 @@
 	r.roster.StoreBack(r.w.wall())
 	r.apply(r.roster.Replace(r.w.wall(), r.w.store.list()))
 	// What ended meanwhile is not known.
-	r.versions.RouterEnded(r.w.wall())
+	r.versions.RouterGone(r.w.wall())
+	r.members = r.w.store.members
 	r.versions.Review(r.w.wall())
 }
 
@@ -242,6 +289,10 @@
 		}
 	}
 	r.settleDoubts()
+	if r.w.now >= r.nextTakeOver {
+		r.nextTakeOver = r.w.now + takeOverInterval
+		r.takeOver()
+	}
 }
 
 // syncServed writes which versions serve, if it is this router's turn.
--- a/bench/resumed/store.go
+++ b/bench/resumed/store.go
@@ -30,8 +30,12 @@
 	entries map[string]stored
 	// routers maps the registered ones to when their entries lapse, lives to the processes that wrote them.
 	routers map[string]time.Duration
-	lives   map[string]int
-	served  *versions.Served
+	lives   map[string]versions.Life
+	// members counts the changes of the registered routers, and handedOver are the processes that handed over what they
+	// knew.
+	members    uint64
+	handedOver map[versions.Life]bool
+	served     *versions.Served
 	// origins are the entries with origins that routers wrote, by router and segment.
 	origins map[string]storedOrigins
 }
@@ -48,7 +52,7 @@
 }
 
 func newStore(w *world) *store {
-	return &store{w: w, entries: map[string]stored{}, routers: map[string]time.Duration{}, lives: map[string]int{}, origins: map[string]storedOrigins{}}
+	return &store{w: w, entries: map[string]stored{}, routers: map[string]time.Duration{}, lives: map[string]versions.Life{}, handedOver: map[versions.Life]bool{}, origins: map[string]storedOrigins{}}
 }
 
 // write writes the entry of a server, and passes what is new on to the routers.
@@ -111,26 +115,55 @@
 	maps.DeleteFunc(s.origins, func(_ string, one storedOrigins) bool { return s.w.now > one.lapses })
 }
 
-// register writes the entry of a router's process.
-func (s *store) register(id string, life int) {
-	if _, isKnown := s.routers[id]; isKnown && s.lives[id] != life {
-		s.passEnd(id)
+// registered returns the process that is registered for the router; 0 for none.
+func (s *store) registered(id string) versions.Life {
+	if _, is := s.routers[id]; !is {
+		return 0
 	}
+	return s.lives[id]
+}
+
+// register writes the entry of a router's process.
+func (s *store) register(id string, life versions.Life) {
+	former := s.registered(id)
 	s.routers[id], s.lives[id] = s.w.now+registerLife, life
+	if former == life {
+		return
+	}
+	s.passMembers(func(r *router) {
+		if former != 0 {
+			r.versions.RouterEnded(r.w.wall(), former)
+		}
+	})
 }
 
 // unregister removes the entry of a router.
 func (s *store) unregister(id string) {
 	delete(s.routers, id)
-	s.passEnd(id)
+	s.passMembers(func(r *router) {
+		if r.id != id {
+			r.versions.RouterGone(r.w.wall())
+		}
+	})
 }
 
-// passEnd lets the other routers know that the process of one ended, as late as they can learn of it.
-func (s *store) passEnd(id string) {
+// account writes that a process of a router has handed over what it knew.
+func (s *store) account(life versions.Life) {
+	s.handedOver[life] = true
+	s.pass(func(r *router) { r.versions.Account(r.w.wall(), life) })
+}
+
+// passMembers lets the routers know of a change of those that are registered, as late as they can learn of it.
+func (s *store) passMembers(do func(*router)) {
+	s.members++
+	at := s.members
 	for _, r := range s.w.routers {
 		s.w.after(storeLagMax, func() {
-			if !s.away && r.id != id {
-				r.do(smallCost, func() { r.versions.RouterEnded(r.w.wall()) })
+			if !s.away {
+				r.do(smallCost, func() {
+					do(r)
+					r.members = max(r.members, at)
+				})
 			}
 		})
 	}
--- a/bench/resumed/trouble.go
+++ b/bench/resumed/trouble.go
@@ -119,7 +119,7 @@
 		default:
 			w.handOver(r)
 			r.writeOrigins((*origin.Journal).Last)
-			w.store.unregister(r.id)
+			r.accountForLife()
 			r.kill()
 			w.after(w.between(500*time.Millisecond, 2*time.Second), func() {
 				r.begin()
--- a/bench/soak/pairs_test.go
+++ b/bench/soak/pairs_test.go
@@ -44,8 +44,8 @@
 	play(t, PairsSize(), DefaultPlan(12107), "three of the first servers crash under one content")
 }
 
-// Guards against the same where the routers are also restarted one after the other as the release goes on: a router
-// that ended proves nothing any more, and what its streams were is not known to those that began since.
+// Guards against resumed streams that go on nowhere where all routers are killed as a release begins and then restarted
+// one after the other: a router that begins late proves nothing by itself.
 func TestASeedInWhichRoutersWereKilledAndRestartedInARelease(t *testing.T) {
 	t.Parallel()
 	play(t, PairsSize(), DefaultPlan(12034), "nothing is written and no other router is told while there is one version")
--- a/bench/soak/rows_resumed_test.go
+++ b/bench/soak/rows_resumed_test.go
@@ -125,8 +125,11 @@
 }
 
 // restartEach stops one router after the other and starts it again.
-func restartEach(f *rowFleet) {
-	for _, r := range f.w.routers {
+func restartEach(f *rowFleet) { restartSome(f, len(f.w.routers)) }
+
+// restartSome does so with the first routers.
+func restartSome(f *rowFleet, routers int) {
+	for _, r := range f.w.routers[:routers] {
 		f.Check(r.Stop(grace+time.Second), qt.IsTrue)
 		f.Assert(r.Start(), qt.IsNil)
 		f.Assert(f.w.fleet.WaitReady(context.Background(), r.Process), qt.IsNil)
@@ -179,6 +182,30 @@
 	releaseAfter(13*time.Second, 16*time.Second, restartEach).play(t)
 }
 
+// restartIn is a row as releaseAfter of all routers killed, in which so many are stopped and started one after the other
+// once the first server of the further version has joined.
+func restartIn(routers int, least, most time.Duration) resumedRow {
+	row := releaseAfter(least, most, killAndStart(3))
+	release := row.trouble
+	row.trouble = func(f *rowFleet) {
+		release(f)
+		time.Sleep(restartPause)
+		restartSome(f, routers)
+	}
+	return row
+}
+
+// Guards against streams that nobody knows any more because all routers were killed before a release, and that the
+// planned restart of one in the release makes go on nowhere.
+func TestStreamsGoOnWhereARouterIsRestartedInARelease(t *testing.T) {
+	restartIn(1, 11*time.Second, 13*time.Second).play(t)
+}
+
+// Guards against the same where no router is left that ran before streams began at the further version.
+func TestStreamsGoOnWhereAllRoutersAreRestartedInARelease(t *testing.T) {
+	restartIn(3, 16*time.Second, 19*time.Second).play(t)
+}
+
 // Guards against streams that nobody knows any more after each router was stopped and started again.
 func TestStreamsGoOnAfterARollingRestartOfASmallSite(t *testing.T) {
 	resumedRow{size: smallSite(), span: 2 * time.Second, lead: 2 * time.Second, least: 10 * time.Second, most: 14 * time.Second, trouble: restartEach}.play(t)
--- a/coordination/continuation/continuation.go
+++ b/coordination/continuation/continuation.go
@@ -145,6 +145,8 @@
 // none.
 func assumed(s Stream, isMixed bool) (origin.Origin, Reason) {
 	switch {
+	case s.Knowledge == Unknown && s.Proven != "" && len(s.Services) == 1 && !s.IsCurrent:
+		return origin.Origin{}, ReasonOldView
 	case s.Knowledge == Unknown && s.Proven != "" && len(s.Services) == 1:
 		return origin.Origin{Service: s.Services[0], Version: s.Proven}, LackOf(s.Proven, s.Serving, s.Returning)
 	case isMixed || len(s.Services) != 1:
--- a/coordination/continuation/continuation_test.go
+++ b/coordination/continuation/continuation_test.go
@@ -139,6 +139,8 @@
 // against a proof that is used for a stream that another router may know, or that may be of another service.
 func TestAProvenStreamGoesOn(t *testing.T) {
 	s := Stream{Knowledge: Unknown, Proven: "v1", Services: []string{"app"}, Serving: []roster.Version{"v1", "v2"}, Recent: []roster.Version{"v1", "v2"}}
+	qt.Check(t, Decide(s).Reason, qt.Equals, ReasonOldView, qt.Commentf("a router may have begun that this one does not know"))
+	s.IsCurrent = true
 	qt.Check(t, Decide(s), qt.Equals, Decision{Bound: origin.Origin{Service: "app", Version: "v1"}, IsStrict: true})
 	s.Serving = []roster.Version{"v2"}
 	qt.Check(t, Decide(s).Reason, qt.Equals, ReasonVersionGone)
--- a/coordination/mirror/entries.go
+++ b/coordination/mirror/entries.go
@@ -37,6 +37,8 @@
 	Address string
 	// Since is the store's revision of the entry's creation.
 	Since uint64
+	// Life identifies the process that wrote the entry; 0 if that is not known.
+	Life versions.Life
 }
 
 // Snapshot is everything that operators and backend servers have written to the store.
@@ -56,6 +58,8 @@
 	RefusedParts []partquarantine.Entry
 	// Served are the records of versions that served side by side.
 	Served []versions.Served
+	// HandedOver are processes of routers that ended as planned: others know what they knew of streams.
+	HandedOver []versions.Life
 	// Fleet is the number of routers that share retries; nil if there is none.
 	Fleet *repeats.FleetRecord
 	// Origins are those of streams that routers wrote for routers that begin; they are not passed on
@@ -82,6 +86,9 @@
 	ReleasedParts []partquarantine.SetID
 	// Served are records of versions that were written.
 	Served []versions.Served
+	// HandedOver are processes of routers that ended as planned: others know what they knew of streams. Ended
+	// are those that registered and ended within the change.
+	HandedOver, Ended []versions.Life
 	// Fleet is the number of routers that share retries; nil if it did not change.
 	Fleet *repeats.FleetRecord
 	// Origins are those of streams that routers wrote; they are not passed on from router to router.
--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -6,6 +6,7 @@
 
 	"goldcrestport/coordination/partquarantine"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 )
 
 // maxChanges bounds the changes that are kept for other routers: at ten changes a second
@@ -89,6 +90,8 @@
 	// Refused requests and sets are passed on, so that one router writes each.
 	m.result.Refused = append(m.result.Refused, d.Refused...)
 	m.result.Served = append(m.result.Served, d.Served...)
+	m.result.HandedOver = append(m.result.HandedOver, d.HandedOver...)
+	m.result.Ended = append(m.result.Ended, d.Ended...)
 	m.addParts(d)
 	for _, s := range d.Servers {
 		m.servers[s.ID] = s
@@ -105,10 +108,12 @@
 		m.invalid[entry.Name()] = entry
 	}
 	for id, registration := range d.Joined {
+		m.endJoined(id, registration.Life)
 		m.joined[id] = registration
 		delete(m.left, id)
 	}
 	for _, id := range d.Left {
+		m.endJoined(id, 0)
 		delete(m.joined, id)
 		m.left[id] = true
 	}
@@ -120,6 +125,14 @@
 	}
 }
 
+// endJoined records that a process which registered within these changes has ended, unless it is the one that is
+// registered next.
+func (m *merged) endJoined(id string, next versions.Life) {
+	if one, is := m.joined[id]; is && (one.Life == 0 || one.Life != next) {
+		m.result.Ended = append(m.result.Ended, one.Life)
+	}
+}
+
 // addParts adds the refused sets of parts.
 func (m *merged) addParts(d Delta) {
 	r := &m.result
--- a/coordination/mirror/history_test.go
+++ b/coordination/mirror/history_test.go
@@ -153,3 +153,28 @@
 	qt.Check(t, d.Served, qt.DeepEquals, []versions.Served{only, over}, qt.Commentf("the last one counts"))
 	qt.Check(t, Merge(Delta{Served: []versions.Served{only}}, Delta{Served: []versions.Served{over}}).Served, qt.DeepEquals, []versions.Served{only, over})
 }
+
+// Guards against a process of a router that came and went within changes that are read at once, and whose end nobody
+// notices: what only it knew of streams is lost.
+func TestMergedChangesNameProcessesThatCameAndWent(t *testing.T) {
+	joined := func(life versions.Life) Delta { return Delta{Joined: map[string]Registration{"r": {Life: life}}} }
+	for name, one := range map[string]struct {
+		changes []Delta
+		want    []versions.Life
+	}{
+		"one joins":                   {[]Delta{joined(1)}, nil},
+		"it is told twice":            {[]Delta{joined(1), joined(1)}, nil},
+		"another one joins":           {[]Delta{joined(1), joined(2)}, []versions.Life{1}},
+		"it leaves":                   {[]Delta{joined(1), {Left: []string{"r"}}}, []versions.Life{1}},
+		"it leaves before it joins":   {[]Delta{{Left: []string{"r"}}, joined(2)}, nil},
+		"nothing is known of either":  {[]Delta{joined(0), joined(0)}, []versions.Life{0}},
+		"three, one after the other":  {[]Delta{joined(1), joined(2), {Left: []string{"r"}}}, []versions.Life{1, 2}},
+		"it came and went in a watch": {[]Delta{{Ended: []versions.Life{4}, Joined: joined(5).Joined}}, []versions.Life{4}},
+	} {
+		m := newMerged()
+		for _, d := range one.changes {
+			m.add(d)
+		}
+		qt.Check(t, m.delta().Ended, qt.DeepEquals, one.want, qt.Commentf(name))
+	}
+}
--- a/coordination/versions/introduction.go
+++ b/coordination/versions/introduction.go
@@ -29,6 +29,9 @@
 	seenAt time.Time
 	// isOver means that streams may begin at each version.
 	isOver bool
+	// isHeld means that streams begin at the first version alone at this router, though they may begin at each, as
+	// others may not know yet that it runs.
+	isHeld bool
 	// isProven means that only is known to be the first version, not assumed. aloneAt is the last time at which
 	// it was certain that no router had begun a stream at another one, zero for none.
 	isProven bool
@@ -48,12 +51,12 @@
 	}
 }
 
-// RouterEnded records that the process of another router ended, or may have: what only it knew is lost.
-func (h *History) RouterEnded(now time.Time) { h.routerEndedAt = now }
-
 // Review looks for services that have got a second version or are left with one. It is called after each
 // change of servers and records that was read at once.
 func (h *History) Review(now time.Time) {
+	if h.beganAt.IsZero() {
+		h.beganAt = now
+	}
 	for name, s := range h.services {
 		recent := h.Recent(now, name)
 		switch {
@@ -66,9 +69,28 @@
 			// Nothing else could serve.
 			s.intro.isOver = true
 		}
+		if s.intro != nil && s.intro.isHeld {
+			s.intro.isHeld = s.serves(s.intro.only) && !h.isKnownToAll(now)
+		}
+	}
+}
+
+// Registered records that others can learn from the store that this router runs.
+func (h *History) Registered(now time.Time) {
+	if h.registeredAt.IsZero() {
+		h.registeredAt = now
 	}
 }
 
+// isKnownToAll reports whether no router acts on a view without this one any more, or it would be held for too long
+// as it cannot register.
+func (h *History) isKnownToAll(now time.Time) bool {
+	if h.registeredAt.IsZero() {
+		return now.Sub(h.beganAt) >= 2*h.viewBound
+	}
+	return now.Sub(h.registeredAt) >= h.viewBound
+}
+
 // stated returns the first version as the record in the store names it.
 func (i *introduction) stated() roster.Version {
 	if !i.isProven {
@@ -93,13 +115,14 @@
 	case s.sole != "":
 		// A record of an earlier time says nothing about this one.
 		one.only, one.isProven, one.aloneAt = s.sole, true, currentAt
-		s.stored, s.storedOnly = nil, ""
+		s.stored, s.storedOnly, s.storedFirst = nil, "", ""
 	case len(s.stored) == 1:
 		one.only, one.isProven = s.stored[0], true
 	case s.storedOnly != "" && s.storedOnly != Unsettled:
 		one.only, one.isProven = s.storedOnly, true
 	case s.storedOnly == "" && len(s.stored) > 1:
 		one.isOver = true
+		one.only, one.isHeld = s.storedFirst, s.storedFirst != ""
 	default:
 		// This router begins as the further version does, and which one that is is not known here.
 		one.only = s.mostServers()
@@ -125,17 +148,7 @@
 // new to the fleet.
 func (h *History) Introducing(name string) (roster.Version, bool) {
 	s := h.services[name]
-	if s == nil || s.intro == nil || s.intro.isOver {
-		return "", false
-	}
-	return s.intro.only, true
-}
-
-// Proven returns the version at which a stream of the service began that no running router knows: the
-// first one, as no process of a router has ended since it was certain that none had begun a stream at another.
-func (h *History) Proven(name string) (roster.Version, bool) {
-	s := h.services[name]
-	if s == nil || s.intro == nil || s.intro.aloneAt.IsZero() || !h.routerEndedAt.Before(s.intro.aloneAt) {
+	if s == nil || s.intro == nil || s.intro.isOver && !s.intro.isHeld {
 		return "", false
 	}
 	return s.intro.only, true
@@ -154,15 +167,27 @@
 	case !s.intro.isOver && now.Sub(s.intro.seenAt) < viewBound:
 		r.Only = s.intro.stated()
 	}
+	if s.intro != nil && r.Only == "" {
+		r.First = s.first()
+	}
 	return r, len(r.Versions) > 1
 }
 
+// first returns the first version that the record names: the one that this router has proven, or that which the record
+// named so far.
+func (s *service) first() roster.Version {
+	if s.intro.isProven {
+		return s.intro.only
+	}
+	return s.storedFirst
+}
+
 // has reports whether the store has the record. That of a single version is written once and lasts.
 func (s *service) has(r Served, now time.Time) bool {
 	if r.IsSole() {
 		return slices.Equal(s.stored, r.Versions)
 	}
-	return s.covers(r.Versions) && s.storedOnly == r.Only && now.Sub(s.storedAt) < storeEvery
+	return s.covers(r.Versions) && s.storedOnly == r.Only && s.storedFirst == r.First && now.Sub(s.storedAt) < storeEvery
 }
 
 // isUrgent reports whether this router writes the record whoever's turn it is: it alone may know that streams
--- a/coordination/versions/introduction_test.go
+++ b/coordination/versions/introduction_test.go
@@ -41,7 +41,7 @@
 	h.Stored(start, record[0])
 	qt.Check(t, h.ToStore(start.Add(DefaultViewBound-1), first), qt.HasLen, 0)
 	record = h.ToStore(start.Add(DefaultViewBound), first)
-	qt.Assert(t, record, qt.DeepEquals, []Served{{Service: "app", Versions: []roster.Version{"v1", "v2"}}})
+	qt.Assert(t, record, qt.DeepEquals, []Served{{Service: "app", Versions: []roster.Version{"v1", "v2"}, First: "v1"}})
 	qt.Check(t, only(h), qt.Equals, roster.Version("v1"), qt.Commentf("the record is not written yet"))
 	h.Stored(start.Add(DefaultViewBound), record[0])
 	qt.Check(t, only(h), qt.Equals, roster.Version(""))
@@ -66,14 +66,14 @@
 func TestWhoCanProveTheFirstVersion(t *testing.T) {
 	h := twoVersions()
 	qt.Check(t, proven(h), qt.Equals, roster.Version("v1"))
-	h.RouterEnded(start)
+	h.RouterEnded(start, 1)
 	qt.Check(t, proven(h), qt.Equals, roster.Version(""), qt.Commentf("it may have begun streams elsewhere"))
 	h.Confirm(start.Add(time.Millisecond))
 	qt.Check(t, proven(h), qt.Equals, roster.Version("v1"), qt.Commentf("it ended before any did"))
 	h.Stored(start.Add(time.Second), Served{Service: "app", Versions: []roster.Version{"v1", "v2"}})
 	h.Confirm(start.Add(2 * time.Second))
 	qt.Check(t, proven(h), qt.Equals, roster.Version("v1"))
-	h.RouterEnded(start.Add(3 * time.Second))
+	h.RouterEnded(start.Add(3*time.Second), 2)
 	qt.Check(t, proven(h), qt.Equals, roster.Version(""))
 
 	for only, want := range map[roster.Version]roster.Version{"": "", "v1": "v1"} {
--- a/coordination/versions/model_test.go
+++ b/coordination/versions/model_test.go
@@ -27,13 +27,22 @@
 	soon = 500 * time.Millisecond
 )
 
-// change is what the store tells of a change: servers of a version, a record, or a router that joined or left.
+// change is what the store tells of a change: servers of a version, a record, the process of a router that joined, the
+// entry of a router that lapsed, or a process that has handed over what it knew.
 type change struct {
-	at            time.Duration
-	added         roster.Version
-	removed       roster.Version
-	record        *Served
-	joined, ended bool
+	at           time.Duration
+	added        roster.Version
+	removed      roster.Version
+	record       *Served
+	joined       *registration
+	lapsed       *registration
+	isHandedOver Life
+}
+
+// registration is the process that is registered for a router.
+type registration struct {
+	router int
+	life   Life
 }
 
 // modelStream is a stream: its version, and when its caller comes back.
@@ -56,19 +65,38 @@
 	confirmedAt         time.Duration
 	cutUntil, stopUntil time.Duration
 	entryUntil          time.Duration
+	// life is that of its process, and peers are the processes that it sees registered, by their routers; members is
+	// the number of changes after the last one of those, and knewAllAt when it first read them.
+	life      Life
+	peers     map[int]Life
+	members   int
+	knewAllAt time.Duration
+	// A planned stop: it begins no stream any more from refusesAt on, hands over what it knew at closesAt, and has ended
+	// at endsAt; zero for none.
+	refusesAt, closesAt, endsAt time.Duration
+	isClosed                    bool
+	inheritance                 map[origin.ID]roster.Version
+	// isOld means that its process is of the build before, which does not tell processes of a router apart.
+	isOld bool
 }
 
-func (r *modelRouter) runs(now time.Duration) bool      { return r.alive && now >= r.stopUntil }
+func (r *modelRouter) runs(now time.Duration) bool { return r.alive && now >= r.stopUntil }
+func (r *modelRouter) takesStreams(now time.Duration) bool {
+	return r.runs(now) && (r.refusesAt == 0 || now < r.refusesAt)
+}
 func (r *modelRouter) isReached(now time.Duration) bool { return r.runs(now) && now >= r.cutUntil }
 
 // model plays routers of one size through releases, kills, cuts and pauses.
 type model struct {
-	rand    *rand.Rand
+	rand *rand.Rand
+	// aside draws what only the present build does, so that both builds meet the same troubles.
+	aside   *rand.Rand
 	now     time.Duration
 	routers []*modelRouter
 	log     []change
 	streams []modelStream
 	nextID  origin.ID
+	lives   Life
 	// isBefore plays routers that begin streams at a version at once and prove nothing.
 	isBefore       bool
 	joined         int
@@ -85,14 +113,18 @@
 
 // begin starts a process of the router, which reads all that the store has.
 func (m *model) begin(r *modelRouter) {
-	isFirst := r.entryUntil == 0
-	r.history, r.knows, r.alive = New(), map[origin.ID]roster.Version{}, true
-	r.read, r.entryUntil = 0, 1<<62
+	m.lives++
+	r.history, r.knows, r.alive, r.life = New(), map[origin.ID]roster.Version{}, true, m.lives
+	r.refusesAt, r.closesAt, r.endsAt, r.isClosed, r.inheritance = 0, 0, 0, false, nil
+	r.read, r.entryUntil, r.peers = 0, 1<<62, map[int]Life{}
 	m.catchUp(r, 0, true)
-	if !isFirst {
-		m.tell(change{joined: true})
-		r.read = len(m.log)
+	r.members, r.knewAllAt = r.read, m.now
+	if former, is := r.peers[r.index]; is {
+		r.history.RouterEnded(m.wall(), former)
 	}
+	r.history.Account(m.wall(), r.life)
+	r.history.Registered(m.wall())
+	m.tell(change{joined: &registration{r.index, r.life}})
 }
 
 // catchUp applies the changes of the store that are old enough.
@@ -107,8 +139,12 @@
 			r.history.Remove(m.wall(), "app", c.removed)
 		case c.record != nil:
 			r.history.Stored(m.wall(), *c.record)
-		case !isBeginning:
-			r.history.RouterEnded(m.wall())
+		case c.isHandedOver != 0:
+			if !r.isOld {
+				r.history.Account(m.wall(), c.isHandedOver)
+			}
+		default:
+			m.register(r, c, isBeginning)
 		}
 		if !isBeginning {
 			r.history.Review(m.wall())
@@ -119,6 +155,28 @@
 	r.history.Confirm(start.Add(r.confirmedAt))
 }
 
+// register lets the router see which process is registered for another one, or none any more.
+func (m *model) register(r *modelRouter, c change, isBeginning bool) {
+	one := c.joined
+	if one == nil {
+		one = c.lapsed
+	}
+	former, isKnown := r.peers[one.router]
+	switch {
+	case isBeginning || !isKnown:
+	case c.lapsed != nil:
+		r.history.RouterGone(m.wall())
+	case former != one.life && !r.isOld:
+		r.history.RouterEnded(m.wall(), former)
+	}
+	r.members = r.read
+	if c.joined != nil {
+		r.peers[one.router] = one.life
+	} else {
+		delete(r.peers, one.router)
+	}
+}
+
 // step lets each router do what it does in one step.
 func (m *model) step() {
 	for _, r := range m.routers {
@@ -127,10 +185,12 @@
 		}
 		if !r.alive && m.now >= r.entryUntil {
 			r.entryUntil = 1 << 62
-			m.tell(change{ended: true})
+			m.tell(change{lapsed: &registration{r.index, 0}})
 		}
+		m.stopStep(r)
 		if r.isReached(m.now) {
 			m.catchUp(r, r.lag, false)
+			m.takeOver(r)
 			for _, record := range r.history.ToStore(m.wall(), func(string) int { return m.turn(r) }) {
 				r.history.Stored(m.wall(), record)
 				m.tell(change{record: &record})
@@ -138,13 +198,13 @@
 		}
 	}
 	for range 3 {
-		if r := m.routers[m.rand.IntN(len(m.routers))]; r.runs(m.now) {
+		if r := m.routers[m.rand.IntN(len(m.routers))]; r.takesStreams(m.now) {
 			m.beginStream(r)
 		}
 	}
 	m.streams = slices.DeleteFunc(m.streams, func(s modelStream) bool {
 		r := m.routers[m.rand.IntN(len(m.routers))]
-		if m.now < s.backAt || !r.runs(m.now) {
+		if m.now < s.backAt || !r.takesStreams(m.now) {
 			return false
 		}
 		m.resume(r, s)
@@ -186,32 +246,70 @@
 	m.streams = append(m.streams, modelStream{m.nextID, v, m.now + modelStep + time.Duration(m.rand.Int64N(int64(back)))})
 }
 
+// says returns what the router says of a stream that it does not know.
+func (r *modelRouter) says() Statement {
+	s := r.history.Says("app")
+	if r.isOld {
+		return Statement{Proven: s.Proven}
+	}
+	s.Life = r.life
+	s.Revision, s.Members = uint64(r.read), uint64(r.members)
+	return s
+}
+
+// hears returns what another router says to this one.
+func (r *modelRouter) hears(other *modelRouter) Statement {
+	s := other.says()
+	s.Registered, s.Sees = r.peers[other.index], other.peers[r.index]
+	return s
+}
+
+// concludes returns the first version, by what this router and the others say.
+func (r *modelRouter) concludes(others []Statement) (roster.Version, Conclusion) {
+	if !r.isOld {
+		return Conclude(r.says(), others)
+	}
+	own := r.says().Proven
+	if own == "" || slices.ContainsFunc(others, func(s Statement) bool { return s.Proven != own }) {
+		return "", Unproven
+	}
+	return own, IsProven
+}
+
 // resume takes the stream up at the router, which asks the others that it may ask.
 func (m *model) resume(r *modelRouter, s modelStream) {
 	recent := r.history.Recent(m.wall(), "app")
 	one := continuation.Stream{Services: []string{"app"}, Serving: r.history.Serving("app"), Recent: recent, Knowledge: continuation.Unknown}
 	one.IsCurrent = m.now-r.confirmedAt <= staleAfter
-	if len(m.routers) <= 16 {
-		one.Proven, _ = r.history.Proven("app")
+	if v, isKnown := r.knows[s.id]; isKnown {
+		one.Knowledge, one.Origin = continuation.Known, origin.Origin{Service: "app", Version: v}
 	}
-	for _, other := range m.asked(r) {
-		v, isKnown := other.knows[s.id]
-		switch {
-		case other == r && isKnown, isKnown && other.isReached(m.now) && r.isReached(m.now):
-			one.Knowledge, one.Origin = continuation.Known, origin.Origin{Service: "app", Version: v}
-		case other != r && (!other.isReached(m.now) || !r.isReached(m.now)):
-			if one.Knowledge == continuation.Unknown && (other.alive || m.now < other.entryUntil) {
+	asked, isAll := m.asked(r, m.rand)
+	var said []Statement
+	for _, other := range asked {
+		if !other.isReached(m.now) || !r.isReached(m.now) {
+			if one.Knowledge == continuation.Unknown {
 				one.Knowledge = continuation.Unanswered
 			}
-		default:
-			one.MixedElsewhere = one.MixedElsewhere || other.history.IsMixed(m.wall(), "app")
-			if p, _ := other.history.Proven("app"); p != one.Proven {
-				one.Proven = ""
-			}
+			continue
+		}
+		if v, isKnown := other.knows[s.id]; isKnown {
+			one.Knowledge, one.Origin = continuation.Known, origin.Origin{Service: "app", Version: v}
+		}
+		isMixed := other.history.IsMixed(m.wall(), "app")
+		one.MixedElsewhere = one.MixedElsewhere || isMixed
+		if isMixed {
+			said = append(said, r.hears(other))
+		} else {
+			said = append(said, Statement{})
 		}
 	}
-	if m.isBefore {
-		one.Proven = ""
+	if one.Knowledge == continuation.Unknown && isAll && !m.isBefore {
+		proven, conclusion := r.concludes(said)
+		one.Proven = proven
+		if conclusion == OutOfStep {
+			one.Knowledge = continuation.Unanswered
+		}
 	}
 	d := continuation.Decide(one)
 	switch {
@@ -224,33 +322,112 @@
 	}
 }
 
-// asked returns the router and those that it asks: all of a small fleet.
-func (m *model) asked(r *modelRouter) []*modelRouter {
-	if len(m.routers) <= 16 {
-		return m.routers
+// asked returns the routers that the router asks, and whether these are all that it sees: all of a small fleet.
+func (m *model) asked(r *modelRouter, draws *rand.Rand) ([]*modelRouter, bool) {
+	var out []*modelRouter
+	for _, other := range m.routers {
+		if _, is := r.peers[other.index]; is && other != r {
+			out = append(out, other)
+		}
+	}
+	if len(out) <= 15 {
+		return out, true
+	}
+	draws.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:7], false
+}
+
+// takeOver lets a router that began late ask the others what they have proven.
+func (m *model) takeOver(r *modelRouter) {
+	if r.isOld || m.isBefore || len(r.history.Unproven()) == 0 || m.aside.IntN(4) > 0 {
+		return
+	}
+	asked, isAll := m.asked(r, m.aside)
+	var said []Statement
+	for _, other := range asked {
+		if !other.isReached(m.now) || !other.history.IsMixed(m.wall(), "app") {
+			return
+		}
+		said = append(said, r.hears(other))
 	}
-	out := []*modelRouter{r}
-	for range 7 {
-		out = append(out, m.routers[m.rand.IntN(len(m.routers))])
+	if first, conclusion := r.concludes(said); isAll && conclusion == IsProven {
+		r.history.TakeOver("app", first, start.Add(r.knewAllAt))
 	}
-	return out
 }
 
-// kill ends the router's process; another one begins after the pause.
+// stop begins a planned stop of the router.
+func (m *model) stop(r *modelRouter) {
+	if r.alive && r.refusesAt == 0 {
+		r.refusesAt = m.now
+		r.closesAt = m.now + time.Duration(m.rand.Int64N(int64(2*time.Second)))
+		r.endsAt = r.closesAt + time.Duration(m.rand.IntN(4))*modelStep
+	}
+}
+
+// stopStep lets a router that stops go on with that.
+func (m *model) stopStep(r *modelRouter) {
+	if r.refusesAt == 0 || !r.runs(m.now) {
+		return
+	}
+	if m.now >= r.closesAt && !r.isClosed {
+		r.isClosed, r.inheritance = true, map[origin.ID]roster.Version{}
+		first, isKnown := r.history.First("app")
+		for id, v := range r.knows {
+			if !isKnown || v != first {
+				r.inheritance[id] = v
+			}
+		}
+	}
+	if r.isClosed && r.isReached(m.now) {
+		m.handOver(r)
+	}
+	if m.now < r.endsAt {
+		return
+	}
+	if len(r.inheritance) == 0 && r.isReached(m.now) && !r.isOld && !m.isBefore {
+		m.tell(change{isHandedOver: r.life})
+	}
+	pause := time.Duration(200+m.rand.IntN(600)) * time.Millisecond
+	if m.rand.IntN(4) == 0 {
+		// Its entry lapses meanwhile.
+		pause += lapse + time.Second
+	}
+	m.kill(r, pause)
+}
+
+// handOver hands what is left of the inheritance to one of the others, by chance.
+func (m *model) handOver(r *modelRouter) {
+	asked, _ := m.asked(r, m.aside)
+	if len(asked) == 0 || r.isOld || m.isBefore {
+		return
+	}
+	heir := asked[m.aside.IntN(len(asked))]
+	if !heir.isReached(m.now) || heir.isClosed || heir.isOld {
+		return
+	}
+	for id, v := range r.inheritance {
+		heir.knows[id] = v
+	}
+	r.inheritance = map[origin.ID]roster.Version{}
+}
+
+// kill ends the router's process; another one begins after the pause, of the new build.
 func (m *model) kill(r *modelRouter, pause time.Duration) {
 	if r.alive {
-		r.alive, r.beginsAt, r.entryUntil = false, m.now+pause, m.now+lapse
+		r.alive, r.beginsAt, r.entryUntil, r.isOld = false, m.now+pause, m.now+lapse, false
 	}
 }
 
 // newModel starts the routers before servers of the first version.
 func newModel(seed uint64, routers int, isBefore bool) *model {
-	m := &model{rand: rand.New(rand.NewPCG(seed, uint64(routers))), isBefore: isBefore}
+	m := &model{rand: rand.New(rand.NewPCG(seed, uint64(routers))), aside: rand.New(rand.NewPCG(seed, 1)), isBefore: isBefore}
 	for range 4 {
 		m.tell(change{added: "v1"})
 	}
 	for i := range routers {
 		r := &modelRouter{index: i, lag: time.Duration(m.rand.Int64N(int64(400 * time.Millisecond)))}
+		// In some plays a part of the routers are of the build before, until they begin anew.
+		r.isOld = seed%5 == 4 && i%2 == 0
 		m.routers = append(m.routers, r)
 		m.begin(r)
 	}
@@ -260,13 +437,33 @@
 // trouble draws what happens to single routers in one step.
 func (m *model) trouble() {
 	some := m.routers[m.rand.IntN(len(m.routers))]
-	switch m.rand.IntN(60) {
+	switch m.rand.IntN(80) {
 	case 0:
 		some.cutUntil = m.now + time.Duration(m.rand.Int64N(int64(5*time.Second)))
 	case 1:
 		some.stopUntil = m.now + time.Duration(m.rand.Int64N(int64(4*time.Second)))
 	case 2:
 		m.kill(some, 500*time.Millisecond)
+	case 3, 4:
+		m.stop(some)
+	case 5:
+		// Each that stops is killed while it does.
+		for _, r := range m.routers {
+			if r.refusesAt > 0 {
+				m.kill(r, 500*time.Millisecond)
+			}
+		}
+	}
+}
+
+// restartInTurn stops one router after the other from the given time on, each of so many.
+func (m *model) restartInTurn(from time.Duration, routers int) {
+	const each = 3 * time.Second
+	if m.now < from || (m.now-from)%each != 0 {
+		return
+	}
+	if n := int((m.now - from) / each); n < min(routers, len(m.routers)) {
+		m.stop(m.routers[n])
 	}
 }
 
@@ -284,11 +481,12 @@
 }
 
 // play plays one seed: a release, in half of the plays all routers killed at one moment around it, and in the
-// others or beside it random troubles of single ones.
+// others or beside it random troubles of single ones, or restarts in turn.
 func play(seed uint64, routers int, isBefore bool) *model {
 	m := newModel(seed, routers, isBefore)
 	const releaseAt = 6 * time.Second
 	killAt := releaseAt + time.Duration(m.rand.IntN(200)-100)*modelStep
+	stopsAt := releaseAt + time.Duration(m.rand.IntN(100)-20)*modelStep
 	isCalm := seed%2 == 0
 	for m.now = modelStep; m.now < modelTime; m.now += modelStep {
 		if m.now == killAt && seed%4 < 2 {
@@ -297,6 +495,9 @@
 			}
 		}
 		m.step()
+		if seed%3 == 0 {
+			m.restartInTurn(stopsAt, 1+int(seed)%5)
+		}
 		if !isCalm {
 			m.trouble()
 		}
@@ -305,11 +506,40 @@
 	return m
 }
 
+// Guards against streams that all go on nowhere since routers are stopped and started in turn, as planned, in a release
+// before which all were killed: what began at the further version is known, and the rest began at the first one.
+func TestStreamsGoOnWhereRoutersAreRestartedInTurnInARelease(t *testing.T) {
+	for _, routers := range []int{3, 5, 12} {
+		for restarted := range routers + 1 {
+			var joined, went, came int
+			for seed := range uint64(20) {
+				m := newModel(10+5*seed, routers, false)
+				const releaseAt = 6 * time.Second
+				for m.now = modelStep; m.now < modelTime; m.now += modelStep {
+					if m.now == releaseAt-time.Second {
+						for _, r := range m.routers {
+							m.kill(r, 500*time.Millisecond)
+						}
+					}
+					m.step()
+					m.restartInTurn(releaseAt+time.Second, restarted)
+					m.release(releaseAt, false)
+				}
+				joined, went, came = joined+m.joined, went+m.went, came+m.went+m.refused+m.joined
+			}
+			t.Logf("%d of %d routers are restarted: joined %d, %d of %d go on", restarted, routers, joined, went, came)
+			qt.Check(t, joined, qt.Equals, 0)
+			qt.Check(t, 2*went >= came, qt.IsTrue)
+		}
+	}
+}
+
 // Guards against streams that go on at another version at a router out of step, or by a proof that does not
-// hold: routers of each size, a release, kills of all and of single routers, cuts and pauses, at random.
+// hold: routers of each size, a release, kills of all and of single routers, cuts, pauses, planned stops whole and cut
+// short, and restarts in turn, at random.
 func TestNoStreamIsJoinedAroundARelease(t *testing.T) {
-	for _, routers := range []int{3, 5, 12, 17, 103, 800} {
-		seeds := uint64(80)
+	for _, routers := range []int{2, 3, 5, 12, 17, 103, 800} {
+		seeds := uint64(120)
 		if routers > 100 {
 			seeds = 12
 		}
--- a/coordination/versions/versions.go
+++ b/coordination/versions/versions.go
@@ -24,6 +24,8 @@
 	// Only is the version at which streams have begun so far, Unsettled if it is not known, empty if they may
 	// begin at each.
 	Only roster.Version
+	// First is the version at which they began before any other one; empty if that is not known.
+	First roster.Version
 }
 
 // IsSole reports whether the service had one version only, for longer than a stream lasts. Such a record lasts
@@ -45,9 +47,11 @@
 	services map[string]*service
 	// viewBound is for how long a router of this fleet acts on a view that is not confirmed.
 	viewBound time.Duration
-	// currentAt is when all that is known of the store was last known to be current, and routerEndedAt
-	// when the last other router was known to have ended.
-	currentAt, routerEndedAt time.Time
+	// currentAt is when all that is known of the store was last known to be current.
+	currentAt time.Time
+	lives     lives
+	// beganAt is when this router began, and registeredAt when the others could first learn of it; zero for not yet.
+	beganAt, registeredAt time.Time
 }
 
 // service holds the versions of one service.
@@ -57,6 +61,7 @@
 	// written, zero if it has not.
 	stored          []roster.Version
 	storedOnly      roster.Version
+	storedFirst     roster.Version
 	storedAt, dueAt time.Time
 	// sole is the version of a service that has one, and intro the introduction of a further one.
 	sole  roster.Version
@@ -174,7 +179,7 @@
 // served before; what it has seen itself counts by that.
 func (h *History) Stored(now time.Time, record Served) {
 	s := h.of(record.Service)
-	s.stored, s.storedOnly, s.storedAt, s.dueAt = record.Versions, record.Only, now, time.Time{}
+	s.stored, s.storedOnly, s.storedFirst, s.storedAt, s.dueAt = record.Versions, record.Only, record.First, now, time.Time{}
 	if s.intro != nil && record.Only == "" && !record.IsSole() {
 		s.intro.isOver = true
 	}
@@ -189,7 +194,7 @@
 func (h *History) Records(now time.Time) []Served {
 	var out []Served
 	for name, s := range h.services {
-		one := Served{Service: name, Versions: slices.Clone(s.stored), Only: s.storedOnly}
+		one := Served{Service: name, Versions: slices.Clone(s.stored), Only: s.storedOnly, First: s.storedFirst}
 		if one.IsSole() || len(s.stored) > 0 && now.Sub(s.storedAt) < Horizon {
 			out = append(out, one)
 		}
@@ -225,6 +230,7 @@
 
 // Tick forgets what lies beyond the horizon.
 func (h *History) Tick(now time.Time) {
+	h.lives.tick(now)
 	for name, s := range h.services {
 		maps.DeleteFunc(s.uses, func(_ roster.Version, one *use) bool { return !one.counts(now) })
 		if len(s.uses) == 0 {
--- a/protocol/originmsg/originmsg.go
+++ b/protocol/originmsg/originmsg.go
@@ -14,6 +14,7 @@
 
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 	"goldcrestport/protocol/datagram"
 )
 
@@ -31,6 +32,10 @@
 	Asks Kind = 2
 	// Answers answers that.
 	Answers Kind = 3
+	// HandsOver lists the origins of streams that a router knows as it ends, and asks for a receipt.
+	HandsOver Kind = 4
+	// Takes is the receipt.
+	Takes Kind = 5
 )
 
 // maxCount is the limit of counts, which are encoded in two bytes.
@@ -49,6 +54,9 @@
 	// flagProven stands in answers of routers that do not know the stream: the version is in the place of that
 	// of its origin, which builds that do not know the flag do not read then.
 	flagProven = 32
+	// flagSound stands in answers of routers that do not know the stream: the revisions and the process are in
+	// the place of the router that knows it, which builds that do not know the flag do not read then.
+	flagSound = 64
 )
 
 // Flags of a group of records.
@@ -67,7 +75,7 @@
 	Router string
 	// Records are the origins that are announced.
 	Records []origin.Record
-	// Number identifies an asking and its answers.
+	// Number identifies an asking and its answers, or a part of what is handed over and its receipt.
 	Number uint32
 	// ID and Service are the stream that is asked for, and the service that it is to go on at.
 	ID      origin.ID
@@ -77,9 +85,8 @@
 	IsKnown bool
 	// Mixed means that the answering router knows of several versions of the service.
 	Mixed bool
-	// Proven is the version at which, by what the answering router knows, a stream of the service began that
-	// no router knows; empty if it cannot say, or knows the stream.
-	Proven roster.Version
+	// Says is what the answering router says of a stream that it does not know.
+	Says versions.Statement
 }
 
 // Is reports whether the datagram starts as a message about origins.
@@ -95,6 +102,10 @@
 		b = binary.LittleEndian.AppendUint32(b, m.Number)
 		b = binary.LittleEndian.AppendUint64(b, uint64(m.ID))
 		return datagram.AppendName(b, m.Service)
+	case HandsOver:
+		return AppendRecords(binary.LittleEndian.AppendUint32(b, m.Number), m.Records)
+	case Takes:
+		return binary.LittleEndian.AppendUint32(b, m.Number)
 	default:
 		return appendAnswer(b, m)
 	}
@@ -147,16 +158,30 @@
 	if m.Mixed {
 		flags |= flagMixed
 	}
-	version := m.Known.Version
-	if !m.IsKnown && m.Proven != "" {
+	version, by := m.Known.Version, m.Known.By
+	if !m.IsKnown && m.Says.Proven != "" {
 		flags |= flagProven
-		version = m.Proven
+		version = m.Says.Proven
+	}
+	if !m.IsKnown && m.Says.IsSound {
+		flags |= flagSound
+		by = string(appendRevisions(nil, m.Says))
 	}
 	b = append(binary.LittleEndian.AppendUint32(b, m.Number), flags)
-	b = datagram.AppendName(datagram.AppendName(datagram.AppendName(b, m.Known.Service), string(version)), m.Known.By)
+	b = datagram.AppendName(datagram.AppendName(datagram.AppendName(b, m.Known.Service), string(version)), by)
 	return binary.LittleEndian.AppendUint32(b, uint32(min(m.Known.For.Milliseconds(), math.MaxUint32)))
 }
 
+// revisionsSize is the size of the revisions and the process of a statement.
+const revisionsSize = 32
+
+func appendRevisions(b []byte, s versions.Statement) []byte {
+	for _, one := range []uint64{s.Revision, s.Members, uint64(s.Life), uint64(s.Sees)} {
+		b = binary.LittleEndian.AppendUint64(b, one)
+	}
+	return b
+}
+
 // Read decodes a datagram.
 func Read(b []byte) (Message, error) {
 	if len(b) < 2 || !Is(b) {
@@ -170,6 +195,11 @@
 	case Asks:
 		m.Number, m.ID = d.number(), origin.ID(d.id())
 		m.Service = d.Name()
+	case HandsOver:
+		m.Number = d.number()
+		m.Records = d.records()
+	case Takes:
+		m.Number = d.number()
 	case Answers:
 		d.answer(&m)
 	default:
@@ -223,6 +253,13 @@
 	m.Known.Service, m.Known.Version, m.Known.By = d.Name(), roster.Version(d.Name()), d.Name()
 	m.Known.For = time.Duration(d.number()) * time.Millisecond
 	if flags&flagProven != 0 {
-		m.Proven, m.Known.Version = m.Known.Version, ""
+		m.Says.Proven, m.Known.Version = m.Known.Version, ""
+	}
+	if flags&flagSound != 0 && !m.IsKnown && len(m.Known.By) == revisionsSize {
+		b := []byte(m.Known.By)
+		m.Says.IsSound, m.Known.By = true, ""
+		m.Says.Revision, m.Says.Members = binary.LittleEndian.Uint64(b), binary.LittleEndian.Uint64(b[8:])
+		m.Says.Life = versions.Life(binary.LittleEndian.Uint64(b[16:]))
+		m.Says.Sees = versions.Life(binary.LittleEndian.Uint64(b[24:]))
 	}
 }
--- a/protocol/originmsg/originmsg_test.go
+++ b/protocol/originmsg/originmsg_test.go
@@ -12,6 +12,7 @@
 
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 	"goldcrestport/protocol/crashreport"
 	"goldcrestport/protocol/datagram"
 	"goldcrestport/protocol/digest"
@@ -30,7 +31,11 @@
 	{Kind: Answers, Router: "r3", Number: 9, IsKnown: true, Known: origin.Known{Uncertain: true, Conflicting: true}},
 	{Kind: Answers, Router: "r3", Number: 8, IsKnown: true, Known: origin.Known{Uncertain: true, MayEnd: true}},
 	{Kind: Answers, Router: "r3", Number: 9},
-	{Kind: Answers, Router: "r3", Number: 10, Mixed: true, Proven: "v1"},
+	{Kind: Answers, Router: "r3", Number: 10, Mixed: true, Says: versions.Statement{Proven: "v1"}},
+	{Kind: Answers, Router: "r3", Number: 11, Mixed: true, Says: versions.Statement{Proven: "v1", IsSound: true, Revision: 1 << 40, Members: 7, Life: 1 << 60, Sees: 5}},
+	{Kind: Answers, Router: "r3", Number: 11, Mixed: true, Says: versions.Statement{IsSound: true, Revision: 8, Members: 7}},
+	{Kind: HandsOver, Router: "r1", Number: 12, Records: []origin.Record{{ID: 6, Origin: origin.Origin{Service: "app", Version: "v2"}}}},
+	{Kind: Takes, Router: "r2", Number: 12},
 }
 
 // Each message arrives as it was sent, whatever the order of its groups, and is no other kind of
--- a/transport/direct/changes.go
+++ b/transport/direct/changes.go
@@ -102,6 +102,7 @@
 	whole.Routers = maps.Clone(r.peers)
 	fleet := r.fleetSize.Record(time.Now())
 	whole.Fleet = &fleet
+	whole.HandedOver = r.versions.Accounted()
 	whole.Served = r.versions.Records(time.Now())
 	answer.Whole = &whole
 	if r.mirror.Config().Version > want.Version {
--- a/transport/direct/dialect.go
+++ b/transport/direct/dialect.go
@@ -95,11 +95,14 @@
 	// Changes waits up to the given time for changes after the revision. It returns
 	// platform.ErrCompacted if they are no longer available.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error)
-	// Register creates this router's entry under a lease, or renews it; lease is the one
-	// returned before, or empty.
-	Register(ctx context.Context, id, address, lease string, ttl time.Duration) (string, error)
-	// Unregister ends the lease.
-	Unregister(ctx context.Context, lease string) error
+	// Register creates this router's entry, or renews it; life is the one returned before, which
+	// identifies this process, or 0.
+	Register(ctx context.Context, id, address string, life versions.Life, ttl time.Duration) (versions.Life, error)
+	// Unregister ends the entry.
+	Unregister(ctx context.Context, life versions.Life) error
+	// KeepHandedOver writes that the process of the router ends and that others know what it knew of
+	// streams. That ends with its entry.
+	KeepHandedOver(ctx context.Context, router string, life versions.Life) error
 	// Keep writes the entry of a refused request with the given lifetime, or renews it.
 	Keep(ctx context.Context, one quarantine.Entry, life time.Duration) error
 	// Drop removes the entry of a request that is no longer refused.
--- a/transport/direct/harness_test.go
+++ b/transport/direct/harness_test.go
@@ -114,6 +114,9 @@
 	refused []quarantine.Entry
 	// refusedParts are the refused sets of parts that routers entered.
 	refusedParts []partquarantine.Entry
+	// life is that of the router's process, 1 if it is zero, and handedOver are the lives that it wrote.
+	life       versions.Life
+	handedOver []versions.Life
 	// wrote, if set, passes what this router wrote on to others, as the store does.
 	wrote func(mirror.Delta)
 	// origins are the records of where streams began, which all sources of a fleet share; nil if
@@ -159,11 +162,21 @@
 	}
 }
 
-func (s *testSource) Register(context.Context, string, string, string, time.Duration) (string, error) {
-	return "1", nil
+func (s *testSource) Register(context.Context, string, string, versions.Life, time.Duration) (versions.Life, error) {
+	return max(s.life, 1), nil
 }
 
-func (s *testSource) Unregister(context.Context, string) error { return nil }
+func (s *testSource) Unregister(context.Context, versions.Life) error { return nil }
+
+func (s *testSource) KeepHandedOver(_ context.Context, _ string, life versions.Life) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnknown
+	}
+	s.handedOver = append(s.handedOver, life)
+	return nil
+}
 
 func (s *testSource) Keep(_ context.Context, one quarantine.Entry, _ time.Duration) error {
 	return s.write(mirror.Delta{Refused: []quarantine.Entry{one}}, func() {
--- a/transport/direct/originask.go
+++ b/transport/direct/originask.go
@@ -8,6 +8,7 @@
 
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 	"goldcrestport/protocol/originmsg"
 )
 
@@ -38,28 +39,58 @@
 	routers, answered int
 	// isAll means that no other router is registered than those that were asked.
 	isAll bool
-	// proven are the versions at which the stream began by what those say that answered.
-	proven []roster.Version
+	// own is what this router says of a stream that no router knows, and said what those say that answered.
+	own  versions.Statement
+	said []versions.Statement
 }
 
-// provenBy returns the version at which the stream began that no router knows, if this router and all others
-// say so; own is what this one says.
-func (a asked) provenBy(own roster.Version) roster.Version {
-	isOther := func(v roster.Version) bool { return v != own }
-	if !a.isAll || a.answered < a.routers || len(a.proven) < a.routers || slices.ContainsFunc(a.proven, isOther) {
-		return ""
+// conclude returns the version at which the stream began that no router knows, if all routers together say so.
+func (a asked) conclude() (roster.Version, versions.Conclusion) {
+	if !a.isAll || a.answered < a.routers || len(a.said) < a.routers {
+		return "", versions.Unproven
 	}
-	return own
+	return versions.Conclude(a.own, a.said)
+}
+
+// heard returns what the answer says of a stream that its router does not know.
+func (o *origins) heard(m originmsg.Message) versions.Statement {
+	s := m.Says
+	s.Registered = o.seen(m.Router)
+	return s
+}
+
+// seen returns the process that is registered for the router, as far as this one knows.
+func (o *origins) seen(router string) versions.Life {
+	o.r.mu.Lock()
+	defer o.r.mu.Unlock()
+	return o.r.peers[router].Life
+}
+
+// prove asks all other routers at which version streams of the service began that none of them knows.
+func (o *origins) prove(ctx context.Context, service string) (roster.Version, versions.Conclusion) {
+	fleet, _ := o.others(time.Now())
+	if got := fleet.Holders(0); len(got) < fleet.Size()-1 {
+		return "", versions.Unproven
+	}
+	got := o.ask(ctx, 0, service, true, minAskLimit)
+	if got.isKnown {
+		return "", versions.Unproven
+	}
+	return got.conclude()
 }
 
 // ask asks the routers that may know where the stream began; unless one of them does, and the service
 // is known to have several versions, also all others of the data centre. Answers are awaited for the
 // limit each time.
 func (o *origins) ask(ctx context.Context, id origin.ID, service string, isMixed bool, limit time.Duration) asked {
+	before := o.says(service)
 	fleet, addresses := o.others(time.Now())
+	own := o.says(service)
 	holders := fleet.Holders(id)
 	got := o.askRouters(ctx, id, service, holders, addresses, limit)
-	got.isAll = len(holders) == fleet.Size()-1
+	got.own = own
+	// The others that are asked must be those that the statement is about.
+	got.isAll = len(holders) == fleet.Size()-1 && before.Members == own.Members
 	if got.isKnown || !isMixed && !got.isMixed || got.answered < got.routers {
 		return got
 	}
@@ -109,7 +140,7 @@
 			if open[m.Router] {
 				delete(open, m.Router)
 				got.answered++
-				got.proven = append(got.proven, m.Proven)
+				got.said = append(got.said, o.heard(m))
 			}
 			got.isMixed = got.isMixed || m.Mixed
 			if m.IsKnown {
--- a/transport/direct/origins.go
+++ b/transport/direct/origins.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"goldcrestport/coordination/origin"
-	"goldcrestport/coordination/roster"
+	"goldcrestport/coordination/versions"
 	"goldcrestport/protocol/originmsg"
 )
 
@@ -39,12 +39,16 @@
 	// begun wakes the task that announces origins.
 	begun chan struct{}
 
+	// handover is what this router hands over as it ends.
+	handover handover
 	// writer writes to the store what begins here.
 	writer originWriter
 
-	mu      sync.Mutex
-	table   *origin.Table
-	journal *origin.Journal
+	mu    sync.Mutex
+	table *origin.Table
+	// isClosed means that this router has begun to hand over what it knows, and takes nothing from others.
+	isClosed bool
+	journal  *origin.Journal
 	// number is that of the last asking, and asking holds those that await answers.
 	number uint32
 	asking map[uint32]chan originmsg.Message
@@ -237,6 +241,10 @@
 		}
 	case originmsg.Asks:
 		o.answer(m, from)
+	case originmsg.HandsOver:
+		o.take(m, from)
+	case originmsg.Takes:
+		o.handover.taken(m.Router, m.Number)
 	case originmsg.Answers:
 		o.mu.Lock()
 		waiting := o.asking[m.Number]
@@ -260,22 +268,22 @@
 	o.r.mu.Unlock()
 	a := originmsg.Message{Kind: originmsg.Answers, Number: m.Number, Known: known, IsKnown: isKnown, Mixed: mixed}
 	if !isKnown && mixed {
-		a.Proven = o.proven(m.Service)
+		a.Says = o.says(m.Service)
+		a.Says.Sees = o.seen(m.Router)
 	}
 	o.send(from, a)
 }
 
-// proven returns the version at which a stream of the service began that no router knows, as far as this
-// one can say; empty if it cannot.
-func (o *origins) proven(service string) roster.Version {
+// says returns what this router says of a stream of the service that it does not know.
+func (o *origins) says(service string) versions.Statement {
 	o.mu.Lock()
 	isComplete := o.table.IsComplete()
 	o.mu.Unlock()
-	if !isComplete {
-		return ""
-	}
 	o.r.mu.Lock()
 	defer o.r.mu.Unlock()
-	v, _ := o.r.versions.Proven(service)
-	return v
+	s := o.r.says(service)
+	if !isComplete {
+		s.Proven, s.IsSound = "", false
+	}
+	return s
 }
--- a/transport/direct/originstore.go
+++ b/transport/direct/originstore.go
@@ -70,18 +70,3 @@
 	defer w.o.mu.Unlock()
 	w.o.journal.Written(now, segment)
 }
-
-// handOver informs other routers of all streams that this one knows, as it ends. Callers come back
-// later than that.
-func (o *origins) handOver(now time.Time) {
-	fleet, addresses := o.others(now)
-	o.mu.Lock()
-	all := o.table.All(now)
-	o.mu.Unlock()
-	out := batches{}
-	for _, one := range all {
-		out.add(fleet.Heirs(one.ID), one)
-	}
-	o.sendBatches(out, addresses)
-	o.r.event("origins_handed_over", "streams", len(all), "routers", len(out))
-}
--- a/transport/direct/refusedstore.go
+++ b/transport/direct/refusedstore.go
@@ -126,8 +126,10 @@
 	callKeepParts  = "keep_parts"
 	callDropParts  = "drop_parts"
 	callKeepServed = "keep_versions"
-	callKeepFleet  = "keep_fleet"
-	callOrigins    = "keep_origins"
+	// callKeepHandedOver is the call that writes that this router's process has handed over what it knows.
+	callKeepHandedOver = "keep_handed_over"
+	callKeepFleet      = "keep_fleet"
+	callOrigins        = "keep_origins"
 )
 
 // countStoreCall counts a call to the store by its kind and result.
--- a/transport/direct/resume.go
+++ b/transport/direct/resume.go
@@ -8,6 +8,7 @@
 	"goldcrestport/coordination/continuation"
 	"goldcrestport/coordination/origin"
 	"goldcrestport/coordination/resumption"
+	"goldcrestport/coordination/versions"
 	"goldcrestport/protocol/outcome"
 )
 
@@ -101,7 +102,12 @@
 			return continuation.Unanswered
 		default:
 			s.IsCurrent = got.routers > 0
-			s.Proven = got.provenBy(c.r.origins.proven(c.service))
+			var conclusion versions.Conclusion
+			s.Proven, conclusion = got.conclude()
+			c.stream.isOutOfStep = conclusion == versions.OutOfStep
+			if c.stream.isOutOfStep {
+				return continuation.Unanswered
+			}
 			return continuation.Unknown
 		}
 	}
--- a/transport/direct/resume_harness_test.go
+++ b/transport/direct/resume_harness_test.go
@@ -211,7 +211,7 @@
 	f := &resumeFleet{C: qt.New(t), lines: &lineBuffer{}}
 	f.peers = map[string]mirror.Registration{}
 	for n := range routers {
-		f.peers[fmt.Sprint("r", n)] = mirror.Registration{Address: freeAddress(f.C)}
+		f.peers[fmt.Sprint("r", n)] = mirror.Registration{Address: freeAddress(f.C), Life: versions.Life(n + 1)}
 	}
 	return f
 }
@@ -219,6 +219,7 @@
 func (f *resumeFleet) startRouter(id string, peers map[string]mirror.Registration, entries []roster.Server) *fixture {
 	return startLogged(f.C.TB, testConfig(1), log.NewLogfmtLogger(f.lines), func(set *settings.Direct, s *testSource) {
 		set.ID, set.Listen.Peers = id, peers[id].Address
+		s.life = peers[id].Life
 		s.now.Served = f.served
 		s.now.Servers, s.now.Routers = slices.Clone(entries), maps.Clone(peers)
 		if f.change != nil {
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -84,6 +84,11 @@
 	// versions tracks the software versions of the servers of each service.
 	versions *versions.History
 	peers    map[string]mirror.Registration
+	// life identifies this process by its registration; 0 before the first one. knewAllAt is when this router first
+	// knew the others, and membersRevision that of the last change of the registered routers.
+	life            versions.Life
+	knewAllAt       time.Time
+	membersRevision uint64
 	// peersChanged makes the gossiper read peers again.
 	peersChanged bool
 	// lastSeqs holds the sequence number of the last message from each other router, and witness
@@ -239,6 +244,7 @@
 	go r.syncServed(ctx)
 	go r.syncFleet(ctx)
 	go r.origins.writer.run(ctx)
+	go r.takeOverProofs(ctx)
 	go func() { _ = observe.Server(r.healthHandler()).Serve(health) }()
 	if err := r.startGossip(ctx); err != nil {
 		return errors.Wrap(err, "listen.peers")
--- a/transport/direct/shutdown.go
+++ b/transport/direct/shutdown.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"goldcrestport/coordination/leave"
+	"goldcrestport/coordination/origin"
 	"goldcrestport/transport/duty"
 )
 
@@ -19,7 +21,7 @@
 	cfg.Linger, cfg.Ending = r.set.Linger(), shutdownTimeout
 	cfg.Bound = max(r.set.Stop.Bound.D()-2*shutdownTimeout, cfg.Linger)
 	r.event("leaving", "held", r.inFlight.Load())
-	r.origins.handOver(time.Now())
+	r.origins.handOver(time.Now(), func(origin.Record) bool { return true })
 	r.leaving.begin(time.Now(), cfg)
 	r.unready.Store(true)
 	duty.Leave(cfg, r.inFlight.Load, r.abort, func(p leave.Phase) { r.enterPhase(p, srv) })
@@ -38,11 +40,14 @@
 		r.event("stopped", "held", r.inFlight.Load())
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
-		r.origins.handOver(time.Now())
+		r.origins.handOver(time.Now(), r.origins.mayBeLost())
 		written := make(chan struct{})
 		go func() {
 			defer close(written)
-			r.origins.writer.last(ctx)
+			var last sync.WaitGroup
+			last.Go(func() { r.accountForLife(ctx) })
+			last.Go(func() { r.origins.writer.last(ctx) })
+			last.Wait()
 		}()
 		if srv.Shutdown(ctx) != nil {
 			_ = srv.Close()
--- a/transport/direct/streams.go
+++ b/transport/direct/streams.go
@@ -35,6 +35,8 @@
 	// that answered.
 	asked                  time.Duration
 	askedRouters, answered int
+	// isOutOfStep means that the routers do not agree yet on who they are.
+	isOutOfStep bool
 	// found is the origin that was found, also if the stream may not go on there. It is of no use if
 	// isUncertain, which is because routers know different ones if isConflicting.
 	found                      origin.Origin
@@ -219,7 +221,7 @@
 	rates := c.r.rates.near(now, c.route.Name)
 	c.r.event("stream_resumed", "request", c.meta.ID, "stream", c.streamID(), "service", c.service, "after", after, "within", within,
 		"route", c.route.Name, "door", string(door), "began", c.origin().Version, "known_by", c.stream.knownBy, "known_ms", c.stream.knownFor.Milliseconds(), "uncertain", c.stream.isUncertain, "conflicting", c.stream.isConflicting,
-		"asked_us", c.stream.asked.Microseconds(), "asked", c.stream.askedRouters, "answered", c.stream.answered,
+		"asked_us", c.stream.asked.Microseconds(), "asked", c.stream.askedRouters, "answered", c.stream.answered, "out_of_step", c.stream.isOutOfStep,
 		"servers", servers.Known, "servers_usable", servers.Usable()+servers.Untrusted, "servers_trusted", servers.Usable(),
 		"new_came", rates.Came, "new_began", rates.Began, "resumed_came", rates.Resumed, "resumed_went_on", rates.WentOn,
 		"versions", joinVersions(serving), "recent", joinVersions(recent), "config_age_ms", c.r.configAge().Milliseconds(),
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -78,7 +78,8 @@
 	r.evacuate(before)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
 	r.handleInvalid(s.Invalid)
-	r.notePeersReplaced(s.Routers)
+	r.noteHandedOver(s.HandedOver)
+	r.notePeersReplaced(s)
 	r.peers = s.Routers
 	r.countRouters()
 	r.applyStored(s.Refused, false)
@@ -107,6 +108,7 @@
 		r.apply(r.roster.Remove(time.Now(), id))
 	}
 	r.handleInvalid(d.Invalid)
+	r.noteHandedOver(d.HandedOver)
 	r.notePeersChanged(d)
 	for id, one := range d.Joined {
 		r.peers[id] = one
