A configuration that cannot be read leaves the last one in force and all else followed

Cause: decode gave an error back for the configuration, and with it all changes that were read beside it were dropped, at each try.

Evidence: TestAnUnreadableConfigurationDoesNotAffectOthers fails on the code before (an error, no servers); so does a router that begins (never ready).

Now it is an invalid entry like any other: the last configuration stays in force, a log line and direct_configuration_unreadable say so, and a router that begins takes the last one from another router. Ruled out: refusing callers, as one entry would end the service of the whole fleet.

Changed checks: decode has no error any more, so tests that asked for none lost that line; checkAgrees asks for the invalid entry in its place.

--- a/coordination/mirror/entries.go
+++ b/coordination/mirror/entries.go
@@ -19,6 +19,8 @@
 	// Server is the id of the backend server that the key names; empty for entries of
 	// another kind.
 	Server string
+	// IsConfig means that the entry is the operators' configuration: the one before it stays in force.
+	IsConfig bool
 	// Reason for the log.
 	Reason string
 }
--- a/coordination/mirror/history.go
+++ b/coordination/mirror/history.go
@@ -82,6 +82,7 @@
 func (m *merged) add(d Delta) {
 	if d.Config != nil {
 		m.result.Config = d.Config
+		maps.DeleteFunc(m.invalid, func(_ string, one InvalidEntry) bool { return one.IsConfig })
 	}
 	if d.Fleet != nil {
 		m.result.Fleet = d.Fleet
--- a/transport/direct/follow.go
+++ b/transport/direct/follow.go
@@ -24,6 +24,9 @@
 			f.failed(ctx, err)
 			continue
 		}
+		if r.lacksConfig() {
+			f.fetchConfig(ctx)
+		}
 		if r.table.Load() == nil {
 			// The whole fleet and its servers may be starting, so what they write meanwhile is
 			// read in one call.
--- a/transport/direct/invalid.go
+++ b/transport/direct/invalid.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"time"
 
 	"goldcrestport/coordination/mirror"
@@ -17,10 +18,39 @@
 		if one.Server != "" {
 			r.apply(r.roster.Invalidate(one.Server))
 		}
+		if one.IsConfig {
+			r.hasUnreadableConfig = true
+			r.metrics.configUnreadable.Set(1)
+		}
 		r.logInvalid(one)
 	}
 }
 
+// noteReadableConfig records that a configuration was read. The caller holds mu.
+func (r *Router) noteReadableConfig() {
+	r.hasUnreadableConfig = false
+	r.metrics.configUnreadable.Set(0)
+}
+
+// lacksConfig reports whether this router has none, and the one in the store cannot be read.
+func (r *Router) lacksConfig() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasUnreadableConfig && r.table.Load() == nil
+}
+
+// fetchConfig fetches what another router has, with the last configuration that could be read.
+func (f *follower) fetchConfig(ctx context.Context) {
+	_, addresses := f.r.otherRouters()
+	for id, address := range addresses {
+		if err := f.fetchFrom(ctx, address.String(), changesRequest{}); err == nil && f.r.table.Load() != nil {
+			f.r.event("configuration_by_router", "router", id, "version", f.r.table.Load().Version())
+		}
+		// One of them, by chance: this is repeated.
+		return
+	}
+}
+
 // logInvalid counts and logs an entry once for each of its revisions. The caller holds mu.
 func (r *Router) logInvalid(one mirror.InvalidEntry) {
 	if r.loggedInvalid[one.Key] == one.Revision {
--- a/transport/direct/metrics.go
+++ b/transport/direct/metrics.go
@@ -33,7 +33,9 @@
 	// bodyBytes is the memory in use by the callers' bodies.
 	bodyBytes *expvar.Int
 	invalid   *expvar.Int
-	shed      *expvar.Int
+	// configUnreadable is 1 while the configuration in the store cannot be read.
+	configUnreadable *expvar.Int
+	shed             *expvar.Int
 	// backoffs counts refusals by which a server requested a back-off.
 	backoffs *expvar.Int
 	// invalidAnswers counts answers with information about their server that cannot be parsed.
@@ -74,31 +76,32 @@
 func newMetrics(r *Router) *metrics {
 	v := observe.NewVars()
 	m := &metrics{
-		vars:            v,
-		requests:        v.Int("direct_requests"),
-		outcomes:        v.Map("direct_outcomes"),
-		repeats:         v.Int("direct_repeats"),
-		retries:         v.Map("direct_retries"),
-		probesSent:      v.Int("direct_quarantine_probes"),
-		storeErrors:     v.Int("direct_store_errors"),
-		storeCalls:      v.Map("direct_store_calls"),
-		dropped:         v.Int("log_lines_dropped"),
-		peerReads:       v.Int("direct_peer_reads"),
-		attachedApplied: v.Int("direct_changes_passed"),
-		forwarded:       v.Int("direct_messages_passed_on"),
-		peerErrors:      v.Int("direct_peer_errors"),
-		closedIdle:      v.Int("direct_idle_closed"),
-		bodyBytes:       v.Int("direct_body_bytes"),
-		invalid:         v.Int("direct_invalid_entries"),
-		shed:            v.Int("direct_shed"),
-		backoffs:        v.Int("direct_backoffs"),
-		invalidAnswers:  v.Int("direct_invalid_answers"),
-		crashes:         v.Int("direct_server_crashes"),
-		confirmed:       v.Int("direct_quarantine_confirmed"),
-		cleared:         v.Int("direct_quarantine_cleared"),
-		partsRefused:    v.Int("direct_part_quarantine_refused"),
-		partsCleared:    v.Int("direct_part_quarantine_cleared"),
-		latency:         v.Times("direct_latency_us"),
+		vars:             v,
+		requests:         v.Int("direct_requests"),
+		outcomes:         v.Map("direct_outcomes"),
+		repeats:          v.Int("direct_repeats"),
+		retries:          v.Map("direct_retries"),
+		probesSent:       v.Int("direct_quarantine_probes"),
+		storeErrors:      v.Int("direct_store_errors"),
+		storeCalls:       v.Map("direct_store_calls"),
+		dropped:          v.Int("log_lines_dropped"),
+		peerReads:        v.Int("direct_peer_reads"),
+		attachedApplied:  v.Int("direct_changes_passed"),
+		forwarded:        v.Int("direct_messages_passed_on"),
+		peerErrors:       v.Int("direct_peer_errors"),
+		closedIdle:       v.Int("direct_idle_closed"),
+		bodyBytes:        v.Int("direct_body_bytes"),
+		invalid:          v.Int("direct_invalid_entries"),
+		configUnreadable: v.Int("direct_configuration_unreadable"),
+		shed:             v.Int("direct_shed"),
+		backoffs:         v.Int("direct_backoffs"),
+		invalidAnswers:   v.Int("direct_invalid_answers"),
+		crashes:          v.Int("direct_server_crashes"),
+		confirmed:        v.Int("direct_quarantine_confirmed"),
+		cleared:          v.Int("direct_quarantine_cleared"),
+		partsRefused:     v.Int("direct_part_quarantine_refused"),
+		partsCleared:     v.Int("direct_part_quarantine_cleared"),
+		latency:          v.Times("direct_latency_us"),
 
 		abandoned:        v.Int("direct_attempts_abandoned"),
 		abandonedUnacked: v.Int("direct_attempts_abandoned_unacked"),
--- a/transport/direct/router.go
+++ b/transport/direct/router.go
@@ -124,6 +124,8 @@
 	mirror mirror.Mirror
 	// answers caches the last answer to other routers.
 	answers packedAnswers
+	// hasUnreadableConfig means that the configuration in the store cannot be read; the last one stays in force.
+	hasUnreadableConfig bool
 	// loggedInvalid holds the revisions at which invalid entries were logged, by key.
 	loggedInvalid map[string]uint64
 	catchUpNeeded chan struct{}
--- a/transport/direct/sync.go
+++ b/transport/direct/sync.go
@@ -78,6 +78,9 @@
 	r.evacuate(before)
 	r.apply(r.roster.Replace(time.Now(), s.Servers))
 	r.handleInvalid(s.Invalid)
+	if s.Config != nil {
+		r.noteReadableConfig()
+	}
 	r.noteHandedOver(s.HandedOver)
 	r.notePeersReplaced(s)
 	r.peers = s.Routers
@@ -108,6 +111,9 @@
 		r.apply(r.roster.Remove(time.Now(), id))
 	}
 	r.handleInvalid(d.Invalid)
+	if d.Config != nil {
+		r.noteReadableConfig()
+	}
 	r.noteHandedOver(d.HandedOver)
 	r.notePeersChanged(d)
 	for id, one := range d.Joined {
