--- a/Makefile
+++ b/Makefile
@@ -34,12 +34,13 @@
 
 # fuzz lets the fuzzer look for streams that the follower of events reads otherwise than a
 # slow reader does, and for chunked bodies that the budget of bodies reads otherwise than a
-# plain reader; FUZZ is for how long.
+# plain reader, and for lists of entries by which sound ones are not read; FUZZ is for how long.
 FUZZ ?= 10s
 .PHONY: fuzz
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzPieces -fuzztime $(FUZZ) ./state/eventstream
 	$(GO) test -run '^$$' -fuzz FuzzChunked -fuzztime $(FUZZ) ./transport/callerbody
+	$(GO) test -run '^$$' -fuzz FuzzLists -fuzztime $(FUZZ) ./platform
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
