Ends of other routers are logged within a bound; the model's planned stops apart

Each router logs a line for each process of another one that ends: in a fleet of 800 that is killed at once some 640,000 lines in a few seconds, without a bound. They share that of failures now, 100 a second, and name what was left out.

--- a/coordination/versions/model_test.go
+++ b/coordination/versions/model_test.go
@@ -246,36 +246,6 @@
 	m.streams = append(m.streams, modelStream{m.nextID, v, m.now + modelStep + time.Duration(m.rand.Int64N(int64(back)))})
 }
 
-// says returns what the router says of a stream that it does not know.
-func (r *modelRouter) says() Statement {
-	s := r.history.Says("app")
-	if r.isOld {
-		return Statement{Proven: s.Proven}
-	}
-	s.Life = r.life
-	s.Revision, s.Members = uint64(r.read), uint64(r.members)
-	return s
-}
-
-// hears returns what another router says to this one.
-func (r *modelRouter) hears(other *modelRouter) Statement {
-	s := other.says()
-	s.Registered, s.Sees = r.peers[other.index], other.peers[r.index]
-	return s
-}
-
-// concludes returns the first version, by what this router and the others say.
-func (r *modelRouter) concludes(others []Statement) (roster.Version, Conclusion) {
-	if !r.isOld {
-		return Conclude(r.says(), others)
-	}
-	own := r.says().Proven
-	if own == "" || slices.ContainsFunc(others, func(s Statement) bool { return s.Proven != own }) {
-		return "", Unproven
-	}
-	return own, IsProven
-}
-
 // resume takes the stream up at the router, which asks the others that it may ask.
 func (m *model) resume(r *modelRouter, s modelStream) {
 	recent := r.history.Recent(m.wall(), "app")
@@ -337,80 +307,6 @@
 	return out[:7], false
 }
 
-// takeOver lets a router that began late ask the others what they have proven.
-func (m *model) takeOver(r *modelRouter) {
-	if r.isOld || m.isBefore || len(r.history.Unproven()) == 0 || m.aside.IntN(4) > 0 {
-		return
-	}
-	asked, isAll := m.asked(r, m.aside)
-	var said []Statement
-	for _, other := range asked {
-		if !other.isReached(m.now) || !other.history.IsMixed(m.wall(), "app") {
-			return
-		}
-		said = append(said, r.hears(other))
-	}
-	if first, conclusion := r.concludes(said); isAll && conclusion == IsProven {
-		r.history.TakeOver("app", first, start.Add(r.knewAllAt))
-	}
-}
-
-// stop begins a planned stop of the router.
-func (m *model) stop(r *modelRouter) {
-	if r.alive && r.refusesAt == 0 {
-		r.refusesAt = m.now
-		r.closesAt = m.now + time.Duration(m.rand.Int64N(int64(2*time.Second)))
-		r.endsAt = r.closesAt + time.Duration(m.rand.IntN(4))*modelStep
-	}
-}
-
-// stopStep lets a router that stops go on with that.
-func (m *model) stopStep(r *modelRouter) {
-	if r.refusesAt == 0 || !r.runs(m.now) {
-		return
-	}
-	if m.now >= r.closesAt && !r.isClosed {
-		r.isClosed, r.inheritance = true, map[origin.ID]roster.Version{}
-		first, isKnown := r.history.First("app")
-		for id, v := range r.knows {
-			if !isKnown || v != first {
-				r.inheritance[id] = v
-			}
-		}
-	}
-	if r.isClosed && r.isReached(m.now) {
-		m.handOver(r)
-	}
-	if m.now < r.endsAt {
-		return
-	}
-	if len(r.inheritance) == 0 && r.isReached(m.now) && !r.isOld && !m.isBefore {
-		m.tell(change{isHandedOver: r.life})
-	}
-	pause := time.Duration(200+m.rand.IntN(600)) * time.Millisecond
-	if m.rand.IntN(4) == 0 {
-		// Its entry lapses meanwhile.
-		pause += lapse + time.Second
-	}
-	m.kill(r, pause)
-}
-
-// handOver hands what is left of the inheritance to one of the others, by chance.
-func (m *model) handOver(r *modelRouter) {
-	asked, _ := m.asked(r, m.aside)
-	if len(asked) == 0 || r.isOld || m.isBefore {
-		return
-	}
-	heir := asked[m.aside.IntN(len(asked))]
-	if !heir.isReached(m.now) || heir.isClosed || heir.isOld {
-		return
-	}
-	for id, v := range r.inheritance {
-		heir.knows[id] = v
-	}
-	r.inheritance = map[origin.ID]roster.Version{}
-}
-
 // kill ends the router's process; another one begins after the pause, of the new build.
 func (m *model) kill(r *modelRouter, pause time.Duration) {
 	if r.alive {
@@ -456,17 +352,6 @@
 	}
 }
 
-// restartInTurn stops one router after the other from the given time on, each of so many.
-func (m *model) restartInTurn(from time.Duration, routers int) {
-	const each = 3 * time.Second
-	if m.now < from || (m.now-from)%each != 0 {
-		return
-	}
-	if n := int((m.now - from) / each); n < min(routers, len(m.routers)) {
-		m.stop(m.routers[n])
-	}
-}
-
 // release adds servers of a further version from the given time on, and may take them away again.
 func (m *model) release(from time.Duration, mayRollBack bool) {
 	switch m.now {
--- a/transport/direct/lives.go
+++ b/transport/direct/lives.go
@@ -76,7 +76,7 @@
 		return
 	}
 	r.versions.RouterGone(time.Now())
-	r.event("router_gone", "router", id, "life", r.peers[id].Life)
+	r.logRouterEnd("router_gone", "router", id, "life", r.peers[id].Life)
 }
 
 // notePeerEnded records that a process of the router ended. The caller holds mu.
@@ -85,7 +85,14 @@
 		return
 	}
 	r.versions.RouterEnded(time.Now(), one.Life)
-	r.event("router_ended", "router", id, "life", one.Life, "handed_over", r.versions.IsAccounted(one.Life))
+	r.logRouterEnd("router_ended", "router", id, "life", one.Life, "handed_over", r.versions.IsAccounted(one.Life))
+}
+
+// logRouterEnd logs the end of a process of another router, within a bound: a whole fleet may be killed at once.
+func (r *Router) logRouterEnd(name string, keyvals ...any) {
+	if allowed, dropped := r.failureLines.Allow(name, time.Now()); allowed {
+		r.event(name, append(keyvals, "left_out", dropped)...)
+	}
 }
 
 // says returns what this router says of a stream of the service that it does not know. The caller holds mu.
