The sidecar's test of cut heads waits for the end of each run

The stand-in of a router's end closes its stream 20 ms after its last message, so a run that takes longer on a busy machine is cancelled by the test itself. The same was behind the streams that broke off without a message, once in some hundred attempts, which the test had borne.

Ruled out: the sidecar, which says context canceled for a caller that has gone.

--- a/transport/sidecar/cut_head_test.go
+++ b/transport/sidecar/cut_head_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -59,23 +60,18 @@
 // lastAttempt numbers the attempts of these tests.
 var lastAttempt atomic.Uint64
 
-// runOnce runs one request at the sidecar and returns its last message, and the number of messages; none if the stream of
-// messages broke off, which no router takes for an answer.
+// runOnce runs one request at the sidecar and returns its last message, and the number of messages.
 func runOnce(t *testing.T, s *Sidecar, start *wire.RunStart) (*wire.RunDown, int) {
 	start.Attempt.RequestId = fmt.Sprint("r", lastAttempt.Add(1))
 	stream := newFakeStream(context.Background(), lastOfRun, &wire.RunUp{Kind: &wire.RunUp_Start{Start: start}})
-	err := s.Run(stream)
-	if len(stream.sent) == 0 {
-		qt.Assert(t, err, qt.IsNotNil)
-		return nil, 0
-	}
+	stream.wait = 10 * time.Second
+	qt.Assert(t, s.Run(stream), qt.IsNil)
 	return stream.sent[len(stream.sent)-1], len(stream.sent)
 }
 
 // Guards against a head that stops at any byte, with the connection closed or reset, and that is passed on as an answer: on new
 // connections and on kept ones, and to HEAD.
 func TestAHeadCutAtAnyByteIsNoAnswer(t *testing.T) {
-	broken := 0
 	for _, head := range cutHeads {
 		cut, isReset := 0, false
 		base := startCutting(t, func() (string, bool) { return head[:cut], isReset })
@@ -90,10 +86,6 @@
 					}
 					last, messages := runOnce(t, s, startOf(method, "/cut", cut%3 > 0, ""))
 					comment := qt.Commentf("%q, %s, reset %v: %v", head[:cut], method, isReset, last)
-					if messages == 0 {
-						broken++
-						continue
-					}
 					qt.Check(t, messages, qt.Equals, 1, comment)
 					qt.Check(t, last.GetHead(), qt.IsNil, comment)
 					qt.Check(t, last.GetEnd().GetOutcome() == string(outcome.Failed) || last.GetEnd().GetOutcome() == string(outcome.Unknown), qt.IsTrue, comment)
@@ -101,5 +93,4 @@
 			}
 		}
 	}
-	qt.Check(t, broken < 50, qt.IsTrue, qt.Commentf("%d streams broke off", broken))
 }
--- a/transport/sidecar/messages_fuzz_test.go
+++ b/transport/sidecar/messages_fuzz_test.go
@@ -38,13 +38,15 @@
 	last   func(Down) bool
 	ended  chan struct{}
 	finish sync.Once
+	// wait is how long the stream stays open after its last message.
+	wait time.Duration
 }
 
-// fakeWait is how long a stream stays open after its last message.
+// fakeWait is how long a stream stays open after its last message, unless it is set otherwise.
 const fakeWait = 20 * time.Millisecond
 
 func newFakeStream[Up, Down any](ctx context.Context, last func(Down) bool, ups ...Up) *fakeStream[Up, Down] {
-	return &fakeStream[Up, Down]{ctx: ctx, ups: ups, last: last, ended: make(chan struct{})}
+	return &fakeStream[Up, Down]{ctx: ctx, ups: ups, last: last, ended: make(chan struct{}), wait: fakeWait}
 }
 
 func (f *fakeStream[Up, Down]) Context() context.Context { return f.ctx }
@@ -74,7 +76,7 @@
 	f.mu.Unlock()
 	select {
 	case <-f.ended:
-	case <-time.After(fakeWait):
+	case <-time.After(f.wait):
 	}
 	return up, io.EOF
 }
